--- /dev/null
+++ b/shalehinge/src/core/controller.rs
@@ -0,0 +1,565 @@
+//! Control of a failure domain: the lease holder brings its groups to what the
+//! configuration wants.
+//!
+//! The assignment object is written first, orders follow from what is stored.
+//! A group serves once all members were seen ready. A host that leaves a group
+//! stays in `releasing` until its engine shows that it has left; only then can
+//! another group get it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::engine::{Command, EngineStatus, LoadCommand, Order, OrderReply};
+use super::fleet_state::FleetState;
+use super::objects::{Assignment, Group, GroupPhase, Member, Versioned};
+use super::placement::planner::HeldWeights;
+use super::placement::preview::apply_step;
+use super::placement::{PlacementContext, next_steps};
+use super::types::{
+    Address, Epoch, FailureDomain, GroupNumber, HostId, OperationId, Timestamp, Version,
+};
+use crate::settings::control::ControlSettings;
+
+/// What the controller wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ControllerAction {
+    /// Read the assignment object.
+    Read,
+    /// Write the assignment object conditionally.
+    Write {
+        /// Version that it must have.
+        expect: Version,
+        /// The new value.
+        value: Assignment,
+    },
+    /// Send an order to the engine of a host.
+    Order {
+        /// The host.
+        host: HostId,
+        /// Where its engine listens.
+        address: Address,
+        /// The order.
+        order: Order,
+    },
+    /// Ask rank 0 of a group for its status.
+    Probe {
+        /// The group.
+        group: GroupNumber,
+        /// Its rank 0.
+        rank_zero: Member,
+    },
+    /// A line for the log of decisions.
+    Log(String),
+}
+
+/// What is known of a group's health.
+#[derive(Clone, Debug, Default)]
+struct GroupHealth {
+    incomplete_since: Option<Timestamp>,
+    lost_member: Option<HostId>,
+    is_lost: bool,
+}
+
+/// The control of one failure domain, at one daemon.
+#[derive(Clone, Debug)]
+pub struct Controller {
+    settings: ControlSettings,
+    domain: FailureDomain,
+    epoch: Option<Epoch>,
+    stored: Option<Versioned<Assignment>>,
+    pending: Option<Assignment>,
+    in_flight: bool,
+    observed: BTreeMap<HostId, EngineStatus>,
+    /// The last release that each engine took and carried out.
+    released: BTreeMap<HostId, GroupNumber>,
+    health: BTreeMap<GroupNumber, GroupHealth>,
+    unreachable: BTreeMap<HostId, Timestamp>,
+    next_call_at: BTreeMap<HostId, Timestamp>,
+    retiring_since: BTreeMap<GroupNumber, Timestamp>,
+    forming_since: BTreeMap<GroupNumber, Timestamp>,
+    /// From the host list, for hosts that are in no group any more.
+    addresses: BTreeMap<HostId, Address>,
+}
+
+impl Controller {
+    /// A controller that holds no lease yet.
+    pub fn new(settings: ControlSettings, domain: FailureDomain) -> Self {
+        Self {
+            settings,
+            domain,
+            epoch: None,
+            stored: None,
+            pending: None,
+            in_flight: false,
+            observed: BTreeMap::new(),
+            released: BTreeMap::new(),
+            health: BTreeMap::new(),
+            unreachable: BTreeMap::new(),
+            next_call_at: BTreeMap::new(),
+            retiring_since: BTreeMap::new(),
+            forming_since: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+        }
+    }
+
+    /// The assignment as stored, if this daemon knows it.
+    pub fn stored(&self) -> Option<&Versioned<Assignment>> {
+        self.stored.as_ref()
+    }
+
+    /// What to do now. `epoch` is that of the lease, if it is held.
+    pub fn tick(
+        &mut self,
+        now: Timestamp,
+        epoch: Option<Epoch>,
+        state: &FleetState,
+        operation: OperationId,
+    ) -> Vec<ControllerAction> {
+        let Some(epoch) = epoch else {
+            self.resign();
+            return Vec::new();
+        };
+        if self.epoch != Some(epoch) {
+            self.resign();
+            self.epoch = Some(epoch);
+        }
+        self.note_addresses(state);
+        if self.in_flight {
+            return self.calls(now, epoch);
+        }
+        let Some(stored) = &self.stored else {
+            self.in_flight = true;
+            return vec![ControllerAction::Read];
+        };
+        let expect = stored.version;
+        let (value, log) = self.next_value(now, state);
+        let mut actions = self.calls(now, epoch);
+        if let Some(mut value) = value {
+            value.operation = Some(operation);
+            value.epoch = epoch;
+            actions.extend(log.into_iter().map(ControllerAction::Log));
+            self.pending = Some(value.clone());
+            self.in_flight = true;
+            actions.push(ControllerAction::Write { expect, value });
+        }
+        actions
+    }
+
+    /// The lease is not held: what was known may be out of date.
+    fn resign(&mut self) {
+        *self = Self::new(self.settings, self.domain.clone());
+    }
+
+    /// A read of the assignment was answered.
+    pub fn on_read(&mut self, value: Option<Versioned<Assignment>>) {
+        self.in_flight = false;
+        self.pending = None;
+        self.stored = Some(value.unwrap_or(Versioned {
+            version: Version(0),
+            value: Assignment::default(),
+        }));
+    }
+
+    /// A write took effect.
+    pub fn on_written(&mut self, version: Version) -> Option<&Versioned<Assignment>> {
+        self.in_flight = false;
+        let value = self.pending.take()?;
+        self.stored = Some(Versioned { version, value });
+        self.stored.as_ref()
+    }
+
+    /// A call failed or was refused: read again, then compute anew.
+    pub fn on_unclear(&mut self) {
+        self.in_flight = false;
+        self.pending = None;
+        self.stored = None;
+    }
+
+    /// An engine answered an order.
+    pub fn on_order_reply(
+        &mut self,
+        now: Timestamp,
+        asked_at: Timestamp,
+        order: &Order,
+        reply: OrderReply,
+    ) {
+        let is_release = matches!(order.command, Command::Release { .. });
+        let has_left = reply.accepted && reply.status.shows_released(order.group);
+        if is_release && has_left {
+            self.released.insert(reply.status.host.clone(), order.group);
+        }
+        self.on_status(now, asked_at, reply.status);
+    }
+
+    /// An engine told its status.
+    pub fn on_status(&mut self, now: Timestamp, asked_at: Timestamp, status: EngineStatus) {
+        self.unreachable.remove(&status.host);
+        self.judge_rank_zero(now, asked_at, &status);
+        self.observed.insert(status.host.clone(), status);
+    }
+
+    fn judge_rank_zero(&mut self, now: Timestamp, asked_at: Timestamp, status: &EngineStatus) {
+        let Some(stored) = &self.stored else {
+            return;
+        };
+        let serving = stored.value.groups.iter().find(|(_, group)| {
+            let rank_zero = group.members.first();
+            group.phase == GroupPhase::Serving
+                && rank_zero.is_some_and(|member| member.host == status.host)
+        });
+        let Some((number, _)) = serving else {
+            return;
+        };
+        let health = self.health.entry(*number).or_default();
+        if status.shows_complete(*number) {
+            health.incomplete_since = None;
+            return;
+        }
+        if status.shows_released(*number) {
+            // Its engine started anew: what it held is gone.
+            health.is_lost = true;
+            health.lost_member = Some(status.host.clone());
+            return;
+        }
+        let since = *health.incomplete_since.get_or_insert(asked_at);
+        health.is_lost |= now.since(since) >= self.settings.loss_confirm;
+    }
+
+    /// An engine did not answer an order or a probe.
+    pub fn on_no_status(&mut self, now: Timestamp, asked_at: Timestamp, host: &HostId) {
+        self.unreachable.insert(host.clone(), now);
+        let Some(stored) = &self.stored else {
+            return;
+        };
+        let group = stored
+            .value
+            .groups
+            .iter()
+            .find(|(_, group)| group.contains(host));
+        let Some((number, _)) = group else {
+            return;
+        };
+        let health = self.health.entry(*number).or_default();
+        let since = *health.incomplete_since.get_or_insert(asked_at);
+        if now.since(since) >= self.settings.loss_confirm {
+            health.is_lost = true;
+            health.lost_member = Some(host.clone());
+        }
+    }
+
+    /// The next value of the assignment, if it should change, and why.
+    fn next_value(
+        &mut self,
+        now: Timestamp,
+        state: &FleetState,
+    ) -> (Option<Assignment>, Vec<String>) {
+        let (Some(stored), Some(fleet), Some(hosts)) =
+            (self.stored.clone(), state.fleet(), state.hosts())
+        else {
+            return (None, Vec::new());
+        };
+        let mut value = stored.value.clone();
+        let mut log = Vec::new();
+        self.note_times(now, &value);
+        self.take_acknowledgements(&mut value, state, &mut log);
+        self.promote_ready(&mut value, &mut log);
+        self.note_losses(now, &value, state);
+        let lost = self.lost_groups(&value);
+        let unreachable = self.recently_unreachable(now);
+        let held = self.held_weights();
+        let context = PlacementContext {
+            domain: &self.domain,
+            fleet: &fleet.value,
+            hosts: &hosts.value,
+            assignment: &value,
+            unreachable: &unreachable,
+            lost: &lost,
+            held: &held,
+            choice: self.settings.choice,
+            max_forming: self.settings.max_forming,
+        };
+        let steps = next_steps(&context);
+        for step in &steps {
+            log.push(step.to_string());
+            apply_step(&mut value, step);
+        }
+        let changed = value != stored.value;
+        (changed.then_some(value), log)
+    }
+
+    fn note_times(&mut self, now: Timestamp, value: &Assignment) {
+        for (times, phase) in [
+            (&mut self.retiring_since, GroupPhase::Retiring),
+            (&mut self.forming_since, GroupPhase::Forming),
+        ] {
+            let in_phase = |number: &GroupNumber| {
+                let group = value.groups.get(number);
+                group.is_some_and(|group| group.phase == phase)
+            };
+            times.retain(|number, _| in_phase(number));
+            for number in value.groups.keys().filter(|number| in_phase(number)) {
+                times.entry(*number).or_insert(now);
+            }
+        }
+        self.health
+            .retain(|number, _| value.groups.contains_key(number));
+    }
+
+    /// Whether the host's engine took the release of this group. An older status
+    /// doesn't count: an order to load may have come after it.
+    fn has_left(&self, host: &HostId, number: GroupNumber) -> bool {
+        self.released.get(host) == Some(&number)
+    }
+
+    /// Hosts whose engines show that they left are free again.
+    fn take_acknowledgements(
+        &self,
+        value: &mut Assignment,
+        state: &FleetState,
+        log: &mut Vec<String>,
+    ) {
+        let has_left = |host: &HostId, number: &GroupNumber| self.has_left(host, *number);
+        let is_listed = |host: &HostId| {
+            let hosts = state.hosts();
+            hosts.is_some_and(|list| list.value.hosts.contains_key(host))
+        };
+        value
+            .releasing
+            .retain(|host, number| is_listed(host) && !has_left(host, number));
+        let retired: Vec<GroupNumber> = value
+            .groups
+            .iter()
+            .filter(|(number, group)| {
+                group.phase == GroupPhase::Retiring
+                    && group.members.iter().all(|m| has_left(&m.host, number))
+            })
+            .map(|(number, _)| *number)
+            .collect();
+        for number in retired {
+            log.push(format!("group {} is released by all its hosts", number.0));
+            value.groups.remove(&number);
+        }
+    }
+
+    /// A forming group serves once rank 0 sees all members.
+    fn promote_ready(&self, value: &mut Assignment, log: &mut Vec<String>) {
+        for (number, group) in &mut value.groups {
+            if group.phase != GroupPhase::Forming {
+                continue;
+            }
+            let rank_zero = group.members.first().map(|member| &member.host);
+            let status = rank_zero.and_then(|host| self.observed.get(host));
+            if status.is_some_and(|status| status.shows_complete(*number)) {
+                log.push(format!("group {} is complete and serves", number.0));
+                group.phase = GroupPhase::Serving;
+            }
+        }
+    }
+
+    /// Losses that no engine reports: hosts gone from the list, forming without end.
+    fn note_losses(&mut self, now: Timestamp, value: &Assignment, state: &FleetState) {
+        let Some(hosts) = state.hosts() else {
+            return;
+        };
+        for (number, group) in &value.groups {
+            let gone = group
+                .members
+                .iter()
+                .map(|member| &member.host)
+                .find(|host| !hosts.value.hosts.contains_key(*host));
+            let stuck = self
+                .forming_since
+                .get(number)
+                .is_some_and(|since| now.since(*since) >= self.settings.forming_timeout);
+            if gone.is_some() || stuck {
+                let health = self.health.entry(*number).or_default();
+                health.is_lost = true;
+                health.lost_member = health.lost_member.take().or(gone.cloned());
+            }
+        }
+    }
+
+    fn lost_groups(&self, value: &Assignment) -> BTreeMap<GroupNumber, Option<HostId>> {
+        self.health
+            .iter()
+            .filter(|(number, health)| health.is_lost && value.groups.contains_key(number))
+            .map(|(number, health)| (*number, health.lost_member.clone()))
+            .collect()
+    }
+
+    fn recently_unreachable(&mut self, now: Timestamp) -> BTreeSet<HostId> {
+        let avoid = self.settings.avoid_unreachable;
+        self.unreachable
+            .retain(|_, since| now.since(*since) < avoid);
+        self.unreachable.keys().cloned().collect()
+    }
+
+    fn held_weights(&self) -> HeldWeights {
+        self.observed
+            .iter()
+            .filter_map(|(host, status)| {
+                let held = status.held.clone()?;
+                Some((host.clone(), (held.model, held.version)))
+            })
+            .collect()
+    }
+
+    /// Orders and probes that follow from the stored assignment.
+    fn calls(&mut self, now: Timestamp, epoch: Epoch) -> Vec<ControllerAction> {
+        let Some(stored) = self.stored.take() else {
+            return Vec::new();
+        };
+        let mut actions = Vec::new();
+        for (number, group) in &stored.value.groups {
+            match group.phase {
+                GroupPhase::Forming => self.order_loads(now, epoch, *number, group, &mut actions),
+                GroupPhase::Serving => self.probe(now, *number, group, &mut actions),
+                GroupPhase::Retiring => {
+                    self.order_retirement(now, epoch, *number, group, &mut actions);
+                }
+            }
+        }
+        self.stored = Some(stored);
+        actions.extend(self.order_releases(now, epoch));
+        actions
+    }
+
+    /// Whether a host may be called now; notes the call.
+    fn is_due(&mut self, now: Timestamp, host: &HostId) -> bool {
+        let due = self.next_call_at.get(host).is_none_or(|at| now >= *at);
+        if due {
+            let next = now + self.settings.order_interval;
+            self.next_call_at.insert(host.clone(), next);
+        }
+        due
+    }
+
+    fn order(
+        &self,
+        epoch: Epoch,
+        group: GroupNumber,
+        member: &Member,
+        command: Command,
+    ) -> ControllerAction {
+        ControllerAction::Order {
+            host: member.host.clone(),
+            address: member.address,
+            order: Order {
+                failure_domain: self.domain.clone(),
+                epoch,
+                group,
+                command,
+            },
+        }
+    }
+
+    fn order_loads(
+        &mut self,
+        now: Timestamp,
+        epoch: Epoch,
+        number: GroupNumber,
+        group: &Group,
+        actions: &mut Vec<ControllerAction>,
+    ) {
+        let members: Vec<Address> = group.members.iter().map(|m| m.address).collect();
+        for (rank, member) in group.members.iter().enumerate() {
+            if !self.is_due(now, &member.host) {
+                continue;
+            }
+            let command = Command::Load(LoadCommand {
+                model: group.model.clone(),
+                version: group.version.clone(),
+                rank: rank as u32,
+                members: members.clone(),
+            });
+            actions.push(self.order(epoch, number, member, command));
+        }
+    }
+
+    fn probe(
+        &mut self,
+        now: Timestamp,
+        number: GroupNumber,
+        group: &Group,
+        actions: &mut Vec<ControllerAction>,
+    ) {
+        let Some(rank_zero) = group.members.first() else {
+            return;
+        };
+        if self.is_due(now, &rank_zero.host) {
+            actions.push(ControllerAction::Probe {
+                group: number,
+                rank_zero: rank_zero.clone(),
+            });
+        }
+    }
+
+    /// Rank 0 finishes its requests first; only then may the others leave.
+    fn order_retirement(
+        &mut self,
+        now: Timestamp,
+        epoch: Epoch,
+        number: GroupNumber,
+        group: &Group,
+        actions: &mut Vec<ControllerAction>,
+    ) {
+        let since = self.retiring_since.get(&number).copied().unwrap_or(now);
+        if now.since(since) < self.settings.retire_grace {
+            return;
+        }
+        let Some((rank_zero, others)) = group.members.split_first() else {
+            return;
+        };
+        if !self.has_left(&rank_zero.host, number) {
+            if self.is_due(now, &rank_zero.host) {
+                let command = Command::Release { drain: true };
+                actions.push(self.order(epoch, number, rank_zero, command));
+            }
+            return;
+        }
+        for member in others {
+            if !self.has_left(&member.host, number) && self.is_due(now, &member.host) {
+                let command = Command::Release { drain: false };
+                actions.push(self.order(epoch, number, member, command));
+            }
+        }
+    }
+
+    /// Hosts of dissolved groups are told to leave until they show that they have.
+    fn order_releases(&mut self, now: Timestamp, epoch: Epoch) -> Vec<ControllerAction> {
+        let Some(stored) = &self.stored else {
+            return Vec::new();
+        };
+        let releasing: Vec<(HostId, GroupNumber)> = stored
+            .value
+            .releasing
+            .iter()
+            .map(|(host, number)| (host.clone(), *number))
+            .collect();
+        let mut actions = Vec::new();
+        for (host, number) in releasing {
+            let Some(address) = self.addresses.get(&host).copied() else {
+                continue;
+            };
+            if self.is_due(now, &host) {
+                let member = Member { host, address };
+                let command = Command::Release { drain: false };
+                actions.push(self.order(epoch, number, &member, command));
+            }
+        }
+        actions
+    }
+
+    fn note_addresses(&mut self, state: &FleetState) {
+        let Some(hosts) = state.hosts() else {
+            return;
+        };
+        let domain = &self.domain;
+        self.addresses = hosts
+            .value
+            .hosts
+            .iter()
+            .filter(|(_, host)| host.failure_domain == *domain)
+            .map(|(id, host)| (id.clone(), host.address))
+            .collect();
+    }
+}
--- /dev/null
+++ b/shalehinge/src/core/engine.rs
@@ -0,0 +1,150 @@
+//! Messages between a daemon and the engine on a host: orders and status.
+//!
+//! Orders carry absolute state, so that repeating one changes nothing. Engines
+//! that check fences refuse an order that is older than one they have taken.
+
+use serde::{Deserialize, Serialize};
+
+use super::types::{Address, Epoch, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion};
+
+/// An order to the engine on one host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// Failure domain whose lease holder sends it.
+    pub failure_domain: FailureDomain,
+    /// Epoch of that lease.
+    pub epoch: Epoch,
+    /// The group that the order is about.
+    pub group: GroupNumber,
+    /// What to do.
+    pub command: Command,
+}
+
+/// What an engine is to do.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Command {
+    /// Load a model as one rank of the group.
+    Load(LoadCommand),
+    /// Leave the group.
+    Release {
+        /// Finish running requests first.
+        drain: bool,
+    },
+}
+
+/// What to load, and as which part of the group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadCommand {
+    /// Model to load.
+    pub model: ModelName,
+    /// Version to load.
+    pub version: ModelVersion,
+    /// Position in the group; rank 0 takes the requests.
+    pub rank: u32,
+    /// Addresses of all members by rank.
+    pub members: Vec<Address>,
+}
+
+/// Order of precedence of orders: an engine takes none that is below the last.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Fence {
+    /// Epoch of the sender's lease.
+    pub epoch: Epoch,
+    /// Group of the order.
+    pub group: GroupNumber,
+    /// Whether the order was a release: it comes after any load of its group.
+    pub release: bool,
+}
+
+impl Order {
+    /// The order's place among others.
+    pub fn fence(&self) -> Fence {
+        Fence {
+            epoch: self.epoch,
+            group: self.group,
+            release: matches!(self.command, Command::Release { .. }),
+        }
+    }
+}
+
+/// An engine's answer to an order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderReply {
+    /// Whether the order was taken; false means that a newer one was taken before.
+    pub accepted: bool,
+    /// The state after the order.
+    pub status: EngineStatus,
+}
+
+/// State of the engine on a host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineStatus {
+    /// The host.
+    pub host: HostId,
+    /// What the engine is doing.
+    pub phase: EnginePhase,
+    /// The group it belongs to, unless idle.
+    pub group: Option<GroupNumber>,
+    /// Weights in memory, also when idle.
+    pub held: Option<HeldModel>,
+    /// Members of the group that rank 0 sees ready, itself among them.
+    pub members_present: u32,
+    /// Members that the group has.
+    pub member_count: u32,
+    /// Load; all zero but at rank 0.
+    pub load: EngineLoad,
+}
+
+/// Weights in an engine's memory.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldModel {
+    /// The model.
+    pub model: ModelName,
+    /// Its version.
+    pub version: ModelVersion,
+}
+
+/// What an engine is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum EnginePhase {
+    /// In no group.
+    Idle,
+    /// Loads weights.
+    Loading,
+    /// Ready to serve as its rank.
+    Ready,
+    /// Finishes its requests before it leaves the group.
+    Draining,
+}
+
+/// Load of a replica as its rank 0 reports it. It lags behind the truth.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineLoad {
+    /// Requests in the batch.
+    pub running: u32,
+    /// Requests that wait for a slot or for KV memory.
+    pub waiting: u32,
+    /// Slots of the batch.
+    pub slots: u32,
+    /// KV memory in use, in tokens.
+    pub kv_used: u64,
+    /// KV memory in all, in tokens.
+    pub kv_total: u64,
+}
+
+impl EngineStatus {
+    /// Whether this shows that the group is complete and serves.
+    pub fn shows_complete(&self, group: GroupNumber) -> bool {
+        self.group == Some(group)
+            && self.phase == EnginePhase::Ready
+            && self.member_count > 0
+            && self.members_present == self.member_count
+    }
+
+    /// Whether this shows that the host has left the group.
+    pub fn shows_released(&self, group: GroupNumber) -> bool {
+        self.group != Some(group)
+    }
+}
--- /dev/null
+++ b/shalehinge/src/core/event.rs
@@ -0,0 +1,273 @@
+//! What goes into a daemon's decisions and what comes out.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::engine::{EngineStatus, Order, OrderReply};
+use super::fleet_state::{ObjectUpdate, VersionDigest};
+use super::membership::Heartbeat;
+use super::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
+use super::platform::{CallId, PlatformCall, PlatformResult};
+use super::router::request::{Attempt, AttemptEnd, Outcome, RequestMeta, UpstreamId};
+use super::types::{Address, AttemptId, GroupNumber, HostId, RequestId, Timestamp};
+
+/// Identifies a peer's pull that waits for its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PullId(pub u64);
+
+/// A daemon asks a peer for what is new.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Pull {
+    /// Heartbeats that the asker knows, its own among them.
+    pub heartbeats: Vec<Heartbeat>,
+    /// Versions that the asker knows.
+    pub digest: VersionDigest,
+}
+
+/// The answer to a pull.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PullReply {
+    /// Heartbeats that the answerer knows.
+    pub heartbeats: Vec<Heartbeat>,
+    /// Objects that are newer there.
+    pub updates: Vec<ObjectUpdate>,
+}
+
+/// A rumour: there is something new, come and pull it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// Where to pull from.
+    pub from: Address,
+    /// Versions known there.
+    pub digest: VersionDigest,
+}
+
+/// Who asked for an engine's status.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StatusPurpose {
+    /// The router, for a load report.
+    Report(UpstreamId),
+    /// The controller, for a group's health.
+    Probe(GroupNumber),
+}
+
+/// Something happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// Time passed; given about every [`super::daemon::TICK`].
+    Tick,
+    /// The platform answered, or did not.
+    Platform {
+        /// Which call.
+        call: CallId,
+        /// The answer.
+        result: PlatformResult,
+    },
+    /// A peer pulls.
+    PullAsked {
+        /// Where the answer goes.
+        pull_id: PullId,
+        /// What it sent.
+        pull: Pull,
+    },
+    /// A peer answered a pull, or did not.
+    PullAnswered(Option<PullReply>),
+    /// A peer told that there is something new.
+    Noticed(Notice),
+    /// An engine told its status, or did not answer.
+    Status {
+        /// Who asked.
+        purpose: StatusPurpose,
+        /// When it was asked.
+        asked_at: Timestamp,
+        /// Which host.
+        host: Option<HostId>,
+        /// The status.
+        status: Option<EngineStatus>,
+    },
+    /// An engine answered an order, or did not.
+    OrderAnswered {
+        /// The host.
+        host: HostId,
+        /// The order.
+        order: Order,
+        /// When it was sent.
+        asked_at: Timestamp,
+        /// The answer.
+        reply: Option<OrderReply>,
+    },
+    /// A caller's request came, of a customer that is known.
+    Request {
+        /// Its number, chosen by the shell.
+        request: RequestId,
+        /// What the core needs of it.
+        meta: RequestMeta,
+    },
+    /// The first output of an attempt went to the caller.
+    Output {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// An attempt ended.
+    Ended {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+        /// How.
+        end: AttemptEnd,
+    },
+    /// A caller left before its answer.
+    CallerLeft(RequestId),
+    /// An operator asks.
+    Operator {
+        /// Where the answer goes.
+        call_id: OperatorCallId,
+        /// What is asked.
+        call: OperatorCall,
+    },
+    /// The daemon is to stop once its requests are done.
+    Stop,
+}
+
+/// Something to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Call the platform.
+    Platform {
+        /// Which call.
+        call: CallId,
+        /// What to ask.
+        request: PlatformCall,
+    },
+    /// Pull from a peer.
+    Pull {
+        /// Where.
+        to: Address,
+        /// What to send.
+        pull: Pull,
+    },
+    /// Answer a peer's pull.
+    AnswerPull {
+        /// Which one.
+        pull_id: PullId,
+        /// The answer.
+        reply: PullReply,
+    },
+    /// Tell a peer that there is something new.
+    Notify {
+        /// Where.
+        to: Address,
+        /// The rumour.
+        notice: Notice,
+    },
+    /// Ask an engine for its status.
+    AskStatus {
+        /// Who asks.
+        purpose: StatusPurpose,
+        /// Which host, where it is known.
+        host: Option<HostId>,
+        /// Where it listens.
+        address: Address,
+    },
+    /// Send an order to an engine, but not at or after `valid_until`.
+    Order {
+        /// The host.
+        host: HostId,
+        /// Where it listens.
+        address: Address,
+        /// The order.
+        order: Order,
+        /// The lease ends then.
+        valid_until: Timestamp,
+    },
+    /// Send a request to an upstream.
+    Send(Attempt),
+    /// Break off an attempt.
+    Abandon(AttemptId),
+    /// Give a caller its final answer.
+    Answer {
+        /// The request.
+        request: RequestId,
+        /// What became of it.
+        outcome: Outcome,
+    },
+    /// Answer an operator.
+    AnswerOperator {
+        /// Which call.
+        call_id: OperatorCallId,
+        /// The answer.
+        answer: OperatorAnswer,
+    },
+    /// Write a line to the log.
+    Log(LogLine),
+    /// All requests are done; the process may end.
+    Stopped,
+}
+
+/// A line for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogLine {
+    /// Which part says it.
+    pub part: Part,
+    /// What it says.
+    pub text: String,
+}
+
+/// Parts of a daemon, each with its prefix in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Routing decisions.
+    Route,
+    /// Placement decisions.
+    Place,
+    /// The control lease.
+    Lease,
+    /// Accepted configuration.
+    Config,
+    /// Operators' calls.
+    Operator,
+    /// Claims of keys.
+    Claim,
+    /// Start and stop.
+    Daemon,
+}
+
+impl Part {
+    /// The prefix of its lines.
+    pub fn prefix(self) -> &'static str {
+        match self {
+            Self::Route => "route",
+            Self::Place => "place",
+            Self::Lease => "lease",
+            Self::Config => "config",
+            Self::Operator => "operator",
+            Self::Claim => "claim",
+            Self::Daemon => "daemon",
+        }
+    }
+}
+
+/// Times that say how long the daemon waits for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timeouts {
+    /// For a call to the platform.
+    pub platform: Duration,
+    /// For a status or an order.
+    pub engine: Duration,
+    /// For a peer.
+    pub peer: Duration,
+}
+
+impl Default for Timeouts {
+    fn default() -> Self {
+        Self {
+            platform: Duration::from_secs(2),
+            engine: Duration::from_secs(1),
+            peer: Duration::from_secs(1),
+        }
+    }
+}
--- /dev/null
+++ b/shalehinge/src/core/lease.rs
@@ -0,0 +1,274 @@
+//! The control lease of a failure domain: at most one daemon acts for it.
+//!
+//! The holder counts its term from before it sent the write, and stops a margin
+//! early. A candidate counts a full term from when it last saw the lease change.
+//! Both use their own monotonic clock, so clocks are never compared. The epoch
+//! rises with each holder and fences the orders to engines.
+
+use std::time::Duration;
+
+use super::objects::{LeaseRecord, Versioned};
+use super::types::{DaemonId, Epoch, Incarnation, OperationId, Timestamp, Version};
+
+/// Times of the lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseSettings {
+    /// How long a candidate waits after the last change that it saw.
+    pub term: Duration,
+    /// How much earlier the holder stops: covers clock rates that differ.
+    pub margin: Duration,
+    /// Time between two renewals, or two looks of a candidate.
+    pub interval: Duration,
+}
+
+impl Default for LeaseSettings {
+    fn default() -> Self {
+        Self {
+            term: Duration::from_secs(6),
+            margin: Duration::from_secs(1),
+            interval: Duration::from_secs(2),
+        }
+    }
+}
+
+/// What the lease wants from the platform next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseStep {
+    /// Read the lease object.
+    Read,
+    /// Write this record if the object still has this version.
+    Write {
+        /// Version that the write is conditional on.
+        expect: Version,
+        /// The record to write.
+        record: LeaseRecord,
+    },
+}
+
+/// The last change of the lease that this daemon saw.
+#[derive(Clone, Debug)]
+struct Observation {
+    lease: Option<Versioned<LeaseRecord>>,
+    /// When this version was first seen.
+    changed_at: Timestamp,
+    /// When it was last read.
+    read_at: Timestamp,
+}
+
+/// A write on its way, or one whose answer was lost.
+#[derive(Clone, Debug)]
+struct PendingWrite {
+    operation: OperationId,
+    sent_at: Timestamp,
+    record: LeaseRecord,
+}
+
+/// The lease as one daemon sees it.
+#[derive(Clone, Debug)]
+pub struct ControlLease {
+    settings: LeaseSettings,
+    me: DaemonId,
+    incarnation: Incarnation,
+    observation: Option<Observation>,
+    pending: Option<PendingWrite>,
+    held_epoch: Option<Epoch>,
+    valid_until: Timestamp,
+    next_step_at: Timestamp,
+    in_flight: bool,
+}
+
+impl ControlLease {
+    /// A daemon that knows nothing of the lease yet.
+    pub fn new(settings: LeaseSettings, me: DaemonId, incarnation: Incarnation) -> Self {
+        Self {
+            settings,
+            me,
+            incarnation,
+            observation: None,
+            pending: None,
+            held_epoch: None,
+            valid_until: Timestamp::ZERO,
+            next_step_at: Timestamp::ZERO,
+            in_flight: false,
+        }
+    }
+
+    /// The epoch under which this daemon may act now, if it holds the lease.
+    pub fn held(&self, now: Timestamp) -> Option<Epoch> {
+        if now < self.valid_until {
+            self.held_epoch
+        } else {
+            None
+        }
+    }
+
+    /// Until when orders may go out, if the lease is held.
+    pub fn valid_until(&self) -> Timestamp {
+        self.valid_until
+    }
+
+    /// The holder that was last seen, for status pages and for reports to it.
+    pub fn holder(&self) -> Option<&DaemonId> {
+        let lease = self.observation.as_ref()?.lease.as_ref()?;
+        Some(&lease.value.holder)
+    }
+
+    /// What to do now, if anything. `candidate` says whether this daemon should try.
+    pub fn step(
+        &mut self,
+        now: Timestamp,
+        candidate: bool,
+        operation: OperationId,
+    ) -> Option<LeaseStep> {
+        if self.in_flight || now < self.next_step_at {
+            return None;
+        }
+        if !candidate && self.held(now).is_none() {
+            return None;
+        }
+        self.next_step_at = now + self.settings.interval;
+        self.in_flight = true;
+        Some(self.choose_step(now, operation))
+    }
+
+    fn choose_step(&mut self, now: Timestamp, operation: OperationId) -> LeaseStep {
+        let Some(observation) = &self.observation else {
+            return LeaseStep::Read;
+        };
+        if self.pending.is_some() {
+            return LeaseStep::Read;
+        }
+        let Some(lease) = &observation.lease else {
+            return self.write(now, Version(0), Epoch(1), operation);
+        };
+        let version = lease.version;
+        let epoch = lease.value.epoch;
+        if self.held(now).is_some() {
+            return self.write(now, version, epoch, operation);
+        }
+        let term = Duration::from_millis(lease.value.term_ms);
+        let lapsed = now.since(observation.changed_at) >= term;
+        if lease.value.released || lapsed {
+            return self.write(now, version, Epoch(epoch.0 + 1), operation);
+        }
+        LeaseStep::Read
+    }
+
+    fn write(
+        &mut self,
+        now: Timestamp,
+        expect: Version,
+        epoch: Epoch,
+        operation: OperationId,
+    ) -> LeaseStep {
+        let record = LeaseRecord {
+            operation,
+            holder: self.me.clone(),
+            incarnation: self.incarnation,
+            epoch,
+            term_ms: self.settings.term.as_millis() as u64,
+            released: false,
+        };
+        self.pending = Some(PendingWrite {
+            operation,
+            sent_at: now,
+            record: record.clone(),
+        });
+        LeaseStep::Write { expect, record }
+    }
+
+    /// The write that gives the lease back on a planned stop, if it is held.
+    pub fn release(&mut self, now: Timestamp, operation: OperationId) -> Option<LeaseStep> {
+        let epoch = self.held(now)?;
+        self.held_epoch = None;
+        self.pending = None;
+        let lease = self.observation.as_ref()?.lease.as_ref()?;
+        let record = LeaseRecord {
+            operation,
+            epoch,
+            released: true,
+            ..lease.value.clone()
+        };
+        let expect = lease.version;
+        self.in_flight = true;
+        Some(LeaseStep::Write { expect, record })
+    }
+
+    /// A read was answered; `None` means that the object does not exist.
+    pub fn on_read(&mut self, now: Timestamp, lease: Option<Versioned<LeaseRecord>>) {
+        self.in_flight = false;
+        if let Some(pending) = self.pending.take() {
+            self.settle(&pending, lease.as_ref());
+        }
+        self.observe(now, lease);
+    }
+
+    /// Decides an unclear write by what the read-back shows.
+    fn settle(&mut self, pending: &PendingWrite, lease: Option<&Versioned<LeaseRecord>>) {
+        let ours = lease.is_some_and(|lease| lease.value.operation == pending.operation);
+        if ours {
+            self.hold(pending.record.epoch, pending.sent_at);
+        }
+    }
+
+    /// A write took effect at this version.
+    pub fn on_written(&mut self, now: Timestamp, version: Version) {
+        self.in_flight = false;
+        let Some(pending) = self.pending.take() else {
+            return;
+        };
+        self.hold(pending.record.epoch, pending.sent_at);
+        let lease = Versioned {
+            version,
+            value: pending.record,
+        };
+        self.observe(now, Some(lease));
+    }
+
+    /// A write was refused, as the object had another version.
+    pub fn on_conflict(&mut self, now: Timestamp) {
+        self.in_flight = false;
+        self.pending = None;
+        self.held_epoch = None;
+        self.next_step_at = now;
+        // What is known is out of date; the next step reads.
+        self.observation = None;
+    }
+
+    /// A call failed and may or may not have taken effect.
+    pub fn on_unclear(&mut self) {
+        self.in_flight = false;
+    }
+
+    fn hold(&mut self, epoch: Epoch, sent_at: Timestamp) {
+        let useful = self.settings.term.saturating_sub(self.settings.margin);
+        self.held_epoch = Some(epoch);
+        self.valid_until = sent_at + useful;
+    }
+
+    fn observe(&mut self, now: Timestamp, lease: Option<Versioned<LeaseRecord>>) {
+        let held_by_other = lease.as_ref().is_some_and(|lease| {
+            lease.value.holder != self.me || lease.value.incarnation != self.incarnation
+        });
+        if held_by_other {
+            self.held_epoch = None;
+        }
+        let version_of =
+            |lease: &Option<Versioned<LeaseRecord>>| lease.as_ref().map(|lease| lease.version);
+        let unchanged = self
+            .observation
+            .as_ref()
+            .filter(|seen| version_of(&seen.lease) == version_of(&lease));
+        let changed_at = unchanged.map_or(now, |seen| seen.changed_at);
+        self.observation = Some(Observation {
+            lease,
+            changed_at,
+            read_at: now,
+        });
+    }
+
+    /// When the lease object was last read or written.
+    pub fn last_read(&self) -> Option<Timestamp> {
+        self.observation.as_ref().map(|seen| seen.read_at)
+    }
+}
--- /dev/null
+++ b/shalehinge/src/core/mod.rs
@@ -0,0 +1,35 @@
+//! The decisions of a daemon, without input or output.
+//!
+//! No sockets, files, clocks, threads or async: typed events go in, typed
+//! actions come out, time and randomness are passed in. [`daemon::Daemon`] is
+//! the one entry to all of it.
+//!
+//! - `types`: identifiers and time
+//! - `objects`: what is kept in the platform
+//! - `platform`, `engine`: messages to the platform and to engines
+//! - `event`: what goes in, what comes out
+//! - `daemon`: the whole of a daemon's decisions
+//! - `fleet_state`: the newest objects known, which never revert
+//! - `membership`, `hash`: which daemons live, and who does what
+//! - `lease`: who acts for a failure domain
+//! - `controller`, `placement`: which hosts form which replica
+//! - `change`, `operator`: plans that operators confirm
+//! - `claims`: requests that may run at most once
+//! - `router`: which request goes where
+
+pub mod change;
+pub mod claims;
+pub mod controller;
+pub mod daemon;
+pub mod engine;
+pub mod event;
+pub mod fleet_state;
+pub mod hash;
+pub mod lease;
+pub mod membership;
+pub mod objects;
+pub mod operator;
+pub mod placement;
+pub mod platform;
+pub mod router;
+pub mod types;
--- /dev/null
+++ b/shalehinge/src/core/placement/planner.rs
@@ -0,0 +1,403 @@
+//! The next steps of one failure domain, towards what the operators want.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::core::objects::{
+    Assignment, FleetConfig, Group, GroupPhase, HostList, HostState, ModelIntent,
+};
+use crate::core::types::{FailureDomain, GroupNumber, HostId, ModelName, ModelVersion};
+
+use super::host_choice::{ChoiceInput, FreeHost, FreeHosts, HostChoice, take_hosts};
+use super::stranded::group_sizes;
+use super::yielding::group_to_yield;
+use super::{FormReason, PlacementStep, RetireReason};
+
+/// What a host holds in memory: used to save loads from the weight store.
+pub type HeldWeights = BTreeMap<HostId, (ModelName, ModelVersion)>;
+
+/// Everything that the planner looks at.
+#[derive(Clone, Debug)]
+pub struct PlacementContext<'a> {
+    /// The failure domain to plan for.
+    pub domain: &'a FailureDomain,
+    /// The configuration in force.
+    pub fleet: &'a FleetConfig,
+    /// The platform's host list.
+    pub hosts: &'a HostList,
+    /// The groups that stand.
+    pub assignment: &'a Assignment,
+    /// Hosts that don't answer.
+    pub unreachable: &'a BTreeSet<HostId>,
+    /// Groups known to have lost a member, and which.
+    pub lost: &'a BTreeMap<GroupNumber, Option<HostId>>,
+    /// Which weights each host holds.
+    pub held: &'a HeldWeights,
+    /// How hosts are chosen.
+    pub choice: HostChoice,
+    /// Groups that may be forming at a time, so that the weight store's rate
+    /// goes to few loads that end soon.
+    pub max_forming: usize,
+}
+
+impl PlacementContext<'_> {
+    /// Whether new groups may use the host.
+    fn is_usable(&self, id: &HostId) -> bool {
+        let Some(host) = self.hosts.hosts.get(id) else {
+            return false;
+        };
+        host.failure_domain == *self.domain
+            && !self.is_leaving(id)
+            && !self.unreachable.contains(id)
+    }
+
+    /// Whether the host is to be left in peace, by the platform or an operator.
+    fn is_leaving(&self, id: &HostId) -> bool {
+        let listed_leaving = self
+            .hosts
+            .hosts
+            .get(id)
+            .is_some_and(|host| host.state == HostState::Leaving);
+        listed_leaving || self.fleet.draining.contains(id)
+    }
+
+    fn leaving_member(&self, group: &Group) -> Option<HostId> {
+        group
+            .members
+            .iter()
+            .map(|member| &member.host)
+            .find(|host| self.is_leaving(host))
+            .cloned()
+    }
+
+    fn host_count(&self) -> usize {
+        self.hosts
+            .hosts
+            .iter()
+            .filter(|(id, host)| host.failure_domain == *self.domain && !self.is_leaving(id))
+            .count()
+    }
+
+    /// Hosts that no group uses.
+    fn free_hosts(&self) -> FreeHosts {
+        let used = self.assignment.used_hosts();
+        let mut free = FreeHosts::new();
+        for (id, host) in &self.hosts.hosts {
+            if used.contains(id) || !self.is_usable(id) {
+                continue;
+            }
+            let entry = free.entry(host.fabric_domain.clone()).or_default();
+            entry.push(FreeHost {
+                host: id.clone(),
+                address: host.address,
+                warm: false,
+            });
+        }
+        free
+    }
+}
+
+/// Steps to take now; empty when the domain is as wanted, or must first wait.
+pub fn next_steps(context: &PlacementContext<'_>) -> Vec<PlacementStep> {
+    let mut steps = dissolve_lost(context);
+    steps.extend(retire_unwanted_models(context));
+    let mut forming = Forming::new(context);
+    for (model, intent) in by_need(context) {
+        let mut planner = ModelPlanner {
+            context,
+            model,
+            intent,
+            forming: &mut forming,
+            steps: &mut steps,
+        };
+        planner.plan();
+    }
+    steps
+}
+
+fn dissolve_lost(context: &PlacementContext<'_>) -> Vec<PlacementStep> {
+    context
+        .lost
+        .iter()
+        .filter(|(group, _)| context.assignment.groups.contains_key(group))
+        .map(|(group, lost)| PlacementStep::Dissolve {
+            group: *group,
+            lost: lost.clone(),
+        })
+        .collect()
+}
+
+fn retire_unwanted_models(context: &PlacementContext<'_>) -> Vec<PlacementStep> {
+    context
+        .assignment
+        .groups
+        .iter()
+        .filter(|(number, group)| {
+            group.phase != GroupPhase::Retiring
+                && !context.lost.contains_key(number)
+                && !context.fleet.models.contains_key(&group.model)
+        })
+        .map(|(number, _)| PlacementStep::Retire {
+            group: *number,
+            reason: RetireReason::Surplus,
+        })
+        .collect()
+}
+
+/// Models by how much they lack: the load that ends most downtime comes first.
+fn by_need<'a>(context: &PlacementContext<'a>) -> Vec<(&'a ModelName, &'a ModelIntent)> {
+    let serving_part = |model: &ModelName, intent: &ModelIntent| -> f64 {
+        let serving = context
+            .assignment
+            .groups
+            .values()
+            .filter(|group| group.model == *model && group.phase == GroupPhase::Serving)
+            .count();
+        let wanted = intent.replicas.get(context.domain).copied().unwrap_or(0);
+        serving as f64 / f64::from(wanted.max(1))
+    };
+    let mut models: Vec<_> = context.fleet.models.iter().collect();
+    models.sort_by(|a, b| serving_part(a.0, a.1).total_cmp(&serving_part(b.0, b.1)));
+    models
+}
+
+/// What is left to form groups from.
+struct Forming {
+    free: FreeHosts,
+    sizes: BTreeSet<usize>,
+    slots: usize,
+    yielded: bool,
+}
+
+impl Forming {
+    fn new(context: &PlacementContext<'_>) -> Self {
+        let groups = context.assignment.groups.values();
+        let forming = groups
+            .clone()
+            .filter(|group| group.phase == GroupPhase::Forming)
+            .count();
+        let retiring = groups
+            .filter(|group| group.phase == GroupPhase::Retiring)
+            .count();
+        Self {
+            free: context.free_hosts(),
+            sizes: group_sizes(context.fleet),
+            slots: context.max_forming.saturating_sub(forming),
+            // Hosts that are on their way back may be enough.
+            yielded: retiring > 0 || !context.assignment.releasing.is_empty(),
+        }
+    }
+}
+
+struct ModelPlanner<'a, 'b> {
+    context: &'b PlacementContext<'a>,
+    model: &'a ModelName,
+    intent: &'a ModelIntent,
+    forming: &'b mut Forming,
+    steps: &'b mut Vec<PlacementStep>,
+}
+
+/// The standing groups of a model by what should become of them.
+#[derive(Default)]
+struct Standing {
+    /// As wanted.
+    current: Vec<GroupNumber>,
+    /// Of another version.
+    old: Vec<GroupNumber>,
+    /// With a leaving host.
+    leaving: Vec<(GroupNumber, HostId)>,
+}
+
+impl Standing {
+    fn total(&self) -> usize {
+        self.current.len() + self.old.len() + self.leaving.len()
+    }
+}
+
+impl ModelPlanner<'_, '_> {
+    fn plan(&mut self) {
+        let wanted = self.wanted();
+        let standing = self.standing();
+        self.form_missing(&standing, wanted);
+        self.replace_leaving(&standing, wanted);
+        self.replace_old(&standing, wanted);
+        self.retire_surplus(&standing, wanted);
+    }
+
+    fn wanted(&self) -> usize {
+        let wanted = self.intent.replicas.get(self.context.domain);
+        wanted.copied().unwrap_or(0) as usize
+    }
+
+    fn standing(&self) -> Standing {
+        let mut standing = Standing::default();
+        for (number, group) in &self.context.assignment.groups {
+            let gone =
+                group.phase == GroupPhase::Retiring || self.context.lost.contains_key(number);
+            if group.model != *self.model || gone {
+                continue;
+            }
+            if let Some(host) = self.context.leaving_member(group) {
+                standing.leaving.push((*number, host));
+            } else if group.version != self.intent.version
+                || group.members.len() != self.intent.hosts_per_replica as usize
+            {
+                standing.old.push(*number);
+            } else {
+                standing.current.push(*number);
+            }
+        }
+        standing
+    }
+
+    fn is_serving(&self, number: &GroupNumber) -> bool {
+        self.context.assignment.groups[number].phase == GroupPhase::Serving
+    }
+
+    fn serving_count(&self, standing: &Standing) -> usize {
+        let leaving = standing.leaving.iter().map(|(number, _)| number);
+        standing
+            .current
+            .iter()
+            .chain(&standing.old)
+            .chain(leaving)
+            .filter(|number| self.is_serving(number))
+            .count()
+    }
+
+    fn form_missing(&mut self, standing: &Standing, wanted: usize) {
+        for present in standing.total()..wanted {
+            let reason = FormReason::Missing {
+                wanted: wanted as u32,
+                present: present as u32,
+            };
+            if !self.form(reason) {
+                self.ask_for_yield();
+                return;
+            }
+        }
+    }
+
+    /// A replacement first where hosts allow it; without, the group goes all the same.
+    fn replace_leaving(&mut self, standing: &Standing, wanted: usize) {
+        let spare_groups = standing.total().saturating_sub(wanted);
+        for (index, (number, host)) in standing.leaving.iter().enumerate() {
+            let replaced = index < spare_groups;
+            if replaced {
+                if self.serving_count(standing) > wanted || !self.is_serving(number) {
+                    self.retire(*number, RetireReason::HostLeaving(host.clone()));
+                }
+                continue;
+            }
+            let reason = FormReason::HostLeaving { replaces: *number };
+            if !self.form(reason) && self.forming.slots > 0 {
+                self.retire(*number, RetireReason::HostLeaving(host.clone()));
+            }
+        }
+    }
+
+    /// One group at a time: a new one first, or, without free hosts, in place.
+    fn replace_old(&mut self, standing: &Standing, wanted: usize) {
+        let Some(oldest) = standing.old.first() else {
+            return;
+        };
+        if !standing.leaving.is_empty() {
+            return;
+        }
+        let reason = RetireReason::OldVersion {
+            wanted: self.intent.version.clone(),
+        };
+        let serving = self.serving_count(standing);
+        if standing.total() > wanted {
+            if serving > wanted || !self.is_serving(oldest) {
+                self.retire(*oldest, reason);
+            }
+            return;
+        }
+        if self.has_unfinished_change(standing) {
+            return;
+        }
+        let form_reason = FormReason::NewVersion { replaces: *oldest };
+        if !self.form(form_reason) && serving >= wanted {
+            self.retire(*oldest, reason);
+        }
+    }
+
+    /// Whether groups of this model still form or retire.
+    fn has_unfinished_change(&self, standing: &Standing) -> bool {
+        let retiring = self
+            .context
+            .assignment
+            .groups
+            .values()
+            .any(|group| group.model == *self.model && group.phase == GroupPhase::Retiring);
+        retiring
+            || standing
+                .current
+                .iter()
+                .any(|number| !self.is_serving(number))
+    }
+
+    fn retire_surplus(&mut self, standing: &Standing, wanted: usize) {
+        if !standing.old.is_empty() || !standing.leaving.is_empty() {
+            return;
+        }
+        let mut surplus = standing.current.clone();
+        // Groups that don't serve yet go first, then the newest.
+        surplus.sort_by_key(|number| (self.is_serving(number), std::cmp::Reverse(*number)));
+        let count = surplus.len().saturating_sub(wanted);
+        for number in surplus.into_iter().take(count) {
+            self.retire(number, RetireReason::Surplus);
+        }
+    }
+
+    fn retire(&mut self, group: GroupNumber, reason: RetireReason) {
+        self.steps.push(PlacementStep::Retire { group, reason });
+    }
+
+    /// Forms one group if hosts and slots are there.
+    fn form(&mut self, reason: FormReason) -> bool {
+        if self.forming.slots == 0 {
+            return false;
+        }
+        let wanted = (self.model.clone(), self.intent.version.clone());
+        for host in self.forming.free.values_mut().flatten() {
+            host.warm = self.context.held.get(&host.host) == Some(&wanted);
+        }
+        let input = ChoiceInput {
+            size: self.intent.hosts_per_replica as usize,
+            sizes: &self.forming.sizes,
+            weights: self.context.fleet.weights,
+            choice: self.context.choice,
+        };
+        let Some(chosen) = take_hosts(&mut self.forming.free, &input) else {
+            return false;
+        };
+        self.forming.slots -= 1;
+        self.steps.push(PlacementStep::Form {
+            model: wanted.0,
+            version: wanted.1,
+            members: chosen.members,
+            loads: chosen.loads,
+            reason,
+        });
+        true
+    }
+
+    /// One group at a time gives way, and only when no hosts are coming free.
+    fn ask_for_yield(&mut self) {
+        if self.forming.yielded || self.forming.slots == 0 {
+            return;
+        }
+        let context = self.context;
+        let giver = group_to_yield(
+            context.fleet,
+            context.assignment,
+            context.host_count(),
+            self.model,
+        );
+        if let Some((group, to)) = giver {
+            self.forming.yielded = true;
+            self.retire(group, RetireReason::Yield { to });
+        }
+    }
+}
--- /dev/null
+++ b/shalehinge/src/core/placement/preview.rs
@@ -0,0 +1,149 @@
+//! What would happen, step by step, if nothing failed meanwhile.
+//!
+//! Runs the planner ahead on a copy: each step is taken to succeed. What the
+//! operator reads is so what the lease holder will do.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::objects::{Assignment, FleetConfig, GroupPhase, HostList};
+use crate::core::types::{FailureDomain, ModelName};
+
+use super::PlacementStep;
+use super::host_choice::HostChoice;
+use super::planner::{HeldWeights, PlacementContext, next_steps};
+use super::stranded::stranded_accelerators;
+
+/// Rounds after which a preview stops, settled or not.
+const MAX_ROUNDS: usize = 2_000;
+
+/// What a sequence of steps costs and brings, in one failure domain.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Effects {
+    /// Steps in order.
+    pub steps: Vec<PlacementStep>,
+    /// Replicas that serve less than wanted, summed over the rounds: each is a
+    /// replica that is down for about one load.
+    pub downtime_loads: u32,
+    /// Loads needed from the weight store.
+    pub loads: u32,
+    /// Stranded accelerators before.
+    pub stranded_before: u32,
+    /// Stranded accelerators after.
+    pub stranded_after: u32,
+    /// Replicas that are wanted and still missing at the end, by model.
+    pub missing: BTreeMap<ModelName, u32>,
+}
+
+/// Previews one failure domain.
+pub fn preview(
+    domain: &FailureDomain,
+    fleet: &FleetConfig,
+    hosts: &HostList,
+    assignment: &Assignment,
+) -> Effects {
+    let mut future = assignment.clone();
+    let mut effects = Effects {
+        stranded_before: stranded_accelerators(hosts, fleet, domain, assignment),
+        ..Effects::default()
+    };
+    let held = weights_of_groups(assignment);
+    for _ in 0..MAX_ROUNDS {
+        let context = PlacementContext {
+            domain,
+            fleet,
+            hosts,
+            assignment: &future,
+            unreachable: &BTreeSet::new(),
+            lost: &BTreeMap::new(),
+            held: &held,
+            choice: HostChoice::default(),
+            max_forming: usize::MAX,
+        };
+        let steps = next_steps(&context);
+        if steps.is_empty() {
+            break;
+        }
+        for step in &steps {
+            apply_step(&mut future, step);
+        }
+        effects.loads += steps.iter().map(loads_of).sum::<u32>();
+        effects.downtime_loads += missing(domain, fleet, &future).values().sum::<u32>();
+        effects.steps.extend(steps);
+        finish_changes(&mut future);
+    }
+    effects.stranded_after = stranded_accelerators(hosts, fleet, domain, &future);
+    effects.missing = missing(domain, fleet, &future);
+    effects
+}
+
+fn weights_of_groups(assignment: &Assignment) -> HeldWeights {
+    let mut held = HeldWeights::new();
+    for group in assignment.groups.values() {
+        for member in &group.members {
+            let weights = (group.model.clone(), group.version.clone());
+            held.insert(member.host.clone(), weights);
+        }
+    }
+    held
+}
+
+fn loads_of(step: &PlacementStep) -> u32 {
+    match step {
+        PlacementStep::Form { loads, .. } => *loads,
+        PlacementStep::Retire { .. } | PlacementStep::Dissolve { .. } => 0,
+    }
+}
+
+/// Replicas wanted and not serving, by model.
+fn missing(
+    domain: &FailureDomain,
+    fleet: &FleetConfig,
+    assignment: &Assignment,
+) -> BTreeMap<ModelName, u32> {
+    let mut missing = BTreeMap::new();
+    for (model, intent) in &fleet.models {
+        let wanted = intent.replicas.get(domain).copied().unwrap_or(0);
+        let serving = assignment
+            .groups
+            .values()
+            .filter(|group| group.model == *model && group.phase == GroupPhase::Serving)
+            .count() as u32;
+        if serving < wanted {
+            missing.insert(model.clone(), wanted - serving);
+        }
+    }
+    missing
+}
+
+/// Writes a step into an assignment.
+pub fn apply_step(assignment: &mut Assignment, step: &PlacementStep) {
+    match step {
+        PlacementStep::Form {
+            model,
+            version,
+            members,
+            ..
+        } => {
+            assignment.add_group(model.clone(), version.clone(), members.clone());
+        }
+        PlacementStep::Retire { group, .. } => {
+            if let Some(group) = assignment.groups.get_mut(group) {
+                group.phase = GroupPhase::Retiring;
+            }
+        }
+        PlacementStep::Dissolve { group, .. } => assignment.dissolve(*group),
+    }
+}
+
+/// Forming groups become ready, retiring ones are released.
+fn finish_changes(assignment: &mut Assignment) {
+    assignment.releasing.clear();
+    assignment
+        .groups
+        .retain(|_, group| group.phase != GroupPhase::Retiring);
+    for group in assignment.groups.values_mut() {
+        group.phase = GroupPhase::Serving;
+    }
+}
--- /dev/null
+++ b/shalehinge/src/core/placement/stranded.rs
@@ -0,0 +1,60 @@
+//! Stranded accelerators: idle ones around which no complete group can form.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::core::objects::{Assignment, FleetConfig, HostList};
+use crate::core::types::{FabricDomain, FailureDomain};
+
+/// How many of `free` hosts no set of groups of these sizes can use.
+pub fn stranded_hosts(free: usize, sizes: &BTreeSet<usize>) -> usize {
+    let mut reachable = vec![false; free + 1];
+    reachable[0] = true;
+    for used in 1..=free {
+        reachable[used] = sizes
+            .iter()
+            .any(|size| *size > 0 && *size <= used && reachable[used - size]);
+    }
+    let most_used = (0..=free).rev().find(|used| reachable[*used]).unwrap_or(0);
+    free - most_used
+}
+
+/// Sizes of the groups that the intents ask for.
+pub fn group_sizes(fleet: &FleetConfig) -> BTreeSet<usize> {
+    fleet
+        .models
+        .values()
+        .map(|model| model.hosts_per_replica as usize)
+        .collect()
+}
+
+/// Accelerators that are stranded in a failure domain.
+///
+/// Those of leaving hosts don't count, as the platform takes them back.
+pub fn stranded_accelerators(
+    hosts: &HostList,
+    fleet: &FleetConfig,
+    domain: &FailureDomain,
+    assignment: &Assignment,
+) -> u32 {
+    let used = assignment.used_hosts();
+    let mut free: BTreeMap<&FabricDomain, Vec<u32>> = BTreeMap::new();
+    for (id, host) in &hosts.hosts {
+        let idle = host.failure_domain == *domain
+            && host.state == crate::core::objects::HostState::Live
+            && !fleet.draining.contains(id)
+            && !used.contains(id);
+        if idle {
+            free.entry(&host.fabric_domain)
+                .or_default()
+                .push(host.accelerators);
+        }
+    }
+    let sizes = group_sizes(fleet);
+    free.values_mut()
+        .map(|accelerators| {
+            let stranded = stranded_hosts(accelerators.len(), &sizes);
+            accelerators.sort_unstable();
+            accelerators.iter().take(stranded).sum::<u32>()
+        })
+        .sum()
+}
--- /dev/null
+++ b/shalehinge/src/core/placement/yielding.rs
@@ -0,0 +1,80 @@
+//! When customers yield hosts to one another.
+//!
+//! Hosts that a customer doesn't use are lent to the others. When a customer
+//! below its share misses a replica and no hosts are free, one that is above
+//! its share gives a group back.
+
+use std::collections::BTreeMap;
+
+use crate::core::objects::{Assignment, FleetConfig, GroupPhase};
+use crate::core::types::{Customer, GroupNumber, ModelName};
+
+/// Hosts in use and hosts due, of one customer in one failure domain.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usage {
+    /// Hosts in groups of its models.
+    pub used: usize,
+    /// Hosts that its share comes to.
+    pub due: f64,
+}
+
+/// Usage by customer, of those that own models.
+pub fn usage(
+    fleet: &FleetConfig,
+    assignment: &Assignment,
+    host_count: usize,
+) -> BTreeMap<Customer, Usage> {
+    let mut usage: BTreeMap<Customer, Usage> = BTreeMap::new();
+    for model in fleet.models.values() {
+        usage.entry(model.owner.clone()).or_default();
+    }
+    for group in assignment.groups.values() {
+        let Some(model) = fleet.models.get(&group.model) else {
+            continue;
+        };
+        if group.phase != GroupPhase::Retiring {
+            usage.entry(model.owner.clone()).or_default().used += group.members.len();
+        }
+    }
+    let share_of = |customer: &Customer| {
+        let share = fleet.customers.get(customer).map_or(1, |c| c.share);
+        f64::from(share)
+    };
+    let total: f64 = usage.keys().map(share_of).sum();
+    for (customer, entry) in &mut usage {
+        entry.due = host_count as f64 * share_of(customer) / total;
+    }
+    usage
+}
+
+/// The group that should give way to `wanting`, and to whom its hosts go.
+pub fn group_to_yield(
+    fleet: &FleetConfig,
+    assignment: &Assignment,
+    host_count: usize,
+    wanting: &ModelName,
+) -> Option<(GroupNumber, Customer)> {
+    let intent = fleet.models.get(wanting)?;
+    let size = intent.hosts_per_replica as usize;
+    let usage = usage(fleet, assignment, host_count);
+    let taker = usage.get(&intent.owner)?;
+    if (taker.used + size) as f64 > taker.due {
+        return None;
+    }
+    let giver = |number: &GroupNumber| -> Option<f64> {
+        let group = &assignment.groups[number];
+        let owner = &fleet.models.get(&group.model)?.owner;
+        let owner_usage = usage.get(owner)?;
+        let size_fits = group.members.len() >= size;
+        let left = owner_usage.used.checked_sub(group.members.len())?;
+        let stays_above = left as f64 >= owner_usage.due;
+        let may_yield = group.phase == GroupPhase::Serving && *owner != intent.owner;
+        (may_yield && size_fits && stays_above).then_some(owner_usage.used as f64 - owner_usage.due)
+    };
+    assignment
+        .groups
+        .keys()
+        .filter_map(|number| giver(number).map(|excess| (excess, *number)))
+        .max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)))
+        .map(|(_, number)| (number, intent.owner.clone()))
+}
--- /dev/null
+++ b/shalehinge/src/core/platform.rs
@@ -0,0 +1,65 @@
+//! Calls to the platform and their answers, as values.
+
+use serde::{Deserialize, Serialize};
+
+use super::fleet_state::ObjectUpdate;
+use super::objects::{Object, ObjectKey, Versioned};
+use super::types::Version;
+
+/// Identifies a call, so that its answer finds back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// Position in the platform's sequence of changes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+/// A call to the platform.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PlatformCall {
+    /// Read one object.
+    Get(ObjectKey),
+    /// Write one object if it still has this version.
+    Put {
+        /// Which object.
+        key: ObjectKey,
+        /// Version that it must have.
+        expect: Version,
+        /// The new value.
+        object: Box<Object>,
+    },
+    /// Read configuration, host list and assignments.
+    List,
+    /// Wait for changes of those after a revision.
+    Watch {
+        /// The last revision seen.
+        after: Revision,
+    },
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PlatformReply {
+    /// The object, if it exists.
+    Object(Option<Versioned<Object>>),
+    /// The write took effect.
+    Written(Version),
+    /// The object had another version.
+    Conflict,
+    /// Objects as of a revision; for a watch only the changed ones.
+    Objects {
+        /// The revision.
+        revision: Revision,
+        /// The objects.
+        updates: Vec<ObjectUpdate>,
+    },
+}
+
+/// No answer: a write may have taken effect, or may still do so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the platform did not answer")]
+pub struct NoAnswer;
+
+/// What became of a call.
+pub type PlatformResult = Result<PlatformReply, NoAnswer>;
--- /dev/null
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -0,0 +1,778 @@
+//! The state machine that joins queue, choice, attempts and outcomes.
+//!
+//! Every request that is submitted gets exactly one answer. A request that was
+//! given up gets it at once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::core::engine::EngineStatus;
+use crate::core::types::{AttemptId, Customer, Incarnation, RequestId, Timestamp};
+use crate::settings::router::RouterSettings;
+
+use super::choose::{Choice, ChoiceContext, choose, typical_interval};
+use super::estimate::{DrainRate, SmoothedDuration};
+use super::prefix::BLOCK_TOKENS;
+use super::queue::{FairQueue, Waiting};
+use super::request::{
+    Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta, Target, UnknownReason, UpstreamId,
+};
+use super::retry_budget::RetryBudget;
+use super::topology::Topology;
+use super::upstream::{Upstream, Work};
+
+/// When to come back if nothing better is known.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Longest time to come back that is told.
+const MOST_RETRY_AFTER: Duration = Duration::from_secs(60);
+/// Output expected of a request before any was seen, as a part of what it asks for.
+const FIRST_OUTPUT_PART: f64 = 0.5;
+/// Candidates named in a log line.
+const LOGGED_CANDIDATES: usize = 4;
+
+/// What the router wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RouterAction {
+    /// Send a request to an upstream.
+    Send(Attempt),
+    /// Give a caller its final answer.
+    Answer {
+        /// Which request.
+        request: RequestId,
+        /// What became of it.
+        outcome: Outcome,
+    },
+    /// Break off an attempt and never use its connection again.
+    Abandon(AttemptId),
+    /// A line for the log of decisions.
+    Log(String),
+}
+
+/// A request between submission and answer.
+#[derive(Clone, Debug)]
+struct Pending {
+    meta: RequestMeta,
+    attempts: u32,
+    tried: Vec<UpstreamId>,
+    running: Option<Running>,
+    seen_output: bool,
+    cost: f64,
+    share: u32,
+}
+
+/// The attempt that runs.
+#[derive(Clone, Debug)]
+struct Running {
+    id: AttemptId,
+    upstream: UpstreamId,
+    sent_at: Timestamp,
+    first_at: Option<Timestamp>,
+    work: Work,
+}
+
+/// What is kept for one target.
+#[derive(Clone, Debug, Default)]
+struct TargetState {
+    upstreams: Vec<Upstream>,
+    queue: FairQueue,
+    drain: DrainRate,
+    first_token: SmoothedDuration,
+    token_interval: SmoothedDuration,
+    output_part: Option<f64>,
+    turn: usize,
+}
+
+/// The router of one daemon.
+#[derive(Clone, Debug)]
+pub struct Router {
+    settings: RouterSettings,
+    incarnation: Incarnation,
+    next_attempt: u64,
+    targets: BTreeMap<Target, TargetState>,
+    pending: BTreeMap<RequestId, Pending>,
+    retries: RetryBudget,
+    sharers: usize,
+    waiting: usize,
+}
+
+impl Router {
+    /// A router without upstreams.
+    pub fn new(settings: RouterSettings, incarnation: Incarnation) -> Self {
+        Self {
+            retries: RetryBudget::new(settings.retry_ratio, settings.retry_burst),
+            settings,
+            incarnation,
+            next_attempt: 1,
+            targets: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            sharers: 1,
+            waiting: 0,
+        }
+    }
+
+    /// How many daemons send to the same upstreams.
+    pub fn set_sharers(&mut self, sharers: usize) {
+        self.sharers = sharers.max(1);
+    }
+
+    /// Takes in which upstreams there are; what is known of those that stay is kept.
+    pub fn set_topology(&mut self, topology: Topology) {
+        for (target, specs) in topology.iter() {
+            let state = self.targets.entry(target.clone()).or_default();
+            let mut old = std::mem::take(&mut state.upstreams);
+            for spec in specs {
+                let known = old.iter().position(|upstream| upstream.spec.id == spec.id);
+                let mut upstream = match known {
+                    Some(index) => old.swap_remove(index),
+                    None => Upstream::new(spec.clone()),
+                };
+                upstream.spec = spec.clone();
+                state.upstreams.push(upstream);
+            }
+            // Those that left the topology stay until their requests have ended.
+            for mut upstream in old {
+                if upstream.in_flight() > 0 {
+                    upstream.spec.accepts_new = false;
+                    state.upstreams.push(upstream);
+                }
+            }
+        }
+        for (target, state) in &mut self.targets {
+            if !topology.contains_key(target) {
+                for upstream in &mut state.upstreams {
+                    upstream.spec.accepts_new = false;
+                }
+            }
+        }
+    }
+
+    /// Requests not yet answered.
+    pub fn pending(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Requests that wait for an upstream.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Upstreams of a target that may serve now, and all of them.
+    pub fn eligible(&self, now: Timestamp, target: &Target) -> (usize, usize) {
+        let Some(state) = self.targets.get(target) else {
+            return (0, 0);
+        };
+        let eligible = state.upstreams.iter().filter(|u| u.is_eligible(now));
+        (eligible.count(), state.upstreams.len())
+    }
+
+    /// All upstreams with whether they may serve, for status pages.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
+        self.targets.values().flat_map(|state| &state.upstreams)
+    }
+
+    /// Why a new request would be refused now, if it would.
+    pub fn refusal(
+        &self,
+        now: Timestamp,
+        meta: &RequestMeta,
+        share: u32,
+    ) -> Option<(NotRunReason, Duration)> {
+        let Some(state) = self.targets.get(&meta.target) else {
+            return Some((NotRunReason::UnknownTarget, MOST_RETRY_AFTER));
+        };
+        if !state.upstreams.iter().any(|u| u.is_eligible(now)) {
+            return Some((NotRunReason::NoUpstream, DEFAULT_RETRY_AFTER));
+        }
+        if !self.settings.early_refusal {
+            return None;
+        }
+        let time_left = meta.deadline.since(now);
+        let wait = state.wait_of(&meta.customer, share, state.cost_of(meta));
+        let needed = wait + state.service_time(meta);
+        if needed > time_left {
+            let retry_after = (needed - time_left).clamp(Duration::from_secs(1), MOST_RETRY_AFTER);
+            return Some((NotRunReason::WouldBeLate, retry_after));
+        }
+        None
+    }
+
+    /// Takes in a request of a customer with this share.
+    pub fn submit(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        meta: RequestMeta,
+        share: u32,
+        rng: &mut impl rand::Rng,
+        out: &mut Vec<RouterAction>,
+    ) {
+        if let Some((reason, retry_after)) = self.refusal(now, &meta, share) {
+            out.push(not_run(request, reason, retry_after));
+            return;
+        }
+        let target = meta.target.clone();
+        let Some(state) = self.targets.get_mut(&target) else {
+            return;
+        };
+        let cost = state.cost_of(&meta);
+        let pending = Pending {
+            meta,
+            attempts: 0,
+            tried: Vec::new(),
+            running: None,
+            seen_output: false,
+            cost,
+            share,
+        };
+        state.enqueue(request, &pending);
+        self.pending.insert(request, pending);
+        self.waiting += 1;
+        self.evict_overflow(&target, out);
+        self.dispatch(now, &target, rng, out);
+    }
+
+    fn evict_overflow(&mut self, target: &Target, out: &mut Vec<RouterAction>) {
+        if self.waiting <= self.settings.max_waiting {
+            return;
+        }
+        let state = self.targets.get_mut(target);
+        if let Some(evicted) = state.and_then(|state| state.queue.evict()) {
+            self.waiting -= 1;
+            self.pending.remove(&evicted.request);
+            out.push(not_run(
+                evicted.request,
+                NotRunReason::QueueFull,
+                DEFAULT_RETRY_AFTER,
+            ));
+        }
+    }
+
+    /// Sends waiting requests while there is room.
+    fn dispatch(
+        &mut self,
+        now: Timestamp,
+        target: &Target,
+        rng: &mut impl rand::Rng,
+        out: &mut Vec<RouterAction>,
+    ) {
+        loop {
+            let Some(state) = self.targets.get_mut(target) else {
+                return;
+            };
+            let Some(request) = state.queue.peek().map(|waiting| waiting.request) else {
+                return;
+            };
+            let Some(pending) = self.pending.get_mut(&request) else {
+                state.queue.pop();
+                continue;
+            };
+            let too_late = self.settings.early_refusal
+                && pending.attempts == 0
+                && now + state.service_time(&pending.meta) > pending.meta.deadline;
+            if too_late {
+                state.queue.pop();
+                self.waiting -= 1;
+                self.pending.remove(&request);
+                out.push(not_run(
+                    request,
+                    NotRunReason::WouldBeLate,
+                    DEFAULT_RETRY_AFTER,
+                ));
+                continue;
+            }
+            let Some(choice) = state.choose_for(now, &self.settings, pending, rng) else {
+                return;
+            };
+            state.queue.pop();
+            self.waiting -= 1;
+            let id = AttemptId {
+                incarnation: self.incarnation,
+                sequence: self.next_attempt,
+            };
+            self.next_attempt += 1;
+            if pending.attempts == 0 {
+                self.retries.deposit();
+            }
+            out.push(RouterAction::Log(decision(
+                request, pending, state, &choice,
+            )));
+            let attempt = state.send(now, request, pending, id, choice.index);
+            out.push(RouterAction::Send(attempt));
+        }
+    }
+
+    /// The first output of an attempt reached the caller.
+    pub fn on_output(&mut self, now: Timestamp, request: RequestId, attempt: AttemptId) {
+        let Some(pending) = self.pending.get_mut(&request) else {
+            return;
+        };
+        let Some(running) = pending.running.as_mut().filter(|r| r.id == attempt) else {
+            return;
+        };
+        pending.seen_output = true;
+        running.first_at = Some(now);
+    }
+
+    /// An attempt ended.
+    pub fn on_ended(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        attempt: AttemptId,
+        end: AttemptEnd,
+        rng: &mut impl rand::Rng,
+        out: &mut Vec<RouterAction>,
+    ) {
+        let Some(pending) = self.pending.get_mut(&request) else {
+            return;
+        };
+        if pending.running.as_ref().is_none_or(|r| r.id != attempt) {
+            return;
+        }
+        let Some(running) = pending.running.take() else {
+            return;
+        };
+        let target = pending.meta.target.clone();
+        if let Some(state) = self.targets.get_mut(&target) {
+            state.settle(now, &self.settings, pending, &running, end);
+        }
+        match outcome_of(end) {
+            Outcome::Completed => self.answer(request, Outcome::Completed, out),
+            outcome => self.retry_or_answer(now, request, outcome, out),
+        }
+        self.dispatch(now, &target, rng, out);
+    }
+
+    fn answer(&mut self, request: RequestId, outcome: Outcome, out: &mut Vec<RouterAction>) {
+        self.pending.remove(&request);
+        out.push(RouterAction::Answer { request, outcome });
+    }
+
+    /// Tries again where that is safe, useful and within the budget.
+    fn retry_or_answer(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        outcome: Outcome,
+        out: &mut Vec<RouterAction>,
+    ) {
+        let Some(pending) = self.pending.get(&request) else {
+            return;
+        };
+        let is_safe = match outcome {
+            Outcome::NotRun { .. } => true,
+            Outcome::Failed { .. } | Outcome::Unknown { .. } => {
+                pending.meta.repeatable && !pending.seen_output
+            }
+            Outcome::Completed => false,
+        };
+        let in_time = now < pending.meta.deadline;
+        let again = is_safe && in_time && pending.attempts < self.settings.max_attempts;
+        if !again || !self.retries.withdraw() {
+            self.answer(request, outcome, out);
+            return;
+        }
+        let line = format!(
+            "request {} tries again after {outcome:?}, attempt {}",
+            request.0, pending.attempts
+        );
+        out.push(RouterAction::Log(line));
+        if let Some(state) = self.targets.get_mut(&pending.meta.target) {
+            state.enqueue(request, pending);
+            self.waiting += 1;
+        }
+    }
+
+    /// The caller left: what has not been sent is dropped, what runs is broken off.
+    pub fn cancel(&mut self, request: RequestId, out: &mut Vec<RouterAction>) {
+        let Some(pending) = self.pending.remove(&request) else {
+            return;
+        };
+        let Some(state) = self.targets.get_mut(&pending.meta.target) else {
+            return;
+        };
+        let outcome = match &pending.running {
+            Some(running) => {
+                state.release(running);
+                out.push(RouterAction::Abandon(running.id));
+                Outcome::Unknown {
+                    reason: UnknownReason::CallerLeft,
+                }
+            }
+            None => {
+                if state
+                    .queue
+                    .remove(&pending.meta.customer, request)
+                    .is_some()
+                {
+                    self.waiting -= 1;
+                }
+                Outcome::NotRun {
+                    reason: NotRunReason::CallerLeft,
+                    retry_after: Duration::ZERO,
+                }
+            }
+        };
+        out.push(RouterAction::Answer { request, outcome });
+    }
+
+    /// A load report came.
+    pub fn on_report(
+        &mut self,
+        now: Timestamp,
+        asked_at: Timestamp,
+        upstream: &UpstreamId,
+        status: Option<&EngineStatus>,
+        rng: &mut impl rand::Rng,
+        out: &mut Vec<RouterAction>,
+    ) {
+        let (settings, sharers) = (self.settings, self.sharers);
+        let Some((target, known)) = self.find(upstream) else {
+            return;
+        };
+        match status {
+            Some(status) => known.on_report(asked_at, status, sharers, &settings),
+            None => known.on_report_failed(now),
+        }
+        self.dispatch(now, &target, rng, out);
+    }
+
+    fn find(&mut self, id: &UpstreamId) -> Option<(Target, &mut Upstream)> {
+        self.targets.iter_mut().find_map(|(target, state)| {
+            let upstream = state.upstreams.iter_mut().find(|u| u.spec.id == *id)?;
+            Some((target.clone(), upstream))
+        })
+    }
+
+    /// Upstreams whose report should be asked for now.
+    pub fn reports_wanted(&mut self, now: Timestamp) -> Vec<super::upstream::UpstreamSpec> {
+        let settings = self.settings;
+        self.targets
+            .values_mut()
+            .flat_map(|state| &mut state.upstreams)
+            .filter_map(|upstream| {
+                let wanted = upstream.wants_report(now, &settings);
+                wanted.then(|| upstream.spec.clone())
+            })
+            .collect()
+    }
+
+    /// Ends what is past its deadline and sends what has room by now.
+    pub fn tick(&mut self, now: Timestamp, rng: &mut impl rand::Rng, out: &mut Vec<RouterAction>) {
+        self.expire_waiting(now, out);
+        self.expire_running(now, out);
+        let targets: Vec<Target> = self.targets.keys().cloned().collect();
+        for target in targets {
+            if let Some(state) = self.targets.get_mut(&target) {
+                state.queue.forget_idle();
+            }
+            self.dispatch(now, &target, rng, out);
+        }
+    }
+
+    fn expire_waiting(&mut self, now: Timestamp, out: &mut Vec<RouterAction>) {
+        for state in self.targets.values_mut() {
+            let no_upstream = !state.upstreams.iter().any(|u| u.is_eligible(now));
+            let mut expired = state.queue.expire(now);
+            if no_upstream {
+                expired.extend(std::iter::from_fn(|| state.queue.pop()).map(|w| w.request));
+            }
+            let reason = if no_upstream {
+                NotRunReason::NoUpstream
+            } else {
+                NotRunReason::WouldBeLate
+            };
+            for request in expired {
+                self.waiting -= 1;
+                self.pending.remove(&request);
+                out.push(not_run(request, reason, DEFAULT_RETRY_AFTER));
+            }
+        }
+    }
+
+    fn expire_running(&mut self, now: Timestamp, out: &mut Vec<RouterAction>) {
+        let expired: Vec<RequestId> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| pending.running.is_some() && pending.meta.deadline <= now)
+            .map(|(request, _)| *request)
+            .collect();
+        for request in expired {
+            let Some(pending) = self.pending.remove(&request) else {
+                continue;
+            };
+            let state = self.targets.get_mut(&pending.meta.target);
+            if let (Some(state), Some(running)) = (state, &pending.running) {
+                state.release(running);
+                state.blame(now, &self.settings, &running.upstream);
+                out.push(RouterAction::Abandon(running.id));
+            }
+            let reason = UnknownReason::DeadlinePassed;
+            let outcome = Outcome::Unknown { reason };
+            out.push(RouterAction::Answer { request, outcome });
+        }
+    }
+}
+
+fn not_run(request: RequestId, reason: NotRunReason, retry_after: Duration) -> RouterAction {
+    let outcome = Outcome::NotRun {
+        reason,
+        retry_after,
+    };
+    RouterAction::Answer { request, outcome }
+}
+
+/// What the end of the only attempt says of the request.
+fn outcome_of(end: AttemptEnd) -> Outcome {
+    match end {
+        AttemptEnd::Completed { .. } => Outcome::Completed,
+        AttemptEnd::NotSent | AttemptEnd::Refused => Outcome::NotRun {
+            reason: NotRunReason::Refused,
+            retry_after: DEFAULT_RETRY_AFTER,
+        },
+        AttemptEnd::Failed { status } => Outcome::Failed { status },
+        AttemptEnd::Lost => Outcome::Unknown {
+            reason: UnknownReason::Lost,
+        },
+        AttemptEnd::WrongAnswer => Outcome::Unknown {
+            reason: UnknownReason::WrongAnswer,
+        },
+    }
+}
+
+/// The log line of one routing decision.
+fn decision(request: RequestId, pending: &Pending, state: &TargetState, choice: &Choice) -> String {
+    let chosen = &state.upstreams[choice.index].spec.id;
+    let mut line = format!(
+        "request {} of {} to {chosen} for {}, attempt {}, {} wait;",
+        request.0,
+        pending.meta.customer,
+        pending.meta.target,
+        pending.attempts + 1,
+        state.queue.len(),
+    );
+    for candidate in choice.compared.iter().take(LOGGED_CANDIDATES) {
+        line.push_str(&format!(
+            " {} load {:.2} prefix {} score {:.2}",
+            candidate.upstream, candidate.load, candidate.prefix_blocks, candidate.score
+        ));
+    }
+    line
+}
+
+impl TargetState {
+    fn enqueue(&mut self, request: RequestId, pending: &Pending) {
+        let waiting = Waiting {
+            request,
+            cost: pending.cost,
+            priority: pending.meta.priority,
+            deadline: pending.meta.deadline,
+        };
+        self.queue
+            .push(&pending.meta.customer, pending.share, waiting);
+    }
+
+    fn expected_output(&self, meta: &RequestMeta) -> f64 {
+        f64::from(meta.max_output_tokens) * self.output_part.unwrap_or(FIRST_OUTPUT_PART)
+    }
+
+    /// Estimated tokens that a request costs, prompt held nowhere.
+    fn cost_of(&self, meta: &RequestMeta) -> f64 {
+        f64::from(meta.prompt_tokens) + self.expected_output(meta) + 1.0
+    }
+
+    /// Estimated time of a request once it is sent.
+    fn service_time(&self, meta: &RequestMeta) -> Duration {
+        let first = self.first_token.get().unwrap_or_default();
+        let interval = self.token_interval.get().unwrap_or_default();
+        first + interval.mul_f64(self.expected_output(meta))
+    }
+
+    /// Estimated wait of a new request of this customer.
+    fn wait_of(&self, customer: &Customer, share: u32, cost: f64) -> Duration {
+        if self.queue.is_empty() {
+            return Duration::ZERO;
+        }
+        let (ahead, part) = self.queue.ahead(customer, share);
+        self.drain.wait(ahead + cost, part).unwrap_or_default()
+    }
+
+    fn choose_for(
+        &mut self,
+        now: Timestamp,
+        settings: &RouterSettings,
+        pending: &Pending,
+        rng: &mut impl rand::Rng,
+    ) -> Option<Choice> {
+        let context = ChoiceContext {
+            now,
+            settings,
+            prefix: &pending.meta.prefix,
+            work: self.work_of(&pending.meta, 0),
+            tried: &pending.tried,
+            turn: self.turn,
+        };
+        let choice = choose(&self.upstreams, &context, rng);
+        // With every upstream tried, one may be tried again.
+        choice.or_else(|| {
+            let untried = self
+                .upstreams
+                .iter()
+                .any(|u| u.is_eligible(now) && !pending.tried.contains(&u.spec.id));
+            if untried || pending.tried.is_empty() {
+                return None;
+            }
+            let tried = &[];
+            choose(&self.upstreams, &ChoiceContext { tried, ..context }, rng)
+        })
+    }
+
+    fn work_of(&self, meta: &RequestMeta, held_blocks: usize) -> Work {
+        let held = f64::from(BLOCK_TOKENS) * held_blocks as f64;
+        let prompt = (f64::from(meta.prompt_tokens) - held).max(0.0);
+        let output = self.expected_output(meta);
+        Work {
+            tokens: prompt + output,
+            kv_peak: f64::from(meta.prompt_tokens) + output,
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        pending: &mut Pending,
+        id: AttemptId,
+        index: usize,
+    ) -> Attempt {
+        let held = self.upstreams[index]
+            .prefixes
+            .matching_blocks(&pending.meta.prefix);
+        let work = self.work_of(&pending.meta, held);
+        self.turn = self.turn.wrapping_add(1);
+        self.drain.record(now, pending.cost, !self.queue.is_empty());
+        let upstream = &mut self.upstreams[index];
+        upstream.on_sent(work);
+        upstream.prefixes.record(&pending.meta.prefix);
+        pending.attempts += 1;
+        pending.tried.push(upstream.spec.id.clone());
+        pending.running = Some(Running {
+            id,
+            upstream: upstream.spec.id.clone(),
+            sent_at: now,
+            first_at: None,
+            work,
+        });
+        Attempt {
+            request,
+            id,
+            upstream: upstream.spec.id.clone(),
+            address: upstream.spec.address,
+            group: upstream.spec.group,
+            time_left: pending.meta.deadline.since(now),
+            priority: pending.meta.priority,
+        }
+    }
+
+    fn upstream_mut(&mut self, id: &UpstreamId) -> Option<&mut Upstream> {
+        self.upstreams.iter_mut().find(|u| u.spec.id == *id)
+    }
+
+    /// Frees what an attempt held.
+    fn release(&mut self, running: &Running) {
+        if let Some(upstream) = self.upstream_mut(&running.upstream) {
+            upstream.on_ended(running.work);
+        }
+    }
+
+    /// Learns from the end of an attempt.
+    fn settle(
+        &mut self,
+        now: Timestamp,
+        settings: &RouterSettings,
+        pending: &Pending,
+        running: &Running,
+        end: AttemptEnd,
+    ) {
+        self.release(running);
+        match end {
+            AttemptEnd::Completed { output_tokens } => {
+                self.learn(now, pending, running, output_tokens);
+                self.eject_if_slow(now, settings, &running.upstream);
+            }
+            AttemptEnd::NotSent | AttemptEnd::Lost => {
+                if let Some(upstream) = self.upstream_mut(&running.upstream) {
+                    upstream.contradict(now);
+                }
+                self.blame(now, settings, &running.upstream);
+            }
+            AttemptEnd::Refused => {
+                if let Some(upstream) = self.upstream_mut(&running.upstream) {
+                    upstream.contradict(now);
+                }
+            }
+            AttemptEnd::Failed { .. } | AttemptEnd::WrongAnswer => {
+                self.blame(now, settings, &running.upstream);
+            }
+        }
+    }
+
+    fn learn(&mut self, now: Timestamp, pending: &Pending, running: &Running, tokens: u32) {
+        let first_at = running.first_at.unwrap_or(now);
+        let first = first_at.since(running.sent_at);
+        let interval = (tokens > 1).then(|| now.since(first_at) / (tokens - 1));
+        self.first_token.record(first);
+        interval.inspect(|interval| self.token_interval.record(*interval));
+        if let Some(upstream) = self.upstream_mut(&running.upstream) {
+            upstream.outlier.on_success();
+            upstream.first_token.record(first);
+            interval.inspect(|interval| upstream.token_interval.record(*interval));
+        }
+        let wanted = f64::from(pending.meta.max_output_tokens);
+        if tokens > 0 && wanted > 0.0 {
+            const SMOOTHING: f64 = 0.02;
+            let part = (f64::from(tokens) / wanted).min(1.0);
+            let known = self.output_part.unwrap_or(FIRST_OUTPUT_PART);
+            self.output_part = Some(known + SMOOTHING * (part - known));
+            let actual = f64::from(pending.meta.prompt_tokens) + f64::from(tokens) + 1.0;
+            self.queue
+                .correct(&pending.meta.customer, pending.cost, actual);
+        }
+    }
+
+    /// Counts a failure, and ejects the upstream if it is due and others remain.
+    fn blame(&mut self, now: Timestamp, settings: &RouterSettings, id: &UpstreamId) {
+        let may_eject = self.may_eject(now, settings);
+        let Some(upstream) = self.upstream_mut(id) else {
+            return;
+        };
+        if upstream.outlier.on_failure(settings) && may_eject {
+            upstream.outlier.eject(now, settings);
+        }
+    }
+
+    fn may_eject(&self, now: Timestamp, settings: &RouterSettings) -> bool {
+        let ejected = self
+            .upstreams
+            .iter()
+            .filter(|upstream| upstream.outlier.is_ejected(now))
+            .count();
+        (ejected + 1) as f64 <= self.upstreams.len() as f64 * settings.max_ejected
+    }
+
+    fn eject_if_slow(&mut self, now: Timestamp, settings: &RouterSettings, id: &UpstreamId) {
+        let Some(typical) = typical_interval(&self.upstreams) else {
+            return;
+        };
+        let may_eject = self.may_eject(now, settings);
+        let Some(upstream) = self.upstream_mut(id) else {
+            return;
+        };
+        let limit = typical.mul_f64(settings.slow_factor);
+        let is_slow = upstream.token_interval.get().is_some_and(|own| own > limit);
+        if is_slow && may_eject && !upstream.outlier.is_ejected(now) {
+            upstream.outlier.eject(now, settings);
+            upstream.token_interval = SmoothedDuration::default();
+        }
+    }
+}
--- /dev/null
+++ b/shalehinge/src/core/router/mod.rs
@@ -0,0 +1,25 @@
+//! Routing: which request goes where and when, and what became of it.
+//!
+//! - `request`: requests, attempts and outcomes as values
+//! - `queue`: fair waiting line between customers
+//! - `estimate`: drain rate, and refusal of what would be late
+//! - `upstream`: one upstream: evidence, room, speed
+//! - `topology`: which upstreams this daemon considers
+//! - `prefix`: which replica holds the start of a prompt
+//! - `choose`: choice of an upstream for a request
+//! - `outlier`: ejection of upstreams that fail or are slow
+//! - `retry_budget`: how many retries are allowed
+//! - `dispatch`: the state machine that joins them
+
+pub mod choose;
+pub mod dispatch;
+pub mod estimate;
+pub mod outlier;
+pub mod prefix;
+pub mod queue;
+pub mod request;
+pub mod retry_budget;
+pub mod topology;
+pub mod upstream;
+
+pub use dispatch::{Router, RouterAction};
--- /dev/null
+++ b/shalehinge/src/core/router/outlier.rs
@@ -0,0 +1,53 @@
+//! Ejection of upstreams that fail or are slow, with probation.
+
+use std::time::Duration;
+
+use crate::core::types::Timestamp;
+use crate::settings::router::RouterSettings;
+
+/// Longest ejection.
+const MOST: Duration = Duration::from_secs(60);
+
+/// Whether one upstream is trusted.
+#[derive(Clone, Debug, Default)]
+pub struct OutlierState {
+    failures_in_a_row: u32,
+    ejections: u32,
+    ejected_until: Option<Timestamp>,
+    on_probation: bool,
+}
+
+impl OutlierState {
+    /// Out of use at this time.
+    pub fn is_ejected(&self, now: Timestamp) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    /// Back in use, with one request at a time until one succeeds.
+    pub fn is_on_probation(&self) -> bool {
+        self.on_probation
+    }
+
+    /// An attempt succeeded.
+    pub fn on_success(&mut self) {
+        self.failures_in_a_row = 0;
+        self.on_probation = false;
+        self.ejections = self.ejections.saturating_sub(1);
+    }
+
+    /// An attempt failed; true if the upstream should now be ejected.
+    pub fn on_failure(&mut self, settings: &RouterSettings) -> bool {
+        self.failures_in_a_row += 1;
+        self.on_probation || self.failures_in_a_row >= settings.eject_after
+    }
+
+    /// Ejects it, for longer each time.
+    pub fn eject(&mut self, now: Timestamp, settings: &RouterSettings) {
+        let doublings = self.ejections.min(8);
+        let time = settings.eject_for * 2u32.pow(doublings);
+        self.ejections += 1;
+        self.failures_in_a_row = 0;
+        self.on_probation = true;
+        self.ejected_until = Some(now + time.min(MOST));
+    }
+}
--- /dev/null
+++ b/shalehinge/src/core/router/queue.rs
@@ -0,0 +1,183 @@
+//! The waiting line of one target: fair between customers by share.
+//!
+//! Start-time fair queueing: each customer has a tag that moves on by cost over
+//! share with each request taken; the lowest tag is next. A customer that was
+//! away starts at the current virtual time, so unused share is lent and is not
+//! saved up. Within a customer the highest priority goes first, then the
+//! earliest deadline.
+
+use std::collections::BTreeMap;
+
+use crate::core::types::{Customer, RequestId, Timestamp};
+
+/// A waiting request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Waiting {
+    /// The request.
+    pub request: RequestId,
+    /// Estimated cost in tokens.
+    pub cost: f64,
+    /// Higher goes first.
+    pub priority: u8,
+    /// Earlier goes first.
+    pub deadline: Timestamp,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    priority: std::cmp::Reverse<u8>,
+    deadline: Timestamp,
+    request: RequestId,
+}
+
+impl Waiting {
+    fn rank(&self) -> Rank {
+        Rank {
+            priority: std::cmp::Reverse(self.priority),
+            deadline: self.deadline,
+            request: self.request,
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Line {
+    tag: f64,
+    share: f64,
+    cost: f64,
+    waiting: BTreeMap<Rank, Waiting>,
+}
+
+/// The waiting line.
+#[derive(Clone, Debug, Default)]
+pub struct FairQueue {
+    virtual_time: f64,
+    lines: BTreeMap<Customer, Line>,
+    len: usize,
+}
+
+impl FairQueue {
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Adds a request of a customer with this share.
+    pub fn push(&mut self, customer: &Customer, share: u32, waiting: Waiting) {
+        let virtual_time = self.virtual_time;
+        let line = self.lines.entry(customer.clone()).or_default();
+        if line.waiting.is_empty() {
+            line.tag = line.tag.max(virtual_time);
+        }
+        line.share = f64::from(share.max(1));
+        line.cost += waiting.cost;
+        line.waiting.insert(waiting.rank(), waiting);
+        self.len += 1;
+    }
+
+    /// The next request without taking it.
+    pub fn peek(&self) -> Option<&Waiting> {
+        let (_, line) = self.next_line()?;
+        line.waiting.values().next()
+    }
+
+    fn next_line(&self) -> Option<(&Customer, &Line)> {
+        self.lines
+            .iter()
+            .filter(|(_, line)| !line.waiting.is_empty())
+            .min_by(|a, b| a.1.tag.total_cmp(&b.1.tag))
+    }
+
+    /// Takes the next request.
+    pub fn pop(&mut self) -> Option<Waiting> {
+        let customer = self.next_line()?.0.clone();
+        let line = self.lines.get_mut(&customer)?;
+        let (_, waiting) = line.waiting.pop_first()?;
+        self.virtual_time = line.tag;
+        line.tag += waiting.cost / line.share;
+        line.cost -= waiting.cost;
+        self.len -= 1;
+        Some(waiting)
+    }
+
+    /// Takes out one request, wherever it stands.
+    pub fn remove(&mut self, customer: &Customer, request: RequestId) -> Option<Waiting> {
+        let line = self.lines.get_mut(customer)?;
+        let rank = line
+            .waiting
+            .iter()
+            .find(|(rank, _)| rank.request == request)
+            .map(|(rank, _)| *rank)?;
+        let waiting = line.waiting.remove(&rank)?;
+        line.cost -= waiting.cost;
+        self.len -= 1;
+        Some(waiting)
+    }
+
+    /// Takes out the last request of the customer that waits with most above its share.
+    pub fn evict(&mut self) -> Option<Waiting> {
+        let line = self
+            .lines
+            .values_mut()
+            .filter(|line| !line.waiting.is_empty())
+            .max_by(|a, b| (a.cost / a.share).total_cmp(&(b.cost / b.share)))?;
+        let (_, waiting) = line.waiting.pop_last()?;
+        line.cost -= waiting.cost;
+        self.len -= 1;
+        Some(waiting)
+    }
+
+    /// Takes out all requests whose deadline is before `limit`.
+    pub fn expire(&mut self, limit: Timestamp) -> Vec<RequestId> {
+        let mut expired = Vec::new();
+        for line in self.lines.values_mut() {
+            let late: Vec<Rank> = line
+                .waiting
+                .keys()
+                .filter(|rank| rank.deadline < limit)
+                .copied()
+                .collect();
+            for rank in late {
+                if let Some(waiting) = line.waiting.remove(&rank) {
+                    line.cost -= waiting.cost;
+                    self.len -= 1;
+                    expired.push(waiting.request);
+                }
+            }
+        }
+        expired
+    }
+
+    /// Corrects a customer's tag once the true cost of a request is known.
+    pub fn correct(&mut self, customer: &Customer, estimated: f64, actual: f64) {
+        if let Some(line) = self.lines.get_mut(customer) {
+            line.tag += (actual - estimated) / line.share.max(1.0);
+        }
+    }
+
+    /// Cost that waits before a new request of this customer, and the part of
+    /// the target's capacity that the customer gets while all wait.
+    pub fn ahead(&self, customer: &Customer, share: u32) -> (f64, f64) {
+        let share = f64::from(share.max(1));
+        let others: f64 = self
+            .lines
+            .iter()
+            .filter(|(other, line)| *other != customer && !line.waiting.is_empty())
+            .map(|(_, line)| line.share)
+            .sum();
+        let cost = self.lines.get(customer).map_or(0.0, |line| line.cost);
+        (cost, share / (share + others))
+    }
+
+    /// Forgets customers that have not waited for long, to bound memory.
+    pub fn forget_idle(&mut self) {
+        let virtual_time = self.virtual_time;
+        self.lines
+            .retain(|_, line| !line.waiting.is_empty() || line.tag > virtual_time);
+    }
+}
--- /dev/null
+++ b/shalehinge/src/core/router/retry_budget.rs
@@ -0,0 +1,37 @@
+//! How many retries are allowed: a part of the first attempts, and a few saved up.
+//!
+//! When many upstreams fail at once, the budget runs out and requests end with
+//! their outcome in place of a storm of retries.
+
+/// The budget of one daemon.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    ratio: f64,
+    burst: f64,
+    tokens: f64,
+}
+
+impl RetryBudget {
+    /// A full budget.
+    pub fn new(ratio: f64, burst: f64) -> Self {
+        Self {
+            ratio,
+            burst,
+            tokens: burst,
+        }
+    }
+
+    /// A first attempt was made.
+    pub fn deposit(&mut self) {
+        self.tokens = (self.tokens + self.ratio).min(self.burst);
+    }
+
+    /// Takes a retry out, if one is left.
+    pub fn withdraw(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/shalehinge/src/core/router/topology.rs
@@ -0,0 +1,120 @@
+//! Which upstreams a daemon considers, from the objects in force.
+//!
+//! A daemon looks at a bounded subset of a model's replicas, chosen by
+//! rendezvous hash: mostly of its own failure domain, some of the others. So
+//! its reports and memory stay bounded however large the fleet becomes.
+
+use std::collections::BTreeMap;
+
+use crate::core::fleet_state::FleetState;
+use crate::core::hash;
+use crate::core::objects::{Group, GroupPhase, HostState};
+use crate::core::types::{DaemonId, FailureDomain, HostId, ReplicaId, ServiceName};
+use crate::settings::router::RouterSettings;
+
+use super::request::{Target, UpstreamId};
+use super::upstream::UpstreamSpec;
+
+/// The considered upstreams of each target.
+pub type Topology = BTreeMap<Target, Vec<UpstreamSpec>>;
+
+/// Builds the topology of one daemon.
+pub fn build(
+    state: &FleetState,
+    me: &DaemonId,
+    domain: &FailureDomain,
+    settings: &RouterSettings,
+) -> Topology {
+    let mut topology = Topology::new();
+    let Some(fleet) = state.fleet() else {
+        return topology;
+    };
+    for model in fleet.value.models.keys() {
+        topology.insert(Target::Model(model.clone()), Vec::new());
+    }
+    for (target, specs) in replicas(state, domain) {
+        let Some(entry) = topology.get_mut(&target) else {
+            continue;
+        };
+        *entry = subset(specs, me, settings);
+    }
+    for (name, service) in &fleet.value.services {
+        let specs = service
+            .upstreams
+            .iter()
+            .map(|upstream| UpstreamSpec {
+                id: UpstreamId::Instance(ServiceName::new(name.as_str()), upstream.address),
+                address: upstream.address,
+                group: None,
+                remote: upstream.failure_domain != *domain,
+                accepts_new: !is_leaving(state, &upstream.host),
+            })
+            .collect();
+        topology.insert(Target::Service(name.clone()), specs);
+    }
+    topology
+}
+
+fn replicas(state: &FleetState, domain: &FailureDomain) -> BTreeMap<Target, Vec<UpstreamSpec>> {
+    let mut replicas: BTreeMap<Target, Vec<UpstreamSpec>> = BTreeMap::new();
+    for (group_domain, assignment) in state.assignments() {
+        for (number, group) in &assignment.value.groups {
+            let Some(rank_zero) = group.members.first() else {
+                continue;
+            };
+            let replica = ReplicaId {
+                failure_domain: group_domain.clone(),
+                number: *number,
+            };
+            let spec = UpstreamSpec {
+                id: UpstreamId::Replica(replica),
+                address: rank_zero.address,
+                group: Some(*number),
+                remote: group_domain != domain,
+                accepts_new: accepts_new(state, group),
+            };
+            let target = Target::Model(group.model.clone());
+            replicas.entry(target).or_default().push(spec);
+        }
+    }
+    replicas
+}
+
+/// Forming groups are considered too: evidence decides when they serve.
+fn accepts_new(state: &FleetState, group: &Group) -> bool {
+    group.phase != GroupPhase::Retiring
+        && !group
+            .members
+            .iter()
+            .any(|member| is_listed_leaving(state, &member.host))
+}
+
+fn is_listed_leaving(state: &FleetState, host: &HostId) -> bool {
+    let record = state.hosts().and_then(|list| list.value.hosts.get(host));
+    record.is_some_and(|record| record.state == HostState::Leaving)
+}
+
+fn is_leaving(state: &FleetState, host: &HostId) -> bool {
+    let draining = state
+        .fleet()
+        .is_some_and(|fleet| fleet.value.draining.contains(host));
+    draining || is_listed_leaving(state, host)
+}
+
+fn subset(specs: Vec<UpstreamSpec>, me: &DaemonId, settings: &RouterSettings) -> Vec<UpstreamSpec> {
+    let (remote, local): (Vec<_>, Vec<_>) = specs.into_iter().partition(|spec| spec.remote);
+    let mut chosen = top_by_hash(local, me, settings.local_candidates);
+    chosen.extend(top_by_hash(remote, me, settings.remote_candidates));
+    chosen
+}
+
+fn top_by_hash(specs: Vec<UpstreamSpec>, me: &DaemonId, count: usize) -> Vec<UpstreamSpec> {
+    let chosen: Vec<UpstreamId> = hash::top(me, specs.iter().map(|spec| &spec.id), count)
+        .into_iter()
+        .cloned()
+        .collect();
+    specs
+        .into_iter()
+        .filter(|spec| chosen.contains(&spec.id))
+        .collect()
+}
--- /dev/null
+++ b/shalehinge/src/core/router/upstream.rs
@@ -0,0 +1,243 @@
+//! One upstream as this daemon sees it: evidence, room and speed.
+
+use std::time::Duration;
+
+use crate::core::engine::{EngineLoad, EngineStatus};
+use crate::core::types::{Address, GroupNumber, Timestamp};
+use crate::settings::router::RouterSettings;
+
+use super::estimate::SmoothedDuration;
+use super::outlier::OutlierState;
+use super::prefix::PrefixHints;
+use super::request::UpstreamId;
+
+/// Part of the KV memory that reservations may fill; the rest is for estimates
+/// that were too low.
+const KV_FILL: f64 = 0.95;
+/// Requests that a replica may be sent before its first report came.
+const FIRST_ALLOWANCE: f64 = 2.0;
+
+/// What the topology says of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamSpec {
+    /// Its name.
+    pub id: UpstreamId,
+    /// Where it listens; rank 0 for a replica.
+    pub address: Address,
+    /// The group that must be complete; `None` for a plain service.
+    pub group: Option<GroupNumber>,
+    /// Whether it is in another failure domain.
+    pub remote: bool,
+    /// Whether it may be given new work.
+    pub accepts_new: bool,
+}
+
+/// A load report with the time from which it counts.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    load: EngineLoad,
+    asked_at: Timestamp,
+}
+
+/// What a request costs an upstream while it runs there.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Tokens to compute: prompt not cached and expected output.
+    pub tokens: f64,
+    /// KV memory at its peak, in tokens.
+    pub kv_peak: f64,
+}
+
+/// An upstream with all that is known of it.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// What the topology says.
+    pub spec: UpstreamSpec,
+    /// Prompts it probably holds.
+    pub prefixes: PrefixHints,
+    /// Whether it is trusted.
+    pub outlier: OutlierState,
+    /// Time to the first token.
+    pub first_token: SmoothedDuration,
+    /// Time between two tokens.
+    pub token_interval: SmoothedDuration,
+    report: Option<Report>,
+    next_report_at: Timestamp,
+    report_asked: bool,
+    complete_until: Timestamp,
+    contradicted_at: Option<Timestamp>,
+    in_flight: u32,
+    kv_in_flight: f64,
+    allowance: f64,
+    ramp: f64,
+    sent_since_report: i64,
+    kv_since_report: f64,
+}
+
+impl Upstream {
+    /// An upstream of which nothing is known yet.
+    pub fn new(spec: UpstreamSpec) -> Self {
+        Self {
+            spec,
+            prefixes: PrefixHints::default(),
+            outlier: OutlierState::default(),
+            first_token: SmoothedDuration::default(),
+            token_interval: SmoothedDuration::default(),
+            report: None,
+            next_report_at: Timestamp::ZERO,
+            report_asked: false,
+            complete_until: Timestamp::ZERO,
+            contradicted_at: None,
+            in_flight: 0,
+            kv_in_flight: 0.0,
+            allowance: FIRST_ALLOWANCE,
+            ramp: FIRST_ALLOWANCE,
+            sent_since_report: 0,
+            kv_since_report: 0.0,
+        }
+    }
+
+    /// Whether it may serve: in the topology, trusted, and shown to be complete.
+    pub fn is_eligible(&self, now: Timestamp) -> bool {
+        self.spec.accepts_new && self.is_complete(now) && !self.outlier.is_ejected(now)
+    }
+
+    /// Whether fresh evidence shows all members present; plain services have none.
+    pub fn is_complete(&self, now: Timestamp) -> bool {
+        self.spec.group.is_none() || now < self.complete_until
+    }
+
+    /// Requests of this daemon that run there.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Whether a report should be asked for now; notes that it was.
+    pub fn wants_report(&mut self, now: Timestamp, settings: &RouterSettings) -> bool {
+        if self.spec.group.is_none() || self.report_asked || now < self.next_report_at {
+            return false;
+        }
+        self.next_report_at = now + settings.report_interval;
+        self.report_asked = true;
+        true
+    }
+
+    /// A report came that was asked for at `asked_at`. `sharers` daemons send there.
+    pub fn on_report(
+        &mut self,
+        asked_at: Timestamp,
+        status: &EngineStatus,
+        sharers: usize,
+        settings: &RouterSettings,
+    ) {
+        self.report_asked = false;
+        let Some(group) = self.spec.group else {
+            return;
+        };
+        if self.contradicted_at.is_some_and(|at| asked_at <= at) {
+            return;
+        }
+        if !status.shows_complete(group) {
+            self.contradict(asked_at);
+            return;
+        }
+        self.complete_until = self.complete_until.max(asked_at + settings.evidence_ttl);
+        let newer = self.report.is_none_or(|known| asked_at > known.asked_at);
+        if newer {
+            self.take_load(asked_at, status.load, sharers, settings);
+        }
+    }
+
+    fn take_load(
+        &mut self,
+        asked_at: Timestamp,
+        load: EngineLoad,
+        sharers: usize,
+        settings: &RouterSettings,
+    ) {
+        self.report = Some(Report { load, asked_at });
+        self.sent_since_report = 0;
+        self.kv_since_report = 0.0;
+        let limit = f64::from(load.slots) * (1.0 + settings.engine_backlog);
+        let outstanding = f64::from(load.running + load.waiting);
+        let own = f64::from(self.in_flight);
+        let free = limit - outstanding;
+        self.ramp = (self.ramp * 2.0).min(limit);
+        let allowance = if free > 0.0 {
+            own + (free / sharers.max(1) as f64).ceil()
+        } else {
+            // Too much is there: everyone steps back by its part of it.
+            own + free * own / outstanding.max(1.0)
+        };
+        self.allowance = allowance.clamp(1.0, self.ramp.max(1.0));
+    }
+
+    /// No report came.
+    pub fn on_report_failed(&mut self, now: Timestamp) {
+        self.report_asked = false;
+        self.contradict(now);
+    }
+
+    /// Something showed that it can't serve: only later evidence counts again.
+    pub fn contradict(&mut self, now: Timestamp) {
+        self.complete_until = Timestamp::ZERO;
+        self.contradicted_at = Some(now);
+        self.ramp = FIRST_ALLOWANCE;
+        self.allowance = FIRST_ALLOWANCE;
+        self.prefixes.clear();
+    }
+
+    /// Whether one more request of this daemon has room there.
+    pub fn has_room(&self, work: Work, settings: &RouterSettings) -> bool {
+        if self.outlier.is_on_probation() {
+            return self.in_flight == 0;
+        }
+        if self.spec.group.is_none() {
+            return self.in_flight < settings.service_concurrency;
+        }
+        let slot = f64::from(self.in_flight) < self.allowance;
+        slot && (!settings.reserve_kv || self.has_kv_room(work))
+    }
+
+    /// Whether the peak of this work fits beside what runs and what was sent since.
+    fn has_kv_room(&self, work: Work) -> bool {
+        let Some(report) = self.report.filter(|report| report.load.kv_total > 0) else {
+            return true;
+        };
+        let fill = report.load.kv_total as f64 * KV_FILL;
+        let used = (report.load.kv_used as f64 + self.kv_since_report).max(self.kv_in_flight);
+        self.in_flight == 0 || used + work.kv_peak <= fill
+    }
+
+    /// A request was sent there.
+    pub fn on_sent(&mut self, work: Work) {
+        self.in_flight += 1;
+        self.kv_in_flight += work.kv_peak;
+        self.sent_since_report += 1;
+        self.kv_since_report += work.kv_peak;
+    }
+
+    /// A request sent there has ended.
+    pub fn on_ended(&mut self, work: Work) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.kv_in_flight = (self.kv_in_flight - work.kv_peak).max(0.0);
+        self.sent_since_report -= 1;
+        self.kv_since_report -= work.kv_peak;
+    }
+
+    /// Part of the capacity in use: the report, corrected by what was sent since.
+    pub fn load(&self, settings: &RouterSettings) -> f64 {
+        let Some(report) = self.report.filter(|report| report.load.slots > 0) else {
+            let most = f64::from(settings.service_concurrency.max(1));
+            return f64::from(self.in_flight) / most;
+        };
+        let reported = i64::from(report.load.running + report.load.waiting);
+        let outstanding = (reported + self.sent_since_report).max(i64::from(self.in_flight));
+        outstanding as f64 / f64::from(report.load.slots)
+    }
+
+    /// Age of the newest report.
+    pub fn report_age(&self, now: Timestamp) -> Option<Duration> {
+        self.report.map(|report| now.since(report.asked_at))
+    }
+}
--- /dev/null
+++ b/shalehinge/src/settings/router.rs
@@ -0,0 +1,87 @@
+//! Settings of routing, limits and retries.
+
+use std::time::Duration;
+
+/// Section `[router]`. The defaults are those measured in docs/MEASUREMENTS.md.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RouterSettings {
+    /// Replicas of the own failure domain that are candidates, per model.
+    pub local_candidates: usize,
+    /// Replicas of other failure domains that are candidates, per model.
+    pub remote_candidates: usize,
+    /// Time between two load reports asked of a candidate.
+    pub report_interval: Duration,
+    /// How long a report proves that a replica is complete, from before it was asked for.
+    pub evidence_ttl: Duration,
+    /// Requests that may wait, over all customers.
+    pub max_waiting: usize,
+    /// Attempts of one request at most.
+    pub max_attempts: u32,
+    /// Retries allowed for each first attempt.
+    pub retry_ratio: f64,
+    /// Retries that may be saved up.
+    pub retry_burst: f64,
+    /// Failures in a row that eject an upstream.
+    pub eject_after: u32,
+    /// How long the first ejection lasts; each further one doubles it.
+    pub eject_for: Duration,
+    /// Largest part of a target's upstreams that may be ejected.
+    pub max_ejected: f64,
+    /// An upstream this many times slower than the median is ejected as well.
+    pub slow_factor: f64,
+    /// Requests at a time to an instance of a plain service.
+    pub service_concurrency: u32,
+    /// Requests at an engine above its batch slots, as a part of them.
+    pub engine_backlog: f64,
+    /// Reserve the expected peak of KV memory before a request is sent.
+    pub reserve_kv: bool,
+    /// Prefer the replica that holds the start of the prompt.
+    pub prefix_affinity: bool,
+    /// How far above the mean load a replica may be and still be preferred for a prefix.
+    pub affinity_load_bound: f64,
+    /// Refuse at once what would miss its deadline.
+    pub early_refusal: bool,
+    /// What a replica in another failure domain must be better by.
+    pub remote_penalty: Duration,
+    /// Choose at random among the upstreams, in turn, or by score.
+    pub policy: ChoicePolicy,
+}
+
+/// How an upstream is chosen. All but `Score` are baselines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ChoicePolicy {
+    /// By estimated time to the last token.
+    #[default]
+    Score,
+    /// In turn.
+    RoundRobin,
+    /// Fewest own requests in flight.
+    LeastInFlight,
+}
+
+impl Default for RouterSettings {
+    fn default() -> Self {
+        Self {
+            local_candidates: 16,
+            remote_candidates: 8,
+            report_interval: Duration::from_millis(500),
+            evidence_ttl: Duration::from_secs(2),
+            max_waiting: 2_000,
+            max_attempts: 3,
+            retry_ratio: 0.1,
+            retry_burst: 10.0,
+            eject_after: 3,
+            eject_for: Duration::from_secs(5),
+            max_ejected: 0.4,
+            slow_factor: 3.0,
+            service_concurrency: 64,
+            engine_backlog: 0.1,
+            reserve_kv: true,
+            prefix_affinity: true,
+            affinity_load_bound: 1.25,
+            early_refusal: true,
+            remote_penalty: Duration::from_millis(5),
+            policy: ChoicePolicy::Score,
+        }
+    }
+}
