--- /dev/null
+++ b/shalehinge/src/cli/mod.rs
@@ -0,0 +1,242 @@
+//! The operators' client: states a change, shows its plan, confirms it.
+//!
+//! Nothing changes until `confirm`. Exit codes mean something: see [`ExitCode`].
+//!
+//! - `arguments`: the command line
+//! - `client`: calls to a daemon
+//! - `render`: plans and status as text
+
+pub mod arguments;
+pub mod client;
+pub mod render;
+
+use std::fs;
+use std::path::Path;
+
+use self::arguments::{Arguments, Command};
+use self::client::{CallError, OperatorClient};
+use crate::core::change::{Change, Configuration};
+use crate::core::operator::{Confirm, OperatorAnswer, Plan};
+use crate::core::types::{Customer, HostId, ModelName, ModelVersion, OperationId};
+
+/// What the exit code of the client says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExitCode {
+    /// Done as asked.
+    Done = 0,
+    /// The command line or a file is wrong.
+    Usage = 1,
+    /// The change makes no sense; nothing changed.
+    Refused = 2,
+    /// The plan is out of date; nothing changed.
+    OutOfDate = 3,
+    /// The daemon or the platform does not answer; nothing changed.
+    Unavailable = 4,
+    /// It is not known whether the change was accepted; confirm again.
+    Unclear = 5,
+    /// The token is not accepted.
+    Unauthorized = 6,
+}
+
+/// What a command came to: the text to print, and the exit code.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CommandResult {
+    /// Text for the standard output, or the standard error if it failed.
+    pub text: String,
+    /// The exit code.
+    pub code: ExitCode,
+}
+
+impl CommandResult {
+    fn new(text: impl Into<String>, code: ExitCode) -> Self {
+        Self {
+            text: text.into(),
+            code,
+        }
+    }
+
+    fn usage(text: impl Into<String>) -> Self {
+        Self::new(text, ExitCode::Usage)
+    }
+}
+
+/// Runs one command.
+pub async fn run(arguments: Arguments) -> CommandResult {
+    let token = match read_token(&arguments) {
+        Ok(token) => token,
+        Err(result) => return result,
+    };
+    let client = OperatorClient::new(arguments.daemon, token);
+    let json = arguments.json;
+    match arguments.command {
+        Command::Status(_) => status(&client, json).await,
+        Command::Confirm(confirm) => confirm_plan(&client, &confirm.plan, json).await,
+        other => match change_of(other) {
+            Ok((change, save)) => plan(&client, change, &save, json).await,
+            Err(result) => result,
+        },
+    }
+}
+
+fn read_token(arguments: &Arguments) -> Result<String, CommandResult> {
+    let path = &arguments.token_file;
+    let text = fs::read_to_string(path).map_err(|error| {
+        let path = path.display();
+        CommandResult::usage(format!(
+            "the token file {path} can't be read: {error}; name one with --token-file"
+        ))
+    })?;
+    Ok(text.trim().to_owned())
+}
+
+/// The change that a command asks for, and where its plan is saved.
+fn change_of(command: Command) -> Result<(Change, std::path::PathBuf), CommandResult> {
+    Ok(match command {
+        Command::Intent(intent) => {
+            let change = Change::Intent {
+                model: ModelName::new(&intent.model),
+                version: ModelVersion::new(&intent.version),
+                replicas: intent.replicas,
+                hosts_per_replica: intent.hosts_per_replica,
+                owner: Customer::new(&intent.owner),
+            };
+            (change, intent.save)
+        }
+        Command::Remove(remove) => {
+            let model = ModelName::new(&remove.model);
+            (Change::Remove { model }, remove.save)
+        }
+        Command::Shares(shares) => {
+            let change = Change::Share {
+                customer: Customer::new(&shares.customer),
+                share: shares.share,
+            };
+            (change, shares.save)
+        }
+        Command::Roll(roll) => {
+            let change = Change::Roll {
+                model: ModelName::new(&roll.model),
+                version: ModelVersion::new(&roll.version),
+            };
+            (change, roll.save)
+        }
+        Command::Drain(drain) => {
+            let host = HostId::new(&drain.host);
+            let change = if drain.undo {
+                Change::Undrain { host }
+            } else {
+                Change::Drain { host }
+            };
+            (change, drain.save)
+        }
+        Command::Configure(configure) => {
+            let configuration = read_configuration(&configure.file)?;
+            let change = Change::Configure(Box::new(configuration));
+            (change, configure.save)
+        }
+        Command::Plan(plan) => {
+            let change = read_json(&plan.change, "a change, as in docs/INTERFACES.md")?;
+            (change, plan.save)
+        }
+        Command::Status(_) | Command::Confirm(_) => {
+            return Err(CommandResult::usage("this command states no change"));
+        }
+    })
+}
+
+fn read_configuration(path: &Path) -> Result<Configuration, CommandResult> {
+    read_json(path, "a configuration, as in docs/CONFIGURATION.md")
+}
+
+fn read_json<T: serde::de::DeserializeOwned>(path: &Path, what: &str) -> Result<T, CommandResult> {
+    let shown = path.display();
+    let text = fs::read_to_string(path)
+        .map_err(|error| CommandResult::usage(format!("{shown} can't be read: {error}")))?;
+    serde_json::from_str(&text).map_err(|error| {
+        CommandResult::usage(format!("{shown} is not {what}: {error}; mend that place"))
+    })
+}
+
+async fn plan(client: &OperatorClient, change: Change, save: &Path, json: bool) -> CommandResult {
+    let answer = match client.plan(&change).await {
+        Ok(answer) => answer,
+        Err(error) => return call_failed(&error),
+    };
+    if let OperatorAnswer::Planned(plan) = &answer
+        && let Err(error) = save_plan(plan, save)
+    {
+        return error;
+    }
+    answered(&answer, Some(save), json)
+}
+
+fn save_plan(plan: &Plan, path: &Path) -> Result<(), CommandResult> {
+    let text = serde_json::to_string_pretty(plan).unwrap_or_default();
+    fs::write(path, text).map_err(|error| {
+        let path = path.display();
+        CommandResult::usage(format!(
+            "the plan can't be saved to {path}: {error}; name another file with --save"
+        ))
+    })
+}
+
+async fn confirm_plan(client: &OperatorClient, path: &Path, json: bool) -> CommandResult {
+    let plan: Plan = match read_json(path, "a saved plan") {
+        Ok(plan) => plan,
+        Err(result) => return result,
+    };
+    let confirm = Confirm {
+        operation: operation_of(&plan),
+        base: plan.base,
+        digest: plan.digest,
+        change: plan.change,
+    };
+    match client.confirm(&confirm).await {
+        Ok(answer) => answered(&answer, None, json),
+        Err(error) => call_failed(&error),
+    }
+}
+
+/// The same for each confirm of one plan, so that a repeated one is recognised.
+fn operation_of(plan: &Plan) -> OperationId {
+    const DIGITS: usize = 16;
+    let digits = plan.digest.get(..DIGITS).unwrap_or_default();
+    OperationId(u64::from_str_radix(digits, 16).unwrap_or_default())
+}
+
+async fn status(client: &OperatorClient, json: bool) -> CommandResult {
+    match client.status().await {
+        Ok(status) if json => {
+            let text = serde_json::to_string_pretty(&status).unwrap_or_default();
+            CommandResult::new(text, ExitCode::Done)
+        }
+        Ok(status) => CommandResult::new(render::status(&status), ExitCode::Done),
+        Err(error) => call_failed(&error),
+    }
+}
+
+fn call_failed(error: &CallError) -> CommandResult {
+    let code = match error {
+        CallError::Unauthorized => ExitCode::Unauthorized,
+        CallError::Unreachable(_) | CallError::Unreadable => ExitCode::Unavailable,
+        CallError::Refused { .. } => ExitCode::Usage,
+        CallError::NoAnswer(_) => ExitCode::Unclear,
+    };
+    CommandResult::new(error.to_string(), code)
+}
+
+fn answered(answer: &OperatorAnswer, saved: Option<&Path>, json: bool) -> CommandResult {
+    let code = match answer {
+        OperatorAnswer::Planned(_) | OperatorAnswer::Confirmed { .. } => ExitCode::Done,
+        OperatorAnswer::OutOfDate { .. } => ExitCode::OutOfDate,
+        OperatorAnswer::Refused(_) => ExitCode::Refused,
+        OperatorAnswer::PlatformUnavailable => ExitCode::Unavailable,
+        OperatorAnswer::Unclear => ExitCode::Unclear,
+    };
+    let text = if json {
+        serde_json::to_string_pretty(answer).unwrap_or_default()
+    } else {
+        render::answer(answer, saved)
+    };
+    CommandResult::new(text, code)
+}
--- a/shalehinge/src/core/daemon.rs
+++ b/shalehinge/src/core/daemon.rs
@@ -23,7 +23,7 @@
 use super::router::{Router, RouterAction, topology};
 use super::types::{
     Address, AttemptId, Customer, DaemonId, FailureDomain, Incarnation, OperationId, RequestId,
-    Timestamp,
+    Timestamp, Version,
 };
 use crate::settings::core::CoreSettings;
 
@@ -110,6 +110,7 @@
             incarnation: identity.incarnation,
             counter: 0,
             leaving: false,
+            fleet: Version(0),
         };
         let domain = identity.failure_domain.clone();
         Self {
@@ -334,6 +335,8 @@
             }
         }
         if changed {
+            let fleet = self.state.digest().fleet;
+            self.membership.set_fleet(fleet);
             self.rebuild_topology();
             self.spread(now, out);
         }
--- a/shalehinge/src/core/lease.rs
+++ b/shalehinge/src/core/lease.rs
@@ -9,27 +9,7 @@
 
 use super::objects::{LeaseRecord, Versioned};
 use super::types::{DaemonId, Epoch, Incarnation, OperationId, Timestamp, Version};
-
-/// Times of the lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeaseSettings {
-    /// How long a candidate waits after the last change that it saw.
-    pub term: Duration,
-    /// How much earlier the holder stops: covers clock rates that differ.
-    pub margin: Duration,
-    /// Time between two renewals, or two looks of a candidate.
-    pub interval: Duration,
-}
-
-impl Default for LeaseSettings {
-    fn default() -> Self {
-        Self {
-            term: Duration::from_secs(6),
-            margin: Duration::from_secs(1),
-            interval: Duration::from_secs(2),
-        }
-    }
-}
+use crate::settings::lease::LeaseSettings;
 
 /// What the lease wants from the platform next.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/shalehinge/src/core/membership.rs
+++ b/shalehinge/src/core/membership.rs
@@ -6,37 +6,13 @@
 //! keep it safe when two daemons see different members.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use rand::seq::{IndexedRandom, IteratorRandom};
 use serde::{Deserialize, Serialize};
 
 use super::hash;
-use super::types::{Address, DaemonId, FailureDomain, Incarnation, Timestamp};
-
-/// Times and bounds of the gossip.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct MembershipSettings {
-    /// Time between two pulls.
-    pub interval: Duration,
-    /// A member whose counter stands still for so long is dead.
-    pub dead_after: Duration,
-    /// A dead member is forgotten after so long.
-    pub forget_after: Duration,
-    /// Members told of in one message.
-    pub sample: usize,
-}
-
-impl Default for MembershipSettings {
-    fn default() -> Self {
-        Self {
-            interval: Duration::from_secs(1),
-            dead_after: Duration::from_secs(10),
-            forget_after: Duration::from_secs(120),
-            sample: 8,
-        }
-    }
-}
+use super::types::{Address, DaemonId, FailureDomain, Incarnation, Timestamp, Version};
+use crate::settings::membership::MembershipSettings;
 
 /// What a daemon tells of itself, or of another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,6 +29,8 @@
     pub counter: u64,
     /// It is stopping and takes no more duties.
     pub leaving: bool,
+    /// Version of the configuration that it has in force.
+    pub fleet: Version,
 }
 
 #[derive(Clone, Debug)]
@@ -92,6 +70,11 @@
         &self.me
     }
 
+    /// Tells peers which configuration is in force here.
+    pub fn set_fleet(&mut self, version: Version) {
+        self.me.fleet = version;
+    }
+
     /// Tells peers that this daemon is stopping.
     pub fn leave(&mut self) {
         self.me.leaving = true;
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -27,6 +27,8 @@
 const MOST_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Output expected of a request before any was seen, as a part of what it asks for.
 const FIRST_OUTPUT_PART: f64 = 0.5;
+/// HTTP statuses from here on are the upstream's fault.
+const FIRST_SERVER_ERROR: u16 = 500;
 /// Candidates named in a log line.
 const LOGGED_CANDIDATES: usize = 4;
 
@@ -361,6 +363,7 @@
         };
         let is_safe = match outcome {
             Outcome::NotRun { .. } => true,
+            Outcome::Failed { status } if status < FIRST_SERVER_ERROR => false,
             Outcome::Failed { .. } | Outcome::Unknown { .. } => {
                 pending.meta.repeatable && !pending.seen_output
             }
@@ -711,6 +714,8 @@
                     upstream.contradict(now);
                 }
             }
+            // The caller's mistake, not the upstream's.
+            AttemptEnd::Failed { status } if status < FIRST_SERVER_ERROR => {}
             AttemptEnd::Failed { .. } | AttemptEnd::WrongAnswer => {
                 self.blame(now, settings, &running.upstream);
             }
--- /dev/null
+++ b/shalehinge/src/gateway/answer.rs
@@ -0,0 +1,369 @@
+//! Answers to callers: errors with a stable code, whole answers and streams.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_channel::Receiver;
+use futures_util::TryStreamExt;
+use futures_util::stream;
+use serde::Serialize;
+use trillium::{Body, Conn, KnownHeaderName, Status};
+
+use crate::core::event::Event;
+use crate::core::router::request::{NotRunReason, Outcome, UnknownReason};
+use crate::core::types::RequestId;
+use crate::process::Driver;
+use crate::process::callers::CallerPart;
+use crate::upstream::attempt::{AnswerPart, WholeAnswer};
+
+/// Header that says what became of a request.
+pub const OUTCOME_HEADER: &str = "x-shalehinge-outcome";
+/// Header with the request's number at this daemon.
+pub const REQUEST_HEADER: &str = "x-shalehinge-request";
+
+/// An error in the usual form of this API.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ErrorAnswer {
+    /// HTTP status.
+    pub status: Status,
+    /// Stable code.
+    pub code: &'static str,
+    /// What is wrong and what to do.
+    pub message: String,
+    /// What became of the request.
+    pub outcome: &'static str,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorFields<'a>,
+}
+
+#[derive(Serialize)]
+struct ErrorFields<'a> {
+    message: &'a str,
+    #[serde(rename = "type")]
+    kind: &'a str,
+    code: &'a str,
+    outcome: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_seconds: Option<u64>,
+}
+
+impl ErrorAnswer {
+    /// A request that is wrong in itself and was not run.
+    pub fn bad_request(code: &'static str, message: impl Into<String>) -> Self {
+        Self {
+            status: Status::BadRequest,
+            code,
+            message: message.into(),
+            outcome: "not_run",
+            retry_after: None,
+        }
+    }
+
+    /// No key was given.
+    pub fn no_key() -> Self {
+        let message = "no key was given; send it as `Authorization: Bearer KEY`";
+        Self {
+            status: Status::Unauthorized,
+            ..Self::bad_request("no_key", message)
+        }
+    }
+
+    /// The key belongs to nobody.
+    pub fn unknown_key() -> Self {
+        let message = "this key is not known; ask the operators of the fleet for one";
+        Self {
+            status: Status::Unauthorized,
+            ..Self::bad_request("unknown_key", message)
+        }
+    }
+
+    /// The error for an outcome; `None` if it is none.
+    pub fn of(outcome: Outcome) -> Option<Self> {
+        match outcome {
+            Outcome::Completed => None,
+            Outcome::Failed { status } => Some(Self {
+                status: Status::BadGateway,
+                code: "upstream_failed",
+                message: format!("the upstream answered with status {status}; see its own error"),
+                outcome: "failed",
+                retry_after: None,
+            }),
+            Outcome::NotRun {
+                reason,
+                retry_after,
+            } => Some(Self::not_run(reason, retry_after)),
+            Outcome::Unknown { reason } => Some(Self::unknown(reason)),
+        }
+    }
+
+    fn not_run(reason: NotRunReason, retry_after: Duration) -> Self {
+        let (status, code, message) = match reason {
+            NotRunReason::NoUpstream => (
+                Status::ServiceUnavailable,
+                "no_upstream",
+                "no replica can take the request now; it did not run, so send it again later",
+            ),
+            NotRunReason::WouldBeLate => (
+                Status::ServiceUnavailable,
+                "would_be_late",
+                "the request could not be answered by its deadline; it did not run, so send it again later or with more time",
+            ),
+            NotRunReason::QueueFull => (
+                Status::TooManyRequests,
+                "queue_full",
+                "too many requests wait; it did not run, so send it again later",
+            ),
+            NotRunReason::Refused => (
+                Status::ServiceUnavailable,
+                "refused",
+                "every upstream that was tried refused; it did not run, so send it again later",
+            ),
+            NotRunReason::UnknownTarget => (
+                Status::NotFound,
+                "unknown_model",
+                "there is no such model or service; GET /v1/models lists the models",
+            ),
+            NotRunReason::ClaimUnavailable => (
+                Status::ServiceUnavailable,
+                "key_not_claimed",
+                "the key could not be recorded, so the request did not run; send it again later with the same key",
+            ),
+            NotRunReason::KeyInProgress => (
+                Status::Conflict,
+                "key_in_progress",
+                "another request with this key runs now; ask for its result later",
+            ),
+            NotRunReason::Stopping => (
+                Status::ServiceUnavailable,
+                "stopping",
+                "this entry host is stopping; it did not run, so send it again",
+            ),
+            NotRunReason::CallerLeft => (
+                Status::ServiceUnavailable,
+                "caller_left",
+                "the caller left before the request ran",
+            ),
+        };
+        Self {
+            status,
+            code,
+            message: message.to_owned(),
+            outcome: "not_run",
+            retry_after: Some(retry_after),
+        }
+    }
+
+    fn unknown(reason: UnknownReason) -> Self {
+        let (status, code, message) = match reason {
+            UnknownReason::Lost => (
+                Status::BadGateway,
+                "upstream_lost",
+                "the upstream broke off; the request may have run",
+            ),
+            UnknownReason::WrongAnswer => (
+                Status::BadGateway,
+                "wrong_answer",
+                "the upstream gave an answer that does not belong to this request; it may have run",
+            ),
+            UnknownReason::DeadlinePassed => (
+                Status::GatewayTimeout,
+                "deadline_passed",
+                "the deadline passed while the request ran; it may have run to its end",
+            ),
+            UnknownReason::KeyUsed => (
+                Status::Conflict,
+                "key_used",
+                "a request with this key has run, or may have; look for its result before you use a new key",
+            ),
+            UnknownReason::CallerLeft => (
+                Status::BadGateway,
+                "caller_left",
+                "the caller left while the request ran",
+            ),
+        };
+        Self {
+            status,
+            code,
+            message: message.to_owned(),
+            outcome: "unknown",
+            retry_after: None,
+        }
+    }
+
+    fn json(&self) -> String {
+        let is_caller_error = u16::from(self.status) < 500;
+        let kind = if is_caller_error {
+            "invalid_request_error"
+        } else {
+            "server_error"
+        };
+        let body = ErrorBody {
+            error: ErrorFields {
+                message: &self.message,
+                kind,
+                code: self.code,
+                outcome: self.outcome,
+                retry_after_seconds: self.retry_after.map(whole_seconds),
+            },
+        };
+        serde_json::to_string(&body).unwrap_or_default()
+    }
+
+    /// Writes the error as the answer.
+    pub fn write(&self, conn: Conn) -> Conn {
+        let conn = conn
+            .with_status(self.status)
+            .with_response_header(KnownHeaderName::ContentType, "application/json")
+            .with_response_header(OUTCOME_HEADER, self.outcome)
+            .with_body(self.json());
+        match self.retry_after {
+            Some(after) => {
+                let seconds = whole_seconds(after).to_string();
+                conn.with_response_header(KnownHeaderName::RetryAfter, seconds)
+            }
+            None => conn,
+        }
+        .halt()
+    }
+
+    /// The error as the last event of a stream.
+    fn event(&self) -> Vec<u8> {
+        format!("data: {}\n\n", self.json()).into_bytes()
+    }
+}
+
+/// Seconds, rounded up, at least 1.
+fn whole_seconds(duration: Duration) -> u64 {
+    duration.as_millis().div_ceil(1000).max(1) as u64
+}
+
+/// A request that waits for its answer.
+pub struct PendingAnswer {
+    /// The core and its clients.
+    pub driver: Arc<Driver>,
+    /// Which request.
+    pub request: RequestId,
+    /// Parts of its answer.
+    pub parts: Receiver<CallerPart>,
+    /// Whether it may be broken off when its caller leaves.
+    pub may_abandon: bool,
+    /// When it came.
+    pub came_at: Instant,
+}
+
+/// Tells the core that a caller left, unless the answer was whole by then.
+struct LeaveGuard {
+    driver: Arc<Driver>,
+    request: RequestId,
+    is_armed: bool,
+}
+
+impl Drop for LeaveGuard {
+    fn drop(&mut self) {
+        if self.is_armed {
+            self.driver.dispatch(Event::CallerLeft(self.request));
+        }
+    }
+}
+
+/// What the wait for an answer came to.
+enum FirstAnswer {
+    Stream,
+    Whole(Option<WholeAnswer>, Outcome),
+}
+
+impl PendingAnswer {
+    /// Waits for the answer and writes it.
+    pub async fn write(self, mut conn: Conn) -> Conn {
+        let mut guard = LeaveGuard {
+            driver: self.driver.clone(),
+            request: self.request,
+            is_armed: self.may_abandon,
+        };
+        let parts = self.parts.clone();
+        let first = conn.cancel_on_disconnect(wait_for_first(parts)).await;
+        let conn = conn.with_response_header(REQUEST_HEADER, self.request.0.to_string());
+        match first {
+            // The caller is gone; the guard says so where that is wanted.
+            None => conn.halt(),
+            Some(FirstAnswer::Stream) => {
+                self.driver.metrics.first_output(self.came_at.elapsed());
+                write_stream(conn, self.parts, guard)
+            }
+            Some(FirstAnswer::Whole(whole, outcome)) => {
+                guard.is_armed = false;
+                self.driver.metrics.first_output(self.came_at.elapsed());
+                write_whole(conn, whole, outcome)
+            }
+        }
+    }
+}
+
+async fn wait_for_first(parts: Receiver<CallerPart>) -> FirstAnswer {
+    let mut whole = None;
+    loop {
+        match parts.recv().await {
+            Ok(CallerPart::Part(AnswerPart::StreamBegins)) => return FirstAnswer::Stream,
+            Ok(CallerPart::Part(AnswerPart::Whole(answer))) => whole = Some(answer),
+            Ok(CallerPart::Part(AnswerPart::Piece(_))) => {}
+            Ok(CallerPart::Ended(outcome)) => return FirstAnswer::Whole(whole, outcome),
+            Err(_) => {
+                let reason = UnknownReason::Lost;
+                return FirstAnswer::Whole(None, Outcome::Unknown { reason });
+            }
+        }
+    }
+}
+
+fn write_whole(conn: Conn, whole: Option<WholeAnswer>, outcome: Outcome) -> Conn {
+    let passes_body = matches!(outcome, Outcome::Completed | Outcome::Failed { .. });
+    let Some(whole) = whole.filter(|_| passes_body) else {
+        let error = ErrorAnswer::of(outcome);
+        let lost = || ErrorAnswer::unknown(UnknownReason::Lost);
+        return error.unwrap_or_else(lost).write(conn);
+    };
+    let said = match outcome {
+        Outcome::Completed => "completed",
+        _ => "failed",
+    };
+    let content_type = whole
+        .content_type
+        .unwrap_or_else(|| "application/octet-stream".into());
+    let status = Status::try_from(whole.status).unwrap_or(Status::BadGateway);
+    conn.with_status(status)
+        .with_response_header(KnownHeaderName::ContentType, content_type)
+        .with_response_header(OUTCOME_HEADER, said)
+        .with_body(whole.body)
+        .halt()
+}
+
+fn write_stream(conn: Conn, parts: Receiver<CallerPart>, guard: LeaveGuard) -> Conn {
+    let pieces = stream::unfold(Some((parts, guard)), |state| async move {
+        let (parts, mut guard) = state?;
+        loop {
+            match parts.recv().await {
+                Ok(CallerPart::Part(AnswerPart::Piece(piece))) => {
+                    return Some((Ok::<_, std::io::Error>(piece), Some((parts, guard))));
+                }
+                Ok(CallerPart::Part(_)) => {}
+                Ok(CallerPart::Ended(outcome)) => {
+                    guard.is_armed = false;
+                    let error = ErrorAnswer::of(outcome)?;
+                    return Some((Ok(error.event()), None));
+                }
+                Err(_) => return None,
+            }
+        }
+    });
+    let body = Body::new_streaming(Box::pin(pieces).into_async_read(), None);
+    conn.with_status(Status::Ok)
+        .with_response_header(KnownHeaderName::ContentType, "text/event-stream")
+        .with_response_header(KnownHeaderName::CacheControl, "no-cache")
+        .with_body(body)
+        .halt()
+}
--- /dev/null
+++ b/shalehinge/src/gateway/chat.rs
@@ -0,0 +1,129 @@
+//! `POST /v1/chat/completions`: whole, or as a stream of events.
+
+use std::time::Instant;
+
+use serde::Deserialize;
+use trillium::Conn;
+use trillium_client::Method;
+
+use super::answer::{ErrorAnswer, PendingAnswer};
+use super::{GatewayContext, access, intake};
+use crate::core::router::prefix;
+use crate::core::router::request::{RequestMeta, Target};
+use crate::core::types::{Customer, ModelName};
+use crate::upstream::attempt::{AnswerForm, OutgoingRequest};
+
+/// Path of the call, here and at engines.
+pub const PATH: &str = "/v1/chat/completions";
+/// Output tokens of a request that names none.
+const DEFAULT_MAX_TOKENS: u32 = 512;
+/// Bytes of a prompt for one token, for estimates.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// The fields that matter for routing; the engine reads all.
+#[derive(Debug, Deserialize)]
+struct ChatRequest {
+    model: String,
+    messages: Vec<ChatMessage>,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatMessage {
+    role: String,
+    #[serde(default)]
+    content: serde_json::Value,
+}
+
+/// Serves the call.
+pub async fn handle(context: GatewayContext, mut conn: Conn) -> Conn {
+    let came_at = Instant::now();
+    match prepare(&context, &mut conn).await {
+        Ok((meta, outgoing)) => {
+            let may_abandon = meta.repeatable;
+            let (request, parts) = context.driver.submit(meta, outgoing);
+            let pending = PendingAnswer {
+                driver: context.driver,
+                request,
+                parts,
+                may_abandon,
+                came_at,
+            };
+            pending.write(conn).await
+        }
+        Err(error) => error.write(conn),
+    }
+}
+
+async fn prepare(
+    context: &GatewayContext,
+    conn: &mut Conn,
+) -> Result<(RequestMeta, OutgoingRequest), ErrorAnswer> {
+    let customer = access::customer(context, conn)?;
+    let wishes = intake::wishes(context, conn, &customer)?;
+    let body = intake::body(context, conn).await?;
+    let chat = parse(&body)?;
+    let meta = meta_of(context, customer, wishes, &chat);
+    let outgoing = OutgoingRequest {
+        method: Method::Post,
+        path: PATH.to_owned(),
+        headers: vec![("content-type".into(), "application/json".into())],
+        body: body.into(),
+        answer: if chat.stream {
+            AnswerForm::Stream
+        } else {
+            AnswerForm::Whole
+        },
+    };
+    Ok((meta, outgoing))
+}
+
+fn parse(body: &[u8]) -> Result<ChatRequest, ErrorAnswer> {
+    serde_json::from_slice(body).map_err(|error| {
+        let message = format!(
+            "the body can't be read at line {} column {}: {error}",
+            error.line(),
+            error.column()
+        );
+        ErrorAnswer::bad_request("bad_json", message)
+    })
+}
+
+fn meta_of(
+    context: &GatewayContext,
+    customer: Customer,
+    wishes: intake::Wishes,
+    chat: &ChatRequest,
+) -> RequestMeta {
+    let prompt = prompt_text(chat);
+    let max_tokens = chat.max_completion_tokens.or(chat.max_tokens);
+    RequestMeta {
+        customer,
+        target: Target::Model(ModelName::new(&chat.model)),
+        prompt_tokens: (prompt.len() / BYTES_PER_TOKEN) as u32,
+        max_output_tokens: max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).max(1),
+        deadline: context.driver.now() + wishes.time,
+        priority: wishes.priority,
+        key: wishes.key,
+        repeatable: wishes.repeatable,
+        prefix: prefix::chain_of(prompt.as_bytes()),
+    }
+}
+
+/// The prompt as one text; only its start and length matter here.
+fn prompt_text(chat: &ChatRequest) -> String {
+    let mut text = String::new();
+    for message in &chat.messages {
+        text.push_str(&message.role);
+        text.push('\n');
+        match &message.content {
+            serde_json::Value::String(content) => text.push_str(content),
+            other => text.push_str(&other.to_string()),
+        }
+        text.push('\n');
+    }
+    text
+}
--- /dev/null
+++ b/shalehinge/src/gateway/handler.rs
@@ -0,0 +1,52 @@
+//! Which path goes where.
+
+use trillium::{Conn, Handler, Status};
+use trillium_router::Router;
+
+use super::{GatewayContext, chat, models, service};
+
+/// Handles callers.
+pub fn handler(context: GatewayContext) -> impl Handler {
+    let chats = context.clone();
+    let lists = context.clone();
+    let ready = context.clone();
+    let router = Router::new()
+        .post(chat::PATH, move |conn: Conn| {
+            let context = chats.clone();
+            async move { chat::handle(context, conn).await }
+        })
+        .get("/v1/models", move |conn: Conn| {
+            let context = lists.clone();
+            async move { models::handle(context, conn).await }
+        })
+        .get("/healthz", |conn: Conn| async move {
+            // The process runs and answers.
+            conn.ok("ok\n")
+        })
+        .get("/readyz", move |conn: Conn| {
+            let context = ready.clone();
+            async move { readiness(&context, conn) }
+        });
+    let services = move |conn: Conn| {
+        let context = context.clone();
+        async move {
+            if conn.status().is_some() {
+                return conn;
+            }
+            service::handle(context, conn).await
+        }
+    };
+    (router, services)
+}
+
+/// Whether new callers should come here.
+fn readiness(context: &GatewayContext, conn: Conn) -> Conn {
+    if context.driver.read(|_, core| core.is_ready()) {
+        conn.ok("ready\n")
+    } else {
+        let body = "not ready: no configuration yet, or stopping\n";
+        conn.with_status(Status::ServiceUnavailable)
+            .with_body(body)
+            .halt()
+    }
+}
--- /dev/null
+++ b/shalehinge/src/gateway/intake.rs
@@ -0,0 +1,135 @@
+//! Bodies and headers of callers, within their bounds.
+
+use std::hash::Hasher;
+use std::time::Duration;
+
+use siphasher::sip128::{Hasher128, SipHasher13};
+use trillium::{Conn, Status};
+
+use super::GatewayContext;
+use super::answer::ErrorAnswer;
+use crate::core::objects::KeyHash;
+use crate::core::types::Customer;
+use crate::utils::time::within;
+
+/// Header with the time that the caller has, in milliseconds from now.
+pub const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// Header with the priority, 0 to 9.
+pub const PRIORITY_HEADER: &str = "x-priority";
+/// Header with the request's key: it runs at most once under it.
+pub const KEY_HEADER: &str = "idempotency-key";
+/// Header that says that running the request twice would do harm.
+pub const NOT_REPEATABLE_HEADER: &str = "x-not-repeatable";
+
+/// Highest priority.
+const MOST_PRIORITY: u8 = 9;
+/// Bytes of a key at most.
+const MAX_KEY_BYTES: usize = 256;
+
+/// What the headers of a request ask for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wishes {
+    /// Time for the whole answer.
+    pub time: Duration,
+    /// Priority, 0 to 9.
+    pub priority: u8,
+    /// The request's key.
+    pub key: Option<KeyHash>,
+    /// Whether running it twice does no harm.
+    pub repeatable: bool,
+}
+
+/// Reads the headers that callers steer a request by.
+pub fn wishes(
+    context: &GatewayContext,
+    conn: &Conn,
+    customer: &Customer,
+) -> Result<Wishes, ErrorAnswer> {
+    let headers = conn.request_headers();
+    let key = headers.get_str(KEY_HEADER);
+    if key.is_some_and(|key| key.is_empty() || key.len() > MAX_KEY_BYTES) {
+        let message = format!("Idempotency-Key must have 1 to {MAX_KEY_BYTES} bytes");
+        return Err(ErrorAnswer::bad_request("bad_key", message));
+    }
+    let not_repeatable = match headers.get_str(NOT_REPEATABLE_HEADER) {
+        None | Some("false") => false,
+        Some("true") => true,
+        Some(_) => {
+            let message = "x-not-repeatable must be true or false";
+            return Err(ErrorAnswer::bad_request("bad_not_repeatable", message));
+        }
+    };
+    Ok(Wishes {
+        time: time(context, headers.get_str(DEADLINE_HEADER))?,
+        priority: priority(headers.get_str(PRIORITY_HEADER))?,
+        key: key.map(|key| key_hash(customer, key)),
+        repeatable: !not_repeatable && key.is_none(),
+    })
+}
+
+fn time(context: &GatewayContext, header: Option<&str>) -> Result<Duration, ErrorAnswer> {
+    let Some(text) = header else {
+        return Ok(context.limits.default_deadline);
+    };
+    let millis = text.trim().parse::<i64>().map_err(|_| {
+        let message = "x-deadline-ms must be a whole number of milliseconds from now";
+        ErrorAnswer::bad_request("bad_deadline", message)
+    })?;
+    if millis <= 0 {
+        let message = "the deadline has passed; send the request with time left";
+        return Err(ErrorAnswer::bad_request("deadline_in_past", message));
+    }
+    let time = Duration::from_millis(millis.unsigned_abs());
+    Ok(time.min(context.limits.max_deadline))
+}
+
+fn priority(header: Option<&str>) -> Result<u8, ErrorAnswer> {
+    let Some(text) = header else {
+        return Ok(0);
+    };
+    let parsed = text.trim().parse::<u8>().ok();
+    parsed
+        .filter(|value| *value <= MOST_PRIORITY)
+        .ok_or_else(|| {
+            let message = "x-priority must be a whole number from 0 to 9";
+            ErrorAnswer::bad_request("bad_priority", message)
+        })
+}
+
+/// The same on every daemon: a key of one customer is never that of another.
+fn key_hash(customer: &Customer, key: &str) -> KeyHash {
+    let mut hasher = SipHasher13::new();
+    hasher.write(customer.as_str().as_bytes());
+    // No name or header value has a zero byte, so the parts can't run together.
+    hasher.write_u8(0);
+    hasher.write(key.as_bytes());
+    KeyHash(hasher.finish128().as_u128())
+}
+
+/// Reads the whole body, within its bounds of size and time.
+pub async fn body(context: &GatewayContext, conn: &mut Conn) -> Result<Vec<u8>, ErrorAnswer> {
+    let limits = context.limits;
+    let body = conn.request_body().with_max_len(limits.max_body_bytes);
+    match within(limits.body_timeout, body.read_bytes()).await {
+        Some(Ok(bytes)) => Ok(bytes),
+        Some(Err(trillium_http::Error::ReceivedBodyTooLong(_))) => {
+            let message = format!("the body may have {} bytes", limits.max_body_bytes);
+            Err(ErrorAnswer {
+                status: Status::PayloadTooLarge,
+                ..ErrorAnswer::bad_request("body_too_large", message)
+            })
+        }
+        Some(Err(_)) => Err(ErrorAnswer::bad_request(
+            "body_broken",
+            "the body broke off; send it whole",
+        )),
+        None => {
+            let seconds = limits.body_timeout.as_secs();
+            let message = format!("the body did not come within {seconds} s; send it faster");
+            Err(ErrorAnswer {
+                status: Status::RequestTimeout,
+                ..ErrorAnswer::bad_request("body_too_slow", message)
+            })
+        }
+    }
+}
--- /dev/null
+++ b/shalehinge/src/gateway/service.rs
@@ -0,0 +1,116 @@
+//! Plain services: any method, the body passed on unread.
+
+use std::time::Instant;
+
+use trillium::Conn;
+
+use super::answer::{ErrorAnswer, PendingAnswer};
+use super::{GatewayContext, access, intake};
+use crate::core::objects::ServiceConfig;
+use crate::core::router::request::{NotRunReason, Outcome, RequestMeta, Target};
+use crate::core::types::ServiceName;
+use crate::upstream::attempt::{AnswerForm, OutgoingRequest};
+
+/// Headers of callers that are not passed on.
+const NOT_PASSED: [&str; 10] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Serves a call to a plain service, if its path belongs to one.
+pub async fn handle(context: GatewayContext, mut conn: Conn) -> Conn {
+    let came_at = Instant::now();
+    match prepare(&context, &mut conn).await {
+        Ok((meta, outgoing)) => {
+            let may_abandon = meta.repeatable;
+            let (request, parts) = context.driver.submit(meta, outgoing);
+            let pending = PendingAnswer {
+                driver: context.driver,
+                request,
+                parts,
+                may_abandon,
+                came_at,
+            };
+            pending.write(conn).await
+        }
+        Err(error) => error.write(conn),
+    }
+}
+
+async fn prepare(
+    context: &GatewayContext,
+    conn: &mut Conn,
+) -> Result<(RequestMeta, OutgoingRequest), ErrorAnswer> {
+    let customer = access::customer(context, conn)?;
+    let (name, service) = find(context, conn.path()).ok_or_else(unknown)?;
+    let mut wishes = intake::wishes(context, conn, &customer)?;
+    if is_not_repeatable(&service, conn) {
+        wishes.repeatable = false;
+    }
+    let body = intake::body(context, conn).await?;
+    let meta = RequestMeta {
+        customer,
+        target: Target::Service(name),
+        prompt_tokens: 0,
+        max_output_tokens: 0,
+        deadline: context.driver.now() + wishes.time,
+        priority: wishes.priority,
+        key: wishes.key,
+        repeatable: wishes.repeatable,
+        prefix: Vec::new(),
+    };
+    let outgoing = OutgoingRequest {
+        method: conn.method(),
+        path: conn.path_and_query().to_owned(),
+        headers: passed_headers(conn),
+        body: body.into(),
+        answer: AnswerForm::Service,
+    };
+    Ok((meta, outgoing))
+}
+
+fn unknown() -> ErrorAnswer {
+    let outcome = Outcome::NotRun {
+        reason: NotRunReason::UnknownTarget,
+        retry_after: std::time::Duration::from_secs(60),
+    };
+    ErrorAnswer::of(outcome)
+        .unwrap_or_else(|| ErrorAnswer::bad_request("unknown_path", "there is no such path"))
+}
+
+/// The service with the longest path that the request's path starts with.
+fn find(context: &GatewayContext, path: &str) -> Option<(ServiceName, ServiceConfig)> {
+    context.driver.read(|_, core| {
+        let services = &core.state().fleet()?.value.services;
+        services
+            .iter()
+            .filter(|(_, service)| path.starts_with(&service.path_prefix))
+            .max_by_key(|(_, service)| service.path_prefix.len())
+            .map(|(name, service)| (name.clone(), service.clone()))
+    })
+}
+
+fn is_not_repeatable(service: &ServiceConfig, conn: &Conn) -> bool {
+    service.not_repeatable.iter().any(|pattern| {
+        pattern.method == conn.method().as_str() && conn.path().starts_with(&pattern.path_prefix)
+    })
+}
+
+fn passed_headers(conn: &Conn) -> Vec<(String, String)> {
+    conn.request_headers()
+        .iter()
+        .filter_map(|(name, values)| {
+            let name = name.to_string().to_ascii_lowercase();
+            let value = values.as_str()?.to_owned();
+            (!NOT_PASSED.contains(&name.as_str())).then_some((name, value))
+        })
+        .collect()
+}
--- /dev/null
+++ b/shalehinge/src/peer/client.rs
@@ -0,0 +1,47 @@
+//! Pulls and notices to peers.
+
+use std::time::Duration;
+
+use trillium_client::Client;
+
+use super::{NOTICE_PATH, PULL_PATH};
+use crate::core::event::{Notice, Pull, PullReply};
+use crate::core::types::Address;
+use crate::utils::http::{exchange, pooled_client, url};
+
+/// A client of all peers.
+#[derive(Clone, Debug)]
+pub struct PeerClient {
+    client: Client,
+    timeout: Duration,
+}
+
+impl PeerClient {
+    /// A client that gives up each call after `timeout`.
+    pub fn new(timeout: Duration) -> Self {
+        Self {
+            client: pooled_client(),
+            timeout,
+        }
+    }
+
+    /// Pulls from a peer; `None` if no answer came.
+    pub async fn pull(&self, to: Address, pull: &Pull) -> Option<PullReply> {
+        let body = rmp_serde::to_vec(pull).ok()?;
+        let conn = self.client.post(url(to, PULL_PATH)).with_body(body);
+        let (status, body) = exchange(conn, self.timeout).await?;
+        if status != 200 {
+            return None;
+        }
+        rmp_serde::from_slice(&body).ok()
+    }
+
+    /// Tells a peer that there is something new; a lost notice does no harm.
+    pub async fn notify(&self, to: Address, notice: &Notice) {
+        let Ok(body) = rmp_serde::to_vec(notice) else {
+            return;
+        };
+        let conn = self.client.post(url(to, NOTICE_PATH)).with_body(body);
+        exchange(conn, self.timeout).await;
+    }
+}
--- /dev/null
+++ b/shalehinge/src/peer/server.rs
@@ -0,0 +1,55 @@
+//! What peers send to this daemon.
+
+use std::sync::Arc;
+
+use trillium::{Conn, Handler, Status};
+use trillium_router::Router;
+
+use super::{NOTICE_PATH, PULL_PATH};
+use crate::core::event::{Event, Notice, Pull};
+use crate::process::Driver;
+
+/// Bytes of a peer's message at most: an object of 1 MB in each failure domain
+/// would still fit.
+const MAX_MESSAGE: u64 = 16 * 1024 * 1024;
+
+/// Handles peers' messages.
+pub fn handler(driver: Arc<Driver>) -> impl Handler {
+    let pulls = driver.clone();
+    Router::new()
+        .post(PULL_PATH, move |conn: Conn| {
+            let driver = pulls.clone();
+            async move { on_pull(driver, conn).await }
+        })
+        .post(NOTICE_PATH, move |conn: Conn| {
+            let driver = driver.clone();
+            async move { on_notice(driver, conn).await }
+        })
+}
+
+async fn on_pull(driver: Arc<Driver>, mut conn: Conn) -> Conn {
+    let Some(pull) = read::<Pull>(&mut conn).await else {
+        return conn.with_status(Status::BadRequest).halt();
+    };
+    let Some(reply) = driver.answer_pull(pull).await else {
+        return conn.with_status(Status::ServiceUnavailable).halt();
+    };
+    match rmp_serde::to_vec(&reply) {
+        Ok(body) => conn.ok(body),
+        Err(_) => conn.with_status(Status::InternalServerError).halt(),
+    }
+}
+
+async fn on_notice(driver: Arc<Driver>, mut conn: Conn) -> Conn {
+    let Some(notice) = read::<Notice>(&mut conn).await else {
+        return conn.with_status(Status::BadRequest).halt();
+    };
+    driver.dispatch(Event::Noticed(notice));
+    conn.with_status(Status::NoContent).halt()
+}
+
+async fn read<T: serde::de::DeserializeOwned>(conn: &mut Conn) -> Option<T> {
+    let body = conn.request_body().with_max_len(MAX_MESSAGE);
+    let bytes = body.read_bytes().await.ok()?;
+    rmp_serde::from_slice(&bytes).ok()
+}
--- /dev/null
+++ b/shalehinge/src/platform/http.rs
@@ -0,0 +1,213 @@
+//! The platform's object API by JSON over HTTP. See docs/INTERFACES.md.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_lite::future::Boxed;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use trillium_client::Client;
+
+use super::PlatformClient;
+use crate::core::fleet_state::ObjectUpdate;
+use crate::core::objects::{Object, ObjectKey, Versioned};
+use crate::core::platform::{NoAnswer, PlatformCall, PlatformReply, PlatformResult, Revision};
+use crate::core::types::{FailureDomain, Version};
+use crate::utils::http::{exchange, pooled_client, url};
+
+/// Kinds that are listed and watched.
+pub const SHARED_KINDS: &str = "config,hosts,assignments";
+/// How long the platform holds a watch open.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// An object as it is sent.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireObject {
+    /// Kind of the object.
+    pub kind: String,
+    /// Name within the kind.
+    pub name: String,
+    /// Version, from 1.
+    pub version: Version,
+    /// Value in JSON.
+    pub value: Value,
+}
+
+/// Answer to a list or a watch.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireList {
+    /// Revision of the whole store.
+    pub revision: Revision,
+    /// Objects.
+    pub objects: Vec<WireObject>,
+}
+
+/// Answer to a write, also to one that was refused.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct WireVersion {
+    /// Version that the object has now; 0 if it does not exist.
+    pub version: Version,
+}
+
+/// Kind and name of an object.
+pub fn kind_and_name(key: &ObjectKey) -> (&'static str, String) {
+    match key {
+        ObjectKey::Fleet => ("config", "fleet".into()),
+        ObjectKey::Hosts => ("hosts", "all".into()),
+        ObjectKey::Assignment(domain) => ("assignments", domain.to_string()),
+        ObjectKey::Lease(domain) => ("leases", domain.to_string()),
+        ObjectKey::Claims(partition) => ("claims", partition.to_string()),
+    }
+}
+
+/// The key of an object, if it is one of ours.
+fn key_of(kind: &str, name: &str) -> Option<ObjectKey> {
+    match (kind, name) {
+        ("config", "fleet") => Some(ObjectKey::Fleet),
+        ("hosts", "all") => Some(ObjectKey::Hosts),
+        ("assignments", domain) => Some(ObjectKey::Assignment(FailureDomain::new(domain))),
+        ("leases", domain) => Some(ObjectKey::Lease(FailureDomain::new(domain))),
+        ("claims", partition) => partition.parse().ok().map(ObjectKey::Claims),
+        _ => None,
+    }
+}
+
+fn decode(key: &ObjectKey, value: Value) -> serde_json::Result<Object> {
+    Ok(match key {
+        ObjectKey::Fleet => Object::Fleet(serde_json::from_value(value)?),
+        ObjectKey::Hosts => Object::Hosts(serde_json::from_value(value)?),
+        ObjectKey::Assignment(_) => Object::Assignment(serde_json::from_value(value)?),
+        ObjectKey::Lease(_) => Object::Lease(serde_json::from_value(value)?),
+        ObjectKey::Claims(_) => Object::Claims(serde_json::from_value(value)?),
+    })
+}
+
+fn encode(object: &Object) -> serde_json::Result<Vec<u8>> {
+    match object {
+        Object::Fleet(value) => serde_json::to_vec(value),
+        Object::Hosts(value) => serde_json::to_vec(value),
+        Object::Assignment(value) => serde_json::to_vec(value),
+        Object::Lease(value) => serde_json::to_vec(value),
+        Object::Claims(value) => serde_json::to_vec(value),
+    }
+}
+
+/// A client of the object API.
+#[derive(Clone, Debug)]
+pub struct HttpPlatform {
+    client: Client,
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+impl HttpPlatform {
+    /// A client for this address; each call is given up after `timeout`.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            client: pooled_client(),
+            address,
+            timeout,
+        }
+    }
+
+    fn object_url(&self, key: &ObjectKey) -> String {
+        let (kind, name) = kind_and_name(key);
+        url(self.address, &format!("/v1/objects/{kind}/{name}"))
+    }
+
+    async fn get(&self, key: ObjectKey) -> PlatformResult {
+        let conn = self.client.get(self.object_url(&key));
+        match exchange(conn, self.timeout).await {
+            Some((200, body)) => {
+                let wire: WireObject = parse(&body)?;
+                let value = decode(&key, wire.value).map_err(|_| unreadable(&key))?;
+                let version = wire.version;
+                Ok(PlatformReply::Object(Some(Versioned { version, value })))
+            }
+            Some((404, _)) => Ok(PlatformReply::Object(None)),
+            _ => Err(NoAnswer),
+        }
+    }
+
+    async fn put(&self, key: ObjectKey, expect: Version, object: Object) -> PlatformResult {
+        let url = format!("{}?expect={}", self.object_url(&key), expect.0);
+        let body = encode(&object).map_err(|_| NoAnswer)?;
+        let conn = self.client.put(url).with_body(body);
+        match exchange(conn, self.timeout).await {
+            Some((200, body)) => {
+                let wire: WireVersion = parse(&body)?;
+                Ok(PlatformReply::Written(wire.version))
+            }
+            Some((409, _)) => Ok(PlatformReply::Conflict),
+            _ => Err(NoAnswer),
+        }
+    }
+
+    async fn objects(&self, path: String, timeout: Duration) -> PlatformResult {
+        let conn = self.client.get(url(self.address, &path));
+        let Some((200, body)) = exchange(conn, timeout).await else {
+            return Err(NoAnswer);
+        };
+        let wire: WireList = parse(&body)?;
+        let updates = wire.objects.into_iter().filter_map(update_of).collect();
+        Ok(PlatformReply::Objects {
+            revision: wire.revision,
+            updates,
+        })
+    }
+
+    async fn make(self, request: PlatformCall) -> PlatformResult {
+        match request {
+            PlatformCall::Get(key) => self.get(key).await,
+            PlatformCall::Put {
+                key,
+                expect,
+                object,
+            } => self.put(key, expect, *object).await,
+            PlatformCall::List => {
+                let path = format!("/v1/objects?kinds={SHARED_KINDS}");
+                self.objects(path, self.timeout).await
+            }
+            PlatformCall::Watch { after } => {
+                let wait = WATCH_WAIT.as_millis();
+                let after = after.0;
+                let path = format!("/v1/watch?kinds={SHARED_KINDS}&after={after}&wait_ms={wait}");
+                self.objects(path, WATCH_WAIT + self.timeout).await
+            }
+        }
+    }
+}
+
+impl PlatformClient for HttpPlatform {
+    fn call(&self, request: PlatformCall) -> Boxed<PlatformResult> {
+        Box::pin(self.clone().make(request))
+    }
+}
+
+fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, NoAnswer> {
+    serde_json::from_slice(body).map_err(|error| {
+        log::warn!("platform: answer can't be read: {error}");
+        NoAnswer
+    })
+}
+
+fn unreadable(key: &ObjectKey) -> NoAnswer {
+    log::warn!("platform: the value of {key:?} can't be read");
+    NoAnswer
+}
+
+/// An object that can't be read is passed over; the last good one stays in force.
+fn update_of(wire: WireObject) -> Option<ObjectUpdate> {
+    let key = key_of(&wire.kind, &wire.name)?;
+    match decode(&key, wire.value) {
+        Ok(object) => Some(ObjectUpdate {
+            key,
+            version: wire.version,
+            object,
+        }),
+        Err(error) => {
+            log::warn!("platform: {key:?} can't be read and is passed over: {error}");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/shalehinge/src/process/driver.rs
@@ -0,0 +1,325 @@
+//! Gives events to the core and carries out its actions.
+//!
+//! The core is behind one lock. Actions are started while it is held, so that
+//! they start in the order in which they were decided; each then goes on as a
+//! task of its own and gives its answer back as an event.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use async_channel::{Receiver, Sender};
+use trillium_client::Client;
+
+use super::callers::{CallerPart, Callers};
+use crate::core::daemon::Daemon;
+use crate::core::event::{Action, Event, Pull, PullId, PullReply, StatusPurpose};
+use crate::core::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
+use crate::core::platform::{CallId, NoAnswer, PlatformCall};
+use crate::core::router::request::{Attempt, Outcome, RequestMeta};
+use crate::core::types::{Address, AttemptId, HostId, RequestId, Timestamp};
+use crate::peer::client::PeerClient;
+use crate::platform::PlatformClient;
+use crate::telemetry::logs;
+use crate::telemetry::metrics::{Counter, Metrics};
+use crate::upstream::EngineClient;
+use crate::upstream::attempt::{self, AnswerPart, AnswerSink, OutgoingRequest};
+use crate::utils::http::single_use_client;
+
+/// Clients of everything outside.
+pub struct Clients {
+    /// The platform.
+    pub platform: Box<dyn PlatformClient>,
+    /// The engines.
+    pub engines: Box<dyn EngineClient>,
+    /// The peers.
+    pub peers: PeerClient,
+}
+
+/// The core with everything that its actions need.
+pub struct Driver {
+    core: Mutex<Daemon>,
+    started: Instant,
+    clients: Clients,
+    upstreams: Client,
+    callers: Callers,
+    attempts: Mutex<HashMap<AttemptId, smol::Task<()>>>,
+    operators: Waiting<OperatorCallId, OperatorAnswer>,
+    pulls: Waiting<PullId, PullReply>,
+    next_id: AtomicU64,
+    /// Counts and times.
+    pub metrics: Metrics,
+    stopped: Sender<()>,
+}
+
+/// Those who wait for one answer each.
+struct Waiting<K, V>(Mutex<HashMap<K, Sender<V>>>);
+
+impl<K: Hash + Eq, V> Waiting<K, V> {
+    fn new() -> Self {
+        Self(Mutex::new(HashMap::new()))
+    }
+
+    fn add(&self, key: K) -> Receiver<V> {
+        let (sender, receiver) = async_channel::bounded(1);
+        lock(&self.0).insert(key, sender);
+        receiver
+    }
+
+    fn answer(&self, key: &K, value: V) {
+        if let Some(sender) = lock(&self.0).remove(key) {
+            let _ = sender.try_send(value);
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Driver {
+    /// A driver; the receiver hears when the core has stopped.
+    pub fn new(core: Daemon, clients: Clients, metrics: Metrics) -> (Arc<Self>, Receiver<()>) {
+        let (stopped, has_stopped) = async_channel::bounded(1);
+        let driver = Self {
+            core: Mutex::new(core),
+            started: Instant::now(),
+            clients,
+            upstreams: single_use_client(),
+            callers: Callers::default(),
+            attempts: Mutex::new(HashMap::new()),
+            operators: Waiting::new(),
+            pulls: Waiting::new(),
+            next_id: AtomicU64::new(1),
+            metrics,
+            stopped,
+        };
+        (Arc::new(driver), has_stopped)
+    }
+
+    /// The core's time.
+    pub fn now(&self) -> Timestamp {
+        Timestamp::from_duration(self.started.elapsed())
+    }
+
+    /// Looks at the core.
+    pub fn read<T>(&self, look: impl FnOnce(Timestamp, &Daemon) -> T) -> T {
+        let now = self.now();
+        look(now, &lock(&self.core))
+    }
+
+    fn next_id(&self) -> u64 {
+        self.next_id.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Gives an event to the core and starts what it decides.
+    pub fn dispatch(self: &Arc<Self>, event: Event) {
+        let mut actions = Vec::new();
+        let mut core = lock(&self.core);
+        core.handle(self.now(), event, &mut actions);
+        for action in actions {
+            self.start(action);
+        }
+        drop(core);
+    }
+
+    /// Takes in a request; parts of its answer come out of the receiver.
+    pub fn submit(
+        self: &Arc<Self>,
+        meta: RequestMeta,
+        outgoing: OutgoingRequest,
+    ) -> (RequestId, Receiver<CallerPart>) {
+        let request = RequestId(self.next_id());
+        let parts = self.callers.add(request, outgoing);
+        self.metrics.count(Counter::Requests);
+        self.dispatch(Event::Request { request, meta });
+        (request, parts)
+    }
+
+    /// Asks the core for an operator.
+    pub async fn operate(self: &Arc<Self>, call: OperatorCall) -> Option<OperatorAnswer> {
+        let call_id = OperatorCallId(self.next_id());
+        let answer = self.operators.add(call_id);
+        self.dispatch(Event::Operator { call_id, call });
+        answer.recv().await.ok()
+    }
+
+    /// Answers a peer's pull.
+    pub async fn answer_pull(self: &Arc<Self>, pull: Pull) -> Option<PullReply> {
+        let pull_id = PullId(self.next_id());
+        let reply = self.pulls.add(pull_id);
+        self.dispatch(Event::PullAsked { pull_id, pull });
+        reply.recv().await.ok()
+    }
+
+    fn start(self: &Arc<Self>, action: Action) {
+        match action {
+            Action::Platform { call, request } => self.call_platform(call, request),
+            Action::Pull { to, pull } => self.pull(to, pull),
+            Action::AnswerPull { pull_id, reply } => self.pulls.answer(&pull_id, reply),
+            Action::Notify { to, notice } => {
+                self.metrics.count(Counter::Notices);
+                self.spawn(|driver| async move {
+                    driver.clients.peers.notify(to, &notice).await;
+                });
+            }
+            Action::AskStatus {
+                purpose,
+                host,
+                address,
+            } => self.ask_status(purpose, host, address),
+            Action::Order {
+                host,
+                address,
+                order,
+                valid_until,
+            } => self.give_order(host, address, order, valid_until),
+            Action::Send(attempt) => self.send(attempt),
+            Action::Abandon(attempt) => {
+                // Dropping the task closes the connection.
+                lock(&self.attempts).remove(&attempt);
+            }
+            Action::Answer { request, outcome } => self.answer(request, outcome),
+            Action::AnswerOperator { call_id, answer } => {
+                self.operators.answer(&call_id, answer);
+            }
+            Action::Log(line) => logs::write(&line),
+            Action::Stopped => {
+                let _ = self.stopped.try_send(());
+            }
+        }
+    }
+
+    fn spawn<F>(self: &Arc<Self>, task: impl FnOnce(Arc<Self>) -> F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        smol::spawn(task(self.clone())).detach();
+    }
+
+    fn call_platform(self: &Arc<Self>, call: CallId, request: PlatformCall) {
+        self.metrics.count(match &request {
+            PlatformCall::Get(_) | PlatformCall::List => Counter::PlatformReads,
+            PlatformCall::Put { .. } => Counter::PlatformWrites,
+            PlatformCall::Watch { .. } => Counter::PlatformWatches,
+        });
+        self.spawn(|driver| async move {
+            let result = driver.clients.platform.call(request).await;
+            if result == Err(NoAnswer) {
+                driver.metrics.count(Counter::PlatformNoAnswer);
+            }
+            driver.dispatch(Event::Platform { call, result });
+        });
+    }
+
+    fn pull(self: &Arc<Self>, to: Address, pull: Pull) {
+        self.metrics.count(Counter::Pulls);
+        self.spawn(|driver| async move {
+            let reply = driver.clients.peers.pull(to, &pull).await;
+            driver.dispatch(Event::PullAnswered(reply));
+        });
+    }
+
+    fn ask_status(
+        self: &Arc<Self>,
+        purpose: StatusPurpose,
+        host: Option<HostId>,
+        address: Address,
+    ) {
+        self.metrics.count(Counter::Statuses);
+        let asked_at = self.now();
+        self.spawn(|driver| async move {
+            let status = driver.clients.engines.status(address).await;
+            driver.dispatch(Event::Status {
+                purpose,
+                asked_at,
+                host,
+                status,
+            });
+        });
+    }
+
+    fn give_order(
+        self: &Arc<Self>,
+        host: HostId,
+        address: Address,
+        order: crate::core::engine::Order,
+        valid_until: Timestamp,
+    ) {
+        self.metrics.count(Counter::Orders);
+        self.spawn(|driver| async move {
+            // The last look at the lease before the order goes out.
+            let asked_at = driver.now();
+            if asked_at >= valid_until {
+                return;
+            }
+            let reply = driver.clients.engines.order(address, order.clone()).await;
+            driver.dispatch(Event::OrderAnswered {
+                host,
+                order,
+                asked_at,
+                reply,
+            });
+        });
+    }
+
+    fn send(self: &Arc<Self>, attempt: Attempt) {
+        let Some(caller) = self.callers.get(attempt.request) else {
+            return;
+        };
+        self.metrics.count(Counter::Attempts);
+        let id = attempt.id;
+        let driver = self.clone();
+        let task = smol::spawn(async move {
+            let sink = PartSink {
+                driver: driver.clone(),
+                attempt: attempt.clone(),
+                parts: caller.parts,
+            };
+            let end = attempt::run(&driver.upstreams, &attempt, &caller.outgoing, &sink).await;
+            if let Some(task) = lock(&driver.attempts).remove(&attempt.id) {
+                task.detach();
+            }
+            driver.dispatch(Event::Ended {
+                request: attempt.request,
+                attempt: attempt.id,
+                end,
+            });
+        });
+        lock(&self.attempts).insert(id, task);
+    }
+
+    fn answer(&self, request: RequestId, outcome: Outcome) {
+        self.metrics.count(match outcome {
+            Outcome::Completed => Counter::Completed,
+            Outcome::Failed { .. } => Counter::Failed,
+            Outcome::NotRun { .. } => Counter::NotRun,
+            Outcome::Unknown { .. } => Counter::Unknown,
+        });
+        self.callers.end(request, outcome);
+    }
+}
+
+/// Passes parts of an answer on to the caller's task.
+struct PartSink {
+    driver: Arc<Driver>,
+    attempt: Attempt,
+    parts: Sender<CallerPart>,
+}
+
+impl AnswerSink for PartSink {
+    async fn pass(&self, part: AnswerPart) {
+        let is_first = matches!(part, AnswerPart::StreamBegins | AnswerPart::Whole(_));
+        if is_first {
+            self.driver.dispatch(Event::Output {
+                request: self.attempt.request,
+                attempt: self.attempt.id,
+            });
+        }
+        // A caller that left is told of by its own task; the attempt goes on
+        // until the core breaks it off, or to its end where it may not repeat.
+        let _ = self.parts.send(CallerPart::Part(part)).await;
+    }
+}
--- /dev/null
+++ b/shalehinge/src/process/run.rs
@@ -0,0 +1,177 @@
+//! Starts a daemon and stops it in order.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use smol::Timer;
+use trillium::Handler;
+use trillium_http::HttpConfig;
+use trillium_server_common::ServerHandle;
+
+use super::driver::{Clients, Driver};
+use crate::core::daemon::{Daemon, Identity, TICK};
+use crate::core::event::{Event, Timeouts};
+use crate::core::types::{DaemonId, FailureDomain, Incarnation};
+use crate::gateway::GatewayContext;
+use crate::peer::client::PeerClient;
+use crate::platform::http::HttpPlatform;
+use crate::settings::Settings;
+use crate::telemetry::metrics::Metrics;
+use crate::upstream::engine::HttpEngines;
+use crate::utils::http::{ListenError, bind};
+use crate::utils::time::{wall_clock, within};
+use crate::{gateway, operator_api, peer};
+
+/// Connections of peers and operators at a time.
+const MAX_CONTROL_CONNECTIONS: usize = 1_000;
+/// Bits of an incarnation that are random; those above are from the wall clock.
+const RANDOM_BITS: u32 = 16;
+
+/// Listeners of a daemon, bound.
+struct Listeners {
+    callers: smol::net::TcpListener,
+    operators: smol::net::TcpListener,
+    peers: smol::net::TcpListener,
+    peer_address: SocketAddr,
+}
+
+/// Runs a daemon until it is told to stop.
+pub async fn run(settings: Settings) -> Result<(), ListenError> {
+    let listeners = listen(&settings)?;
+    let (driver, has_stopped) = build(&settings, listeners.peer_address);
+    let servers = serve(&settings, &driver, listeners);
+    log::info!(
+        "daemon: {} in {} listens to callers on {}",
+        settings.daemon.name,
+        settings.daemon.failure_domain,
+        settings.daemon.callers
+    );
+    let ticks = smol::spawn(tick(driver.clone()));
+    wait_for_signal().await;
+    driver.dispatch(Event::Stop);
+    let limit = settings.daemon.limits.stop_within;
+    if within(limit, has_stopped.recv()).await.is_none() {
+        log::warn!("daemon: requests are not done within {limit:?}, stops all the same");
+    }
+    shut_down(servers, limit).await;
+    drop(ticks);
+    log::info!("daemon: stopped");
+    Ok(())
+}
+
+fn listen(settings: &Settings) -> Result<Listeners, ListenError> {
+    let daemon = &settings.daemon;
+    let (callers, _) = bind(daemon.callers)?;
+    let (operators, _) = bind(daemon.operators)?;
+    let (peers, peer_address) = bind(daemon.peers)?;
+    Ok(Listeners {
+        callers,
+        operators,
+        peers,
+        peer_address,
+    })
+}
+
+fn build(
+    settings: &Settings,
+    peer_address: SocketAddr,
+) -> (Arc<Driver>, async_channel::Receiver<()>) {
+    let daemon = &settings.daemon;
+    let timeouts = Timeouts::default();
+    let wall_clock = wall_clock();
+    let random = fastrand::u64(..1 << RANDOM_BITS);
+    let incarnation = ((wall_clock.as_millis() as u64) << RANDOM_BITS) | random;
+    let identity = Identity {
+        daemon: DaemonId::new(&daemon.name),
+        failure_domain: FailureDomain::new(&daemon.failure_domain),
+        address: peer_address,
+        incarnation: Incarnation(incarnation),
+        seeds: daemon.seeds.clone(),
+        wall_seconds: wall_clock.as_secs(),
+    };
+    let core = Daemon::new(settings.core, identity, fastrand::u64(..));
+    let clients = Clients {
+        platform: Box::new(HttpPlatform::new(daemon.platform, timeouts.platform)),
+        engines: Box::new(HttpEngines::new(timeouts.engine)),
+        peers: PeerClient::new(timeouts.peer),
+    };
+    Driver::new(core, clients, Metrics::new(daemon.statsd))
+}
+
+fn serve(settings: &Settings, driver: &Arc<Driver>, listeners: Listeners) -> Vec<ServerHandle> {
+    let limits = settings.daemon.limits;
+    let context = GatewayContext {
+        driver: driver.clone(),
+        limits,
+    };
+    let token = settings.daemon.token_sha256.clone();
+    let callers = HttpConfig::default()
+        .with_head_max_len(limits.max_head_bytes)
+        .with_received_body_max_len(limits.max_body_bytes);
+    let control = HttpConfig::default();
+    vec![
+        spawn_server(
+            listeners.callers,
+            callers,
+            limits.max_connections,
+            gateway::handler::handler(context),
+        ),
+        spawn_server(
+            listeners.operators,
+            control,
+            MAX_CONTROL_CONNECTIONS,
+            operator_api::handler(driver.clone(), token),
+        ),
+        spawn_server(
+            listeners.peers,
+            control,
+            MAX_CONTROL_CONNECTIONS,
+            peer::server::handler(driver.clone()),
+        ),
+    ]
+}
+
+fn spawn_server(
+    listener: smol::net::TcpListener,
+    config: HttpConfig,
+    max_connections: usize,
+    handler: impl Handler,
+) -> ServerHandle {
+    trillium_smol::config()
+        .without_signals()
+        .with_nodelay()
+        .with_http_config(config)
+        .with_max_connections(Some(max_connections))
+        .with_prebound_server(listener)
+        .spawn(handler)
+}
+
+async fn tick(driver: Arc<Driver>) {
+    loop {
+        driver.dispatch(Event::Tick);
+        Timer::after(TICK).await;
+    }
+}
+
+async fn wait_for_signal() {
+    match Signals::new([Signal::Term, Signal::Int]) {
+        Ok(mut signals) => {
+            signals.next().await;
+        }
+        Err(error) => {
+            log::error!("daemon: signals can't be received: {error}");
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+/// Lets connections finish what they write, then closes them.
+async fn shut_down(servers: Vec<ServerHandle>, limit: std::time::Duration) {
+    for server in servers {
+        if within(limit, server.shut_down()).await.is_none() {
+            log::warn!("daemon: connections are not done within {limit:?}");
+        }
+    }
+}
--- a/shalehinge/src/settings/claims.rs
+++ b/shalehinge/src/settings/claims.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::reader::Reader;
+
 /// Section `[claims]`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClaimSettings {
@@ -28,3 +30,18 @@
         }
     }
 }
+
+impl ClaimSettings {
+    /// Reads section `[claims]`.
+    pub fn read(reader: &mut Reader) -> Self {
+        let mut section = reader.section("claims");
+        let default = Self::default();
+        Self {
+            partitions: section.count("partitions", default.partitions),
+            write_interval: section.duration("write_interval", default.write_interval),
+            timeout: section.duration("timeout", default.timeout),
+            retention: section.duration("retention", default.retention),
+            max_keys: section.count("max_keys", default.max_keys),
+        }
+    }
+}
--- a/shalehinge/src/settings/control.rs
+++ b/shalehinge/src/settings/control.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::reader::Reader;
+
 use crate::core::placement::host_choice::HostChoice;
 
 /// Section `[control]`.
@@ -36,3 +38,20 @@
         }
     }
 }
+
+impl ControlSettings {
+    /// Reads section `[control]`.
+    pub fn read(reader: &mut Reader) -> Self {
+        let mut section = reader.section("control");
+        let default = Self::default();
+        Self {
+            order_interval: section.duration("order_interval", default.order_interval),
+            loss_confirm: section.duration("loss_confirm", default.loss_confirm),
+            forming_timeout: section.duration("forming_timeout", default.forming_timeout),
+            retire_grace: section.duration("retire_grace", default.retire_grace),
+            avoid_unreachable: section.duration("avoid_unreachable", default.avoid_unreachable),
+            max_forming: section.count("max_forming", default.max_forming),
+            choice: section.host_choice("choice", default.choice),
+        }
+    }
+}
--- a/shalehinge/src/settings/core.rs
+++ b/shalehinge/src/settings/core.rs
@@ -2,9 +2,10 @@
 
 use super::claims::ClaimSettings;
 use super::control::ControlSettings;
+use super::lease::LeaseSettings;
+use super::membership::MembershipSettings;
+use super::reader::Reader;
 use super::router::RouterSettings;
-use crate::core::lease::LeaseSettings;
-use crate::core::membership::MembershipSettings;
 
 /// One struct a part.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -20,3 +21,16 @@
     /// Section `[router]`.
     pub router: RouterSettings,
 }
+
+impl CoreSettings {
+    /// Reads the sections of all parts.
+    pub fn read(reader: &mut Reader) -> Self {
+        Self {
+            lease: LeaseSettings::read(reader),
+            membership: MembershipSettings::read(reader),
+            control: ControlSettings::read(reader),
+            claims: ClaimSettings::read(reader),
+            router: RouterSettings::read(reader),
+        }
+    }
+}
--- /dev/null
+++ b/shalehinge/src/settings/membership.rs
@@ -0,0 +1,43 @@
+//! Settings of the gossip between daemons.
+
+use std::time::Duration;
+
+use super::reader::Reader;
+
+/// Section `[membership]`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MembershipSettings {
+    /// Time between two pulls.
+    pub interval: Duration,
+    /// A member whose counter stands still for so long is dead.
+    pub dead_after: Duration,
+    /// A dead member is forgotten after so long.
+    pub forget_after: Duration,
+    /// Members told of in one message.
+    pub sample: usize,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        Self {
+            interval: Duration::from_secs(1),
+            dead_after: Duration::from_secs(10),
+            forget_after: Duration::from_secs(120),
+            sample: 8,
+        }
+    }
+}
+
+impl MembershipSettings {
+    /// Reads section `[membership]`.
+    pub fn read(reader: &mut Reader) -> Self {
+        let mut section = reader.section("membership");
+        let default = Self::default();
+        Self {
+            interval: section.duration("interval", default.interval),
+            dead_after: section.duration("dead_after", default.dead_after),
+            forget_after: section.duration("forget_after", default.forget_after),
+            sample: section.count("sample", default.sample),
+        }
+    }
+}
--- a/shalehinge/src/settings/router.rs
+++ b/shalehinge/src/settings/router.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::reader::Reader;
+
 /// Section `[router]`. The defaults are those measured in docs/MEASUREMENTS.md.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RouterSettings {
@@ -85,3 +87,34 @@
         }
     }
 }
+
+impl RouterSettings {
+    /// Reads section `[router]`.
+    pub fn read(reader: &mut Reader) -> Self {
+        let mut section = reader.section("router");
+        let default = Self::default();
+        Self {
+            local_candidates: section.count("local_candidates", default.local_candidates),
+            remote_candidates: section.count("remote_candidates", default.remote_candidates),
+            report_interval: section.duration("report_interval", default.report_interval),
+            evidence_ttl: section.duration("evidence_ttl", default.evidence_ttl),
+            max_waiting: section.count("max_waiting", default.max_waiting),
+            max_attempts: section.count("max_attempts", default.max_attempts),
+            retry_ratio: section.fraction("retry_ratio", default.retry_ratio),
+            retry_burst: section.fraction("retry_burst", default.retry_burst),
+            eject_after: section.count("eject_after", default.eject_after),
+            eject_for: section.duration("eject_for", default.eject_for),
+            max_ejected: section.fraction("max_ejected", default.max_ejected),
+            slow_factor: section.fraction("slow_factor", default.slow_factor),
+            service_concurrency: section.count("service_concurrency", default.service_concurrency),
+            engine_backlog: section.fraction("engine_backlog", default.engine_backlog),
+            reserve_kv: section.flag("reserve_kv", default.reserve_kv),
+            prefix_affinity: section.flag("prefix_affinity", default.prefix_affinity),
+            affinity_load_bound: section
+                .fraction("affinity_load_bound", default.affinity_load_bound),
+            early_refusal: section.flag("early_refusal", default.early_refusal),
+            remote_penalty: section.duration("remote_penalty", default.remote_penalty),
+            policy: section.policy("policy", default.policy),
+        }
+    }
+}
--- /dev/null
+++ b/shalehinge/src/telemetry/metrics.rs
@@ -0,0 +1,138 @@
+//! Metrics by cadence: sent by UDP in the statsd format, and kept for a page.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Mutex;
+use std::time::Duration;
+
+use cadence::prelude::*;
+use cadence::{BufferedUdpMetricSink, MetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
+
+/// Prefix of all metrics.
+const PREFIX: &str = "shalehinge";
+/// Bounds of the wait histogram on the page, in milliseconds.
+const TIME_BOUNDS_MS: [u64; 8] = [1, 5, 20, 100, 500, 2_000, 10_000, 60_000];
+
+/// What is counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Counter {
+    /// Requests of callers.
+    Requests,
+    /// Requests answered whole.
+    Completed,
+    /// Requests that the upstream answered as failed.
+    Failed,
+    /// Requests that were not run.
+    NotRun,
+    /// Requests whose outcome is unknown.
+    Unknown,
+    /// Attempts sent to upstreams.
+    Attempts,
+    /// Reads of the platform.
+    PlatformReads,
+    /// Writes to the platform.
+    PlatformWrites,
+    /// Watches of the platform.
+    PlatformWatches,
+    /// Calls to the platform without an answer.
+    PlatformNoAnswer,
+    /// Orders to engines.
+    Orders,
+    /// Statuses asked of engines.
+    Statuses,
+    /// Pulls from peers.
+    Pulls,
+    /// Notices to peers.
+    Notices,
+}
+
+impl Counter {
+    /// Name of the metric.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Requests => "requests",
+            Self::Completed => "requests.completed",
+            Self::Failed => "requests.failed",
+            Self::NotRun => "requests.not_run",
+            Self::Unknown => "requests.unknown",
+            Self::Attempts => "attempts",
+            Self::PlatformReads => "platform.reads",
+            Self::PlatformWrites => "platform.writes",
+            Self::PlatformWatches => "platform.watches",
+            Self::PlatformNoAnswer => "platform.no_answer",
+            Self::Orders => "engine.orders",
+            Self::Statuses => "engine.statuses",
+            Self::Pulls => "peer.pulls",
+            Self::Notices => "peer.notices",
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Totals {
+    counters: BTreeMap<Counter, u64>,
+    first_output_ms: [u64; TIME_BOUNDS_MS.len() + 1],
+}
+
+/// The metrics of one daemon.
+pub struct Metrics {
+    client: StatsdClient,
+    totals: Mutex<Totals>,
+}
+
+impl Metrics {
+    /// Sends to a statsd sink, if one is named.
+    pub fn new(statsd: Option<SocketAddr>) -> Self {
+        let client = match statsd.and_then(udp_sink) {
+            Some(sink) => StatsdClient::from_sink(PREFIX, sink),
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+        };
+        Self {
+            client,
+            totals: Mutex::new(Totals::default()),
+        }
+    }
+
+    /// Counts one.
+    pub fn count(&self, counter: Counter) {
+        // A metric that can't be sent is lost; serving goes on.
+        let _ = self.client.count(counter.name(), 1);
+        if let Ok(mut totals) = self.totals.lock() {
+            *totals.counters.entry(counter).or_default() += 1;
+        }
+    }
+
+    /// Notes the time from a request to its first output.
+    pub fn first_output(&self, time: Duration) {
+        let millis = time.as_millis() as u64;
+        let _ = self.client.time("first_output", millis);
+        let bucket = TIME_BOUNDS_MS.partition_point(|bound| *bound < millis);
+        if let Ok(mut totals) = self.totals.lock() {
+            totals.first_output_ms[bucket] += 1;
+        }
+    }
+
+    /// The page to read: a line a metric, name and value.
+    pub fn page(&self) -> String {
+        let Ok(totals) = self.totals.lock() else {
+            return String::new();
+        };
+        let mut page = String::new();
+        for (counter, value) in &totals.counters {
+            page.push_str(&format!("{PREFIX}.{} {value}\n", counter.name()));
+        }
+        for (index, value) in totals.first_output_ms.iter().enumerate() {
+            let bound = TIME_BOUNDS_MS.get(index);
+            let bound = bound.map_or("more".to_owned(), |bound| format!("{bound}ms"));
+            page.push_str(&format!("{PREFIX}.first_output.up_to_{bound} {value}\n"));
+        }
+        page
+    }
+}
+
+fn udp_sink(address: SocketAddr) -> Option<impl MetricSink> {
+    let socket = UdpSocket::bind("0.0.0.0:0").ok()?;
+    socket.set_nonblocking(true).ok()?;
+    let sink = BufferedUdpMetricSink::from(address, socket).ok()?;
+    Some(QueuingMetricSink::from(sink))
+}
--- /dev/null
+++ b/shalehinge/src/upstream/engine.rs
@@ -0,0 +1,55 @@
+//! Status and orders of model engines by JSON over HTTP. See docs/INTERFACES.md.
+
+use std::time::Duration;
+
+use futures_lite::future::Boxed;
+use serde::de::DeserializeOwned;
+use trillium_client::{Client, Conn};
+
+use super::EngineClient;
+use crate::core::engine::{EngineStatus, Order, OrderReply};
+use crate::core::types::Address;
+use crate::utils::http::{exchange, pooled_client, url};
+
+/// Path of the status.
+pub const STATUS_PATH: &str = "/v1/status";
+/// Path of the orders.
+pub const ORDERS_PATH: &str = "/v1/orders";
+
+/// A client of all engines.
+#[derive(Clone, Debug)]
+pub struct HttpEngines {
+    client: Client,
+    timeout: Duration,
+}
+
+impl HttpEngines {
+    /// A client that gives up each call after `timeout`.
+    pub fn new(timeout: Duration) -> Self {
+        Self {
+            client: pooled_client(),
+            timeout,
+        }
+    }
+}
+
+async fn read_json<T: DeserializeOwned>(conn: Conn, timeout: Duration) -> Option<T> {
+    let (status, body) = exchange(conn, timeout).await?;
+    if status != 200 {
+        return None;
+    }
+    serde_json::from_slice(&body).ok()
+}
+
+impl EngineClient for HttpEngines {
+    fn status(&self, address: Address) -> Boxed<Option<EngineStatus>> {
+        let conn = self.client.get(url(address, STATUS_PATH));
+        Box::pin(read_json(conn, self.timeout))
+    }
+
+    fn order(&self, address: Address, order: Order) -> Boxed<Option<OrderReply>> {
+        let body = serde_json::to_vec(&order).unwrap_or_default();
+        let conn = self.client.post(url(address, ORDERS_PATH)).with_body(body);
+        Box::pin(read_json(conn, self.timeout))
+    }
+}
--- /dev/null
+++ b/shalehinge/src/upstream/mod.rs
@@ -0,0 +1,21 @@
+//! Upstreams as a daemon calls them. Another binding is one more file here.
+//!
+//! - `engine`: status and orders of model engines, by JSON over HTTP
+//! - `attempt`: one attempt of a caller's request, at an engine or a plain service
+
+pub mod attempt;
+pub mod engine;
+
+use futures_lite::future::Boxed;
+
+use crate::core::engine::{EngineStatus, Order, OrderReply};
+use crate::core::types::Address;
+
+/// Asks engines for their status and gives them orders; `None` if no answer came.
+pub trait EngineClient: Send + Sync {
+    /// Asks for the status of the engine at an address.
+    fn status(&self, address: Address) -> Boxed<Option<EngineStatus>>;
+
+    /// Gives an order to the engine at an address.
+    fn order(&self, address: Address, order: Order) -> Boxed<Option<OrderReply>>;
+}
--- /dev/null
+++ b/shalehinge/src/utils/mod.rs
@@ -0,0 +1,7 @@
+//! Small helpers that belong to no part.
+//!
+//! - `http`: clients and servers built alike everywhere
+//! - `time`: waiting with a limit
+
+pub mod http;
+pub mod time;
--- /dev/null
+++ b/standin/src/engine/faults.rs
@@ -0,0 +1,24 @@
+//! Wrong answers of a stand-in engine, on request.
+
+use serde::{Deserialize, Serialize};
+
+/// What an engine does wrong at present.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EngineFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Answers with bytes that mean nothing.
+    Garbage,
+    /// Answers under another attempt's id.
+    OtherAttempt,
+    /// Ends streams without their end mark.
+    CutStream,
+    /// Sends more after the end of the answer.
+    SendMore,
+    /// Takes requests and never answers.
+    Silent,
+    /// Answers every request with an error.
+    Failing,
+}
--- /dev/null
+++ b/standin/src/engine/server.rs
@@ -0,0 +1,447 @@
+//! The stand-in engine's API over HTTP. See docs/INTERFACES.md.
+//!
+//! One process runs one host or several, each with its own listener.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use argh::FromArgs;
+use async_channel::{Receiver, Sender};
+use futures_util::{TryStreamExt, stream};
+use serde::Deserialize;
+use serde_json::json;
+use shalehinge::core::engine::{EnginePhase, EngineStatus, Order};
+use shalehinge::core::objects::{HostRecord, HostState};
+use shalehinge::core::router::prefix;
+use shalehinge::core::types::{FabricDomain, FailureDomain, GroupNumber, HostId};
+use shalehinge::upstream::attempt::{ATTEMPT_HEADER, GROUP_HEADER, NOT_RUN_HEADER};
+use shalehinge::upstream::engine::{ORDERS_PATH, STATUS_PATH};
+use shalehinge::utils::http::{exchange, pooled_client, url};
+use shalehinge::utils::time::wall_clock;
+use smol::Timer;
+use trillium::{Body, Conn, Handler, KnownHeaderName, Status};
+use trillium_client::Client;
+use trillium_router::Router;
+
+use super::faults::EngineFault;
+use super::model::{EngineParameters, SequenceSpec, Token};
+use super::state::{Followup, HostEngine};
+use crate::server::{announce, read_json, serve, write_json};
+
+/// Time between two looks of rank 0 at the other members.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time that another member has to answer.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Tokens that wait for a slow reader before its sequence is broken off.
+const TOKENS_WAITING: usize = 4_096;
+
+/// run stand-in engines, one a host
+#[derive(FromArgs, Debug, Clone)]
+#[argh(subcommand, name = "engine")]
+pub struct EngineArguments {
+    /// name of the host; with --count, followed by a number
+    #[argh(option)]
+    pub host: String,
+
+    /// address to listen on; with --count, the system chooses the ports
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 0))")]
+    pub listen: SocketAddr,
+
+    /// failure domain
+    #[argh(option)]
+    pub failure_domain: String,
+
+    /// fabric domain
+    #[argh(option)]
+    pub fabric_domain: String,
+
+    /// accelerators of the host
+    #[argh(option, default = "8")]
+    pub accelerators: u32,
+
+    /// address of the platform, to be listed there
+    #[argh(option)]
+    pub platform: SocketAddr,
+
+    /// hosts in this process
+    #[argh(option, default = "1")]
+    pub count: u32,
+
+    /// milliseconds that a load from the weight store takes
+    #[argh(option, default = "500")]
+    pub load_ms: u64,
+
+    /// take orders whatever their epoch
+    #[argh(switch)]
+    pub ignore_fences: bool,
+
+    /// sequences in a batch
+    #[argh(option, default = "32")]
+    pub slots: u32,
+
+    /// milliseconds of an empty step
+    #[argh(option, default = "18")]
+    pub step_ms: u64,
+}
+
+/// Runs until the process is ended.
+pub fn run(arguments: &EngineArguments) -> miette::Result<()> {
+    let mut handles = Vec::new();
+    for index in 0..arguments.count {
+        let name = if arguments.count == 1 {
+            arguments.host.clone()
+        } else {
+            format!("{}-{index}", arguments.host)
+        };
+        let engine = Engine::new(&name, arguments);
+        let listen = if arguments.count == 1 {
+            arguments.listen
+        } else {
+            SocketAddr::new(arguments.listen.ip(), 0)
+        };
+        let (address, handle) = serve(listen, engine.handler())?;
+        smol::spawn(engine.clone().decode_loop()).detach();
+        smol::spawn(engine.clone().check_loop()).detach();
+        smol::block_on(register(&name, address, arguments))?;
+        announce(&name, address);
+        handles.push(handle);
+    }
+    for handle in handles {
+        handle.block();
+    }
+    Ok(())
+}
+
+/// Has the platform list the host.
+async fn register(
+    name: &str,
+    address: SocketAddr,
+    arguments: &EngineArguments,
+) -> miette::Result<()> {
+    let record = HostRecord {
+        address,
+        failure_domain: FailureDomain::new(&arguments.failure_domain),
+        fabric_domain: FabricDomain::new(&arguments.fabric_domain),
+        accelerators: arguments.accelerators,
+        state: HostState::Live,
+    };
+    let body = serde_json::to_vec(&record).unwrap_or_default();
+    let path = format!("/admin/hosts/{name}");
+    let conn = pooled_client()
+        .put(url(arguments.platform, &path))
+        .with_body(body);
+    match exchange(conn, Duration::from_secs(5)).await {
+        Some((204, _)) => Ok(()),
+        _ => Err(miette::miette!("the platform did not list host {name}")),
+    }
+}
+
+/// The engine of one host.
+#[derive(Clone)]
+struct Engine {
+    state: Arc<Mutex<HostEngine>>,
+    streams: Arc<Mutex<HashMap<u64, Sender<Token>>>>,
+    work: (Sender<()>, Receiver<()>),
+    next_id: Arc<std::sync::atomic::AtomicU64>,
+    load_time: Duration,
+    client: Client,
+}
+
+/// The fields of a request that the stand-in needs.
+#[derive(Debug, Deserialize)]
+struct ChatRequest {
+    #[serde(default)]
+    messages: Vec<serde_json::Value>,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u32>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Engine {
+    fn new(name: &str, arguments: &EngineArguments) -> Self {
+        let parameters = EngineParameters {
+            slots: arguments.slots,
+            step_base: Duration::from_millis(arguments.step_ms),
+            kv_total: u64::from(arguments.slots) * 2_000,
+            ..EngineParameters::default()
+        };
+        let host = HostId::new(name);
+        let engine = HostEngine::new(host, !arguments.ignore_fences, parameters);
+        Self {
+            state: Arc::new(Mutex::new(engine)),
+            streams: Arc::default(),
+            work: async_channel::bounded(1),
+            next_id: Arc::default(),
+            load_time: Duration::from_millis(arguments.load_ms),
+            client: pooled_client(),
+        }
+    }
+
+    fn handler(&self) -> impl Handler + use<> {
+        let status = self.clone();
+        let orders = self.clone();
+        let chat = self.clone();
+        let fault = self.clone();
+        let slow = self.clone();
+        Router::new()
+            .get(STATUS_PATH, move |conn: Conn| {
+                let engine = status.clone();
+                async move { write_json(conn, Status::Ok, &lock(&engine.state).status()) }
+            })
+            .post(ORDERS_PATH, move |conn: Conn| {
+                let engine = orders.clone();
+                async move { engine.on_order(conn).await }
+            })
+            .post("/v1/chat/completions", move |conn: Conn| {
+                let engine = chat.clone();
+                async move { engine.on_chat(conn).await }
+            })
+            .put("/admin/fault", move |conn: Conn| {
+                let engine = fault.clone();
+                async move { engine.on_fault(conn).await }
+            })
+            .put("/admin/slowness", move |conn: Conn| {
+                let engine = slow.clone();
+                async move { engine.on_slowness(conn).await }
+            })
+    }
+
+    async fn on_fault(&self, mut conn: Conn) -> Conn {
+        let Some(fault) = read_json::<EngineFault>(&mut conn).await else {
+            return conn.with_status(Status::BadRequest).halt();
+        };
+        lock(&self.state).fault = fault;
+        conn.with_status(Status::NoContent).halt()
+    }
+
+    async fn on_slowness(&self, mut conn: Conn) -> Conn {
+        let Some(slowness) = read_json::<f64>(&mut conn).await else {
+            return conn.with_status(Status::BadRequest).halt();
+        };
+        lock(&self.state).model.set_slowness(slowness);
+        conn.with_status(Status::NoContent).halt()
+    }
+
+    async fn on_order(&self, mut conn: Conn) -> Conn {
+        let Some(order) = read_json::<Order>(&mut conn).await else {
+            return conn.with_status(Status::BadRequest).halt();
+        };
+        let (reply, followup) = lock(&self.state).take_order(order);
+        if let Followup::Load { number, warm } = followup {
+            let engine = self.clone();
+            smol::spawn(async move {
+                let time = if warm {
+                    engine.load_time / 10
+                } else {
+                    engine.load_time
+                };
+                Timer::after(time).await;
+                lock(&engine.state).finish_load(number);
+            })
+            .detach();
+        }
+        self.drop_broken_streams();
+        write_json(conn, Status::Ok, &reply)
+    }
+
+    /// Streams whose sequences were broken off end without their end mark.
+    fn drop_broken_streams(&self) {
+        if lock(&self.state).model.is_idle() {
+            lock(&self.streams).clear();
+        }
+    }
+
+    async fn check_loop(self) {
+        loop {
+            Timer::after(CHECK_INTERVAL).await;
+            let others = lock(&self.state).others();
+            let Some((group, others)) = others.filter(|(_, others)| !others.is_empty()) else {
+                continue;
+            };
+            let count = others.len() as u32;
+            let checks = others.into_iter().map(|address| {
+                let conn = self.client.get(url(address, STATUS_PATH));
+                is_ready(conn, group)
+            });
+            let ready = futures_util::future::join_all(checks).await;
+            let ready = ready.into_iter().filter(|ready| *ready).count() as u32;
+            if lock(&self.state).see_others(group, ready, count) {
+                lock(&self.streams).clear();
+            }
+        }
+    }
+
+    /// Steps the batch in real time.
+    async fn decode_loop(self) {
+        loop {
+            let step = lock(&self.state).model.step();
+            let Some(step) = step else {
+                lock(&self.state).finish_drain();
+                let _ = self.work.1.recv().await;
+                continue;
+            };
+            Timer::after(step.duration).await;
+            let mut streams = lock(&self.streams);
+            for token in step.tokens {
+                let Some(stream) = streams.get(&token.id) else {
+                    continue;
+                };
+                let is_gone = stream.try_send(token).is_err();
+                if is_gone {
+                    streams.remove(&token.id);
+                    lock(&self.state).model.cancel(token.id);
+                } else if token.is_last {
+                    streams.remove(&token.id);
+                }
+            }
+        }
+    }
+
+    async fn on_chat(&self, mut conn: Conn) -> Conn {
+        let header = |conn: &Conn, name: &'static str| {
+            conn.request_headers().get_str(name).map(str::to_owned)
+        };
+        let attempt = header(&conn, ATTEMPT_HEADER).unwrap_or_default();
+        let group = header(&conn, GROUP_HEADER)
+            .and_then(|text| text.parse().ok())
+            .map(GroupNumber);
+        let Some(request) = read_json::<ChatRequest>(&mut conn).await else {
+            return conn.with_status(Status::BadRequest).halt();
+        };
+        let fault = lock(&self.state).fault;
+        match fault {
+            EngineFault::Silent => std::future::pending::<()>().await,
+            EngineFault::Failing => {
+                return conn
+                    .with_status(Status::InternalServerError)
+                    .with_response_header(ATTEMPT_HEADER, attempt)
+                    .halt();
+            }
+            EngineFault::Garbage => {
+                return conn
+                    .with_response_header(ATTEMPT_HEADER, attempt)
+                    .ok("\u{1}\u{2} this is no answer");
+            }
+            _ => {}
+        }
+        let Some((id, tokens)) = self.begin(group, &request) else {
+            return conn
+                .with_status(Status::ServiceUnavailable)
+                .with_response_header(ATTEMPT_HEADER, attempt)
+                .with_response_header(NOT_RUN_HEADER, "1")
+                .halt();
+        };
+        let said = if fault == EngineFault::OtherAttempt {
+            "0000000000000000-0".to_owned()
+        } else {
+            attempt
+        };
+        let conn = conn.with_response_header(ATTEMPT_HEADER, said);
+        if request.stream {
+            return stream_answer(conn, id, tokens, fault);
+        }
+        whole_answer(conn, id, tokens).await
+    }
+
+    /// Begins a sequence, if the group is complete and the right one.
+    fn begin(
+        &self,
+        group: Option<GroupNumber>,
+        request: &ChatRequest,
+    ) -> Option<(u64, Receiver<Token>)> {
+        let prompt = serde_json::to_vec(&request.messages).unwrap_or_default();
+        let id = self
+            .next_id
+            .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let (sender, tokens) = async_channel::bounded(TOKENS_WAITING);
+        let mut state = lock(&self.state);
+        if !state.can_serve(group) {
+            return None;
+        }
+        lock(&self.streams).insert(id, sender);
+        state.model.submit(SequenceSpec {
+            id,
+            prompt_tokens: (prompt.len() / 4).max(1) as u32,
+            output_tokens: request.max_tokens.unwrap_or(64).max(1),
+            prefix: prefix::chain_of(&prompt),
+            priority: 0,
+        });
+        let _ = self.work.0.try_send(());
+        Some((id, tokens))
+    }
+}
+
+async fn is_ready(conn: trillium_client::Conn, group: GroupNumber) -> bool {
+    let Some((200, body)) = exchange(conn, CHECK_TIMEOUT).await else {
+        return false;
+    };
+    let status: Option<EngineStatus> = serde_json::from_slice(&body).ok();
+    status.is_some_and(|status| {
+        let ready = status.phase == EnginePhase::Ready || status.phase == EnginePhase::Draining;
+        ready && status.group == Some(group)
+    })
+}
+
+async fn whole_answer(conn: Conn, id: u64, tokens: Receiver<Token>) -> Conn {
+    let mut text = String::new();
+    let mut count = 0;
+    let mut is_whole = false;
+    while let Ok(token) = tokens.recv().await {
+        count = token.number;
+        text.push_str(&format!("t{} ", token.number));
+        is_whole = token.is_last;
+    }
+    if !is_whole {
+        // The replica died: no answer that could be taken for one.
+        return conn.with_status(Status::InternalServerError).halt();
+    }
+    let answer = json!({
+        "id": format!("chatcmpl-{id}"),
+        "object": "chat.completion",
+        "choices": [{
+            "index": 0,
+            "message": {"role": "assistant", "content": text},
+            "finish_reason": "stop",
+        }],
+        "usage": {"completion_tokens": count},
+    });
+    write_json(conn, Status::Ok, &answer)
+}
+
+fn stream_answer(conn: Conn, id: u64, tokens: Receiver<Token>, fault: EngineFault) -> Conn {
+    let events = stream::unfold(Some(tokens), move |tokens| async move {
+        let tokens = tokens?;
+        let token = tokens.recv().await.ok()?;
+        let mut event = token_event(id, token);
+        if !token.is_last {
+            return Some((Ok::<_, std::io::Error>(event.into_bytes()), Some(tokens)));
+        }
+        if fault != EngineFault::CutStream {
+            event.push_str("data: [DONE]\n\n");
+        }
+        if fault == EngineFault::SendMore {
+            event.push_str("data: {\"choices\":[{\"delta\":{\"content\":\"more\"}}]}\n\n");
+        }
+        Some((Ok(event.into_bytes()), None))
+    });
+    let body = Body::new_streaming(Box::pin(events).into_async_read(), None);
+    conn.with_response_header(KnownHeaderName::ContentType, "text/event-stream")
+        .ok(body)
+}
+
+/// One token as an event, with the time at which it was given out.
+fn token_event(id: u64, token: Token) -> String {
+    let event = json!({
+        "id": format!("chatcmpl-{id}"),
+        "object": "chat.completion.chunk",
+        "choices": [{"index": 0, "delta": {"content": format!("t{} ", token.number)}}],
+        "emitted_us": wall_clock().as_micros() as u64,
+    });
+    format!("data: {event}\n\n")
+}
--- /dev/null
+++ b/standin/src/experiment/mod.rs
@@ -0,0 +1,1 @@
+//! Policies against baselines, on the same load and seeds.
--- /dev/null
+++ b/standin/src/load/client.rs
@@ -0,0 +1,100 @@
+//! One streamed request, with the time of each token.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures_lite::{AsyncBufReadExt, StreamExt, io::BufReader};
+use shalehinge::utils::http::url;
+use shalehinge::utils::time::wall_clock;
+use trillium_client::Client;
+
+use super::LoadArguments;
+
+/// A request to send.
+#[derive(Clone, Debug)]
+pub struct StreamRequest {
+    to: SocketAddr,
+    key: String,
+    body: String,
+}
+
+/// What came of it.
+#[derive(Clone, Debug, Default)]
+pub struct StreamResult {
+    /// HTTP status, 0 if there was none.
+    pub status: u16,
+    /// Whether the end mark came.
+    pub is_whole: bool,
+    /// From the request to the first token.
+    pub first_token: Option<Duration>,
+    /// From the engine to here, of each token.
+    pub on_the_way: Vec<Duration>,
+    /// Between each two tokens.
+    pub intervals: Vec<Duration>,
+}
+
+impl StreamRequest {
+    /// A request whose prompt starts differently from all others.
+    pub fn new(arguments: &LoadArguments, salt: u64) -> Self {
+        let mut prompt = format!("{salt:016x} ");
+        while prompt.len() < arguments.prompt_bytes {
+            prompt.push_str("lectura ");
+        }
+        prompt.truncate(arguments.prompt_bytes.max(16));
+        let body = serde_json::json!({
+            "model": arguments.model,
+            "stream": true,
+            "max_tokens": arguments.max_tokens,
+            "messages": [{"role": "user", "content": prompt}],
+        });
+        Self {
+            to: arguments.to,
+            key: arguments.key.clone(),
+            body: body.to_string(),
+        }
+    }
+}
+
+/// Sends the request and reads its answer to the end.
+pub async fn stream_once(client: &Client, request: &StreamRequest) -> StreamResult {
+    let mut result = StreamResult::default();
+    let sent = Instant::now();
+    let conn = client
+        .post(url(request.to, "/v1/chat/completions"))
+        .with_request_header("authorization", format!("Bearer {}", request.key))
+        .with_request_header("content-type", "application/json")
+        .with_body(request.body.clone());
+    let Ok(mut conn) = conn.await else {
+        return result;
+    };
+    result.status = conn.status().map_or(0, u16::from);
+    let Some(body) = conn.take_response_body().filter(|_| result.status == 200) else {
+        return result;
+    };
+    let mut lines = BufReader::new(body).lines();
+    let mut last: Option<Instant> = None;
+    while let Some(Ok(line)) = lines.next().await {
+        let Some(data) = line.strip_prefix("data: ") else {
+            continue;
+        };
+        if data == "[DONE]" {
+            result.is_whole = true;
+            break;
+        }
+        let now = Instant::now();
+        if let Some(emitted) = emitted_at(data) {
+            result.on_the_way.push(wall_clock().saturating_sub(emitted));
+        }
+        match last {
+            None => result.first_token = Some(now - sent),
+            Some(last) => result.intervals.push(now - last),
+        }
+        last = Some(now);
+    }
+    result
+}
+
+fn emitted_at(data: &str) -> Option<Duration> {
+    let event: serde_json::Value = serde_json::from_str(data).ok()?;
+    event.get("emitted_us")?.as_u64().map(Duration::from_micros)
+}
--- /dev/null
+++ b/standin/src/platform/store.rs
@@ -0,0 +1,140 @@
+//! The objects of the stand-in platform.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use shalehinge::core::platform::Revision;
+use shalehinge::core::types::Version;
+use shalehinge::platform::http::{WireList, WireObject};
+
+/// What the platform does wrong at present.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It refuses every call.
+    Down,
+    /// Writes take effect and their answers are lost.
+    LoseAnswers,
+}
+
+/// Calls taken, by kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallCounts {
+    /// Reads of one object and lists.
+    pub reads: u64,
+    /// Writes, refused ones among them.
+    pub writes: u64,
+    /// Watches.
+    pub watches: u64,
+    /// Writes that were refused, as the version was another.
+    pub conflicts: u64,
+    /// Bytes of the values written.
+    pub bytes_written: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Stored {
+    version: Version,
+    revision: Revision,
+    value: Value,
+}
+
+/// All objects.
+#[derive(Debug, Default)]
+pub struct Store {
+    /// What it does wrong.
+    pub fault: Fault,
+    /// Calls taken.
+    pub counts: CallCounts,
+    revision: Revision,
+    objects: BTreeMap<(String, String), Stored>,
+    watchers: Vec<async_channel::Sender<()>>,
+}
+
+impl Store {
+    /// One object.
+    pub fn get(&self, kind: &str, name: &str) -> Option<WireObject> {
+        let key = (kind.to_owned(), name.to_owned());
+        let stored = self.objects.get(&key)?;
+        Some(wire(&key, stored))
+    }
+
+    /// Writes an object if it has the expected version; otherwise says which it has.
+    pub fn put(
+        &mut self,
+        kind: &str,
+        name: &str,
+        expect: Version,
+        value: Value,
+    ) -> Result<Version, Version> {
+        let key = (kind.to_owned(), name.to_owned());
+        let current = self.objects.get(&key).map_or(Version(0), |s| s.version);
+        if current != expect {
+            self.counts.conflicts += 1;
+            return Err(current);
+        }
+        Ok(self.write(key, value))
+    }
+
+    /// Changes an object whatever its version; for the host list alone.
+    pub fn update(&mut self, kind: &str, name: &str, change: impl FnOnce(&mut Value)) {
+        let key = (kind.to_owned(), name.to_owned());
+        let mut value = self
+            .objects
+            .get(&key)
+            .map_or_else(|| serde_json::json!({"hosts": {}}), |s| s.value.clone());
+        change(&mut value);
+        self.write(key, value);
+    }
+
+    fn write(&mut self, key: (String, String), value: Value) -> Version {
+        let current = self.objects.get(&key).map_or(0, |s| s.version.0);
+        let version = Version(current + 1);
+        self.revision = Revision(self.revision.0 + 1);
+        let stored = Stored {
+            version,
+            revision: self.revision,
+            value,
+        };
+        self.objects.insert(key, stored);
+        for watcher in self.watchers.drain(..) {
+            let _ = watcher.try_send(());
+        }
+        version
+    }
+
+    /// Objects of these kinds that changed after a revision.
+    pub fn changed(&self, kinds: &str, after: Revision) -> WireList {
+        let kinds: Vec<&str> = kinds.split(',').collect();
+        let objects = self
+            .objects
+            .iter()
+            .filter(|((kind, _), stored)| kinds.contains(&kind.as_str()) && stored.revision > after)
+            .map(|(key, stored)| wire(key, stored))
+            .collect();
+        WireList {
+            revision: self.revision,
+            objects,
+        }
+    }
+
+    /// Hears of the next write.
+    pub fn next_write(&mut self) -> async_channel::Receiver<()> {
+        let (sender, receiver) = async_channel::bounded(1);
+        self.watchers.push(sender);
+        receiver
+    }
+}
+
+fn wire(key: &(String, String), stored: &Stored) -> WireObject {
+    WireObject {
+        kind: key.0.clone(),
+        name: key.1.clone(),
+        version: stored.version,
+        value: stored.value.clone(),
+    }
+}
