perf(controller): call hosts at once when what is wanted of them changes

Cause: one interval of 1 s a host held back every order, also the first order for a new purpose, so a release, a load and the look at its result each waited up to 1 s. Change: the interval counts for one purpose of a call only, is 250 ms while a group changes or looks incomplete, and a loss is confirmed after 1 s.

--- a/shalehinge/src/core/controller.rs
+++ b/shalehinge/src/core/controller.rs
@@ -7,6 +7,7 @@
 //! another group get it.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use super::engine::{Command, EngineStatus, LoadCommand, Order, OrderReply};
 use super::fleet_state::FleetState;
@@ -51,6 +52,14 @@
     Log(String),
 }
 
+/// What a host was last called for. A call for another purpose need not wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallPurpose {
+    Load(GroupNumber),
+    Probe(GroupNumber),
+    Release(GroupNumber),
+}
+
 /// What is known of a group's health.
 #[derive(Clone, Debug, Default)]
 struct GroupHealth {
@@ -73,7 +82,7 @@
     released: BTreeMap<HostId, GroupNumber>,
     health: BTreeMap<GroupNumber, GroupHealth>,
     unreachable: BTreeMap<HostId, Timestamp>,
-    next_call_at: BTreeMap<HostId, Timestamp>,
+    next_call_at: BTreeMap<HostId, (CallPurpose, Timestamp)>,
     retiring_since: BTreeMap<GroupNumber, Timestamp>,
     forming_since: BTreeMap<GroupNumber, Timestamp>,
     /// From the host list, for hosts that are in no group any more.
@@ -423,16 +432,33 @@
         actions
     }
 
-    /// Whether a host may be called now; notes the call.
-    fn is_due(&mut self, now: Timestamp, host: &HostId) -> bool {
-        let due = self.next_call_at.get(host).is_none_or(|at| now >= *at);
+    /// Whether a host may be called now for this purpose; notes the call.
+    fn is_due(&mut self, now: Timestamp, host: &HostId, purpose: CallPurpose) -> bool {
+        let due = self
+            .next_call_at
+            .get(host)
+            .is_none_or(|(last, at)| *last != purpose || now >= *at);
         if due {
-            let next = now + self.settings.order_interval;
-            self.next_call_at.insert(host.clone(), next);
+            let next = now + self.call_interval(purpose);
+            self.next_call_at.insert(host.clone(), (purpose, next));
         }
         due
     }
 
+    /// A group that looks incomplete is looked at as often as one that changes.
+    fn call_interval(&self, purpose: CallPurpose) -> Duration {
+        let CallPurpose::Probe(group) = purpose else {
+            return self.settings.order_interval;
+        };
+        let health = self.health.get(&group);
+        let is_suspect = health.is_some_and(|health| health.incomplete_since.is_some());
+        if is_suspect {
+            self.settings.order_interval
+        } else {
+            self.settings.probe_interval
+        }
+    }
+
     fn order(
         &self,
         epoch: Epoch,
@@ -462,7 +488,7 @@
     ) {
         let members: Vec<Address> = group.members.iter().map(|m| m.address).collect();
         for (rank, member) in group.members.iter().enumerate() {
-            if !self.is_due(now, &member.host) {
+            if !self.is_due(now, &member.host, CallPurpose::Load(number)) {
                 continue;
             }
             let command = Command::Load(LoadCommand {
@@ -485,7 +511,7 @@
         let Some(rank_zero) = group.members.first() else {
             return;
         };
-        if self.is_due(now, &rank_zero.host) {
+        if self.is_due(now, &rank_zero.host, CallPurpose::Probe(number)) {
             actions.push(ControllerAction::Probe {
                 group: number,
                 rank_zero: rank_zero.clone(),
@@ -510,14 +536,15 @@
             return;
         };
         if !self.has_left(&rank_zero.host, number) {
-            if self.is_due(now, &rank_zero.host) {
+            if self.is_due(now, &rank_zero.host, CallPurpose::Release(number)) {
                 let command = Command::Release { drain: true };
                 actions.push(self.order(epoch, number, rank_zero, command));
             }
             return;
         }
         for member in others {
-            if !self.has_left(&member.host, number) && self.is_due(now, &member.host) {
+            let purpose = CallPurpose::Release(number);
+            if !self.has_left(&member.host, number) && self.is_due(now, &member.host, purpose) {
                 let command = Command::Release { drain: false };
                 actions.push(self.order(epoch, number, member, command));
             }
@@ -540,7 +567,7 @@
             let Some(address) = self.addresses.get(&host).copied() else {
                 continue;
             };
-            if self.is_due(now, &host) {
+            if self.is_due(now, &host, CallPurpose::Release(number)) {
                 let member = Member { host, address };
                 let command = Command::Release { drain: false };
                 actions.push(self.order(epoch, number, &member, command));
--- a/shalehinge/src/settings/control.rs
+++ b/shalehinge/src/settings/control.rs
@@ -9,8 +9,11 @@
 /// Section `[control]`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ControlSettings {
-    /// Time between two orders to the same host, and between two probes of a group.
+    /// Time between two orders to the same host, and between two probes of a group
+    /// that looks incomplete.
     pub order_interval: Duration,
+    /// Time between two probes of a group that looks complete.
+    pub probe_interval: Duration,
     /// How long a serving group must look incomplete before it is dissolved.
     pub loss_confirm: Duration,
     /// How long a forming group may take, without any progress, before it is dissolved.
@@ -28,8 +31,9 @@
 impl Default for ControlSettings {
     fn default() -> Self {
         Self {
-            order_interval: Duration::from_secs(1),
-            loss_confirm: Duration::from_millis(1_500),
+            order_interval: Duration::from_millis(250),
+            probe_interval: Duration::from_secs(1),
+            loss_confirm: Duration::from_secs(1),
             forming_timeout: Duration::from_secs(600),
             retire_grace: Duration::from_secs(2),
             avoid_unreachable: Duration::from_secs(30),
@@ -46,6 +50,7 @@
         let default = Self::default();
         Self {
             order_interval: section.duration("order_interval", default.order_interval),
+            probe_interval: section.duration("probe_interval", default.probe_interval),
             loss_confirm: section.duration("loss_confirm", default.loss_confirm),
             forming_timeout: section.duration("forming_timeout", default.forming_timeout),
             retire_grace: section.duration("retire_grace", default.retire_grace),
