fix(router): evidence counts from the engine's last look at its members

The cause was a rank 0 that had been frozen itself: on waking it told its old count of members until its next look. Change: an engine's status says how long ago it looked, by its own monotonic clock; evidence counts from then.

--- a/shalehinge/src/core/engine.rs
+++ b/shalehinge/src/core/engine.rs
@@ -92,6 +92,10 @@
     pub members_present: u32,
     /// Members that the group has.
     pub member_count: u32,
+    /// How long ago rank 0 looked at the members, in milliseconds by its own
+    /// monotonic clock. An engine that was paused tells here that it was.
+    #[serde(default)]
+    pub members_age_ms: u64,
     /// Load; all zero but at rank 0.
     pub load: EngineLoad,
 }
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -676,6 +676,7 @@
             upstream: upstream.spec.id.clone(),
             address: upstream.spec.address,
             group: upstream.spec.group,
+            valid_until: upstream.valid_until(pending.meta.deadline),
             time_left: pending.meta.deadline.since(now),
             priority: pending.meta.priority,
         }
--- a/shalehinge/src/core/router/request.rs
+++ b/shalehinge/src/core/router/request.rs
@@ -86,6 +86,9 @@
     pub address: Address,
     /// The group that must answer; others refuse.
     pub group: Option<GroupNumber>,
+    /// Not to be sent at or after this time: the process may have been paused
+    /// since, and the evidence that the upstream is complete has run out.
+    pub valid_until: Timestamp,
     /// Time that remains for the whole answer.
     pub time_left: Duration,
     /// Priority for the engine.
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -107,6 +107,14 @@
         self.spec.group.is_none() || now < self.complete_until
     }
 
+    /// Until when a request with this deadline may be sent on what is known now.
+    pub fn valid_until(&self, deadline: Timestamp) -> Timestamp {
+        match self.spec.group {
+            Some(_) => self.complete_until.min(deadline),
+            None => deadline,
+        }
+    }
+
     /// Requests of this daemon that run there.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
@@ -134,14 +142,15 @@
         let Some(group) = self.spec.group else {
             return;
         };
-        if self.contradicted_at.is_some_and(|at| asked_at <= at) {
+        let seen_at = asked_at.minus(Duration::from_millis(status.members_age_ms));
+        if self.contradicted_at.is_some_and(|at| seen_at <= at) {
             return;
         }
         if !status.shows_complete(group) {
             self.contradict(asked_at);
             return;
         }
-        self.complete_until = self.complete_until.max(asked_at + settings.evidence_ttl);
+        self.complete_until = self.complete_until.max(seen_at + settings.evidence_ttl);
         let newer = self.report.is_none_or(|known| asked_at > known.asked_at);
         if newer {
             self.take_load(asked_at, status.load, sharers, settings);
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -18,7 +18,7 @@
 use crate::core::event::{Action, Event, Pull, PullId, PullReply, StatusPurpose};
 use crate::core::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
 use crate::core::platform::{CallId, NoAnswer, PlatformCall};
-use crate::core::router::request::{Attempt, Outcome, RequestMeta};
+use crate::core::router::request::{Attempt, AttemptEnd, Outcome, RequestMeta};
 use crate::core::types::{Address, AttemptId, HostId, RequestId, Timestamp};
 use crate::peer::client::PeerClient;
 use crate::platform::PlatformClient;
@@ -278,7 +278,12 @@
                 attempt: attempt.clone(),
                 parts: caller.parts,
             };
-            let end = attempt::run(&driver.upstreams, &attempt, &caller.outgoing, &sink).await;
+            // The last look at the evidence before the request goes out.
+            let end = if driver.now() < attempt.valid_until {
+                attempt::run(&driver.upstreams, &attempt, &caller.outgoing, &sink).await
+            } else {
+                AttemptEnd::NotSent
+            };
             if let Some(task) = lock(&driver.attempts).remove(&attempt.id) {
                 task.detach();
             }
--- /dev/null
+++ b/shalehinge/tests/focused.rs
@@ -0,0 +1,156 @@
+//! Focused scenarios over whole cores: one failure each, and what must follow.
+
+mod support;
+
+use std::time::Duration;
+
+use shalehinge::core::fleet_state::{FleetState, ObjectUpdate};
+use shalehinge::core::objects::{FleetConfig, Object, ObjectKey};
+use shalehinge::core::router::request::Outcome;
+use shalehinge::core::types::Version;
+use support::platform::Fault;
+use support::world::World;
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn assert_nothing_violated(world: &World) {
+    let none: Vec<String> = Vec::new();
+    assert_eq!(world.oracle.violations, none);
+}
+
+fn holder_of(world: &World, domain: usize) -> Option<usize> {
+    world.entries.iter().position(|entry| {
+        let clock = entry.clock(world.now);
+        let core = entry.core.as_ref();
+        entry.domain == world.domains[domain]
+            && core.is_some_and(|core| core.lease().held(clock).is_some())
+    })
+}
+
+#[test]
+fn an_older_configuration_changes_nothing() {
+    let mut state = FleetState::default();
+    let update = |version| ObjectUpdate {
+        key: ObjectKey::Fleet,
+        version: Version(version),
+        object: Object::Fleet(FleetConfig::default()),
+    };
+    assert!(state.apply(update(5)));
+    assert!(!state.apply(update(4)));
+    assert_eq!(state.digest().fleet, Version(5));
+}
+
+#[test]
+fn a_daemon_that_starts_in_an_outage_takes_what_its_peers_hold() {
+    let mut world = World::serving(1);
+    world.platform.fault = Fault::Down;
+    world.kill(0);
+    world.start(0);
+    world.run_for(seconds(15));
+    let core = world.entries[0].core.as_ref().expect("runs");
+    assert_eq!(core.state().digest().fleet, Version(1));
+    assert!(world.entries[0].sees(4, world.now));
+    assert_nothing_violated(&world);
+}
+
+#[test]
+fn requests_go_on_while_the_platform_is_away() {
+    let mut world = World::serving(2);
+    world.platform.fault = Fault::Down;
+    world.run_for(seconds(60));
+    let request = world.request(0, 3, 0).expect("runs");
+    world.run_for(seconds(16));
+    let facts = &world.oracle.requests[&request];
+    assert_eq!(facts.outcome, Some(Outcome::Completed));
+    assert_nothing_violated(&world);
+}
+
+#[test]
+fn a_keyed_request_is_refused_as_not_run_while_the_platform_is_away() {
+    let mut world = World::serving(3);
+    world.platform.fault = Fault::Down;
+    let request = world.request(0, 0, 0).expect("runs");
+    world.run_for(seconds(5));
+    let facts = &world.oracle.requests[&request];
+    assert!(matches!(facts.outcome, Some(Outcome::NotRun { .. })));
+    assert_eq!(facts.executions, 0);
+}
+
+#[test]
+fn a_key_sent_again_through_another_daemon_after_the_first_died_does_not_run_again() {
+    let mut world = World::serving(4);
+    let first = world.request(0, 0, 5).expect("runs");
+    world.run_until("the first runs", |world| {
+        world.oracle.requests[&first].executions == 1
+    });
+    world.kill(0);
+    let second = world.request(3, 0, 5).expect("runs");
+    world.run_for(seconds(5));
+    let facts = &world.oracle.requests[&second];
+    assert!(matches!(facts.outcome, Some(Outcome::Unknown { .. })));
+    assert_eq!(facts.executions, 0);
+    assert_nothing_violated(&world);
+}
+
+#[test]
+fn a_frozen_holder_that_wakes_gives_no_orders_and_the_successor_does() {
+    let mut world = World::serving(5);
+    let holder = holder_of(&world, 0).expect("held");
+    world.freeze(holder);
+    world.run_for(seconds(20));
+    let successor = holder_of(&world, 0).expect("held again");
+    assert_ne!(successor, holder);
+    world.wake(holder);
+    world.run_for(seconds(5));
+    assert_eq!(holder_of(&world, 0), Some(successor));
+    assert_nothing_violated(&world);
+}
+
+#[test]
+fn a_lost_member_takes_its_replica_out_and_a_spare_takes_its_place() {
+    let mut world = World::serving(6);
+    // Hosts 0 to 3 of a domain form two groups, host 4 is spare.
+    world.kill_host(1);
+    let killed_at = world.now;
+    world.run_until("the replica is out", |world| {
+        world.entries.iter().all(|entry| !entry.sees(4, world.now))
+    });
+    assert!(world.now - killed_at < seconds(3));
+    world.run_until("it is formed again", |world| {
+        world.serving_groups() == 4 && world.entries.iter().all(|e| e.sees(4, world.now))
+    });
+    let time = world.now - killed_at;
+    assert!(time < seconds(8), "{time:?}");
+    assert_nothing_violated(&world);
+}
+
+#[test]
+fn a_cut_domain_goes_on_with_its_own_replicas() {
+    let mut world = World::serving(7);
+    let domain = world.domains[0].clone();
+    world.cut.insert(domain.clone());
+    world.platform_cut.insert(domain);
+    world.run_for(seconds(30));
+    for entry in 0..world.entries.len() {
+        let request = world.request(entry, 3, 0).expect("runs");
+        world.run_for(seconds(16));
+        let facts = &world.oracle.requests[&request];
+        assert_eq!(facts.outcome, Some(Outcome::Completed), "entry {entry}");
+    }
+    assert_nothing_violated(&world);
+}
+
+#[test]
+fn a_planned_stop_hands_control_over_at_once() {
+    let mut world = World::serving(8);
+    let holder = holder_of(&world, 0).expect("held");
+    world.stop(holder);
+    world.run_until("another holds", |world| {
+        holder_of(world, 0).is_some_and(|other| other != holder)
+    });
+    let calm_since = world.oracle.calm_since;
+    assert!(world.now - calm_since < seconds(5), "{:?}", world.now);
+    assert_nothing_violated(&world);
+}
--- a/shalehinge/tests/router.rs
+++ b/shalehinge/tests/router.rs
@@ -82,6 +82,15 @@
     assert_eq!(harness.attempts(1), 0);
 }
 
+#[test]
+fn a_report_by_an_engine_that_has_not_looked_at_its_members_proves_nothing() {
+    let mut harness = Harness::with_replicas(1);
+    harness.advance_without_reports(Duration::from_secs(3));
+    harness.report_with_age(0, Duration::from_secs(5));
+    harness.submit(1, request());
+    assert_eq!(harness.attempts(1), 0);
+}
+
 #[test]
 fn a_retry_storm_is_bounded_by_the_budget() {
     let mut harness = Harness::with_replicas(24);
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -106,6 +106,17 @@
         self.replicas = 0;
     }
 
+    /// A replica says that it is complete, by a look at its members of that age.
+    pub fn report_with_age(&mut self, number: u64, age: Duration) {
+        let mut status = idle(number);
+        status.members_age_ms = age.as_millis() as u64;
+        let (id, now) = (spec(number).id, self.now);
+        let mut out = Vec::new();
+        self.router
+            .on_report(now, now, &id, Some(&status), &mut self.rng, &mut out);
+        self.take(out);
+    }
+
     fn pass(&mut self, time: Duration, with_reports: bool) {
         let end = self.now + time;
         while self.now < end {
@@ -204,6 +215,7 @@
         held: None,
         members_present: 4,
         member_count: 4,
+        members_age_ms: 0,
         load: EngineLoad {
             slots: 16,
             kv_total: 100_000,
--- a/shalehinge/tests/support/fabric.rs
+++ b/shalehinge/tests/support/fabric.rs
@@ -66,7 +66,7 @@
         let answers = is_reached && !self.hosts[host].is_frozen;
         match message {
             HostMessage::Status { purpose, asked_at } => {
-                let status = answers.then(|| self.hosts[host].engine.status());
+                let status = answers.then(|| self.hosts[host].engine.status(self.now));
                 let delay = self.reply_delay(answers);
                 let event = Event::Status {
                     purpose,
@@ -100,7 +100,7 @@
     fn take_order(&mut self, host: usize, order: Order) -> OrderReply {
         self.check_order(host, &order);
         let now = self.now;
-        let (reply, followup) = self.hosts[host].engine.take_order(order);
+        let (reply, followup) = self.hosts[host].engine.take_order(now, order);
         if let Followup::Load { number, warm } = followup {
             let time = Duration::from_millis(if warm { 100 } else { 800 });
             self.hosts[host].loads_until = Some((number, now + time));
@@ -150,6 +150,11 @@
     }
 
     pub fn send_attempt(&mut self, entry: usize, run: u64, attempt: Attempt) {
+        // The shell's last look at the evidence.
+        if self.entries[entry].clock(self.now) >= attempt.valid_until {
+            self.end_attempt(entry, run, &attempt, AttemptEnd::NotSent, STEP);
+            return;
+        }
         if let UpstreamId::Replica(replica) = &attempt.upstream {
             let members = self.known_members(entry, replica);
             let now = self.now;
@@ -190,7 +195,7 @@
             self.end_attempt(entry, run, &attempt, AttemptEnd::Lost, CALL_TIMEOUT * 3);
             return;
         }
-        if !self.hosts[host].engine.can_serve(attempt.group) {
+        if !self.hosts[host].engine.can_serve(self.now, attempt.group) {
             self.end_attempt(entry, run, &attempt, AttemptEnd::Refused, STEP);
             return;
         }
@@ -337,7 +342,9 @@
             .iter()
             .filter(|host| others.contains(&host.address) && host.is_ready_in(group))
             .count() as u32;
-        if self.hosts[index].engine.see_others(group, ready, count) {
+        let now = self.now;
+        let engine = &mut self.hosts[index].engine;
+        if engine.see_others(now, group, ready, count) {
             self.lose_broken(index);
         }
     }
--- a/standin/src/engine/server.rs
+++ b/standin/src/engine/server.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use argh::FromArgs;
 use async_channel::{Receiver, Sender};
@@ -146,6 +146,7 @@
     work: (Sender<()>, Receiver<()>),
     next_id: Arc<std::sync::atomic::AtomicU64>,
     load_time: Duration,
+    started: Instant,
     client: Client,
 }
 
@@ -179,6 +180,7 @@
             work: async_channel::bounded(1),
             next_id: Arc::default(),
             load_time: Duration::from_millis(arguments.load_ms),
+            started: Instant::now(),
             client: pooled_client(),
         }
     }
@@ -192,7 +194,7 @@
         Router::new()
             .get(STATUS_PATH, move |conn: Conn| {
                 let engine = status.clone();
-                async move { write_json(conn, Status::Ok, &lock(&engine.state).status()) }
+                async move { engine.on_status(conn) }
             })
             .post(ORDERS_PATH, move |conn: Conn| {
                 let engine = orders.clone();
@@ -212,6 +214,15 @@
             })
     }
 
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn on_status(&self, conn: Conn) -> Conn {
+        let status = lock(&self.state).status(self.now());
+        write_json(conn, Status::Ok, &status)
+    }
+
     async fn on_fault(&self, mut conn: Conn) -> Conn {
         let Some(fault) = read_json::<EngineFault>(&mut conn).await else {
             return conn.with_status(Status::BadRequest).halt();
@@ -232,7 +243,7 @@
         let Some(order) = read_json::<Order>(&mut conn).await else {
             return conn.with_status(Status::BadRequest).halt();
         };
-        let (reply, followup) = lock(&self.state).take_order(order);
+        let (reply, followup) = lock(&self.state).take_order(self.now(), order);
         if let Followup::Load { number, warm } = followup {
             let engine = self.clone();
             smol::spawn(async move {
@@ -265,13 +276,14 @@
                 continue;
             };
             let count = others.len() as u32;
+            let now = self.now();
             let checks = others.into_iter().map(|address| {
                 let conn = self.client.get(url(address, STATUS_PATH));
                 is_ready(conn, group)
             });
             let ready = futures_util::future::join_all(checks).await;
             let ready = ready.into_iter().filter(|ready| *ready).count() as u32;
-            if lock(&self.state).see_others(group, ready, count) {
+            if lock(&self.state).see_others(now, group, ready, count) {
                 lock(&self.streams).clear();
             }
         }
@@ -361,7 +373,7 @@
             .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let (sender, tokens) = async_channel::bounded(TOKENS_WAITING);
         let mut state = lock(&self.state);
-        if !state.can_serve(group) {
+        if !state.can_serve(self.now(), group) {
             return None;
         }
         lock(&self.streams).insert(id, sender);
--- a/standin/src/engine/state.rs
+++ b/standin/src/engine/state.rs
@@ -1,5 +1,7 @@
 //! Groups, orders and fences of one stand-in host.
 
+use std::time::Duration;
+
 use shalehinge::core::engine::{
     Command, EnginePhase, EngineStatus, Fence, HeldModel, LoadCommand, Order, OrderReply,
 };
@@ -25,6 +27,8 @@
     pub membership: Option<GroupMembership>,
     /// Other members seen ready, rank 0 only.
     pub members_present: u32,
+    /// When rank 0 last looked at the others, by the host's monotonic clock.
+    looked_at: Duration,
     /// A member was lost since the group was complete: it can't serve any more.
     pub is_broken: bool,
     held: Option<HeldModel>,
@@ -67,6 +71,7 @@
             phase: EnginePhase::Idle,
             membership: None,
             members_present: 0,
+            looked_at: Duration::ZERO,
             is_broken: false,
             held: None,
             fence: Fence::default(),
@@ -75,10 +80,10 @@
     }
 
     /// Takes an order, or refuses it as too old.
-    pub fn take_order(&mut self, order: Order) -> (OrderReply, Followup) {
+    pub fn take_order(&mut self, now: Duration, order: Order) -> (OrderReply, Followup) {
         let fence = order.fence();
         if self.checks_fences && fence < self.fence {
-            return (self.reply(false), Followup::None);
+            return (self.reply(now, false), Followup::None);
         }
         self.fence = fence;
         let followup = match order.command {
@@ -88,13 +93,13 @@
                 Followup::None
             }
         };
-        (self.reply(true), followup)
+        (self.reply(now, true), followup)
     }
 
-    fn reply(&self, accepted: bool) -> OrderReply {
+    fn reply(&self, now: Duration, accepted: bool) -> OrderReply {
         OrderReply {
             accepted,
-            status: self.status(),
+            status: self.status(now),
         }
     }
 
@@ -165,11 +170,18 @@
     }
 
     /// Rank 0 saw so many of the others ready. Returns whether it lost one.
-    pub fn see_others(&mut self, group: GroupNumber, ready: u32, count: u32) -> bool {
+    pub fn see_others(
+        &mut self,
+        now: Duration,
+        group: GroupNumber,
+        ready: u32,
+        count: u32,
+    ) -> bool {
         let is_current = self.membership.as_ref().is_some_and(|m| m.group == group);
         if !is_current || self.phase == EnginePhase::Loading {
             return false;
         }
+        self.looked_at = now;
         let was_complete = self.members_present == count + 1;
         if was_complete && ready < count {
             self.is_broken = true;
@@ -180,8 +192,8 @@
     }
 
     /// Whether a request for this group can run here now.
-    pub fn can_serve(&self, group: Option<GroupNumber>) -> bool {
-        let status = self.status();
+    pub fn can_serve(&self, now: Duration, group: Option<GroupNumber>) -> bool {
+        let status = self.status(now);
         let Some(own) = status.group else {
             return false;
         };
@@ -189,7 +201,7 @@
     }
 
     /// The status as it is told.
-    pub fn status(&self) -> EngineStatus {
+    pub fn status(&self, now: Duration) -> EngineStatus {
         let membership = self.membership.as_ref();
         let is_rank_zero = membership.is_some_and(|m| m.load.rank == 0);
         let member_count = membership.map_or(0, |m| m.load.members.len() as u32);
@@ -208,6 +220,11 @@
             held: self.held.clone(),
             members_present: present,
             member_count,
+            members_age_ms: if is_rank_zero && member_count > 1 {
+                now.saturating_sub(self.looked_at).as_millis() as u64
+            } else {
+                0
+            },
             load: if is_rank_zero {
                 self.model.load()
             } else {
