feat(router): waits are bounded, and reports count by their age

Change 1: a request whose estimated wait is above max_wait (2 s) is refused at once. Change 2: an engine may tell the age of its figures; fresh ones count as they are, those of unknown age by 0.04.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -15,13 +15,23 @@
 BUILD = ROOT / "target" / "red" / "build"
 CORE = "shalehinge/src/core/"
 
-# name: (file, text as it stands, text without the protection, test, filter)
+# name: (file, text as it stands, text without the protection, test, filter,
+#        and further edits where two protections stand behind each other)
 PROTECTIONS = {
     "evidence": (
         CORE + "router/upstream.rs",
         "self.spec.group.is_none() || now < self.complete_until",
         "true",
+        "router", "without_fresh_evidence",
+    ),
+    "evidence-and-last-look": (
+        CORE + "router/upstream.rs",
+        "self.spec.group.is_none() || now < self.complete_until",
+        "{ let _ = now; true }",
         "always", "fixed",
+        (CORE + "router/upstream.rs",
+         "Some(_) => self.complete_until.min(deadline),",
+         "Some(_) => deadline,"),
     ),
     "members-age": (
         CORE + "router/upstream.rs",
@@ -75,7 +85,7 @@
         CORE + "router/topology.rs",
         "group.phase != GroupPhase::Retiring\n        && !group",
         "group.phase != GroupPhase::Retiring\n        || !group",
-        "always", "fixed",
+        "focused", "leaving",
     ),
     "stop-waits": (
         CORE + "daemon.rs",
@@ -142,21 +152,33 @@
             shutil.copy(source, target)
 
 
+def take_out(name, edits):
+    """Takes the protection out of the copy; the old texts, or None if it can't."""
+    old = {}
+    for file, stands, without in edits:
+        path = COPY / file
+        text = path.read_text()
+        old.setdefault(path, text)
+        if text.count(stands) != 1:
+            print(f"{name}: the text stands {text.count(stands)} times in {file}; mend this table")
+            return None
+        path.write_text(text.replace(stands, without))
+    return old
+
+
 def red_run(name):
     """Runs the test without the protection; true if it failed as it should."""
-    file, stands, without, test, pattern = PROTECTIONS[name]
-    path = COPY / file
-    text = path.read_text()
-    if text.count(stands) != 1:
-        print(f"{name}: the text stands {text.count(stands)} times in {file}; mend this table")
+    file, stands, without, test, pattern, *further = PROTECTIONS[name]
+    old = take_out(name, [(file, stands, without), *further])
+    if old is None:
         return False
-    path.write_text(text.replace(stands, without))
     command = [
         "cargo", "test", "-p", "shalehinge", "--locked", "--target-dir", str(BUILD),
         "--test", test, pattern,
     ]
     result = subprocess.run(command, cwd=COPY, capture_output=True, text=True)
-    path.write_text(text)
+    for path, text in old.items():
+        path.write_text(text)
     output = result.stdout + result.stderr
     if "could not compile" in output:
         print(f"{name}: does not compile without the protection\n{output}")
--- a/shalehinge/src/core/engine.rs
+++ b/shalehinge/src/core/engine.rs
@@ -136,6 +136,9 @@
     pub kv_used: u64,
     /// KV memory in all, in tokens.
     pub kv_total: u64,
+    /// How old these figures are, in milliseconds, where the engine tells.
+    #[serde(default)]
+    pub age_ms: Option<u64>,
 }
 
 impl EngineStatus {
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -203,12 +203,16 @@
         }
         let time_left = meta.deadline.since(now);
         let wait = state.wait_of(&meta.customer, share, state.cost_of(meta));
-        let needed = wait + state.service_time(meta);
-        if needed > time_left {
-            let retry_after = (needed - time_left).clamp(Duration::from_secs(1), MOST_RETRY_AFTER);
-            return Some((NotRunReason::WouldBeLate, retry_after));
+        let service_time = state.service_time(meta);
+        let longest_wait = time_left
+            .saturating_sub(service_time)
+            .min(self.settings.max_wait);
+        if wait <= longest_wait && service_time <= time_left {
+            return None;
         }
-        None
+        let too_much = wait.saturating_sub(longest_wait);
+        let retry_after = too_much.clamp(Duration::from_secs(1), MOST_RETRY_AFTER);
+        Some((NotRunReason::WouldBeLate, retry_after))
     }
 
     /// Takes in a request of a customer with this share.
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -17,6 +17,18 @@
 /// Requests that a replica may be sent before its first report came.
 const FIRST_ALLOWANCE: f64 = 2.0;
 
+/// Weight of a report's figures against what is known, by their age.
+fn smoothing(age_ms: Option<u64>) -> f64 {
+    /// Figures up to this age count as they are.
+    const FRESH_MS: f64 = 100.0;
+    /// Weight of figures of unknown age.
+    const LEAST: f64 = 0.04;
+    match age_ms {
+        Some(age) => (FRESH_MS / age as f64).clamp(LEAST, 1.0),
+        None => LEAST,
+    }
+}
+
 /// What the topology says of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamSpec {
@@ -68,9 +80,10 @@
     contradicted_at: Option<Timestamp>,
     in_flight: u32,
     kv_in_flight: f64,
+    /// Requests of other daemons, smoothed over reports.
+    others: Option<f64>,
     allowance: f64,
     ramp: f64,
-    sent_since_report: i64,
     kv_since_report: f64,
 }
 
@@ -90,9 +103,9 @@
             contradicted_at: None,
             in_flight: 0,
             kv_in_flight: 0.0,
+            others: None,
             allowance: FIRST_ALLOWANCE,
             ramp: FIRST_ALLOWANCE,
-            sent_since_report: 0,
             kv_since_report: 0.0,
         }
     }
@@ -165,11 +178,12 @@
         settings: &RouterSettings,
     ) {
         self.report = Some(Report { load, asked_at });
-        self.sent_since_report = 0;
         self.kv_since_report = 0.0;
-        let limit = f64::from(load.slots) * (1.0 + settings.engine_backlog);
-        let outstanding = f64::from(load.running + load.waiting);
         let own = f64::from(self.in_flight);
+        let others = f64::from(load.running + load.waiting) - own;
+        self.note_others(others, smoothing(load.age_ms));
+        let limit = f64::from(load.slots) * (1.0 + settings.engine_backlog);
+        let outstanding = own + self.others.unwrap_or_default();
         let free = limit - outstanding;
         self.ramp = (self.ramp * 2.0).min(limit);
         let allowance = if free > 0.0 {
@@ -181,6 +195,14 @@
         self.allowance = allowance.clamp(1.0, self.ramp.max(1.0));
     }
 
+    /// What a report says of the others is as old as the report, while this
+    /// daemon's own part is always known exactly. Old figures are smoothed: all
+    /// daemons that act at once on the same old figures would swing together.
+    fn note_others(&mut self, others: f64, smoothing: f64) {
+        let known = self.others.unwrap_or(others);
+        self.others = Some((known + smoothing * (others - known)).max(0.0));
+    }
+
     /// No report came.
     pub fn on_report_failed(&mut self, now: Timestamp) {
         self.report_asked = false;
@@ -222,7 +244,6 @@
     pub fn on_sent(&mut self, work: Work) {
         self.in_flight += 1;
         self.kv_in_flight += work.kv_peak;
-        self.sent_since_report += 1;
         self.kv_since_report += work.kv_peak;
     }
 
@@ -230,19 +251,16 @@
     pub fn on_ended(&mut self, work: Work) {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.kv_in_flight = (self.kv_in_flight - work.kv_peak).max(0.0);
-        self.sent_since_report -= 1;
         self.kv_since_report -= work.kv_peak;
     }
 
-    /// Part of the capacity in use: the report, corrected by what was sent since.
+    /// Part of the capacity in use: own requests, and the others' by the reports.
     pub fn load(&self, settings: &RouterSettings) -> f64 {
+        let own = f64::from(self.in_flight);
         let Some(report) = self.report.filter(|report| report.load.slots > 0) else {
-            let most = f64::from(settings.service_concurrency.max(1));
-            return f64::from(self.in_flight) / most;
+            return own / f64::from(settings.service_concurrency.max(1));
         };
-        let reported = i64::from(report.load.running + report.load.waiting);
-        let outstanding = (reported + self.sent_since_report).max(i64::from(self.in_flight));
-        outstanding as f64 / f64::from(report.load.slots)
+        (own + self.others.unwrap_or_default()) / f64::from(report.load.slots)
     }
 
     /// Age of the newest report.
--- a/shalehinge/src/settings/router.rs
+++ b/shalehinge/src/settings/router.rs
@@ -41,8 +41,10 @@
     pub prefix_affinity: bool,
     /// How far above the mean load a replica may be and still be preferred for a prefix.
     pub affinity_load_bound: f64,
-    /// Refuse at once what would miss its deadline.
+    /// Refuse at once what would miss its deadline, or wait longer than `max_wait`.
     pub early_refusal: bool,
+    /// Longest estimated wait for an upstream.
+    pub max_wait: Duration,
     /// What a replica in another failure domain must be better by.
     pub remote_penalty: Duration,
     /// Choose at random among the upstreams, in turn, or by score.
@@ -82,6 +84,7 @@
             prefix_affinity: true,
             affinity_load_bound: 1.25,
             early_refusal: true,
+            max_wait: Duration::from_secs(2),
             remote_penalty: Duration::from_millis(5),
             policy: ChoicePolicy::Score,
         }
@@ -113,6 +116,7 @@
             affinity_load_bound: section
                 .fraction("affinity_load_bound", default.affinity_load_bound),
             early_refusal: section.flag("early_refusal", default.early_refusal),
+            max_wait: section.duration("max_wait", default.max_wait),
             remote_penalty: section.duration("remote_penalty", default.remote_penalty),
             policy: section.policy("policy", default.policy),
         }
--- a/shalehinge/tests/focused.rs
+++ b/shalehinge/tests/focused.rs
@@ -142,6 +142,20 @@
     assert_nothing_violated(&world);
 }
 
+#[test]
+fn a_leaving_host_gets_no_new_work_although_nobody_holds_control() {
+    let mut world = World::serving(9);
+    world.kill(0);
+    world.kill(1);
+    let host = world.hosts[0].id.clone();
+    let now = world.now;
+    world.oracle.leaving_at.insert(host, now);
+    world.write_host_list();
+    world.run_for(seconds(5));
+    assert!(!world.entries[2].sees(4, world.now));
+    assert!(world.entries[2].sees(3, world.now));
+}
+
 #[test]
 fn a_planned_stop_hands_control_over_at_once() {
     let mut world = World::serving(8);
--- a/standin/src/bin/standin.rs
+++ b/standin/src/bin/standin.rs
@@ -4,6 +4,9 @@
 use argh::FromArgs;
 use miette::Result;
 use standin::engine::EngineArguments;
+use standin::experiment::placement::PlacementArguments;
+use standin::experiment::routing::RoutingArguments;
+use standin::experiment::{placement, routing};
 use standin::load::LoadArguments;
 use standin::platform::PlatformArguments;
 use standin::service::ServiceArguments;
@@ -23,6 +26,8 @@
     Engine(EngineArguments),
     Service(ServiceArguments),
     Load(LoadArguments),
+    Routing(RoutingArguments),
+    Placement(PlacementArguments),
 }
 
 fn main() -> Result<()> {
@@ -32,5 +37,13 @@
         Command::Engine(arguments) => engine::run(arguments),
         Command::Service(arguments) => service::run(arguments),
         Command::Load(arguments) => load::run(arguments),
+        Command::Routing(arguments) => {
+            routing::run(arguments);
+            Ok(())
+        }
+        Command::Placement(arguments) => {
+            placement::run(arguments);
+            Ok(())
+        }
     }
 }
--- a/standin/src/engine/model.rs
+++ b/standin/src/engine/model.rs
@@ -175,6 +175,7 @@
             slots: self.parameters.slots,
             kv_used: self.kv_used(),
             kv_total: self.parameters.kv_total,
+            age_ms: Some(0),
         }
     }
 
--- /dev/null
+++ b/standin/src/experiment/fleet.rs
@@ -0,0 +1,575 @@
+//! Routers before engine models, in simulated time.
+//!
+//! The routers are the daemons' own; only the network between them and the
+//! engines is simulated: one millisecond each way, reports that lag.
+
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use shalehinge::core::engine::{EngineLoad, EnginePhase, EngineStatus};
+use shalehinge::core::fleet_state::{FleetState, ObjectUpdate};
+use shalehinge::core::objects::{
+    Assignment, FleetConfig, GroupPhase, Member, ModelIntent, Object, ObjectKey,
+};
+use shalehinge::core::router::request::{
+    Attempt, AttemptEnd, Outcome, RequestMeta, Target, UpstreamId,
+};
+use shalehinge::core::router::{Router, RouterAction, topology};
+use shalehinge::core::types::{
+    Address, AttemptId, Customer, DaemonId, FailureDomain, GroupNumber, HostId, Incarnation,
+    ModelName, ModelVersion, RequestId, Timestamp, Version,
+};
+use shalehinge::settings::router::RouterSettings;
+
+use super::workload::{Arrival, CUSTOMERS, DEADLINE, MAX_OUTPUT, SHARES};
+use crate::engine::model::{EngineModel, EngineParameters, SequenceSpec};
+
+/// One way between a router and an engine.
+const NETWORK: Duration = Duration::from_millis(1);
+/// Time between two ticks of a router.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between two points of an engine's load history.
+const HISTORY: Duration = Duration::from_millis(50);
+
+/// What is simulated.
+#[derive(Clone, Debug)]
+pub struct FleetSpec {
+    /// Daemons.
+    pub routers: usize,
+    /// Failure domains.
+    pub domains: usize,
+    /// Replicas over all of them.
+    pub replicas: usize,
+    /// Settings of the routers.
+    pub settings: RouterSettings,
+    /// How old the load in a report is.
+    pub report_lag: Duration,
+    /// Whether the report says so.
+    pub tells_age: bool,
+    /// Replicas that are slow, and how much.
+    pub slow: (usize, f64),
+    /// Replicas that are lost, and when.
+    pub lost: (usize, Duration),
+    /// KV memory of an engine in tokens.
+    pub kv_total: u64,
+}
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestResult {
+    /// Which customer.
+    pub customer: usize,
+    /// When it came.
+    pub came_at: Duration,
+    /// From its coming to its first token.
+    pub first_token: Option<Duration>,
+    /// Mean time between its tokens.
+    pub token_interval: Option<Duration>,
+    /// The answer and when it was given.
+    pub outcome: Option<(Outcome, Duration)>,
+    /// Attempts that were sent.
+    pub attempts: u32,
+}
+
+/// What a run came to.
+#[derive(Clone, Debug)]
+pub struct FleetResult {
+    /// Requests in the order in which they came.
+    pub requests: Vec<RequestResult>,
+    /// Part of the prompt blocks that caches held.
+    pub prefix_hits: f64,
+    /// Sequences put back as KV memory was full.
+    pub preemptions: u64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Happening {
+    Arrives(usize),
+    Ticks(usize),
+    ReachesEngine(usize, Attempt),
+    StepEnds(usize),
+    ReportComes(usize, UpstreamId, Timestamp, Option<EngineStatus>),
+    OutputComes(usize, RequestId, AttemptId),
+    EndComes(usize, RequestId, AttemptId, AttemptEnd),
+    Loses(usize),
+}
+
+/// Orders the queue of happenings: the earliest first, then as they were added.
+struct Entry {
+    at: Duration,
+    number: u64,
+    happening: Happening,
+}
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.number) == (other.at, other.number)
+    }
+}
+
+impl Eq for Entry {}
+
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (other.at, other.number).cmp(&(self.at, self.number))
+    }
+}
+
+struct Engine {
+    model: EngineModel,
+    is_lost: bool,
+    is_stepping: bool,
+    pending_tokens: Vec<crate::engine::model::Token>,
+    sequences: BTreeMap<u64, (usize, Attempt, Duration)>,
+    history: VecDeque<(Duration, EngineLoad)>,
+}
+
+/// The simulated fleet.
+pub struct Fleet<'a> {
+    spec: &'a FleetSpec,
+    arrivals: &'a [Arrival],
+    now: Duration,
+    queue: BinaryHeap<Entry>,
+    next_number: u64,
+    routers: Vec<Router>,
+    engines: Vec<Engine>,
+    rng: SmallRng,
+    results: Vec<RequestResult>,
+    next_sequence: u64,
+}
+
+/// Runs a fleet over all arrivals, and until they are answered.
+pub fn run(spec: &FleetSpec, arrivals: &[Arrival], seed: u64) -> FleetResult {
+    let mut fleet = Fleet::new(spec, arrivals, seed);
+    let end = arrivals.last().map_or(Duration::ZERO, |last| last.at) + DEADLINE * 2;
+    while let Some(entry) = fleet.queue.pop() {
+        if entry.at > end {
+            break;
+        }
+        fleet.now = entry.at;
+        fleet.happen(entry.happening);
+    }
+    fleet.finish()
+}
+
+fn model_name() -> ModelName {
+    ModelName::new("model")
+}
+
+fn customer_name(index: usize) -> Customer {
+    Customer::new(&format!("customer-{index}"))
+}
+
+fn domain_name(index: usize) -> FailureDomain {
+    FailureDomain::new(&format!("domain-{index}"))
+}
+
+/// A configuration of one model whose replicas stand already.
+pub fn fleet_state(domains: usize, replicas: usize) -> FleetState {
+    let mut state = FleetState::default();
+    let mut fleet = FleetConfig::default();
+    let intent = ModelIntent {
+        owner: customer_name(0),
+        version: ModelVersion::new("v1"),
+        hosts_per_replica: 1,
+        replicas: BTreeMap::new(),
+    };
+    fleet.models.insert(model_name(), intent);
+    state.apply(ObjectUpdate {
+        key: ObjectKey::Fleet,
+        version: Version(1),
+        object: Object::Fleet(fleet),
+    });
+    for domain in 0..domains {
+        let mut assignment = Assignment::default();
+        for replica in (domain..replicas).step_by(domains) {
+            let member = Member {
+                host: HostId::new(&format!("host-{replica}")),
+                address: address_of(replica),
+            };
+            let version = ModelVersion::new("v1");
+            let number = assignment.add_group(model_name(), version, vec![member]);
+            if let Some(group) = assignment.groups.get_mut(&number) {
+                group.phase = GroupPhase::Serving;
+            }
+        }
+        state.apply(ObjectUpdate {
+            key: ObjectKey::Assignment(domain_name(domain)),
+            version: Version(1),
+            object: Object::Assignment(assignment),
+        });
+    }
+    state
+}
+
+/// A replica's number is told by its address.
+fn address_of(replica: usize) -> Address {
+    let high = (replica / 60_000) as u8;
+    Address::from(([10, 0, 0, high], (replica % 60_000) as u16))
+}
+
+fn replica_of(address: Address) -> usize {
+    usize::from(address.port())
+}
+
+/// A router of a daemon in such a fleet, with its topology.
+pub fn router_of(index: usize, spec: &FleetSpec, state: &FleetState) -> Router {
+    let mut router = Router::new(spec.settings, Incarnation(index as u64 + 1));
+    let me = DaemonId::new(&format!("daemon-{index}"));
+    let domain = domain_name(index % spec.domains);
+    router.set_topology(topology::build(state, &me, &domain, &spec.settings));
+    router.set_sharers(spec.routers);
+    router
+}
+
+impl<'a> Fleet<'a> {
+    fn new(spec: &'a FleetSpec, arrivals: &'a [Arrival], seed: u64) -> Self {
+        let state = fleet_state(spec.domains, spec.replicas);
+        let routers = (0..spec.routers)
+            .map(|index| router_of(index, spec, &state))
+            .collect();
+        let engines = (0..spec.replicas)
+            .map(|index| engine_of(index, spec))
+            .collect();
+        let results = arrivals.iter().map(result_of).collect();
+        let mut fleet = Self {
+            spec,
+            arrivals,
+            now: Duration::ZERO,
+            queue: BinaryHeap::new(),
+            next_number: 0,
+            routers,
+            engines,
+            rng: SmallRng::seed_from_u64(seed),
+            results,
+            next_sequence: 0,
+        };
+        for index in 0..spec.routers {
+            // Ticks of the daemons are not in step.
+            let offset = TICK.mul_f64(index as f64 / spec.routers as f64);
+            fleet.add(offset, Happening::Ticks(index));
+        }
+        for (index, arrival) in arrivals.iter().enumerate() {
+            fleet.add_at(arrival.at, Happening::Arrives(index));
+        }
+        for index in 0..spec.lost.0 {
+            fleet.add_at(spec.lost.1, Happening::Loses(index));
+        }
+        fleet
+    }
+
+    fn add(&mut self, delay: Duration, happening: Happening) {
+        self.add_at(self.now + delay, happening);
+    }
+
+    fn add_at(&mut self, at: Duration, happening: Happening) {
+        self.next_number += 1;
+        let number = self.next_number;
+        self.queue.push(Entry {
+            at,
+            number,
+            happening,
+        });
+    }
+
+    fn clock(&self) -> Timestamp {
+        // Starts a while after the start of the daemons.
+        Timestamp::from_duration(self.now + Duration::from_secs(10))
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        let now = self.clock();
+        let mut out = Vec::new();
+        match happening {
+            Happening::Arrives(index) => self.arrive(index),
+            Happening::Ticks(index) => self.tick(index),
+            Happening::ReachesEngine(router, attempt) => self.begin(router, attempt),
+            Happening::StepEnds(engine) => self.end_step(engine),
+            Happening::ReportComes(index, id, asked_at, status) => {
+                let router = &mut self.routers[index];
+                router.on_report(now, asked_at, &id, status.as_ref(), &mut self.rng, &mut out);
+                self.act(index, out);
+            }
+            Happening::OutputComes(index, request, attempt) => {
+                self.routers[index].on_output(now, request, attempt);
+            }
+            Happening::EndComes(index, request, attempt, end) => {
+                let router = &mut self.routers[index];
+                router.on_ended(now, request, attempt, end, &mut self.rng, &mut out);
+                self.act(index, out);
+            }
+            Happening::Loses(index) => self.lose(index),
+        }
+    }
+
+    fn arrive(&mut self, index: usize) {
+        let arrival = &self.arrivals[index];
+        let router = index % self.spec.routers;
+        let meta = RequestMeta {
+            customer: customer_name(arrival.customer),
+            target: Target::Model(model_name()),
+            prompt_tokens: arrival.prompt_tokens,
+            max_output_tokens: MAX_OUTPUT,
+            deadline: self.clock() + DEADLINE,
+            priority: 0,
+            key: None,
+            repeatable: true,
+            prefix: arrival.prefix.clone(),
+        };
+        let mut out = Vec::new();
+        let (now, request) = (self.clock(), RequestId(index as u64));
+        let share = SHARES[arrival.customer];
+        self.routers[router].submit(now, request, meta, share, &mut self.rng, &mut out);
+        self.act(router, out);
+    }
+
+    fn tick(&mut self, index: usize) {
+        let now = self.clock();
+        for wanted in self.routers[index].reports_wanted(now) {
+            let engine = replica_of(wanted.address);
+            let status = self.status(engine, wanted.group);
+            let delay = if status.is_some() {
+                NETWORK * 2
+            } else {
+                Duration::from_secs(1)
+            };
+            self.add(delay, Happening::ReportComes(index, wanted.id, now, status));
+        }
+        let mut out = Vec::new();
+        self.routers[index].tick(now, &mut self.rng, &mut out);
+        self.act(index, out);
+        self.add(TICK, Happening::Ticks(index));
+    }
+
+    fn status(&self, index: usize, group: Option<GroupNumber>) -> Option<EngineStatus> {
+        let engine = &self.engines[index];
+        if engine.is_lost {
+            return None;
+        }
+        let then = self.now.saturating_sub(self.spec.report_lag);
+        let lagged = engine.history.iter().rev().find(|(at, _)| *at <= then);
+        let mut load = lagged.map_or_else(|| engine.model.load(), |(_, load)| *load);
+        load.age_ms = self
+            .spec
+            .tells_age
+            .then_some(self.spec.report_lag.as_millis() as u64);
+        Some(EngineStatus {
+            host: HostId::new("host"),
+            phase: EnginePhase::Ready,
+            group,
+            held: None,
+            members_present: 1,
+            member_count: 1,
+            members_age_ms: 0,
+            load,
+        })
+    }
+
+    fn act(&mut self, router: usize, actions: Vec<RouterAction>) {
+        for action in actions {
+            match action {
+                RouterAction::Send(attempt) => {
+                    let index = attempt.request.0 as usize;
+                    self.results[index].attempts += 1;
+                    self.add(NETWORK, Happening::ReachesEngine(router, attempt));
+                }
+                RouterAction::Answer { request, outcome } => {
+                    let index = request.0 as usize;
+                    self.results[index].outcome = Some((outcome, self.now));
+                }
+                RouterAction::Abandon(attempt) => self.abandon(attempt),
+                RouterAction::Log(_) => {}
+            }
+        }
+    }
+
+    fn abandon(&mut self, attempt: AttemptId) {
+        for engine in &mut self.engines {
+            let sequence = engine
+                .sequences
+                .iter()
+                .find(|(_, (_, running, _))| running.id == attempt)
+                .map(|(sequence, _)| *sequence);
+            if let Some(sequence) = sequence {
+                engine.sequences.remove(&sequence);
+                engine.model.cancel(sequence);
+            }
+        }
+    }
+
+    fn begin(&mut self, router: usize, attempt: Attempt) {
+        let index = replica_of(attempt.address);
+        if self.engines[index].is_lost {
+            let (request, id) = (attempt.request, attempt.id);
+            self.add(
+                NETWORK,
+                Happening::EndComes(router, request, id, AttemptEnd::NotSent),
+            );
+            return;
+        }
+        let arrival = &self.arrivals[attempt.request.0 as usize];
+        let id = self.next_sequence;
+        self.next_sequence += 1;
+        let engine = &mut self.engines[index];
+        engine.model.submit(SequenceSpec {
+            id,
+            prompt_tokens: arrival.prompt_tokens,
+            output_tokens: arrival.output_tokens,
+            prefix: arrival.prefix.clone(),
+            priority: 0,
+        });
+        engine.sequences.insert(id, (router, attempt, self.now));
+        self.step(index);
+    }
+
+    /// Starts the next step of an engine, unless one runs.
+    fn step(&mut self, index: usize) {
+        let engine = &mut self.engines[index];
+        if engine.is_stepping || engine.is_lost {
+            return;
+        }
+        if let Some(step) = engine.model.step() {
+            engine.is_stepping = true;
+            engine.pending_tokens = step.tokens;
+            self.add(step.duration, Happening::StepEnds(index));
+        }
+    }
+
+    fn end_step(&mut self, index: usize) {
+        let now = self.now;
+        let engine = &mut self.engines[index];
+        engine.is_stepping = false;
+        let newest = engine.history.back().map(|(at, _)| *at);
+        if newest.is_none_or(|at| now >= at + HISTORY) {
+            engine.history.push_back((now, engine.model.load()));
+            let oldest = now.saturating_sub(Duration::from_secs(3));
+            engine.history.retain(|(at, _)| *at >= oldest);
+        }
+        for token in std::mem::take(&mut self.engines[index].pending_tokens) {
+            self.give_token(index, token);
+        }
+        self.step(index);
+    }
+
+    fn give_token(&mut self, index: usize, token: crate::engine::model::Token) {
+        let engine = &mut self.engines[index];
+        let Some((router, attempt, first_at)) = engine.sequences.get_mut(&token.id) else {
+            return;
+        };
+        let (router, request, id) = (*router, attempt.request, attempt.id);
+        let result = &mut self.results[request.0 as usize];
+        let here = self.now + NETWORK;
+        if token.number == 1 {
+            *first_at = self.now;
+            result.first_token = Some(here - result.came_at);
+            self.add(NETWORK, Happening::OutputComes(router, request, id));
+        }
+        if !token.is_last {
+            return;
+        }
+        let Some((_, _, first_at)) = self.engines[index].sequences.remove(&token.id) else {
+            return;
+        };
+        if token.number > 1 {
+            let result = &mut self.results[request.0 as usize];
+            result.token_interval = Some((self.now - first_at) / (token.number - 1));
+        }
+        let end = AttemptEnd::Completed {
+            output_tokens: token.number,
+        };
+        self.add(NETWORK, Happening::EndComes(router, request, id, end));
+    }
+
+    fn lose(&mut self, index: usize) {
+        let engine = &mut self.engines[index];
+        engine.is_lost = true;
+        engine.model.reset();
+        for (_, (router, attempt, _)) in std::mem::take(&mut engine.sequences) {
+            let (request, id) = (attempt.request, attempt.id);
+            self.add(
+                NETWORK,
+                Happening::EndComes(router, request, id, AttemptEnd::Lost),
+            );
+        }
+    }
+
+    fn finish(self) -> FleetResult {
+        let sum = |count: fn(&EngineModel) -> u64| -> u64 {
+            self.engines.iter().map(|engine| count(&engine.model)).sum()
+        };
+        let asked = sum(|model| model.asked_blocks).max(1);
+        FleetResult {
+            prefix_hits: sum(|model| model.hit_blocks) as f64 / asked as f64,
+            preemptions: sum(|model| model.preemptions),
+            requests: self.results,
+        }
+    }
+}
+
+fn engine_of(index: usize, spec: &FleetSpec) -> Engine {
+    let mut parameters = EngineParameters {
+        kv_total: spec.kv_total,
+        ..EngineParameters::default()
+    };
+    if index < spec.slow.0 {
+        parameters.slowness = spec.slow.1;
+    }
+    Engine {
+        model: EngineModel::new(parameters),
+        is_lost: false,
+        is_stepping: false,
+        pending_tokens: Vec::new(),
+        sequences: BTreeMap::new(),
+        history: VecDeque::new(),
+    }
+}
+
+fn result_of(arrival: &Arrival) -> RequestResult {
+    RequestResult {
+        customer: arrival.customer,
+        came_at: arrival.at,
+        first_token: None,
+        token_interval: None,
+        outcome: None,
+        attempts: 0,
+    }
+}
+
+/// Requests a second that one engine finishes when it always has enough to do.
+pub fn engine_capacity(arrivals: &[Arrival], kv_total: u64, time: Duration) -> f64 {
+    let mut model = EngineModel::new(EngineParameters {
+        kv_total,
+        ..EngineParameters::default()
+    });
+    let mut passed = Duration::ZERO;
+    let mut done = 0;
+    let mut next = arrivals.iter().cycle().enumerate();
+    while passed < time {
+        while model.load().waiting < CUSTOMERS as u32 {
+            let Some((id, arrival)) = next.next() else {
+                break;
+            };
+            model.submit(SequenceSpec {
+                id: id as u64,
+                prompt_tokens: arrival.prompt_tokens,
+                output_tokens: arrival.output_tokens,
+                prefix: arrival.prefix.clone(),
+                priority: 0,
+            });
+        }
+        let Some(step) = model.step() else {
+            break;
+        };
+        passed += step.duration;
+        done += step.tokens.iter().filter(|token| token.is_last).count();
+    }
+    done as f64 / passed.as_secs_f64()
+}
--- /dev/null
+++ b/standin/src/experiment/placement.rs
@@ -0,0 +1,121 @@
+//! The table of placement policies: a day of failures, over seeds.
+
+use argh::FromArgs;
+use shalehinge::core::objects::PlacementWeights;
+use shalehinge::core::placement::host_choice::HostChoice;
+
+use super::day::{DayResult, DaySpec, ModelSpec, run as run_day};
+use super::statistics::{quantile, run_all, spread};
+
+/// Failures of a host a day: 16 of 3,300.
+const FAILURES: f64 = 16.0 / 3_300.0;
+/// A day with so many times more failures, where policies differ more.
+const BAD_DAY: f64 = 6.0;
+
+/// compare placement policies
+#[derive(FromArgs, Debug, Clone)]
+#[argh(subcommand, name = "placement")]
+pub struct PlacementArguments {
+    /// seeds a cell
+    #[argh(option, default = "40")]
+    pub seeds: u64,
+}
+
+const HRAUNVEGUR: PlacementWeights = PlacementWeights {
+    group_downtime: 3.0,
+    stranded_accelerators: 1.0,
+};
+const MAULE: PlacementWeights = PlacementWeights {
+    group_downtime: 1.0,
+    stranded_accelerators: 3.0,
+};
+
+struct Size {
+    name: &'static str,
+    fabrics: Vec<usize>,
+    models: Vec<ModelSpec>,
+}
+
+/// One failure domain of today's fleets, and one of the size to come.
+fn sizes() -> Vec<Size> {
+    let model = |name, hosts, replicas| ModelSpec {
+        name,
+        hosts,
+        replicas,
+    };
+    vec![
+        Size {
+            name: "today, 17 replicas on 122 hosts",
+            fabrics: vec![20, 25, 32, 21, 24],
+            models: vec![model("large", 8, 12), model("small", 4, 5)],
+        },
+        Size {
+            name: "today, without spares",
+            fabrics: vec![20, 24, 32, 20, 20],
+            models: vec![model("large", 8, 12), model("small", 4, 5)],
+        },
+        Size {
+            name: "to come, 80 replicas of 8 on 660 hosts",
+            fabrics: vec![66; 10],
+            models: vec![model("large", 8, 80)],
+        },
+        Size {
+            name: "to come, three sizes on 660 hosts",
+            fabrics: vec![66; 10],
+            models: vec![
+                model("huge", 16, 10),
+                model("large", 8, 40),
+                model("small", 4, 40),
+            ],
+        },
+    ]
+}
+
+/// Prints the table.
+pub fn run(arguments: &PlacementArguments) {
+    println!(
+        "| domain | failures | policy | group downtime h | no placement could avoid h | stranded accelerator h | host loads |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    for size in sizes() {
+        for factor in [1.0, BAD_DAY] {
+            for (name, weights, choice) in [
+                (
+                    "best fit, weights of Hraunvegur",
+                    HRAUNVEGUR,
+                    HostChoice::BestFit,
+                ),
+                ("best fit, weights of Maule", MAULE, HostChoice::BestFit),
+                ("first fit", HRAUNVEGUR, HostChoice::FirstFit),
+            ] {
+                let spec = DaySpec {
+                    fabrics: size.fabrics.clone(),
+                    models: size.models.clone(),
+                    weights,
+                    choice,
+                    failures: FAILURES * factor,
+                };
+                print_row(&size, factor, name, &spec, arguments.seeds);
+            }
+        }
+    }
+}
+
+fn print_row(size: &Size, factor: f64, policy: &str, spec: &DaySpec, seeds: u64) {
+    let jobs: Vec<u64> = (0..seeds).collect();
+    let all = run_all(&jobs, |seed| run_day(spec, *seed));
+    let column = |value: fn(&DayResult) -> f64| {
+        let values: Vec<f64> = all.iter().map(value).collect();
+        let mean = values.iter().sum::<f64>() / values.len() as f64;
+        format!("{}, mean {mean:.2}", spread(&values, 2))
+    };
+    let loads: Vec<f64> = all.iter().map(|day| f64::from(day.loads)).collect();
+    println!(
+        "| {} | x{factor} | {policy} | {} | {} | {} | {:.0} |",
+        size.name,
+        column(|day| day.downtime_hours),
+        column(|day| day.bound_hours),
+        column(|day| day.stranded_hours),
+        quantile(&loads, 0.5),
+    );
+}
--- /dev/null
+++ b/standin/src/experiment/routing.rs
@@ -0,0 +1,389 @@
+//! The table of routing policies: scenarios by load, over seeds.
+
+use std::time::Duration;
+
+use argh::FromArgs;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use shalehinge::core::router::request::Outcome;
+use shalehinge::settings::router::{ChoicePolicy, RouterSettings};
+
+use super::fleet::{FleetResult, FleetSpec, RequestResult, engine_capacity, run as run_fleet};
+use super::statistics::{quantile, run_all, spread};
+use super::workload::{Arrival, CUSTOMERS, DEADLINE, SHARES, arrivals, even_demand};
+
+/// Daemons, failure domains and replicas of the experiment.
+const ROUTERS: usize = 9;
+const DOMAINS: usize = 3;
+const REPLICAS: usize = 24;
+/// Time over which requests come; the first part is left out.
+const TIME: Duration = Duration::from_secs(90);
+const WARM_UP: Duration = Duration::from_secs(20);
+/// When replicas are lost in the scenario of losses.
+const LOSS_AT: Duration = Duration::from_secs(20);
+/// Requests that came so long before the measured time are looked at as well.
+const LOSS_COHORT: Duration = Duration::from_secs(5);
+
+/// compare routing policies
+#[derive(FromArgs, Debug, Clone)]
+#[argh(subcommand, name = "routing")]
+pub struct RoutingArguments {
+    /// seeds a cell
+    #[argh(option, default = "20")]
+    pub seeds: u64,
+
+    /// only policies whose name contains this
+    #[argh(option, default = "String::new()")]
+    pub policy: String,
+
+    /// only scenarios whose name contains this
+    #[argh(option, default = "String::new()")]
+    pub scenario: String,
+}
+
+/// A policy with its name.
+struct Policy {
+    name: &'static str,
+    routers: usize,
+    settings: RouterSettings,
+}
+
+/// A scenario with its name.
+#[derive(Clone, Copy)]
+struct Scenario {
+    name: &'static str,
+    slow: usize,
+    lost: usize,
+    report_lag: Duration,
+    tells_age: bool,
+    greedy: bool,
+    kv_total: u64,
+}
+
+/// KV memory of an engine in tokens.
+const KV: u64 = 48_000;
+
+const SCENARIOS: [Scenario; 6] = [
+    Scenario {
+        name: "calm",
+        slow: 0,
+        lost: 0,
+        report_lag: Duration::from_millis(100),
+        tells_age: true,
+        greedy: false,
+        kv_total: KV,
+    },
+    Scenario {
+        name: "one slow",
+        slow: 1,
+        lost: 0,
+        report_lag: Duration::from_millis(100),
+        tells_age: true,
+        greedy: false,
+        kv_total: KV,
+    },
+    Scenario {
+        name: "third lost",
+        slow: 0,
+        lost: REPLICAS / 3,
+        report_lag: Duration::from_millis(100),
+        tells_age: true,
+        greedy: false,
+        kv_total: KV,
+    },
+    Scenario {
+        name: "old reports",
+        slow: 0,
+        lost: 0,
+        report_lag: Duration::from_secs(2),
+        tells_age: false,
+        greedy: false,
+        kv_total: KV,
+    },
+    Scenario {
+        name: "one greedy",
+        slow: 0,
+        lost: 0,
+        report_lag: Duration::from_millis(100),
+        tells_age: true,
+        greedy: true,
+        kv_total: KV,
+    },
+    Scenario {
+        name: "little memory",
+        slow: 0,
+        lost: 0,
+        report_lag: Duration::from_millis(100),
+        tells_age: true,
+        greedy: false,
+        kv_total: KV / 3,
+    },
+];
+
+const LOADS: [f64; 3] = [0.7, 0.95, 1.3];
+
+/// Neither limits nor refusals: requests go to an engine at once.
+fn without_limits(policy: ChoicePolicy) -> RouterSettings {
+    RouterSettings {
+        policy,
+        early_refusal: false,
+        reserve_kv: false,
+        prefix_affinity: false,
+        engine_backlog: 1_000.0,
+        max_waiting: usize::MAX,
+        ..RouterSettings::default()
+    }
+}
+
+fn policies() -> Vec<Policy> {
+    let default = RouterSettings::default();
+    vec![
+        Policy {
+            name: "default",
+            routers: ROUTERS,
+            settings: default,
+        },
+        Policy {
+            name: "other kv",
+            routers: ROUTERS,
+            settings: RouterSettings {
+                reserve_kv: !default.reserve_kv,
+                ..default
+            },
+        },
+        Policy {
+            name: "no affinity",
+            routers: ROUTERS,
+            settings: RouterSettings {
+                prefix_affinity: false,
+                ..default
+            },
+        },
+        Policy {
+            name: "round robin",
+            routers: ROUTERS,
+            settings: without_limits(ChoicePolicy::RoundRobin),
+        },
+        Policy {
+            name: "least in flight",
+            routers: ROUTERS,
+            settings: without_limits(ChoicePolicy::LeastInFlight),
+        },
+        Policy {
+            name: "one queue",
+            routers: 1,
+            settings: RouterSettings {
+                local_candidates: REPLICAS,
+                remote_candidates: REPLICAS,
+                ..default
+            },
+        },
+    ]
+}
+
+/// What one run came to, against capacity.
+#[derive(Clone, Copy, Debug, Default)]
+struct Measures {
+    goodput: f64,
+    first_p50: f64,
+    first_p95: f64,
+    first_p99: f64,
+    interval_p95: f64,
+    refused: f64,
+    late: f64,
+    worst_share: f64,
+    attempts: f64,
+    hits: f64,
+}
+
+/// Prints the table.
+pub fn run(arguments: &RoutingArguments) {
+    println!(
+        "| scenario | load | policy | goodput/capacity | first token p50 s | p95 s | p99 s | between tokens p95 ms | refused early | failed late | worst share of due | attempts | prefix hits |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for scenario in SCENARIOS {
+        if !scenario.name.contains(&arguments.scenario) {
+            continue;
+        }
+        for load in LOADS {
+            for policy in policies() {
+                if policy.name.contains(&arguments.policy) {
+                    print_row(&scenario, load, &policy, arguments.seeds);
+                }
+            }
+        }
+    }
+}
+
+fn print_row(scenario: &Scenario, load: f64, policy: &Policy, seeds: u64) {
+    let jobs: Vec<u64> = (0..seeds).collect();
+    let all = run_all(&jobs, |seed| measure(scenario, load, policy, *seed));
+    let column = |value: fn(&Measures) -> f64, digits| {
+        let values: Vec<f64> = all.iter().map(value).collect();
+        spread(&values, digits)
+    };
+    let median = |value: fn(&Measures) -> f64| {
+        let values: Vec<f64> = all.iter().map(value).collect();
+        quantile(&values, 0.5)
+    };
+    println!(
+        "| {} | {load} | {} | {} | {:.3} | {:.3} | {} | {:.1} | {:.3} | {:.3} | {} | {:.3} | {:.2} |",
+        scenario.name,
+        policy.name,
+        column(|m| m.goodput, 3),
+        median(|m| m.first_p50),
+        median(|m| m.first_p95),
+        column(|m| m.first_p99, 2),
+        median(|m| m.interval_p95),
+        median(|m| m.refused),
+        median(|m| m.late),
+        column(|m| m.worst_share, 2),
+        median(|m| m.attempts),
+        median(|m| m.hits),
+    );
+}
+
+fn measure(scenario: &Scenario, load: f64, policy: &Policy, seed: u64) -> Measures {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let even = even_demand();
+    let sample = arrivals(&mut rng, 100.0, Duration::from_secs(20), &even);
+    let per_engine = engine_capacity(&sample, scenario.kv_total, Duration::from_secs(60));
+    let mut demand = even;
+    let mut per_second = per_engine * REPLICAS as f64 * load;
+    if scenario.greedy {
+        // One small customer asks for ten times its share beside the others.
+        let greedy = CUSTOMERS - 1;
+        let before: f64 = demand.iter().sum();
+        demand[greedy] *= 10.0;
+        per_second *= demand.iter().sum::<f64>() / before;
+    }
+    let requests = arrivals(&mut rng, per_second, TIME, &demand);
+    let spec = FleetSpec {
+        routers: policy.routers,
+        domains: if policy.routers == 1 { 1 } else { DOMAINS },
+        replicas: REPLICAS,
+        settings: policy.settings,
+        report_lag: scenario.report_lag,
+        tells_age: scenario.tells_age,
+        slow: (scenario.slow, 4.0),
+        lost: (scenario.lost, LOSS_AT),
+        kv_total: scenario.kv_total,
+    };
+    let result = run_fleet(&spec, &requests, seed);
+    let left = if scenario.lost > 0 {
+        (REPLICAS - scenario.lost) as f64
+    } else {
+        REPLICAS as f64 - scenario.slow as f64 * 0.75
+    };
+    let from = if scenario.lost > 0 { LOSS_AT } else { WARM_UP };
+    summarise(&requests, &result, from, per_engine * left, &demand)
+}
+
+fn summarise(
+    arrivals: &[Arrival],
+    result: &FleetResult,
+    from: Duration,
+    capacity: f64,
+    demand: &[f64; CUSTOMERS],
+) -> Measures {
+    // Those that came early enough to be answered within the run.
+    let measured: Vec<_> = result
+        .requests
+        .iter()
+        .filter(|request| {
+            request.came_at + LOSS_COHORT >= from && request.came_at < TIME - DEADLINE
+        })
+        .collect();
+    let count = measured.len().max(1) as f64;
+    let time = (TIME - from).as_secs_f64();
+    let answered_in_time = |request: &RequestResult| match request.outcome {
+        Some((Outcome::Completed, at)) if at <= request.came_at + DEADLINE => Some(at),
+        _ => None,
+    };
+    let good: Vec<_> = measured
+        .iter()
+        .filter(|request| answered_in_time(request).is_some())
+        .collect();
+    // Answers given within the measured time, whenever their requests came.
+    let answered: Vec<_> = result
+        .requests
+        .iter()
+        .filter(|request| answered_in_time(request).is_some_and(|at| at >= from && at < TIME))
+        .collect();
+    let refused = measured
+        .iter()
+        .filter(|request| matches!(request.outcome, Some((Outcome::NotRun { .. }, _))));
+    let refused = refused.count() as f64;
+    let seconds = |duration: Duration| duration.as_secs_f64();
+    let firsts: Vec<f64> = good
+        .iter()
+        .filter_map(|r| r.first_token.map(seconds))
+        .collect();
+    let intervals: Vec<f64> = good
+        .iter()
+        .filter_map(|r| r.token_interval.map(|t| t.as_secs_f64() * 1e3))
+        .collect();
+    let attempts: u32 = measured.iter().map(|r| r.attempts).sum();
+    let sent = measured.iter().filter(|r| r.attempts > 0).count().max(1);
+    let mut good_of = [0.0; CUSTOMERS];
+    for request in &answered {
+        good_of[request.customer] += 1.0;
+    }
+    let rate = arrivals.len() as f64 / TIME.as_secs_f64();
+    Measures {
+        goodput: answered.len() as f64 / time / capacity,
+        first_p50: quantile(&firsts, 0.5),
+        first_p95: quantile(&firsts, 0.95),
+        first_p99: quantile(&firsts, 0.99),
+        interval_p95: quantile(&intervals, 0.95),
+        refused: refused / count,
+        late: 1.0 - (good.len() as f64 + refused) / count,
+        worst_share: worst_share(&good_of.map(|good| good / time), rate, capacity, demand),
+        attempts: f64::from(attempts) / sent as f64,
+        hits: result.prefix_hits,
+    }
+}
+
+/// The worst customer's goodput against its due: its demand, or what its share
+/// of the capacity comes to when unused shares are lent.
+fn worst_share(
+    good: &[f64; CUSTOMERS],
+    rate: f64,
+    capacity: f64,
+    demand: &[f64; CUSTOMERS],
+) -> f64 {
+    let total: f64 = demand.iter().sum();
+    let wants = demand.map(|part| rate * part / total);
+    let due = water_fill(&wants, capacity);
+    let ratios = good.iter().zip(due).map(|(good, due)| good / due.max(1e-9));
+    ratios.fold(f64::INFINITY, f64::min)
+}
+
+/// Divides the capacity by shares; what one does not want goes to the others.
+fn water_fill(wants: &[f64; CUSTOMERS], capacity: f64) -> [f64; CUSTOMERS] {
+    let mut due = [0.0; CUSTOMERS];
+    let mut open: Vec<usize> = (0..CUSTOMERS).collect();
+    let mut left = capacity;
+    while !open.is_empty() {
+        let shares: f64 = open.iter().map(|i| f64::from(SHARES[*i])).sum();
+        let part = |i: usize| left * f64::from(SHARES[i]) / shares;
+        let full: Vec<usize> = open
+            .iter()
+            .copied()
+            .filter(|i| wants[*i] <= part(*i))
+            .collect();
+        if full.is_empty() {
+            for i in open {
+                due[i] = part(i);
+            }
+            return due;
+        }
+        for i in &full {
+            due[*i] = wants[*i];
+        }
+        left -= full.iter().map(|i| wants[*i]).sum::<f64>();
+        open.retain(|i| !full.contains(i));
+    }
+    due
+}
