feat(placement): a small group moves so that a large one can be formed

Cause: a replica that lost a host found no spare in its fabric domain while hosts idled in others, too few in each. And a dead host, which stays in 'releasing' until it returns, was taken for one on its way back, so that neither moves nor yields ever happened after a failure. Change: a smaller group beside the survivors is formed anew elsewhere and then retired; only hosts that answer count as on their way back. Stranded accelerators are reckoned against the sizes that are missing, if any are.

--- a/shalehinge/src/core/placement/mod.rs
+++ b/shalehinge/src/core/placement/mod.rs
@@ -3,9 +3,18 @@
 //! Pure functions from the known objects to steps. `planner` decides the next
 //! steps of one failure domain; the lease holder carries them out. `preview`
 //! runs the same planner ahead, so that an operator sees what would happen.
+//!
+//! - `planner`: the next steps of a failure domain
+//! - `host_choice`: which free hosts form a group
+//! - `make_room`: moving a small group so that a large one can be formed
+//! - `yielding`: when customers give hosts back
+//! - `divide`: how many replicas go to which failure domain
+//! - `stranded`: idle accelerators that no group can use
+//! - `preview`: the planner run ahead
 
 pub mod divide;
 pub mod host_choice;
+pub mod make_room;
 pub mod planner;
 pub mod preview;
 pub mod stranded;
@@ -68,6 +77,13 @@
         /// The group that it replaces.
         replaces: GroupNumber,
     },
+    /// Takes over from a group whose hosts another model's replica needs.
+    MakeRoom {
+        /// The group that it replaces.
+        replaces: GroupNumber,
+        /// The model that can then be formed.
+        room_for: ModelName,
+    },
     /// Takes over from a group with a host that is leaving.
     HostLeaving {
         /// The group that it replaces.
@@ -132,6 +148,13 @@
             Self::NewVersion { replaces } => {
                 write!(f, "replaces group {} of another version", replaces.0)
             }
+            Self::MakeRoom { replaces, room_for } => {
+                write!(
+                    f,
+                    "replaces group {} to make room for {room_for}",
+                    replaces.0
+                )
+            }
             Self::HostLeaving { replaces } => {
                 write!(f, "replaces group {} with a leaving host", replaces.0)
             }
--- a/shalehinge/src/core/placement/planner.rs
+++ b/shalehinge/src/core/placement/planner.rs
@@ -5,9 +5,12 @@
 use crate::core::objects::{
     Assignment, FleetConfig, Group, GroupPhase, HostList, HostState, ModelIntent,
 };
-use crate::core::types::{FailureDomain, GroupNumber, HostId, ModelName, ModelVersion};
+use crate::core::types::{
+    FabricDomain, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion,
+};
 
 use super::host_choice::{ChoiceInput, FreeHost, FreeHosts, HostChoice, take_hosts};
+use super::make_room::{count_free, frees_enough, group_to_move};
 use super::stranded::group_sizes;
 use super::yielding::group_to_yield;
 use super::{FormReason, PlacementStep, RetireReason};
@@ -178,16 +181,28 @@
         let retiring = groups
             .filter(|group| group.phase == GroupPhase::Retiring)
             .count();
+        // Hosts that are on their way back may be enough; dead ones are not.
+        let mut releasing = context.assignment.releasing.keys();
+        let is_releasing = releasing.any(|host| !context.unreachable.contains(host));
         Self {
             free: context.free_hosts(),
             sizes: group_sizes(context.fleet),
             slots: context.max_forming.saturating_sub(forming),
-            // Hosts that are on their way back may be enough.
-            yielded: retiring > 0 || !context.assignment.releasing.is_empty(),
+            yielded: retiring > 0 || is_releasing,
         }
     }
 }
 
+impl Forming {
+    /// Takes out the free hosts of all fabric domains but one.
+    fn take_all_but(&mut self, fabric: &FabricDomain) -> FreeHosts {
+        let kept = self.free.remove(fabric);
+        let others = std::mem::take(&mut self.free);
+        self.free.extend(kept.map(|hosts| (fabric.clone(), hosts)));
+        others
+    }
+}
+
 struct ModelPlanner<'a, 'b> {
     context: &'b PlacementContext<'a>,
     model: &'a ModelName,
@@ -271,6 +286,7 @@
                 present: present as u32,
             };
             if !self.form(reason) {
+                self.make_room();
                 self.ask_for_yield();
                 return;
             }
@@ -341,6 +357,12 @@
         if !standing.old.is_empty() || !standing.leaving.is_empty() {
             return;
         }
+        if let Some(moved) = self.moved_group(standing, wanted) {
+            if self.serving_count(standing) > wanted {
+                self.retire(moved, RetireReason::Surplus);
+            }
+            return;
+        }
         let mut surplus = standing.current.clone();
         // Groups that don't serve yet go first, then the newest.
         surplus.sort_by_key(|number| (self.is_serving(number), std::cmp::Reverse(*number)));
@@ -350,21 +372,96 @@
         }
     }
 
+    /// Forms a smaller group anew elsewhere, so that its hosts come free for this
+    /// model. One group at a time moves.
+    fn make_room(&mut self) {
+        let context = self.context;
+        let is_baseline = context.choice == HostChoice::FirstFit;
+        if is_baseline || self.forming.slots == 0 || self.forming.yielded || self.is_moving() {
+            return;
+        }
+        let size = self.intent.hosts_per_replica as usize;
+        let free = count_free(&self.forming.free);
+        let to_move = group_to_move(context.assignment, context.hosts, &free, size);
+        let Some((number, fabric)) = to_move else {
+            return;
+        };
+        let group = &context.assignment.groups[&number];
+        let reason = FormReason::MakeRoom {
+            replaces: number,
+            room_for: self.model.clone(),
+        };
+        let wanted = (group.model.clone(), group.version.clone());
+        let others = self.forming.take_all_but(&fabric);
+        self.form_group(wanted, group.members.len(), reason);
+        self.forming.free.extend(others);
+        self.forming.yielded = true;
+    }
+
+    /// Whether some model has more groups than wanted: one is being moved.
+    fn is_moving(&self) -> bool {
+        let context = self.context;
+        context.fleet.models.iter().any(|(model, intent)| {
+            let wanted = intent.replicas.get(context.domain).copied().unwrap_or(0);
+            let groups = context.assignment.groups.values();
+            let standing =
+                groups.filter(|group| group.model == *model && group.phase != GroupPhase::Retiring);
+            standing.count() > wanted as usize
+        })
+    }
+
+    /// The serving group that a surplus one replaces, so that another model that
+    /// lacks a replica gets its hosts.
+    fn moved_group(&self, standing: &Standing, wanted: usize) -> Option<GroupNumber> {
+        if standing.total() <= wanted {
+            return None;
+        }
+        let context = self.context;
+        let free = count_free(&self.forming.free);
+        let lacking = context.fleet.models.iter().filter(|(model, intent)| {
+            let groups = context.assignment.groups.iter();
+            let present = groups.filter(|(number, group)| {
+                group.model == **model
+                    && group.phase != GroupPhase::Retiring
+                    && !context.lost.contains_key(number)
+            });
+            let wanted = intent.replicas.get(context.domain).copied().unwrap_or(0);
+            present.count() < wanted as usize
+        });
+        let sizes: Vec<usize> = lacking
+            .map(|(_, intent)| intent.hosts_per_replica as usize)
+            .collect();
+        standing.current.iter().copied().find(|number| {
+            let group = &context.assignment.groups[number];
+            let frees = |size: &usize| frees_enough(group, context.hosts, &free, *size);
+            self.is_serving(number) && sizes.iter().any(frees)
+        })
+    }
+
     fn retire(&mut self, group: GroupNumber, reason: RetireReason) {
         self.steps.push(PlacementStep::Retire { group, reason });
     }
 
-    /// Forms one group if hosts and slots are there.
+    /// Forms one group of this model if hosts and slots are there.
     fn form(&mut self, reason: FormReason) -> bool {
+        let wanted = (self.model.clone(), self.intent.version.clone());
+        self.form_group(wanted, self.intent.hosts_per_replica as usize, reason)
+    }
+
+    fn form_group(
+        &mut self,
+        wanted: (ModelName, ModelVersion),
+        size: usize,
+        reason: FormReason,
+    ) -> bool {
         if self.forming.slots == 0 {
             return false;
         }
-        let wanted = (self.model.clone(), self.intent.version.clone());
         for host in self.forming.free.values_mut().flatten() {
             host.warm = self.context.held.get(&host.host) == Some(&wanted);
         }
         let input = ChoiceInput {
-            size: self.intent.hosts_per_replica as usize,
+            size,
             sizes: &self.forming.sizes,
             weights: self.context.fleet.weights,
             choice: self.context.choice,
--- a/shalehinge/src/core/placement/stranded.rs
+++ b/shalehinge/src/core/placement/stranded.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::core::objects::{Assignment, FleetConfig, HostList};
-use crate::core::types::{FabricDomain, FailureDomain};
+use crate::core::objects::{Assignment, FleetConfig, HostList, HostState, ModelIntent};
+use crate::core::types::{FabricDomain, FailureDomain, ModelName};
 
 /// How many of `free` hosts no set of groups of these sizes can use.
 pub fn stranded_hosts(free: usize, sizes: &BTreeSet<usize>) -> usize {
@@ -27,9 +27,31 @@
         .collect()
 }
 
+/// Sizes of the groups that are wanted in a failure domain and don't stand.
+fn missing_sizes(
+    fleet: &FleetConfig,
+    domain: &FailureDomain,
+    assignment: &Assignment,
+) -> BTreeSet<usize> {
+    let is_missing = |model: &ModelName, intent: &ModelIntent| {
+        let wanted = intent.replicas.get(domain).copied().unwrap_or(0);
+        let groups = assignment.groups.values();
+        let standing = groups.filter(|group| group.model == *model);
+        standing.count() < wanted as usize
+    };
+    fleet
+        .models
+        .iter()
+        .filter(|(model, intent)| is_missing(model, intent))
+        .map(|(_, intent)| intent.hosts_per_replica as usize)
+        .collect()
+}
+
 /// Accelerators that are stranded in a failure domain.
 ///
-/// Those of leaving hosts don't count, as the platform takes them back.
+/// While replicas are missing, these are the idle ones around which none of the
+/// missing can be formed; otherwise those that no group of any wanted size could
+/// use. Those of leaving hosts don't count, as the platform takes them back.
 pub fn stranded_accelerators(
     hosts: &HostList,
     fleet: &FleetConfig,
@@ -40,7 +62,7 @@
     let mut free: BTreeMap<&FabricDomain, Vec<u32>> = BTreeMap::new();
     for (id, host) in &hosts.hosts {
         let idle = host.failure_domain == *domain
-            && host.state == crate::core::objects::HostState::Live
+            && host.state == HostState::Live
             && !fleet.draining.contains(id)
             && !used.contains(id);
         if idle {
@@ -49,7 +71,12 @@
                 .push(host.accelerators);
         }
     }
-    let sizes = group_sizes(fleet);
+    let missing = missing_sizes(fleet, domain, assignment);
+    let sizes = if missing.is_empty() {
+        group_sizes(fleet)
+    } else {
+        missing
+    };
     free.values_mut()
         .map(|accelerators| {
             let stranded = stranded_hosts(accelerators.len(), &sizes);
--- /dev/null
+++ b/shalehinge/tests/placement.rs
@@ -0,0 +1,162 @@
+//! The planner alone: given these hosts, groups and intents, expect those steps.
+
+mod placement_support;
+
+use placement_support::Domain;
+use shalehinge::core::objects::GroupPhase;
+use shalehinge::core::placement::{FormReason, PlacementStep, RetireReason};
+
+fn formed(steps: &[PlacementStep]) -> Vec<(&str, Vec<&str>)> {
+    let forms = steps.iter().filter_map(|step| match step {
+        PlacementStep::Form { model, members, .. } => {
+            let hosts = members.iter().map(|member| member.host.as_str()).collect();
+            Some((model.as_str(), hosts))
+        }
+        _ => None,
+    });
+    forms.collect()
+}
+
+fn retired(steps: &[PlacementStep]) -> Vec<(u64, &RetireReason)> {
+    let retires = steps.iter().filter_map(|step| match step {
+        PlacementStep::Retire { group, reason } => Some((group.0, reason)),
+        _ => None,
+    });
+    retires.collect()
+}
+
+#[test]
+fn a_group_keeps_to_one_fabric_domain() {
+    let mut domain = Domain::new().fabric("a", 3).fabric("b", 4);
+    domain.want("m", 4, 1);
+    let steps = domain.steps();
+    assert_eq!(formed(&steps), [("m", vec!["b0", "b1", "b2", "b3"])]);
+}
+
+#[test]
+fn nothing_is_formed_where_no_complete_group_can_be() {
+    let mut domain = Domain::new().fabric("a", 3).fabric("b", 3);
+    domain.want("m", 4, 1);
+    assert_eq!(domain.steps(), []);
+}
+
+#[test]
+fn a_group_that_lost_a_member_is_dissolved_and_its_survivors_are_used_again() {
+    let mut domain = Domain::new().fabric("a", 5);
+    domain.want("m", 4, 1);
+    domain.settle();
+    domain.lose("a1");
+    let steps = domain.settle();
+    assert_eq!(formed(&steps), [("m", vec!["a0", "a2", "a3", "a4"])]);
+}
+
+#[test]
+fn a_drained_host_is_replaced_before_its_group_retires() {
+    let mut domain = Domain::new().fabric("a", 4).fabric("b", 4);
+    domain.want("m", 4, 1);
+    domain.settle();
+    let first = domain.members_of(0);
+    domain.drain(&first[0]);
+    let steps = domain.steps();
+    assert_eq!(formed(&steps).len(), 1);
+    assert_eq!(retired(&steps), []);
+    domain.apply(&steps);
+    assert_eq!(domain.steps(), [], "waits until the new one serves");
+    domain.finish_loads();
+    let steps = domain.steps();
+    assert_eq!(retired(&steps).len(), 1);
+}
+
+#[test]
+fn a_drained_host_without_a_spare_retires_its_group_all_the_same() {
+    let mut domain = Domain::new().fabric("a", 4);
+    domain.want("m", 4, 1);
+    domain.settle();
+    domain.drain("a2");
+    assert_eq!(retired(&domain.steps()).len(), 1);
+}
+
+#[test]
+fn a_roll_takes_one_group_at_a_time_and_keeps_the_rest_serving() {
+    let mut domain = Domain::new().fabric("a", 12);
+    domain.want("m", 4, 3);
+    domain.settle();
+    domain.roll("m", "v2");
+    let mut fewest = 3;
+    for _ in 0..100 {
+        let steps = domain.steps();
+        if steps.is_empty() && domain.all_of_version("v2") {
+            break;
+        }
+        domain.apply(&steps);
+        fewest = fewest.min(domain.count(GroupPhase::Serving));
+        domain.finish_changes();
+    }
+    assert!(domain.all_of_version("v2"));
+    assert_eq!(fewest, 2);
+}
+
+#[test]
+fn a_small_group_moves_so_that_a_large_one_can_be_formed() {
+    let mut domain = Domain::new().fabric("a", 8);
+    domain.want("large", 6, 1);
+    domain.want("small", 2, 1);
+    domain.settle();
+    let mut domain = domain.fabric("b", 2);
+    domain.lose("a0");
+    let steps = domain.steps();
+    domain.apply(&steps);
+    domain.finish_changes();
+    let steps = domain.steps();
+    let is_moving = steps.iter().any(|step| {
+        let reason = match step {
+            PlacementStep::Form { reason, .. } => reason,
+            _ => return false,
+        };
+        matches!(reason, FormReason::MakeRoom { .. })
+    });
+    assert!(is_moving, "{steps:?}");
+    domain.apply(&steps);
+    domain.finish_changes();
+    domain.settle();
+    assert_eq!(domain.count(GroupPhase::Serving), 2);
+}
+
+#[test]
+fn a_dead_host_that_can_not_acknowledge_holds_up_nothing() {
+    let mut domain = Domain::new().fabric("a", 5);
+    domain.want("m", 4, 1);
+    domain.settle();
+    domain.lose("a1");
+    domain.settle();
+    assert_eq!(domain.releasing(), ["a1"]);
+    assert_eq!(domain.count(GroupPhase::Serving), 1);
+}
+
+#[test]
+fn a_customer_above_its_share_yields_to_one_below() {
+    let mut domain = Domain::new().fabric("a", 8);
+    domain.customer("one", 1).customer("other", 1);
+    domain.want_for("one", "first", 4, 2);
+    domain.settle();
+    domain.want_for("other", "second", 4, 1);
+    let steps = domain.steps();
+    assert!(matches!(
+        retired(&steps)[..],
+        [(_, RetireReason::Yield { .. })]
+    ));
+    domain.apply(&steps);
+    domain.finish_changes();
+    domain.settle();
+    assert_eq!(domain.count(GroupPhase::Serving), 2);
+}
+
+#[test]
+fn a_customer_within_its_share_yields_nothing() {
+    let mut domain = Domain::new().fabric("a", 8);
+    domain.customer("one", 3).customer("other", 1);
+    domain.want_for("one", "first", 4, 2);
+    domain.settle();
+    domain.want_for("other", "second", 4, 1);
+    assert_eq!(retired(&domain.steps()), []);
+}
--- /dev/null
+++ b/shalehinge/tests/placement_support/mod.rs
@@ -0,0 +1,177 @@
+//! A failure domain for tests of the planner that read as examples.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use shalehinge::core::objects::{
+    Assignment, CustomerConfig, FleetConfig, GroupPhase, HostList, HostRecord, HostState,
+    ModelIntent,
+};
+use shalehinge::core::placement::host_choice::HostChoice;
+use shalehinge::core::placement::planner::HeldWeights;
+use shalehinge::core::placement::preview::apply_step;
+use shalehinge::core::placement::{PlacementContext, PlacementStep, next_steps};
+use shalehinge::core::types::{
+    Customer, FabricDomain, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion,
+};
+
+pub struct Domain {
+    name: FailureDomain,
+    fleet: FleetConfig,
+    hosts: HostList,
+    assignment: Assignment,
+    down: BTreeSet<HostId>,
+    lost: BTreeMap<GroupNumber, Option<HostId>>,
+}
+
+impl Domain {
+    pub fn new() -> Self {
+        let mut domain = Self {
+            name: FailureDomain::new("d"),
+            fleet: FleetConfig::default(),
+            hosts: HostList::default(),
+            assignment: Assignment::default(),
+            down: BTreeSet::new(),
+            lost: BTreeMap::new(),
+        };
+        domain.customer("all", 1);
+        domain
+    }
+
+    /// Hosts `name0` and so on, connected by one fabric.
+    pub fn fabric(mut self, name: &str, hosts: u16) -> Self {
+        for number in 0..hosts {
+            let record = HostRecord {
+                address: ([10, 0, 0, 1], number).into(),
+                failure_domain: self.name.clone(),
+                fabric_domain: FabricDomain::new(name),
+                accelerators: 8,
+                state: HostState::Live,
+            };
+            let id = HostId::new(&format!("{name}{number}"));
+            self.hosts.hosts.insert(id, record);
+        }
+        self
+    }
+
+    pub fn customer(&mut self, name: &str, share: u32) -> &mut Self {
+        let customer = CustomerConfig {
+            key_sha256: Vec::new(),
+            share,
+        };
+        self.fleet.customers.insert(Customer::new(name), customer);
+        self
+    }
+
+    pub fn want(&mut self, model: &str, hosts: u32, replicas: u32) {
+        self.want_for("all", model, hosts, replicas);
+    }
+
+    pub fn want_for(&mut self, owner: &str, model: &str, hosts: u32, replicas: u32) {
+        let intent = ModelIntent {
+            owner: Customer::new(owner),
+            version: ModelVersion::new("v1"),
+            hosts_per_replica: hosts,
+            replicas: BTreeMap::from([(self.name.clone(), replicas)]),
+        };
+        self.fleet.models.insert(ModelName::new(model), intent);
+    }
+
+    pub fn roll(&mut self, model: &str, version: &str) {
+        let intent = self.fleet.models.get_mut(&ModelName::new(model));
+        intent.expect("wanted").version = ModelVersion::new(version);
+    }
+
+    pub fn drain(&mut self, host: &str) {
+        self.fleet.draining.insert(HostId::new(host));
+    }
+
+    /// A host dies, and its group is known to be lost.
+    pub fn lose(&mut self, host: &str) {
+        let host = HostId::new(host);
+        let groups = self.assignment.groups.iter();
+        let lost = groups.filter(|(_, group)| group.contains(&host));
+        self.lost
+            .extend(lost.map(|(number, _)| (*number, Some(host.clone()))));
+        self.down.insert(host);
+    }
+
+    pub fn steps(&self) -> Vec<PlacementStep> {
+        next_steps(&PlacementContext {
+            domain: &self.name,
+            fleet: &self.fleet,
+            hosts: &self.hosts,
+            assignment: &self.assignment,
+            unreachable: &self.down,
+            lost: &self.lost,
+            held: &HeldWeights::new(),
+            choice: HostChoice::BestFit,
+            max_forming: 8,
+        })
+    }
+
+    pub fn apply(&mut self, steps: &[PlacementStep]) {
+        for step in steps {
+            if let PlacementStep::Dissolve { group, .. } = step {
+                self.lost.remove(group);
+            }
+            apply_step(&mut self.assignment, step);
+            self.assignment.check().expect("no host twice");
+        }
+    }
+
+    /// Forming groups serve.
+    pub fn finish_loads(&mut self) {
+        for group in self.assignment.groups.values_mut() {
+            if group.phase == GroupPhase::Forming {
+                group.phase = GroupPhase::Serving;
+            }
+        }
+    }
+
+    /// Forming groups serve, and all live hosts acknowledge their release.
+    pub fn finish_changes(&mut self) {
+        self.finish_loads();
+        let down = &self.down;
+        let assignment = &mut self.assignment;
+        assignment.releasing.retain(|host, _| down.contains(host));
+        assignment
+            .groups
+            .retain(|_, group| group.phase != GroupPhase::Retiring);
+    }
+
+    /// Applies and finishes steps until there are none; says which there were.
+    pub fn settle(&mut self) -> Vec<PlacementStep> {
+        let mut all = Vec::new();
+        for _ in 0..50 {
+            let steps = self.steps();
+            if steps.is_empty() {
+                return all;
+            }
+            self.apply(&steps);
+            self.finish_changes();
+            all.extend(steps);
+        }
+        panic!("does not settle: {all:?}");
+    }
+
+    pub fn count(&self, phase: GroupPhase) -> usize {
+        let groups = self.assignment.groups.values();
+        groups.filter(|group| group.phase == phase).count()
+    }
+
+    pub fn all_of_version(&self, version: &str) -> bool {
+        let mut groups = self.assignment.groups.values();
+        groups.all(|group| group.version.as_str() == version && group.phase == GroupPhase::Serving)
+    }
+
+    pub fn members_of(&self, number: u64) -> Vec<String> {
+        let group = &self.assignment.groups[&GroupNumber(number)];
+        let members = group.members.iter();
+        members.map(|member| member.host.to_string()).collect()
+    }
+
+    pub fn releasing(&self) -> Vec<&str> {
+        let hosts = self.assignment.releasing.keys();
+        hosts.map(|host| host.as_str()).collect()
+    }
+}
--- a/standin/src/experiment/placement.rs
+++ b/standin/src/experiment/placement.rs
@@ -54,6 +54,11 @@
             fabrics: vec![20, 24, 32, 20, 20],
             models: vec![model("large", 8, 12), model("small", 4, 5)],
         },
+        Size {
+            name: "today with room, 18 replicas on 144 hosts",
+            fabrics: vec![24; 6],
+            models: vec![model("large", 8, 14), model("small", 4, 4)],
+        },
         Size {
             name: "to come, 80 replicas of 8 on 660 hosts",
             fabrics: vec![66; 10],
