test: daemons as processes, and a connection that stayed open

Cause: the test of a caller that sends half a request and then nothing took 124 s: after its 408 the connection stayed open, waiting for the rest. Change: errors of a body that can't be read end the connection.

--- a/shalehinge/src/gateway/answer.rs
+++ b/shalehinge/src/gateway/answer.rs
@@ -34,6 +34,8 @@
     pub outcome: &'static str,
     /// When to come back.
     pub retry_after: Option<Duration>,
+    /// The rest of the request can't be read, so the connection ends.
+    pub closes: bool,
 }
 
 #[derive(Serialize)]
@@ -61,6 +63,7 @@
             message: message.into(),
             outcome: "not_run",
             retry_after: None,
+            closes: false,
         }
     }
 
@@ -92,6 +95,7 @@
                 message: format!("the upstream answered with status {status}; see its own error"),
                 outcome: "failed",
                 retry_after: None,
+                closes: false,
             }),
             Outcome::NotRun {
                 reason,
@@ -155,6 +159,7 @@
             message: message.to_owned(),
             outcome: "not_run",
             retry_after: Some(retry_after),
+            closes: false,
         }
     }
 
@@ -192,6 +197,7 @@
             message: message.to_owned(),
             outcome: "unknown",
             retry_after: None,
+            closes: false,
         }
     }
 
@@ -221,6 +227,11 @@
             .with_response_header(KnownHeaderName::ContentType, "application/json")
             .with_response_header(OUTCOME_HEADER, self.outcome)
             .with_body(self.json());
+        let conn = if self.closes {
+            conn.with_response_header(KnownHeaderName::Connection, "close")
+        } else {
+            conn
+        };
         match self.retry_after {
             Some(after) => {
                 let seconds = whole_seconds(after).to_string();
--- a/shalehinge/src/gateway/intake.rs
+++ b/shalehinge/src/gateway/intake.rs
@@ -110,26 +110,29 @@
 pub async fn body(context: &GatewayContext, conn: &mut Conn) -> Result<Vec<u8>, ErrorAnswer> {
     let limits = context.limits;
     let body = conn.request_body().with_max_len(limits.max_body_bytes);
-    match within(limits.body_timeout, body.read_bytes()).await {
-        Some(Ok(bytes)) => Ok(bytes),
+    let error = match within(limits.body_timeout, body.read_bytes()).await {
+        Some(Ok(bytes)) => return Ok(bytes),
         Some(Err(trillium_http::Error::ReceivedBodyTooLong(_))) => {
             let message = format!("the body may have {} bytes", limits.max_body_bytes);
-            Err(ErrorAnswer {
+            ErrorAnswer {
                 status: Status::PayloadTooLarge,
                 ..ErrorAnswer::bad_request("body_too_large", message)
-            })
+            }
+        }
+        Some(Err(_)) => {
+            ErrorAnswer::bad_request("body_broken", "the body broke off; send it whole")
         }
-        Some(Err(_)) => Err(ErrorAnswer::bad_request(
-            "body_broken",
-            "the body broke off; send it whole",
-        )),
         None => {
             let seconds = limits.body_timeout.as_secs();
             let message = format!("the body did not come within {seconds} s; send it faster");
-            Err(ErrorAnswer {
+            ErrorAnswer {
                 status: Status::RequestTimeout,
                 ..ErrorAnswer::bad_request("body_too_slow", message)
-            })
+            }
         }
-    }
+    };
+    Err(ErrorAnswer {
+        closes: true,
+        ..error
+    })
 }
--- a/shalehinge/src/process/run.rs
+++ b/shalehinge/src/process/run.rs
@@ -34,6 +34,8 @@
     callers: smol::net::TcpListener,
     operators: smol::net::TcpListener,
     peers: smol::net::TcpListener,
+    caller_address: SocketAddr,
+    operator_address: SocketAddr,
     peer_address: SocketAddr,
 }
 
@@ -41,13 +43,15 @@
 pub async fn run(settings: Settings) -> Result<(), ListenError> {
     let listeners = listen(&settings)?;
     let (driver, has_stopped) = build(&settings, listeners.peer_address);
-    let servers = serve(&settings, &driver, listeners);
     log::info!(
-        "daemon: {} in {} listens to callers on {}",
+        "daemon: {} in {} listens to callers on {}, to operators on {}, to peers on {}",
         settings.daemon.name,
         settings.daemon.failure_domain,
-        settings.daemon.callers
+        listeners.caller_address,
+        listeners.operator_address,
+        listeners.peer_address
     );
+    let servers = serve(&settings, &driver, listeners);
     let ticks = smol::spawn(tick(driver.clone()));
     wait_for_signal().await;
     driver.dispatch(Event::Stop);
@@ -63,13 +67,15 @@
 
 fn listen(settings: &Settings) -> Result<Listeners, ListenError> {
     let daemon = &settings.daemon;
-    let (callers, _) = bind(daemon.callers)?;
-    let (operators, _) = bind(daemon.operators)?;
+    let (callers, caller_address) = bind(daemon.callers)?;
+    let (operators, operator_address) = bind(daemon.operators)?;
     let (peers, peer_address) = bind(daemon.peers)?;
     Ok(Listeners {
         callers,
         operators,
         peers,
+        caller_address,
+        operator_address,
         peer_address,
     })
 }
--- a/standin/src/engine/server.rs
+++ b/standin/src/engine/server.rs
@@ -24,6 +24,7 @@
 use trillium::{Body, Conn, Handler, KnownHeaderName, Status};
 use trillium_client::Client;
 use trillium_router::Router;
+use trillium_server_common::ServerHandle;
 
 use super::faults::EngineFault;
 use super::model::{EngineParameters, SequenceSpec, Token};
@@ -84,34 +85,57 @@
     /// milliseconds of an empty step
     #[argh(option, default = "18")]
     pub step_ms: u64,
+
+    /// microseconds that each sequence adds to a step
+    #[argh(option, default = "400")]
+    pub sequence_us: u64,
 }
 
 /// Runs until the process is ended.
 pub fn run(arguments: &EngineArguments) -> miette::Result<()> {
-    let mut handles = Vec::new();
+    let engines = spawn(arguments)?;
+    for engine in &engines {
+        announce(&engine.name, engine.address);
+    }
+    for engine in engines {
+        engine.handle.block();
+    }
+    Ok(())
+}
+
+/// An engine that runs in this process.
+pub struct RunningEngine {
+    /// Name of its host.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Ends it.
+    pub handle: ServerHandle,
+}
+
+/// Starts the engines in this process and has the platform list them.
+pub fn spawn(arguments: &EngineArguments) -> miette::Result<Vec<RunningEngine>> {
+    let mut engines = Vec::new();
     for index in 0..arguments.count {
-        let name = if arguments.count == 1 {
-            arguments.host.clone()
+        let is_only = arguments.count == 1;
+        let (name, listen) = if is_only {
+            (arguments.host.clone(), arguments.listen)
         } else {
-            format!("{}-{index}", arguments.host)
+            let any_port = SocketAddr::new(arguments.listen.ip(), 0);
+            (format!("{}-{index}", arguments.host), any_port)
         };
         let engine = Engine::new(&name, arguments);
-        let listen = if arguments.count == 1 {
-            arguments.listen
-        } else {
-            SocketAddr::new(arguments.listen.ip(), 0)
-        };
         let (address, handle) = serve(listen, engine.handler())?;
         smol::spawn(engine.clone().decode_loop()).detach();
         smol::spawn(engine.clone().check_loop()).detach();
         smol::block_on(register(&name, address, arguments))?;
-        announce(&name, address);
-        handles.push(handle);
-    }
-    for handle in handles {
-        handle.block();
+        engines.push(RunningEngine {
+            name,
+            address,
+            handle,
+        });
     }
-    Ok(())
+    Ok(engines)
 }
 
 /// Has the platform list the host.
@@ -169,6 +193,7 @@
         let parameters = EngineParameters {
             slots: arguments.slots,
             step_base: Duration::from_millis(arguments.step_ms),
+            step_per_sequence: Duration::from_micros(arguments.sequence_us),
             kv_total: u64::from(arguments.slots) * 2_000,
             ..EngineParameters::default()
         };
--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 
 use argh::FromArgs;
+use trillium_server_common::ServerHandle;
 
 use crate::server::{announce, serve};
 
@@ -22,9 +23,14 @@
     pub listen: SocketAddr,
 }
 
+/// Starts the platform in this process.
+pub fn spawn(listen: SocketAddr) -> miette::Result<(SocketAddr, ServerHandle)> {
+    serve(listen, handler::handler())
+}
+
 /// Runs until the process is ended.
 pub fn run(arguments: &PlatformArguments) -> miette::Result<()> {
-    let (address, handle) = serve(arguments.listen, handler::handler())?;
+    let (address, handle) = spawn(arguments.listen)?;
     announce("platform", address);
     handle.block();
     Ok(())
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -11,6 +11,7 @@
 use smol::Timer;
 use trillium::{Conn, Handler, Status};
 use trillium_router::Router;
+use trillium_server_common::ServerHandle;
 
 use crate::server::{announce, serve, write_json};
 
@@ -27,10 +28,15 @@
     pub delay_ms: u64,
 }
 
+/// Starts a service in this process.
+pub fn spawn(arguments: &ServiceArguments) -> miette::Result<(SocketAddr, ServerHandle)> {
+    let delay = Duration::from_millis(arguments.delay_ms);
+    serve(arguments.listen, handler(delay))
+}
+
 /// Runs until the process is ended.
 pub fn run(arguments: &ServiceArguments) -> miette::Result<()> {
-    let delay = Duration::from_millis(arguments.delay_ms);
-    let (address, handle) = serve(arguments.listen, handler(delay))?;
+    let (address, handle) = spawn(arguments)?;
     announce("service", address);
     handle.block();
     Ok(())
