--- a/scripts/measure-gateway.sh
+++ b/scripts/measure-gateway.sh
@@ -10,6 +10,9 @@
 STEP_MS=25
 cargo build --workspace --locked --release --quiet
 BIN="$PWD/target/release"
+# The stand-ins and the load tool get several threads, so that they are not what
+# is measured; the daemon runs as it would.
+export SMOL_THREADS=4
 WORK="$(mktemp -d)"
 PIDS=()
 finish() {
@@ -46,7 +49,7 @@
 [log]
 file = $WORK/entry.log
 INI
-"$BIN/shalehinged" "$WORK/entry.ini" & DAEMON=$!; PIDS+=("$DAEMON")
+env -u SMOL_THREADS "$BIN/shalehinged" "$WORK/entry.ini" & DAEMON=$!; PIDS+=("$DAEMON")
 wait_for grep -q "listens to callers" "$WORK/entry.log"
 read -r CALLERS OPERATORS < <(sed -n 's/.*listens to callers on \([^,]*\), to operators on \([^,]*\),.*/\1 \2/p' "$WORK/entry.log")
 operate() { "$BIN/shalehinge" --daemon "$OPERATORS" --token-file "$WORK/operator.token" "$@"; }
--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -52,7 +52,7 @@
         "always", "fixed",
     ),
     "earlier-attempt": (
-        CORE + "router/dispatch.rs",
+        CORE + "router/target.rs",
         "Outcome::NotRun { .. } => self.earlier.unwrap_or(last),",
         "Outcome::NotRun { .. } => last,",
         "always", "fixed",
@@ -88,7 +88,7 @@
         "focused", "leaving",
     ),
     "stop-waits": (
-        CORE + "daemon.rs",
+        CORE + "daemon/stopping.rs",
         "let is_done = self.router.pending() == 0 && self.claimed.is_empty();",
         "let is_done = true;",
         "always", "fixed",
@@ -106,13 +106,13 @@
         "focused", "older",
     ),
     "spread": (
-        CORE + "daemon.rs",
+        CORE + "daemon/peers.rs",
         "updates: self.state.newer_than(&pull.digest),",
         "updates: Vec::new(),",
         "focused", "peers_hold",
     ),
     "watch": (
-        CORE + "daemon.rs",
+        CORE + "daemon/configuration.rs",
         'if self.membership.is_responsible(now, "watch", WATCHERS) {',
         "if false {",
         "always", "fixed",
--- /dev/null
+++ b/shalehinge/src/core/daemon/claiming.rs
@@ -0,0 +1,101 @@
+//! Keys of requests: claimed before, settled after.
+
+use super::*;
+
+impl Daemon {
+    /// Says in the claim what became of the request, if it had one.
+    pub(super) fn settle_claim(&mut self, request: RequestId, outcome: &Outcome) {
+        let Some(claimed) = self.claimed.remove(&request) else {
+            return;
+        };
+        match outcome {
+            Outcome::NotRun { .. } => self.claims.withdraw(claimed.key, claimed.claimant),
+            Outcome::Completed | Outcome::Failed { .. } => {
+                self.claims.complete(claimed.key, claimed.claimant);
+            }
+            Outcome::Unknown { .. } => {}
+        }
+    }
+
+    pub(super) fn tick_claims(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let wall_seconds = self.identity.wall_seconds + now.as_duration().as_secs();
+        let (steps, results) = self.claims.poll(now, wall_seconds);
+        for step in steps {
+            self.claim_step(step, out);
+        }
+        self.claim_results(now, results, out);
+    }
+
+    pub(super) fn claim_step(&mut self, step: ClaimStep, out: &mut Vec<Action>) {
+        match step {
+            ClaimStep::Read(partition) => {
+                let request = PlatformCall::Get(ObjectKey::Claims(partition));
+                self.call(Purpose::Claims(partition), request, out);
+            }
+            ClaimStep::Write {
+                partition,
+                expect,
+                value,
+            } => {
+                let request = PlatformCall::Put {
+                    key: ObjectKey::Claims(partition),
+                    expect,
+                    object: Box::new(Object::Claims(value)),
+                };
+                self.call(Purpose::Claims(partition), request, out);
+            }
+        }
+    }
+
+    pub(super) fn on_claims_reply(
+        &mut self,
+        now: Timestamp,
+        partition: u16,
+        result: PlatformResult,
+        out: &mut Vec<Action>,
+    ) {
+        let results = match result {
+            Ok(PlatformReply::Object(object)) => {
+                let value = object.and_then(|object| match object.value {
+                    Object::Claims(value) => Some(Versioned {
+                        version: object.version,
+                        value,
+                    }),
+                    _ => None,
+                });
+                self.claims.on_read(partition, value)
+            }
+            Ok(PlatformReply::Written(version)) => self.claims.on_written(partition, version),
+            Ok(PlatformReply::Conflict | PlatformReply::Objects { .. }) | Err(NoAnswer) => {
+                self.claims.on_unclear(partition);
+                Vec::new()
+            }
+        };
+        self.claim_results(now, results, out);
+    }
+
+    pub(super) fn claim_results(
+        &mut self,
+        now: Timestamp,
+        results: Vec<(RequestId, ClaimResult)>,
+        out: &mut Vec<Action>,
+    ) {
+        for (request, result) in results {
+            let Some(claimed) = self.claimed.get_mut(&request) else {
+                continue;
+            };
+            let Some(meta) = claimed.waiting.take() else {
+                continue;
+            };
+            if result == ClaimResult::Granted {
+                self.submit(now, request, meta, out);
+                continue;
+            }
+            self.claimed.remove(&request);
+            let outcome = refusal_of(result);
+            let text = format!("request {} is refused its key: {result:?}", request.0);
+            log(out, Part::Claim, text);
+            out.push(Action::Answer { request, outcome });
+        }
+    }
+}
--- /dev/null
+++ b/shalehinge/src/core/daemon/control.rs
@@ -0,0 +1,162 @@
+//! The lease, and what its holder does.
+
+use super::*;
+use crate::core::objects::Assignment;
+
+impl Daemon {
+    pub(super) fn lease_key(&self) -> ObjectKey {
+        ObjectKey::Lease(self.identity.failure_domain.clone())
+    }
+
+    pub(super) fn assignment_key(&self) -> ObjectKey {
+        ObjectKey::Assignment(self.identity.failure_domain.clone())
+    }
+
+    pub(super) fn tick_lease(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let candidate =
+            !self.is_stopping && self.membership.is_responsible(now, "lease", CANDIDATES);
+        let operation = self.operation();
+        if let Some(step) = self.lease.step(now, candidate, operation) {
+            self.lease_step(step, out);
+        }
+        self.note_holder(now, out);
+    }
+
+    pub(super) fn lease_step(&mut self, step: LeaseStep, out: &mut Vec<Action>) {
+        let key = self.lease_key();
+        let request = match step {
+            LeaseStep::Read => PlatformCall::Get(key),
+            LeaseStep::Write { expect, record } => PlatformCall::Put {
+                key,
+                expect,
+                object: Box::new(Object::Lease(record)),
+            },
+        };
+        self.call(Purpose::Lease, request, out);
+    }
+
+    pub(super) fn note_holder(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let held = self.lease.held(now);
+        if held.is_some() == self.was_holder {
+            return;
+        }
+        self.was_holder = held.is_some();
+        let domain = &self.identity.failure_domain;
+        let text = match held {
+            Some(epoch) => format!("holds {domain} in epoch {}", epoch.0),
+            None => format!("no longer holds {domain}"),
+        };
+        log(out, Part::Lease, text);
+    }
+
+    pub(super) fn on_lease_reply(
+        &mut self,
+        now: Timestamp,
+        result: PlatformResult,
+        out: &mut Vec<Action>,
+    ) {
+        match result {
+            Ok(PlatformReply::Object(object)) => {
+                let lease = object.and_then(|object| match object.value {
+                    Object::Lease(value) => Some(Versioned {
+                        version: object.version,
+                        value,
+                    }),
+                    _ => None,
+                });
+                self.lease.on_read(now, lease);
+            }
+            Ok(PlatformReply::Written(version)) => self.lease.on_written(now, version),
+            Ok(PlatformReply::Conflict) => self.lease.on_conflict(now),
+            Ok(PlatformReply::Objects { .. }) | Err(NoAnswer) => self.lease.on_unclear(),
+        }
+        self.note_holder(now, out);
+    }
+
+    pub(super) fn tick_controller(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let epoch = self.lease.held(now).filter(|_| !self.is_stopping);
+        let operation = self.operation();
+        let actions = self.controller.tick(now, epoch, &self.state, operation);
+        for action in actions {
+            self.controller_action(action, out);
+        }
+    }
+
+    pub(super) fn controller_action(&mut self, action: ControllerAction, out: &mut Vec<Action>) {
+        match action {
+            ControllerAction::Read => {
+                let request = PlatformCall::Get(self.assignment_key());
+                self.call(Purpose::Assignment, request, out);
+            }
+            ControllerAction::Write { expect, value } => {
+                let request = PlatformCall::Put {
+                    key: self.assignment_key(),
+                    expect,
+                    object: Box::new(Object::Assignment(value)),
+                };
+                self.call(Purpose::Assignment, request, out);
+            }
+            ControllerAction::Order {
+                host,
+                address,
+                order,
+            } => out.push(Action::Order {
+                host,
+                address,
+                order,
+                valid_until: self.lease.valid_until(),
+            }),
+            ControllerAction::Probe { group, rank_zero } => out.push(Action::AskStatus {
+                purpose: StatusPurpose::Probe(group),
+                host: Some(rank_zero.host),
+                address: rank_zero.address,
+            }),
+            ControllerAction::Log(text) => log(out, Part::Place, text),
+        }
+    }
+
+    pub(super) fn on_assignment_reply(
+        &mut self,
+        now: Timestamp,
+        result: PlatformResult,
+        out: &mut Vec<Action>,
+    ) {
+        match result {
+            Ok(PlatformReply::Object(object)) => {
+                let assignment = object.and_then(|object| match object.value {
+                    Object::Assignment(value) => Some(Versioned {
+                        version: object.version,
+                        value,
+                    }),
+                    _ => None,
+                });
+                self.controller.on_read(assignment.clone());
+                self.apply_assignment(now, assignment, out);
+            }
+            Ok(PlatformReply::Written(version)) => {
+                let stored = self.controller.on_written(version).cloned();
+                self.apply_assignment(now, stored, out);
+            }
+            Ok(PlatformReply::Conflict | PlatformReply::Objects { .. }) | Err(NoAnswer) => {
+                self.controller.on_unclear();
+            }
+        }
+    }
+
+    pub(super) fn apply_assignment(
+        &mut self,
+        now: Timestamp,
+        assignment: Option<Versioned<Assignment>>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(assignment) = assignment else {
+            return;
+        };
+        let update = ObjectUpdate {
+            key: self.assignment_key(),
+            version: assignment.version,
+            object: Object::Assignment(assignment.value),
+        };
+        self.apply(now, vec![update], out);
+    }
+}
--- /dev/null
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -0,0 +1,286 @@
+//! The whole of a daemon's decisions, behind one entry.
+//!
+//! A harness builds a [`Daemon`], gives it events with the time, and carries
+//! out the actions that come back. Nothing else is needed to step it: the
+//! daemon process does the same with sockets and timers.
+//!
+//! - `platform_calls`: calls to the platform, and where their answers go
+//! - `configuration`: which objects are in force: listed, watched, spread
+//! - `peers`: pulls and notices between daemons
+//! - `control`: the lease, and what its holder does
+//! - `operators`: plans and confirms
+//! - `requests`: requests of callers, and what the router decides
+//! - `claiming`: keys of requests: claimed before, settled after
+//! - `stopping`: a planned stop
+
+mod claiming;
+mod configuration;
+mod control;
+mod operators;
+mod peers;
+mod platform_calls;
+mod requests;
+mod stopping;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::core::claims::{ClaimBook, ClaimResult, ClaimStep};
+use crate::core::controller::{Controller, ControllerAction};
+use crate::core::event::{Action, Event, LogLine, Notice, Part, Pull, PullReply, StatusPurpose};
+use crate::core::fleet_state::{FleetState, ObjectUpdate};
+use crate::core::lease::{ControlLease, LeaseStep};
+use crate::core::membership::{Heartbeat, Membership};
+use crate::core::objects::{KeyHash, Object, ObjectKey, Versioned};
+use crate::core::operator::{OperatorCall, OperatorCallId, OperatorStep, Operators};
+use crate::core::platform::{
+    CallId, NoAnswer, PlatformCall, PlatformReply, PlatformResult, Revision,
+};
+use crate::core::router::request::{NotRunReason, Outcome, RequestMeta, UnknownReason, UpstreamId};
+use crate::core::router::{Router, RouterAction, topology};
+use crate::core::types::{
+    Address, AttemptId, Customer, DaemonId, FailureDomain, Incarnation, OperationId, RequestId,
+    Timestamp, Version,
+};
+use crate::settings::core::CoreSettings;
+
+/// How often a [`Event::Tick`] should come.
+pub const TICK: Duration = Duration::from_millis(50);
+/// Daemons of a failure domain that watch the platform.
+const WATCHERS: usize = 2;
+/// Daemons of a failure domain that try to get its lease.
+const CANDIDATES: usize = 3;
+/// Peers told at once of something new.
+const RUMOUR_FANOUT: usize = 3;
+/// Pause before a failed watch is tried again, to which up to as much is added.
+const WATCH_PAUSE: Duration = Duration::from_millis(500);
+
+/// Who a daemon is; the same as long as it runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Identity {
+    /// Its name, unique in the fleet.
+    pub daemon: DaemonId,
+    /// Where it is.
+    pub failure_domain: FailureDomain,
+    /// Where peers reach it.
+    pub address: Address,
+    /// This run of it; higher than any before.
+    pub incarnation: Incarnation,
+    /// Peers to ask first.
+    pub seeds: Vec<Address>,
+    /// Wall clock at the start, in seconds since 1970; for the age of claims only.
+    pub wall_seconds: u64,
+}
+
+/// Why a platform call was made.
+#[derive(Clone, Debug)]
+enum Purpose {
+    Start,
+    Watch,
+    Lease,
+    Assignment,
+    Claims(u16),
+    Operator(OperatorCallId),
+}
+
+/// A request with a key, from its claim to its answer.
+#[derive(Clone, Debug)]
+struct Claimed {
+    key: KeyHash,
+    claimant: OperationId,
+    /// Set while the claim is not yet granted.
+    waiting: Option<RequestMeta>,
+}
+
+/// The decisions of one daemon.
+#[derive(Clone, Debug)]
+pub struct Daemon {
+    settings: CoreSettings,
+    identity: Identity,
+    rng: SmallRng,
+    state: FleetState,
+    membership: Membership,
+    lease: ControlLease,
+    controller: Controller,
+    claims: ClaimBook,
+    operators: Operators,
+    router: Router,
+    calls: BTreeMap<CallId, Purpose>,
+    next_call: u64,
+    claimed: BTreeMap<RequestId, Claimed>,
+    revision: Revision,
+    is_watching: bool,
+    has_listed: bool,
+    next_watch_at: Timestamp,
+    was_holder: bool,
+    is_stopping: bool,
+    has_stopped: bool,
+}
+
+impl Daemon {
+    /// A daemon that knows its settings and nothing else.
+    pub fn new(settings: CoreSettings, identity: Identity, seed: u64) -> Self {
+        let heartbeat = Heartbeat {
+            daemon: identity.daemon.clone(),
+            address: identity.address,
+            failure_domain: identity.failure_domain.clone(),
+            incarnation: identity.incarnation,
+            counter: 0,
+            leaving: false,
+            fleet: Version(0),
+        };
+        let domain = identity.failure_domain.clone();
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            state: FleetState::default(),
+            membership: Membership::new(settings.membership, heartbeat, identity.seeds.clone()),
+            lease: ControlLease::new(
+                settings.lease,
+                identity.daemon.clone(),
+                identity.incarnation,
+            ),
+            controller: Controller::new(settings.control, domain),
+            claims: ClaimBook::new(settings.claims),
+            operators: Operators::default(),
+            router: Router::new(settings.router, identity.incarnation),
+            calls: BTreeMap::new(),
+            next_call: 1,
+            claimed: BTreeMap::new(),
+            revision: Revision(0),
+            is_watching: false,
+            has_listed: false,
+            next_watch_at: Timestamp::ZERO,
+            was_holder: false,
+            is_stopping: false,
+            has_stopped: false,
+            settings,
+            identity,
+        }
+    }
+
+    /// The objects in force here.
+    pub fn state(&self) -> &FleetState {
+        &self.state
+    }
+
+    /// The router, for status pages.
+    pub fn router(&self) -> &Router {
+        &self.router
+    }
+
+    /// The lease, for status pages.
+    pub fn lease(&self) -> &ControlLease {
+        &self.lease
+    }
+
+    /// The members, for status pages.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Who this daemon is.
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// Whether new callers should come: it has a configuration and does not stop.
+    pub fn is_ready(&self) -> bool {
+        self.state.fleet().is_some() && !self.is_stopping
+    }
+
+    /// The customer that a key belongs to, by the key's SHA-256 in hexadecimal.
+    pub fn customer_of(&self, key_sha256: &str) -> Option<Customer> {
+        let fleet = self.state.fleet()?;
+        fleet
+            .value
+            .customers
+            .iter()
+            .find(|(_, customer)| {
+                let keys = &customer.key_sha256;
+                keys.iter()
+                    .any(|known| known.eq_ignore_ascii_case(key_sha256))
+            })
+            .map(|(name, _)| name.clone())
+    }
+
+    /// Takes in one event; what is to be done is added to `out`.
+    pub fn handle(&mut self, now: Timestamp, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Tick => self.tick(now, out),
+            Event::Platform { call, result } => self.on_platform(now, call, result, out),
+            Event::PullAsked { pull_id, pull } => self.on_pull_asked(now, pull_id, pull, out),
+            Event::PullAnswered(reply) => self.on_pull_answered(now, reply, out),
+            Event::Noticed(notice) => self.on_noticed(now, notice, out),
+            Event::Status {
+                purpose,
+                asked_at,
+                host,
+                status,
+            } => match purpose {
+                StatusPurpose::Report(upstream) => {
+                    self.on_report(now, asked_at, &upstream, status, out);
+                }
+                StatusPurpose::Probe(_) => match (status, host) {
+                    (Some(status), _) => self.controller.on_status(now, asked_at, status),
+                    (None, Some(host)) => self.controller.on_no_status(now, asked_at, &host),
+                    (None, None) => {}
+                },
+            },
+            Event::OrderAnswered {
+                host,
+                order,
+                asked_at,
+                reply,
+            } => match reply {
+                Some(reply) => self.controller.on_order_reply(now, asked_at, &order, reply),
+                None => self.controller.on_no_status(now, asked_at, &host),
+            },
+            Event::Request { request, meta } => self.on_request(now, request, meta, out),
+            Event::Output { request, attempt } => self.router.on_output(now, request, attempt),
+            Event::Ended {
+                request,
+                attempt,
+                end,
+            } => self.on_ended(now, request, attempt, end, out),
+            Event::CallerLeft(request) => self.on_caller_left(now, request, out),
+            Event::Operator { call_id, call } => self.on_operator(now, call_id, call, out),
+            Event::Stop => self.on_stop(now, out),
+        }
+    }
+
+    fn tick(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        self.learn(now, out);
+        self.pull(now, out);
+        self.tick_lease(now, out);
+        self.tick_controller(now, out);
+        self.tick_claims(now, out);
+        self.tick_router(now, out);
+        self.finish_stop(out);
+    }
+}
+
+fn log(out: &mut Vec<Action>, part: Part, text: String) {
+    out.push(Action::Log(LogLine { part, text }));
+}
+
+fn not_run(reason: NotRunReason, retry_after: Duration) -> Outcome {
+    Outcome::NotRun {
+        reason,
+        retry_after,
+    }
+}
+
+fn refusal_of(result: ClaimResult) -> Outcome {
+    let reason = match result {
+        ClaimResult::Completed | ClaimResult::InProgressOrUnknown => {
+            return Outcome::Unknown {
+                reason: UnknownReason::KeyUsed,
+            };
+        }
+        ClaimResult::Granted | ClaimResult::Unavailable => NotRunReason::ClaimUnavailable,
+    };
+    not_run(reason, Duration::from_secs(2))
+}
--- /dev/null
+++ b/shalehinge/src/core/daemon/platform_calls.rs
@@ -0,0 +1,42 @@
+//! Calls to the platform, and where their answers go.
+
+use super::*;
+
+impl Daemon {
+    pub(super) fn call(&mut self, purpose: Purpose, request: PlatformCall, out: &mut Vec<Action>) {
+        let call = CallId(self.next_call);
+        self.next_call += 1;
+        self.calls.insert(call, purpose);
+        out.push(Action::Platform { call, request });
+    }
+
+    pub(super) fn operation(&mut self) -> OperationId {
+        OperationId(self.rng.random())
+    }
+
+    pub(super) fn on_platform(
+        &mut self,
+        now: Timestamp,
+        call: CallId,
+        result: PlatformResult,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(purpose) = self.calls.remove(&call) else {
+            return;
+        };
+        if let Ok(PlatformReply::Objects { updates, .. }) = &result {
+            self.apply(now, updates.clone(), out);
+        }
+        match purpose {
+            Purpose::Start => self.on_listed(now, result),
+            Purpose::Watch => self.on_watched(now, result),
+            Purpose::Lease => self.on_lease_reply(now, result, out),
+            Purpose::Assignment => self.on_assignment_reply(now, result, out),
+            Purpose::Claims(partition) => self.on_claims_reply(now, partition, result, out),
+            Purpose::Operator(id) => {
+                let step = self.operators.on_platform(now, id, &result, &self.state);
+                self.operator_step(now, id, step, result, out);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/shalehinge/src/core/daemon/requests.rs
@@ -0,0 +1,151 @@
+//! Requests of callers, and what the router decides.
+
+use super::*;
+use crate::core::engine::EngineStatus;
+use crate::core::router::request::AttemptEnd;
+
+impl Daemon {
+    pub(super) fn on_request(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        meta: RequestMeta,
+        out: &mut Vec<Action>,
+    ) {
+        if self.is_stopping {
+            let outcome = not_run(NotRunReason::Stopping, Duration::from_secs(1));
+            out.push(Action::Answer { request, outcome });
+            return;
+        }
+        let share = self.share_of(&meta.customer);
+        let Some(key) = meta.key else {
+            self.submit(now, request, meta, out);
+            return;
+        };
+        if let Some((reason, retry_after)) = self.router.refusal(now, &meta, share) {
+            let outcome = not_run(reason, retry_after);
+            out.push(Action::Answer { request, outcome });
+            return;
+        }
+        let claimant = self.operation();
+        self.claims.claim(now, request, key, claimant);
+        let claimed = Claimed {
+            key,
+            claimant,
+            waiting: Some(meta),
+        };
+        self.claimed.insert(request, claimed);
+        self.tick_claims(now, out);
+    }
+
+    pub(super) fn share_of(&self, customer: &Customer) -> u32 {
+        let fleet = self.state.fleet();
+        fleet
+            .and_then(|fleet| fleet.value.customers.get(customer))
+            .map_or(1, |customer| customer.share)
+    }
+
+    pub(super) fn submit(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        meta: RequestMeta,
+        out: &mut Vec<Action>,
+    ) {
+        let share = self.share_of(&meta.customer);
+        let mut actions = Vec::new();
+        self.router
+            .submit(now, request, meta, share, &mut self.rng, &mut actions);
+        self.router_actions(now, actions, out);
+    }
+
+    pub(super) fn on_ended(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        attempt: AttemptId,
+        end: AttemptEnd,
+        out: &mut Vec<Action>,
+    ) {
+        let mut actions = Vec::new();
+        self.router
+            .on_ended(now, request, attempt, end, &mut self.rng, &mut actions);
+        self.router_actions(now, actions, out);
+    }
+
+    pub(super) fn on_report(
+        &mut self,
+        now: Timestamp,
+        asked_at: Timestamp,
+        upstream: &UpstreamId,
+        status: Option<EngineStatus>,
+        out: &mut Vec<Action>,
+    ) {
+        let mut actions = Vec::new();
+        self.router.on_report(
+            now,
+            asked_at,
+            upstream,
+            status.as_ref(),
+            &mut self.rng,
+            &mut actions,
+        );
+        self.router_actions(now, actions, out);
+    }
+
+    pub(super) fn on_caller_left(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        out: &mut Vec<Action>,
+    ) {
+        let is_waiting_for_claim = self
+            .claimed
+            .get(&request)
+            .is_some_and(|claimed| claimed.waiting.is_some());
+        if is_waiting_for_claim {
+            self.settle_claim(request, &not_run(NotRunReason::CallerLeft, Duration::ZERO));
+            return;
+        }
+        let mut actions = Vec::new();
+        self.router.cancel(request, &mut actions);
+        self.router_actions(now, actions, out);
+    }
+
+    pub(super) fn tick_router(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let sharers = self.membership.alive(now).count() + 1;
+        self.router.set_sharers(sharers);
+        for spec in self.router.reports_wanted(now) {
+            out.push(Action::AskStatus {
+                purpose: StatusPurpose::Report(spec.id),
+                host: None,
+                address: spec.address,
+            });
+        }
+        let mut actions = Vec::new();
+        self.router.tick(now, &mut self.rng, &mut actions);
+        self.router_actions(now, actions, out);
+    }
+
+    pub(super) fn router_actions(
+        &mut self,
+        now: Timestamp,
+        actions: Vec<RouterAction>,
+        out: &mut Vec<Action>,
+    ) {
+        for action in actions {
+            match action {
+                RouterAction::Send(attempt) => out.push(Action::Send(attempt)),
+                RouterAction::Abandon(attempt) => out.push(Action::Abandon(attempt)),
+                RouterAction::Log(text) => log(out, Part::Route, text),
+                RouterAction::Answer { request, outcome } => {
+                    let text = format!("request {} ends: {outcome:?}", request.0);
+                    log(out, Part::Route, text);
+                    self.settle_claim(request, &outcome);
+                    out.push(Action::Answer { request, outcome });
+                }
+            }
+        }
+        self.tick_claims(now, out);
+    }
+}
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -9,6 +9,7 @@
 //! - `choose`: choice of an upstream for a request
 //! - `outlier`: ejection of upstreams that fail or are slow
 //! - `retry_budget`: how many retries are allowed
+//! - `target`: one model or service: its upstreams and its waiting line
 //! - `dispatch`: the state machine that joins them
 
 pub mod choose;
@@ -19,6 +20,7 @@
 pub mod queue;
 pub mod request;
 pub mod retry_budget;
+mod target;
 pub mod topology;
 pub mod upstream;
 
--- /dev/null
+++ b/shalehinge/src/core/router/target.rs
@@ -0,0 +1,296 @@
+//! One target: its upstreams, its waiting line, and what is learned of it.
+
+use std::time::Duration;
+
+use crate::core::types::{AttemptId, Customer, RequestId, Timestamp};
+use crate::settings::router::RouterSettings;
+
+use super::choose::{Choice, ChoiceContext, choose, typical_interval};
+use super::estimate::{DrainRate, SmoothedDuration};
+use super::prefix::BLOCK_TOKENS;
+use super::queue::{FairQueue, Waiting};
+use super::request::{Attempt, AttemptEnd, Outcome, RequestMeta, UpstreamId};
+use super::upstream::{Upstream, Work};
+
+/// Output expected of a request before any was seen, as a part of what it asks for.
+const FIRST_OUTPUT_PART: f64 = 0.5;
+/// HTTP statuses from here on are the upstream's fault.
+pub(super) const FIRST_SERVER_ERROR: u16 = 500;
+
+/// A request between submission and answer.
+#[derive(Clone, Debug)]
+pub(super) struct Pending {
+    pub(super) meta: RequestMeta,
+    pub(super) attempts: u32,
+    pub(super) tried: Vec<UpstreamId>,
+    pub(super) running: Option<Running>,
+    pub(super) seen_output: bool,
+    /// What an earlier attempt came to that may have run.
+    pub(super) earlier: Option<Outcome>,
+    pub(super) cost: f64,
+    pub(super) share: u32,
+}
+
+impl Pending {
+    /// The request's outcome, if its last attempt came to this: what may have
+    /// run once can't be said not to have run.
+    pub(super) fn outcome(&self, last: Outcome) -> Outcome {
+        match last {
+            Outcome::NotRun { .. } => self.earlier.unwrap_or(last),
+            _ => last,
+        }
+    }
+}
+
+/// The attempt that runs.
+#[derive(Clone, Debug)]
+pub(super) struct Running {
+    pub(super) id: AttemptId,
+    pub(super) upstream: UpstreamId,
+    pub(super) sent_at: Timestamp,
+    pub(super) first_at: Option<Timestamp>,
+    pub(super) work: Work,
+}
+
+/// What is kept for one target.
+#[derive(Clone, Debug, Default)]
+pub(super) struct TargetState {
+    pub(super) upstreams: Vec<Upstream>,
+    pub(super) queue: FairQueue,
+    pub(super) drain: DrainRate,
+    pub(super) first_token: SmoothedDuration,
+    pub(super) token_interval: SmoothedDuration,
+    pub(super) output_part: Option<f64>,
+    pub(super) turn: usize,
+}
+
+impl TargetState {
+    pub(super) fn enqueue(&mut self, request: RequestId, pending: &Pending) {
+        let waiting = Waiting {
+            request,
+            cost: pending.cost,
+            priority: pending.meta.priority,
+            deadline: pending.meta.deadline,
+        };
+        self.queue
+            .push(&pending.meta.customer, pending.share, waiting);
+    }
+
+    pub(super) fn expected_output(&self, meta: &RequestMeta) -> f64 {
+        f64::from(meta.max_output_tokens) * self.output_part.unwrap_or(FIRST_OUTPUT_PART)
+    }
+
+    /// Estimated tokens that a request costs, prompt held nowhere.
+    pub(super) fn cost_of(&self, meta: &RequestMeta) -> f64 {
+        f64::from(meta.prompt_tokens) + self.expected_output(meta) + 1.0
+    }
+
+    /// Estimated time of a request once it is sent.
+    pub(super) fn service_time(&self, meta: &RequestMeta) -> Duration {
+        let first = self.first_token.get().unwrap_or_default();
+        let interval = self.token_interval.get().unwrap_or_default();
+        first + interval.mul_f64(self.expected_output(meta))
+    }
+
+    /// Estimated wait of a new request of this customer.
+    pub(super) fn wait_of(&self, customer: &Customer, share: u32, cost: f64) -> Duration {
+        if self.queue.is_empty() {
+            return Duration::ZERO;
+        }
+        let (ahead, part) = self.queue.ahead(customer, share);
+        self.drain.wait(ahead + cost, part).unwrap_or_default()
+    }
+
+    pub(super) fn choose_for(
+        &mut self,
+        now: Timestamp,
+        settings: &RouterSettings,
+        pending: &Pending,
+        rng: &mut impl rand::Rng,
+    ) -> Option<Choice> {
+        let context = ChoiceContext {
+            now,
+            settings,
+            prefix: &pending.meta.prefix,
+            work: self.work_of(&pending.meta, 0),
+            tried: &pending.tried,
+            turn: self.turn,
+        };
+        let choice = choose(&self.upstreams, &context, rng);
+        // With every upstream tried, one may be tried again.
+        choice.or_else(|| {
+            let untried = self
+                .upstreams
+                .iter()
+                .any(|u| u.is_eligible(now) && !pending.tried.contains(&u.spec.id));
+            if untried || pending.tried.is_empty() {
+                return None;
+            }
+            let tried = &[];
+            choose(&self.upstreams, &ChoiceContext { tried, ..context }, rng)
+        })
+    }
+
+    pub(super) fn work_of(&self, meta: &RequestMeta, held_blocks: usize) -> Work {
+        let held = f64::from(BLOCK_TOKENS) * held_blocks as f64;
+        let prompt = (f64::from(meta.prompt_tokens) - held).max(0.0);
+        let output = self.expected_output(meta);
+        Work {
+            tokens: prompt + output,
+            kv_peak: f64::from(meta.prompt_tokens) + output,
+        }
+    }
+
+    pub(super) fn send(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        pending: &mut Pending,
+        id: AttemptId,
+        index: usize,
+    ) -> Attempt {
+        let held = self.upstreams[index]
+            .prefixes
+            .matching_blocks(&pending.meta.prefix);
+        let work = self.work_of(&pending.meta, held);
+        self.turn = self.turn.wrapping_add(1);
+        self.drain.record(now, pending.cost, !self.queue.is_empty());
+        let upstream = &mut self.upstreams[index];
+        upstream.on_sent(work);
+        upstream.prefixes.record(&pending.meta.prefix);
+        pending.attempts += 1;
+        pending.tried.push(upstream.spec.id.clone());
+        pending.running = Some(Running {
+            id,
+            upstream: upstream.spec.id.clone(),
+            sent_at: now,
+            first_at: None,
+            work,
+        });
+        Attempt {
+            request,
+            id,
+            upstream: upstream.spec.id.clone(),
+            address: upstream.spec.address,
+            group: upstream.spec.group,
+            valid_until: upstream.valid_until(pending.meta.deadline),
+            time_left: pending.meta.deadline.since(now),
+            priority: pending.meta.priority,
+        }
+    }
+
+    pub(super) fn upstream_mut(&mut self, id: &UpstreamId) -> Option<&mut Upstream> {
+        self.upstreams.iter_mut().find(|u| u.spec.id == *id)
+    }
+
+    /// Frees what an attempt held.
+    pub(super) fn release(&mut self, running: &Running) {
+        if let Some(upstream) = self.upstream_mut(&running.upstream) {
+            upstream.on_ended(running.work);
+        }
+    }
+
+    /// Learns from the end of an attempt.
+    pub(super) fn settle(
+        &mut self,
+        now: Timestamp,
+        settings: &RouterSettings,
+        pending: &Pending,
+        running: &Running,
+        end: AttemptEnd,
+    ) {
+        self.release(running);
+        match end {
+            AttemptEnd::Completed { output_tokens } => {
+                self.learn(now, pending, running, output_tokens);
+                self.eject_if_slow(now, settings, &running.upstream);
+            }
+            AttemptEnd::NotSent | AttemptEnd::Lost => {
+                if let Some(upstream) = self.upstream_mut(&running.upstream) {
+                    upstream.contradict(now);
+                }
+                self.blame(now, settings, &running.upstream);
+            }
+            AttemptEnd::Refused => {
+                if let Some(upstream) = self.upstream_mut(&running.upstream) {
+                    upstream.contradict(now);
+                }
+            }
+            // The caller's mistake, not the upstream's.
+            AttemptEnd::Failed { status } if status < FIRST_SERVER_ERROR => {}
+            AttemptEnd::Failed { .. } | AttemptEnd::WrongAnswer => {
+                self.blame(now, settings, &running.upstream);
+            }
+        }
+    }
+
+    pub(super) fn learn(
+        &mut self,
+        now: Timestamp,
+        pending: &Pending,
+        running: &Running,
+        tokens: u32,
+    ) {
+        let first_at = running.first_at.unwrap_or(now);
+        let first = first_at.since(running.sent_at);
+        let interval = (tokens > 1).then(|| now.since(first_at) / (tokens - 1));
+        self.first_token.record(first);
+        interval.inspect(|interval| self.token_interval.record(*interval));
+        if let Some(upstream) = self.upstream_mut(&running.upstream) {
+            upstream.outlier.on_success();
+            upstream.first_token.record(first);
+            interval.inspect(|interval| upstream.token_interval.record(*interval));
+        }
+        let wanted = f64::from(pending.meta.max_output_tokens);
+        if tokens > 0 && wanted > 0.0 {
+            const SMOOTHING: f64 = 0.02;
+            let part = (f64::from(tokens) / wanted).min(1.0);
+            let known = self.output_part.unwrap_or(FIRST_OUTPUT_PART);
+            self.output_part = Some(known + SMOOTHING * (part - known));
+            let actual = f64::from(pending.meta.prompt_tokens) + f64::from(tokens) + 1.0;
+            self.queue
+                .correct(&pending.meta.customer, pending.cost, actual);
+        }
+    }
+
+    /// Counts a failure, and ejects the upstream if it is due and others remain.
+    pub(super) fn blame(&mut self, now: Timestamp, settings: &RouterSettings, id: &UpstreamId) {
+        let may_eject = self.may_eject(now, settings);
+        let Some(upstream) = self.upstream_mut(id) else {
+            return;
+        };
+        if upstream.outlier.on_failure(settings) && may_eject {
+            upstream.outlier.eject(now, settings);
+        }
+    }
+
+    pub(super) fn may_eject(&self, now: Timestamp, settings: &RouterSettings) -> bool {
+        let ejected = self
+            .upstreams
+            .iter()
+            .filter(|upstream| upstream.outlier.is_ejected(now))
+            .count();
+        (ejected + 1) as f64 <= self.upstreams.len() as f64 * settings.max_ejected
+    }
+
+    pub(super) fn eject_if_slow(
+        &mut self,
+        now: Timestamp,
+        settings: &RouterSettings,
+        id: &UpstreamId,
+    ) {
+        let Some(typical) = typical_interval(&self.upstreams) else {
+            return;
+        };
+        let may_eject = self.may_eject(now, settings);
+        let Some(upstream) = self.upstream_mut(id) else {
+            return;
+        };
+        let limit = typical.mul_f64(settings.slow_factor);
+        let is_slow = upstream.token_interval.get().is_some_and(|own| own > limit);
+        if is_slow && may_eject && !upstream.outlier.is_ejected(now) {
+            upstream.outlier.eject(now, settings);
+            upstream.token_interval = SmoothedDuration::default();
+        }
+    }
+}
--- a/shalehinge/src/process/callers.rs
+++ b/shalehinge/src/process/callers.rs
@@ -8,6 +8,7 @@
 use crate::core::router::request::Outcome;
 use crate::core::types::RequestId;
 use crate::upstream::attempt::{AnswerPart, OutgoingRequest};
+use crate::utils::task::spawn;
 
 /// Parts of an answer that may wait for a slow caller.
 const PARTS_WAITING: usize = 256;
@@ -59,7 +60,7 @@
         if let Err(async_channel::TrySendError::Full(ended)) = caller.parts.try_send(ended) {
             // A slow caller: its task reads on until it comes to the end.
             let parts = caller.parts;
-            smol::spawn(async move {
+            spawn(async move {
                 let _ = parts.send(ended).await;
             })
             .detach();
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -27,6 +27,7 @@
 use crate::upstream::EngineClient;
 use crate::upstream::attempt::{self, AnswerPart, AnswerSink, OutgoingRequest};
 use crate::utils::http::single_use_client;
+use crate::utils::task::spawn;
 
 /// Clients of everything outside.
 pub struct Clients {
@@ -196,7 +197,7 @@
     where
         F: Future<Output = ()> + Send + 'static,
     {
-        smol::spawn(task(self.clone())).detach();
+        spawn(task(self.clone())).detach();
     }
 
     fn call_platform(self: &Arc<Self>, call: CallId, request: PlatformCall) {
@@ -272,7 +273,7 @@
         self.metrics.count(Counter::Attempts);
         let id = attempt.id;
         let driver = self.clone();
-        let task = smol::spawn(async move {
+        let task = spawn(async move {
             let sink = PartSink {
                 driver: driver.clone(),
                 attempt: attempt.clone(),
--- a/shalehinge/src/process/run.rs
+++ b/shalehinge/src/process/run.rs
@@ -21,6 +21,7 @@
 use crate::telemetry::metrics::Metrics;
 use crate::upstream::engine::HttpEngines;
 use crate::utils::http::{ListenError, bind};
+use crate::utils::task::spawn;
 use crate::utils::time::{wall_clock, within};
 use crate::{gateway, operator_api, peer};
 
@@ -52,7 +53,7 @@
         listeners.peer_address
     );
     let servers = serve(&settings, &driver, listeners);
-    let ticks = smol::spawn(tick(driver.clone()));
+    let ticks = spawn(tick(driver.clone()));
     wait_for_signal().await;
     driver.dispatch(Event::Stop);
     let limit = settings.daemon.limits.stop_within;
--- /dev/null
+++ b/shalehinge/tests/settings.rs
@@ -0,0 +1,98 @@
+//! Settings files: given this text, expect that problem, with line and mend.
+
+use shalehinge::settings::Settings;
+use shalehinge::settings::core::CoreSettings;
+use shalehinge::settings::daemon::LimitSettings;
+
+const GOOD: &str = "\
+[daemon]
+name = entry-1
+failure_domain = talca-a
+[listen]
+callers = 127.0.0.1:7000
+operators = 127.0.0.1:7001
+peers = 127.0.0.1:7002
+[platform]
+address = 127.0.0.1:8000
+[operators]
+token_sha256 = 0000000000000000000000000000000000000000000000000000000000000000
+";
+
+/// The problems of a file, as `line: message; mend`.
+fn problems(text: &str) -> Vec<String> {
+    match Settings::parse("entry.ini", text) {
+        Ok(_) => Vec::new(),
+        Err(error) => error
+            .problems
+            .iter()
+            .map(|problem| format!("{}: {}; {}", problem.line, problem.message, problem.mend))
+            .collect(),
+    }
+}
+
+#[test]
+fn a_short_file_takes_the_defaults() {
+    let settings = Settings::parse("entry.ini", GOOD).expect("in order");
+    assert_eq!(settings.core, CoreSettings::default());
+    assert_eq!(settings.daemon.limits, LimitSettings::default());
+}
+
+#[test]
+fn the_example_names_every_key_with_its_default() {
+    let text = include_str!("../../docs/example.ini");
+    let settings = Settings::parse("example.ini", text).expect("in order");
+    assert_eq!(settings.core, CoreSettings::default());
+    assert_eq!(settings.daemon.limits, LimitSettings::default());
+}
+
+#[test]
+fn an_unknown_key_is_named_with_its_line_and_the_keys_that_there_are() {
+    let text = format!("{GOOD}[lease]\nterms = 6s\n");
+    assert_eq!(
+        problems(&text),
+        [
+            "13: there is no key \"terms\" in [lease]; the keys of [lease] are interval, margin, term"
+        ]
+    );
+}
+
+#[test]
+fn an_unknown_section_is_named() {
+    let text = format!("{GOOD}[leases]\nterm = 6s\n");
+    assert!(problems(&text)[0].starts_with("12: there is no section [leases]"));
+}
+
+#[test]
+fn a_bad_unit_says_how_to_write_it() {
+    let text = format!("{GOOD}[lease]\nterm = 6 parsecs\n");
+    let problem = &problems(&text)[0];
+    assert!(
+        problem.starts_with("13: term can't be \"6 parsecs\""),
+        "{problem}"
+    );
+    assert!(problem.contains("500ms"), "{problem}");
+}
+
+#[test]
+fn a_missing_address_and_ports_that_overlap_are_told_together() {
+    let text = GOOD
+        .replace("peers = 127.0.0.1:7002", "peers = 127.0.0.1:7000")
+        .replace("address = 127.0.0.1:8000\n", "");
+    let problems = problems(&text);
+    assert_eq!(problems.len(), 2, "{problems:?}");
+    assert!(problems[0].contains("peers and callers both listen on 127.0.0.1:7000"));
+    assert!(problems[1].contains("address is missing in [platform]"));
+}
+
+#[test]
+fn times_that_contradict_each_other_are_refused() {
+    let text = format!("{GOOD}[lease]\nterm = 2s\ninterval = 2s\n");
+    assert!(problems(&text)[0].contains("term must be longer than interval and margin"));
+    let text = format!("{GOOD}[router]\nevidence_ttl = 100ms\n");
+    assert!(problems(&text)[0].contains("evidence_ttl must be longer"));
+}
+
+#[test]
+fn text_that_is_no_ini_is_told_with_its_line() {
+    assert!(problems("[daemon\nname = x\n")[0].contains("this is not INI"));
+}
