feat(control): routers tell the lease holder of replicas that lost a member

Change: a router that saw a complete replica fail tells those who may hold its failure domain, who look at once and often for 3 s; the holder's own look at a healthy group comes each 10 s.

--- a/scripts/measure-slopes.sh
+++ b/scripts/measure-slopes.sh
@@ -2,6 +2,7 @@
 # Measures what an idle fleet costs: processor time and memory of a daemon, bytes
 # on the loopback, calls to the platform. One failure domain, release build.
 # Usage: scripts/measure-slopes.sh DAEMONS HOSTS [SECONDS]
+# EXTRA, if set, is added to the settings files.
 # Each host is a replica of its own, so that the engines say nothing to each other.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -50,6 +51,7 @@
 token_sha256 = $(printf t | sha256sum | cut -d' ' -f1)
 [log]
 file = $WORK/e$n.log
+${EXTRA:-}
 INI
     "$BIN/shalehinged" "$WORK/e$n.ini" & PIDS+=($!); ENTRIES+=($!)
     if [ "$n" -le 3 ]; then
--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -111,6 +111,12 @@
         "updates: Vec::new(),",
         "focused", "peers_hold",
     ),
+    "suspects-told": (
+        CORE + "daemon/mod.rs",
+        "self.tell_suspects(now, out);",
+        "",
+        "focused", "lost_member",
+    ),
     "watch": (
         CORE + "daemon/configuration.rs",
         'if self.membership.is_responsible(now, "watch", WATCHERS) {',
--- a/shalehinge/src/core/controller.rs
+++ b/shalehinge/src/core/controller.rs
@@ -66,6 +66,8 @@
     incomplete_since: Option<Timestamp>,
     lost_member: Option<HostId>,
     is_lost: bool,
+    /// A router saw it incomplete; it is looked at often until then.
+    suspect_until: Option<Timestamp>,
 }
 
 /// The control of one failure domain, at one daemon.
@@ -183,6 +185,25 @@
         self.stored = None;
     }
 
+    /// A router saw that a group is no longer complete: it is looked at now, and
+    /// often for a while.
+    pub fn suspect(&mut self, now: Timestamp, number: GroupNumber) {
+        const FOR: Duration = Duration::from_secs(3);
+        let group = self
+            .stored
+            .as_ref()
+            .and_then(|stored| stored.value.groups.get(&number))
+            .filter(|group| group.phase == GroupPhase::Serving);
+        let Some(rank_zero) = group.and_then(|group| group.members.first()) else {
+            return;
+        };
+        let health = self.health.entry(number).or_default();
+        if health.suspect_until.is_none_or(|until| now >= until) {
+            self.next_call_at.remove(&rank_zero.host);
+        }
+        health.suspect_until = Some(now + FOR);
+    }
+
     /// An engine answered an order.
     pub fn on_order_reply(
         &mut self,
@@ -439,19 +460,22 @@
             .get(host)
             .is_none_or(|(last, at)| *last != purpose || now >= *at);
         if due {
-            let next = now + self.call_interval(purpose);
+            let next = now + self.call_interval(now, purpose);
             self.next_call_at.insert(host.clone(), (purpose, next));
         }
         due
     }
 
     /// A group that looks incomplete is looked at as often as one that changes.
-    fn call_interval(&self, purpose: CallPurpose) -> Duration {
+    fn call_interval(&self, now: Timestamp, purpose: CallPurpose) -> Duration {
         let CallPurpose::Probe(group) = purpose else {
             return self.settings.order_interval;
         };
         let health = self.health.get(&group);
-        let is_suspect = health.is_some_and(|health| health.incomplete_since.is_some());
+        let is_suspect = health.is_some_and(|health| {
+            let is_told = health.suspect_until.is_some_and(|until| now < until);
+            is_told || health.incomplete_since.is_some()
+        });
         if is_suspect {
             self.settings.order_interval
         } else {
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -53,6 +53,8 @@
 const WATCHERS: usize = 2;
 /// Daemons of a failure domain that try to get its lease.
 const CANDIDATES: usize = 3;
+/// Time between two tellings of replicas that lost a member.
+const SUSPECTS_INTERVAL: Duration = Duration::from_millis(500);
 /// Peers told at once of something new.
 const RUMOUR_FANOUT: usize = 3;
 /// Pause before a failed watch is tried again, to which up to as much is added.
@@ -115,6 +117,7 @@
     is_watching: bool,
     has_listed: bool,
     next_watch_at: Timestamp,
+    next_suspects_at: Timestamp,
     was_holder: bool,
     is_stopping: bool,
     has_stopped: bool,
@@ -153,6 +156,7 @@
             is_watching: false,
             has_listed: false,
             next_watch_at: Timestamp::ZERO,
+            next_suspects_at: Timestamp::ZERO,
             was_holder: false,
             is_stopping: false,
             has_stopped: false,
@@ -258,6 +262,7 @@
         self.tick_controller(now, out);
         self.tick_claims(now, out);
         self.tick_router(now, out);
+        self.tell_suspects(now, out);
         self.finish_stop(out);
     }
 }
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -1,7 +1,10 @@
 //! Pulls and notices between daemons.
 
+use std::collections::BTreeSet;
+
 use super::*;
 use crate::core::event::PullId;
+use crate::core::types::ReplicaId;
 
 impl Daemon {
     pub(super) fn pull(&mut self, now: Timestamp, out: &mut Vec<Action>) {
@@ -15,6 +18,43 @@
         Pull {
             heartbeats: self.membership.sample(now, &mut self.rng),
             digest: self.state.digest(),
+            suspects: Vec::new(),
+        }
+    }
+
+    /// Tells those who may hold a failure domain that a replica of it lost a member.
+    pub(super) fn tell_suspects(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        if now < self.next_suspects_at {
+            return;
+        }
+        let suspects = self.router.suspects(now);
+        if suspects.is_empty() {
+            return;
+        }
+        self.next_suspects_at = now + SUSPECTS_INTERVAL;
+        let domains: BTreeSet<&FailureDomain> = suspects
+            .iter()
+            .map(|replica| &replica.failure_domain)
+            .collect();
+        for domain in domains {
+            let candidates = self
+                .membership
+                .responsible_addresses(now, domain, "lease", CANDIDATES);
+            for to in candidates {
+                let mut pull = self.make_pull(now);
+                pull.suspects.clone_from(&suspects);
+                out.push(Action::Pull { to, pull });
+            }
+        }
+        self.note_suspects(now, &suspects);
+    }
+
+    pub(super) fn note_suspects(&mut self, now: Timestamp, suspects: &[ReplicaId]) {
+        let own = suspects
+            .iter()
+            .filter(|replica| replica.failure_domain == self.identity.failure_domain);
+        for replica in own {
+            self.controller.suspect(now, replica.number);
         }
     }
 
@@ -26,6 +66,7 @@
         out: &mut Vec<Action>,
     ) {
         self.membership.merge(now, pull.heartbeats);
+        self.note_suspects(now, &pull.suspects);
         let reply = PullReply {
             heartbeats: self.membership.sample(now, &mut self.rng),
             updates: self.state.newer_than(&pull.digest),
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -10,7 +10,7 @@
 use super::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
 use super::platform::{CallId, PlatformCall, PlatformResult};
 use super::router::request::{Attempt, AttemptEnd, Outcome, RequestMeta, UpstreamId};
-use super::types::{Address, AttemptId, GroupNumber, HostId, RequestId, Timestamp};
+use super::types::{Address, AttemptId, GroupNumber, HostId, ReplicaId, RequestId, Timestamp};
 
 /// Identifies a peer's pull that waits for its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -23,6 +23,8 @@
     pub heartbeats: Vec<Heartbeat>,
     /// Versions that the asker knows.
     pub digest: VersionDigest,
+    /// Replicas that the asker saw lose a member; for whoever holds their domain.
+    pub suspects: Vec<ReplicaId>,
 }
 
 /// The answer to a pull.
--- a/shalehinge/src/core/membership.rs
+++ b/shalehinge/src/core/membership.rs
@@ -171,6 +171,20 @@
         hash::top(&duty, self.on_duty(now, domain), count).contains(&&self.me.daemon)
     }
 
+    /// Where those responsible for `duty` in a failure domain are reached.
+    pub fn responsible_addresses(
+        &self,
+        now: Timestamp,
+        domain: &FailureDomain,
+        duty: &str,
+        count: usize,
+    ) -> Vec<Address> {
+        hash::top(&duty, self.on_duty(now, domain), count)
+            .into_iter()
+            .filter_map(|daemon| self.address_of(now, daemon))
+            .collect()
+    }
+
     /// Where a live peer is reached.
     pub fn address_of(&self, now: Timestamp, daemon: &DaemonId) -> Option<Address> {
         self.alive(now)
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::core::engine::EngineStatus;
-use crate::core::types::{AttemptId, Incarnation, RequestId, Timestamp};
+use crate::core::types::{AttemptId, Incarnation, ReplicaId, RequestId, Timestamp};
 use crate::settings::router::RouterSettings;
 
 use super::choose::Choice;
@@ -423,6 +423,17 @@
             .collect()
     }
 
+    /// Replicas that were complete until a short while ago.
+    pub fn suspects(&self, now: Timestamp) -> Vec<ReplicaId> {
+        self.upstreams()
+            .filter(|upstream| upstream.is_suspect(now))
+            .filter_map(|upstream| match &upstream.spec.id {
+                UpstreamId::Replica(replica) => Some(replica.clone()),
+                UpstreamId::Instance(..) => None,
+            })
+            .collect()
+    }
+
     /// Ends what is past its deadline and sends what has room by now.
     pub fn tick(&mut self, now: Timestamp, rng: &mut impl rand::Rng, out: &mut Vec<RouterAction>) {
         self.expire_waiting(now, out);
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -78,6 +78,10 @@
     report_asked: bool,
     complete_until: Timestamp,
     contradicted_at: Option<Timestamp>,
+    /// It was shown to be complete, and nothing has shown otherwise since.
+    was_complete: bool,
+    /// When a complete one was first shown to be no longer.
+    suspect_since: Option<Timestamp>,
     in_flight: u32,
     kv_in_flight: f64,
     /// Requests of other daemons, smoothed over reports.
@@ -101,6 +105,8 @@
             report_asked: false,
             complete_until: Timestamp::ZERO,
             contradicted_at: None,
+            was_complete: false,
+            suspect_since: None,
             in_flight: 0,
             kv_in_flight: 0.0,
             others: None,
@@ -164,6 +170,8 @@
             return;
         }
         self.complete_until = self.complete_until.max(seen_at + settings.evidence_ttl);
+        self.was_complete = true;
+        self.suspect_since = None;
         let newer = self.report.is_none_or(|known| asked_at > known.asked_at);
         if newer {
             self.take_load(asked_at, status.load, sharers, settings);
@@ -211,6 +219,10 @@
 
     /// Something showed that it can't serve: only later evidence counts again.
     pub fn contradict(&mut self, now: Timestamp) {
+        if self.was_complete {
+            self.was_complete = false;
+            self.suspect_since = Some(now);
+        }
         self.complete_until = Timestamp::ZERO;
         self.contradicted_at = Some(now);
         self.ramp = FIRST_ALLOWANCE;
@@ -218,6 +230,16 @@
         self.prefixes.clear();
     }
 
+    /// Whether it was complete until a short while ago: its failure domain's
+    /// lease holder should look at it.
+    pub fn is_suspect(&self, now: Timestamp) -> bool {
+        const TOLD_FOR: Duration = Duration::from_secs(5);
+        self.spec.accepts_new
+            && self
+                .suspect_since
+                .is_some_and(|at| now.since(at) < TOLD_FOR)
+    }
+
     /// Whether one more request of this daemon has room there.
     pub fn has_room(&self, work: Work, settings: &RouterSettings) -> bool {
         if self.outlier.is_on_probation() {
--- a/shalehinge/src/settings/control.rs
+++ b/shalehinge/src/settings/control.rs
@@ -32,7 +32,7 @@
     fn default() -> Self {
         Self {
             order_interval: Duration::from_millis(250),
-            probe_interval: Duration::from_secs(1),
+            probe_interval: Duration::from_secs(10),
             loss_confirm: Duration::from_secs(1),
             forming_timeout: Duration::from_secs(600),
             retire_grace: Duration::from_secs(2),
--- a/shalehinge/tests/focused.rs
+++ b/shalehinge/tests/focused.rs
@@ -168,3 +168,33 @@
     assert!(world.now - calm_since < seconds(5), "{:?}", world.now);
     assert_nothing_violated(&world);
 }
+
+/// Prints how long a failure domain is without a holder; for docs/CAPACITY.md.
+#[test]
+#[ignore = "a measurement; run by hand with --ignored --nocapture"]
+fn measure_time_from_a_holders_death_to_its_successor() {
+    let mut times = Vec::new();
+    let mut calls = Vec::new();
+    for seed in 0..40 {
+        let mut world = World::serving(seed);
+        world.run_for(seconds(5));
+        let holder = holder_of(&world, 0).expect("held");
+        let before = (world.platform.reads, world.platform.writes);
+        world.kill(holder);
+        let killed_at = world.now;
+        world.run_until("held again", |world| holder_of(world, 0).is_some());
+        times.push(world.now - killed_at);
+        let after = (world.platform.reads, world.platform.writes);
+        calls.push((after.0 - before.0, after.1 - before.1));
+    }
+    times.sort();
+    calls.sort();
+    println!(
+        "shortest {:?}, median {:?}, longest {:?}",
+        times[0], times[20], times[39]
+    );
+    println!(
+        "platform reads and writes of both domains meanwhile, median {:?}",
+        calls[20]
+    );
+}
--- /dev/null
+++ b/standin/benches/decisions.rs
@@ -0,0 +1,171 @@
+//! Time and memory of one routing decision and of one placement plan.
+//!
+//! `cargo bench -p standin`
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use divan::{AllocProfiler, Bencher};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use shalehinge::core::engine::{EngineLoad, EnginePhase, EngineStatus};
+use shalehinge::core::objects::{Assignment, PlacementWeights};
+use shalehinge::core::placement::host_choice::HostChoice;
+use shalehinge::core::placement::planner::HeldWeights;
+use shalehinge::core::placement::preview::apply_step;
+use shalehinge::core::placement::{PlacementContext, next_steps};
+use shalehinge::core::router::request::{AttemptEnd, RequestMeta, Target};
+use shalehinge::core::router::{Router, RouterAction};
+use shalehinge::core::types::{Customer, HostId, ModelName, RequestId, Timestamp};
+use shalehinge::settings::router::RouterSettings;
+use standin::experiment::day::{DaySpec, ModelSpec, domain_objects};
+use standin::experiment::fleet::{FleetSpec, fleet_state, router_of};
+
+#[global_allocator]
+static ALLOCATOR: AllocProfiler = AllocProfiler::system();
+
+fn main() {
+    divan::main();
+}
+
+fn spec(replicas: usize) -> FleetSpec {
+    FleetSpec {
+        routers: 9,
+        domains: 5,
+        replicas,
+        settings: RouterSettings::default(),
+        report_lag: std::time::Duration::ZERO,
+        tells_age: true,
+        slow: (0, 1.0),
+        lost: (0, std::time::Duration::ZERO),
+        kv_total: 48_000,
+    }
+}
+
+/// A router that has seen all its candidates complete and half full.
+fn ready_router(replicas: usize, rng: &mut SmallRng) -> Router {
+    let spec = spec(replicas);
+    let mut router = router_of(0, &spec, &fleet_state(spec.domains, replicas));
+    let mut out = Vec::new();
+    for second in 1..6 {
+        let now = Timestamp::from_millis(second * 1_000);
+        for wanted in router.reports_wanted(now) {
+            let status = EngineStatus {
+                host: HostId::new("h"),
+                phase: EnginePhase::Ready,
+                group: wanted.group,
+                held: None,
+                members_present: 8,
+                member_count: 8,
+                members_age_ms: 0,
+                load: EngineLoad {
+                    running: 16,
+                    slots: 32,
+                    kv_total: 48_000,
+                    kv_used: 20_000,
+                    ..EngineLoad::default()
+                },
+            };
+            router.on_report(now, now, &wanted.id, Some(&status), rng, &mut out);
+        }
+    }
+    router
+}
+
+/// A request from its submission to its end: one choice among the candidates.
+#[divan::bench(args = [50, 200, 830])]
+fn routing_decision(bencher: Bencher, replicas: usize) {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut router = ready_router(replicas, &mut rng);
+    let now = Timestamp::from_millis(5_500);
+    let mut number = 0;
+    bencher.bench_local(|| {
+        number += 1;
+        let mut out = Vec::new();
+        let meta = RequestMeta {
+            customer: Customer::new("customer-1"),
+            target: Target::Model(ModelName::new("model")),
+            prompt_tokens: 500,
+            max_output_tokens: 256,
+            deadline: Timestamp::from_millis(60_000),
+            priority: 0,
+            key: None,
+            repeatable: true,
+            prefix: (0..8).map(|block| number % 100 * 100 + block).collect(),
+        };
+        let request = RequestId(number);
+        router.submit(now, request, meta, 1, &mut rng, &mut out);
+        let sent = out.iter().find_map(|action| match action {
+            RouterAction::Send(attempt) => Some(attempt.id),
+            _ => None,
+        });
+        let attempt = sent.expect("there is room");
+        let end = AttemptEnd::Completed { output_tokens: 100 };
+        router.on_ended(now, request, attempt, end, &mut rng, &mut out);
+    });
+}
+
+fn day(hosts: usize) -> DaySpec {
+    const FABRIC: usize = 66;
+    DaySpec {
+        fabrics: vec![FABRIC; hosts.div_ceil(FABRIC)],
+        models: vec![
+            ModelSpec {
+                name: "large",
+                hosts: 8,
+                replicas: (hosts / 16) as u32,
+            },
+            ModelSpec {
+                name: "small",
+                hosts: 4,
+                replicas: (hosts / 10) as u32,
+            },
+        ],
+        weights: PlacementWeights::default(),
+        choice: HostChoice::BestFit,
+        failures: 0.0,
+    }
+}
+
+/// All groups of a failure domain, from nothing.
+#[divan::bench(args = [100, 1_000, 3_300])]
+fn plan_from_nothing(bencher: Bencher, hosts: usize) {
+    let (domain, fleet, list) = domain_objects(&day(hosts));
+    let assignment = Assignment::default();
+    bencher.bench_local(|| {
+        next_steps(&PlacementContext {
+            domain: &domain,
+            fleet: &fleet,
+            hosts: &list,
+            assignment: &assignment,
+            unreachable: &BTreeSet::new(),
+            lost: &BTreeMap::new(),
+            held: &HeldWeights::new(),
+            choice: HostChoice::BestFit,
+            max_forming: usize::MAX,
+        })
+    });
+}
+
+/// One look at a failure domain in which all is as wanted, as the lease holder does it.
+#[divan::bench(args = [100, 1_000, 3_300])]
+fn plan_with_nothing_to_do(bencher: Bencher, hosts: usize) {
+    let (domain, fleet, list) = domain_objects(&day(hosts));
+    let mut assignment = Assignment::default();
+    let context = |assignment: &Assignment| {
+        next_steps(&PlacementContext {
+            domain: &domain,
+            fleet: &fleet,
+            hosts: &list,
+            assignment,
+            unreachable: &BTreeSet::new(),
+            lost: &BTreeMap::new(),
+            held: &HeldWeights::new(),
+            choice: HostChoice::BestFit,
+            max_forming: usize::MAX,
+        })
+    };
+    for step in context(&assignment) {
+        apply_step(&mut assignment, &step);
+    }
+    bencher.bench_local(|| context(&assignment));
+}
--- a/standin/src/experiment/routing.rs
+++ b/standin/src/experiment/routing.rs
@@ -151,6 +151,17 @@
                 ..default
             },
         },
+        Policy {
+            name: "reports each 5 s",
+            routers: ROUTERS,
+            settings: RouterSettings {
+                report_interval: Duration::from_secs(5),
+                evidence_ttl: Duration::from_secs(12),
+                local_candidates: 12,
+                remote_candidates: 4,
+                ..default
+            },
+        },
         Policy {
             name: "no affinity",
             routers: ROUTERS,
