fix(claims): a claim that was given up while its write was on its way is taken back

Change: when the write takes effect, what it added for a given-up claim is withdrawn next. Also, a caller that leaves while its claim waits gets its final answer, and three unused items are gone. Conclusion: safe before too (it refused more than needed), now it is also right.

--- a/shalehinge/src/core/claims.rs
+++ b/shalehinge/src/core/claims.rs
@@ -167,6 +167,12 @@
             partition.known = Some(Versioned { version, value });
         }
         let written = std::mem::take(&mut partition.written);
+        // A claim that was given up meanwhile is there now, and is taken back.
+        let given_up = written
+            .iter()
+            .filter(|change| partition.has_to_withdraw(change));
+        let given_up: Vec<Change> = given_up.copied().collect();
+        partition.waiting.extend(given_up);
         written.into_iter().filter_map(granted).collect()
     }
 
@@ -200,6 +206,16 @@
         self.waiting.is_empty() && self.written.is_empty()
     }
 
+    /// Whether the change withdraws a claim that is there.
+    fn has_to_withdraw(&self, change: &Change) -> bool {
+        let Change::Withdraw { key, claimant } = change else {
+            return false;
+        };
+        let known = self.known.as_ref();
+        let claim = known.and_then(|known| known.value.claims.get(key));
+        claim.is_some_and(|claim| claim.claimant == *claimant)
+    }
+
     /// Gives up claims that waited too long; if one was written, it is taken back.
     fn expire(
         &mut self,
--- a/shalehinge/src/core/daemon/requests.rs
+++ b/shalehinge/src/core/daemon/requests.rs
@@ -104,7 +104,9 @@
             .get(&request)
             .is_some_and(|claimed| claimed.waiting.is_some());
         if is_waiting_for_claim {
-            self.settle_claim(request, &not_run(NotRunReason::CallerLeft, Duration::ZERO));
+            let outcome = not_run(NotRunReason::CallerLeft, Duration::ZERO);
+            self.settle_claim(request, &outcome);
+            out.push(Action::Answer { request, outcome });
             return;
         }
         let mut actions = Vec::new();
--- a/shalehinge/src/core/lease.rs
+++ b/shalehinge/src/core/lease.rs
@@ -31,8 +31,6 @@
     lease: Option<Versioned<LeaseRecord>>,
     /// When this version was first seen.
     changed_at: Timestamp,
-    /// When it was last read.
-    read_at: Timestamp,
 }
 
 /// A write on its way, or one whose answer was lost.
@@ -240,15 +238,6 @@
             .as_ref()
             .filter(|seen| version_of(&seen.lease) == version_of(&lease));
         let changed_at = unchanged.map_or(now, |seen| seen.changed_at);
-        self.observation = Some(Observation {
-            lease,
-            changed_at,
-            read_at: now,
-        });
-    }
-
-    /// When the lease object was last read or written.
-    pub fn last_read(&self) -> Option<Timestamp> {
-        self.observation.as_ref().map(|seen| seen.read_at)
+        self.observation = Some(Observation { lease, changed_at });
     }
 }
--- a/shalehinge/src/core/router/request.rs
+++ b/shalehinge/src/core/router/request.rs
@@ -157,8 +157,6 @@
     UnknownTarget,
     /// The key could not be claimed, as the platform does not answer.
     ClaimUnavailable,
-    /// Another request with this key runs now.
-    KeyInProgress,
     /// The daemon is stopping.
     Stopping,
     /// The caller left before it was sent.
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -284,9 +284,4 @@
         };
         (own + self.others.unwrap_or_default()) / f64::from(report.load.slots)
     }
-
-    /// Age of the newest report.
-    pub fn report_age(&self, now: Timestamp) -> Option<Duration> {
-        self.report.map(|report| now.since(report.asked_at))
-    }
 }
--- a/shalehinge/src/gateway/answer.rs
+++ b/shalehinge/src/gateway/answer.rs
@@ -138,11 +138,6 @@
                 "key_not_claimed",
                 "the key could not be recorded, so the request did not run; send it again later with the same key",
             ),
-            NotRunReason::KeyInProgress => (
-                Status::Conflict,
-                "key_in_progress",
-                "another request with this key runs now; ask for its result later",
-            ),
             NotRunReason::Stopping => (
                 Status::ServiceUnavailable,
                 "stopping",
