refactor(core): the daemon's files name what they use

Cause: the files of core/daemon/ took all names from their parent by a star. Change: explicit uses; nothing else. Core tests green before and after.

--- a/shalehinge/src/core/daemon/claiming.rs
+++ b/shalehinge/src/core/daemon/claiming.rs
@@ -1,6 +1,12 @@
 //! Keys of requests: claimed before, settled after.
 
-use super::*;
+use super::{Daemon, Purpose, log, refusal_of};
+use crate::core::claims::{ClaimResult, ClaimStep};
+use crate::core::event::{Action, Part};
+use crate::core::objects::{Object, ObjectKey, Versioned};
+use crate::core::platform::{NoAnswer, PlatformCall, PlatformReply, PlatformResult};
+use crate::core::router::request::Outcome;
+use crate::core::types::{RequestId, Timestamp};
 
 impl Daemon {
     /// Says in the claim what became of the request, if it had one.
--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -1,6 +1,13 @@
 //! Which objects are in force: listed, watched, spread.
 
-use super::*;
+use rand::Rng;
+
+use super::{Daemon, Purpose, RUMOUR_FANOUT, WATCH_PAUSE, WATCHERS, log};
+use crate::core::event::{Action, Notice, Part};
+use crate::core::fleet_state::ObjectUpdate;
+use crate::core::platform::{PlatformCall, PlatformReply, PlatformResult};
+use crate::core::router::topology;
+use crate::core::types::Timestamp;
 
 impl Daemon {
     /// Reads all objects once, then watches if it is this daemon's turn.
--- a/shalehinge/src/core/daemon/control.rs
+++ b/shalehinge/src/core/daemon/control.rs
@@ -1,7 +1,13 @@
 //! The lease, and what its holder does.
 
-use super::*;
-use crate::core::objects::Assignment;
+use super::{CANDIDATES, Daemon, Purpose, log};
+use crate::core::controller::ControllerAction;
+use crate::core::event::{Action, Part, StatusPurpose};
+use crate::core::fleet_state::ObjectUpdate;
+use crate::core::lease::LeaseStep;
+use crate::core::objects::{Assignment, Object, ObjectKey, Versioned};
+use crate::core::platform::{NoAnswer, PlatformCall, PlatformReply, PlatformResult};
+use crate::core::types::Timestamp;
 
 impl Daemon {
     pub(super) fn lease_key(&self) -> ObjectKey {
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -25,25 +25,23 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 
-use crate::core::claims::{ClaimBook, ClaimResult, ClaimStep};
-use crate::core::controller::{Controller, ControllerAction};
-use crate::core::event::{Action, Event, LogLine, Notice, Part, Pull, PullReply, StatusPurpose};
-use crate::core::fleet_state::{FleetState, ObjectUpdate};
-use crate::core::lease::{ControlLease, LeaseStep};
+use crate::core::claims::{ClaimBook, ClaimResult};
+use crate::core::controller::Controller;
+use crate::core::event::{Action, Event, LogLine, Part, StatusPurpose};
+use crate::core::fleet_state::FleetState;
+use crate::core::lease::ControlLease;
 use crate::core::membership::{Heartbeat, Membership};
-use crate::core::objects::{KeyHash, Object, ObjectKey, Versioned};
-use crate::core::operator::{OperatorCall, OperatorCallId, OperatorStep, Operators};
-use crate::core::platform::{
-    CallId, NoAnswer, PlatformCall, PlatformReply, PlatformResult, Revision,
-};
-use crate::core::router::request::{NotRunReason, Outcome, RequestMeta, UnknownReason, UpstreamId};
-use crate::core::router::{Router, RouterAction, topology};
+use crate::core::objects::KeyHash;
+use crate::core::operator::{OperatorCallId, Operators};
+use crate::core::platform::{CallId, Revision};
+use crate::core::router::Router;
+use crate::core::router::request::{NotRunReason, Outcome, RequestMeta, UnknownReason};
 use crate::core::types::{
-    Address, AttemptId, Customer, DaemonId, FailureDomain, Incarnation, OperationId, RequestId,
-    Timestamp, Version,
+    Address, Customer, DaemonId, FailureDomain, Incarnation, OperationId, RequestId, Timestamp,
+    Version,
 };
 use crate::settings::core::CoreSettings;
 
--- a/shalehinge/src/core/daemon/operators.rs
+++ b/shalehinge/src/core/daemon/operators.rs
@@ -1,6 +1,10 @@
 //! Plans and confirms.
 
-use super::*;
+use super::{Daemon, Purpose, log};
+use crate::core::event::{Action, Part};
+use crate::core::operator::{OperatorCall, OperatorCallId, OperatorStep};
+use crate::core::platform::{NoAnswer, PlatformReply, PlatformResult};
+use crate::core::types::Timestamp;
 
 impl Daemon {
     pub(super) fn on_operator(
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use super::*;
-use crate::core::event::PullId;
-use crate::core::types::ReplicaId;
+use super::{CANDIDATES, Daemon, SUSPECTS_INTERVAL};
+use crate::core::event::{Action, Notice, Pull, PullId, PullReply};
+use crate::core::types::{FailureDomain, ReplicaId, Timestamp};
 
 impl Daemon {
     pub(super) fn pull(&mut self, now: Timestamp, out: &mut Vec<Action>) {
--- a/shalehinge/src/core/daemon/platform_calls.rs
+++ b/shalehinge/src/core/daemon/platform_calls.rs
@@ -1,6 +1,11 @@
 //! Calls to the platform, and where their answers go.
 
-use super::*;
+use rand::Rng;
+
+use super::{Daemon, Purpose};
+use crate::core::event::Action;
+use crate::core::platform::{CallId, PlatformCall, PlatformReply, PlatformResult};
+use crate::core::types::{OperationId, Timestamp};
 
 impl Daemon {
     pub(super) fn call(&mut self, purpose: Purpose, request: PlatformCall, out: &mut Vec<Action>) {
--- a/shalehinge/src/core/daemon/requests.rs
+++ b/shalehinge/src/core/daemon/requests.rs
@@ -1,8 +1,13 @@
 //! Requests of callers, and what the router decides.
 
-use super::*;
+use std::time::Duration;
+
+use super::{Claimed, Daemon, log, not_run};
 use crate::core::engine::EngineStatus;
-use crate::core::router::request::AttemptEnd;
+use crate::core::event::{Action, Part, StatusPurpose};
+use crate::core::router::RouterAction;
+use crate::core::router::request::{AttemptEnd, NotRunReason, RequestMeta, UpstreamId};
+use crate::core::types::{AttemptId, Customer, RequestId, Timestamp};
 
 impl Daemon {
     pub(super) fn on_request(
--- a/shalehinge/src/core/daemon/stopping.rs
+++ b/shalehinge/src/core/daemon/stopping.rs
@@ -1,6 +1,8 @@
 //! A planned stop.
 
-use super::*;
+use super::{Daemon, log};
+use crate::core::event::{Action, Part};
+use crate::core::types::Timestamp;
 
 impl Daemon {
     pub(super) fn on_stop(&mut self, now: Timestamp, out: &mut Vec<Action>) {
