fix(process): an attempt that ends at once leaves no handle behind

Cause, by reading: a task that ended before it was noted was noted afterwards and stayed for ever; a little memory for each. Change: the table is held from the start of the task until it is noted. Tests of the gateway green; the race itself is not tested.

--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -273,6 +273,8 @@
         self.metrics.count(Counter::Attempts);
         let id = attempt.id;
         let driver = self.clone();
+        // Held until the task is noted: a quick one must find itself there.
+        let mut attempts = lock(&self.attempts);
         let task = spawn(async move {
             let sink = PartSink {
                 driver: driver.clone(),
@@ -294,7 +296,7 @@
                 end,
             });
         });
-        lock(&self.attempts).insert(id, task);
+        attempts.insert(id, task);
     }
 
     fn answer(&self, request: RequestId, outcome: Outcome) {
