--- a/scripts/measure-slopes.sh
+++ b/scripts/measure-slopes.sh
@@ -2,7 +2,10 @@
 # Measures what an idle fleet costs: processor time and memory of a daemon, bytes
 # on the loopback, calls to the platform. One failure domain, release build.
 # Usage: scripts/measure-slopes.sh DAEMONS HOSTS [SECONDS]
-# EXTRA, if set, is added to the settings files.
+# EXTRA, if set, is added to the settings files. DOMAINS, if set, is the number of
+# failure domains that the daemons are in, in turn (without hosts). With
+# KILL_HOLDER set, the holder of the first is killed at the end, and the calls to
+# the platform in the 12 s that follow are counted.
 # Each host is a replica of its own, so that the engines say nothing to each other.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -39,7 +42,7 @@
     cat >"$WORK/e$n.ini" <<INI
 [daemon]
 name = e$n
-failure_domain = d
+failure_domain = d$( [ "${DOMAINS:-1}" = 1 ] || echo $((n % DOMAINS)) )
 seeds = $SEEDS
 [listen]
 callers = 127.0.0.1:0
@@ -93,3 +96,20 @@
 print("platform calls/s:", ", ".join(
     f"{kind} {(b[kind] - a[kind]) / float(sys.argv[2]):.2f}" for kind in ("reads", "writes", "watches")))
 PY
+if [ -n "${KILL_HOLDER:-}" ]; then
+    counts >"$WORK/counts-a"
+    for n in $(seq "$DAEMONS"); do
+        if grep -q "lease: holds d0 in epoch" "$WORK/e$n.log"; then
+            kill -KILL "${ENTRIES[$((n - 1))]}"
+        fi
+    done
+    sleep 12
+    counts >"$WORK/counts-b"
+    grep -h "lease: holds d0 in epoch" "$WORK"/e*.log
+    python3 - "$WORK" 12 <<'PY'
+import json, sys
+a, b = (json.load(open(f"{sys.argv[1]}/counts-{n}")) for n in "ab")
+print("after the kill, platform calls/s:", ", ".join(
+    f"{kind} {(b[kind] - a[kind]) / float(sys.argv[2]):.2f}" for kind in ("reads", "writes", "watches")))
+PY
+fi
