--- a/shalehinge/src/core/controller/calls.rs
+++ b/shalehinge/src/core/controller/calls.rs
@@ -6,10 +6,14 @@
 use crate::core::engine::{Command, LoadCommand, Order};
 use crate::core::objects::{Group, GroupPhase, Member};
 use crate::core::types::{Address, Epoch, GroupNumber, HostId, Timestamp};
+use crate::settings::control::Assembly;
 
 impl Controller {
     /// Orders and probes that follow from the stored assignment.
     pub(super) fn calls(&mut self, now: Timestamp, epoch: Epoch) -> Vec<ControllerAction> {
+        if self.settings.assembly == Assembly::Orders {
+            return self.ordered_calls(now, epoch);
+        }
         let Some(stored) = self.stored.take() else {
             return Vec::new();
         };
@@ -58,7 +62,7 @@
         }
     }
 
-    fn order(
+    pub(super) fn order(
         &self,
         epoch: Epoch,
         group: GroupNumber,
@@ -95,6 +99,7 @@
                 version: group.version.clone(),
                 rank: rank as u32,
                 members: members.clone(),
+                hosts: group.members.iter().map(|m| m.host.clone()).collect(),
             });
             actions.push(self.order(epoch, number, member, command));
         }
--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -7,8 +7,16 @@
 //! another group get it.
 //!
 //! - `calls`: orders and looks that follow from what is stored
+//! - `ordered`: the same for engines that join and open by order
+//! - `service_plan`: what follows from the models' parts of the work
+//! - `load_budget`: how many loads may begin
 
 mod calls;
+mod load_budget;
+mod ordered;
+mod service_plan;
+
+pub use ordered::Listing;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -20,9 +28,14 @@
 use crate::core::placement::preview::apply_step;
 use crate::core::placement::{PlacementContext, next_steps};
 use crate::core::types::{
-    Address, Epoch, FailureDomain, GroupNumber, HostId, OperationId, Timestamp, Version,
+    Address, Epoch, FailureDomain, GroupNumber, HostId, ModelVersion, OperationId, Timestamp,
+    Version,
 };
-use crate::settings::control::ControlSettings;
+use crate::settings::control::{Assembly, ControlSettings};
+
+use load_budget::LoadBudget;
+use ordered::ListedHost;
+use service_plan::{ONLY_VERSION, ServicePlans};
 
 /// What the controller wants done.
 #[derive(Clone, Debug, PartialEq)]
@@ -62,6 +75,9 @@
     Load(GroupNumber),
     Probe(GroupNumber),
     Release(GroupNumber),
+    Open(GroupNumber),
+    Leave(GroupNumber),
+    Stage,
 }
 
 /// What is known of a group's health.
@@ -72,6 +88,10 @@
     is_lost: bool,
     /// A router saw it incomplete; it is looked at often until then.
     suspect_until: Option<Timestamp>,
+    /// The member that did not answer first.
+    silent_member: Option<HostId>,
+    /// Orders for the group that were refused in a row.
+    refusals: u32,
 }
 
 /// The control of one failure domain, at one daemon.
@@ -93,6 +113,15 @@
     forming_since: BTreeMap<GroupNumber, Timestamp>,
     /// From the host list, for hosts that are in no group any more.
     addresses: BTreeMap<HostId, Address>,
+    /// Since when this daemon knows the assignment.
+    stored_seen_at: Option<Timestamp>,
+    listing: Listing,
+    listed: BTreeMap<HostId, ListedHost>,
+    listed_version: Version,
+    /// Since when rank 0 of a dissolved group stands still, as a member left it.
+    standing_since: BTreeMap<GroupNumber, Timestamp>,
+    plans: ServicePlans,
+    loads: LoadBudget,
 }
 
 impl Controller {
@@ -113,6 +142,13 @@
             retiring_since: BTreeMap::new(),
             forming_since: BTreeMap::new(),
             addresses: BTreeMap::new(),
+            stored_seen_at: None,
+            listing: Listing::default(),
+            listed: BTreeMap::new(),
+            listed_version: Version(0),
+            standing_since: BTreeMap::new(),
+            plans: ServicePlans::default(),
+            loads: LoadBudget::default(),
         }
     }
 
@@ -127,6 +163,7 @@
         now: Timestamp,
         epoch: Option<Epoch>,
         state: &FleetState,
+        listing: Listing,
         operation: OperationId,
     ) -> Vec<ControllerAction> {
         let Some(epoch) = epoch else {
@@ -137,7 +174,7 @@
             self.resign();
             self.epoch = Some(epoch);
         }
-        self.note_addresses(state);
+        self.note_hosts(now, state, listing);
         if self.in_flight {
             return self.calls(now, epoch);
         }
@@ -168,6 +205,7 @@
     pub fn on_read(&mut self, value: Option<Versioned<Assignment>>) {
         self.in_flight = false;
         self.pending = None;
+        self.stored_seen_at = None;
         self.stored = Some(value.unwrap_or(Versioned {
             version: Version(0),
             value: Assignment::default(),
@@ -213,9 +251,14 @@
         &mut self,
         now: Timestamp,
         asked_at: Timestamp,
+        host: &HostId,
         order: &Order,
         reply: OrderReply,
     ) {
+        if self.settings.assembly == Assembly::Orders {
+            self.on_ordered(now, host, order, reply.accepted);
+            return;
+        }
         let is_release = matches!(order.command, Command::Release { .. });
         let has_left = reply.accepted && reply.status.shows_released(order.group);
         if is_release && has_left {
@@ -226,6 +269,10 @@
 
     /// An engine told its status.
     pub fn on_status(&mut self, now: Timestamp, asked_at: Timestamp, status: EngineStatus) {
+        if self.settings.assembly == Assembly::Orders {
+            self.on_probed(&status);
+            return;
+        }
         self.unreachable.remove(&status.host);
         self.judge_rank_zero(now, asked_at, &status);
         self.observed.insert(status.host.clone(), status);
@@ -260,6 +307,10 @@
 
     /// An engine did not answer an order or a probe.
     pub fn on_no_status(&mut self, now: Timestamp, asked_at: Timestamp, host: &HostId) {
+        if self.settings.assembly == Assembly::Orders {
+            self.on_silent(now, asked_at, host);
+            return;
+        }
         self.unreachable.insert(host.clone(), now);
         let Some(stored) = &self.stored else {
             return;
@@ -294,6 +345,11 @@
         let mut value = stored.value.clone();
         let mut log = Vec::new();
         self.note_times(now, &value);
+        if self.settings.assembly == Assembly::Orders {
+            self.next_ordered(now, &mut value, state, &mut log);
+            let changed = value != stored.value;
+            return (changed.then_some(value), log);
+        }
         self.take_acknowledgements(&mut value, state, &mut log);
         self.promote_ready(&mut value, &mut log);
         self.note_losses(now, &value, state);
@@ -320,6 +376,43 @@
         (changed.then_some(value), log)
     }
 
+    /// The next value where engines join by order and replicas follow from shares.
+    fn next_ordered(
+        &mut self,
+        now: Timestamp,
+        value: &mut Assignment,
+        state: &FleetState,
+        log: &mut Vec<String>,
+    ) {
+        self.take_departures(now, value);
+        self.drop_retired(value, log);
+        self.promote_open(value, log);
+        self.note_listed_losses(now, value);
+        log.extend(self.plans.refresh(state, &self.domain));
+        let lost = self.lost_groups(value);
+        let mut avoided = self.recently_unreachable(now);
+        avoided.extend(self.strays(value).into_keys());
+        let held = self.listed_weights();
+        for (index, plan) in self.plans.iter().enumerate() {
+            let part = self.plans.part_of(index, value);
+            let context = PlacementContext {
+                domain: &self.domain,
+                fleet: &plan.fleet,
+                hosts: &plan.hosts,
+                assignment: &part,
+                unreachable: &avoided,
+                lost: &lost,
+                held: &held,
+                choice: self.settings.choice,
+                max_forming: self.settings.max_forming,
+            };
+            for step in next_steps(&context) {
+                log.push(step.to_string());
+                apply_step(value, &step);
+            }
+        }
+    }
+
     fn note_times(&mut self, now: Timestamp, value: &Assignment) {
         for (times, phase) in [
             (&mut self.retiring_since, GroupPhase::Retiring),
@@ -359,6 +452,12 @@
         value
             .releasing
             .retain(|host, number| is_listed(host) && !has_left(host, number));
+        self.drop_retired(value, log);
+    }
+
+    /// Groups that retired are gone once all members left.
+    fn drop_retired(&self, value: &mut Assignment, log: &mut Vec<String>) {
+        let has_left = |host: &HostId, number: &GroupNumber| self.has_left(host, *number);
         let retired: Vec<GroupNumber> = value
             .groups
             .iter()
@@ -427,6 +526,18 @@
         self.unreachable.keys().cloned().collect()
     }
 
+    /// Weights that lie on the hosts, by the list.
+    fn listed_weights(&self) -> HeldWeights {
+        let version = ModelVersion::new(ONLY_VERSION);
+        self.listed
+            .iter()
+            .filter_map(|(host, listed)| {
+                let model = listed.newest_staged()?.clone();
+                Some((host.clone(), (model, version.clone())))
+            })
+            .collect()
+    }
+
     fn held_weights(&self) -> HeldWeights {
         self.observed
             .iter()
@@ -437,7 +548,18 @@
             .collect()
     }
 
-    fn note_addresses(&mut self, state: &FleetState) {
+    fn note_hosts(&mut self, now: Timestamp, state: &FleetState, listing: Listing) {
+        if self.stored.is_some() {
+            self.stored_seen_at.get_or_insert(now);
+        }
+        self.listing = listing;
+        if self.settings.assembly == Assembly::Orders {
+            self.note_listed(state);
+            let rate = state.fleet().and_then(|fleet| fleet.value.load_rate);
+            let part = self.settings.load_share / listing.domains.max(1) as f64;
+            self.loads.set_rate(rate.map(|rate| rate.per_second * part));
+            return;
+        }
         let Some(hosts) = state.hosts() else {
             return;
         };
--- /dev/null
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -0,0 +1,583 @@
+//! Engines that join, open and leave by order, and tell the host list how far they are.
+//!
+//! A group opens only once the list showed every member ready in it. What a host
+//! shows of a group is proof whenever it was shown, as a group's number is never used
+//! again. That a host does not show its group proves something only if the list is
+//! newer than this daemon's knowledge of the assignment. A host that the list lost is
+//! asked itself: it may be cut off from the platform and serve all the same.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::{CallPurpose, Controller, ControllerAction};
+use crate::core::engine::{Command, EngineStatus, LoadCommand, Order};
+use crate::core::fleet_state::FleetState;
+use crate::core::objects::{Assignment, Group, GroupPhase, HostRecord, HostState, Member};
+use crate::core::types::{Address, Epoch, FabricDomain, GroupNumber, HostId, ModelName, Timestamp};
+
+/// Refusals of an order after which its group is given up.
+const MOST_REFUSALS: u32 = 3;
+/// Time between two orders to stage weights on the same host.
+const STAGE_INTERVAL: Duration = Duration::from_secs(20);
+
+/// What the list tells of the hosts of this failure domain, and how fresh that is.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Listing {
+    /// The time of which the list is true.
+    pub as_of: Option<Timestamp>,
+    /// Whether loads are free, before the fleet's first request.
+    pub loads_are_free: bool,
+    /// Failure domains that share the rate of loads.
+    pub domains: usize,
+}
+
+/// A host as it was last listed.
+#[derive(Clone, Debug)]
+pub(super) struct ListedHost {
+    record: HostRecord,
+    is_listed: bool,
+}
+
+impl ListedHost {
+    /// The model whose weights came last to the host.
+    pub(super) fn newest_staged(&self) -> Option<&ModelName> {
+        self.record.staged.first()
+    }
+}
+
+impl Controller {
+    /// Takes in the list; hosts that it no longer names are remembered for a while,
+    /// as long as the assignment names them.
+    pub(super) fn note_listed(&mut self, state: &FleetState) {
+        let Some(hosts) = state.hosts() else {
+            return;
+        };
+        if self.listed_version == hosts.version {
+            return;
+        }
+        self.listed_version = hosts.version;
+        for host in self.listed.values_mut() {
+            host.is_listed = false;
+        }
+        let domain = &self.domain;
+        for (id, record) in &hosts.value.hosts {
+            if record.failure_domain == *domain {
+                let host = ListedHost {
+                    record: record.clone(),
+                    is_listed: true,
+                };
+                self.listed.insert(id.clone(), host);
+            }
+        }
+        if let Some(stored) = &self.stored {
+            let used = stored.value.used_hosts();
+            self.listed
+                .retain(|id, host| host.is_listed || used.contains(id));
+        }
+    }
+
+    fn status(&self, host: &HostId) -> Option<&EngineStatus> {
+        self.listed.get(host)?.record.status.as_ref()
+    }
+
+    pub(super) fn is_listed(&self, host: &HostId) -> bool {
+        self.listed.get(host).is_some_and(|host| host.is_listed)
+    }
+
+    /// Whether the list is newer than what is known of the assignment.
+    fn is_list_newer(&self, than: Timestamp) -> bool {
+        self.listing.as_of.is_some_and(|as_of| as_of >= than)
+    }
+
+    /// Whether the list may show what is no longer so.
+    fn trusts_absence(&self) -> bool {
+        self.stored_seen_at
+            .is_some_and(|seen_at| self.is_list_newer(seen_at))
+    }
+
+    /// A forming group serves once its rank 0 takes requests.
+    pub(super) fn promote_open(&self, value: &mut Assignment, log: &mut Vec<String>) {
+        for (number, group) in &mut value.groups {
+            let rank_zero = group.members.first().map(|member| &member.host);
+            let status = rank_zero.and_then(|host| self.status(host));
+            let is_open = status.is_some_and(|status| status.shows_open(*number));
+            if group.phase == GroupPhase::Forming && is_open {
+                log.push(format!("group {} is open and serves", number.0));
+                group.phase = GroupPhase::Serving;
+            }
+        }
+    }
+
+    /// Groups that lost a member, by what the list shows.
+    pub(super) fn note_listed_losses(&mut self, now: Timestamp, value: &Assignment) {
+        let trusts_absence = self.trusts_absence();
+        let mut lost: Vec<(GroupNumber, HostId)> = Vec::new();
+        for (number, group) in &value.groups {
+            if group.phase == GroupPhase::Forming && self.is_stuck(now, *number) {
+                let first = group.members.first().map(|member| member.host.clone());
+                lost.extend(first.map(|host| (*number, host)));
+                continue;
+            }
+            for member in &group.members {
+                if self.has_lost(*number, group.phase, &member.host, trusts_absence) {
+                    lost.push((*number, member.host.clone()));
+                    break;
+                }
+            }
+        }
+        for (number, host) in lost {
+            let health = self.health.entry(number).or_default();
+            health.is_lost = true;
+            health.lost_member.get_or_insert(host);
+        }
+    }
+
+    fn is_stuck(&self, now: Timestamp, number: GroupNumber) -> bool {
+        self.forming_since
+            .get(&number)
+            .is_some_and(|since| now.since(*since) >= self.settings.forming_timeout)
+    }
+
+    /// Whether the list shows that the host is no member any more.
+    fn has_lost(
+        &self,
+        number: GroupNumber,
+        phase: GroupPhase,
+        host: &HostId,
+        trusts_absence: bool,
+    ) -> bool {
+        if !self.is_listed(host) {
+            // Asked itself; a group that never served is not worth the wait.
+            return phase == GroupPhase::Forming && trusts_absence;
+        }
+        let Some(status) = self.status(host) else {
+            return false;
+        };
+        let is_broken = status.group == Some(number) && !status.shows_member(number);
+        let is_away = status.group != Some(number) && trusts_absence;
+        is_broken || (phase == GroupPhase::Serving && is_away)
+    }
+
+    /// Orders and looks that follow from the stored assignment.
+    pub(super) fn ordered_calls(&mut self, now: Timestamp, epoch: Epoch) -> Vec<ControllerAction> {
+        let Some(stored) = self.stored.take() else {
+            return Vec::new();
+        };
+        let mut actions = Vec::new();
+        for (number, group) in &stored.value.groups {
+            match group.phase {
+                GroupPhase::Forming => self.form(now, epoch, *number, group, &mut actions),
+                GroupPhase::Serving => self.watch_over(now, epoch, *number, group, &mut actions),
+                GroupPhase::Retiring => self.retire(now, epoch, *number, group, &mut actions),
+            }
+        }
+        self.release_hosts(now, epoch, &stored.value, &mut actions);
+        self.stage_spares(now, epoch, &stored.value, &mut actions);
+        self.stored = Some(stored);
+        actions
+    }
+
+    fn form(
+        &mut self,
+        now: Timestamp,
+        epoch: Epoch,
+        number: GroupNumber,
+        group: &Group,
+        actions: &mut Vec<ControllerAction>,
+    ) {
+        let members: Vec<Address> = group.members.iter().map(|m| m.address).collect();
+        let hosts: Vec<HostId> = group.members.iter().map(|m| m.host.clone()).collect();
+        let mut all_ready = true;
+        for (rank, member) in group.members.iter().enumerate() {
+            let status = self.status(&member.host);
+            all_ready &= status.is_some_and(|status| status.shows_ready(number));
+            if status.is_some_and(|status| status.shows_member(number)) {
+                continue;
+            }
+            let purpose = CallPurpose::Load(number);
+            if !self.is_due_again(now, &member.host, purpose)
+                || !self.may_load(now, &member.host, &group.model)
+            {
+                continue;
+            }
+            self.note_call(now, &member.host, purpose);
+            let command = Command::Load(LoadCommand {
+                model: group.model.clone(),
+                version: group.version.clone(),
+                rank: rank as u32,
+                members: members.clone(),
+                hosts: hosts.clone(),
+            });
+            actions.push(self.order(epoch, number, member, command));
+        }
+        if all_ready {
+            self.open(now, epoch, number, group, actions);
+        }
+    }
+
+    fn open(
+        &mut self,
+        now: Timestamp,
+        epoch: Epoch,
+        number: GroupNumber,
+        group: &Group,
+        actions: &mut Vec<ControllerAction>,
+    ) {
+        let Some(head) = group.members.first() else {
+            return;
+        };
+        let is_open = self
+            .status(&head.host)
+            .is_some_and(|s| s.shows_open(number));
+        let purpose = CallPurpose::Open(number);
+        if !is_open && self.is_due_again(now, &head.host, purpose) {
+            self.note_call(now, &head.host, purpose);
+            actions.push(self.order(epoch, number, head, Command::Open));
+        }
+    }
+
+    /// Asks members that the list lost, and all members of a group that routers
+    /// found standing still.
+    fn watch_over(
+        &mut self,
+        now: Timestamp,
+        epoch: Epoch,
+        number: GroupNumber,
+        group: &Group,
+        actions: &mut Vec<ControllerAction>,
+    ) {
+        let health = self.health.get(&number);
+        if health.is_some_and(|health| health.is_lost) {
+            return;
+        }
+        let is_suspect = health.is_some_and(|health| {
+            let is_told = health.suspect_until.is_some_and(|until| now < until);
+            is_told || health.incomplete_since.is_some()
+        });
+        for member in &group.members {
+            let is_unlisted = !self.is_listed(&member.host) && self.trusts_absence();
+            let purpose = CallPurpose::Probe(number);
+            let wanted = is_suspect || is_unlisted;
+            if wanted && self.is_due_again(now, &member.host, purpose) {
+                self.note_call(now, &member.host, purpose);
+                actions.push(ControllerAction::Probe {
+                    group: number,
+                    rank_zero: member.clone(),
+                });
+            }
+        }
+        let Some(head) = group.members.first() else {
+            return;
+        };
+        let status = self.status(&head.host);
+        let is_closed = status.is_some_and(|s| s.shows_ready(number) && !s.shows_open(number));
+        if is_closed && self.trusts_absence() {
+            self.open(now, epoch, number, group, actions);
+        }
+    }
+
+    /// Rank 0 finishes its requests first; only then do all leave.
+    fn retire(
+        &mut self,
+        now: Timestamp,
+        epoch: Epoch,
+        number: GroupNumber,
+        group: &Group,
+        actions: &mut Vec<ControllerAction>,
+    ) {
+        let since = self.retiring_since.get(&number).copied().unwrap_or(now);
+        let Some(head) = group.members.first() else {
+            return;
+        };
+        let status = self.status(&head.host);
+        let may_serve = status.is_some_and(|status| status.shows_open(number));
+        let waited = now.since(since);
+        let drains = may_serve && waited < self.settings.retire_within;
+        let purpose = CallPurpose::Release(number);
+        if drains {
+            if self.is_due_again(now, &head.host, purpose) {
+                self.note_call(now, &head.host, purpose);
+                let command = Command::Release { drain: true };
+                actions.push(self.order(epoch, number, head, command));
+            }
+            return;
+        }
+        for member in &group.members {
+            self.release(now, epoch, number, member, actions);
+        }
+    }
+
+    fn release(
+        &mut self,
+        now: Timestamp,
+        epoch: Epoch,
+        number: GroupNumber,
+        member: &Member,
+        actions: &mut Vec<ControllerAction>,
+    ) {
+        let purpose = CallPurpose::Leave(number);
+        if !self.has_left(&member.host, number) && self.is_due_again(now, &member.host, purpose) {
+            self.note_call(now, &member.host, purpose);
+            let command = Command::Release { drain: false };
+            actions.push(self.order(epoch, number, member, command));
+        }
+    }
+
+    /// Hosts of dissolved groups, and hosts that stand in a group which the assignment
+    /// no longer has, are told to leave it.
+    fn release_hosts(
+        &mut self,
+        now: Timestamp,
+        epoch: Epoch,
+        value: &Assignment,
+        actions: &mut Vec<ControllerAction>,
+    ) {
+        let mut leaving: Vec<(Member, GroupNumber)> = Vec::new();
+        for (host, number) in &value.releasing {
+            if let Some(listed) = self.listed.get(host) {
+                let address = listed.record.address;
+                let member = Member {
+                    host: host.clone(),
+                    address,
+                };
+                leaving.push((member, *number));
+            }
+        }
+        for (host, number) in self.strays(value) {
+            let address = self.listed[&host].record.address;
+            leaving.push((Member { host, address }, number));
+        }
+        for (member, number) in leaving {
+            self.release(now, epoch, number, &member, actions);
+        }
+    }
+
+    /// Free hosts that show a group all the same; not to be used until they left it.
+    pub(super) fn strays(&self, value: &Assignment) -> BTreeMap<HostId, GroupNumber> {
+        if !self.trusts_absence() {
+            return BTreeMap::new();
+        }
+        let used = value.used_hosts();
+        self.listed
+            .iter()
+            .filter(|(host, listed)| listed.is_listed && !used.contains(host))
+            .filter_map(|(host, listed)| {
+                let number = listed.record.status.as_ref()?.group?;
+                let has_left = self.has_left(host, number);
+                (!has_left).then(|| (host.clone(), number))
+            })
+            .collect()
+    }
+
+    /// Whether the host has the model's weights, or may load them now.
+    fn may_load(&mut self, now: Timestamp, host: &HostId, model: &ModelName) -> bool {
+        let listed = self.listed.get(host);
+        let is_staged = listed.is_some_and(|listed| listed.record.staged.contains(model));
+        is_staged || self.listing.loads_are_free || self.loads.take(now)
+    }
+
+    /// Free hosts get the weights that a lost member beside them would need.
+    fn stage_spares(
+        &mut self,
+        now: Timestamp,
+        epoch: Epoch,
+        value: &Assignment,
+        actions: &mut Vec<ControllerAction>,
+    ) {
+        let used = value.used_hosts();
+        let strays = self.strays(value);
+        let most_hosts = self.models_by_fabric(value);
+        let spares: Vec<(HostId, Address, ModelName)> = self
+            .listed
+            .iter()
+            .filter(|(host, listed)| {
+                let is_free = !used.contains(host) && !strays.contains_key(*host);
+                is_free && listed.is_listed && listed.record.state == HostState::Live
+            })
+            .filter(|(host, _)| !self.unreachable.contains_key(*host))
+            .filter_map(|(host, listed)| {
+                let model = most_hosts.get(&listed.record.fabric_domain)?;
+                let is_staged = listed.record.staged.contains(model);
+                (!is_staged).then(|| (host.clone(), listed.record.address, model.clone()))
+            })
+            .collect();
+        for (host, address, model) in spares {
+            let purpose = CallPurpose::Stage;
+            if !self.is_due_again(now, &host, purpose) || !self.may_load(now, &host, &model) {
+                continue;
+            }
+            self.note_call(now, &host, purpose);
+            let member = Member { host, address };
+            let command = Command::Stage { model };
+            actions.push(self.order(epoch, GroupNumber(0), &member, command));
+        }
+    }
+
+    /// The model with the most hosts in each fabric domain; where none has any, the
+    /// one with the most hosts in all.
+    fn models_by_fabric(&self, value: &Assignment) -> BTreeMap<FabricDomain, ModelName> {
+        let mut counts: BTreeMap<&FabricDomain, BTreeMap<&ModelName, usize>> = BTreeMap::new();
+        let mut in_all: BTreeMap<&ModelName, usize> = BTreeMap::new();
+        for group in value.groups.values() {
+            for member in &group.members {
+                if let Some(listed) = self.listed.get(&member.host) {
+                    let fabric = counts.entry(&listed.record.fabric_domain).or_default();
+                    *fabric.entry(&group.model).or_default() += 1;
+                    *in_all.entry(&group.model).or_default() += 1;
+                }
+            }
+        }
+        let most = |counts: &BTreeMap<&ModelName, usize>| -> Option<ModelName> {
+            let model = counts.iter().max_by_key(|(_, count)| **count)?.0;
+            Some((*model).clone())
+        };
+        let usual = most(&in_all);
+        let fabrics: BTreeSet<&FabricDomain> = self
+            .listed
+            .values()
+            .map(|listed| &listed.record.fabric_domain)
+            .collect();
+        fabrics
+            .into_iter()
+            .filter_map(|fabric| {
+                let own = counts.get(fabric).and_then(most);
+                Some((fabric.clone(), own.or_else(|| usual.clone())?))
+            })
+            .collect()
+    }
+
+    /// Hosts of dissolved groups are free once they left and their rank 0 surely
+    /// serves no more.
+    pub(super) fn take_departures(&mut self, now: Timestamp, value: &mut Assignment) {
+        for (host, number) in &value.releasing {
+            let is_head = value.heads.get(number) == Some(host);
+            if !is_head && self.has_left(host, *number) {
+                self.standing_since.entry(*number).or_insert(now);
+            }
+        }
+        let done: BTreeSet<GroupNumber> = value
+            .heads
+            .iter()
+            .filter(|(number, head)| self.serves_no_more(now, **number, head))
+            .map(|(number, _)| *number)
+            .collect();
+        let (left, heads) = (&self.released, &value.heads);
+        let listed = &self.listed;
+        value.releasing.retain(|host, number| {
+            let has_head = heads.contains_key(number);
+            let is_settled = !has_head || done.contains(number);
+            let is_gone = !listed.get(host).is_some_and(|listed| listed.is_listed);
+            let has_left = left.get(host) == Some(number);
+            !(is_settled && (has_left || is_gone))
+        });
+        let releasing = &value.releasing;
+        value
+            .heads
+            .retain(|number, _| releasing.values().any(|other| other == number));
+        let heads = &value.heads;
+        self.standing_since
+            .retain(|number, _| heads.contains_key(number));
+    }
+
+    /// Whether rank 0 of a dissolved group left it, or stood still for so long after
+    /// the others left that it is broken.
+    fn serves_no_more(&self, now: Timestamp, number: GroupNumber, head: &HostId) -> bool {
+        let stands_long = self
+            .standing_since
+            .get(&number)
+            .is_some_and(|since| now.since(*since) >= self.settings.stall);
+        self.has_left(head, number) || stands_long
+    }
+
+    /// An engine answered an order.
+    pub(super) fn on_ordered(&mut self, now: Timestamp, host: &HostId, order: &Order, taken: bool) {
+        self.unreachable.remove(host);
+        let health = match order.command {
+            Command::Release { drain: false } if taken => {
+                self.released.insert(host.clone(), order.group);
+                return;
+            }
+            Command::Load(_) | Command::Open => self.health.entry(order.group).or_default(),
+            Command::Release { .. } | Command::Stage { .. } => return,
+        };
+        if taken {
+            health.incomplete_since = None;
+            health.refusals = 0;
+            // Nothing is gained by asking again before the list shows what came of it.
+            let purpose = match order.command {
+                Command::Open => CallPurpose::Open(order.group),
+                _ => CallPurpose::Load(order.group),
+            };
+            let next = now + self.settings.order_interval * 4;
+            self.next_call_at.insert(host.clone(), (purpose, next));
+            return;
+        }
+        health.refusals += 1;
+        if health.refusals >= MOST_REFUSALS {
+            health.is_lost = true;
+        }
+    }
+
+    /// A member was asked and answered.
+    pub(super) fn on_probed(&mut self, status: &EngineStatus) {
+        self.unreachable.remove(&status.host);
+        let Some(stored) = &self.stored else {
+            return;
+        };
+        let group = stored.value.groups.iter();
+        let mut of_host = group.filter(|(_, group)| group.contains(&status.host));
+        let Some((number, _)) = of_host.next() else {
+            return;
+        };
+        let health = self.health.entry(*number).or_default();
+        if status.shows_member(*number) {
+            if health.silent_member.as_ref() == Some(&status.host) {
+                health.silent_member = None;
+                health.incomplete_since = None;
+            }
+        } else if status.group.is_some() {
+            health.is_lost = true;
+            health.lost_member = Some(status.host.clone());
+        }
+    }
+
+    /// A member did not answer an order or a look.
+    pub(super) fn on_silent(&mut self, now: Timestamp, asked_at: Timestamp, host: &HostId) {
+        self.unreachable.insert(host.clone(), now);
+        let Some(stored) = &self.stored else {
+            return;
+        };
+        let groups = stored.value.groups.iter();
+        let mut of_host = groups.filter(|(_, group)| group.contains(host));
+        let Some((number, group)) = of_host.next() else {
+            return;
+        };
+        let health = self.health.entry(*number).or_default();
+        let since = *health.incomplete_since.get_or_insert(asked_at);
+        health.silent_member.get_or_insert_with(|| host.clone());
+        let patience = match group.phase {
+            // Orders may be carried out late.
+            GroupPhase::Forming => self.settings.loss_confirm * 5,
+            GroupPhase::Serving | GroupPhase::Retiring => self.settings.loss_confirm,
+        };
+        if now.since(since) >= patience {
+            health.is_lost = true;
+            health.lost_member = Some(host.clone());
+        }
+    }
+
+    fn is_due_again(&self, now: Timestamp, host: &HostId, purpose: CallPurpose) -> bool {
+        self.next_call_at
+            .get(host)
+            .is_none_or(|(last, at)| *last != purpose || now >= *at)
+    }
+
+    fn note_call(&mut self, now: Timestamp, host: &HostId, purpose: CallPurpose) {
+        let interval = match purpose {
+            CallPurpose::Stage => STAGE_INTERVAL,
+            _ => self.settings.order_interval,
+        };
+        self.next_call_at
+            .insert(host.clone(), (purpose, now + interval));
+    }
+}
--- /dev/null
+++ b/shalehinge/src/core/controller/service_plan.rs
@@ -0,0 +1,147 @@
+//! What one model service wants of a failure domain, as the planner reads it.
+//!
+//! Models with a profile have no replicas written in the configuration; they follow
+//! from their parts of the work and from the hosts that are listed. Each service
+//! has hosts of its own, so each is planned apart.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::core::fleet_state::FleetState;
+use crate::core::objects::{
+    Assignment, FleetConfig, HostList, HostState, ModelIntent, ModelProfile,
+};
+use crate::core::placement::shares::replicas_by_share;
+use crate::core::types::{
+    Customer, FabricDomain, FailureDomain, ModelName, ModelVersion, ServiceName, Version,
+};
+
+/// The version of models whose configuration names none.
+pub(super) const ONLY_VERSION: &str = "current";
+
+/// One service with its models and hosts.
+#[derive(Clone, Debug)]
+pub(super) struct ServicePlan {
+    /// Models of the service, with replicas for this failure domain.
+    pub(super) fleet: FleetConfig,
+    /// Hosts of the service.
+    pub(super) hosts: HostList,
+}
+
+/// The plans of all services, made anew when what they follow from changes.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ServicePlans {
+    made_from: (Version, Version),
+    plans: Vec<ServicePlan>,
+}
+
+impl ServicePlans {
+    /// Brings the plans up to date; returns lines for the log where they changed.
+    pub(super) fn refresh(&mut self, state: &FleetState, domain: &FailureDomain) -> Vec<String> {
+        let versions = (state.fleet_version(), state.hosts_version());
+        let (Some(fleet), Some(hosts)) = (state.fleet(), state.hosts()) else {
+            return Vec::new();
+        };
+        if versions == self.made_from {
+            return Vec::new();
+        }
+        self.made_from = versions;
+        let plans = plans_of(&fleet.value, &hosts.value, domain);
+        let lines = changes(&self.plans, &plans, domain);
+        self.plans = plans;
+        lines
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &ServicePlan> {
+        self.plans.iter()
+    }
+
+    /// The assignment as one plan sees it. Groups of models that no plan knows fall to
+    /// the first, which retires them.
+    pub(super) fn part_of(&self, index: usize, whole: &Assignment) -> Assignment {
+        let knows = |plan: &ServicePlan, model: &ModelName| plan.fleet.models.contains_key(model);
+        let mut part = whole.clone();
+        part.groups.retain(|_, group| {
+            let owner = self.plans.iter().position(|plan| knows(plan, &group.model));
+            owner.unwrap_or(0) == index
+        });
+        part
+    }
+}
+
+fn plans_of(fleet: &FleetConfig, hosts: &HostList, domain: &FailureDomain) -> Vec<ServicePlan> {
+    let services: BTreeSet<&ServiceName> = fleet.profiles.values().map(|p| &p.service).collect();
+    services
+        .into_iter()
+        .map(|service| plan_of(fleet, hosts, domain, service))
+        .collect()
+}
+
+fn plan_of(
+    fleet: &FleetConfig,
+    hosts: &HostList,
+    domain: &FailureDomain,
+    service: &ServiceName,
+) -> ServicePlan {
+    let own = hosts.hosts.iter().filter(|(_, record)| {
+        record.service.as_ref() == Some(service) && record.failure_domain == *domain
+    });
+    let hosts = HostList {
+        hosts: own
+            .map(|(host, record)| (host.clone(), record.clone()))
+            .collect(),
+    };
+    let profiles: BTreeMap<ModelName, ModelProfile> = fleet
+        .profiles
+        .iter()
+        .filter(|(_, profile)| profile.service == *service)
+        .map(|(model, profile)| (model.clone(), profile.clone()))
+        .collect();
+    let counts = replicas_by_share(&profiles, &fabric_sizes(&hosts));
+    let models = profiles.iter().map(|(model, profile)| {
+        let intent = ModelIntent {
+            owner: Customer::new(service.as_str()),
+            version: ModelVersion::new(ONLY_VERSION),
+            hosts_per_replica: profile.hosts_per_replica,
+            replicas: BTreeMap::from([(domain.clone(), counts[model])]),
+        };
+        (model.clone(), intent)
+    });
+    ServicePlan {
+        fleet: FleetConfig {
+            models: models.collect(),
+            draining: fleet.draining.clone(),
+            weights: fleet.weights,
+            ..FleetConfig::default()
+        },
+        hosts,
+    }
+}
+
+fn fabric_sizes(hosts: &HostList) -> Vec<usize> {
+    let mut sizes: BTreeMap<&FabricDomain, usize> = BTreeMap::new();
+    for record in hosts.hosts.values() {
+        if record.state == HostState::Live {
+            *sizes.entry(&record.fabric_domain).or_default() += 1;
+        }
+    }
+    sizes.into_values().collect()
+}
+
+fn changes(old: &[ServicePlan], new: &[ServicePlan], domain: &FailureDomain) -> Vec<String> {
+    let wanted = |plans: &[ServicePlan]| -> BTreeMap<ModelName, u32> {
+        let models = plans.iter().flat_map(|plan| &plan.fleet.models);
+        models
+            .map(|(model, intent)| {
+                let count = intent.replicas.get(domain).copied().unwrap_or(0);
+                (model.clone(), count)
+            })
+            .collect()
+    };
+    let (old, new) = (wanted(old), wanted(new));
+    if old == new {
+        return Vec::new();
+    }
+    new.iter()
+        .map(|(model, count)| format!("{domain} should have {count} replicas of {model}"))
+        .collect()
+}
--- a/shalehinge/src/core/daemon/claiming.rs
+++ b/shalehinge/src/core/daemon/claiming.rs
@@ -66,7 +66,12 @@
                 self.claims.on_read(partition, value)
             }
             Ok(PlatformReply::Written(version)) => self.claims.on_written(partition, version),
-            Ok(PlatformReply::Conflict | PlatformReply::Objects { .. }) | Err(NoAnswer) => {
+            Ok(
+                PlatformReply::Conflict
+                | PlatformReply::Objects { .. }
+                | PlatformReply::HistoryGone,
+            )
+            | Err(NoAnswer) => {
                 self.claims.on_unclear(partition);
                 Vec::new()
             }
--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -1,54 +1,71 @@
 //! Which objects are in force: listed, watched, spread.
 
+use std::time::Duration;
+
 use rand::Rng;
 
-use super::{Daemon, Purpose, RUMOUR_FANOUT, WATCH_PAUSE, WATCHERS, log};
+use super::{Daemon, Purpose, RUMOUR_FANOUT, WATCH_PAUSE, log};
 use crate::core::event::{Action, Notice, Part};
+use crate::core::feed::Feed;
 use crate::core::fleet_state::ObjectUpdate;
-use crate::core::platform::{PlatformCall, PlatformReply, PlatformResult};
+use crate::core::platform::{PlatformResult, Scope};
 use crate::core::router::topology;
+use crate::core::routes::RouteTable;
 use crate::core::types::Timestamp;
 
 impl Daemon {
-    /// Reads all objects once, then watches if it is this daemon's turn.
+    /// Reads each feed once, then watches it if it is this daemon's turn.
     pub(super) fn learn(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        if self.is_watching || now < self.next_watch_at || self.is_stopping {
-            return;
-        }
-        if !self.has_listed {
-            self.is_watching = true;
-            self.call(Purpose::Start, PlatformCall::List, out);
+        if self.has_stopped {
             return;
         }
-        if self.membership.is_responsible(now, "watch", WATCHERS) {
-            self.is_watching = true;
-            let after = self.revision;
-            self.call(Purpose::Watch, PlatformCall::Watch { after }, out);
+        let settings = self.settings.learning;
+        let may_watch = self
+            .membership
+            .is_responsible(now, "watch", settings.watchers);
+        for index in 0..self.feeds.len() {
+            let call = self.feeds[index].next_call(now, may_watch, settings.watch_wait);
+            if let Some(call) = call {
+                self.call(Purpose::Feed(index), call, out);
+            }
         }
     }
 
-    pub(super) fn on_listed(&mut self, now: Timestamp, result: PlatformResult) {
-        self.is_watching = false;
-        match result {
-            Ok(PlatformReply::Objects { revision, .. }) => {
-                self.has_listed = true;
-                self.revision = revision;
-            }
-            _ => self.pause_watch(now),
-        }
+    pub(super) fn on_fed(&mut self, now: Timestamp, index: usize, result: &PlatformResult) {
+        let jitter = self.rng.random_range(0.0..1.0);
+        let pause = WATCH_PAUSE.mul_f64(1.0 + jitter);
+        let feed = &mut self.feeds[index];
+        let spacing = match feed.scope() {
+            Scope::Hosts => self.settings.learning.host_spacing,
+            Scope::Shared | Scope::Configuration => Duration::ZERO,
+        };
+        feed.on_answer(now, result, spacing, pause);
     }
 
-    pub(super) fn on_watched(&mut self, now: Timestamp, result: PlatformResult) {
-        self.is_watching = false;
-        match result {
-            Ok(PlatformReply::Objects { revision, .. }) => self.revision = revision,
-            _ => self.pause_watch(now),
-        }
+    /// The time of which the configuration in force is known to be the newest.
+    pub(super) fn confirmed_at(&self) -> Option<Timestamp> {
+        let own = self
+            .feeds
+            .iter()
+            .find(|feed| feed.scope() != Scope::Hosts)
+            .and_then(Feed::as_of);
+        own.max(self.confirmed_by_peer)
     }
 
-    pub(super) fn pause_watch(&mut self, now: Timestamp) {
-        let jitter = self.rng.random_range(0.0..1.0);
-        self.next_watch_at = now + WATCH_PAUSE.mul_f64(1.0 + jitter);
+    /// The time of which the host list is known to be true.
+    pub(super) fn hosts_as_of(&self) -> Option<Timestamp> {
+        let feed = self
+            .feeds
+            .iter()
+            .find(|feed| feed.scope() != Scope::Configuration);
+        feed.and_then(Feed::as_of)
+    }
+
+    /// Until when requests with a key may be sent on what is known now.
+    pub(super) fn keys_valid_until(&self) -> Option<Timestamp> {
+        let valid_for = self.settings.learning.keys_valid_for?;
+        let confirmed_at = self.confirmed_at().unwrap_or(Timestamp::ZERO);
+        Some(confirmed_at + valid_for)
     }
 
     /// Takes in objects that are newer, and tells peers of them.
@@ -68,13 +85,29 @@
             }
         }
         if changed {
-            let fleet = self.state.digest().fleet;
-            self.membership.set_fleet(fleet);
+            self.membership.set_fleet(self.state.fleet_version());
+            self.rebuild_routes(now, out);
             self.rebuild_topology();
             self.spread(now, out);
         }
     }
 
+    /// Requests that wait and are no longer allowed end here.
+    fn rebuild_routes(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let Some(fleet) = self.state.fleet() else {
+            return;
+        };
+        if fleet.version == self.routes.version() {
+            return;
+        }
+        self.routes = RouteTable::new(fleet.version, &fleet.value);
+        let mut actions = Vec::new();
+        let routes = &self.routes;
+        self.router
+            .recheck_keys(|key| routes.holder(key).is_some(), &mut actions);
+        self.router_actions(now, actions, out);
+    }
+
     pub(super) fn rebuild_topology(&mut self) {
         let topology = topology::build(
             &self.state,
--- a/shalehinge/src/core/daemon/control.rs
+++ b/shalehinge/src/core/daemon/control.rs
@@ -1,13 +1,15 @@
 //! The lease, and what its holder does.
 
+use std::collections::BTreeSet;
+
 use super::{CANDIDATES, Daemon, Purpose, log};
-use crate::core::controller::ControllerAction;
+use crate::core::controller::{ControllerAction, Listing};
 use crate::core::event::{Action, Part, StatusPurpose};
 use crate::core::fleet_state::ObjectUpdate;
 use crate::core::lease::LeaseStep;
 use crate::core::objects::{Assignment, Object, ObjectKey, Versioned};
 use crate::core::platform::{NoAnswer, PlatformCall, PlatformReply, PlatformResult};
-use crate::core::types::Timestamp;
+use crate::core::types::{FailureDomain, Timestamp};
 
 impl Daemon {
     pub(super) fn lease_key(&self) -> ObjectKey {
@@ -20,7 +22,7 @@
 
     pub(super) fn tick_lease(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let candidate =
-            !self.is_stopping && self.membership.is_responsible(now, "lease", CANDIDATES);
+            !self.is_leaving && self.membership.is_responsible(now, "lease", CANDIDATES);
         let operation = self.operation();
         if let Some(step) = self.lease.step(now, candidate, operation) {
             self.lease_step(step, out);
@@ -68,20 +70,40 @@
             }
             Ok(PlatformReply::Written(version)) => self.lease.on_written(now, version),
             Ok(PlatformReply::Conflict) => self.lease.on_conflict(now),
-            Ok(PlatformReply::Objects { .. }) | Err(NoAnswer) => self.lease.on_unclear(),
+            Ok(PlatformReply::Objects { .. } | PlatformReply::HistoryGone) | Err(NoAnswer) => {
+                self.lease.on_unclear();
+            }
         }
         self.note_holder(now, out);
     }
 
     pub(super) fn tick_controller(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        let epoch = self.lease.held(now).filter(|_| !self.is_stopping);
+        let epoch = self.lease.held(now).filter(|_| !self.is_leaving);
         let operation = self.operation();
-        let actions = self.controller.tick(now, epoch, &self.state, operation);
+        let listing = self.listing(now);
+        let actions = self
+            .controller
+            .tick(now, epoch, &self.state, listing, operation);
         for action in actions {
             self.controller_action(action, out);
         }
     }
 
+    fn listing(&self, now: Timestamp) -> Listing {
+        let hosts = self.state.hosts();
+        let domains: BTreeSet<&FailureDomain> = hosts
+            .iter()
+            .flat_map(|list| list.value.hosts.values())
+            .map(|record| &record.failure_domain)
+            .collect();
+        let is_early = now.as_duration() < self.settings.control.free_loads_within;
+        Listing {
+            as_of: self.hosts_as_of(),
+            loads_are_free: self.identity.is_first_start && is_early && !self.has_served,
+            domains: domains.len(),
+        }
+    }
+
     pub(super) fn controller_action(&mut self, action: ControllerAction, out: &mut Vec<Action>) {
         match action {
             ControllerAction::Read => {
@@ -131,7 +153,12 @@
                 let stored = self.controller.on_written(version).cloned();
                 self.apply_assignment(now, stored, out);
             }
-            Ok(PlatformReply::Conflict | PlatformReply::Objects { .. }) | Err(NoAnswer) => {
+            Ok(
+                PlatformReply::Conflict
+                | PlatformReply::Objects { .. }
+                | PlatformReply::HistoryGone,
+            )
+            | Err(NoAnswer) => {
                 self.controller.on_unclear();
             }
         }
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -31,24 +31,25 @@
 use crate::core::claims::{ClaimBook, ClaimResult};
 use crate::core::controller::Controller;
 use crate::core::event::{Action, Event, LogLine, Part, StatusPurpose};
+use crate::core::feed::Feed;
 use crate::core::fleet_state::FleetState;
 use crate::core::lease::ControlLease;
 use crate::core::membership::{Heartbeat, Membership};
 use crate::core::objects::KeyHash;
 use crate::core::operator::{OperatorCallId, Operators};
-use crate::core::platform::{CallId, Revision};
+use crate::core::platform::{CallId, Scope};
 use crate::core::router::Router;
 use crate::core::router::request::{NotRunReason, Outcome, RequestMeta, UnknownReason};
+use crate::core::routes::{RouteQuery, RouteRefusal, RouteTable, Routed};
 use crate::core::types::{
     Address, Customer, DaemonId, FailureDomain, Incarnation, OperationId, RequestId, Timestamp,
     Version,
 };
 use crate::settings::core::CoreSettings;
+use crate::settings::learning::FeedLayout;
 
 /// How often a [`Event::Tick`] should come.
 pub const TICK: Duration = Duration::from_millis(50);
-/// Daemons of a failure domain that watch the platform.
-const WATCHERS: usize = 2;
 /// Daemons of a failure domain that try to get its lease.
 const CANDIDATES: usize = 3;
 /// Time between two tellings of replicas that lost a member.
@@ -71,6 +72,8 @@
     pub incarnation: Incarnation,
     /// Peers to ask first.
     pub seeds: Vec<Address>,
+    /// Whether the whole fleet starts for the first time.
+    pub is_first_start: bool,
     /// Wall clock at the start, in seconds since 1970; for the age of claims only.
     pub wall_seconds: u64,
 }
@@ -78,8 +81,7 @@
 /// Why a platform call was made.
 #[derive(Clone, Debug)]
 enum Purpose {
-    Start,
-    Watch,
+    Feed(usize),
     Lease,
     Assignment,
     Claims(u16),
@@ -111,12 +113,14 @@
     calls: BTreeMap<CallId, Purpose>,
     next_call: u64,
     claimed: BTreeMap<RequestId, Claimed>,
-    revision: Revision,
-    is_watching: bool,
-    has_listed: bool,
-    next_watch_at: Timestamp,
+    feeds: Vec<Feed>,
+    routes: RouteTable,
+    confirmed_by_peer: Option<Timestamp>,
     next_suspects_at: Timestamp,
     was_holder: bool,
+    /// A request came in since the start.
+    has_served: bool,
+    is_leaving: bool,
     is_stopping: bool,
     has_stopped: bool,
 }
@@ -150,12 +154,16 @@
             calls: BTreeMap::new(),
             next_call: 1,
             claimed: BTreeMap::new(),
-            revision: Revision(0),
-            is_watching: false,
-            has_listed: false,
-            next_watch_at: Timestamp::ZERO,
+            feeds: scopes(settings.learning.feeds)
+                .iter()
+                .map(|scope| Feed::new(*scope))
+                .collect(),
+            routes: RouteTable::default(),
+            confirmed_by_peer: None,
             next_suspects_at: Timestamp::ZERO,
             was_holder: false,
+            has_served: false,
+            is_leaving: false,
             is_stopping: false,
             has_stopped: false,
             settings,
@@ -190,7 +198,7 @@
 
     /// Whether new callers should come: it has a configuration and does not stop.
     pub fn is_ready(&self) -> bool {
-        self.state.fleet().is_some() && !self.is_stopping
+        self.state.fleet().is_some() && !self.is_leaving
     }
 
     /// The customer that a key belongs to, by the key's SHA-256 in hexadecimal.
@@ -208,13 +216,37 @@
             .map(|(name, _)| name.clone())
     }
 
+    /// Where a relayed request goes. It is refused for good only on a configuration
+    /// that is known to be fresh.
+    pub fn route(&self, now: Timestamp, query: RouteQuery<'_>) -> Result<Routed, RouteRefusal> {
+        if self.state.fleet().is_none() {
+            return Err(RouteRefusal::NotReady);
+        }
+        let routed = self.routes.find(query);
+        let is_fresh = self.settings.learning.refuse_within.is_none_or(|within| {
+            let confirmed_at = self.confirmed_at();
+            confirmed_at.is_some_and(|at| now.since(at) < within)
+        });
+        if routed.is_err() && !is_fresh {
+            return Err(RouteRefusal::NotReady);
+        }
+        routed
+    }
+
+    /// The routes in force.
+    pub fn routes(&self) -> &RouteTable {
+        &self.routes
+    }
+
     /// Takes in one event; what is to be done is added to `out`.
     pub fn handle(&mut self, now: Timestamp, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Tick => self.tick(now, out),
             Event::Platform { call, result } => self.on_platform(now, call, result, out),
             Event::PullAsked { pull_id, pull } => self.on_pull_asked(now, pull_id, pull, out),
-            Event::PullAnswered(reply) => self.on_pull_answered(now, reply, out),
+            Event::PullAnswered { asked_at, reply } => {
+                self.on_pull_answered(now, asked_at, reply, out);
+            }
             Event::Noticed(notice) => self.on_noticed(now, notice, out),
             Event::Status {
                 purpose,
@@ -237,11 +269,17 @@
                 asked_at,
                 reply,
             } => match reply {
-                Some(reply) => self.controller.on_order_reply(now, asked_at, &order, reply),
+                Some(reply) => {
+                    self.controller
+                        .on_order_reply(now, asked_at, &host, &order, reply);
+                }
                 None => self.controller.on_no_status(now, asked_at, &host),
             },
             Event::Request { request, meta } => self.on_request(now, request, meta, out),
             Event::Output { request, attempt } => self.router.on_output(now, request, attempt),
+            Event::Progress { request, attempt } => {
+                self.router.on_progress(now, request, attempt);
+            }
             Event::Ended {
                 request,
                 attempt,
@@ -249,6 +287,7 @@
             } => self.on_ended(now, request, attempt, end, out),
             Event::CallerLeft(request) => self.on_caller_left(now, request, out),
             Event::Operator { call_id, call } => self.on_operator(now, call_id, call, out),
+            Event::Leave => self.on_leave(now, out),
             Event::Stop => self.on_stop(now, out),
         }
     }
@@ -265,6 +304,14 @@
     }
 }
 
+/// The feeds of a layout.
+fn scopes(layout: FeedLayout) -> &'static [Scope] {
+    match layout {
+        FeedLayout::Shared => &[Scope::Shared],
+        FeedLayout::Split => &[Scope::Configuration, Scope::Hosts],
+    }
+}
+
 fn log(out: &mut Vec<Action>, part: Part, text: String) {
     out.push(Action::Log(LogLine { part, text }));
 }
--- a/shalehinge/src/core/daemon/operators.rs
+++ b/shalehinge/src/core/daemon/operators.rs
@@ -43,7 +43,7 @@
             Some(OperatorStep::Answer(answer)) => {
                 // Whoever confirmed has it in force at once.
                 if let Ok(PlatformReply::Written(_)) = result {
-                    self.next_watch_at = now;
+                    self.feeds.iter_mut().for_each(|feed| feed.hurry(now));
                 }
                 out.push(Action::AnswerOperator {
                     call_id: id,
--- a/shalehinge/src/core/daemon/requests.rs
+++ b/shalehinge/src/core/daemon/requests.rs
@@ -17,6 +17,7 @@
         meta: RequestMeta,
         out: &mut Vec<Action>,
     ) {
+        self.has_served = true;
         if self.is_stopping {
             let outcome = not_run(NotRunReason::Stopping, Duration::from_secs(1));
             out.push(Action::Answer { request, outcome });
@@ -122,6 +123,7 @@
     pub(super) fn tick_router(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let sharers = self.membership.alive(now).count() + 1;
         self.router.set_sharers(sharers);
+        self.router.set_keys_until(self.keys_valid_until());
         for spec in self.router.reports_wanted(now) {
             out.push(Action::AskStatus {
                 purpose: StatusPurpose::Report(spec.id),
--- a/shalehinge/src/core/daemon/stopping.rs
+++ b/shalehinge/src/core/daemon/stopping.rs
@@ -9,15 +9,25 @@
         if self.is_stopping {
             return;
         }
+        self.on_leave(now, out);
         self.is_stopping = true;
-        self.membership.leave();
         log(out, Part::Daemon, "stops when its requests are done".into());
+        self.finish_stop(out);
+    }
+
+    /// No longer ready, and without duties; requests that still come are served.
+    pub(super) fn on_leave(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        if self.is_leaving {
+            return;
+        }
+        self.is_leaving = true;
+        self.membership.leave();
+        log(out, Part::Daemon, "leaves; no longer ready".into());
         let operation = self.operation();
         if let Some(step) = self.lease.release(now, operation) {
             self.lease_step(step, out);
         }
         self.pull(now, out);
-        self.finish_stop(out);
     }
 
     pub(super) fn finish_stop(&mut self, out: &mut Vec<Action>) {
--- a/shalehinge/src/core/engine.rs
+++ b/shalehinge/src/core/engine.rs
@@ -26,6 +26,13 @@
 pub enum Command {
     /// Load a model as one rank of the group.
     Load(LoadCommand),
+    /// Begin to take requests; to rank 0 of a group whose members are all ready.
+    Open,
+    /// Load a model onto the host, beside whatever it does.
+    Stage {
+        /// Model to load.
+        model: ModelName,
+    },
     /// Leave the group.
     Release {
         /// Finish running requests first.
@@ -44,6 +51,9 @@
     pub rank: u32,
     /// Addresses of all members by rank.
     pub members: Vec<Address>,
+    /// Names of all members by rank.
+    #[serde(default)]
+    pub hosts: Vec<HostId>,
 }
 
 /// Order of precedence of orders: an engine takes none that is below the last.
@@ -119,6 +129,10 @@
     Loading,
     /// Ready to serve as its rank.
     Ready,
+    /// Takes requests; only engines that wait for the order to open tell this.
+    Serving,
+    /// Lost a member and can't serve any more.
+    Broken,
     /// Finishes its requests before it leaves the group.
     Draining,
 }
@@ -150,6 +164,22 @@
             && self.members_present == self.member_count
     }
 
+    /// Whether this shows that the host is a member of the group, on its way or ready.
+    pub fn shows_member(&self, group: GroupNumber) -> bool {
+        self.group == Some(group) && self.phase != EnginePhase::Broken
+    }
+
+    /// Whether this shows that the host is ready as a member of the group.
+    pub fn shows_ready(&self, group: GroupNumber) -> bool {
+        let is_ready = matches!(self.phase, EnginePhase::Ready | EnginePhase::Serving);
+        self.group == Some(group) && is_ready
+    }
+
+    /// Whether this shows that rank 0 of the group takes requests.
+    pub fn shows_open(&self, group: GroupNumber) -> bool {
+        self.group == Some(group) && self.phase == EnginePhase::Serving
+    }
+
     /// Whether this shows that the host has left the group.
     pub fn shows_released(&self, group: GroupNumber) -> bool {
         self.group != Some(group)
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -34,6 +34,10 @@
     pub heartbeats: Vec<Heartbeat>,
     /// Objects that are newer there.
     pub updates: Vec<ObjectUpdate>,
+    /// How long ago the platform last confirmed the configuration that is in force
+    /// there, in milliseconds; counted from before the platform was asked.
+    #[serde(default)]
+    pub confirmed_ms_ago: Option<u64>,
 }
 
 /// A rumour: there is something new, come and pull it.
@@ -74,7 +78,12 @@
         pull: Pull,
     },
     /// A peer answered a pull, or did not.
-    PullAnswered(Option<PullReply>),
+    PullAnswered {
+        /// When it was asked.
+        asked_at: Timestamp,
+        /// The answer.
+        reply: Option<PullReply>,
+    },
     /// A peer told that there is something new.
     Noticed(Notice),
     /// An engine told its status, or did not answer.
@@ -113,6 +122,13 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// An attempt whose output had begun brought more of it.
+    Progress {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// An attempt ended.
     Ended {
         /// The request.
@@ -131,6 +147,8 @@
         /// What is asked.
         call: OperatorCall,
     },
+    /// The daemon will stop soon: it is no longer ready and takes no duties.
+    Leave,
     /// The daemon is to stop once its requests are done.
     Stop,
 }
--- a/shalehinge/src/core/fleet_state.rs
+++ b/shalehinge/src/core/fleet_state.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::objects::{Assignment, FleetConfig, HostList, Object, ObjectKey, Versioned};
+use super::objects::{
+    Assignment, FleetConfig, HostChanges, HostList, Object, ObjectKey, Versioned,
+};
 use super::types::{FailureDomain, Version};
 
 /// An object that the platform or a peer told of.
@@ -58,6 +60,16 @@
         self.fleet.as_ref()
     }
 
+    /// Version of the configuration in force; 0 before the first was seen.
+    pub fn fleet_version(&self) -> Version {
+        self.fleet.as_ref().map_or(Version(0), |o| o.version)
+    }
+
+    /// Version of the host list as last seen; 0 before the first was seen.
+    pub fn hosts_version(&self) -> Version {
+        self.hosts.as_ref().map_or(Version(0), |o| o.version)
+    }
+
     /// The host list as last seen.
     pub fn hosts(&self) -> Option<&Versioned<HostList>> {
         self.hosts.as_ref()
@@ -74,6 +86,7 @@
         match (update.key, update.object) {
             (ObjectKey::Fleet, Object::Fleet(value)) => replace(&mut self.fleet, version, value),
             (ObjectKey::Hosts, Object::Hosts(value)) => replace(&mut self.hosts, version, value),
+            (ObjectKey::Hosts, Object::HostChanges(changes)) => self.change_hosts(version, changes),
             (ObjectKey::Assignment(domain), Object::Assignment(value)) => {
                 if value.check().is_err() {
                     return false;
@@ -87,11 +100,27 @@
         }
     }
 
+    /// Takes in what changed since the list that is known, or since one before it.
+    fn change_hosts(&mut self, version: Version, changes: HostChanges) -> bool {
+        let Some(known) = &mut self.hosts else {
+            return false;
+        };
+        if version <= known.version {
+            return false;
+        }
+        known.version = version;
+        known.value.hosts.extend(changes.changed);
+        for host in &changes.removed {
+            known.value.hosts.remove(host);
+        }
+        true
+    }
+
     /// What a peer needs to see whether it knows more.
     pub fn digest(&self) -> VersionDigest {
         VersionDigest {
-            fleet: self.fleet.as_ref().map_or(Version(0), |o| o.version),
-            hosts: self.hosts.as_ref().map_or(Version(0), |o| o.version),
+            fleet: self.fleet_version(),
+            hosts: self.hosts_version(),
             assignments: self
                 .assignments
                 .iter()
--- a/shalehinge/src/core/mod.rs
+++ b/shalehinge/src/core/mod.rs
@@ -9,6 +9,7 @@
 //! - `platform`, `engine`: messages to the platform and to engines
 //! - `event`: what goes in, what comes out
 //! - `daemon`: the whole of a daemon's decisions
+//! - `feed`: one part of what the platform keeps, listed and watched
 //! - `fleet_state`: the newest objects known, which never revert
 //! - `membership`, `hash`: which daemons live, and who does what
 //! - `lease`: who acts for a failure domain
@@ -16,6 +17,7 @@
 //! - `change`, `operator`: plans that operators confirm
 //! - `claims`: requests that may run at most once
 //! - `router`: which request goes where
+//! - `routes`: which route a relayed request takes
 
 pub mod change;
 pub mod claims;
@@ -23,6 +25,7 @@
 pub mod daemon;
 pub mod engine;
 pub mod event;
+pub mod feed;
 pub mod fleet_state;
 pub mod hash;
 pub mod lease;
@@ -32,4 +35,5 @@
 pub mod placement;
 pub mod platform;
 pub mod router;
+pub mod routes;
 pub mod types;
--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::engine::EngineStatus;
 use super::types::{
     Address, Customer, DaemonId, Epoch, FabricDomain, FailureDomain, GroupNumber, HostId,
     Incarnation, ModelName, ModelVersion, OperationId, ServiceName, Version,
@@ -37,6 +38,8 @@
     Fleet(FleetConfig),
     /// See [`HostList`].
     Hosts(HostList),
+    /// See [`HostChanges`].
+    HostChanges(HostChanges),
     /// See [`Assignment`].
     Assignment(Assignment),
     /// See [`LeaseRecord`].
@@ -129,6 +132,95 @@
     /// What the fleet weighs in placement.
     #[serde(default)]
     pub weights: PlacementWeights,
+    /// Routes of requests that are relayed as they are.
+    #[serde(default)]
+    pub routes: Vec<RouteConfig>,
+    /// Models whose replicas are divided by their share of the work.
+    #[serde(default)]
+    pub profiles: BTreeMap<ModelName, ModelProfile>,
+    /// Bounds for relayed requests; those of the settings without.
+    #[serde(default)]
+    pub caller_limits: Option<CallerLimits>,
+    /// How fast weights may be loaded, over all failure domains.
+    #[serde(default)]
+    pub load_rate: Option<LoadRate>,
+}
+
+/// Which requests go to which service, and what may be done with them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteConfig {
+    /// Its name, for logs.
+    pub name: String,
+    /// The host that callers name.
+    pub host: String,
+    /// Start of the path; the longest that fits decides.
+    pub path_prefix: String,
+    /// What may be done with its requests.
+    pub kind: RequestKind,
+    /// Longest time that a request may be held, in milliseconds.
+    pub timeout_ms: u64,
+    /// Time within which an answer has its full worth, in milliseconds.
+    pub target_latency_ms: u64,
+    /// Rank of its requests, 0 first.
+    pub rank: u8,
+    /// Upstreams that may run one request.
+    pub max_attempts: u32,
+    /// Whether callers need no key.
+    pub is_anonymous: bool,
+    /// Whether a stream may be continued by another upstream.
+    pub is_resumable: bool,
+    /// Services with their weights.
+    pub backends: Vec<WeightedService>,
+}
+
+/// What may be done with the requests of a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RequestKind {
+    /// It may run more than once.
+    Repeatable,
+    /// It may run once at most.
+    NotRepeatable,
+    /// The answer is a stream of events.
+    Stream,
+}
+
+/// A service that gets a part of a route's requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightedService {
+    /// The service.
+    pub service: ServiceName,
+    /// Its part of all weights.
+    pub weight: u32,
+}
+
+/// What is known of a model's replicas before they run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ModelProfile {
+    /// Service whose hosts may form its replicas.
+    pub service: ServiceName,
+    /// Hosts that form one replica.
+    pub hosts_per_replica: u32,
+    /// Its part of the service's work, from 0 to 1.
+    pub work_share: f64,
+    /// Factor on all times of a replica.
+    pub pace: f64,
+    /// Requests that a replica runs at once.
+    pub slots: u32,
+}
+
+/// Bounds for relayed requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerLimits {
+    /// Bytes of a request's body.
+    pub max_body_bytes: u64,
+}
+
+/// How fast weights may be loaded.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LoadRate {
+    /// Loads that may begin each second, over the whole fleet.
+    pub per_second: f64,
 }
 
 /// A customer: its keys and its share.
@@ -138,6 +230,9 @@
     pub key_sha256: Vec<String>,
     /// Weight of the customer against the others, from 1.
     pub share: u32,
+    /// Rank of its requests, 0 first; that of the route without.
+    #[serde(default)]
+    pub rank: Option<u8>,
 }
 
 /// A plain service: where it is and which calls may not be repeated.
@@ -150,6 +245,9 @@
     /// Calls that may not be repeated.
     #[serde(default)]
     pub not_repeatable: Vec<CallPattern>,
+    /// Whether its instances are those that the host list names.
+    #[serde(default)]
+    pub is_listed: bool,
 }
 
 /// An instance of a plain service.
@@ -230,6 +328,27 @@
     pub accelerators: u32,
     /// What the platform says of it.
     pub state: HostState,
+    /// Service that it belongs to, where the list tells.
+    #[serde(default)]
+    pub service: Option<ServiceName>,
+    /// Requests that it runs at once, where the list tells.
+    #[serde(default)]
+    pub slots: Option<u32>,
+    /// Models whose weights lie on the host, the newest first.
+    #[serde(default)]
+    pub staged: Vec<ModelName>,
+    /// What its engine told the list.
+    #[serde(default)]
+    pub status: Option<EngineStatus>,
+}
+
+/// Hosts that changed since an earlier list.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct HostChanges {
+    /// Hosts as they are now.
+    pub changed: BTreeMap<HostId, HostRecord>,
+    /// Hosts that are gone.
+    pub removed: BTreeSet<HostId>,
 }
 
 /// What the platform says of a host.
@@ -258,6 +377,10 @@
     pub groups: BTreeMap<GroupNumber, Group>,
     /// Hosts that left a group and have not yet acknowledged the release of it.
     pub releasing: BTreeMap<HostId, GroupNumber>,
+    /// Rank 0 of each group that `releasing` names: while it may still serve, its
+    /// members may not join another group.
+    #[serde(default)]
+    pub heads: BTreeMap<GroupNumber, HostId>,
 }
 
 /// The hosts that form one replica. Members never change; a change makes a new group.
@@ -365,6 +488,9 @@
         let Some(group) = self.groups.remove(&number) else {
             return;
         };
+        if let Some(head) = group.members.first() {
+            self.heads.insert(number, head.host.clone());
+        }
         for member in group.members {
             self.releasing.insert(member.host, number);
         }
--- a/shalehinge/src/core/placement/mod.rs
+++ b/shalehinge/src/core/placement/mod.rs
@@ -8,6 +8,7 @@
 //! - `host_choice`: which free hosts form a group
 //! - `make_room`: moving a small group so that a large one can be formed
 //! - `yielding`: when customers give hosts back
+//! - `shares`: how many replicas follow from the models' parts of the work
 //! - `divide`: how many replicas go to which failure domain
 //! - `stranded`: idle accelerators that no group can use
 //! - `preview`: the planner run ahead
@@ -17,6 +18,7 @@
 pub mod make_room;
 pub mod planner;
 pub mod preview;
+pub mod shares;
 pub mod stranded;
 pub mod yielding;
 
--- a/shalehinge/src/core/platform.rs
+++ b/shalehinge/src/core/platform.rs
@@ -1,5 +1,7 @@
 //! Calls to the platform and their answers, as values.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use super::fleet_state::ObjectUpdate;
@@ -29,15 +31,30 @@
         /// The new value.
         object: Box<Object>,
     },
-    /// Read configuration, host list and assignments.
-    List,
-    /// Wait for changes of those after a revision.
+    /// Read the objects of a scope.
+    List(Scope),
+    /// Wait for changes of a scope after a revision.
     Watch {
+        /// What to wait for.
+        scope: Scope,
         /// The last revision seen.
         after: Revision,
+        /// How long to wait at the most.
+        wait: Duration,
     },
 }
 
+/// Objects that are listed and watched together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Scope {
+    /// Configuration, host list and assignments.
+    Shared,
+    /// The configuration alone.
+    Configuration,
+    /// The host list alone.
+    Hosts,
+}
+
 /// The answer to a call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PlatformReply {
@@ -54,6 +71,8 @@
         /// The objects.
         updates: Vec<ObjectUpdate>,
     },
+    /// The platform no longer knows what changed since that revision.
+    HistoryGone,
 }
 
 /// No answer: a write may have taken effect, or may still do so.
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -12,17 +12,20 @@
 
 use super::choose::Choice;
 use super::request::{
-    Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta, Target, UnknownReason, UpstreamId,
+    Attempt, AttemptEnd, Credential, NotRunReason, Outcome, RequestMeta, Target, UnknownReason,
+    UpstreamId,
 };
 use super::retry_budget::RetryBudget;
 use super::target::{FIRST_SERVER_ERROR, Pending, TargetState};
 use super::topology::Topology;
 use super::upstream::Upstream;
 
-/// When to come back if nothing better is known.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Longest time to come back that is told.
 const MOST_RETRY_AFTER: Duration = Duration::from_secs(60);
+/// Continuations of a stream beyond the attempts that its route allows.
+const RESUMES: u32 = 2;
+/// A daemon that was not run for so long can't tell who stood still meanwhile.
+const MOST_TICK_GAP: Duration = Duration::from_millis(300);
 /// Candidates named in a log line.
 const LOGGED_CANDIDATES: usize = 4;
 
@@ -55,6 +58,8 @@
     retries: RetryBudget,
     sharers: usize,
     waiting: usize,
+    keys_until: Option<Timestamp>,
+    ticked_at: Timestamp,
 }
 
 impl Router {
@@ -69,12 +74,74 @@
             pending: BTreeMap::new(),
             sharers: 1,
             waiting: 0,
+            keys_until: None,
+            ticked_at: Timestamp::ZERO,
         }
     }
 
     /// How many daemons send to the same upstreams.
     pub fn set_sharers(&mut self, sharers: usize) {
         self.sharers = sharers.max(1);
+        for state in self.targets.values_mut() {
+            for upstream in &mut state.upstreams {
+                upstream.set_sharers(self.sharers);
+            }
+        }
+        if self.settings.retry_burst_is_shared {
+            let part = self.settings.retry_burst / self.sharers as f64;
+            self.retries.set_burst(part);
+        }
+    }
+
+    /// Until when requests that came with a key may be sent.
+    pub fn set_keys_until(&mut self, until: Option<Timestamp>) {
+        self.keys_until = until;
+    }
+
+    /// Ends waiting requests whose key nobody holds any more.
+    pub fn recheck_keys(
+        &mut self,
+        is_held: impl Fn(&Credential) -> bool,
+        out: &mut Vec<RouterAction>,
+    ) {
+        let taken: Vec<RequestId> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| pending.running.is_none())
+            .filter(|(_, pending)| {
+                pending
+                    .meta
+                    .credential
+                    .as_ref()
+                    .is_some_and(|k| !is_held(k))
+            })
+            .map(|(request, _)| *request)
+            .collect();
+        for request in taken {
+            self.take_from_line(request);
+            self.answer(request, self.not_run(NotRunReason::KeyTakenAway), out);
+        }
+    }
+
+    /// Takes a waiting request out of its line.
+    fn take_from_line(&mut self, request: RequestId) {
+        let Some(pending) = self.pending.get(&request) else {
+            return;
+        };
+        let Some(state) = self.targets.get_mut(&pending.meta.target) else {
+            return;
+        };
+        let removed = state.queue.remove(&pending.meta.customer, request);
+        if removed.is_some() {
+            self.waiting -= 1;
+        }
+    }
+
+    fn not_run(&self, reason: NotRunReason) -> Outcome {
+        Outcome::NotRun {
+            reason,
+            retry_after: self.settings.retry_after,
+        }
     }
 
     /// Takes in which upstreams there are; what is known of those that stay is kept.
@@ -142,8 +209,13 @@
         let Some(state) = self.targets.get(&meta.target) else {
             return Some((NotRunReason::UnknownTarget, MOST_RETRY_AFTER));
         };
-        if !state.upstreams.iter().any(|u| u.is_eligible(now)) {
-            return Some((NotRunReason::NoUpstream, DEFAULT_RETRY_AFTER));
+        let retry_after = self.settings.retry_after;
+        let is_out_of_date = self.keys_until.is_some_and(|until| now >= until);
+        if is_out_of_date && meta.credential.is_some() {
+            return Some((NotRunReason::OutOfDate, retry_after));
+        }
+        if !state.upstreams.iter().any(|u| u.may_serve(now)) {
+            return Some((NotRunReason::NoUpstream, retry_after));
         }
         if !self.settings.early_refusal {
             return None;
@@ -158,7 +230,8 @@
             return None;
         }
         let too_much = wait.saturating_sub(longest_wait);
-        let retry_after = too_much.clamp(Duration::from_secs(1), MOST_RETRY_AFTER);
+        let least = retry_after.min(Duration::from_secs(1));
+        let retry_after = too_much.clamp(least, MOST_RETRY_AFTER);
         Some((NotRunReason::WouldBeLate, retry_after))
     }
 
@@ -188,6 +261,7 @@
         let pending = Pending {
             meta,
             attempts: 0,
+            runs: 0,
             tried: Vec::new(),
             running: None,
             seen_output: false,
@@ -209,7 +283,7 @@
         let state = self.targets.get_mut(target);
         if let Some(evicted) = state.and_then(|state| state.queue.evict()) {
             self.waiting -= 1;
-            self.answer(evicted.request, not_run(NotRunReason::QueueFull), out);
+            self.answer(evicted.request, self.not_run(NotRunReason::QueueFull), out);
         }
     }
 
@@ -238,7 +312,15 @@
             if too_late {
                 state.queue.pop();
                 self.waiting -= 1;
-                self.answer(request, not_run(NotRunReason::WouldBeLate), out);
+                self.answer(request, self.not_run(NotRunReason::WouldBeLate), out);
+                continue;
+            }
+            let is_out_of_date = pending.meta.credential.is_some()
+                && self.keys_until.is_some_and(|until| now >= until);
+            if is_out_of_date {
+                state.queue.pop();
+                self.waiting -= 1;
+                self.answer(request, self.not_run(NotRunReason::OutOfDate), out);
                 continue;
             }
             let Some(choice) = state.choose_for(now, &self.settings, pending, rng) else {
@@ -257,7 +339,10 @@
             out.push(RouterAction::Log(decision(
                 request, pending, state, &choice,
             )));
-            let attempt = state.send(now, request, pending, id, choice.index);
+            let mut attempt = state.send(now, request, pending, id, choice.index);
+            if let (Some(until), Some(_)) = (self.keys_until, &pending.meta.credential) {
+                attempt.valid_until = attempt.valid_until.min(until);
+            }
             out.push(RouterAction::Send(attempt));
         }
     }
@@ -272,6 +357,21 @@
         };
         pending.seen_output = true;
         running.first_at = Some(now);
+        self.on_progress(now, request, attempt);
+    }
+
+    /// More output of an attempt came.
+    pub fn on_progress(&mut self, now: Timestamp, request: RequestId, attempt: AttemptId) {
+        let Some(pending) = self.pending.get(&request) else {
+            return;
+        };
+        let Some(running) = pending.running.as_ref().filter(|r| r.id == attempt) else {
+            return;
+        };
+        let state = self.targets.get_mut(&pending.meta.target);
+        if let Some(upstream) = state.and_then(|state| state.upstream_mut(&running.upstream)) {
+            upstream.on_progress(now);
+        }
     }
 
     /// An attempt ended.
@@ -297,7 +397,10 @@
         if let Some(state) = self.targets.get_mut(&target) {
             state.settle(now, &self.settings, pending, &running, end);
         }
-        match outcome_of(end) {
+        if !matches!(end, AttemptEnd::NotSent | AttemptEnd::Refused) {
+            pending.runs += 1;
+        }
+        match outcome_of(end, self.settings.retry_after) {
             Outcome::Completed => self.answer(request, Outcome::Completed, out),
             outcome => self.retry_or_answer(now, request, outcome, out),
         }
@@ -328,12 +431,19 @@
             Outcome::NotRun { .. } => true,
             Outcome::Failed { status } if status < FIRST_SERVER_ERROR => false,
             Outcome::Failed { .. } | Outcome::Unknown { .. } => {
-                pending.meta.repeatable && !pending.seen_output
+                let is_whole = !pending.seen_output || pending.meta.is_resumable;
+                pending.meta.repeatable && is_whole
             }
             Outcome::Completed => false,
         };
         let in_time = now < pending.meta.deadline;
-        let again = is_safe && in_time && pending.attempts < self.settings.max_attempts;
+        let has_runs_left = pending.meta.max_attempts.is_none_or(|most| {
+            // What was lost with its upstream no longer runs anywhere.
+            let resumes = if pending.seen_output { RESUMES } else { 0 };
+            pending.runs < most + resumes
+        });
+        let has_tries_left = pending.attempts < self.settings.max_attempts;
+        let again = is_safe && in_time && has_tries_left && has_runs_left;
         if !again || !self.retries.withdraw() {
             self.answer(request, outcome, out);
             return;
@@ -376,7 +486,10 @@
                 {
                     self.waiting -= 1;
                 }
-                pending.outcome(not_run(NotRunReason::CallerLeft))
+                pending.outcome(Outcome::NotRun {
+                    reason: NotRunReason::CallerLeft,
+                    retry_after: Duration::ZERO,
+                })
             }
         };
         out.push(RouterAction::Answer { request, outcome });
@@ -429,7 +542,7 @@
             .filter(|upstream| upstream.is_suspect(now))
             .filter_map(|upstream| match &upstream.spec.id {
                 UpstreamId::Replica(replica) => Some(replica.clone()),
-                UpstreamId::Instance(..) => None,
+                UpstreamId::Instance(..) | UpstreamId::Host(..) => None,
             })
             .collect()
     }
@@ -438,6 +551,7 @@
     pub fn tick(&mut self, now: Timestamp, rng: &mut impl rand::Rng, out: &mut Vec<RouterAction>) {
         self.expire_waiting(now, out);
         self.expire_running(now, out);
+        self.leave_stalled(now, out);
         let targets: Vec<Target> = self.targets.keys().cloned().collect();
         for target in targets {
             if let Some(state) = self.targets.get_mut(&target) {
@@ -452,14 +566,63 @@
         for state in self.targets.values_mut() {
             let late = state.queue.expire(now).into_iter();
             expired.extend(late.map(|request| (request, NotRunReason::WouldBeLate)));
-            if !state.upstreams.iter().any(|u| u.is_eligible(now)) {
+            if !state.upstreams.iter().any(|u| u.may_serve(now)) {
                 let all = std::iter::from_fn(|| state.queue.pop());
                 expired.extend(all.map(|waiting| (waiting.request, NotRunReason::NoUpstream)));
             }
         }
         for (request, reason) in expired {
             self.waiting -= 1;
-            self.answer(request, not_run(reason), out);
+            self.answer(request, self.not_run(reason), out);
+        }
+    }
+
+    /// Moves what may be repeated away from replicas that stand still.
+    fn leave_stalled(&mut self, now: Timestamp, out: &mut Vec<RouterAction>) {
+        let was_paused = now.since(self.ticked_at) > MOST_TICK_GAP;
+        self.ticked_at = now;
+        let settings = self.settings;
+        let mut stalled = Vec::new();
+        for state in self.targets.values_mut() {
+            for upstream in &mut state.upstreams {
+                if was_paused {
+                    upstream.on_progress(now);
+                } else if upstream.check_stall(now, &settings) {
+                    stalled.push(upstream.spec.id.clone());
+                }
+            }
+        }
+        for id in stalled {
+            out.push(RouterAction::Log(format!("{id} stands still")));
+            self.move_away(now, &id, out);
+        }
+    }
+
+    fn move_away(&mut self, now: Timestamp, id: &UpstreamId, out: &mut Vec<RouterAction>) {
+        let movable: Vec<RequestId> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| {
+                let runs_there = pending.running.as_ref().is_some_and(|r| r.upstream == *id);
+                let is_whole = !pending.seen_output || pending.meta.is_resumable;
+                runs_there && pending.meta.repeatable && is_whole
+            })
+            .map(|(request, _)| *request)
+            .collect();
+        for request in movable {
+            let Some(pending) = self.pending.get_mut(&request) else {
+                continue;
+            };
+            let Some(running) = pending.running.take() else {
+                continue;
+            };
+            pending.runs += 1;
+            if let Some(state) = self.targets.get_mut(&pending.meta.target) {
+                state.release(&running);
+            }
+            out.push(RouterAction::Abandon(running.id));
+            let reason = UnknownReason::Lost;
+            self.retry_or_answer(now, request, Outcome::Unknown { reason }, out);
         }
     }
 
@@ -487,18 +650,14 @@
     }
 }
 
-fn not_run(reason: NotRunReason) -> Outcome {
-    Outcome::NotRun {
-        reason,
-        retry_after: DEFAULT_RETRY_AFTER,
-    }
-}
-
 /// What the end of the only attempt says of the request.
-fn outcome_of(end: AttemptEnd) -> Outcome {
+fn outcome_of(end: AttemptEnd, retry_after: Duration) -> Outcome {
     match end {
         AttemptEnd::Completed { .. } => Outcome::Completed,
-        AttemptEnd::NotSent | AttemptEnd::Refused => not_run(NotRunReason::Refused),
+        AttemptEnd::NotSent | AttemptEnd::Refused => Outcome::NotRun {
+            reason: NotRunReason::Refused,
+            retry_after,
+        },
         AttemptEnd::Failed { status } => Outcome::Failed { status },
         AttemptEnd::Lost => Outcome::Unknown {
             reason: UnknownReason::Lost,
--- a/shalehinge/src/core/router/request.rs
+++ b/shalehinge/src/core/router/request.rs
@@ -7,8 +7,8 @@
 
 use crate::core::objects::KeyHash;
 use crate::core::types::{
-    Address, AttemptId, Customer, GroupNumber, ModelName, ReplicaId, RequestId, ServiceName,
-    Timestamp,
+    Address, AttemptId, Customer, GroupNumber, HostId, ModelName, ReplicaId, RequestId,
+    ServiceName, Timestamp,
 };
 
 /// What a request is for.
@@ -53,8 +53,17 @@
     pub repeatable: bool,
     /// Start of the prompt, hashed.
     pub prefix: PrefixChain,
+    /// Upstreams that may run it; as many as the settings say without.
+    pub max_attempts: Option<u32>,
+    /// Whether another upstream may continue its stream.
+    pub is_resumable: bool,
+    /// SHA-256 of the key that it came with, where that key may be taken away.
+    pub credential: Option<Credential>,
 }
 
+/// SHA-256 of a key in hexadecimal.
+pub type Credential = std::sync::Arc<str>;
+
 /// Names an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum UpstreamId {
@@ -62,6 +71,8 @@
     Replica(ReplicaId),
     /// An instance of a plain service, by its place in the configuration.
     Instance(ServiceName, Address),
+    /// An instance of a plain service that the host list names.
+    Host(ServiceName, HostId),
 }
 
 impl fmt::Display for UpstreamId {
@@ -69,6 +80,7 @@
         match self {
             Self::Replica(replica) => write!(f, "{replica}"),
             Self::Instance(service, address) => write!(f, "{service}@{address}"),
+            Self::Host(service, host) => write!(f, "{service}@{host}"),
         }
     }
 }
@@ -86,6 +98,8 @@
     pub address: Address,
     /// The group that must answer; others refuse.
     pub group: Option<GroupNumber>,
+    /// The host that must answer, where the host list names it.
+    pub host: Option<HostId>,
     /// Not to be sent at or after this time: the process may have been paused
     /// since, and the evidence that the upstream is complete has run out.
     pub valid_until: Timestamp,
@@ -161,6 +175,10 @@
     Stopping,
     /// The caller left before it was sent.
     CallerLeft,
+    /// The caller's key was taken away while the request waited.
+    KeyTakenAway,
+    /// The configuration may be out of date, so keys can't be trusted.
+    OutOfDate,
 }
 
 /// Why it is not known whether a request ran.
--- a/shalehinge/src/core/router/retry_budget.rs
+++ b/shalehinge/src/core/router/retry_budget.rs
@@ -21,6 +21,13 @@
         }
     }
 
+    /// Changes how many retries may be saved up; what is saved above it is lost.
+    pub fn set_burst(&mut self, burst: f64) {
+        let grown = (burst - self.burst).max(0.0);
+        self.burst = burst;
+        self.tokens = (self.tokens + grown).min(burst);
+    }
+
     /// A first attempt was made.
     pub fn deposit(&mut self) {
         self.tokens = (self.tokens + self.ratio).min(self.burst);
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -22,6 +22,8 @@
 pub(super) struct Pending {
     pub(super) meta: RequestMeta,
     pub(super) attempts: u32,
+    /// Attempts that may have run.
+    pub(super) runs: u32,
     pub(super) tried: Vec<UpstreamId>,
     pub(super) running: Option<Running>,
     pub(super) seen_output: bool,
@@ -156,7 +158,7 @@
         self.turn = self.turn.wrapping_add(1);
         self.drain.record(now, pending.cost, !self.queue.is_empty());
         let upstream = &mut self.upstreams[index];
-        upstream.on_sent(work);
+        upstream.on_sent(now, work);
         upstream.prefixes.record(&pending.meta.prefix);
         pending.attempts += 1;
         pending.tried.push(upstream.spec.id.clone());
@@ -173,6 +175,7 @@
             upstream: upstream.spec.id.clone(),
             address: upstream.spec.address,
             group: upstream.spec.group,
+            host: upstream.spec.host.clone(),
             valid_until: upstream.valid_until(pending.meta.deadline),
             time_left: pending.meta.deadline.since(now),
             priority: pending.meta.priority,
--- a/shalehinge/src/core/router/topology.rs
+++ b/shalehinge/src/core/router/topology.rs
@@ -13,7 +13,7 @@
 use crate::settings::router::RouterSettings;
 
 use super::request::{Target, UpstreamId};
-use super::upstream::UpstreamSpec;
+use super::upstream::{Evidence, UpstreamSpec};
 
 /// The considered upstreams of each target.
 pub type Topology = BTreeMap<Target, Vec<UpstreamSpec>>;
@@ -29,32 +29,103 @@
     let Some(fleet) = state.fleet() else {
         return topology;
     };
-    for model in fleet.value.models.keys() {
+    for model in fleet.value.models.keys().chain(fleet.value.profiles.keys()) {
         topology.insert(Target::Model(model.clone()), Vec::new());
     }
-    for (target, specs) in replicas(state, domain) {
+    let mut by_target = replicas(state, domain);
+    for (target, specs) in listed_replicas(state, domain) {
+        by_target.entry(target).or_default().extend(specs);
+    }
+    for (target, specs) in by_target {
         let Some(entry) = topology.get_mut(&target) else {
             continue;
         };
         *entry = subset(specs, me, settings);
     }
     for (name, service) in &fleet.value.services {
-        let specs = service
-            .upstreams
-            .iter()
-            .map(|upstream| UpstreamSpec {
-                id: UpstreamId::Instance(ServiceName::new(name.as_str()), upstream.address),
-                address: upstream.address,
-                group: None,
-                remote: upstream.failure_domain != *domain,
-                accepts_new: !is_leaving(state, &upstream.host),
-            })
-            .collect();
+        let configured = service.upstreams.iter().map(|upstream| UpstreamSpec {
+            id: UpstreamId::Instance(ServiceName::new(name.as_str()), upstream.address),
+            address: upstream.address,
+            group: None,
+            remote: upstream.failure_domain != *domain,
+            accepts_new: !is_leaving(state, &upstream.host),
+            host: None,
+            evidence: Evidence::Listed,
+            slots: None,
+        });
+        let mut specs: Vec<UpstreamSpec> = configured.collect();
+        if service.is_listed {
+            specs.extend(listed_instances(state, name, domain));
+        }
         topology.insert(Target::Service(name.clone()), specs);
     }
     topology
 }
 
+/// Instances of a plain service that the host list names.
+fn listed_instances(
+    state: &FleetState,
+    service: &ServiceName,
+    domain: &FailureDomain,
+) -> Vec<UpstreamSpec> {
+    let Some(list) = state.hosts() else {
+        return Vec::new();
+    };
+    let hosts = list.value.hosts.iter();
+    hosts
+        .filter(|(_, record)| record.service.as_ref() == Some(service))
+        .map(|(host, record)| UpstreamSpec {
+            id: UpstreamId::Host(service.clone(), host.clone()),
+            address: record.address,
+            group: None,
+            remote: record.failure_domain != *domain,
+            accepts_new: record.state == HostState::Live,
+            host: Some(host.clone()),
+            evidence: Evidence::Listed,
+            slots: record.slots,
+        })
+        .collect()
+}
+
+/// Replicas whose rank 0 tells the host list that it takes requests.
+fn listed_replicas(
+    state: &FleetState,
+    domain: &FailureDomain,
+) -> BTreeMap<Target, Vec<UpstreamSpec>> {
+    let mut replicas: BTreeMap<Target, Vec<UpstreamSpec>> = BTreeMap::new();
+    let Some(list) = state.hosts() else {
+        return replicas;
+    };
+    for (host, record) in &list.value.hosts {
+        let Some(status) = &record.status else {
+            continue;
+        };
+        let (Some(number), Some(held)) = (status.group, &status.held) else {
+            continue;
+        };
+        if !status.shows_open(number) {
+            continue;
+        }
+        let replica = ReplicaId {
+            failure_domain: record.failure_domain.clone(),
+            number,
+        };
+        let spec = UpstreamSpec {
+            id: UpstreamId::Replica(replica),
+            address: record.address,
+            group: Some(number),
+            remote: record.failure_domain != *domain,
+            accepts_new: record.state == HostState::Live,
+            host: Some(host.clone()),
+            evidence: Evidence::Listed,
+            slots: record.slots,
+        };
+        let target = Target::Model(held.model.clone());
+        replicas.entry(target).or_default().push(spec);
+    }
+    replicas
+}
+
 fn replicas(state: &FleetState, domain: &FailureDomain) -> BTreeMap<Target, Vec<UpstreamSpec>> {
     let mut replicas: BTreeMap<Target, Vec<UpstreamSpec>> = BTreeMap::new();
     for (group_domain, assignment) in state.assignments() {
@@ -72,6 +143,9 @@
                 group: Some(*number),
                 remote: group_domain != domain,
                 accepts_new: accepts_new(state, group),
+                host: None,
+                evidence: Evidence::Reports,
+                slots: None,
             };
             let target = Target::Model(group.model.clone());
             replicas.entry(target).or_default().push(spec);
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::core::engine::{EngineLoad, EngineStatus};
-use crate::core::types::{Address, GroupNumber, Timestamp};
+use crate::core::types::{Address, GroupNumber, HostId, Timestamp};
 use crate::settings::router::RouterSettings;
 
 use super::estimate::SmoothedDuration;
@@ -17,6 +17,11 @@
 /// Requests that a replica may be sent before its first report came.
 const FIRST_ALLOWANCE: f64 = 2.0;
 
+/// How long a listed upstream gets nothing new after a failure or refusal.
+const REST: Duration = Duration::from_millis(250);
+/// How long one that stood still gets nothing new after its last request ended.
+const STALL_REST: Duration = Duration::from_secs(3);
+
 /// Weight of a report's figures against what is known, by their age.
 fn smoothing(age_ms: Option<u64>) -> f64 {
     /// Figures up to this age count as they are.
@@ -42,6 +47,21 @@
     pub remote: bool,
     /// Whether it may be given new work.
     pub accepts_new: bool,
+    /// The host that takes the requests, where the host list names it.
+    pub host: Option<HostId>,
+    /// What shows that it can serve.
+    pub evidence: Evidence,
+    /// Requests that it runs at once, where that is known beforehand.
+    pub slots: Option<u32>,
+}
+
+/// What shows that an upstream can serve.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// Its own reports, which count for a short time.
+    Reports,
+    /// The list that names it.
+    Listed,
 }
 
 /// A load report with the time from which it counts.
@@ -89,6 +109,13 @@
     allowance: f64,
     ramp: f64,
     kv_since_report: f64,
+    sharers: usize,
+    /// A listed one gets nothing new until then, after a failure.
+    rests_until: Timestamp,
+    /// When output of any request there last came.
+    moved_at: Timestamp,
+    /// Requests run there, and none has moved for long.
+    stalled: bool,
 }
 
 impl Upstream {
@@ -113,24 +140,37 @@
             allowance: FIRST_ALLOWANCE,
             ramp: FIRST_ALLOWANCE,
             kv_since_report: 0.0,
+            sharers: 1,
+            rests_until: Timestamp::ZERO,
+            moved_at: Timestamp::ZERO,
+            stalled: false,
         }
     }
 
     /// Whether it may serve: in the topology, trusted, and shown to be complete.
     pub fn is_eligible(&self, now: Timestamp) -> bool {
-        self.spec.accepts_new && self.is_complete(now) && !self.outlier.is_ejected(now)
+        let rests = now < self.rests_until || self.stalled;
+        self.spec.accepts_new && self.is_complete(now) && !self.outlier.is_ejected(now) && !rests
+    }
+
+    /// Whether it may serve now or after a short rest.
+    pub fn may_serve(&self, now: Timestamp) -> bool {
+        match self.spec.evidence {
+            Evidence::Reports => self.is_eligible(now),
+            Evidence::Listed => self.spec.accepts_new,
+        }
     }
 
     /// Whether fresh evidence shows all members present; plain services have none.
     pub fn is_complete(&self, now: Timestamp) -> bool {
-        self.spec.group.is_none() || now < self.complete_until
+        self.spec.evidence == Evidence::Listed || now < self.complete_until
     }
 
     /// Until when a request with this deadline may be sent on what is known now.
     pub fn valid_until(&self, deadline: Timestamp) -> Timestamp {
-        match self.spec.group {
-            Some(_) => self.complete_until.min(deadline),
-            None => deadline,
+        match self.spec.evidence {
+            Evidence::Reports => self.complete_until.min(deadline),
+            Evidence::Listed => deadline,
         }
     }
 
@@ -141,7 +181,8 @@
 
     /// Whether a report should be asked for now; notes that it was.
     pub fn wants_report(&mut self, now: Timestamp, settings: &RouterSettings) -> bool {
-        if self.spec.group.is_none() || self.report_asked || now < self.next_report_at {
+        let reports = self.spec.evidence == Evidence::Reports;
+        if !reports || self.report_asked || now < self.next_report_at {
             return false;
         }
         self.next_report_at = now + settings.report_interval;
@@ -224,6 +265,10 @@
             self.suspect_since = Some(now);
         }
         self.complete_until = Timestamp::ZERO;
+        if self.spec.evidence == Evidence::Listed {
+            self.rests_until = now + REST;
+            return;
+        }
         self.contradicted_at = Some(now);
         self.ramp = FIRST_ALLOWANCE;
         self.allowance = FIRST_ALLOWANCE;
@@ -245,13 +290,48 @@
         if self.outlier.is_on_probation() {
             return self.in_flight == 0;
         }
-        if self.spec.group.is_none() {
-            return self.in_flight < settings.service_concurrency;
+        if self.spec.evidence == Evidence::Listed {
+            return self.in_flight < self.own_limit(settings);
         }
         let slot = f64::from(self.in_flight) < self.allowance;
         slot && (!settings.reserve_kv || self.has_kv_room(work))
     }
 
+    /// Requests of this daemon that a listed upstream may run at a time. Others
+    /// send there too, unevenly, so the even part is exceeded by a factor.
+    fn own_limit(&self, settings: &RouterSettings) -> u32 {
+        let Some(slots) = self.spec.slots else {
+            return settings.service_concurrency;
+        };
+        let whole = f64::from(slots) * (1.0 + settings.engine_backlog);
+        let part = whole * settings.uneven_share / self.sharers.max(1) as f64;
+        part.ceil().clamp(1.0, whole.ceil()) as u32
+    }
+
+    /// How many daemons send there.
+    pub fn set_sharers(&mut self, sharers: usize) {
+        self.sharers = sharers;
+    }
+
+    /// Output of a request that runs there came.
+    pub fn on_progress(&mut self, now: Timestamp) {
+        self.moved_at = now;
+        self.stalled = false;
+    }
+
+    /// Notes whether nothing moves there any more, though requests run; true if that
+    /// was found just now.
+    pub fn check_stall(&mut self, now: Timestamp, settings: &RouterSettings) -> bool {
+        let is_watched = self.spec.evidence == Evidence::Listed && self.spec.group.is_some();
+        let stands = self.in_flight > 0 && now.since(self.moved_at) >= settings.stall_after;
+        if !is_watched || !stands || self.stalled {
+            return false;
+        }
+        self.stalled = true;
+        self.suspect_since = Some(now);
+        true
+    }
+
     /// Whether the peak of this work fits beside what runs and what was sent since.
     fn has_kv_room(&self, work: Work) -> bool {
         let Some(report) = self.report.filter(|report| report.load.kv_total > 0) else {
@@ -263,7 +343,10 @@
     }
 
     /// A request was sent there.
-    pub fn on_sent(&mut self, work: Work) {
+    pub fn on_sent(&mut self, now: Timestamp, work: Work) {
+        if self.in_flight == 0 {
+            self.moved_at = now;
+        }
         self.in_flight += 1;
         self.kv_in_flight += work.kv_peak;
         self.kv_since_report += work.kv_peak;
@@ -272,6 +355,12 @@
     /// A request sent there has ended.
     pub fn on_ended(&mut self, work: Work) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        if self.in_flight == 0 && self.stalled {
+            // Nothing runs there that could show that it moves again: a later
+            // request tries, after a rest.
+            self.stalled = false;
+            self.rests_until = self.rests_until.max(self.moved_at + STALL_REST);
+        }
         self.kv_in_flight = (self.kv_in_flight - work.kv_peak).max(0.0);
         self.kv_since_report -= work.kv_peak;
     }
@@ -280,7 +369,7 @@
     pub fn load(&self, settings: &RouterSettings) -> f64 {
         let own = f64::from(self.in_flight);
         let Some(report) = self.report.filter(|report| report.load.slots > 0) else {
-            return own / f64::from(settings.service_concurrency.max(1));
+            return own / f64::from(self.own_limit(settings).max(1));
         };
         (own + self.others.unwrap_or_default()) / f64::from(report.load.slots)
     }
--- /dev/null
+++ b/shalehinge/src/core/routes.rs
@@ -0,0 +1,173 @@
+//! Which route a relayed request takes, and whose request it is.
+//!
+//! Built once for each configuration, so that a request costs two look-ups.
+
+use std::collections::HashMap;
+
+use super::objects::{CallerLimits, FleetConfig, RequestKind, RouteConfig};
+use super::types::{Customer, ModelName, ServiceName, Version};
+
+/// The routes and keys of one configuration.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    version: Version,
+    // Looked up by key only, never iterated in an order that matters.
+    by_host: HashMap<String, Vec<RouteConfig>>,
+    customers: HashMap<String, KeyHolder>,
+    needs_keys: bool,
+    limits: Option<CallerLimits>,
+}
+
+/// Who holds a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyHolder {
+    /// The customer.
+    pub customer: Customer,
+    /// Rank of its requests, if it has one of its own.
+    pub rank: Option<u8>,
+}
+
+/// What a request must show to be routed.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteQuery<'a> {
+    /// Host that the caller names.
+    pub host: &'a str,
+    /// Path without query.
+    pub path: &'a str,
+    /// SHA-256 of the caller's key in hexadecimal, if it sent one.
+    pub key_sha256: Option<&'a str>,
+    /// A number of the request's own that divides it between services.
+    pub spread: u64,
+}
+
+/// Where a request goes, and under which bounds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Routed {
+    /// The route's configuration.
+    pub route: RouteConfig,
+    /// The service chosen among the route's.
+    pub service: ServiceName,
+    /// The customer; `None` without a key.
+    pub holder: Option<KeyHolder>,
+}
+
+impl Routed {
+    /// Whether running the request twice does no harm.
+    pub fn is_repeatable(&self) -> bool {
+        match self.route.kind {
+            RequestKind::Repeatable => true,
+            RequestKind::NotRepeatable => false,
+            RequestKind::Stream => self.route.is_resumable,
+        }
+    }
+
+    /// Rank of the request: the customer's goes before the route's.
+    pub fn rank(&self) -> u8 {
+        let own = self.holder.as_ref().and_then(|holder| holder.rank);
+        own.unwrap_or(self.route.rank)
+    }
+}
+
+/// Why a request is not routed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteRefusal {
+    /// No route fits host and path.
+    UnknownRoute,
+    /// The route needs a key, and none was sent or nobody holds it.
+    UnknownKey,
+    /// No configuration is known, or only one that may be out of date.
+    NotReady,
+}
+
+/// The name under which a model of a service is known in the fleet.
+pub fn model_of_service(service: &ServiceName, model: &str) -> ModelName {
+    ModelName::new(&format!("{service}/{model}"))
+}
+
+impl RouteTable {
+    /// The table of a configuration.
+    pub fn new(version: Version, fleet: &FleetConfig) -> Self {
+        let mut by_host: HashMap<String, Vec<RouteConfig>> = HashMap::new();
+        for route in &fleet.routes {
+            let routes = by_host.entry(route.host.to_ascii_lowercase()).or_default();
+            routes.push(route.clone());
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        let mut customers = HashMap::new();
+        for (customer, config) in &fleet.customers {
+            for key in &config.key_sha256 {
+                let holder = KeyHolder {
+                    customer: customer.clone(),
+                    rank: config.rank,
+                };
+                customers.insert(key.to_ascii_lowercase(), holder);
+            }
+        }
+        Self {
+            version,
+            by_host,
+            customers,
+            needs_keys: !fleet.customers.is_empty(),
+            limits: fleet.caller_limits,
+        }
+    }
+
+    /// Version of the configuration that it was built from.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Bounds of the configuration, if it has some.
+    pub fn limits(&self) -> Option<CallerLimits> {
+        self.limits
+    }
+
+    /// Who holds a key.
+    pub fn holder(&self, key_sha256: &str) -> Option<&KeyHolder> {
+        self.customers.get(key_sha256)
+    }
+
+    /// Where a request goes.
+    pub fn find(&self, query: RouteQuery<'_>) -> Result<Routed, RouteRefusal> {
+        let route = self.route(query.host, query.path);
+        let route = route.ok_or(RouteRefusal::UnknownRoute)?;
+        let holder = query.key_sha256.and_then(|key| self.holder(key));
+        let needs_key = self.needs_keys && !route.is_anonymous;
+        if needs_key && holder.is_none() {
+            return Err(RouteRefusal::UnknownKey);
+        }
+        let service = pick(route, query.spread).ok_or(RouteRefusal::UnknownRoute)?;
+        Ok(Routed {
+            service: service.clone(),
+            route: route.clone(),
+            holder: holder.cloned(),
+        })
+    }
+
+    fn route(&self, host: &str, path: &str) -> Option<&RouteConfig> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = self.by_host.get(&name.to_ascii_lowercase())?;
+        routes
+            .iter()
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+}
+
+/// The service that this number falls to, by the weights.
+fn pick(route: &RouteConfig, spread: u64) -> Option<&ServiceName> {
+    let total: u64 = route.backends.iter().map(|b| u64::from(b.weight)).sum();
+    if total == 0 {
+        return route.backends.first().map(|backend| &backend.service);
+    }
+    let mut left = spread % total;
+    for backend in &route.backends {
+        let weight = u64::from(backend.weight);
+        if left < weight {
+            return Some(&backend.service);
+        }
+        left -= weight;
+    }
+    None
+}
--- a/shalehinge/src/gateway/answer.rs
+++ b/shalehinge/src/gateway/answer.rs
@@ -148,6 +148,16 @@
                 "caller_left",
                 "the caller left before the request ran",
             ),
+            NotRunReason::KeyTakenAway => (
+                Status::Unauthorized,
+                "key_taken_away",
+                "the key was taken away while the request waited; it did not run",
+            ),
+            NotRunReason::OutOfDate => (
+                Status::ServiceUnavailable,
+                "out_of_date",
+                "this entry host can't tell whether the key is still good; it did not run, so send it elsewhere or later",
+            ),
         };
         Self {
             status,
@@ -283,12 +293,28 @@
 }
 
 /// Tells the core that a caller left, unless the answer was whole by then.
-struct LeaveGuard {
+pub(super) struct LeaveGuard {
     driver: Arc<Driver>,
     request: RequestId,
     is_armed: bool,
 }
 
+impl LeaveGuard {
+    /// A guard of a request that is to be broken off when its caller leaves.
+    pub(super) fn new(driver: Arc<Driver>, request: RequestId) -> Self {
+        Self {
+            driver,
+            request,
+            is_armed: true,
+        }
+    }
+
+    /// The request has its answer.
+    pub(super) fn disarm(mut self) {
+        self.is_armed = false;
+    }
+}
+
 impl Drop for LeaveGuard {
     fn drop(&mut self) {
         if self.is_armed {
@@ -336,7 +362,7 @@
         match parts.recv().await {
             Ok(CallerPart::Part(AnswerPart::StreamBegins)) => return FirstAnswer::Stream,
             Ok(CallerPart::Part(AnswerPart::Whole(answer))) => whole = Some(answer),
-            Ok(CallerPart::Part(AnswerPart::Piece(_))) => {}
+            Ok(CallerPart::Part(AnswerPart::Piece(_) | AnswerPart::Head(_))) => {}
             Ok(CallerPart::Ended(outcome)) => return FirstAnswer::Whole(whole, outcome),
             Err(_) => {
                 let reason = UnknownReason::Lost;
--- a/shalehinge/src/gateway/chat.rs
+++ b/shalehinge/src/gateway/chat.rs
@@ -64,6 +64,7 @@
         } else {
             AnswerForm::Whole
         },
+        relay: None,
     };
     Ok((meta, outgoing))
 }
@@ -97,6 +98,9 @@
         key: wishes.key,
         repeatable: wishes.repeatable,
         prefix: prefix::chain_of(prompt.as_bytes()),
+        max_attempts: None,
+        is_resumable: false,
+        credential: None,
     }
 }
 
--- a/shalehinge/src/gateway/handler.rs
+++ b/shalehinge/src/gateway/handler.rs
@@ -3,7 +3,8 @@
 use trillium::{Conn, Handler, Status};
 use trillium_router::Router;
 
-use super::{GatewayContext, chat, models, service};
+use super::{GatewayContext, chat, models, relay, service};
+use crate::upstream::relay::RelayNames;
 
 /// Handles callers.
 pub fn handler(context: GatewayContext) -> impl Handler {
@@ -39,6 +40,22 @@
     (router, services)
 }
 
+/// Handles callers whose requests are relayed by routes.
+pub fn relay_handler(context: GatewayContext, names: RelayNames) -> impl Handler {
+    move |conn: Conn| {
+        let context = context.clone();
+        async move { relay::handle(context, names, conn).await }
+    }
+}
+
+/// Answers the balancer.
+pub fn ready_handler(context: GatewayContext) -> impl Handler {
+    move |conn: Conn| {
+        let context = context.clone();
+        async move { readiness(&context, conn) }
+    }
+}
+
 /// Whether new callers should come here.
 fn readiness(context: &GatewayContext, conn: Conn) -> Conn {
     if context.driver.read(|_, core| core.is_ready()) {
--- a/shalehinge/src/gateway/intake.rs
+++ b/shalehinge/src/gateway/intake.rs
@@ -10,6 +10,7 @@
 use super::answer::ErrorAnswer;
 use crate::core::objects::KeyHash;
 use crate::core::types::Customer;
+use crate::settings::daemon::LimitSettings;
 use crate::utils::time::within;
 
 /// Header with the time that the caller has, in milliseconds from now.
@@ -108,7 +109,11 @@
 
 /// Reads the whole body, within its bounds of size and time.
 pub async fn body(context: &GatewayContext, conn: &mut Conn) -> Result<Vec<u8>, ErrorAnswer> {
-    let limits = context.limits;
+    read_body(&context.limits, conn).await
+}
+
+/// Reads the whole body within these bounds.
+pub async fn read_body(limits: &LimitSettings, conn: &mut Conn) -> Result<Vec<u8>, ErrorAnswer> {
     let body = conn.request_body().with_max_len(limits.max_body_bytes);
     let error = match within(limits.body_timeout, body.read_bytes()).await {
         Some(Ok(bytes)) => return Ok(bytes),
--- a/shalehinge/src/gateway/mod.rs
+++ b/shalehinge/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! - `chat`: `POST /v1/chat/completions`
 //! - `models`: `GET /v1/models`
 //! - `service`: plain services
+//! - `relay`: requests that are relayed as they are
 //! - `answer`: answers, streams and errors
 
 pub mod access;
@@ -14,6 +15,7 @@
 pub mod handler;
 pub mod intake;
 pub mod models;
+pub mod relay;
 pub mod service;
 
 use std::sync::Arc;
--- /dev/null
+++ b/shalehinge/src/gateway/relay.rs
@@ -0,0 +1,354 @@
+//! Requests that are relayed as they are, by the routes of the configuration.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use futures_util::TryStreamExt;
+use futures_util::stream;
+use sha2::{Digest, Sha256};
+use trillium::{Body, Conn, KnownHeaderName, Status};
+
+use super::answer::LeaveGuard;
+use super::{GatewayContext, intake};
+use crate::core::objects::RequestKind;
+use crate::core::operator::hex;
+use crate::core::router::request::{
+    Credential, NotRunReason, Outcome, RequestMeta, Target, UnknownReason,
+};
+use crate::core::routes::{RouteQuery, RouteRefusal, Routed, model_of_service};
+use crate::core::types::Customer;
+use crate::process::callers::CallerPart;
+use crate::upstream::attempt::{AnswerForm, AnswerPart, OutgoingRequest, WholeAnswer};
+use crate::upstream::relay::{AnswerHead, HOP_BY_HOP, RelayNames, RelayPart, StreamPosition};
+
+/// The customer of requests without a key.
+const ANONYMOUS: &str = "anonymous";
+/// When a caller is to come back that came before the daemon knows its routes.
+const NOT_READY_RETRY: Duration = Duration::from_millis(300);
+/// Highest rank of a request; the core counts priorities the other way round.
+const MOST_RANK: u8 = 9;
+
+/// An answer of the daemon's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct OwnAnswer {
+    status: Status,
+    text: &'static str,
+    retry_after: Option<Duration>,
+    closes: bool,
+}
+
+impl OwnAnswer {
+    const fn new(status: Status, text: &'static str) -> Self {
+        Self {
+            status,
+            text,
+            retry_after: None,
+            closes: false,
+        }
+    }
+
+    fn of_refusal(refusal: RouteRefusal) -> Self {
+        match refusal {
+            RouteRefusal::UnknownRoute => Self::new(Status::NotFound, "no route fits\n"),
+            RouteRefusal::UnknownKey => Self::new(Status::Unauthorized, "the key is not known\n"),
+            RouteRefusal::NotReady => Self {
+                retry_after: Some(NOT_READY_RETRY),
+                ..Self::new(
+                    Status::ServiceUnavailable,
+                    "no configuration that is known to be in force; it did not run\n",
+                )
+            },
+        }
+    }
+
+    fn of_outcome(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::NotRun {
+                reason: NotRunReason::KeyTakenAway,
+                ..
+            } => Self::new(Status::Unauthorized, "the key was taken away\n"),
+            Outcome::NotRun { retry_after, .. } => Self {
+                retry_after: Some(retry_after),
+                ..Self::new(Status::ServiceUnavailable, "it did not run\n")
+            },
+            Outcome::Unknown {
+                reason: UnknownReason::DeadlinePassed,
+            } => Self::new(Status::GatewayTimeout, "the deadline passed\n"),
+            Outcome::Completed | Outcome::Failed { .. } | Outcome::Unknown { .. } => {
+                Self::new(Status::BadGateway, "the upstream gave no whole answer\n")
+            }
+        }
+    }
+
+    fn write(self, conn: Conn) -> Conn {
+        let mut conn = conn.with_status(self.status).with_body(self.text);
+        if let Some(after) = self.retry_after {
+            let seconds = format!("{:.3}", after.as_secs_f64());
+            conn = conn.with_response_header(KnownHeaderName::RetryAfter, seconds);
+        }
+        if self.closes {
+            conn = conn.with_response_header(KnownHeaderName::Connection, "close");
+        }
+        conn.halt()
+    }
+}
+
+/// Relays a request and its answer.
+pub async fn handle(context: GatewayContext, names: RelayNames, mut conn: Conn) -> Conn {
+    let (meta, outgoing) = match prepare(&context, names, &mut conn).await {
+        Ok(prepared) => prepared,
+        Err(answer) => return answer.write(conn),
+    };
+    let (request, parts) = context.driver.submit(meta, outgoing);
+    let guard = LeaveGuard::new(context.driver.clone(), request);
+    let first = conn
+        .cancel_on_disconnect(wait_for_first(parts.clone()))
+        .await;
+    match first {
+        // The caller is gone; the guard says so.
+        None => conn.halt(),
+        Some(FirstPart::Head(head)) => write_stream(conn, head, parts, guard),
+        Some(FirstPart::Ended(whole, outcome)) => {
+            guard.disarm();
+            let closes = context.driver.read(|_, core| !core.is_ready());
+            write_whole(conn, whole, outcome, closes)
+        }
+    }
+}
+
+async fn prepare(
+    context: &GatewayContext,
+    names: RelayNames,
+    conn: &mut Conn,
+) -> Result<(RequestMeta, OutgoingRequest), OwnAnswer> {
+    let came_at = context.driver.now();
+    let headers = conn.request_headers();
+    let credential = credential(names, conn);
+    let request_id = headers.get_str(names.request_id).map(str::to_owned);
+    let spread = request_id.as_deref().map_or(0, spread_of);
+    let host = headers.get_str(KnownHeaderName::Host).unwrap_or_default();
+    let query = RouteQuery {
+        host,
+        path: conn.path(),
+        key_sha256: credential.as_deref(),
+        spread,
+    };
+    let (routed, target, limits) = context
+        .driver
+        .read(|now, core| {
+            let routed = core.route(now, query)?;
+            let target = target_of(core, &routed, headers.get_str(names.model));
+            Ok((routed, target, core.routes().limits()))
+        })
+        .map_err(OwnAnswer::of_refusal)?;
+    let holder = routed.holder.as_ref();
+    let customer = holder.map(|holder| holder.customer.clone());
+    let timeout = Duration::from_millis(routed.route.timeout_ms);
+    let asked = headers
+        .get_str(names.deadline)
+        .and_then(|text| text.trim().parse().ok())
+        .map_or(timeout, Duration::from_millis);
+    let (prompt_tokens, max_output_tokens) = tokens(headers.get_str(names.tokens));
+    let passed = passed_headers(names, conn);
+    let most = limits.map_or(context.limits.max_body_bytes, |limits| {
+        limits.max_body_bytes
+    });
+    let body = body(context, conn, most).await?;
+    let meta = RequestMeta {
+        customer: customer.clone().unwrap_or_else(|| Customer::new(ANONYMOUS)),
+        target,
+        prompt_tokens,
+        max_output_tokens,
+        deadline: came_at + asked.min(timeout),
+        priority: MOST_RANK.saturating_sub(routed.rank()),
+        key: None,
+        repeatable: routed.is_repeatable(),
+        prefix: Vec::new(),
+        max_attempts: Some(routed.route.max_attempts),
+        is_resumable: routed.route.kind == RequestKind::Stream && routed.route.is_resumable,
+        credential: credential.filter(|_| !routed.route.is_anonymous),
+    };
+    let outgoing = OutgoingRequest {
+        method: conn.method(),
+        path: conn.path_and_query().to_owned(),
+        headers: passed,
+        body: body.into(),
+        answer: AnswerForm::Service,
+        relay: Some(RelayPart {
+            names,
+            request_id,
+            customer: customer.map(|customer| customer.to_string()),
+            position: Arc::new(StreamPosition::default()),
+        }),
+    };
+    Ok((meta, outgoing))
+}
+
+/// SHA-256 of the caller's key in hexadecimal, if it sent one.
+fn credential(names: RelayNames, conn: &Conn) -> Option<Credential> {
+    let header = conn
+        .request_headers()
+        .get_str(KnownHeaderName::Authorization)?;
+    let key = header.strip_prefix(names.credential_scheme)?.trim();
+    Some(hex(&Sha256::digest(key.as_bytes())).into())
+}
+
+/// A number that follows from the request's id alone.
+fn spread_of(request_id: &str) -> u64 {
+    use std::hash::Hasher;
+    let mut hasher = siphasher::sip::SipHasher13::new();
+    hasher.write(request_id.as_bytes());
+    hasher.finish()
+}
+
+/// A model of the service where it has models, the service itself otherwise.
+fn target_of(core: &crate::core::daemon::Daemon, routed: &Routed, model: Option<&str>) -> Target {
+    let fleet = core.state().fleet();
+    let has_models = fleet.is_some_and(|fleet| {
+        let mut profiles = fleet.value.profiles.values();
+        profiles.any(|profile| profile.service == routed.service)
+    });
+    if has_models {
+        return Target::Model(model_of_service(&routed.service, model.unwrap_or_default()));
+    }
+    Target::Service(routed.service.clone())
+}
+
+fn tokens(header: Option<&str>) -> (u32, u32) {
+    let mut numbers = header
+        .unwrap_or_default()
+        .split(',')
+        .map(|text| text.trim().parse().unwrap_or(0));
+    let prompt = numbers.next().unwrap_or(0);
+    (prompt, numbers.next().unwrap_or(0))
+}
+
+async fn body(context: &GatewayContext, conn: &mut Conn, most: u64) -> Result<Vec<u8>, OwnAnswer> {
+    let limits = crate::settings::daemon::LimitSettings {
+        max_body_bytes: most,
+        ..context.limits
+    };
+    intake::read_body(&limits, conn)
+        .await
+        .map_err(|error| OwnAnswer {
+            closes: true,
+            ..OwnAnswer::new(error.status, "the body can't be read\n")
+        })
+}
+
+/// Headers that go on to the upstream.
+fn passed_headers(names: RelayNames, conn: &Conn) -> Vec<(String, String)> {
+    let headers = conn.request_headers();
+    let of_connection: Vec<String> = headers
+        .get_str(KnownHeaderName::Connection)
+        .unwrap_or_default()
+        .split(',')
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let own = ["authorization", names.customer, names.host, names.deadline];
+    let mut passed = Vec::new();
+    for (name, values) in headers {
+        let name = name.to_string();
+        let lower = name.to_ascii_lowercase();
+        let stays = HOP_BY_HOP.contains(&lower.as_str())
+            || own.contains(&lower.as_str())
+            || of_connection.contains(&lower);
+        if stays {
+            continue;
+        }
+        for value in values {
+            if let Some(value) = value.as_str() {
+                passed.push((name.clone(), value.to_owned()));
+            }
+        }
+    }
+    passed
+}
+
+/// What the wait for an answer came to.
+enum FirstPart {
+    Head(AnswerHead),
+    Ended(Option<WholeAnswer>, Outcome),
+}
+
+async fn wait_for_first(parts: Receiver<CallerPart>) -> FirstPart {
+    let mut whole = None;
+    loop {
+        match parts.recv().await {
+            Ok(CallerPart::Part(AnswerPart::Head(head))) => return FirstPart::Head(head),
+            Ok(CallerPart::Part(AnswerPart::Whole(answer))) => whole = Some(answer),
+            Ok(CallerPart::Part(AnswerPart::StreamBegins | AnswerPart::Piece(_))) => {}
+            Ok(CallerPart::Ended(outcome)) => return FirstPart::Ended(whole, outcome),
+            Err(_) => {
+                let reason = UnknownReason::Lost;
+                return FirstPart::Ended(None, Outcome::Unknown { reason });
+            }
+        }
+    }
+}
+
+fn write_whole(conn: Conn, whole: Option<WholeAnswer>, outcome: Outcome, closes: bool) -> Conn {
+    let passes = matches!(outcome, Outcome::Completed | Outcome::Failed { .. });
+    let Some(whole) = whole.filter(|_| passes) else {
+        let own = OwnAnswer {
+            closes,
+            ..OwnAnswer::of_outcome(outcome)
+        };
+        return own.write(conn);
+    };
+    let mut conn = write_head(conn, whole.status, whole.headers);
+    if closes {
+        conn = conn.with_response_header(KnownHeaderName::Connection, "close");
+    }
+    conn.with_body(whole.body).halt()
+}
+
+fn write_head(mut conn: Conn, status: u16, headers: Vec<(String, String)>) -> Conn {
+    let status = Status::try_from(status).unwrap_or(Status::BadGateway);
+    conn.response_headers_mut().remove(KnownHeaderName::Server);
+    for (name, value) in headers {
+        conn.response_headers_mut().append(name, value);
+    }
+    conn.with_status(status)
+}
+
+/// Passes on events as they come. A stream that can't go on ends the connection, so
+/// that the caller sees that it is not whole.
+fn write_stream(
+    conn: Conn,
+    head: AnswerHead,
+    parts: Receiver<CallerPart>,
+    guard: LeaveGuard,
+) -> Conn {
+    let pieces = stream::unfold(Some((parts, guard)), |state| async move {
+        let (parts, guard) = state?;
+        loop {
+            match parts.recv().await {
+                Ok(CallerPart::Part(AnswerPart::Piece(piece))) => {
+                    return Some((Ok(piece), Some((parts, guard))));
+                }
+                Ok(CallerPart::Part(_)) => {}
+                Ok(CallerPart::Ended(outcome)) => {
+                    guard.disarm();
+                    if outcome == Outcome::Completed {
+                        return None;
+                    }
+                    return Some((Err(broken_off()), None));
+                }
+                Err(_) => return Some((Err(broken_off()), None)),
+            }
+        }
+    });
+    let body = Body::new_streaming(Box::pin(pieces).into_async_read(), None);
+    write_head(conn, head.status, head.headers)
+        .with_body(body)
+        .halt()
+}
+
+fn broken_off() -> std::io::Error {
+    std::io::Error::new(
+        std::io::ErrorKind::ConnectionAborted,
+        "the stream broke off",
+    )
+}
--- a/shalehinge/src/gateway/service.rs
+++ b/shalehinge/src/gateway/service.rs
@@ -53,6 +53,9 @@
         key: wishes.key,
         repeatable: wishes.repeatable,
         prefix: Vec::new(),
+        max_attempts: None,
+        is_resumable: false,
+        credential: None,
     };
     let outgoing = OutgoingRequest {
         method: conn.method(),
@@ -60,6 +63,7 @@
         headers: passed_headers(conn),
         body: body.into(),
         answer: AnswerForm::Service,
+        relay: None,
     };
     Ok((meta, outgoing))
 }
--- a/shalehinge/src/lib.rs
+++ b/shalehinge/src/lib.rs
@@ -6,16 +6,16 @@
 //! - [`gateway`]: what callers see
 //! - [`operator_api`]: what operators see
 //! - [`cli`]: the operators' client
-//! - [`platform`], [`upstream`], [`peer`]: clients and servers to the others
+//! - [`object_api`], [`upstream`], [`peer`]: clients and servers to the others
 //! - [`telemetry`]: logs and metrics
 //! - [`utils`]: small helpers
 
 pub mod cli;
 pub mod core;
 pub mod gateway;
+pub mod object_api;
 pub mod operator_api;
 pub mod peer;
-pub mod platform;
 pub mod process;
 pub mod settings;
 pub mod telemetry;
--- a/shalehinge/src/platform/http.rs
+++ b/shalehinge/src/object_api/http.rs
@@ -11,14 +11,14 @@
 use super::PlatformClient;
 use crate::core::fleet_state::ObjectUpdate;
 use crate::core::objects::{Object, ObjectKey, Versioned};
-use crate::core::platform::{NoAnswer, PlatformCall, PlatformReply, PlatformResult, Revision};
+use crate::core::platform::{
+    NoAnswer, PlatformCall, PlatformReply, PlatformResult, Revision, Scope,
+};
 use crate::core::types::{FailureDomain, Version};
 use crate::utils::http::{exchange, pooled_client, url};
 
 /// Kinds that are listed and watched.
 pub const SHARED_KINDS: &str = "config,hosts,assignments";
-/// How long the platform holds a watch open.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
 
 /// An object as it is sent.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -86,6 +86,7 @@
     match object {
         Object::Fleet(value) => serde_json::to_vec(value),
         Object::Hosts(value) => serde_json::to_vec(value),
+        Object::HostChanges(value) => serde_json::to_vec(value),
         Object::Assignment(value) => serde_json::to_vec(value),
         Object::Lease(value) => serde_json::to_vec(value),
         Object::Claims(value) => serde_json::to_vec(value),
@@ -164,20 +165,28 @@
                 expect,
                 object,
             } => self.put(key, expect, *object).await,
-            PlatformCall::List => {
-                let path = format!("/v1/objects?kinds={SHARED_KINDS}");
+            PlatformCall::List(scope) => {
+                let path = format!("/v1/objects?kinds={}", kinds_of(scope));
                 self.objects(path, self.timeout).await
             }
-            PlatformCall::Watch { after } => {
-                let wait = WATCH_WAIT.as_millis();
-                let after = after.0;
-                let path = format!("/v1/watch?kinds={SHARED_KINDS}&after={after}&wait_ms={wait}");
-                self.objects(path, WATCH_WAIT + self.timeout).await
+            PlatformCall::Watch { scope, after, wait } => {
+                let (kinds, after, millis) = (kinds_of(scope), after.0, wait.as_millis());
+                let path = format!("/v1/watch?kinds={kinds}&after={after}&wait_ms={millis}");
+                self.objects(path, wait + self.timeout).await
             }
         }
     }
 }
 
+/// The kinds of a scope, as the API names them.
+fn kinds_of(scope: Scope) -> &'static str {
+    match scope {
+        Scope::Shared => SHARED_KINDS,
+        Scope::Configuration => "config",
+        Scope::Hosts => "hosts",
+    }
+}
+
 impl PlatformClient for HttpPlatform {
     fn call(&self, request: PlatformCall) -> Boxed<PlatformResult> {
         Box::pin(self.clone().make(request))
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -20,8 +20,8 @@
 use crate::core::platform::{CallId, NoAnswer, PlatformCall};
 use crate::core::router::request::{Attempt, AttemptEnd, Outcome, RequestMeta};
 use crate::core::types::{Address, AttemptId, HostId, RequestId, Timestamp};
+use crate::object_api::PlatformClient;
 use crate::peer::client::PeerClient;
-use crate::platform::PlatformClient;
 use crate::telemetry::logs;
 use crate::telemetry::metrics::{Counter, Metrics};
 use crate::upstream::EngineClient;
@@ -202,7 +202,7 @@
 
     fn call_platform(self: &Arc<Self>, call: CallId, request: PlatformCall) {
         self.metrics.count(match &request {
-            PlatformCall::Get(_) | PlatformCall::List => Counter::PlatformReads,
+            PlatformCall::Get(_) | PlatformCall::List(_) => Counter::PlatformReads,
             PlatformCall::Put { .. } => Counter::PlatformWrites,
             PlatformCall::Watch { .. } => Counter::PlatformWatches,
         });
@@ -217,9 +217,10 @@
 
     fn pull(self: &Arc<Self>, to: Address, pull: Pull) {
         self.metrics.count(Counter::Pulls);
-        self.spawn(|driver| async move {
+        let asked_at = self.now();
+        self.spawn(move |driver| async move {
             let reply = driver.clients.peers.pull(to, &pull).await;
-            driver.dispatch(Event::PullAnswered(reply));
+            driver.dispatch(Event::PullAnswered { asked_at, reply });
         });
     }
 
@@ -232,7 +233,7 @@
         self.metrics.count(Counter::Statuses);
         let asked_at = self.now();
         self.spawn(|driver| async move {
-            let status = driver.clients.engines.status(address).await;
+            let status = driver.clients.engines.status(host.clone(), address).await;
             driver.dispatch(Event::Status {
                 purpose,
                 asked_at,
@@ -256,7 +257,8 @@
             if asked_at >= valid_until {
                 return;
             }
-            let reply = driver.clients.engines.order(address, order.clone()).await;
+            let engines = &driver.clients.engines;
+            let reply = engines.order(host.clone(), address, order.clone()).await;
             driver.dispatch(Event::OrderAnswered {
                 host,
                 order,
@@ -280,6 +282,7 @@
                 driver: driver.clone(),
                 attempt: attempt.clone(),
                 parts: caller.parts,
+                told_at: AtomicU64::new(0),
             };
             // The last look at the evidence before the request goes out.
             let end = if driver.now() < attempt.valid_until {
@@ -315,16 +318,36 @@
     driver: Arc<Driver>,
     attempt: Attempt,
     parts: Sender<CallerPart>,
+    /// When the core last heard of output, in milliseconds of its time; 0 before.
+    told_at: AtomicU64,
+}
+
+/// The core hears of further output of an attempt at most this often, in milliseconds.
+const PROGRESS_INTERVAL: u64 = 100;
+
+impl PartSink {
+    /// Tells the core that output came.
+    fn tell_core(&self) {
+        let now = self.driver.now().as_duration().as_millis() as u64;
+        let told_at = self.told_at.load(Ordering::Relaxed);
+        let (request, attempt) = (self.attempt.request, self.attempt.id);
+        if told_at == 0 {
+            self.driver.dispatch(Event::Output { request, attempt });
+        } else if now >= told_at + PROGRESS_INTERVAL {
+            self.driver.dispatch(Event::Progress { request, attempt });
+        } else {
+            return;
+        }
+        self.told_at.store(now.max(1), Ordering::Relaxed);
+    }
 }
 
 impl AnswerSink for PartSink {
     async fn pass(&self, part: AnswerPart) {
-        let is_first = matches!(part, AnswerPart::StreamBegins | AnswerPart::Whole(_));
-        if is_first {
-            self.driver.dispatch(Event::Output {
-                request: self.attempt.request,
-                attempt: self.attempt.id,
-            });
+        // A failure may be tried again, so it is no output yet.
+        let is_failure = matches!(&part, AnswerPart::Whole(whole) if whole.status >= 500);
+        if !is_failure {
+            self.tell_core();
         }
         // A caller that left is told of by its own task; the attempt goes on
         // until the core breaks it off, or to its end where it may not repeat.
--- a/shalehinge/src/process/run.rs
+++ b/shalehinge/src/process/run.rs
@@ -15,13 +15,14 @@
 use crate::core::event::{Event, Timeouts};
 use crate::core::types::{DaemonId, FailureDomain, Incarnation};
 use crate::gateway::GatewayContext;
+use crate::object_api::http::HttpPlatform;
 use crate::peer::client::PeerClient;
-use crate::platform::http::HttpPlatform;
 use crate::settings::Settings;
 use crate::telemetry::metrics::Metrics;
 use crate::upstream::engine::HttpEngines;
+use crate::upstream::relay::RelayNames;
 use crate::utils::http::{ListenError, bind};
-use crate::utils::task::spawn;
+use crate::utils::task::{self, spawn};
 use crate::utils::time::{wall_clock, within};
 use crate::{gateway, operator_api, peer};
 
@@ -35,15 +36,36 @@
     callers: smol::net::TcpListener,
     operators: smol::net::TcpListener,
     peers: smol::net::TcpListener,
+    ready: Option<smol::net::TcpListener>,
     caller_address: SocketAddr,
     operator_address: SocketAddr,
     peer_address: SocketAddr,
 }
 
-/// Runs a daemon until it is told to stop.
+/// Runs a daemon with the product's own interfaces until it is told to stop.
 pub async fn run(settings: Settings) -> Result<(), ListenError> {
+    let timeouts = Timeouts::default();
+    let clients = Clients {
+        platform: Box::new(HttpPlatform::new(
+            settings.daemon.platform,
+            timeouts.platform,
+        )),
+        engines: Box::new(HttpEngines::new(timeouts.engine)),
+        peers: PeerClient::new(timeouts.peer),
+    };
+    run_with(settings, clients, None).await
+}
+
+/// Runs a daemon with these clients until it is told to stop. With `relay`, callers'
+/// requests are relayed by the routes of the configuration.
+pub async fn run_with(
+    settings: Settings,
+    clients: Clients,
+    relay: Option<RelayNames>,
+) -> Result<(), ListenError> {
+    task::set_threads(settings.daemon.threads);
     let listeners = listen(&settings)?;
-    let (driver, has_stopped) = build(&settings, listeners.peer_address);
+    let (driver, has_stopped) = build(&settings, listeners.peer_address, clients);
     log::info!(
         "daemon: {} in {} listens to callers on {}, to operators on {}, to peers on {}",
         settings.daemon.name,
@@ -52,9 +74,13 @@
         listeners.operator_address,
         listeners.peer_address
     );
-    let servers = serve(&settings, &driver, listeners);
+    let servers = serve(&settings, &driver, listeners, relay);
     let ticks = spawn(tick(driver.clone()));
     wait_for_signal().await;
+    if let Some(linger) = settings.daemon.limits.linger {
+        driver.dispatch(Event::Leave);
+        Timer::after(linger).await;
+    }
     driver.dispatch(Event::Stop);
     let limit = settings.daemon.limits.stop_within;
     if within(limit, has_stopped.recv()).await.is_none() {
@@ -71,10 +97,15 @@
     let (callers, caller_address) = bind(daemon.callers)?;
     let (operators, operator_address) = bind(daemon.operators)?;
     let (peers, peer_address) = bind(daemon.peers)?;
+    let ready = match daemon.ready {
+        Some(address) => Some(bind(address)?.0),
+        None => None,
+    };
     Ok(Listeners {
         callers,
         operators,
         peers,
+        ready,
         caller_address,
         operator_address,
         peer_address,
@@ -84,9 +115,9 @@
 fn build(
     settings: &Settings,
     peer_address: SocketAddr,
+    clients: Clients,
 ) -> (Arc<Driver>, async_channel::Receiver<()>) {
     let daemon = &settings.daemon;
-    let timeouts = Timeouts::default();
     let wall_clock = wall_clock();
     let random = fastrand::u64(..1 << RANDOM_BITS);
     let incarnation = ((wall_clock.as_millis() as u64) << RANDOM_BITS) | random;
@@ -96,18 +127,19 @@
         address: peer_address,
         incarnation: Incarnation(incarnation),
         seeds: daemon.seeds.clone(),
+        is_first_start: daemon.first_start,
         wall_seconds: wall_clock.as_secs(),
     };
     let core = Daemon::new(settings.core, identity, fastrand::u64(..));
-    let clients = Clients {
-        platform: Box::new(HttpPlatform::new(daemon.platform, timeouts.platform)),
-        engines: Box::new(HttpEngines::new(timeouts.engine)),
-        peers: PeerClient::new(timeouts.peer),
-    };
     Driver::new(core, clients, Metrics::new(daemon.statsd))
 }
 
-fn serve(settings: &Settings, driver: &Arc<Driver>, listeners: Listeners) -> Vec<ServerHandle> {
+fn serve(
+    settings: &Settings,
+    driver: &Arc<Driver>,
+    listeners: Listeners,
+    relay: Option<RelayNames>,
+) -> Vec<ServerHandle> {
     let limits = settings.daemon.limits;
     let context = GatewayContext {
         driver: driver.clone(),
@@ -118,13 +150,28 @@
         .with_head_max_len(limits.max_head_bytes)
         .with_received_body_max_len(limits.max_body_bytes);
     let control = HttpConfig::default();
-    vec![
-        spawn_server(
-            listeners.callers,
-            callers,
-            limits.max_connections,
-            gateway::handler::handler(context),
-        ),
+    let mut servers = Vec::new();
+    if let Some(listener) = listeners.ready {
+        let handler = gateway::handler::ready_handler(context.clone());
+        servers.push(spawn_server(
+            listener,
+            control,
+            MAX_CONTROL_CONNECTIONS,
+            handler,
+        ));
+    }
+    let most = limits.max_connections;
+    servers.push(match relay {
+        Some(names) => {
+            let handler = gateway::handler::relay_handler(context, names);
+            spawn_server(listeners.callers, callers, most, handler)
+        }
+        None => {
+            let handler = gateway::handler::handler(context);
+            spawn_server(listeners.callers, callers, most, handler)
+        }
+    });
+    servers.extend([
         spawn_server(
             listeners.operators,
             control,
@@ -137,7 +184,8 @@
             MAX_CONTROL_CONNECTIONS,
             peer::server::handler(driver.clone()),
         ),
-    ]
+    ]);
+    servers
 }
 
 fn spawn_server(
@@ -162,10 +210,14 @@
     }
 }
 
+/// Waits until the daemon is told to stop. A hang-up says that the settings changed;
+/// they are read at the next start.
 async fn wait_for_signal() {
-    match Signals::new([Signal::Term, Signal::Int]) {
+    match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
         Ok(mut signals) => {
-            signals.next().await;
+            while let Some(Ok(Signal::Hup)) = signals.next().await {
+                log::info!("daemon: was told that the settings changed");
+            }
         }
         Err(error) => {
             log::error!("daemon: signals can't be received: {error}");
--- a/shalehinge/src/settings/control.rs
+++ b/shalehinge/src/settings/control.rs
@@ -6,8 +6,19 @@
 
 use crate::core::placement::host_choice::HostChoice;
 
+/// How the members of a group come together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Assembly {
+    /// Rank 0 gathers the members and serves once all are ready.
+    #[default]
+    Engines,
+    /// Members join one by one, the host list tells how far they are, and rank 0
+    /// waits for the order to open.
+    Orders,
+}
+
 /// Section `[control]`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ControlSettings {
     /// Time between two orders to the same host, and between two probes of a group
     /// that looks incomplete.
@@ -26,6 +37,18 @@
     pub max_forming: usize,
     /// How hosts are chosen for a new group.
     pub choice: HostChoice,
+    /// How the members of a group come together.
+    pub assembly: Assembly,
+    /// How long rank 0 may stand still after the loss of a member before it is
+    /// surely broken.
+    pub stall: Duration,
+    /// How long a group that retires may finish its requests, where it closes by order.
+    pub retire_within: Duration,
+    /// How long after its start, on the fleet's first start, a daemon may load as
+    /// many weights as it likes; until the first request.
+    pub free_loads_within: Duration,
+    /// Part of the allowed rate of loads that is used.
+    pub load_share: f64,
 }
 
 impl Default for ControlSettings {
@@ -39,6 +62,11 @@
             avoid_unreachable: Duration::from_secs(30),
             max_forming: 8,
             choice: HostChoice::default(),
+            assembly: Assembly::default(),
+            stall: Duration::from_millis(5_500),
+            retire_within: Duration::from_secs(10),
+            free_loads_within: Duration::from_secs(6),
+            load_share: 0.9,
         }
     }
 }
@@ -57,6 +85,11 @@
             avoid_unreachable: section.duration("avoid_unreachable", default.avoid_unreachable),
             max_forming: section.count("max_forming", default.max_forming),
             choice: section.host_choice("choice", default.choice),
+            assembly: section.assembly("assembly", default.assembly),
+            stall: section.duration("stall", default.stall),
+            retire_within: section.duration("retire_within", default.retire_within),
+            free_loads_within: section.duration("free_loads_within", default.free_loads_within),
+            load_share: section.fraction("load_share", default.load_share),
         }
     }
 }
--- a/shalehinge/src/settings/core.rs
+++ b/shalehinge/src/settings/core.rs
@@ -2,6 +2,7 @@
 
 use super::claims::ClaimSettings;
 use super::control::ControlSettings;
+use super::learning::LearningSettings;
 use super::lease::LeaseSettings;
 use super::membership::MembershipSettings;
 use super::reader::Reader;
@@ -10,6 +11,8 @@
 /// One struct a part.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct CoreSettings {
+    /// Section `[learning]`.
+    pub learning: LearningSettings,
     /// Section `[lease]`.
     pub lease: LeaseSettings,
     /// Section `[membership]`.
@@ -26,6 +29,7 @@
     /// Reads the sections of all parts.
     pub fn read(reader: &mut Reader) -> Self {
         Self {
+            learning: LearningSettings::read(reader),
             lease: LeaseSettings::read(reader),
             membership: MembershipSettings::read(reader),
             control: ControlSettings::read(reader),
--- a/shalehinge/src/settings/daemon.rs
+++ b/shalehinge/src/settings/daemon.rs
@@ -5,6 +5,9 @@
 
 use super::reader::Reader;
 
+/// Threads that run tasks, without another word.
+const DEFAULT_THREADS: usize = 4;
+
 /// Sections `[daemon]`, `[listen]`, `[platform]`, `[operators]`, `[limits]`,
 /// `[log]` and `[metrics]`.
 #[derive(Clone, Debug, PartialEq)]
@@ -15,8 +18,14 @@
     pub failure_domain: String,
     /// Peers that it asks first.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole fleet starts for the first time.
+    pub first_start: bool,
+    /// Threads that run tasks.
+    pub threads: usize,
     /// Where callers come in.
     pub callers: SocketAddr,
+    /// Where the balancer asks whether the daemon is ready, if not with the callers.
+    pub ready: Option<SocketAddr>,
     /// Where operators come in.
     pub operators: SocketAddr,
     /// Where peers come in.
@@ -52,6 +61,9 @@
     pub max_deadline: Duration,
     /// How long a stop waits for requests in progress.
     pub stop_within: Duration,
+    /// How long a daemon that was told to stop still takes requests, so that the
+    /// balancer can see that it is no longer ready; not at all without.
+    pub linger: Option<Duration>,
 }
 
 impl Default for LimitSettings {
@@ -64,6 +76,7 @@
             default_deadline: Duration::from_secs(120),
             max_deadline: Duration::from_secs(3_600),
             stop_within: Duration::from_secs(300),
+            linger: None,
         }
     }
 }
@@ -75,8 +88,11 @@
         let name = section.text("name", "entry-1");
         let failure_domain = section.text("failure_domain", "talca-a");
         let seeds = section.addresses("seeds");
+        let first_start = section.flag("first_start", false);
+        let threads = section.count("threads", DEFAULT_THREADS);
         let mut section = reader.section("listen");
         let callers = section.address("callers");
+        let ready = section.optional_address("ready");
         let operators = section.address("operators");
         let peers = section.address("peers");
         let mut section = reader.section("platform");
@@ -99,7 +115,10 @@
             name,
             failure_domain,
             seeds,
+            first_start,
+            threads,
             callers,
+            ready,
             operators,
             peers,
             platform,
@@ -156,6 +175,7 @@
             default_deadline: section.duration("default_deadline", default.default_deadline),
             max_deadline: section.duration("max_deadline", default.max_deadline),
             stop_within: section.duration("stop_within", default.stop_within),
+            linger: section.optional_duration("linger"),
         }
     }
 }
--- /dev/null
+++ b/shalehinge/src/settings/learning.rs
@@ -0,0 +1,63 @@
+//! Settings of how a daemon learns what the platform keeps.
+
+use std::time::Duration;
+
+use super::reader::Reader;
+
+/// Section `[learning]`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LearningSettings {
+    /// Whether the objects are read together or by kind.
+    pub feeds: FeedLayout,
+    /// How long a watch waits for a change.
+    pub watch_wait: Duration,
+    /// Time between the starts of two watches of the host list.
+    pub host_spacing: Duration,
+    /// Daemons of a failure domain that watch; the others hear it from peers.
+    pub watchers: usize,
+    /// How long after the platform last confirmed the configuration requests with a
+    /// key are still served; for ever without.
+    pub keys_valid_for: Option<Duration>,
+    /// How fresh the configuration must be for a request to be refused as unknown
+    /// for good; however old without.
+    pub refuse_within: Option<Duration>,
+}
+
+/// Which objects are listed and watched together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum FeedLayout {
+    /// All in one.
+    #[default]
+    Shared,
+    /// Configuration and host list apart; the host list tells which groups stand.
+    Split,
+}
+
+impl Default for LearningSettings {
+    fn default() -> Self {
+        Self {
+            feeds: FeedLayout::default(),
+            watch_wait: Duration::from_secs(20),
+            host_spacing: Duration::from_millis(250),
+            watchers: 2,
+            keys_valid_for: None,
+            refuse_within: None,
+        }
+    }
+}
+
+impl LearningSettings {
+    /// Reads section `[learning]`.
+    pub fn read(reader: &mut Reader) -> Self {
+        let mut section = reader.section("learning");
+        let default = Self::default();
+        Self {
+            feeds: section.feed_layout("feeds", default.feeds),
+            watch_wait: section.duration("watch_wait", default.watch_wait),
+            host_spacing: section.duration("host_spacing", default.host_spacing),
+            watchers: section.count("watchers", default.watchers),
+            keys_valid_for: section.optional_duration("keys_valid_for"),
+            refuse_within: section.optional_duration("refuse_within"),
+        }
+    }
+}
--- a/shalehinge/src/settings/mod.rs
+++ b/shalehinge/src/settings/mod.rs
@@ -3,12 +3,13 @@
 //! - `reader`: reads an INI file and collects what is wrong
 //! - `daemon`: the process: names, addresses, bounds
 //! - `core`: all parts of the decisions together
-//! - `lease`, `membership`, `control`, `claims`, `router`: one part each
+//! - `learning`, `lease`, `membership`, `control`, `claims`, `router`: one part each
 
 pub mod claims;
 pub mod control;
 pub mod core;
 pub mod daemon;
+pub mod learning;
 pub mod lease;
 pub mod membership;
 pub mod reader;
--- a/shalehinge/src/settings/reader.rs
+++ b/shalehinge/src/settings/reader.rs
@@ -9,6 +9,8 @@
 use ini::Ini;
 use miette::{Diagnostic, NamedSource, SourceSpan};
 
+use super::control::Assembly;
+use super::learning::FeedLayout;
 use super::router::ChoicePolicy;
 use crate::core::placement::host_choice::HostChoice;
 
@@ -236,6 +238,12 @@
         )
     }
 
+    /// A time with its unit that may be left out.
+    pub fn optional_duration(&mut self, key: &str) -> Option<Duration> {
+        self.raw(key)?;
+        Some(self.duration(key, Duration::ZERO))
+    }
+
     /// A whole number from 1.
     pub fn count<T: FromStr + PartialOrd + From<u8>>(&mut self, key: &str, default: T) -> T {
         let parse = |text: &str| {
@@ -276,6 +284,26 @@
         self.parse(key, default, parse, mend)
     }
 
+    /// Which objects are listed and watched together.
+    pub fn feed_layout(&mut self, key: &str, default: FeedLayout) -> FeedLayout {
+        let parse = |text: &str| match text {
+            "shared" => Some(FeedLayout::Shared),
+            "split" => Some(FeedLayout::Split),
+            _ => None,
+        };
+        self.parse(key, default, parse, "write shared or split")
+    }
+
+    /// How the members of a group come together.
+    pub fn assembly(&mut self, key: &str, default: Assembly) -> Assembly {
+        let parse = |text: &str| match text {
+            "engines" => Some(Assembly::Engines),
+            "orders" => Some(Assembly::Orders),
+            _ => None,
+        };
+        self.parse(key, default, parse, "write engines or orders")
+    }
+
     /// How hosts are chosen.
     pub fn host_choice(&mut self, key: &str, default: HostChoice) -> HostChoice {
         let parse = |text: &str| match text {
--- a/shalehinge/src/settings/router.rs
+++ b/shalehinge/src/settings/router.rs
@@ -49,6 +49,14 @@
     pub remote_penalty: Duration,
     /// Choose at random among the upstreams, in turn, or by score.
     pub policy: ChoicePolicy,
+    /// How much of a listed upstream a daemon may take, against its even part.
+    pub uneven_share: f64,
+    /// Requests run at a listed replica, and none moves for so long: it lost a member.
+    pub stall_after: Duration,
+    /// Whether `retry_burst` is for the whole fleet and each daemon has a part of it.
+    pub retry_burst_is_shared: bool,
+    /// When refused callers are told to come back, where nothing better is known.
+    pub retry_after: Duration,
 }
 
 /// How an upstream is chosen. All but `Score` are baselines.
@@ -87,6 +95,10 @@
             max_wait: Duration::from_secs(2),
             remote_penalty: Duration::from_millis(5),
             policy: ChoicePolicy::Score,
+            uneven_share: 3.0,
+            stall_after: Duration::from_millis(800),
+            retry_burst_is_shared: false,
+            retry_after: Duration::from_secs(2),
         }
     }
 }
@@ -119,6 +131,11 @@
             max_wait: section.duration("max_wait", default.max_wait),
             remote_penalty: section.duration("remote_penalty", default.remote_penalty),
             policy: section.policy("policy", default.policy),
+            uneven_share: section.fraction("uneven_share", default.uneven_share),
+            stall_after: section.duration("stall_after", default.stall_after),
+            retry_burst_is_shared: section
+                .flag("retry_burst_is_shared", default.retry_burst_is_shared),
+            retry_after: section.duration("retry_after", default.retry_after),
         }
     }
 }
--- a/shalehinge/src/upstream/attempt.rs
+++ b/shalehinge/src/upstream/attempt.rs
@@ -8,6 +8,7 @@
 use futures_lite::AsyncReadExt;
 use trillium_client::{Client, Conn, Method, ResponseBody};
 
+use super::relay::{self, AnswerHead, RelayPart};
 use crate::core::router::request::{Attempt, AttemptEnd};
 use crate::utils::http::{is_not_connected, url};
 
@@ -42,6 +43,8 @@
     pub body: Arc<[u8]>,
     /// How the answer is read.
     pub answer: AnswerForm,
+    /// Set where the request is relayed as it is.
+    pub relay: Option<RelayPart>,
 }
 
 /// How an answer is read.
@@ -60,6 +63,8 @@
 pub enum AnswerPart {
     /// A stream begins.
     StreamBegins,
+    /// A relayed stream begins, with this head.
+    Head(AnswerHead),
     /// A piece of a stream.
     Piece(Vec<u8>),
     /// A whole answer.
@@ -73,6 +78,8 @@
     pub status: u16,
     /// Content type, if one was given.
     pub content_type: Option<String>,
+    /// All headers that go through, where the answer is relayed.
+    pub headers: Vec<(String, String)>,
     /// Body.
     pub body: Vec<u8>,
 }
@@ -90,6 +97,9 @@
     request: &OutgoingRequest,
     sink: &impl AnswerSink,
 ) -> AttemptEnd {
+    if let Some(relay) = &request.relay {
+        return relay::run(client, attempt, request, relay, sink).await;
+    }
     let conn = match build(client, attempt, request).await {
         Ok(conn) => conn,
         Err(error) if is_not_connected(&error) => return AttemptEnd::NotSent,
@@ -162,6 +172,7 @@
     let answer = WholeAnswer {
         status,
         content_type,
+        headers: Vec::new(),
         body,
     };
     sink.pass(AnswerPart::Whole(answer)).await;
--- a/shalehinge/src/upstream/engine.rs
+++ b/shalehinge/src/upstream/engine.rs
@@ -8,7 +8,7 @@
 
 use super::EngineClient;
 use crate::core::engine::{EngineStatus, Order, OrderReply};
-use crate::core::types::Address;
+use crate::core::types::{Address, HostId};
 use crate::utils::http::{exchange, pooled_client, url};
 
 /// Path of the status.
@@ -42,12 +42,12 @@
 }
 
 impl EngineClient for HttpEngines {
-    fn status(&self, address: Address) -> Boxed<Option<EngineStatus>> {
+    fn status(&self, _host: Option<HostId>, address: Address) -> Boxed<Option<EngineStatus>> {
         let conn = self.client.get(url(address, STATUS_PATH));
         Box::pin(read_json(conn, self.timeout))
     }
 
-    fn order(&self, address: Address, order: Order) -> Boxed<Option<OrderReply>> {
+    fn order(&self, _host: HostId, address: Address, order: Order) -> Boxed<Option<OrderReply>> {
         let body = serde_json::to_vec(&order).unwrap_or_default();
         let conn = self.client.post(url(address, ORDERS_PATH)).with_body(body);
         Box::pin(read_json(conn, self.timeout))
--- a/shalehinge/src/upstream/mod.rs
+++ b/shalehinge/src/upstream/mod.rs
@@ -2,20 +2,22 @@
 //!
 //! - `engine`: status and orders of model engines, by JSON over HTTP
 //! - `attempt`: one attempt of a caller's request, at an engine or a plain service
+//! - `relay`: one attempt of a request that is relayed as it is
 
 pub mod attempt;
 pub mod engine;
+pub mod relay;
 
 use futures_lite::future::Boxed;
 
 use crate::core::engine::{EngineStatus, Order, OrderReply};
-use crate::core::types::Address;
+use crate::core::types::{Address, HostId};
 
 /// Asks engines for their status and gives them orders; `None` if no answer came.
 pub trait EngineClient: Send + Sync {
     /// Asks for the status of the engine at an address.
-    fn status(&self, address: Address) -> Boxed<Option<EngineStatus>>;
+    fn status(&self, host: Option<HostId>, address: Address) -> Boxed<Option<EngineStatus>>;
 
     /// Gives an order to the engine at an address.
-    fn order(&self, address: Address, order: Order) -> Boxed<Option<OrderReply>>;
+    fn order(&self, host: HostId, address: Address, order: Order) -> Boxed<Option<OrderReply>>;
 }
--- /dev/null
+++ b/shalehinge/src/upstream/relay.rs
@@ -0,0 +1,334 @@
+//! One attempt of a relayed request: everything that is not of one connection goes
+//! through unchanged, both ways.
+//!
+//! An answer counts only if it names the request, carries the upstream's signature
+//! where it reports success, and is not re-encoded. Streams are passed on event by
+//! event; an event that broke off is dropped, so that another upstream can go on
+//! after the last whole one.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use futures_lite::AsyncReadExt;
+use trillium_client::{Client, Conn, ResponseBody};
+
+use super::attempt::{AnswerPart, AnswerSink, OutgoingRequest, WholeAnswer};
+use crate::core::router::request::{Attempt, AttemptEnd};
+use crate::utils::http::{is_not_connected, url};
+
+/// Bytes of a whole answer at most.
+const MAX_WHOLE_ANSWER: u64 = 16 * 1024 * 1024;
+/// Bytes of one event at most.
+const MAX_EVENT: usize = 1024 * 1024;
+/// Bytes read of a stream at a time.
+const READ_SIZE: usize = 4 * 1024;
+/// Status of an upstream that is not the one that was meant.
+const MISDIRECTED: u16 = 421;
+/// Statuses that promise that a request did not run; an upstream's word for it is
+/// the mark alone.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// Headers of one connection, which never go through.
+pub const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "content-length",
+    "expect",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Names of the headers that the relay reads or writes, in lower case.
+#[derive(Clone, Copy, Debug)]
+pub struct RelayNames {
+    /// Names one request of a caller; upstreams echo it.
+    pub request_id: &'static str,
+    /// Milliseconds that the caller waits.
+    pub deadline: &'static str,
+    /// The customer, to upstreams only.
+    pub customer: &'static str,
+    /// The host that must answer, to upstreams only.
+    pub host: &'static str,
+    /// By this an upstream says that it did not run the request.
+    pub not_run: &'static str,
+    /// The model that the caller wants.
+    pub model: &'static str,
+    /// Tokens of the prompt and most tokens of the answer, with a comma between.
+    pub tokens: &'static str,
+    /// Signature of an upstream, without which no success is believed.
+    pub signature: &'static str,
+    /// The last event that the caller has.
+    pub last_event_id: &'static str,
+    /// Word before the key in `Authorization`.
+    pub credential_scheme: &'static str,
+    /// Path at which the balancer asks whether the daemon is ready.
+    pub ready_path: &'static str,
+}
+
+/// What an attempt of a relayed request needs besides the request.
+#[derive(Clone, Debug)]
+pub struct RelayPart {
+    /// Names of headers.
+    pub names: RelayNames,
+    /// The request's id, if the caller gave one.
+    pub request_id: Option<String>,
+    /// The customer, if the request came with a key.
+    pub customer: Option<String>,
+    /// How far its stream is.
+    pub position: Arc<StreamPosition>,
+}
+
+/// How far a stream is, over all attempts.
+#[derive(Debug, Default)]
+pub struct StreamPosition(Mutex<Position>);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Position {
+    has_head: bool,
+    last_event: Option<u64>,
+}
+
+impl StreamPosition {
+    fn get(&self) -> Position {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set(&self, position: Position) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = position;
+    }
+}
+
+/// Status and headers of an answer, as they go to the caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers that are not of one connection.
+    pub headers: Vec<(String, String)>,
+}
+
+/// Makes the attempt.
+pub async fn run(
+    client: &Client,
+    attempt: &Attempt,
+    request: &OutgoingRequest,
+    relay: &RelayPart,
+    sink: &impl AnswerSink,
+) -> AttemptEnd {
+    let conn = match build(client, attempt, request, relay).await {
+        Ok(conn) => conn,
+        Err(error) if is_not_connected(&error) => return AttemptEnd::NotSent,
+        Err(_) => return AttemptEnd::Lost,
+    };
+    let Some(status) = conn.status().map(u16::from) else {
+        return AttemptEnd::Lost;
+    };
+    if let Some(end) = judge_head(&conn, status, relay) {
+        return end;
+    }
+    let is_success = (200..300).contains(&status);
+    let content_type = conn.response_headers().get_str("content-type");
+    let is_stream = content_type.is_some_and(|kind| kind.starts_with("text/event-stream"));
+    let has_begun = relay.position.get().has_head;
+    if is_success && is_stream {
+        return read_stream(conn, status, relay, sink).await;
+    }
+    if has_begun {
+        // Only events can go on after events.
+        return AttemptEnd::Failed { status };
+    }
+    read_whole(conn, status, sink).await
+}
+
+/// What the head alone decides.
+fn judge_head(conn: &Conn, status: u16, relay: &RelayPart) -> Option<AttemptEnd> {
+    let headers = conn.response_headers();
+    let names = relay.names;
+    let echoed = headers.get_str(names.request_id);
+    let is_other = relay.request_id.is_some() && echoed != relay.request_id.as_deref();
+    let says_not_run = headers.get_str(names.not_run).is_some() || status == MISDIRECTED;
+    if says_not_run && (echoed.is_none() || !is_other) {
+        return Some(AttemptEnd::Refused);
+    }
+    if is_other || headers.get_str("content-encoding").is_some() {
+        return Some(AttemptEnd::WrongAnswer);
+    }
+    let is_success = (200..300).contains(&status);
+    if is_success && headers.get_str(names.signature).is_none() {
+        return Some(AttemptEnd::WrongAnswer);
+    }
+    // The caller would take these as a promise that the upstream did not give.
+    PROMISES.contains(&status).then_some(AttemptEnd::Lost)
+}
+
+fn build(client: &Client, attempt: &Attempt, request: &OutgoingRequest, relay: &RelayPart) -> Conn {
+    let names = relay.names;
+    let mut conn = client.build_conn(request.method, url(attempt.address, &request.path));
+    if !request.body.is_empty() {
+        conn = conn.with_body(request.body.to_vec());
+    }
+    for (name, value) in &request.headers {
+        conn = conn.with_request_header(name.clone(), value.clone());
+    }
+    let time_left = attempt.time_left.as_millis().max(1).to_string();
+    conn = conn.with_request_header(names.deadline, time_left);
+    if let Some(host) = &attempt.host {
+        conn = conn.with_request_header(names.host, host.as_str().to_owned());
+    }
+    if let Some(customer) = &relay.customer {
+        conn = conn.with_request_header(names.customer, customer.clone());
+    }
+    match relay.position.get().last_event {
+        Some(event) => conn.with_request_header(names.last_event_id, event.to_string()),
+        None => conn,
+    }
+}
+
+/// Status and headers that go through.
+fn head_of(conn: &Conn, status: u16) -> AnswerHead {
+    let mut headers = Vec::new();
+    for (name, values) in conn.response_headers() {
+        let name = name.to_string();
+        let lower = name.to_ascii_lowercase();
+        if HOP_BY_HOP.contains(&lower.as_str()) {
+            continue;
+        }
+        for value in values {
+            if let Some(value) = value.as_str() {
+                headers.push((name.clone(), value.to_owned()));
+            }
+        }
+    }
+    AnswerHead { status, headers }
+}
+
+async fn read_whole(mut conn: Conn, status: u16, sink: &impl AnswerSink) -> AttemptEnd {
+    let head = head_of(&conn, status);
+    let body = conn.response_body().with_max_len(MAX_WHOLE_ANSWER);
+    let Ok(body) = body.read_bytes().await else {
+        return AttemptEnd::Lost;
+    };
+    let answer = WholeAnswer {
+        status,
+        content_type: None,
+        headers: head.headers,
+        body,
+    };
+    sink.pass(AnswerPart::Whole(answer)).await;
+    if status < 500 {
+        AttemptEnd::Completed { output_tokens: 0 }
+    } else {
+        AttemptEnd::Failed { status }
+    }
+}
+
+/// Passes on a stream, event by event.
+async fn read_stream(
+    mut conn: Conn,
+    status: u16,
+    relay: &RelayPart,
+    sink: &impl AnswerSink,
+) -> AttemptEnd {
+    let head = head_of(&conn, status);
+    let Some(mut body) = conn.take_response_body() else {
+        return AttemptEnd::Lost;
+    };
+    let mut position = relay.position.get();
+    let mut splitter = EventSplitter {
+        last_event: position.last_event,
+        ..EventSplitter::default()
+    };
+    let mut piece = vec![0; READ_SIZE];
+    loop {
+        let Some(length) = read_some(&mut body, &mut piece).await else {
+            return AttemptEnd::Lost;
+        };
+        if length == 0 {
+            break;
+        }
+        let events = splitter.feed(&piece[..length]);
+        if splitter.buffer.len() > MAX_EVENT {
+            return AttemptEnd::WrongAnswer;
+        }
+        if events.is_empty() {
+            continue;
+        }
+        if !position.has_head {
+            position.has_head = true;
+            sink.pass(AnswerPart::Head(head.clone())).await;
+        }
+        position.last_event = splitter.last_event;
+        relay.position.set(position);
+        sink.pass(AnswerPart::Piece(events)).await;
+    }
+    if !splitter.buffer.is_empty() {
+        return AttemptEnd::Lost;
+    }
+    if !position.has_head {
+        // A stream without any event is whole as well.
+        position.has_head = true;
+        relay.position.set(position);
+        sink.pass(AnswerPart::Head(head)).await;
+    }
+    AttemptEnd::Completed {
+        output_tokens: splitter.count,
+    }
+}
+
+/// The next bytes; 0 at the end, `None` if the stream broke.
+async fn read_some(body: &mut ResponseBody<'static>, piece: &mut [u8]) -> Option<usize> {
+    body.read(piece).await.ok()
+}
+
+/// Cuts a stream into whole events and leaves out those that the caller has.
+#[derive(Debug, Default)]
+struct EventSplitter {
+    /// The start of an event whose end has not come.
+    buffer: Vec<u8>,
+    last_event: Option<u64>,
+    count: u32,
+}
+
+impl EventSplitter {
+    /// Takes in bytes; returns the events that are whole by now.
+    fn feed(&mut self, bytes: &[u8]) -> Vec<u8> {
+        const EVENT_END: &[u8] = b"\n\n";
+        let searched = self.buffer.len().saturating_sub(EVENT_END.len());
+        self.buffer.extend_from_slice(bytes);
+        let mut events = Vec::new();
+        let mut start = 0;
+        let mut from = searched;
+        while let Some(at) = find(&self.buffer[from..], EVENT_END) {
+            let end = from + at + EVENT_END.len();
+            let event = &self.buffer[start..end];
+            let id = event_id(event);
+            let is_known = id.is_some() && id <= self.last_event;
+            if !is_known {
+                events.extend_from_slice(event);
+                self.last_event = id.or(self.last_event);
+                self.count += 1;
+            }
+            start = end;
+            from = end;
+        }
+        self.buffer.drain(..start);
+        events
+    }
+}
+
+fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
+    bytes
+        .windows(pattern.len())
+        .position(|window| window == pattern)
+}
+
+/// The number in an event's `id` line.
+fn event_id(event: &[u8]) -> Option<u64> {
+    let line = event
+        .split(|byte| *byte == b'\n')
+        .find(|line| line.starts_with(b"id:"))?;
+    let text = std::str::from_utf8(&line[3..]).ok()?;
+    text.trim().parse().ok()
+}
--- a/shalehinge/tests/operator.rs
+++ b/shalehinge/tests/operator.rs
@@ -37,6 +37,7 @@
     let customer = CustomerConfig {
         key_sha256: Vec::new(),
         share: 1,
+        rank: None,
     };
     fleet.customers.insert(Customer::new("c"), customer);
     update(&mut state, ObjectKey::Fleet, version, Object::Fleet(fleet));
@@ -53,6 +54,10 @@
             fabric_domain: FabricDomain::new("f"),
             accelerators: 8,
             state: HostState::Live,
+            service: None,
+            slots: None,
+            staged: Vec::new(),
+            status: None,
         };
         list.hosts
             .insert(HostId::new(&format!("h{number}")), record);
@@ -114,7 +119,10 @@
     let step = operators.on_platform(at(0), ID, &listed(), state);
     assert!(is_write(step.as_ref()), "{step:?}");
     let step = operators.on_platform(at(1), ID, &Err(NoAnswer), state);
-    assert_eq!(step, Some(OperatorStep::Platform(PlatformCall::List)));
+    assert_eq!(
+        step,
+        Some(OperatorStep::Platform(PlatformCall::List(Scope::Shared)))
+    );
     operators
 }
 
--- a/shalehinge/tests/placement_support/mod.rs
+++ b/shalehinge/tests/placement_support/mod.rs
@@ -46,6 +46,10 @@
                 fabric_domain: FabricDomain::new(name),
                 accelerators: 8,
                 state: HostState::Live,
+                service: None,
+                slots: None,
+                staged: Vec::new(),
+                status: None,
             };
             let id = HostId::new(&format!("{name}{number}"));
             self.hosts.hosts.insert(id, record);
@@ -57,6 +61,7 @@
         let customer = CustomerConfig {
             key_sha256: Vec::new(),
             share,
+            rank: None,
         };
         self.fleet.customers.insert(Customer::new(name), customer);
         self
--- a/shalehinge/tests/process_support/mod.rs
+++ b/shalehinge/tests/process_support/mod.rs
@@ -287,6 +287,7 @@
         let customer = CustomerConfig {
             key_sha256: vec![sha256(KEY)],
             share: 1,
+            rank: None,
         };
         configuration.customers.insert(Customer::new("c"), customer);
         let service = ServiceConfig {
@@ -300,6 +301,7 @@
                 method: "POST".into(),
                 path_prefix: "/rutas/avisos".into(),
             }],
+            is_listed: false,
         };
         configuration
             .services
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -36,6 +36,9 @@
         key: None,
         repeatable: false,
         prefix: Vec::new(),
+        max_attempts: None,
+        is_resumable: false,
+        credential: None,
     })
 }
 
@@ -199,6 +202,9 @@
         id: UpstreamId::Replica(ReplicaId {
             failure_domain: FailureDomain::new("d"),
             number: GroupNumber(number),
+            host: None,
+            evidence: shalehinge::core::router::upstream::Evidence::Reports,
+            slots: None,
         }),
         address: Address::from(([10, 0, 0, 1], number as u16)),
         group: Some(GroupNumber(number)),
--- a/shalehinge/tests/support/apply.rs
+++ b/shalehinge/tests/support/apply.rs
@@ -149,6 +149,9 @@
             key,
             repeatable,
             prefix: Vec::new(),
+            max_attempts: None,
+            is_resumable: false,
+            credential: None,
         };
         self.give(index, Event::Request { request, meta });
         Some(caller)
--- a/shalehinge/tests/support/platform.rs
+++ b/shalehinge/tests/support/platform.rs
@@ -55,11 +55,11 @@
                 self.reads += 1;
                 Ok(PlatformReply::Object(self.objects.get(&key).cloned()))
             }
-            PlatformCall::List => {
+            PlatformCall::List(_) => {
                 self.reads += 1;
                 Ok(self.changed(Revision(0)))
             }
-            PlatformCall::Watch { after } => Ok(self.changed(after)),
+            PlatformCall::Watch { after, .. } => Ok(self.changed(after)),
             PlatformCall::Put { .. } => {
                 self.writes += 1;
                 match self.fault {
--- a/shalehinge/tests/support/world.rs
+++ b/shalehinge/tests/support/world.rs
@@ -156,6 +156,7 @@
         let customer = CustomerConfig {
             key_sha256: Vec::new(),
             share: 1,
+            rank: None,
         };
         fleet.customers.insert(Customer::new(CUSTOMER), customer);
         let change = Change::Intent {
@@ -366,7 +367,10 @@
             Action::Pull { to, pull } => self.pull(index, run, to, pull),
             Action::AnswerPull { pull_id, reply } => {
                 if let Some((asker, asker_run)) = self.pulls.remove(&pull_id) {
-                    let event = Event::PullAnswered(Some(reply));
+                    let event = Event::PullAnswered {
+                        asked_at: self.clock_of_pull(),
+                        reply: Some(reply),
+                    };
                     let delay = self.delay();
                     if self.reaches(index, &self.entries[asker].domain.clone()) {
                         self.send_to_entry(delay, asker, asker_run, event);
@@ -440,7 +444,7 @@
     }
 
     fn at_platform(&mut self, entry: usize, run: u64, call: CallId, request: PlatformCall) {
-        if let PlatformCall::Watch { after } = request
+        if let PlatformCall::Watch { after, .. } = request
             && self.platform.fault == Fault::None
         {
             let until = self.now + WATCH_WAIT;
@@ -510,7 +514,15 @@
             target.runs() && self.reaches(index, &target.domain)
         });
         let Some(target) = target else {
-            self.send_to_entry(CALL_TIMEOUT, index, run, Event::PullAnswered(None));
+            self.send_to_entry(
+                CALL_TIMEOUT,
+                index,
+                run,
+                Event::PullAnswered {
+                    asked_at: Timestamp::ZERO,
+                    reply: None,
+                },
+            );
             return;
         };
         let pull_id = PullId(self.next_pull);
--- a/standin/benches/decisions.rs
+++ b/standin/benches/decisions.rs
@@ -91,6 +91,9 @@
             key: None,
             repeatable: true,
             prefix: (0..8).map(|block| number % 100 * 100 + block).collect(),
+            max_attempts: None,
+            is_resumable: false,
+            credential: None,
         };
         let request = RequestId(number);
         router.submit(now, request, meta, 1, &mut rng, &mut out);
--- a/standin/src/engine/server.rs
+++ b/standin/src/engine/server.rs
@@ -150,6 +150,10 @@
         fabric_domain: FabricDomain::new(&arguments.fabric_domain),
         accelerators: arguments.accelerators,
         state: HostState::Live,
+        service: None,
+        slots: None,
+        staged: Vec::new(),
+        status: None,
     };
     let body = serde_json::to_vec(&record).unwrap_or_default();
     let path = format!("/admin/hosts/{name}");
--- a/standin/src/engine/state.rs
+++ b/standin/src/engine/state.rs
@@ -92,6 +92,8 @@
                 self.release(order.group, drain);
                 Followup::None
             }
+            // These engines gather their members and open by themselves.
+            Command::Open | Command::Stage { .. } => Followup::None,
         };
         (self.reply(now, true), followup)
     }
--- a/standin/src/experiment/day.rs
+++ b/standin/src/experiment/day.rs
@@ -142,6 +142,7 @@
     let customer = CustomerConfig {
         key_sha256: Vec::new(),
         share: 1,
+        rank: None,
     };
     fleet.customers.insert(owner.clone(), customer);
     for model in &spec.models {
--- a/standin/src/experiment/fleet.rs
+++ b/standin/src/experiment/fleet.rs
@@ -323,6 +323,9 @@
             key: None,
             repeatable: true,
             prefix: arrival.prefix.clone(),
+            max_attempts: None,
+            is_resumable: false,
+            credential: None,
         };
         let mut out = Vec::new();
         let (now, request) = (self.clock(), RequestId(index as u64));
--- a/standin/src/platform/handler.rs
+++ b/standin/src/platform/handler.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 use shalehinge::core::platform::Revision;
 use shalehinge::core::types::Version;
-use shalehinge::platform::http::WireVersion;
+use shalehinge::object_api::http::WireVersion;
 use shalehinge::utils::time::within;
 use trillium::{Conn, Handler, Status};
 use trillium_router::{Router, RouterConnExt};
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 use shalehinge::core::platform::Revision;
 use shalehinge::core::types::Version;
-use shalehinge::platform::http::{WireList, WireObject};
+use shalehinge::object_api::http::{WireList, WireObject};
 
 /// What the platform does wrong at present.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
