--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -388,7 +388,10 @@
         self.drop_retired(value, log);
         self.promote_open(value, log);
         self.note_listed_losses(now, value);
-        log.extend(self.plans.refresh(state, &self.domain));
+        log.extend(
+            self.plans
+                .refresh(state, &self.domain, self.settings.spare_share),
+        );
         let lost = self.lost_groups(value);
         let mut avoided = self.recently_unreachable(now);
         avoided.extend(self.strays(value).into_keys());
--- a/shalehinge/src/core/controller/service_plan.rs
+++ b/shalehinge/src/core/controller/service_plan.rs
@@ -36,7 +36,12 @@
 
 impl ServicePlans {
     /// Brings the plans up to date; returns lines for the log where they changed.
-    pub(super) fn refresh(&mut self, state: &FleetState, domain: &FailureDomain) -> Vec<String> {
+    pub(super) fn refresh(
+        &mut self,
+        state: &FleetState,
+        domain: &FailureDomain,
+        spare_share: f64,
+    ) -> Vec<String> {
         let versions = (state.fleet_version(), state.hosts_version());
         let (Some(fleet), Some(hosts)) = (state.fleet(), state.hosts()) else {
             return Vec::new();
@@ -45,7 +50,7 @@
             return Vec::new();
         }
         self.made_from = versions;
-        let plans = plans_of(&fleet.value, &hosts.value, domain);
+        let plans = plans_of(&fleet.value, &hosts.value, domain, spare_share);
         let lines = changes(&self.plans, &plans, domain);
         self.plans = plans;
         lines
@@ -68,11 +73,16 @@
     }
 }
 
-fn plans_of(fleet: &FleetConfig, hosts: &HostList, domain: &FailureDomain) -> Vec<ServicePlan> {
+fn plans_of(
+    fleet: &FleetConfig,
+    hosts: &HostList,
+    domain: &FailureDomain,
+    spare_share: f64,
+) -> Vec<ServicePlan> {
     let services: BTreeSet<&ServiceName> = fleet.profiles.values().map(|p| &p.service).collect();
     services
         .into_iter()
-        .map(|service| plan_of(fleet, hosts, domain, service))
+        .map(|service| plan_of(fleet, hosts, domain, service, spare_share))
         .collect()
 }
 
@@ -81,6 +91,7 @@
     hosts: &HostList,
     domain: &FailureDomain,
     service: &ServiceName,
+    spare_share: f64,
 ) -> ServicePlan {
     let own = hosts.hosts.iter().filter(|(_, record)| {
         record.service.as_ref() == Some(service) && record.failure_domain == *domain
@@ -96,7 +107,7 @@
         .filter(|(_, profile)| profile.service == *service)
         .map(|(model, profile)| (model.clone(), profile.clone()))
         .collect();
-    let counts = replicas_by_share(&profiles, &fabric_sizes(&hosts));
+    let counts = replicas_by_share(&profiles, &fabric_sizes(&hosts), spare_share);
     let models = profiles.iter().map(|(model, profile)| {
         let intent = ModelIntent {
             owner: Customer::new(service.as_str()),
--- a/shalehinge/src/core/daemon/control.rs
+++ b/shalehinge/src/core/daemon/control.rs
@@ -10,6 +10,7 @@
 use crate::core::objects::{Assignment, Object, ObjectKey, Versioned};
 use crate::core::platform::{NoAnswer, PlatformCall, PlatformReply, PlatformResult};
 use crate::core::types::{FailureDomain, Timestamp};
+use crate::settings::learning::FeedLayout;
 
 impl Daemon {
     pub(super) fn lease_key(&self) -> ObjectKey {
@@ -170,7 +171,9 @@
         assignment: Option<Versioned<Assignment>>,
         out: &mut Vec<Action>,
     ) {
-        let Some(assignment) = assignment else {
+        // Where the host list tells which groups stand, nobody else needs the assignment.
+        let is_needed = self.settings.learning.feeds == FeedLayout::Shared;
+        let Some(assignment) = assignment.filter(|_| is_needed) else {
             return;
         };
         let update = ObjectUpdate {
--- a/shalehinge/src/core/placement/shares.rs
+++ b/shalehinge/src/core/placement/shares.rs
@@ -1,8 +1,9 @@
 //! How many replicas of each model a failure domain should have, from the models'
 //! parts of the work.
 //!
-//! Replicas go one by one to the model that lacks most against its part. Once that
-//! model finds no room, the hosts that remain are spares for what is lost later.
+//! A model's part of the work is its part of the busy hosts. Replicas go one by one
+//! to the model that lacks most against its part, until it finds no room or too few
+//! spares would be left for what is lost later.
 
 use std::collections::BTreeMap;
 
@@ -12,16 +13,22 @@
 /// Replicas by model.
 pub type ReplicaCounts = BTreeMap<ModelName, u32>;
 
-/// Divides the hosts of fabric domains of these sizes among the models.
+/// Divides the hosts of fabric domains of these sizes among the models; `spare_share`
+/// is the part of the hosts that stays free once each model has a replica.
 pub fn replicas_by_share(
     profiles: &BTreeMap<ModelName, ModelProfile>,
     fabric_sizes: &[usize],
+    spare_share: f64,
 ) -> ReplicaCounts {
+    let hosts: usize = fabric_sizes.iter().sum();
+    let usable = (hosts as f64 * (1.0 - spare_share)).floor() as usize;
     let mut counts: ReplicaCounts = profiles.keys().map(|model| (model.clone(), 0)).collect();
     while let Some(model) = neediest(profiles, &counts) {
+        let is_first = counts[&model] == 0;
         let mut more = counts.clone();
         *more.entry(model).or_default() += 1;
-        if !fits(profiles, &more, fabric_sizes) {
+        let has_spares = is_first || hosts_of(profiles, &more) <= usable;
+        if !has_spares || !fits(profiles, &more, fabric_sizes) {
             break;
         }
         counts = more;
@@ -36,8 +43,8 @@
 ) -> Option<ModelName> {
     const LEAST_SHARE: f64 = 1e-3;
     let supply = |model: &ModelName, profile: &ModelProfile| {
-        let capacity = f64::from(counts[model]) / profile.pace.max(LEAST_SHARE);
-        capacity / profile.work_share.max(LEAST_SHARE)
+        let hosts = f64::from(counts[model] * profile.hosts_per_replica);
+        hosts / profile.work_share.max(LEAST_SHARE)
     };
     profiles
         .iter()
@@ -48,6 +55,11 @@
         .map(|(model, _)| model.clone())
 }
 
+fn hosts_of(profiles: &BTreeMap<ModelName, ModelProfile>, counts: &ReplicaCounts) -> usize {
+    let hosts = |(model, count): (&ModelName, &u32)| profiles[model].hosts_per_replica * count;
+    counts.iter().map(hosts).sum::<u32>() as usize
+}
+
 /// Whether so many replicas find room, the large ones placed first.
 fn fits(
     profiles: &BTreeMap<ModelName, ModelProfile>,
--- a/shalehinge/src/settings/control.rs
+++ b/shalehinge/src/settings/control.rs
@@ -49,6 +49,8 @@
     pub free_loads_within: Duration,
     /// Part of the allowed rate of loads that is used.
     pub load_share: f64,
+    /// Part of the hosts that stays free where replicas follow from shares of work.
+    pub spare_share: f64,
 }
 
 impl Default for ControlSettings {
@@ -67,6 +69,7 @@
             retire_within: Duration::from_secs(10),
             free_loads_within: Duration::from_secs(6),
             load_share: 0.9,
+            spare_share: 0.2,
         }
     }
 }
@@ -89,6 +92,7 @@
             stall: section.duration("stall", default.stall),
             retire_within: section.duration("retire_within", default.retire_within),
             free_loads_within: section.duration("free_loads_within", default.free_loads_within),
+            spare_share: section.fraction("spare_share", default.spare_share),
             load_share: section.fraction("load_share", default.load_share),
         }
     }
