--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -28,8 +28,8 @@
 use crate::core::placement::preview::apply_step;
 use crate::core::placement::{PlacementContext, next_steps};
 use crate::core::types::{
-    Address, Epoch, FailureDomain, GroupNumber, HostId, ModelVersion, OperationId, Timestamp,
-    Version,
+    Address, Epoch, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion, OperationId,
+    Timestamp, Version,
 };
 use crate::settings::control::{Assembly, ControlSettings};
 
@@ -122,6 +122,12 @@
     standing_since: BTreeMap<GroupNumber, Timestamp>,
     plans: ServicePlans,
     loads: LoadBudget,
+    /// The model of each host's last group, as far as this daemon saw it.
+    last_model: BTreeMap<HostId, ModelName>,
+    /// Since when hosts are being released.
+    releasing_since: BTreeMap<HostId, Timestamp>,
+    /// Until when a host is not ordered again to stage weights.
+    staged_at: BTreeMap<HostId, Timestamp>,
 }
 
 impl Controller {
@@ -149,6 +155,9 @@
             standing_since: BTreeMap::new(),
             plans: ServicePlans::default(),
             loads: LoadBudget::default(),
+            last_model: BTreeMap::new(),
+            releasing_since: BTreeMap::new(),
+            staged_at: BTreeMap::new(),
         }
     }
 
@@ -388,14 +397,23 @@
         self.drop_retired(value, log);
         self.promote_open(value, log);
         self.note_listed_losses(now, value);
-        log.extend(
-            self.plans
-                .refresh(state, &self.domain, self.settings.spare_share),
-        );
+        log.extend(self.plans.refresh(
+            state,
+            &self.domain,
+            self.settings.spare_share,
+            &mut value.wanted,
+        ));
         let lost = self.lost_groups(value);
         let mut avoided = self.recently_unreachable(now);
         avoided.extend(self.strays(value).into_keys());
         let held = self.listed_weights();
+        // Survivors of a lost group are free in a moment, and soonest ready again.
+        let awaits_survivors = self.awaits_survivors(now, value, &avoided);
+        let max_forming = if awaits_survivors {
+            0
+        } else {
+            self.settings.max_forming
+        };
         for (index, plan) in self.plans.iter().enumerate() {
             let part = self.plans.part_of(index, value);
             let context = PlacementContext {
@@ -407,7 +425,7 @@
                 lost: &lost,
                 held: &held,
                 choice: self.settings.choice,
-                max_forming: self.settings.max_forming,
+                max_forming,
             };
             for step in next_steps(&context) {
                 log.push(step.to_string());
@@ -529,14 +547,15 @@
         self.unreachable.keys().cloned().collect()
     }
 
-    /// Weights that lie on the hosts, by the list.
+    /// Weights that lie on the hosts, by the list, and those of their last groups.
     fn listed_weights(&self) -> HeldWeights {
         let version = ModelVersion::new(ONLY_VERSION);
         self.listed
             .iter()
-            .filter_map(|(host, listed)| {
-                let model = listed.newest_staged()?.clone();
-                Some((host.clone(), (model, version.clone())))
+            .map(|(host, listed)| {
+                let models = listed.staged().iter().chain(self.last_model.get(host));
+                let held = models.map(|model| (model.clone(), version.clone()));
+                (host.clone(), held.collect())
             })
             .collect()
     }
@@ -546,7 +565,7 @@
             .iter()
             .filter_map(|(host, status)| {
                 let held = status.held.clone()?;
-                Some((host.clone(), (held.model, held.version)))
+                Some((host.clone(), vec![(held.model, held.version)]))
             })
             .collect()
     }
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -13,10 +13,12 @@
 use crate::core::engine::{Command, EngineStatus, LoadCommand, Order};
 use crate::core::fleet_state::FleetState;
 use crate::core::objects::{Assignment, Group, GroupPhase, HostRecord, HostState, Member};
-use crate::core::types::{Address, Epoch, FabricDomain, GroupNumber, HostId, ModelName, Timestamp};
+use crate::core::types::{Address, Epoch, GroupNumber, HostId, ModelName, Timestamp};
 
 /// Refusals of an order after which its group is given up.
 const MOST_REFUSALS: u32 = 3;
+/// How long new groups wait for hosts that are being released.
+const SURVIVOR_WAIT: Duration = Duration::from_millis(400);
 /// Time between two orders to stage weights on the same host.
 const STAGE_INTERVAL: Duration = Duration::from_secs(20);
 
@@ -31,6 +33,15 @@
     pub domains: usize,
 }
 
+/// Weights that should lie on a host; the most useful sorts first.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct StageWish {
+    /// Members of the host's group; 0 for a free host.
+    group_size: usize,
+    host: HostId,
+    model: ModelName,
+}
+
 /// A host as it was last listed.
 #[derive(Clone, Debug)]
 pub(super) struct ListedHost {
@@ -39,9 +50,9 @@
 }
 
 impl ListedHost {
-    /// The model whose weights came last to the host.
-    pub(super) fn newest_staged(&self) -> Option<&ModelName> {
-        self.record.staged.first()
+    /// Models whose weights lie on the host.
+    pub(super) fn staged(&self) -> &[ModelName] {
+        &self.record.staged
     }
 }
 
@@ -172,7 +183,7 @@
             }
         }
         self.release_hosts(now, epoch, &stored.value, &mut actions);
-        self.stage_spares(now, epoch, &stored.value, &mut actions);
+        self.stage_weights(now, epoch, &stored.value, &mut actions);
         self.stored = Some(stored);
         actions
     }
@@ -376,74 +387,74 @@
         is_staged || self.listing.loads_are_free || self.loads.take(now)
     }
 
-    /// Free hosts get the weights that a lost member beside them would need.
-    fn stage_spares(
+    /// A host joins a group of its last model at once, and one whose weights lie on it
+    /// soon. So each host gets the weights of another model than its last: free hosts
+    /// first, then members of the small groups, which give way to large ones.
+    fn stage_weights(
         &mut self,
         now: Timestamp,
         epoch: Epoch,
         value: &Assignment,
         actions: &mut Vec<ControllerAction>,
     ) {
-        let used = value.used_hosts();
-        let strays = self.strays(value);
-        let most_hosts = self.models_by_fabric(value);
-        let spares: Vec<(HostId, Address, ModelName)> = self
-            .listed
-            .iter()
-            .filter(|(host, listed)| {
-                let is_free = !used.contains(host) && !strays.contains_key(*host);
-                is_free && listed.is_listed && listed.record.state == HostState::Live
-            })
-            .filter(|(host, _)| !self.unreachable.contains_key(*host))
-            .filter_map(|(host, listed)| {
-                let model = most_hosts.get(&listed.record.fabric_domain)?;
-                let is_staged = listed.record.staged.contains(model);
-                (!is_staged).then(|| (host.clone(), listed.record.address, model.clone()))
-            })
-            .collect();
-        for (host, address, model) in spares {
+        let mut wanted = self.wanted_weights(value);
+        wanted.sort();
+        for StageWish { host, model, .. } in wanted {
             let purpose = CallPurpose::Stage;
-            if !self.is_due_again(now, &host, purpose) || !self.may_load(now, &host, &model) {
+            let is_due = self.staged_at.get(&host).is_none_or(|at| now >= *at);
+            if !is_due || !self.may_load(now, &host, &model) {
                 continue;
             }
+            self.staged_at.insert(host.clone(), now + STAGE_INTERVAL);
             self.note_call(now, &host, purpose);
+            let address = self.listed[&host].record.address;
             let member = Member { host, address };
             let command = Command::Stage { model };
             actions.push(self.order(epoch, GroupNumber(0), &member, command));
         }
     }
 
-    /// The model with the most hosts in each fabric domain; where none has any, the
-    /// one with the most hosts in all.
-    fn models_by_fabric(&self, value: &Assignment) -> BTreeMap<FabricDomain, ModelName> {
-        let mut counts: BTreeMap<&FabricDomain, BTreeMap<&ModelName, usize>> = BTreeMap::new();
-        let mut in_all: BTreeMap<&ModelName, usize> = BTreeMap::new();
+    fn wanted_weights(&mut self, value: &Assignment) -> Vec<StageWish> {
+        let strays = self.strays(value);
+        let mut group_of: BTreeMap<&HostId, &Group> = BTreeMap::new();
         for group in value.groups.values() {
             for member in &group.members {
-                if let Some(listed) = self.listed.get(&member.host) {
-                    let fabric = counts.entry(&listed.record.fabric_domain).or_default();
-                    *fabric.entry(&group.model).or_default() += 1;
-                    *in_all.entry(&group.model).or_default() += 1;
-                }
+                group_of.insert(&member.host, group);
+                self.last_model
+                    .insert(member.host.clone(), group.model.clone());
             }
         }
-        let most = |counts: &BTreeMap<&ModelName, usize>| -> Option<ModelName> {
-            let model = counts.iter().max_by_key(|(_, count)| **count)?.0;
-            Some((*model).clone())
-        };
-        let usual = most(&in_all);
-        let fabrics: BTreeSet<&FabricDomain> = self
-            .listed
-            .values()
-            .map(|listed| &listed.record.fabric_domain)
-            .collect();
-        fabrics
-            .into_iter()
-            .filter_map(|fabric| {
-                let own = counts.get(fabric).and_then(most);
-                Some((fabric.clone(), own.or_else(|| usual.clone())?))
-            })
-            .collect()
+        let listed = &self.listed;
+        self.last_model.retain(|host, _| listed.contains_key(host));
+        let sizes = self.plans.model_sizes();
+        let mut wishes = Vec::new();
+        for (host, listed) in &self.listed {
+            let is_usable = listed.is_listed
+                && listed.record.state == HostState::Live
+                && !value.releasing.contains_key(host)
+                && !strays.contains_key(host)
+                && !self.unreachable.contains_key(host);
+            let group = group_of.get(host);
+            let is_busy = group.is_some_and(|group| group.phase != GroupPhase::Serving);
+            let last = self.last_model.get(host);
+            let of_service = sizes
+                .iter()
+                .filter(|(_, service, _)| listed.record.service.as_ref() == Some(service));
+            let largest_other = of_service
+                .filter(|(model, _, _)| last != Some(model))
+                .max_by_key(|(_, _, size)| *size);
+            let Some((model, _, _)) = largest_other.filter(|_| is_usable && !is_busy) else {
+                continue;
+            };
+            if !listed.record.staged.contains(model) {
+                wishes.push(StageWish {
+                    group_size: group.map_or(0, |group| group.members.len()),
+                    host: host.clone(),
+                    model: model.clone(),
+                });
+            }
+        }
+        wishes
     }
 
     /// Hosts of dissolved groups are free once they left and their rank 0 surely
@@ -479,6 +490,23 @@
             .retain(|number, _| heads.contains_key(number));
     }
 
+    /// Whether hosts are about to be free that can be had again at once.
+    pub(super) fn awaits_survivors(
+        &mut self,
+        now: Timestamp,
+        value: &Assignment,
+        avoided: &BTreeSet<HostId>,
+    ) -> bool {
+        self.releasing_since
+            .retain(|host, _| value.releasing.contains_key(host));
+        for host in value.releasing.keys() {
+            self.releasing_since.entry(host.clone()).or_insert(now);
+        }
+        self.releasing_since.iter().any(|(host, since)| {
+            now.since(*since) < SURVIVOR_WAIT && !avoided.contains(host) && self.is_listed(host)
+        })
+    }
+
     /// Whether rank 0 of a dissolved group left it, or stood still for so long after
     /// the others left that it is broken.
     fn serves_no_more(&self, now: Timestamp, number: GroupNumber, head: &HostId) -> bool {
--- a/shalehinge/src/core/controller/service_plan.rs
+++ b/shalehinge/src/core/controller/service_plan.rs
@@ -10,7 +10,7 @@
 use crate::core::objects::{
     Assignment, FleetConfig, HostList, HostState, ModelIntent, ModelProfile,
 };
-use crate::core::placement::shares::replicas_by_share;
+use crate::core::placement::shares::{ReplicaCounts, replicas_by_share, replicas_that_fit};
 use crate::core::types::{
     Customer, FabricDomain, FailureDomain, ModelName, ModelVersion, ServiceName, Version,
 };
@@ -21,6 +21,7 @@
 /// One service with its models and hosts.
 #[derive(Clone, Debug)]
 pub(super) struct ServicePlan {
+    service: ServiceName,
     /// Models of the service, with replicas for this failure domain.
     pub(super) fleet: FleetConfig,
     /// Hosts of the service.
@@ -41,6 +42,7 @@
         state: &FleetState,
         domain: &FailureDomain,
         spare_share: f64,
+        wanted: &mut ReplicaCounts,
     ) -> Vec<String> {
         let versions = (state.fleet_version(), state.hosts_version());
         let (Some(fleet), Some(hosts)) = (state.fleet(), state.hosts()) else {
@@ -50,7 +52,7 @@
             return Vec::new();
         }
         self.made_from = versions;
-        let plans = plans_of(&fleet.value, &hosts.value, domain, spare_share);
+        let plans = plans_of(&fleet.value, &hosts.value, domain, spare_share, wanted);
         let lines = changes(&self.plans, &plans, domain);
         self.plans = plans;
         lines
@@ -60,6 +62,17 @@
         self.plans.iter()
     }
 
+    /// Models with their service and the hosts of one replica.
+    pub(super) fn model_sizes(&self) -> Vec<(ModelName, ServiceName, u32)> {
+        let models = self.plans.iter().flat_map(|plan| {
+            let service = &plan.service;
+            plan.fleet.models.iter().map(move |(model, intent)| {
+                (model.clone(), service.clone(), intent.hosts_per_replica)
+            })
+        });
+        models.collect()
+    }
+
     /// The assignment as one plan sees it. Groups of models that no plan knows fall to
     /// the first, which retires them.
     pub(super) fn part_of(&self, index: usize, whole: &Assignment) -> Assignment {
@@ -78,11 +91,13 @@
     hosts: &HostList,
     domain: &FailureDomain,
     spare_share: f64,
+    wanted: &mut ReplicaCounts,
 ) -> Vec<ServicePlan> {
+    wanted.retain(|model, _| fleet.profiles.contains_key(model));
     let services: BTreeSet<&ServiceName> = fleet.profiles.values().map(|p| &p.service).collect();
     services
         .into_iter()
-        .map(|service| plan_of(fleet, hosts, domain, service, spare_share))
+        .map(|service| plan_of(fleet, hosts, domain, service, spare_share, wanted))
         .collect()
 }
 
@@ -92,6 +107,7 @@
     domain: &FailureDomain,
     service: &ServiceName,
     spare_share: f64,
+    wanted: &mut ReplicaCounts,
 ) -> ServicePlan {
     let own = hosts.hosts.iter().filter(|(_, record)| {
         record.service.as_ref() == Some(service) && record.failure_domain == *domain
@@ -107,7 +123,14 @@
         .filter(|(_, profile)| profile.service == *service)
         .map(|(model, profile)| (model.clone(), profile.clone()))
         .collect();
-    let counts = replicas_by_share(&profiles, &fabric_sizes(&hosts), spare_share);
+    let sizes = fabric_sizes(&hosts);
+    let mut counts = replicas_by_share(&profiles, &sizes, spare_share);
+    for (model, count) in &mut counts {
+        let most = wanted.entry(model.clone()).or_default();
+        *most = (*most).max(*count);
+        *count = *most;
+    }
+    let counts = replicas_that_fit(&profiles, &sizes, counts);
     let models = profiles.iter().map(|(model, profile)| {
         let intent = ModelIntent {
             owner: Customer::new(service.as_str()),
@@ -118,6 +141,7 @@
         (model.clone(), intent)
     });
     ServicePlan {
+        service: service.clone(),
         fleet: FleetConfig {
             models: models.collect(),
             draining: fleet.draining.clone(),
--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -24,7 +24,11 @@
             .membership
             .is_responsible(now, "watch", settings.watchers);
         for index in 0..self.feeds.len() {
-            let call = self.feeds[index].next_call(now, may_watch, settings.watch_wait);
+            let wait = match self.feeds[index].scope() {
+                Scope::Hosts => settings.host_wait,
+                Scope::Shared | Scope::Configuration => settings.watch_wait,
+            };
+            let call = self.feeds[index].next_call(now, may_watch, wait);
             if let Some(call) = call {
                 self.call(Purpose::Feed(index), call, out);
             }
--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -381,6 +381,10 @@
     /// members may not join another group.
     #[serde(default)]
     pub heads: BTreeMap<GroupNumber, HostId>,
+    /// Replicas that should stand, of models whose replicas follow from their shares:
+    /// the most that the listed hosts ever allowed.
+    #[serde(default)]
+    pub wanted: BTreeMap<ModelName, u32>,
 }
 
 /// The hosts that form one replica. Members never change; a change makes a new group.
--- a/shalehinge/src/core/placement/planner.rs
+++ b/shalehinge/src/core/placement/planner.rs
@@ -16,7 +16,7 @@
 use super::{FormReason, PlacementStep, RetireReason};
 
 /// What a host holds in memory: used to save loads from the weight store.
-pub type HeldWeights = BTreeMap<HostId, (ModelName, ModelVersion)>;
+pub type HeldWeights = BTreeMap<HostId, Vec<(ModelName, ModelVersion)>>;
 
 /// Everything that the planner looks at.
 #[derive(Clone, Debug)]
@@ -458,7 +458,8 @@
             return false;
         }
         for host in self.forming.free.values_mut().flatten() {
-            host.warm = self.context.held.get(&host.host) == Some(&wanted);
+            let held = self.context.held.get(&host.host);
+            host.warm = held.is_some_and(|held| held.contains(&wanted));
         }
         let input = ChoiceInput {
             size,
--- a/shalehinge/src/core/placement/preview.rs
+++ b/shalehinge/src/core/placement/preview.rs
@@ -83,7 +83,7 @@
     for group in assignment.groups.values() {
         for member in &group.members {
             let weights = (group.model.clone(), group.version.clone());
-            held.insert(member.host.clone(), weights);
+            held.insert(member.host.clone(), vec![weights]);
         }
     }
     held
--- a/shalehinge/src/core/placement/shares.rs
+++ b/shalehinge/src/core/placement/shares.rs
@@ -1,9 +1,9 @@
 //! How many replicas of each model a failure domain should have, from the models'
 //! parts of the work.
 //!
-//! A model's part of the work is its part of the busy hosts. Replicas go one by one
-//! to the model that lacks most against its part, until it finds no room or too few
-//! spares would be left for what is lost later.
+//! A model's part of the work is its part of the hosts. What is left once each model
+//! has its part goes to the models with the smallest replicas: their hosts are the
+//! first to give way when a larger replica loses a member.
 
 use std::collections::BTreeMap;
 
@@ -14,7 +14,7 @@
 pub type ReplicaCounts = BTreeMap<ModelName, u32>;
 
 /// Divides the hosts of fabric domains of these sizes among the models; `spare_share`
-/// is the part of the hosts that stays free once each model has a replica.
+/// is the part of the hosts that stays free once each model has its part.
 pub fn replicas_by_share(
     profiles: &BTreeMap<ModelName, ModelProfile>,
     fabric_sizes: &[usize],
@@ -22,37 +22,57 @@
 ) -> ReplicaCounts {
     let hosts: usize = fabric_sizes.iter().sum();
     let usable = (hosts as f64 * (1.0 - spare_share)).floor() as usize;
-    let mut counts: ReplicaCounts = profiles.keys().map(|model| (model.clone(), 0)).collect();
-    while let Some(model) = neediest(profiles, &counts) {
-        let is_first = counts[&model] == 0;
-        let mut more = counts.clone();
-        *more.entry(model).or_default() += 1;
-        let has_spares = is_first || hosts_of(profiles, &more) <= usable;
-        if !has_spares || !fits(profiles, &more, fabric_sizes) {
-            break;
+    let total: f64 = profiles.values().map(|profile| profile.work_share).sum();
+    let mut counts: ReplicaCounts = profiles
+        .iter()
+        .map(|(model, profile)| {
+            let due = hosts as f64 * profile.work_share / total.max(f64::EPSILON);
+            let replicas = (due / f64::from(profile.hosts_per_replica.max(1))).floor();
+            (model.clone(), (replicas as u32).max(1))
+        })
+        .collect();
+    counts = replicas_that_fit(profiles, fabric_sizes, counts);
+    let mut by_size: Vec<_> = profiles.iter().collect();
+    by_size.sort_by_key(|(_, profile)| profile.hosts_per_replica);
+    for (model, _) in by_size {
+        loop {
+            let mut more = counts.clone();
+            *more.entry(model.clone()).or_default() += 1;
+            let has_spares = hosts_of(profiles, &more) <= usable;
+            if !has_spares || !fits(profiles, &more, fabric_sizes) {
+                break;
+            }
+            counts = more;
         }
-        counts = more;
     }
     counts
 }
 
-/// The model with the least capacity against its part of the work.
-fn neediest(
+/// As many of these replicas as find room; the richest model gives up first.
+pub fn replicas_that_fit(
     profiles: &BTreeMap<ModelName, ModelProfile>,
-    counts: &ReplicaCounts,
-) -> Option<ModelName> {
+    fabric_sizes: &[usize],
+    wanted: ReplicaCounts,
+) -> ReplicaCounts {
+    let mut counts = wanted;
+    while !fits(profiles, &counts, fabric_sizes) {
+        let richest = profiles
+            .iter()
+            .filter(|(model, _)| counts[*model] > 0)
+            .max_by(|a, b| supply(&counts, a.0, a.1).total_cmp(&supply(&counts, b.0, b.1)));
+        let Some((model, _)) = richest else {
+            break;
+        };
+        *counts.entry(model.clone()).or_default() -= 1;
+    }
+    counts
+}
+
+/// Hosts of a model's replicas against its part of the work.
+fn supply(counts: &ReplicaCounts, model: &ModelName, profile: &ModelProfile) -> f64 {
     const LEAST_SHARE: f64 = 1e-3;
-    let supply = |model: &ModelName, profile: &ModelProfile| {
-        let hosts = f64::from(counts[model] * profile.hosts_per_replica);
-        hosts / profile.work_share.max(LEAST_SHARE)
-    };
-    profiles
-        .iter()
-        .min_by(|a, b| {
-            let by_supply = supply(a.0, a.1).total_cmp(&supply(b.0, b.1));
-            by_supply.then(b.1.hosts_per_replica.cmp(&a.1.hosts_per_replica))
-        })
-        .map(|(model, _)| model.clone())
+    let hosts = f64::from(counts[model] * profile.hosts_per_replica);
+    hosts / profile.work_share.max(LEAST_SHARE)
 }
 
 fn hosts_of(profiles: &BTreeMap<ModelName, ModelProfile>, counts: &ReplicaCounts) -> usize {
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -26,6 +26,8 @@
 const RESUMES: u32 = 2;
 /// A daemon that was not run for so long can't tell who stood still meanwhile.
 const MOST_TICK_GAP: Duration = Duration::from_millis(300);
+/// Part of a shared burst that is used: not all daemons know of each other.
+const SAFE_BURST: f64 = 0.7;
 /// Candidates named in a log line.
 const LOGGED_CANDIDATES: usize = 4;
 
@@ -66,7 +68,11 @@
     /// A router without upstreams.
     pub fn new(settings: RouterSettings, incarnation: Incarnation) -> Self {
         Self {
-            retries: RetryBudget::new(settings.retry_ratio, settings.retry_burst),
+            retries: if settings.retry_burst_is_shared {
+                RetryBudget::nearly_empty(settings.retry_ratio, settings.retry_burst)
+            } else {
+                RetryBudget::new(settings.retry_ratio, settings.retry_burst)
+            },
             settings,
             incarnation,
             next_attempt: 1,
@@ -88,7 +94,7 @@
             }
         }
         if self.settings.retry_burst_is_shared {
-            let part = self.settings.retry_burst / self.sharers as f64;
+            let part = self.settings.retry_burst * SAFE_BURST / self.sharers as f64;
             self.retries.set_burst(part);
         }
     }
@@ -356,8 +362,15 @@
             return;
         };
         pending.seen_output = true;
-        running.first_at = Some(now);
-        self.on_progress(now, request, attempt);
+        let is_first = running.first_at.replace(now).is_none();
+        let (target, upstream) = (pending.meta.target.clone(), running.upstream.clone());
+        let state = self.targets.get_mut(&target);
+        if let Some(upstream) = state.and_then(|state| state.upstream_mut(&upstream)) {
+            upstream.on_progress(now);
+            if is_first {
+                upstream.on_first_output();
+            }
+        }
     }
 
     /// More output of an attempt came.
--- a/shalehinge/src/core/router/retry_budget.rs
+++ b/shalehinge/src/core/router/retry_budget.rs
@@ -21,11 +21,20 @@
         }
     }
 
+    /// A budget with little saved up yet: others of the fleet may have spent its part.
+    pub fn nearly_empty(ratio: f64, burst: f64) -> Self {
+        const FIRST: f64 = 3.0;
+        Self {
+            ratio,
+            burst,
+            tokens: burst.min(FIRST),
+        }
+    }
+
     /// Changes how many retries may be saved up; what is saved above it is lost.
     pub fn set_burst(&mut self, burst: f64) {
-        let grown = (burst - self.burst).max(0.0);
         self.burst = burst;
-        self.tokens = (self.tokens + grown).min(burst);
+        self.tokens = self.tokens.min(burst);
     }
 
     /// A first attempt was made.
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -189,7 +189,7 @@
     /// Frees what an attempt held.
     pub(super) fn release(&mut self, running: &Running) {
         if let Some(upstream) = self.upstream_mut(&running.upstream) {
-            upstream.on_ended(running.work);
+            upstream.on_ended(running.work, running.first_at.is_some());
         }
     }
 
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -22,6 +22,9 @@
 /// How long one that stood still gets nothing new after its last request ended.
 const STALL_REST: Duration = Duration::from_secs(3);
 
+/// How much longer requests without any output may stand, against `stall_after`.
+const UNSEEN_PATIENCE: f64 = 2.5;
+
 /// Weight of a report's figures against what is known, by their age.
 fn smoothing(age_ms: Option<u64>) -> f64 {
     /// Figures up to this age count as they are.
@@ -116,6 +119,8 @@
     moved_at: Timestamp,
     /// Requests run there, and none has moved for long.
     stalled: bool,
+    /// Requests there whose output has begun.
+    streaming: u32,
 }
 
 impl Upstream {
@@ -144,6 +149,7 @@
             rests_until: Timestamp::ZERO,
             moved_at: Timestamp::ZERO,
             stalled: false,
+            streaming: 0,
         }
     }
 
@@ -313,6 +319,11 @@
         self.sharers = sharers;
     }
 
+    /// The first output of a request came.
+    pub fn on_first_output(&mut self) {
+        self.streaming += 1;
+    }
+
     /// Output of a request that runs there came.
     pub fn on_progress(&mut self, now: Timestamp) {
         self.moved_at = now;
@@ -323,7 +334,13 @@
     /// was found just now.
     pub fn check_stall(&mut self, now: Timestamp, settings: &RouterSettings) -> bool {
         let is_watched = self.spec.evidence == Evidence::Listed && self.spec.group.is_some();
-        let stands = self.in_flight > 0 && now.since(self.moved_at) >= settings.stall_after;
+        // Those that wait for their first output may wait for their turn.
+        let patience = if self.streaming > 0 {
+            settings.stall_after
+        } else {
+            settings.stall_after.mul_f64(UNSEEN_PATIENCE)
+        };
+        let stands = self.in_flight > 0 && now.since(self.moved_at) >= patience;
         if !is_watched || !stands || self.stalled {
             return false;
         }
@@ -353,7 +370,8 @@
     }
 
     /// A request sent there has ended.
-    pub fn on_ended(&mut self, work: Work) {
+    pub fn on_ended(&mut self, work: Work, had_output: bool) {
+        self.streaming = self.streaming.saturating_sub(u32::from(had_output));
         self.in_flight = self.in_flight.saturating_sub(1);
         if self.in_flight == 0 && self.stalled {
             // Nothing runs there that could show that it moves again: a later
--- a/shalehinge/src/settings/control.rs
+++ b/shalehinge/src/settings/control.rs
@@ -69,7 +69,7 @@
             retire_within: Duration::from_secs(10),
             free_loads_within: Duration::from_secs(6),
             load_share: 0.9,
-            spare_share: 0.2,
+            spare_share: 0.0,
         }
     }
 }
--- a/shalehinge/src/settings/learning.rs
+++ b/shalehinge/src/settings/learning.rs
@@ -11,6 +11,8 @@
     pub feeds: FeedLayout,
     /// How long a watch waits for a change.
     pub watch_wait: Duration,
+    /// How long a watch of the host list alone waits for a change.
+    pub host_wait: Duration,
     /// Time between the starts of two watches of the host list.
     pub host_spacing: Duration,
     /// Daemons of a failure domain that watch; the others hear it from peers.
@@ -38,6 +40,7 @@
         Self {
             feeds: FeedLayout::default(),
             watch_wait: Duration::from_secs(20),
+            host_wait: Duration::from_secs(5),
             host_spacing: Duration::from_millis(250),
             watchers: 2,
             keys_valid_for: None,
@@ -54,6 +57,7 @@
         Self {
             feeds: section.feed_layout("feeds", default.feeds),
             watch_wait: section.duration("watch_wait", default.watch_wait),
+            host_wait: section.duration("host_wait", default.host_wait),
             host_spacing: section.duration("host_spacing", default.host_spacing),
             watchers: section.count("watchers", default.watchers),
             keys_valid_for: section.optional_duration("keys_valid_for"),
