feat(placement): groups whose weights lie ready form first

Cause: after losses groups were formed on hosts without the weights, 12 to 16 s, while hosts with the weights came a moment later; unreachable hosts counted as there. Change: two passes, the first without loads; loads wait until no host came for 1.5 s; groups above what is wanted stay unless another model needs their hosts.

--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -118,6 +118,8 @@
     listing: Listing,
     listed: BTreeMap<HostId, ListedHost>,
     listed_version: Version,
+    /// When a host last appeared in the list.
+    hosts_came_at: Option<Timestamp>,
     /// Since when rank 0 of a dissolved group stands still, as a member left it.
     standing_since: BTreeMap<GroupNumber, Timestamp>,
     plans: ServicePlans,
@@ -152,6 +154,7 @@
             listing: Listing::default(),
             listed: BTreeMap::new(),
             listed_version: Version(0),
+            hosts_came_at: None,
             standing_since: BTreeMap::new(),
             plans: ServicePlans::default(),
             loads: LoadBudget::default(),
@@ -375,6 +378,8 @@
             held: &held,
             choice: self.settings.choice,
             max_forming: self.settings.max_forming,
+            max_loads: usize::MAX,
+            keeps_surplus: false,
         };
         let steps = next_steps(&context);
         for step in &steps {
@@ -397,14 +402,15 @@
         self.drop_retired(value, log);
         self.promote_open(value, log);
         self.note_listed_losses(now, value);
+        let lost = self.lost_groups(value);
+        let mut avoided = self.recently_unreachable(now);
         log.extend(self.plans.refresh(
             state,
             &self.domain,
             self.settings.spare_share,
+            &avoided,
             &mut value.wanted,
         ));
-        let lost = self.lost_groups(value);
-        let mut avoided = self.recently_unreachable(now);
         avoided.extend(self.strays(value).into_keys());
         let held = self.listed_weights();
         // Survivors of a lost group are free in a moment, and soonest ready again.
@@ -414,22 +420,29 @@
         } else {
             self.settings.max_forming
         };
-        for (index, plan) in self.plans.iter().enumerate() {
-            let part = self.plans.part_of(index, value);
-            let context = PlacementContext {
-                domain: &self.domain,
-                fleet: &plan.fleet,
-                hosts: &plan.hosts,
-                assignment: &part,
-                unreachable: &avoided,
-                lost: &lost,
-                held: &held,
-                choice: self.settings.choice,
-                max_forming,
-            };
-            for step in next_steps(&context) {
-                log.push(step.to_string());
-                apply_step(value, &step);
+        // Groups whose weights lie ready come first, whatever model lacks most.
+        let may_load = !self.has_new_hosts(now);
+        let passes = [Some(0), may_load.then_some(usize::MAX)];
+        for max_loads in passes.into_iter().flatten() {
+            for (index, plan) in self.plans.iter().enumerate() {
+                let part = self.plans.part_of(index, value);
+                let context = PlacementContext {
+                    domain: &self.domain,
+                    fleet: &plan.fleet,
+                    hosts: &plan.hosts,
+                    assignment: &part,
+                    unreachable: &avoided,
+                    lost: &lost,
+                    held: &held,
+                    choice: self.settings.choice,
+                    max_forming,
+                    max_loads,
+                    keeps_surplus: true,
+                };
+                for step in next_steps(&context) {
+                    log.push(step.to_string());
+                    apply_step(value, &step);
+                }
             }
         }
     }
@@ -576,7 +589,7 @@
         }
         self.listing = listing;
         if self.settings.assembly == Assembly::Orders {
-            self.note_listed(state);
+            self.note_listed(now, state);
             let rate = state.fleet().and_then(|fleet| fleet.value.load_rate);
             let part = self.settings.load_share / listing.domains.max(1) as f64;
             self.loads.set_rate(rate.map(|rate| rate.per_second * part));
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -19,6 +19,8 @@
 const MOST_REFUSALS: u32 = 3;
 /// How long new groups wait for hosts that are being released.
 const SURVIVOR_WAIT: Duration = Duration::from_millis(400);
+/// How long new groups that must load wait after a host came.
+const ARRIVAL_WAIT: Duration = Duration::from_millis(1_500);
 /// Time between two orders to stage weights on the same host.
 const STAGE_INTERVAL: Duration = Duration::from_secs(20);
 
@@ -59,7 +61,7 @@
 impl Controller {
     /// Takes in the list; hosts that it no longer names are remembered for a while,
     /// as long as the assignment names them.
-    pub(super) fn note_listed(&mut self, state: &FleetState) {
+    pub(super) fn note_listed(&mut self, now: Timestamp, state: &FleetState) {
         let Some(hosts) = state.hosts() else {
             return;
         };
@@ -77,7 +79,9 @@
                     record: record.clone(),
                     is_listed: true,
                 };
-                self.listed.insert(id.clone(), host);
+                if self.listed.insert(id.clone(), host).is_none() {
+                    self.hosts_came_at = Some(now);
+                }
             }
         }
         if let Some(stored) = &self.stored {
@@ -397,6 +401,11 @@
         value: &Assignment,
         actions: &mut Vec<ControllerAction>,
     ) {
+        let forms = |group: &Group| group.phase == GroupPhase::Forming;
+        if self.listing.loads_are_free && value.groups.values().any(forms) {
+            // Until the first request groups come before second weights.
+            return;
+        }
         let mut wanted = self.wanted_weights(value);
         wanted.sort();
         for StageWish { host, model, .. } in wanted {
@@ -490,6 +499,15 @@
             .retain(|number, _| heads.contains_key(number));
     }
 
+    /// Whether hosts came a moment ago: more may follow, so that a group need not load.
+    pub(super) fn has_new_hosts(&self, now: Timestamp) -> bool {
+        let is_early = self.listing.loads_are_free;
+        !is_early
+            && self
+                .hosts_came_at
+                .is_some_and(|at| now.since(at) < ARRIVAL_WAIT)
+    }
+
     /// Whether hosts are about to be free that can be had again at once.
     pub(super) fn awaits_survivors(
         &mut self,
--- a/shalehinge/src/core/controller/service_plan.rs
+++ b/shalehinge/src/core/controller/service_plan.rs
@@ -12,7 +12,7 @@
 };
 use crate::core::placement::shares::{ReplicaCounts, replicas_by_share, replicas_that_fit};
 use crate::core::types::{
-    Customer, FabricDomain, FailureDomain, ModelName, ModelVersion, ServiceName, Version,
+    Customer, FabricDomain, FailureDomain, HostId, ModelName, ModelVersion, ServiceName, Version,
 };
 
 /// The version of models whose configuration names none.
@@ -32,6 +32,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct ServicePlans {
     made_from: (Version, Version),
+    made_without: BTreeSet<HostId>,
     plans: Vec<ServicePlan>,
 }
 
@@ -42,17 +43,26 @@
         state: &FleetState,
         domain: &FailureDomain,
         spare_share: f64,
+        unreachable: &BTreeSet<HostId>,
         wanted: &mut ReplicaCounts,
     ) -> Vec<String> {
         let versions = (state.fleet_version(), state.hosts_version());
         let (Some(fleet), Some(hosts)) = (state.fleet(), state.hosts()) else {
             return Vec::new();
         };
-        if versions == self.made_from {
+        if versions == self.made_from && *unreachable == self.made_without {
             return Vec::new();
         }
         self.made_from = versions;
-        let plans = plans_of(&fleet.value, &hosts.value, domain, spare_share, wanted);
+        self.made_without.clone_from(unreachable);
+        let plans = plans_of(
+            &fleet.value,
+            &hosts.value,
+            domain,
+            spare_share,
+            unreachable,
+            wanted,
+        );
         let lines = changes(&self.plans, &plans, domain);
         self.plans = plans;
         lines
@@ -91,13 +101,24 @@
     hosts: &HostList,
     domain: &FailureDomain,
     spare_share: f64,
+    unreachable: &BTreeSet<HostId>,
     wanted: &mut ReplicaCounts,
 ) -> Vec<ServicePlan> {
     wanted.retain(|model, _| fleet.profiles.contains_key(model));
     let services: BTreeSet<&ServiceName> = fleet.profiles.values().map(|p| &p.service).collect();
     services
         .into_iter()
-        .map(|service| plan_of(fleet, hosts, domain, service, spare_share, wanted))
+        .map(|service| {
+            plan_of(
+                fleet,
+                hosts,
+                domain,
+                service,
+                spare_share,
+                unreachable,
+                wanted,
+            )
+        })
         .collect()
 }
 
@@ -107,6 +128,7 @@
     domain: &FailureDomain,
     service: &ServiceName,
     spare_share: f64,
+    unreachable: &BTreeSet<HostId>,
     wanted: &mut ReplicaCounts,
 ) -> ServicePlan {
     let own = hosts.hosts.iter().filter(|(_, record)| {
@@ -123,7 +145,7 @@
         .filter(|(_, profile)| profile.service == *service)
         .map(|(model, profile)| (model.clone(), profile.clone()))
         .collect();
-    let sizes = fabric_sizes(&hosts);
+    let sizes = fabric_sizes(&hosts, unreachable);
     let mut counts = replicas_by_share(&profiles, &sizes, spare_share);
     for (model, count) in &mut counts {
         let most = wanted.entry(model.clone()).or_default();
@@ -152,10 +174,10 @@
     }
 }
 
-fn fabric_sizes(hosts: &HostList) -> Vec<usize> {
+fn fabric_sizes(hosts: &HostList, unreachable: &BTreeSet<HostId>) -> Vec<usize> {
     let mut sizes: BTreeMap<&FabricDomain, usize> = BTreeMap::new();
-    for record in hosts.hosts.values() {
-        if record.state == HostState::Live {
+    for (host, record) in &hosts.hosts {
+        if record.state == HostState::Live && !unreachable.contains(host) {
             *sizes.entry(&record.fabric_domain).or_default() += 1;
         }
     }
--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -40,6 +40,8 @@
         let pause = WATCH_PAUSE.mul_f64(1.0 + jitter);
         let feed = &mut self.feeds[index];
         let spacing = match feed.scope() {
+            // Whoever holds control is the first to need the news.
+            Scope::Hosts if self.was_holder => self.settings.learning.host_spacing / 3,
             Scope::Hosts => self.settings.learning.host_spacing,
             Scope::Shared | Scope::Configuration => Duration::ZERO,
         };
--- a/shalehinge/src/core/placement/host_choice.rs
+++ b/shalehinge/src/core/placement/host_choice.rs
@@ -46,6 +46,8 @@
     pub weights: PlacementWeights,
     /// How to choose.
     pub choice: HostChoice,
+    /// Members that may lack the weights.
+    pub max_loads: usize,
 }
 
 /// A chosen group: members by rank, and how many of them must load weights.
@@ -59,7 +61,11 @@
 
 /// Takes hosts for one group out of `free`; `None` if no fabric domain has enough.
 pub fn take_hosts(free: &mut FreeHosts, input: &ChoiceInput<'_>) -> Option<ChosenHosts> {
-    let candidates = free.iter().filter(|(_, hosts)| hosts.len() >= input.size);
+    let warm_needed = input.size.saturating_sub(input.max_loads);
+    let candidates = free.iter().filter(|(_, hosts)| {
+        let warm = hosts.iter().filter(|host| host.warm).count();
+        hosts.len() >= input.size && warm >= warm_needed
+    });
     let fabric = match input.choice {
         HostChoice::FirstFit => candidates.map(|(fabric, _)| fabric).next(),
         HostChoice::BestFit => candidates
--- a/shalehinge/src/core/placement/planner.rs
+++ b/shalehinge/src/core/placement/planner.rs
@@ -40,6 +40,10 @@
     /// Groups that may be forming at a time, so that the weight store's rate
     /// goes to few loads that end soon.
     pub max_forming: usize,
+    /// Hosts of a new group that may lack the weights.
+    pub max_loads: usize,
+    /// Whether groups above what is wanted stay, unless another model needs their hosts.
+    pub keeps_surplus: bool,
 }
 
 impl PlacementContext<'_> {
@@ -363,6 +367,9 @@
             }
             return;
         }
+        if self.context.keeps_surplus {
+            return;
+        }
         let mut surplus = standing.current.clone();
         // Groups that don't serve yet go first, then the newest.
         surplus.sort_by_key(|number| (self.is_serving(number), std::cmp::Reverse(*number)));
@@ -466,6 +473,7 @@
             sizes: &self.forming.sizes,
             weights: self.context.fleet.weights,
             choice: self.context.choice,
+            max_loads: self.context.max_loads,
         };
         let Some(chosen) = take_hosts(&mut self.forming.free, &input) else {
             return false;
--- a/shalehinge/src/core/placement/preview.rs
+++ b/shalehinge/src/core/placement/preview.rs
@@ -60,6 +60,8 @@
             held: &held,
             choice: HostChoice::default(),
             max_forming: usize::MAX,
+            max_loads: usize::MAX,
+            keeps_surplus: false,
         };
         let steps = next_steps(&context);
         if steps.is_empty() {
--- a/shalehinge/tests/placement_support/mod.rs
+++ b/shalehinge/tests/placement_support/mod.rs
@@ -111,6 +111,8 @@
             held: &HeldWeights::new(),
             choice: HostChoice::BestFit,
             max_forming: 8,
+            max_loads: usize::MAX,
+            keeps_surplus: false,
         })
     }
 
--- a/standin/benches/decisions.rs
+++ b/standin/benches/decisions.rs
@@ -145,6 +145,8 @@
             held: &HeldWeights::new(),
             choice: HostChoice::BestFit,
             max_forming: usize::MAX,
+            max_loads: usize::MAX,
+            keeps_surplus: false,
         })
     });
 }
@@ -165,6 +167,8 @@
             held: &HeldWeights::new(),
             choice: HostChoice::BestFit,
             max_forming: usize::MAX,
+            max_loads: usize::MAX,
+            keeps_surplus: false,
         })
     };
     for step in context(&assignment) {
--- a/standin/src/experiment/day.rs
+++ b/standin/src/experiment/day.rs
@@ -315,6 +315,8 @@
                 held: &self.held,
                 choice: self.spec.choice,
                 max_forming: 1_000,
+                max_loads: usize::MAX,
+                keeps_surplus: false,
             };
             let steps = next_steps(&context);
             if steps.is_empty() {
