--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -202,14 +202,14 @@
         id: UpstreamId::Replica(ReplicaId {
             failure_domain: FailureDomain::new("d"),
             number: GroupNumber(number),
-            host: None,
-            evidence: shalehinge::core::router::upstream::Evidence::Reports,
-            slots: None,
         }),
         address: Address::from(([10, 0, 0, 1], number as u16)),
         group: Some(GroupNumber(number)),
         remote: false,
         accepts_new: true,
+        host: None,
+        evidence: shalehinge::core::router::upstream::Evidence::Reports,
+        slots: None,
     }
 }
 
--- a/shalehinge/tests/support/entry.rs
+++ b/shalehinge/tests/support/entry.rs
@@ -67,6 +67,7 @@
         self.started_at = now;
         self.is_stopping = false;
         let identity = Identity {
+            is_first_start: false,
             daemon: self.name.clone(),
             failure_domain: self.domain.clone(),
             address: self.address,
--- a/standin/src/experiment/day.rs
+++ b/standin/src/experiment/day.rs
@@ -127,6 +127,10 @@
                 fabric_domain: FabricDomain::new(&format!("fabric-{fabric:03}")),
                 accelerators: ACCELERATORS,
                 state: HostState::Live,
+                service: None,
+                slots: None,
+                staged: Vec::new(),
+                status: None,
             };
             hosts
                 .hosts
@@ -346,7 +350,7 @@
                 self.agenda.push((ready, Happening::Ready(number)));
                 for member in members {
                     let weights = (model.clone(), version.clone());
-                    self.held.insert(member.host.clone(), weights);
+                    self.held.insert(member.host.clone(), vec![weights]);
                 }
             }
             PlacementStep::Dissolve { group, .. } => {
