fix(router): an estimate from bad times keeps nothing out that could correct it

Excluded: full upstreams (the engines rejected 161 of 5,789) and the waiting line (empty in the log). Change: with an upstream free, only an estimate four times over what is left refuses. A member that the list lost is no loss while its group moves (13 hosts cut from the store dissolved groups that served).

--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -3,8 +3,9 @@
 //! A group opens only once the list showed every member ready in it. What a host
 //! shows of a group is proof whenever it was shown, as a group's number is never used
 //! again. That a host does not show its group proves something only if the list is
-//! newer than this daemon's knowledge of the assignment. A host that the list lost is
-//! asked itself: it may be cut off from the platform and serve all the same.
+//! newer than this daemon's knowledge of the assignment. A host that the list lost may
+//! be cut off from the platform and serve all the same; but routers send nothing to a
+//! rank 0 that is not listed.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -133,8 +134,9 @@
                 lost.extend(first.map(|host| (*number, host)));
                 continue;
             }
-            for member in &group.members {
-                if self.has_lost(*number, group.phase, &member.host, trusts_absence) {
+            for (rank, member) in group.members.iter().enumerate() {
+                let (host, is_head) = (&member.host, rank == 0);
+                if self.has_lost(*number, group.phase, host, is_head, trusts_absence) {
                     lost.push((*number, member.host.clone()));
                     break;
                 }
@@ -159,11 +161,14 @@
         number: GroupNumber,
         phase: GroupPhase,
         host: &HostId,
+        is_head: bool,
         trusts_absence: bool,
     ) -> bool {
         if !self.is_listed(host) {
-            // Asked itself; a group that never served is not worth the wait.
-            return phase == GroupPhase::Forming && trusts_absence;
+            // Routers send nothing to a rank 0 that is not listed, and a group that
+            // never served is not worth the wait.
+            let needs_it = phase == GroupPhase::Forming || is_head;
+            return needs_it && trusts_absence;
         }
         let Some(status) = self.status(host) else {
             return false;
@@ -251,8 +256,9 @@
         }
     }
 
-    /// Asks members that the list lost, and all members of a group that routers
-    /// found standing still.
+    /// Asks all members of a group that routers found standing still. A member that
+    /// the list lost may be cut off from the platform alone: as long as the group
+    /// moves, nothing is done about it.
     fn watch_over(
         &mut self,
         now: Timestamp,
@@ -270,10 +276,8 @@
             is_told || health.incomplete_since.is_some()
         });
         for member in &group.members {
-            let is_unlisted = !self.is_listed(&member.host) && self.trusts_absence();
             let purpose = CallPurpose::Probe(number);
-            let wanted = is_suspect || is_unlisted;
-            if wanted && self.is_due_again(now, &member.host, purpose) {
+            if is_suspect && self.is_due_again(now, &member.host, purpose) {
                 self.note_call(now, &member.host, purpose);
                 actions.push(ControllerAction::Probe {
                     group: number,
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -28,6 +28,9 @@
 const MOST_TICK_GAP: Duration = Duration::from_millis(300);
 /// Part of a shared burst that is used: not all daemons know of each other.
 const SAFE_BURST: f64 = 0.7;
+/// How far a request's estimated time may exceed what it has left, where an upstream
+/// is free: the estimate is of others, and only what is let in can correct it.
+const PATIENCE: u32 = 4;
 /// Candidates named in a log line.
 const LOGGED_CANDIDATES: usize = 4;
 
@@ -228,7 +231,12 @@
         }
         let time_left = meta.deadline.since(now);
         let wait = state.wait_of(&meta.customer, share, state.cost_of(meta));
+        let has_room = state.queue.is_empty() && state.upstreams.iter().any(|u| u.is_eligible(now));
         let service_time = state.service_time(meta);
+        if has_room && service_time <= time_left * PATIENCE {
+            // An estimate from bad times must not keep out what could show better.
+            return None;
+        }
         let longest_wait = time_left
             .saturating_sub(service_time)
             .min(self.settings.max_wait);
@@ -312,9 +320,10 @@
                 state.queue.pop();
                 continue;
             };
+            let time_left = pending.meta.deadline.since(now);
             let too_late = self.settings.early_refusal
                 && pending.attempts == 0
-                && now + state.service_time(&pending.meta) > pending.meta.deadline;
+                && state.service_time(&pending.meta) > time_left * PATIENCE;
             if too_late {
                 state.queue.pop();
                 self.waiting -= 1;
