fix(http): no server is asked first whether it wants a body

Excluded: the order interval, the pace of the host list, the processor. Change: bodies are at hand whole, so nothing is asked.

--- a/shalehinge/src/utils/http.rs
+++ b/shalehinge/src/utils/http.rs
@@ -75,15 +75,19 @@
     matches!(error, trillium_client::Error::Io(error) if error.kind() == ErrorKind::ConnectionRefused)
 }
 
+/// Bodies are always at hand whole, so no server is asked first whether it wants one:
+/// those that don't know `Expect` would cost the wait for an answer to it.
+const NEVER_ASK_FIRST: usize = usize::MAX;
+
 /// A client that keeps connections, for calls that are answered whole.
 pub fn pooled_client() -> Client {
-    Client::new(BoundedConnector::default())
+    Client::new(BoundedConnector::default()).with_max_buffered_request_body(NEVER_ASK_FIRST)
 }
 
 /// A client that uses each connection once, for attempts of callers' requests:
 /// what is left of an abandoned one can never reach another request.
 pub fn single_use_client() -> Client {
-    Client::new(BoundedConnector::default()).without_keepalive()
+    pooled_client().without_keepalive()
 }
 
 /// A URL on an address.
