--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -22,8 +22,6 @@
 
 /// Longest time to come back that is told.
 const MOST_RETRY_AFTER: Duration = Duration::from_secs(60);
-/// Continuations of a stream beyond the attempts that its route allows.
-const RESUMES: u32 = 2;
 /// A daemon that was not run for so long can't tell who stood still meanwhile.
 const MOST_TICK_GAP: Duration = Duration::from_millis(300);
 /// Part of a shared burst that is used: not all daemons know of each other.
@@ -459,11 +457,8 @@
             Outcome::Completed => false,
         };
         let in_time = now < pending.meta.deadline;
-        let has_runs_left = pending.meta.max_attempts.is_none_or(|most| {
-            // What was lost with its upstream no longer runs anywhere.
-            let resumes = if pending.seen_output { RESUMES } else { 0 };
-            pending.runs < most + resumes
-        });
+        let most_runs = pending.meta.max_attempts;
+        let has_runs_left = most_runs.is_none_or(|most| pending.runs < most);
         let has_tries_left = pending.attempts < self.settings.max_attempts;
         let again = is_safe && in_time && has_tries_left && has_runs_left;
         if !again || !self.retries.withdraw() {
