--- /dev/null
+++ b/shalehinge/tests/ordered.rs
@@ -0,0 +1,179 @@
+//! Groups of engines that join and open by order. The engines' oracle panics when a
+//! group opens without a member, or a host joins while its group takes requests.
+
+mod ordered_support;
+
+use std::time::Duration;
+
+use ordered_support::{Domain, LARGE, SMALL, host};
+use shalehinge::core::engine::EnginePhase;
+use shalehinge::core::objects::GroupPhase;
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+#[test]
+fn replicas_follow_from_shares_and_open_once_all_members_are_ready() {
+    let domain = Domain::serving(&[8, 8]);
+    assert_eq!(domain.open_groups(LARGE), 2);
+    assert_eq!(domain.open_groups(SMALL), 4);
+}
+
+#[test]
+fn every_host_gets_the_weights_of_a_second_model_before_the_first_request() {
+    let domain = Domain::serving(&[8]);
+    for engine in domain.engines.values() {
+        assert_eq!(engine.staged.len(), 1);
+    }
+    let (_, members) = domain.group_of(SMALL);
+    let staged = &domain.engines[&members[0]].staged[0];
+    assert_eq!(staged.as_str(), LARGE);
+}
+
+#[test]
+fn a_member_that_is_silent_while_its_group_stands_still_is_replaced() {
+    let mut domain = Domain::serving(&[8]);
+    let (number, members) = domain.group_of(LARGE);
+    domain.go_dark(&members[2]);
+    let now = domain.now;
+    domain.controller.suspect(now, number);
+    domain.run_until("dissolved", |domain| {
+        !domain.stored.value.groups.contains_key(&number)
+    });
+    domain.engine(&members[2]).is_listed = false;
+    domain.run_until("a small group gave way", |domain| {
+        domain.open_groups(LARGE) == 1
+    });
+    assert!(domain.loads.is_empty(), "hosts with the weights were there");
+}
+
+#[test]
+fn a_suspicion_alone_dissolves_nothing() {
+    let mut domain = Domain::serving(&[8]);
+    let (number, _) = domain.group_of(LARGE);
+    let now = domain.now;
+    domain.controller.suspect(now, number);
+    domain.run_for(seconds(10));
+    assert!(domain.stored.value.groups.contains_key(&number));
+}
+
+#[test]
+fn a_member_that_only_the_list_lost_is_no_loss() {
+    let mut domain = Domain::serving(&[8]);
+    let (number, members) = domain.group_of(LARGE);
+    domain.engine(&members[1]).is_listed = false;
+    domain.run_for(seconds(10));
+    assert_eq!(
+        domain.stored.value.groups[&number].phase,
+        GroupPhase::Serving
+    );
+}
+
+#[test]
+fn rank_zero_that_the_list_lost_is_a_loss_as_nobody_sends_there() {
+    let mut domain = Domain::serving(&[8]);
+    let (number, members) = domain.group_of(LARGE);
+    domain.engine(&members[0]).is_listed = false;
+    domain.run_for(seconds(1));
+    assert!(!domain.stored.value.groups.contains_key(&number));
+}
+
+#[test]
+fn a_list_that_is_older_than_the_assignment_dissolves_nothing() {
+    let mut domain = Domain::new(&[8]);
+    domain.run_for(Duration::from_millis(100));
+    domain.list_moves = false;
+    domain.run_for(seconds(2));
+    // Its successor reads what is stored, and a list from before the groups.
+    domain.change_holder();
+    let groups = domain.stored.value.groups.len();
+    domain.run_for(seconds(5));
+    assert_eq!(domain.stored.value.groups.len(), groups);
+    assert!(groups > 0);
+}
+
+#[test]
+fn standing_groups_are_kept_by_a_holder_that_starts_with_nothing() {
+    let mut domain = Domain::serving(&[8, 8]);
+    let before = domain.stored.value.groups.clone();
+    let orders = domain.orders;
+    domain.change_holder();
+    domain.run_for(seconds(10));
+    assert_eq!(domain.stored.value.groups, before);
+    assert_eq!(domain.orders, orders, "nothing had to be ordered");
+}
+
+#[test]
+fn members_of_a_silent_rank_zero_join_nothing_before_it_is_surely_broken() {
+    let mut domain = Domain::serving(&[4, 4]);
+    let (number, members) = domain.group_of(LARGE);
+    domain.go_dark(&members[0]);
+    let now = domain.now;
+    domain.controller.suspect(now, number);
+    domain.run_until("dissolved", |domain| {
+        !domain.stored.value.groups.contains_key(&number)
+    });
+    domain.run_for(seconds(4));
+    let value = &domain.stored.value;
+    assert!(value.releasing.contains_key(&members[1]), "still held back");
+    domain.run_for(seconds(3));
+    let value = &domain.stored.value;
+    assert!(!value.releasing.contains_key(&members[1]), "free by now");
+}
+
+#[test]
+fn orders_that_are_carried_out_late_put_no_host_in_two_groups() {
+    let mut domain = Domain::new(&[8]);
+    domain.loses_answers = true;
+    domain.run_for(seconds(4));
+    domain.loses_answers = false;
+    domain.run_for(seconds(3));
+    domain.land_late_orders();
+    domain.run_for(seconds(90));
+    assert_eq!(domain.open_groups(LARGE) + domain.open_groups(SMALL), 3);
+}
+
+#[test]
+fn loads_begin_no_faster_than_the_rate_allows() {
+    let mut domain = Domain::new(&[8, 8]);
+    domain.loads_are_free = false;
+    domain.run_for(seconds(20));
+    for (index, first) in domain.loads.iter().enumerate() {
+        let in_window = domain.loads[index..]
+            .iter()
+            .filter(|at| at.since(*first) < seconds(5));
+        // 4 a second, a tenth more, and 3.
+        assert!(in_window.count() <= 25);
+    }
+    assert!(domain.loads.len() >= 16, "all hosts load in the end");
+}
+
+#[test]
+fn a_group_with_a_leaving_host_is_replaced_and_its_rank_zero_finishes_first() {
+    let mut domain = Domain::serving(&[8]);
+    let (number, members) = domain.group_of(SMALL);
+    domain.engine(&members[1]).is_leaving = true;
+    domain.run_until("gone", |domain| {
+        !domain.stored.value.groups.contains_key(&number)
+    });
+    assert_eq!(domain.engines[&members[0]].phase, EnginePhase::Idle);
+}
+
+#[test]
+fn a_stray_host_leaves_its_old_group_before_it_is_used() {
+    let mut domain = Domain::serving(&[8]);
+    let (number, members) = domain.group_of(LARGE);
+    // It is cut off, its group dissolved without it; then it is back and still open.
+    domain.go_dark(&members[0]);
+    domain.engine(&members[0]).is_listed = false;
+    domain.run_for(seconds(10));
+    assert!(!domain.stored.value.groups.contains_key(&number));
+    let head = domain.engine(&members[0]);
+    head.is_reachable = true;
+    head.is_listed = true;
+    domain.run_until("left", |domain| {
+        domain.engines[&members[0]].group != Some(number)
+    });
+    assert_eq!(host(0).as_str(), "host-00");
+}
--- /dev/null
+++ b/shalehinge/tests/ordered_support/mod.rs
@@ -0,0 +1,432 @@
+//! A controller before engines that join and open by order, with an oracle.
+//!
+//! The engines take an order only if its group is not older than their last. The
+//! oracle panics when a host joins a group while rank 0 of the group it stands in
+//! takes requests, and when a group opens that is not whole.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use shalehinge::core::controller::{Controller, ControllerAction, Listing};
+use shalehinge::core::engine::{
+    Command, EngineLoad, EnginePhase, EngineStatus, HeldModel, Order, OrderReply,
+};
+use shalehinge::core::fleet_state::{FleetState, ObjectUpdate};
+use shalehinge::core::objects::{
+    Assignment, FleetConfig, GroupPhase, HostList, HostRecord, HostState, LoadRate, ModelProfile,
+    Object, ObjectKey, Versioned,
+};
+use shalehinge::core::types::{
+    Epoch, FabricDomain, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion, OperationId,
+    ServiceName, Timestamp, Version,
+};
+use shalehinge::settings::control::{Assembly, ControlSettings};
+
+const STEP: Duration = Duration::from_millis(50);
+const WARM_JOIN: Duration = Duration::from_millis(1_500);
+const COLD_JOIN: Duration = Duration::from_secs(15);
+
+pub const LARGE: &str = "s/large";
+pub const SMALL: &str = "s/small";
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    pub group: Option<GroupNumber>,
+    pub phase: EnginePhase,
+    pub staged: Vec<ModelName>,
+    pub is_listed: bool,
+    pub is_reachable: bool,
+    pub is_leaving: bool,
+    fabric: usize,
+    members: Vec<HostId>,
+    model: Option<ModelName>,
+    ready_at: Timestamp,
+    newest: GroupNumber,
+}
+
+/// The failure domain with its controller.
+pub struct Domain {
+    pub controller: Controller,
+    pub engines: BTreeMap<HostId, Engine>,
+    pub stored: Versioned<Assignment>,
+    pub now: Timestamp,
+    /// Whether the list still tells what is new.
+    pub list_moves: bool,
+    pub loads_are_free: bool,
+    pub loads: Vec<Timestamp>,
+    pub orders: usize,
+    /// Orders that go unanswered and are carried out later.
+    pub late: Vec<(HostId, Order)>,
+    pub loses_answers: bool,
+    state: FleetState,
+    list_version: u64,
+    as_of: Timestamp,
+}
+
+pub fn host(number: usize) -> HostId {
+    HostId::new(&format!("host-{number:02}"))
+}
+
+fn settings() -> ControlSettings {
+    ControlSettings {
+        assembly: Assembly::Orders,
+        loss_confirm: Duration::from_millis(300),
+        forming_timeout: Duration::from_secs(40),
+        avoid_unreachable: Duration::from_secs(5),
+        max_forming: 100,
+        ..ControlSettings::default()
+    }
+}
+
+fn profile(hosts_per_replica: u32, work_share: f64) -> ModelProfile {
+    ModelProfile {
+        service: ServiceName::new("s"),
+        hosts_per_replica,
+        work_share,
+        pace: 1.0,
+        slots: 26,
+    }
+}
+
+fn fleet() -> FleetConfig {
+    FleetConfig {
+        profiles: BTreeMap::from([
+            (ModelName::new(LARGE), profile(4, 0.67)),
+            (ModelName::new(SMALL), profile(2, 0.33)),
+        ]),
+        load_rate: Some(LoadRate { per_second: 4.0 }),
+        ..FleetConfig::default()
+    }
+}
+
+impl Domain {
+    /// Fabric domains of these sizes, nothing formed yet, loads free.
+    pub fn new(fabrics: &[usize]) -> Self {
+        let mut engines = BTreeMap::new();
+        for (fabric, count) in fabrics.iter().enumerate() {
+            for _ in 0..*count {
+                engines.insert(host(engines.len()), Engine::new(fabric));
+            }
+        }
+        let mut state = FleetState::default();
+        state.apply(ObjectUpdate {
+            key: ObjectKey::Fleet,
+            version: Version(1),
+            object: Object::Fleet(fleet()),
+        });
+        Self {
+            controller: Controller::new(settings(), FailureDomain::new("d")),
+            engines,
+            stored: Versioned {
+                version: Version(0),
+                value: Assignment::default(),
+            },
+            now: Timestamp::from_millis(1_000),
+            list_moves: true,
+            loads_are_free: true,
+            loads: Vec::new(),
+            orders: 0,
+            late: Vec::new(),
+            loses_answers: false,
+            state,
+            list_version: 0,
+            as_of: Timestamp::ZERO,
+        }
+    }
+
+    /// The same with all groups open, and loads no longer free.
+    pub fn serving(fabrics: &[usize]) -> Self {
+        let mut domain = Self::new(fabrics);
+        domain.run_for(Duration::from_secs(90));
+        domain.loads_are_free = false;
+        domain.loads.clear();
+        domain
+    }
+
+    pub fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Steps until the condition holds, a minute at most.
+    pub fn run_until(&mut self, what: &str, condition: impl Fn(&Self) -> bool) -> Duration {
+        let began = self.now;
+        while !condition(self) {
+            self.step();
+            let passed = self.now.since(began);
+            assert!(passed < Duration::from_secs(60), "never: {what}");
+        }
+        self.now.since(began)
+    }
+
+    /// Another daemon takes over, which knows nothing but what is stored.
+    pub fn change_holder(&mut self) {
+        self.controller = Controller::new(settings(), FailureDomain::new("d"));
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        for engine in self.engines.values_mut() {
+            if engine.phase == EnginePhase::Loading && self.now >= engine.ready_at {
+                engine.phase = EnginePhase::Ready;
+            }
+        }
+        self.update_list();
+        let listing = Listing {
+            as_of: Some(self.as_of),
+            loads_are_free: self.loads_are_free,
+            domains: 1,
+        };
+        let (epoch, operation) = (Some(Epoch(1)), OperationId(1));
+        let actions = self
+            .controller
+            .tick(self.now, epoch, &self.state, listing, operation);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn update_list(&mut self) {
+        if !self.list_moves {
+            return;
+        }
+        self.as_of = self.now;
+        self.list_version += 1;
+        let listed = self.engines.iter().filter(|(_, engine)| engine.is_listed);
+        let hosts = listed
+            .map(|(id, engine)| (id.clone(), engine.record(id)))
+            .collect();
+        self.state.apply(ObjectUpdate {
+            key: ObjectKey::Hosts,
+            version: Version(self.list_version),
+            object: Object::Hosts(HostList { hosts }),
+        });
+    }
+
+    fn act(&mut self, action: ControllerAction) {
+        match action {
+            ControllerAction::Read => {
+                let stored = self.stored.clone();
+                self.controller.on_read(Some(stored));
+            }
+            ControllerAction::Write { expect, value } => {
+                assert_eq!(expect, self.stored.version);
+                value.check().expect("a host is in one place");
+                let version = Version(expect.0 + 1);
+                self.stored = Versioned { version, value };
+                self.controller.on_written(version);
+            }
+            ControllerAction::Order { host, order, .. } => self.order(host, order),
+            ControllerAction::Probe { rank_zero, .. } => {
+                let engine = &self.engines[&rank_zero.host];
+                if engine.is_reachable {
+                    let status = engine.status(&rank_zero.host);
+                    self.controller.on_status(self.now, self.now, status);
+                } else {
+                    let asked_at = self.now.minus(Duration::from_millis(300));
+                    self.controller
+                        .on_no_status(self.now, asked_at, &rank_zero.host);
+                }
+            }
+            ControllerAction::Log(_) => {}
+        }
+    }
+
+    fn order(&mut self, host: HostId, order: Order) {
+        self.orders += 1;
+        if self.loses_answers {
+            self.late.push((host.clone(), order));
+            self.controller.on_no_status(self.now, self.now, &host);
+            return;
+        }
+        if !self.engines[&host].is_reachable {
+            let asked_at = self.now.minus(Duration::from_millis(300));
+            self.controller.on_no_status(self.now, asked_at, &host);
+            return;
+        }
+        let accepted = self.carry_out(&host, &order);
+        let reply = OrderReply {
+            accepted,
+            status: self.engines[&host].status(&host),
+        };
+        self.controller
+            .on_order_reply(self.now, self.now, &host, &order, reply);
+    }
+
+    /// Orders that went unanswered reach their engines now.
+    pub fn land_late_orders(&mut self) {
+        for (host, order) in std::mem::take(&mut self.late) {
+            self.carry_out(&host, &order);
+        }
+    }
+
+    fn carry_out(&mut self, host: &HostId, order: &Order) -> bool {
+        let now = self.now;
+        match &order.command {
+            Command::Load(load) => {
+                if order.group < self.engines[host].newest {
+                    return false;
+                }
+                if self.engines[host].group == Some(order.group) {
+                    return true;
+                }
+                self.check_not_in_open_group(host, order.group);
+                let engine = self.engines.get_mut(host).expect("known");
+                let is_warm = engine.staged.contains(&load.model)
+                    || engine.model.as_ref() == Some(&load.model);
+                if !is_warm {
+                    self.loads.push(now);
+                    engine.staged = vec![load.model.clone()];
+                }
+                let time = if is_warm { WARM_JOIN } else { COLD_JOIN };
+                let free = self.loads_are_free && !is_warm;
+                engine.ready_at = now + if free { time / 10 } else { time };
+                engine.phase = EnginePhase::Loading;
+                engine.group = Some(order.group);
+                engine.newest = order.group;
+                engine.model = Some(load.model.clone());
+                engine.members = load.hosts.clone();
+                true
+            }
+            Command::Open => {
+                let engine = &self.engines[host];
+                if engine.group != Some(order.group) || engine.phase != EnginePhase::Ready {
+                    return false;
+                }
+                for member in engine.members.clone() {
+                    let status = self.engines[&member].status(&member);
+                    assert!(
+                        status.shows_ready(order.group),
+                        "group {} opens without {member}",
+                        order.group.0
+                    );
+                }
+                self.engines.get_mut(host).expect("known").phase = EnginePhase::Serving;
+                true
+            }
+            Command::Release { drain } => {
+                let engine = self.engines.get_mut(host).expect("known");
+                if engine.group == Some(order.group) {
+                    if *drain {
+                        engine.phase = EnginePhase::Ready;
+                    } else {
+                        engine.group = None;
+                        engine.phase = EnginePhase::Idle;
+                    }
+                }
+                true
+            }
+            Command::Stage { model } => {
+                self.loads.push(now);
+                let engine = self.engines.get_mut(host).expect("known");
+                engine.staged = vec![model.clone()];
+                true
+            }
+        }
+    }
+
+    fn check_not_in_open_group(&self, host: &HostId, joins: GroupNumber) {
+        let engine = &self.engines[host];
+        let Some(head) = engine.members.first().filter(|_| engine.group.is_some()) else {
+            return;
+        };
+        let head = &self.engines[head];
+        let is_open = head.group == engine.group && head.phase == EnginePhase::Serving;
+        assert!(
+            !is_open,
+            "{host} joins {} while {:?} takes requests",
+            joins.0, engine.group
+        );
+    }
+
+    /// Groups whose rank 0 takes requests, by model.
+    pub fn open_groups(&self, model: &str) -> usize {
+        let groups = self.stored.value.groups.iter();
+        groups
+            .filter(|(number, group)| {
+                let head = &self.engines[&group.members[0].host];
+                group.model.as_str() == model
+                    && group.phase == GroupPhase::Serving
+                    && head.group == Some(**number)
+                    && head.phase == EnginePhase::Serving
+            })
+            .count()
+    }
+
+    /// A group of this model that serves, with its members.
+    pub fn group_of(&self, model: &str) -> (GroupNumber, Vec<HostId>) {
+        let groups = self.stored.value.groups.iter();
+        let mut serving = groups.filter(|(_, group)| {
+            group.model.as_str() == model && group.phase == GroupPhase::Serving
+        });
+        let (number, group) = serving.next().expect("one serves");
+        let members = group.members.iter().map(|m| m.host.clone()).collect();
+        (*number, members)
+    }
+
+    pub fn engine(&mut self, host: &HostId) -> &mut Engine {
+        self.engines.get_mut(host).expect("known")
+    }
+
+    /// The host is dark: it answers nobody, and the list forgets it after a while.
+    pub fn go_dark(&mut self, host: &HostId) {
+        self.engine(host).is_reachable = false;
+    }
+}
+
+impl Engine {
+    fn new(fabric: usize) -> Self {
+        Self {
+            group: None,
+            phase: EnginePhase::Idle,
+            staged: Vec::new(),
+            is_listed: true,
+            is_reachable: true,
+            is_leaving: false,
+            fabric,
+            members: Vec::new(),
+            model: None,
+            ready_at: Timestamp::ZERO,
+            newest: GroupNumber(0),
+        }
+    }
+
+    fn status(&self, host: &HostId) -> EngineStatus {
+        EngineStatus {
+            host: host.clone(),
+            phase: self.phase,
+            group: self.group,
+            held: self.model.clone().map(|model| HeldModel {
+                model,
+                version: ModelVersion::new("current"),
+            }),
+            members_present: 0,
+            member_count: 0,
+            members_age_ms: 0,
+            load: EngineLoad::default(),
+        }
+    }
+
+    fn record(&self, host: &HostId) -> HostRecord {
+        HostRecord {
+            address: ([10, 0, 0, 1], 1).into(),
+            failure_domain: FailureDomain::new("d"),
+            fabric_domain: FabricDomain::new(&format!("fabric-{}", self.fabric)),
+            accelerators: 1,
+            state: if self.is_leaving {
+                HostState::Leaving
+            } else {
+                HostState::Live
+            },
+            service: Some(ServiceName::new("s")),
+            slots: Some(26),
+            staged: self.staged.clone(),
+            status: Some(self.status(host)),
+        }
+    }
+}
