--- a/shalehinge/src/core/router/choose.rs
+++ b/shalehinge/src/core/router/choose.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use rand::seq::IteratorRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 
 use crate::core::types::Timestamp;
 use crate::settings::router::{ChoicePolicy, RouterSettings};
@@ -132,6 +132,8 @@
     }
     picked.sort_unstable();
     picked.dedup();
+    // The first of equals wins: no daemon may have the same first one each time.
+    picked.shuffle(rng);
     let scored: Vec<(usize, Candidate)> = picked
         .into_iter()
         .map(|index| {
--- a/shalehinge/src/gateway/relay.rs
+++ b/shalehinge/src/gateway/relay.rs
@@ -334,6 +334,9 @@
                     if outcome == Outcome::Completed {
                         return None;
                     }
+                    // What came before the break goes out first: the server flushes
+                    // whenever nothing is at hand, and drops the rest on an error.
+                    futures_lite::future::yield_now().await;
                     return Some((Err(broken_off()), None));
                 }
                 Err(_) => return Some((Err(broken_off()), None)),
--- a/shalehinge/src/process/run.rs
+++ b/shalehinge/src/process/run.rs
@@ -36,12 +36,20 @@
     callers: smol::net::TcpListener,
     operators: smol::net::TcpListener,
     peers: smol::net::TcpListener,
-    ready: Option<smol::net::TcpListener>,
+    ready: Option<(smol::net::TcpListener, SocketAddr)>,
     caller_address: SocketAddr,
     operator_address: SocketAddr,
     peer_address: SocketAddr,
 }
 
+impl Listeners {
+    /// Where the balancer asks.
+    fn ready_address(&self) -> SocketAddr {
+        let own = self.ready.as_ref().map(|(_, address)| *address);
+        own.unwrap_or(self.caller_address)
+    }
+}
+
 /// Runs a daemon with the product's own interfaces until it is told to stop.
 pub async fn run(settings: Settings) -> Result<(), ListenError> {
     let timeouts = Timeouts::default();
@@ -67,12 +75,13 @@
     let listeners = listen(&settings)?;
     let (driver, has_stopped) = build(&settings, listeners.peer_address, clients);
     log::info!(
-        "daemon: {} in {} listens to callers on {}, to operators on {}, to peers on {}",
+        "daemon: {} in {} listens to callers on {}, to operators on {}, to peers on {}, tells readiness on {}",
         settings.daemon.name,
         settings.daemon.failure_domain,
         listeners.caller_address,
         listeners.operator_address,
-        listeners.peer_address
+        listeners.peer_address,
+        listeners.ready_address()
     );
     let servers = serve(&settings, &driver, listeners, relay);
     let ticks = spawn(tick(driver.clone()));
@@ -98,7 +107,7 @@
     let (operators, operator_address) = bind(daemon.operators)?;
     let (peers, peer_address) = bind(daemon.peers)?;
     let ready = match daemon.ready {
-        Some(address) => Some(bind(address)?.0),
+        Some(address) => Some(bind(address)?),
         None => None,
     };
     Ok(Listeners {
@@ -151,7 +160,7 @@
         .with_received_body_max_len(limits.max_body_bytes);
     let control = HttpConfig::default();
     let mut servers = Vec::new();
-    if let Some(listener) = listeners.ready {
+    if let Some((listener, _)) = listeners.ready {
         let handler = gateway::handler::ready_handler(context.clone());
         servers.push(spawn_server(
             listener,
