test: listed routing, learning, shares; estimates refuse nothing that need not wait

Found by the tests, each red first: an estimate of 40 s between tokens still kept requests out with every upstream free (so the guard of four times was wrong: who need not wait is let in); replicas that fit were cut to none where a small one had room; a model without a share lost its only replica. Each relayed request is logged with its caller's id.

--- a/shalehinge/src/core/placement/shares.rs
+++ b/shalehinge/src/core/placement/shares.rs
@@ -48,26 +48,48 @@
     counts
 }
 
-/// As many of these replicas as find room; the richest model gives up first.
+/// As many of these replicas as find room. The richest model gives up first, its last
+/// replica only when no model has more than one; what room is left then is used.
 pub fn replicas_that_fit(
     profiles: &BTreeMap<ModelName, ModelProfile>,
     fabric_sizes: &[usize],
     wanted: ReplicaCounts,
 ) -> ReplicaCounts {
-    let mut counts = wanted;
+    let mut counts = wanted.clone();
     while !fits(profiles, &counts, fabric_sizes) {
-        let richest = profiles
-            .iter()
-            .filter(|(model, _)| counts[*model] > 0)
-            .max_by(|a, b| supply(&counts, a.0, a.1).total_cmp(&supply(&counts, b.0, b.1)));
-        let Some((model, _)) = richest else {
+        let giver = richest(profiles, &counts, 1).or_else(|| richest(profiles, &counts, 0));
+        let Some(model) = giver else {
             break;
         };
-        *counts.entry(model.clone()).or_default() -= 1;
+        *counts.entry(model).or_default() -= 1;
+    }
+    for (model, most) in &wanted {
+        while counts[model] < *most {
+            let mut more = counts.clone();
+            *more.entry(model.clone()).or_default() += 1;
+            if !fits(profiles, &more, fabric_sizes) {
+                break;
+            }
+            counts = more;
+        }
     }
     counts
 }
 
+/// The model with the most hosts against its part, of those with more than `least`
+/// replicas.
+fn richest(
+    profiles: &BTreeMap<ModelName, ModelProfile>,
+    counts: &ReplicaCounts,
+    least: u32,
+) -> Option<ModelName> {
+    profiles
+        .iter()
+        .filter(|(model, _)| counts[*model] > least)
+        .max_by(|a, b| supply(counts, a.0, a.1).total_cmp(&supply(counts, b.0, b.1)))
+        .map(|(model, _)| model.clone())
+}
+
 /// Hosts of a model's replicas against its part of the work.
 fn supply(counts: &ReplicaCounts, model: &ModelName, profile: &ModelProfile) -> f64 {
     const LEAST_SHARE: f64 = 1e-3;
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -26,9 +26,6 @@
 const MOST_TICK_GAP: Duration = Duration::from_millis(300);
 /// Part of a shared burst that is used: not all daemons know of each other.
 const SAFE_BURST: f64 = 0.7;
-/// How far a request's estimated time may exceed what it has left, where an upstream
-/// is free: the estimate is of others, and only what is let in can correct it.
-const PATIENCE: u32 = 4;
 /// Candidates named in a log line.
 const LOGGED_CANDIDATES: usize = 4;
 
@@ -231,7 +228,7 @@
         let wait = state.wait_of(&meta.customer, share, state.cost_of(meta));
         let has_room = state.queue.is_empty() && state.upstreams.iter().any(|u| u.is_eligible(now));
         let service_time = state.service_time(meta);
-        if has_room && service_time <= time_left * PATIENCE {
+        if has_room {
             // An estimate from bad times must not keep out what could show better.
             return None;
         }
@@ -272,6 +269,7 @@
         let cost = state.cost_of(&meta);
         let pending = Pending {
             meta,
+            came_at: now,
             attempts: 0,
             runs: 0,
             tried: Vec::new(),
@@ -319,9 +317,11 @@
                 continue;
             };
             let time_left = pending.meta.deadline.since(now);
+            let has_waited = now > pending.came_at;
             let too_late = self.settings.early_refusal
+                && has_waited
                 && pending.attempts == 0
-                && state.service_time(&pending.meta) > time_left * PATIENCE;
+                && state.service_time(&pending.meta) > time_left;
             if too_late {
                 state.queue.pop();
                 self.waiting -= 1;
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -21,6 +21,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Pending {
     pub(super) meta: RequestMeta,
+    pub(super) came_at: Timestamp,
     pub(super) attempts: u32,
     /// Attempts that may have run.
     pub(super) runs: u32,
--- a/shalehinge/src/gateway/relay.rs
+++ b/shalehinge/src/gateway/relay.rs
@@ -100,7 +100,9 @@
         Ok(prepared) => prepared,
         Err(answer) => return answer.write(conn),
     };
+    let came = arrival(&meta, &outgoing);
     let (request, parts) = context.driver.submit(meta, outgoing);
+    log::info!(target: "shalehinge", "route: request {} {came}", request.0);
     let guard = LeaveGuard::new(context.driver.clone(), request);
     let first = conn
         .cancel_on_disconnect(wait_for_first(parts.clone()))
@@ -117,6 +119,22 @@
     }
 }
 
+/// What a log line says of a request that came in; its id finds it again.
+fn arrival(meta: &RequestMeta, outgoing: &OutgoingRequest) -> String {
+    let id = outgoing
+        .relay
+        .as_ref()
+        .and_then(|relay| relay.request_id.as_deref());
+    format!(
+        "is {} of {} for {}, {} {}",
+        id.unwrap_or("without id"),
+        meta.customer,
+        meta.target,
+        outgoing.method,
+        outgoing.path
+    )
+}
+
 async fn prepare(
     context: &GatewayContext,
     names: RelayNames,
--- a/shalehinge/src/process/run.rs
+++ b/shalehinge/src/process/run.rs
@@ -75,14 +75,15 @@
     let listeners = listen(&settings)?;
     let (driver, has_stopped) = build(&settings, listeners.peer_address, clients);
     log::info!(
-        "daemon: {} in {} listens to callers on {}, to operators on {}, to peers on {}, tells readiness on {}",
+        "daemon: {} in {} listens to callers on {}, to operators on {}, to peers on {}",
         settings.daemon.name,
         settings.daemon.failure_domain,
         listeners.caller_address,
         listeners.operator_address,
-        listeners.peer_address,
-        listeners.ready_address()
+        listeners.peer_address
     );
+    let ready_address = listeners.ready_address();
+    log::info!("daemon: tells readiness on {ready_address}");
     let servers = serve(&settings, &driver, listeners, relay);
     let ticks = spawn(tick(driver.clone()));
     wait_for_signal().await;
--- /dev/null
+++ b/shalehinge/tests/learning.rs
@@ -0,0 +1,255 @@
+//! What a daemon learns from the platform and from peers, and how fresh it is.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use shalehinge::core::feed::Feed;
+use shalehinge::core::fleet_state::{FleetState, ObjectUpdate};
+use shalehinge::core::objects::{
+    CustomerConfig, FleetConfig, HostChanges, HostList, HostRecord, HostState, ModelProfile,
+    Object, ObjectKey, RequestKind, RouteConfig, WeightedService,
+};
+use shalehinge::core::placement::shares::{replicas_by_share, replicas_that_fit};
+use shalehinge::core::platform::{NoAnswer, PlatformCall, PlatformReply, Revision, Scope};
+use shalehinge::core::routes::{RouteQuery, RouteRefusal, RouteTable};
+use shalehinge::core::types::{
+    Customer, FabricDomain, FailureDomain, HostId, ModelName, ServiceName, Timestamp, Version,
+};
+
+const WAIT: Duration = Duration::from_secs(1);
+const SPACING: Duration = Duration::from_millis(300);
+const PAUSE: Duration = Duration::from_millis(500);
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn objects(revision: u64) -> PlatformReply {
+    PlatformReply::Objects {
+        revision: Revision(revision),
+        updates: Vec::new(),
+    }
+}
+
+#[test]
+fn a_feed_lists_once_then_watches_from_there() {
+    let mut feed = Feed::new(Scope::Hosts);
+    let list = PlatformCall::List(Scope::Hosts);
+    assert_eq!(feed.next_call(at(10), true, WAIT), Some(list));
+    assert_eq!(feed.next_call(at(11), true, WAIT), None, "one at a time");
+    feed.on_answer(at(20), &Ok(objects(7)), SPACING, PAUSE);
+    assert_eq!(feed.next_call(at(21), true, WAIT), None, "spaced");
+    let watch = PlatformCall::Watch {
+        scope: Scope::Hosts,
+        after: Revision(7),
+        wait: WAIT,
+    };
+    assert_eq!(feed.next_call(at(310), true, WAIT), Some(watch));
+}
+
+#[test]
+fn an_answer_is_as_fresh_as_its_question() {
+    let mut feed = Feed::new(Scope::Configuration);
+    feed.next_call(at(10), true, WAIT);
+    feed.on_answer(at(900), &Ok(objects(7)), SPACING, PAUSE);
+    assert_eq!(feed.as_of(), Some(at(10)));
+    feed.next_call(at(1_000), true, WAIT);
+    feed.on_answer(at(3_000), &Err(NoAnswer), SPACING, PAUSE);
+    assert_eq!(feed.as_of(), Some(at(10)), "no answer proves nothing");
+}
+
+#[test]
+fn forgotten_history_is_listed_again() {
+    let mut feed = Feed::new(Scope::Hosts);
+    feed.next_call(at(10), true, WAIT);
+    feed.on_answer(at(20), &Ok(objects(7)), SPACING, PAUSE);
+    feed.next_call(at(400), true, WAIT);
+    feed.on_answer(at(410), &Ok(PlatformReply::HistoryGone), SPACING, PAUSE);
+    let list = PlatformCall::List(Scope::Hosts);
+    assert_eq!(feed.next_call(at(410), true, WAIT), Some(list));
+}
+
+fn record(port: u16) -> HostRecord {
+    HostRecord {
+        address: ([10, 0, 0, 1], port).into(),
+        failure_domain: FailureDomain::new("d"),
+        fabric_domain: FabricDomain::new("f"),
+        accelerators: 1,
+        state: HostState::Live,
+        service: None,
+        slots: None,
+        staged: Vec::new(),
+        status: None,
+    }
+}
+
+fn update(version: u64, object: Object) -> ObjectUpdate {
+    ObjectUpdate {
+        key: ObjectKey::Hosts,
+        version: Version(version),
+        object,
+    }
+}
+
+#[test]
+fn changes_of_the_host_list_are_laid_over_it_and_never_take_it_back() {
+    let (a, b) = (HostId::new("a"), HostId::new("b"));
+    let mut state = FleetState::default();
+    let change = |version, changed: &HostId, removed: Option<&HostId>| {
+        update(
+            version,
+            Object::HostChanges(HostChanges {
+                changed: BTreeMap::from([(changed.clone(), record(2))]),
+                removed: removed.into_iter().cloned().collect::<BTreeSet<_>>(),
+            }),
+        )
+    };
+    assert!(!state.apply(change(3, &b, None)), "over nothing");
+    let hosts = BTreeMap::from([(a.clone(), record(1))]);
+    assert!(state.apply(update(5, Object::Hosts(HostList { hosts }))));
+    assert!(!state.apply(change(4, &b, None)), "older");
+    assert!(state.apply(change(6, &b, Some(&a))));
+    let known: Vec<HostId> = state
+        .hosts()
+        .expect("known")
+        .value
+        .hosts
+        .keys()
+        .cloned()
+        .collect();
+    assert_eq!(known, [b]);
+}
+
+fn route(host: &str, prefix: &str, service: &str) -> RouteConfig {
+    RouteConfig {
+        name: prefix.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RequestKind::Repeatable,
+        timeout_ms: 1_000,
+        target_latency_ms: 100,
+        rank: 2,
+        max_attempts: 2,
+        is_anonymous: false,
+        is_resumable: false,
+        backends: vec![WeightedService {
+            service: ServiceName::new(service),
+            weight: 1,
+        }],
+    }
+}
+
+fn fleet(routes: Vec<RouteConfig>) -> FleetConfig {
+    let customer = CustomerConfig {
+        key_sha256: vec!["good".into()],
+        share: 1,
+        rank: Some(0),
+    };
+    FleetConfig {
+        routes,
+        customers: BTreeMap::from([(Customer::new("one"), customer)]),
+        ..FleetConfig::default()
+    }
+}
+
+fn query<'a>(host: &'a str, path: &'a str, key: Option<&'a str>) -> RouteQuery<'a> {
+    RouteQuery {
+        host,
+        path,
+        key_sha256: key,
+        spread: 0,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_decides() {
+    let routes = vec![
+        route("h", "/a/", "short"),
+        route("h", "/a/b/", "long"),
+        route("other", "/a/b/c/", "other"),
+    ];
+    let table = RouteTable::new(Version(1), &fleet(routes));
+    let service = |path| {
+        let routed = table.find(query("h", path, Some("good")));
+        routed.map(|routed| routed.service.to_string())
+    };
+    assert_eq!(service("/a/b/c/d"), Ok("long".into()));
+    assert_eq!(service("/a/bc"), Ok("short".into()));
+    assert_eq!(service("/b/"), Err(RouteRefusal::UnknownRoute));
+}
+
+#[test]
+fn a_key_is_needed_unless_the_route_is_anonymous_and_its_rank_goes_first() {
+    let mut open = route("h", "/open/", "s");
+    open.is_anonymous = true;
+    let table = RouteTable::new(Version(1), &fleet(vec![route("h", "/a/", "s"), open]));
+    let refused = Err(RouteRefusal::UnknownKey);
+    assert_eq!(table.find(query("h", "/a/x", None)), refused);
+    assert_eq!(table.find(query("h", "/a/x", Some("bad"))), refused);
+    let routed = table
+        .find(query("h", "/a/x", Some("good")))
+        .expect("routed");
+    assert_eq!(routed.rank(), 0);
+    let routed = table.find(query("h", "/open/x", None)).expect("routed");
+    assert_eq!((routed.rank(), routed.holder.is_none()), (2, true));
+}
+
+#[test]
+fn services_get_requests_by_their_weights() {
+    let mut split = route("h", "/a/", "x");
+    split.backends = vec![
+        WeightedService {
+            service: ServiceName::new("x"),
+            weight: 90,
+        },
+        WeightedService {
+            service: ServiceName::new("y"),
+            weight: 10,
+        },
+    ];
+    let table = RouteTable::new(Version(1), &fleet(vec![split]));
+    let to_y = (0..1_000).filter(|spread| {
+        let query = RouteQuery {
+            spread: *spread,
+            ..query("h", "/a/", Some("good"))
+        };
+        table.find(query).expect("routed").service.as_str() == "y"
+    });
+    assert_eq!(to_y.count(), 100);
+}
+
+fn profile(hosts_per_replica: u32, work_share: f64) -> ModelProfile {
+    ModelProfile {
+        service: ServiceName::new("s"),
+        hosts_per_replica,
+        work_share,
+        pace: 1.0,
+        slots: 8,
+    }
+}
+
+#[test]
+fn hosts_follow_the_shares_and_the_rest_goes_to_small_replicas() {
+    let (large, small) = (ModelName::new("large"), ModelName::new("small"));
+    let profiles = BTreeMap::from([
+        (large.clone(), profile(4, 0.67)),
+        (small.clone(), profile(2, 0.33)),
+    ]);
+    let counts = replicas_by_share(&profiles, &[8, 8], 0.0);
+    assert_eq!((counts[&large], counts[&small]), (2, 4));
+    let fitting = replicas_that_fit(&profiles, &[8, 7], counts.clone());
+    assert_eq!((fitting[&large], fitting[&small]), (2, 3));
+    let fitting = replicas_that_fit(&profiles, &[3], counts);
+    assert_eq!((fitting[&large], fitting[&small]), (0, 1));
+}
+
+#[test]
+fn each_model_gets_a_replica_where_hosts_allow_it() {
+    let (busy, idle) = (ModelName::new("busy"), ModelName::new("idle"));
+    let profiles = BTreeMap::from([
+        (busy.clone(), profile(2, 1.0)),
+        (idle.clone(), profile(2, 0.0)),
+    ]);
+    let counts = replicas_by_share(&profiles, &[6], 0.0);
+    assert!(counts[&idle] >= 1 && counts[&busy] >= 1, "{counts:?}");
+}
--- /dev/null
+++ b/shalehinge/tests/listed_routing.rs
@@ -0,0 +1,353 @@
+//! Routing to upstreams that a list names: what stands still is left, attempts stay
+//! within the route, and keys count only as long as the configuration is confirmed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use shalehinge::core::router::request::{
+    Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta, Target, UnknownReason, UpstreamId,
+};
+use shalehinge::core::router::topology::Topology;
+use shalehinge::core::router::upstream::{Evidence, UpstreamSpec};
+use shalehinge::core::router::{Router, RouterAction};
+use shalehinge::core::types::{
+    Customer, FailureDomain, GroupNumber, HostId, Incarnation, ModelName, ReplicaId, RequestId,
+    Timestamp,
+};
+use shalehinge::settings::router::RouterSettings;
+
+struct Harness {
+    router: Router,
+    now: Timestamp,
+    rng: SmallRng,
+    sent: BTreeMap<u64, Vec<Attempt>>,
+    answers: BTreeMap<u64, Outcome>,
+    abandoned: usize,
+}
+
+fn target() -> Target {
+    Target::Model(ModelName::new("s/m"))
+}
+
+fn spec(number: u64) -> UpstreamSpec {
+    UpstreamSpec {
+        id: UpstreamId::Replica(ReplicaId {
+            failure_domain: FailureDomain::new("d"),
+            number: GroupNumber(number),
+        }),
+        address: ([10, 0, 0, 1], number as u16).into(),
+        group: Some(GroupNumber(number)),
+        remote: false,
+        accepts_new: true,
+        host: Some(HostId::new("host")),
+        evidence: Evidence::Listed,
+        slots: Some(8),
+    }
+}
+
+fn stream() -> RequestMeta {
+    RequestMeta {
+        customer: Customer::new("one"),
+        target: target(),
+        prompt_tokens: 100,
+        max_output_tokens: 50,
+        deadline: Timestamp::from_millis(60_000),
+        priority: 5,
+        key: None,
+        repeatable: true,
+        prefix: Vec::new(),
+        max_attempts: Some(2),
+        is_resumable: true,
+        credential: None,
+    }
+}
+
+fn keyed() -> RequestMeta {
+    RequestMeta {
+        credential: Some("a-hash".into()),
+        ..stream()
+    }
+}
+
+impl Harness {
+    fn with_replicas(count: u64) -> Self {
+        let settings = RouterSettings {
+            max_attempts: 5,
+            retry_burst: 50.0,
+            ..RouterSettings::default()
+        };
+        let mut router = Router::new(settings, Incarnation(1));
+        let specs = (0..count).map(spec).collect();
+        router.set_topology(Topology::from([(target(), specs)]));
+        let mut harness = Self {
+            router,
+            now: Timestamp::from_millis(1_000),
+            rng: SmallRng::seed_from_u64(1),
+            sent: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            abandoned: 0,
+        };
+        harness.advance(Duration::from_millis(200));
+        harness
+    }
+
+    fn submit(&mut self, request: u64, meta: RequestMeta) {
+        let mut out = Vec::new();
+        let id = RequestId(request);
+        self.router
+            .submit(self.now, id, meta, 1, &mut self.rng, &mut out);
+        self.take(out);
+    }
+
+    fn advance(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(50);
+            let mut out = Vec::new();
+            self.router.tick(self.now, &mut self.rng, &mut out);
+            self.take(out);
+        }
+    }
+
+    fn last(&self, request: u64) -> Attempt {
+        let attempts = self.sent.get(&request).expect("sent");
+        attempts.last().expect("sent").clone()
+    }
+
+    fn attempts(&self, request: u64) -> usize {
+        self.sent.get(&request).map_or(0, Vec::len)
+    }
+
+    fn output(&mut self, request: u64) {
+        let attempt = self.last(request).id;
+        self.router.on_output(self.now, RequestId(request), attempt);
+    }
+
+    fn progress(&mut self, request: u64) {
+        let attempt = self.last(request).id;
+        self.router
+            .on_progress(self.now, RequestId(request), attempt);
+    }
+
+    fn end(&mut self, request: u64, end: AttemptEnd) {
+        let attempt = self.last(request).id;
+        let mut out = Vec::new();
+        let id = RequestId(request);
+        self.router
+            .on_ended(self.now, id, attempt, end, &mut self.rng, &mut out);
+        self.take(out);
+    }
+
+    fn take(&mut self, out: Vec<RouterAction>) {
+        for action in out {
+            match action {
+                RouterAction::Send(attempt) => {
+                    let sent = self.sent.entry(attempt.request.0).or_default();
+                    sent.push(attempt);
+                }
+                RouterAction::Answer { request, outcome } => {
+                    let earlier = self.answers.insert(request.0, outcome);
+                    assert_eq!(earlier, None, "one answer a request");
+                }
+                RouterAction::Abandon(_) => self.abandoned += 1,
+                RouterAction::Log(_) => {}
+            }
+        }
+    }
+}
+
+#[test]
+fn a_stream_leaves_a_replica_that_stands_still_and_goes_on_elsewhere() {
+    let mut harness = Harness::with_replicas(2);
+    harness.submit(1, stream());
+    let first = harness.last(1).upstream;
+    harness.output(1);
+    harness.advance(Duration::from_millis(700));
+    assert_eq!(harness.attempts(1), 1, "a pause is no standstill");
+    harness.advance(Duration::from_millis(200));
+    assert_eq!(harness.attempts(1), 2);
+    assert_eq!(harness.abandoned, 1, "the first connection is closed");
+    assert_ne!(harness.last(1).upstream, first);
+}
+
+#[test]
+fn output_of_any_stream_shows_that_a_replica_moves() {
+    let mut harness = Harness::with_replicas(1);
+    harness.submit(1, stream());
+    harness.submit(2, stream());
+    harness.output(1);
+    harness.output(2);
+    for _ in 0..20 {
+        harness.advance(Duration::from_millis(200));
+        harness.progress(1);
+    }
+    assert_eq!((harness.attempts(2), harness.abandoned), (1, 0));
+}
+
+#[test]
+fn a_daemon_that_was_paused_does_not_take_all_replicas_for_still() {
+    let mut harness = Harness::with_replicas(2);
+    harness.submit(1, stream());
+    harness.output(1);
+    harness.now = harness.now + Duration::from_secs(5);
+    harness.advance(Duration::from_millis(50));
+    assert_eq!((harness.attempts(1), harness.abandoned), (1, 0));
+}
+
+#[test]
+fn a_replica_that_stands_still_is_told_to_whoever_holds_its_failure_domain() {
+    let mut harness = Harness::with_replicas(2);
+    harness.submit(1, stream());
+    harness.output(1);
+    harness.advance(Duration::from_secs(1));
+    assert_eq!(harness.router.suspects(harness.now).len(), 1);
+}
+
+#[test]
+fn a_stream_runs_on_no_more_upstreams_than_its_route_allows() {
+    let mut harness = Harness::with_replicas(4);
+    harness.submit(1, stream());
+    harness.output(1);
+    harness.end(1, AttemptEnd::Lost);
+    harness.output(1);
+    harness.end(1, AttemptEnd::Lost);
+    assert_eq!(harness.attempts(1), 2);
+    let reason = UnknownReason::Lost;
+    assert_eq!(harness.answers[&1], Outcome::Unknown { reason });
+}
+
+#[test]
+fn refusals_are_no_runs_and_may_go_on() {
+    let mut harness = Harness::with_replicas(4);
+    harness.submit(1, stream());
+    harness.end(1, AttemptEnd::Refused);
+    harness.end(1, AttemptEnd::Refused);
+    harness.end(1, AttemptEnd::Refused);
+    assert_eq!(harness.attempts(1), 4);
+    let used: BTreeSet<UpstreamId> = harness.sent[&1]
+        .iter()
+        .map(|a| a.upstream.clone())
+        .collect();
+    assert_eq!(used.len(), 4, "each somewhere else");
+}
+
+#[test]
+fn a_stream_that_was_seen_and_then_refused_elsewhere_is_not_called_not_run() {
+    let mut harness = Harness::with_replicas(1);
+    harness.submit(1, stream());
+    harness.output(1);
+    harness.end(1, AttemptEnd::Lost);
+    harness.router.set_topology(Topology::new());
+    harness.advance(Duration::from_secs(2));
+    let reason = UnknownReason::Lost;
+    assert_eq!(harness.answers[&1], Outcome::Unknown { reason });
+}
+
+#[test]
+fn a_key_counts_only_as_long_as_the_configuration_is_confirmed() {
+    let mut harness = Harness::with_replicas(1);
+    let until = harness.now + Duration::from_secs(1);
+    harness.router.set_keys_until(Some(until));
+    harness.submit(1, keyed());
+    assert_eq!(harness.last(1).valid_until, until, "nor is it sent later");
+    harness.now = until;
+    harness.submit(2, keyed());
+    assert!(matches!(
+        harness.answers[&2],
+        Outcome::NotRun {
+            reason: NotRunReason::OutOfDate,
+            ..
+        }
+    ));
+    harness.submit(3, stream());
+    assert_eq!(harness.attempts(3), 1, "without a key it goes on");
+}
+
+#[test]
+fn a_request_that_waits_while_its_key_goes_never_runs() {
+    let mut harness = Harness::with_replicas(1);
+    for request in 1..=60 {
+        harness.submit(request, keyed());
+    }
+    let waiting = (1..=60)
+        .filter(|request| harness.attempts(*request) == 0 && !harness.answers.contains_key(request))
+        .collect::<Vec<u64>>();
+    assert!(!waiting.is_empty());
+    let mut out = Vec::new();
+    harness.router.recheck_keys(|_| false, &mut out);
+    harness.take(out);
+    for request in waiting {
+        assert!(matches!(
+            harness.answers[&request],
+            Outcome::NotRun {
+                reason: NotRunReason::KeyTakenAway,
+                ..
+            }
+        ));
+        assert_eq!(harness.attempts(request), 0);
+    }
+}
+
+#[test]
+fn estimates_from_bad_times_keep_nothing_out_that_could_correct_them() {
+    let mut harness = Harness::with_replicas(2);
+    harness.submit(1, stream());
+    harness.output(1);
+    for _ in 0..200 {
+        harness.advance(Duration::from_millis(200));
+        harness.progress(1);
+    }
+    harness.end(1, AttemptEnd::Completed { output_tokens: 2 });
+    let hasty = RequestMeta {
+        deadline: harness.now + Duration::from_secs(8),
+        ..stream()
+    };
+    harness.submit(2, hasty);
+    assert_eq!(harness.attempts(2), 1);
+}
+
+#[test]
+fn equal_upstreams_get_equal_work() {
+    let mut harness = Harness::with_replicas(4);
+    for request in 0..400 {
+        harness.submit(request, stream());
+        harness.output(request);
+        harness.end(request, AttemptEnd::Completed { output_tokens: 5 });
+    }
+    let mut counts: BTreeMap<UpstreamId, usize> = BTreeMap::new();
+    for attempts in harness.sent.values() {
+        *counts.entry(attempts[0].upstream.clone()).or_default() += 1;
+    }
+    assert_eq!(counts.len(), 4);
+    assert!(counts.values().all(|count| *count > 50), "{counts:?}");
+}
+
+#[test]
+fn a_shared_burst_is_divided_and_a_new_daemon_has_saved_up_little() {
+    let settings = RouterSettings {
+        retry_burst: 90.0,
+        retry_burst_is_shared: true,
+        retry_ratio: 0.1,
+        max_attempts: 1_000,
+        ..RouterSettings::default()
+    };
+    let mut harness = Harness::with_replicas(8);
+    harness.router = Router::new(settings, Incarnation(2));
+    let specs = (0..8).map(spec).collect();
+    harness
+        .router
+        .set_topology(Topology::from([(target(), specs)]));
+    harness.router.set_sharers(9);
+    let endless = RequestMeta {
+        max_attempts: None,
+        ..stream()
+    };
+    harness.submit(1, endless);
+    while !harness.answers.contains_key(&1) {
+        harness.end(1, AttemptEnd::Refused);
+        harness.advance(Duration::from_millis(50));
+    }
+    assert!(harness.attempts(1) <= 4, "3 saved up, and none earned");
+}
