feat(learning): watches that may be stale, beside few exact ones

Change: two daemons of a failure domain ask exactly; the others watch with answers that may be stale (a tenth of the price, outside the rate) and ask a watcher what the configuration was confirmed at. A stale answer of a lower revision than one that was confirmed before the question shows a lag: the feed then asks exactly for 5 s. Nothing is taken back by an older answer.

--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -4,11 +4,11 @@
 
 use rand::Rng;
 
-use super::{Daemon, Purpose, RUMOUR_FANOUT, WATCH_PAUSE, log};
+use super::{Daemon, Purpose, RUMOUR_FANOUT, WATCH_DUTY, WATCH_PAUSE, log};
 use crate::core::event::{Action, Notice, Part};
-use crate::core::feed::Feed;
+use crate::core::feed::{Confirmation, Feed};
 use crate::core::fleet_state::ObjectUpdate;
-use crate::core::platform::{PlatformResult, Scope};
+use crate::core::platform::{Freshness, PlatformResult, Scope};
 use crate::core::router::topology;
 use crate::core::routes::RouteTable;
 use crate::core::types::Timestamp;
@@ -23,6 +23,15 @@
     stretched.min(MOST.max(spacing))
 }
 
+/// The confirmation of the higher revision; of two for the same, the later one.
+pub(super) fn newer(
+    known: Option<Confirmation>,
+    other: Option<Confirmation>,
+) -> Option<Confirmation> {
+    let order = |one: &Confirmation| (one.revision, one.at);
+    known.into_iter().chain(other).max_by_key(order)
+}
+
 impl Daemon {
     /// Reads each feed once, then watches it if it is this daemon's turn.
     pub(super) fn learn(&mut self, now: Timestamp, out: &mut Vec<Action>) {
@@ -30,25 +39,59 @@
             return;
         }
         let settings = self.settings.learning;
-        let may_watch = self
-            .membership
-            .is_responsible(now, "watch", settings.watchers);
         for index in 0..self.feeds.len() {
-            let wait = match self.feeds[index].scope() {
-                Scope::Hosts => settings.host_wait,
-                Scope::Shared | Scope::Configuration => settings.watch_wait,
+            let scope = self.feeds[index].scope();
+            let watch = self.watch_of(now, scope);
+            let is_slow = scope == Scope::Hosts || watch == Some(Freshness::MayBeStale);
+            let wait = if is_slow {
+                settings.host_wait
+            } else {
+                settings.watch_wait
             };
-            let call = self.feeds[index].next_call(now, may_watch, wait);
+            let call = self.feeds[index].next_call(now, watch, wait);
             if let Some(call) = call {
                 self.call(Purpose::Feed(index), call, out);
             }
         }
     }
 
+    /// How this daemon watches a scope now, if it does. The watchers of a failure
+    /// domain ask exactly. Where the others watch too, stale answers do for them as
+    /// long as a watcher confirms the configuration.
+    fn watch_of(&self, now: Timestamp, scope: Scope) -> Option<Freshness> {
+        let settings = self.settings.learning;
+        if !settings.stale_watches {
+            return self.is_watcher(now).then_some(Freshness::Exact);
+        }
+        let needs_exact = match scope {
+            Scope::Hosts => self.was_holder && !self.controller.trusts_absence(),
+            Scope::Shared | Scope::Configuration => {
+                self.is_watcher(now) || !self.is_confirmed_within(now, settings.ask_after)
+            }
+        };
+        Some(if needs_exact {
+            Freshness::Exact
+        } else {
+            Freshness::MayBeStale
+        })
+    }
+
+    /// Whether this daemon is one of its failure domain's watchers.
+    pub(super) fn is_watcher(&self, now: Timestamp) -> bool {
+        let watchers = self.settings.learning.watchers;
+        self.membership.is_responsible(now, WATCH_DUTY, watchers)
+    }
+
+    pub(super) fn is_confirmed_within(&self, now: Timestamp, within: Duration) -> bool {
+        self.confirmed_at()
+            .is_some_and(|confirmed_at| now.since(confirmed_at) < within)
+    }
+
     pub(super) fn on_fed(&mut self, now: Timestamp, index: usize, result: &PlatformResult) {
         let jitter = self.rng.random_range(0.0..1.0);
         let pause = WATCH_PAUSE.mul_f64(1.0 + jitter);
         let feed = &mut self.feeds[index];
+        self.confirmation = newer(self.confirmation, feed.confirmation(result));
         let spacing = match feed.scope() {
             // Whoever holds control is the first to need the news.
             Scope::Hosts if self.was_holder => self.settings.learning.host_spacing / 3,
@@ -58,7 +101,7 @@
             }
             Scope::Shared | Scope::Configuration => Duration::ZERO,
         };
-        feed.on_answer(now, result, spacing, pause);
+        feed.on_answer(now, result, spacing, pause, self.confirmation);
     }
 
     /// The time of which the configuration in force is known to be the newest.
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -31,7 +31,7 @@
 use crate::core::claims::{ClaimBook, ClaimResult};
 use crate::core::controller::Controller;
 use crate::core::event::{Action, Event, LogLine, Part, StatusPurpose};
-use crate::core::feed::Feed;
+use crate::core::feed::{Confirmation, Feed};
 use crate::core::fleet_state::FleetState;
 use crate::core::lease::ControlLease;
 use crate::core::membership::{Heartbeat, Membership};
@@ -52,6 +52,10 @@
 pub const TICK: Duration = Duration::from_millis(50);
 /// Daemons of a failure domain that try to get its lease.
 const CANDIDATES: usize = 3;
+/// The duty of asking the platform exactly.
+const WATCH_DUTY: &str = "watch";
+/// Time between two questions to a watcher whether the configuration still holds.
+const CONFIRM_SPACING: Duration = Duration::from_millis(400);
 /// Time between two tellings of replicas that lost a member.
 const SUSPECTS_INTERVAL: Duration = Duration::from_millis(500);
 /// Peers told at once of something new.
@@ -116,6 +120,9 @@
     feeds: Vec<Feed>,
     routes: RouteTable,
     confirmed_by_peer: Option<Timestamp>,
+    /// The newest revision that the platform is known to have reached.
+    confirmation: Option<Confirmation>,
+    next_confirm_at: Timestamp,
     next_suspects_at: Timestamp,
     was_holder: bool,
     /// A request came in since the start.
@@ -160,6 +167,8 @@
                 .collect(),
             routes: RouteTable::default(),
             confirmed_by_peer: None,
+            confirmation: None,
+            next_confirm_at: Timestamp::ZERO,
             next_suspects_at: Timestamp::ZERO,
             was_holder: false,
             has_served: false,
@@ -295,6 +304,7 @@
     fn tick(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         self.learn(now, out);
         self.pull(now, out);
+        self.ask_watcher(now, out);
         self.tick_lease(now, out);
         self.tick_controller(now, out);
         self.tick_claims(now, out);
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -3,12 +3,26 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::{CANDIDATES, Daemon, SUSPECTS_INTERVAL};
-use crate::core::event::{Action, Notice, Pull, PullId, PullReply};
-use crate::core::feed::Feed;
+use rand::seq::IndexedRandom;
+
+use super::configuration::newer;
+use super::{CANDIDATES, CONFIRM_SPACING, Daemon, SUSPECTS_INTERVAL, WATCH_DUTY};
+use crate::core::event::{Action, Notice, Pull, PullId, PullReply, Reached};
+use crate::core::feed::{Confirmation, Feed};
 use crate::core::platform::Scope;
 use crate::core::types::{FailureDomain, ReplicaId, Timestamp, Version};
 
+/// Milliseconds since then, rounded up: what is told must never seem newer.
+fn millis_since(now: Timestamp, at: Timestamp) -> u64 {
+    now.since(at).as_millis() as u64 + 1
+}
+
+/// So many milliseconds before then, if this daemon ran already.
+fn before(at: Timestamp, millis: u64) -> Option<Timestamp> {
+    let age = Duration::from_millis(millis);
+    (age < at.as_duration()).then(|| at.minus(age))
+}
+
 impl Daemon {
     pub(super) fn pull(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         if let Some(to) = self.membership.pull_target(now, &mut self.rng) {
@@ -17,6 +31,30 @@
         }
     }
 
+    /// Asks a watcher of the own failure domain, once what this daemon knows of the
+    /// configuration was not confirmed for a while.
+    pub(super) fn ask_watcher(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let settings = self.settings.learning;
+        let is_due = settings.stale_watches
+            && !self.has_stopped
+            && now >= self.next_confirm_at
+            && !self.is_confirmed_within(now, settings.confirm_after)
+            && !self.is_watcher(now);
+        if !is_due {
+            return;
+        }
+        self.next_confirm_at = now + CONFIRM_SPACING;
+        let domain = &self.identity.failure_domain;
+        let count = settings.watchers;
+        let watchers = self
+            .membership
+            .responsible_addresses(now, domain, WATCH_DUTY, count);
+        if let Some(to) = watchers.choose(&mut self.rng).copied() {
+            let pull = self.make_pull(now);
+            out.push(Action::Pull { to, pull });
+        }
+    }
+
     pub(super) fn make_pull(&mut self, now: Timestamp) -> Pull {
         let mut digest = self.state.digest();
         if self.knows_hosts(now) {
@@ -36,8 +74,8 @@
         self.feeds
             .iter()
             .filter(|feed| feed.scope() == Scope::Hosts)
-            .filter_map(Feed::as_of)
-            .any(|as_of| now.since(as_of) < FRESH)
+            .filter_map(Feed::heard_at)
+            .any(|heard_at| now.since(heard_at) < FRESH)
     }
 
     /// Tells those who may hold a failure domain that a replica of it lost a member.
@@ -88,9 +126,11 @@
         let reply = PullReply {
             heartbeats: self.membership.sample(now, &mut self.rng),
             updates: self.state.newer_than(&pull.digest),
-            confirmed_ms_ago: self
-                .confirmed_at()
-                .map(|at| now.since(at).as_millis() as u64 + 1),
+            confirmed_ms_ago: self.confirmed_at().map(|at| millis_since(now, at)),
+            reached: self.confirmation.map(|confirmation| Reached {
+                revision: confirmation.revision,
+                ms_ago: millis_since(now, confirmation.at),
+            }),
         };
         out.push(Action::AnswerPull { pull_id, reply });
     }
@@ -109,11 +149,14 @@
         self.apply(now, reply.updates, out);
         // The answer held whatever the peer knew that was newer than what is known here.
         if let Some(age) = reply.confirmed_ms_ago {
-            let age = Duration::from_millis(age);
-            let is_possible = age < asked_at.as_duration();
-            let confirmed_at = is_possible.then(|| asked_at.minus(age));
+            let confirmed_at = before(asked_at, age);
             self.confirmed_by_peer = self.confirmed_by_peer.max(confirmed_at);
         }
+        let reached = reply.reached.and_then(|reached| {
+            let revision = reached.revision;
+            before(asked_at, reached.ms_ago).map(|at| Confirmation { revision, at })
+        });
+        self.confirmation = newer(self.confirmation, reached);
     }
 
     pub(super) fn on_noticed(&mut self, now: Timestamp, notice: Notice, out: &mut Vec<Action>) {
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -8,7 +8,7 @@
 use super::fleet_state::{ObjectUpdate, VersionDigest};
 use super::membership::Heartbeat;
 use super::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
-use super::platform::{CallId, PlatformCall, PlatformResult};
+use super::platform::{CallId, PlatformCall, PlatformResult, Revision};
 use super::router::request::{Attempt, AttemptEnd, Outcome, RequestMeta, UpstreamId};
 use super::types::{Address, AttemptId, GroupNumber, HostId, ReplicaId, RequestId, Timestamp};
 
@@ -38,6 +38,18 @@
     /// there, in milliseconds; counted from before the platform was asked.
     #[serde(default)]
     pub confirmed_ms_ago: Option<u64>,
+    /// The newest revision that the platform is known there to have reached.
+    #[serde(default)]
+    pub reached: Option<Reached>,
+}
+
+/// That the platform had reached a revision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reached {
+    /// The revision.
+    pub revision: Revision,
+    /// How long ago it was asked, in milliseconds.
+    pub ms_ago: u64,
 }
 
 /// A rumour: there is something new, come and pull it.
--- a/shalehinge/src/core/feed.rs
+++ b/shalehinge/src/core/feed.rs
@@ -1,23 +1,46 @@
 //! One part of what the platform keeps, listed once and then watched.
 //!
-//! A feed also knows how fresh its knowledge is: an answer shows how things stood
-//! when the platform was asked, never later, as a watch that hears nothing proves
-//! nothing until it answers.
+//! A feed also knows how fresh its knowledge is: an exact answer shows how things
+//! stood when the platform was asked, never later, as a watch that hears nothing
+//! proves nothing until it answers. An answer that may be stale proves what an exact
+//! one proved of an older or the same revision.
 
 use std::time::Duration;
 
-use super::platform::{PlatformCall, PlatformReply, PlatformResult, Revision, Scope};
+use super::platform::{Freshness, PlatformCall, PlatformReply, PlatformResult, Revision, Scope};
 use super::types::Timestamp;
 
+/// How long a feed whose answers lagged behind asks exactly.
+const EXACT_AFTER_LAG: Duration = Duration::from_secs(5);
+
+/// That the platform had reached a revision at a time, by an exact answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Confirmation {
+    /// The revision.
+    pub revision: Revision,
+    /// When the platform was asked.
+    pub at: Timestamp,
+}
+
+/// A call that was made and not answered yet.
+#[derive(Clone, Copy, Debug)]
+struct Question {
+    at: Timestamp,
+    freshness: Freshness,
+}
+
 /// The state of one feed.
 #[derive(Clone, Debug)]
 pub struct Feed {
     scope: Scope,
     revision: Revision,
     has_listed: bool,
-    asked_at: Option<Timestamp>,
+    question: Option<Question>,
     next_at: Timestamp,
     as_of: Option<Timestamp>,
+    heard_at: Option<Timestamp>,
+    /// Answers lagged behind: until then only exact ones are asked for.
+    exact_until: Timestamp,
 }
 
 impl Feed {
@@ -27,9 +50,11 @@
             scope,
             revision: Revision(0),
             has_listed: false,
-            asked_at: None,
+            question: None,
             next_at: Timestamp::ZERO,
             as_of: None,
+            heard_at: None,
+            exact_until: Timestamp::ZERO,
         }
     }
 
@@ -43,52 +68,69 @@
         self.as_of
     }
 
+    /// When the platform last answered.
+    pub fn heard_at(&self) -> Option<Timestamp> {
+        self.heard_at
+    }
+
     /// Whether it has read everything once.
     pub fn has_listed(&self) -> bool {
         self.has_listed
     }
 
-    /// The next call, if it is time. Only those who `may_watch` do after the list.
+    /// The next call, if it is time: a list first, then watches of this freshness;
+    /// none after the list without one.
     pub fn next_call(
         &mut self,
         now: Timestamp,
-        may_watch: bool,
+        watch: Option<Freshness>,
         wait: Duration,
     ) -> Option<PlatformCall> {
-        let is_waiting = self.asked_at.is_some();
-        let has_nothing_to_do = self.has_listed && !may_watch;
-        if is_waiting || now < self.next_at || has_nothing_to_do {
+        if self.question.is_some() || now < self.next_at {
             return None;
         }
-        self.asked_at = Some(now);
         if !self.has_listed {
+            let freshness = Freshness::Exact;
+            self.question = Some(Question { at: now, freshness });
             return Some(PlatformCall::List(self.scope));
         }
+        let mut freshness = watch?;
+        if now < self.exact_until {
+            freshness = Freshness::Exact;
+        }
+        self.question = Some(Question { at: now, freshness });
         Some(PlatformCall::Watch {
             scope: self.scope,
             after: self.revision,
             wait,
+            freshness,
         })
     }
 
     /// The call was answered, or not; the next one comes `spacing` after the last
-    /// began, or `pause` from now where it failed.
+    /// began, or `pause` from now where it failed. `confirmed` is the newest known.
     pub fn on_answer(
         &mut self,
         now: Timestamp,
         result: &PlatformResult,
         spacing: Duration,
         pause: Duration,
+        confirmed: Option<Confirmation>,
     ) {
-        let Some(asked_at) = self.asked_at.take() else {
+        let Some(question) = self.question.take() else {
             return;
         };
         match result {
             Ok(PlatformReply::Objects { revision, .. }) => {
-                self.revision = *revision;
+                // A stale answer never takes back what is known.
+                self.revision = self.revision.max(*revision);
                 self.has_listed = true;
-                self.as_of = Some(asked_at);
-                self.next_at = asked_at + spacing;
+                self.heard_at = Some(now);
+                self.next_at = question.at + spacing;
+                match question.freshness {
+                    Freshness::Exact => self.as_of = self.as_of.max(Some(question.at)),
+                    Freshness::MayBeStale => self.judge(now, question, *revision, confirmed),
+                }
             }
             Ok(PlatformReply::HistoryGone) => {
                 self.has_listed = false;
@@ -98,6 +140,39 @@
         }
     }
 
+    /// What an answer that may be stale proves.
+    fn judge(
+        &mut self,
+        now: Timestamp,
+        question: Question,
+        revision: Revision,
+        confirmed: Option<Confirmation>,
+    ) {
+        let Some(confirmed) = confirmed else {
+            return;
+        };
+        if revision >= confirmed.revision {
+            self.as_of = self.as_of.max(Some(confirmed.at));
+        } else if question.at >= confirmed.at {
+            self.exact_until = now + EXACT_AFTER_LAG;
+            self.next_at = now;
+        }
+    }
+
+    /// What the last exact answer proved.
+    pub fn confirmation(&self, result: &PlatformResult) -> Option<Confirmation> {
+        let question = self
+            .question
+            .filter(|question| question.freshness == Freshness::Exact)?;
+        match result {
+            Ok(PlatformReply::Objects { revision, .. }) => Some(Confirmation {
+                revision: *revision,
+                at: question.at,
+            }),
+            _ => None,
+        }
+    }
+
     /// Asks again as soon as possible.
     pub fn hurry(&mut self, now: Timestamp) {
         self.next_at = now;
--- a/shalehinge/src/core/platform.rs
+++ b/shalehinge/src/core/platform.rs
@@ -41,9 +41,20 @@
         after: Revision,
         /// How long to wait at the most.
         wait: Duration,
+        /// How new the answer must be.
+        freshness: Freshness,
     },
 }
 
+/// How new the answer to a watch must be. Platforms may charge less for older ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// It holds all changes up to the question.
+    Exact,
+    /// Changes of the last seconds may be missing; it proves nothing by itself.
+    MayBeStale,
+}
+
 /// Objects that are listed and watched together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Scope {
--- a/shalehinge/src/object_api/http.rs
+++ b/shalehinge/src/object_api/http.rs
@@ -169,7 +169,10 @@
                 let path = format!("/v1/objects?kinds={}", kinds_of(scope));
                 self.objects(path, self.timeout).await
             }
-            PlatformCall::Watch { scope, after, wait } => {
+            // This API knows exact watches only.
+            PlatformCall::Watch {
+                scope, after, wait, ..
+            } => {
                 let (kinds, after, millis) = (kinds_of(scope), after.0, wait.as_millis());
                 let path = format!("/v1/watch?kinds={kinds}&after={after}&wait_ms={millis}");
                 self.objects(path, wait + self.timeout).await
--- a/shalehinge/src/settings/learning.rs
+++ b/shalehinge/src/settings/learning.rs
@@ -11,12 +11,20 @@
     pub feeds: FeedLayout,
     /// How long a watch waits for a change.
     pub watch_wait: Duration,
-    /// How long a watch of the host list alone waits for a change.
+    /// How long a watch of the host list alone, or one that may be stale, waits for a
+    /// change.
     pub host_wait: Duration,
     /// Time between the starts of two watches of the host list.
     pub host_spacing: Duration,
     /// Daemons of a failure domain that watch; the others hear it from peers.
     pub watchers: usize,
+    /// Whether the others watch too, with answers that may be stale; for platforms that
+    /// charge little for these. Watchers confirm to them what is new.
+    pub stale_watches: bool,
+    /// How long after the configuration was confirmed a watcher is asked again.
+    pub confirm_after: Duration,
+    /// How long after it was confirmed a daemon asks the platform exactly itself.
+    pub ask_after: Duration,
     /// How long after the platform last confirmed the configuration requests with a
     /// key are still served; for ever without.
     pub keys_valid_for: Option<Duration>,
@@ -43,6 +51,9 @@
             host_wait: Duration::from_secs(5),
             host_spacing: Duration::from_millis(250),
             watchers: 2,
+            stale_watches: false,
+            confirm_after: Duration::from_secs(1),
+            ask_after: Duration::from_secs(2),
             keys_valid_for: None,
             refuse_within: None,
         }
@@ -60,6 +71,9 @@
             host_wait: section.duration("host_wait", default.host_wait),
             host_spacing: section.duration("host_spacing", default.host_spacing),
             watchers: section.count("watchers", default.watchers),
+            stale_watches: section.flag("stale_watches", default.stale_watches),
+            confirm_after: section.duration("confirm_after", default.confirm_after),
+            ask_after: section.duration("ask_after", default.ask_after),
             keys_valid_for: section.optional_duration("keys_valid_for"),
             refuse_within: section.optional_duration("refuse_within"),
         }
--- a/shalehinge/tests/learning.rs
+++ b/shalehinge/tests/learning.rs
@@ -3,20 +3,24 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use shalehinge::core::feed::Feed;
+use shalehinge::core::feed::{Confirmation, Feed};
 use shalehinge::core::fleet_state::{FleetState, ObjectUpdate};
 use shalehinge::core::objects::{
     CustomerConfig, FleetConfig, HostChanges, HostList, HostRecord, HostState, ModelProfile,
     Object, ObjectKey, RequestKind, RouteConfig, WeightedService,
 };
 use shalehinge::core::placement::shares::{replicas_by_share, replicas_that_fit};
-use shalehinge::core::platform::{NoAnswer, PlatformCall, PlatformReply, Revision, Scope};
+use shalehinge::core::platform::{
+    Freshness, NoAnswer, PlatformCall, PlatformReply, Revision, Scope,
+};
 use shalehinge::core::routes::{RouteQuery, RouteRefusal, RouteTable};
 use shalehinge::core::types::{
     Customer, FabricDomain, FailureDomain, HostId, ModelName, ServiceName, Timestamp, Version,
 };
 
 const WAIT: Duration = Duration::from_secs(1);
+const EXACT: Option<Freshness> = Some(Freshness::Exact);
+const STALE: Option<Freshness> = Some(Freshness::MayBeStale);
 const SPACING: Duration = Duration::from_millis(300);
 const PAUSE: Duration = Duration::from_millis(500);
 
@@ -35,38 +39,106 @@
 fn a_feed_lists_once_then_watches_from_there() {
     let mut feed = Feed::new(Scope::Hosts);
     let list = PlatformCall::List(Scope::Hosts);
-    assert_eq!(feed.next_call(at(10), true, WAIT), Some(list));
-    assert_eq!(feed.next_call(at(11), true, WAIT), None, "one at a time");
-    feed.on_answer(at(20), &Ok(objects(7)), SPACING, PAUSE);
-    assert_eq!(feed.next_call(at(21), true, WAIT), None, "spaced");
+    assert_eq!(feed.next_call(at(10), EXACT, WAIT), Some(list));
+    assert_eq!(feed.next_call(at(11), EXACT, WAIT), None, "one at a time");
+    feed.on_answer(at(20), &Ok(objects(7)), SPACING, PAUSE, None);
+    assert_eq!(feed.next_call(at(21), EXACT, WAIT), None, "spaced");
     let watch = PlatformCall::Watch {
         scope: Scope::Hosts,
         after: Revision(7),
         wait: WAIT,
+        freshness: Freshness::Exact,
     };
-    assert_eq!(feed.next_call(at(310), true, WAIT), Some(watch));
+    assert_eq!(feed.next_call(at(310), EXACT, WAIT), Some(watch));
 }
 
 #[test]
 fn an_answer_is_as_fresh_as_its_question() {
     let mut feed = Feed::new(Scope::Configuration);
-    feed.next_call(at(10), true, WAIT);
-    feed.on_answer(at(900), &Ok(objects(7)), SPACING, PAUSE);
+    feed.next_call(at(10), EXACT, WAIT);
+    feed.on_answer(at(900), &Ok(objects(7)), SPACING, PAUSE, None);
     assert_eq!(feed.as_of(), Some(at(10)));
-    feed.next_call(at(1_000), true, WAIT);
-    feed.on_answer(at(3_000), &Err(NoAnswer), SPACING, PAUSE);
+    feed.next_call(at(1_000), EXACT, WAIT);
+    feed.on_answer(at(3_000), &Err(NoAnswer), SPACING, PAUSE, None);
     assert_eq!(feed.as_of(), Some(at(10)), "no answer proves nothing");
 }
 
+/// A feed that listed revision 7 and then watched with a stale answer of `revision`.
+fn feed_with_stale_answer(revision: u64, confirmed: Confirmation) -> Feed {
+    let mut feed = Feed::new(Scope::Hosts);
+    feed.next_call(at(10), EXACT, WAIT);
+    feed.on_answer(at(20), &Ok(objects(7)), SPACING, PAUSE, None);
+    feed.next_call(at(2_000), STALE, WAIT);
+    let answer = Ok(objects(revision));
+    feed.on_answer(at(2_500), &answer, SPACING, PAUSE, Some(confirmed));
+    feed
+}
+
+fn confirmed(revision: u64, millis: u64) -> Confirmation {
+    Confirmation {
+        revision: Revision(revision),
+        at: at(millis),
+    }
+}
+
+#[test]
+fn a_stale_answer_proves_what_an_exact_one_confirmed() {
+    let feed = feed_with_stale_answer(9, confirmed(8, 1_700));
+    assert_eq!(feed.as_of(), Some(at(1_700)));
+}
+
+#[test]
+fn a_feed_that_lags_behind_asks_exactly_and_at_once() {
+    let mut feed = feed_with_stale_answer(8, confirmed(9, 1_700));
+    assert_eq!(feed.as_of(), Some(at(10)), "the list was exact");
+    let watch = PlatformCall::Watch {
+        scope: Scope::Hosts,
+        after: Revision(8),
+        wait: WAIT,
+        freshness: Freshness::Exact,
+    };
+    assert_eq!(feed.next_call(at(2_500), STALE, WAIT), Some(watch));
+}
+
+#[test]
+fn a_change_after_the_question_is_no_lag() {
+    let mut feed = feed_with_stale_answer(8, confirmed(9, 2_100));
+    let watch = PlatformCall::Watch {
+        scope: Scope::Hosts,
+        after: Revision(8),
+        wait: WAIT,
+        freshness: Freshness::MayBeStale,
+    };
+    assert_eq!(feed.next_call(at(2_500), STALE, WAIT), Some(watch));
+}
+
+#[test]
+fn an_older_stale_answer_takes_nothing_back() {
+    let mut feed = feed_with_stale_answer(5, confirmed(4, 1_000));
+    let watch = PlatformCall::Watch {
+        scope: Scope::Hosts,
+        after: Revision(7),
+        wait: WAIT,
+        freshness: Freshness::MayBeStale,
+    };
+    assert_eq!(feed.next_call(at(2_600), STALE, WAIT), Some(watch));
+}
+
 #[test]
 fn forgotten_history_is_listed_again() {
     let mut feed = Feed::new(Scope::Hosts);
-    feed.next_call(at(10), true, WAIT);
-    feed.on_answer(at(20), &Ok(objects(7)), SPACING, PAUSE);
-    feed.next_call(at(400), true, WAIT);
-    feed.on_answer(at(410), &Ok(PlatformReply::HistoryGone), SPACING, PAUSE);
+    feed.next_call(at(10), EXACT, WAIT);
+    feed.on_answer(at(20), &Ok(objects(7)), SPACING, PAUSE, None);
+    feed.next_call(at(400), EXACT, WAIT);
+    feed.on_answer(
+        at(410),
+        &Ok(PlatformReply::HistoryGone),
+        SPACING,
+        PAUSE,
+        None,
+    );
     let list = PlatformCall::List(Scope::Hosts);
-    assert_eq!(feed.next_call(at(410), true, WAIT), Some(list));
+    assert_eq!(feed.next_call(at(410), EXACT, WAIT), Some(list));
 }
 
 fn record(port: u16) -> HostRecord {
