feat(control): losses are found sooner, by whoever holds control, and told to all

Routers told the three candidates for the lease; whoever got it early in the start is often none of them, so it heard nothing and found the loss by its own streams. And all other routers sent to the dead replica until their list showed the loss.

Excluded: the store (no call on that path before the dissolution), loads (primed free hosts form in 0.7 s).

Change: heartbeats say who holds control, and suspects are told to it too. A loss that was found is told to all routers at once, which move what may be moved.

Test support of placement now counts groups from the first number.

--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -69,6 +69,8 @@
         /// Its rank 0.
         rank_zero: Member,
     },
+    /// Tell all routers that a group surely lost a member.
+    TellLost(GroupNumber),
     /// A line for the log of decisions.
     Log(String),
 }
@@ -91,6 +93,8 @@
     incomplete_since: Option<Timestamp>,
     lost_member: Option<HostId>,
     is_lost: bool,
+    /// The routers were told that it is lost.
+    is_told: bool,
     /// A router saw it incomplete; it is looked at often until then.
     suspect_until: Option<Timestamp>,
     /// The member that did not answer first.
@@ -195,6 +199,32 @@
             self.epoch = Some(epoch);
         }
         self.note_hosts(now, state, listing);
+        let mut actions = self.tell_lost();
+        actions.extend(self.next_actions(now, epoch, state, operation));
+        actions
+    }
+
+    /// Groups that were found lost since the last time.
+    fn tell_lost(&mut self) -> Vec<ControllerAction> {
+        let untold = self
+            .health
+            .iter_mut()
+            .filter(|(_, health)| health.is_lost && !health.is_told);
+        untold
+            .map(|(number, health)| {
+                health.is_told = true;
+                ControllerAction::TellLost(*number)
+            })
+            .collect()
+    }
+
+    fn next_actions(
+        &mut self,
+        now: Timestamp,
+        epoch: Epoch,
+        state: &FleetState,
+        operation: OperationId,
+    ) -> Vec<ControllerAction> {
         if self.in_flight {
             return self.calls(now, epoch);
         }
@@ -250,7 +280,7 @@
     /// A router saw that a group is no longer complete: it is looked at now, and
     /// often for a while.
     pub fn suspect(&mut self, now: Timestamp, number: GroupNumber) {
-        const FOR: Duration = Duration::from_secs(3);
+        const FOR: Duration = Duration::from_secs(1);
         let group = self
             .stored
             .as_ref()
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -20,6 +20,9 @@
 /// How long new groups that must load wait after a host came.
 const ARRIVAL_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Time between two looks at a member of a group that is suspected.
+const SUSPECT_SPACING: Duration = Duration::from_millis(100);
+
 /// What the list tells of the hosts of this failure domain, and how fresh that is.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Listing {
@@ -268,7 +271,9 @@
         for member in &group.members {
             let purpose = CallPurpose::Probe(number);
             if is_suspect && self.is_due_again(now, &member.host, purpose) {
-                self.note_call(now, &member.host, purpose);
+                let next = now + SUSPECT_SPACING;
+                self.next_call_at
+                    .insert(member.host.clone(), (purpose, next));
                 actions.push(ControllerAction::Probe {
                     group: number,
                     rank_zero: member.clone(),
--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -11,7 +11,7 @@
 use crate::core::platform::{Freshness, PlatformResult, Scope};
 use crate::core::router::topology;
 use crate::core::routes::RouteTable;
-use crate::core::types::Timestamp;
+use crate::core::types::{Address, ReplicaId, Timestamp};
 
 /// The more daemons read the host list, the more rarely each does, so that the calls
 /// grow more slowly than the fleet; never so rarely that a leaving host is used on.
@@ -184,9 +184,14 @@
         let peers = self
             .membership
             .some_peers(now, RUMOUR_FANOUT, &mut self.rng);
+        self.notify(peers, Vec::new(), out);
+    }
+
+    pub(super) fn notify(&self, peers: Vec<Address>, lost: Vec<ReplicaId>, out: &mut Vec<Action>) {
         let notice = Notice {
             from: self.identity.address,
             digest: self.state.digest(),
+            lost,
         };
         for to in peers {
             let notice = notice.clone();
--- a/shalehinge/src/core/daemon/control.rs
+++ b/shalehinge/src/core/daemon/control.rs
@@ -9,7 +9,7 @@
 use crate::core::lease::LeaseStep;
 use crate::core::objects::{Assignment, Object, ObjectKey, Versioned};
 use crate::core::platform::{NoAnswer, PlatformCall, PlatformReply, PlatformResult};
-use crate::core::types::{FailureDomain, Timestamp};
+use crate::core::types::{FailureDomain, ReplicaId, Timestamp};
 use crate::settings::learning::FeedLayout;
 
 impl Daemon {
@@ -50,6 +50,7 @@
             return;
         }
         self.was_holder = held.is_some();
+        self.membership.set_control(self.was_holder);
         let domain = &self.identity.failure_domain;
         let text = match held {
             Some(epoch) => format!("holds {domain} in epoch {}", epoch.0),
@@ -86,7 +87,7 @@
             .controller
             .tick(now, epoch, &self.state, listing, operation);
         for action in actions {
-            self.controller_action(action, out);
+            self.controller_action(now, action, out);
         }
     }
 
@@ -105,7 +106,12 @@
         }
     }
 
-    pub(super) fn controller_action(&mut self, action: ControllerAction, out: &mut Vec<Action>) {
+    fn controller_action(
+        &mut self,
+        now: Timestamp,
+        action: ControllerAction,
+        out: &mut Vec<Action>,
+    ) {
         match action {
             ControllerAction::Read => {
                 let request = PlatformCall::Get(self.assignment_key());
@@ -134,6 +140,14 @@
                 host: Some(rank_zero.host),
                 address: rank_zero.address,
             }),
+            ControllerAction::TellLost(number) => {
+                let failure_domain = self.identity.failure_domain.clone();
+                let replica = ReplicaId {
+                    failure_domain,
+                    number,
+                };
+                self.tell_lost(now, replica, out);
+            }
             ControllerAction::Log(text) => log(out, Part::Place, text),
         }
     }
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -143,6 +143,7 @@
             counter: 0,
             leaving: false,
             fleet: Version(0),
+            holds_control: false,
         };
         let domain = identity.failure_domain.clone();
         Self {
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -10,7 +10,7 @@
 use crate::core::event::{Action, Notice, Pull, PullId, PullReply, Reached};
 use crate::core::feed::{Confirmation, Feed};
 use crate::core::platform::Scope;
-use crate::core::types::{FailureDomain, ReplicaId, Timestamp, Version};
+use crate::core::types::{Address, FailureDomain, ReplicaId, Timestamp, Version};
 
 /// Milliseconds since then, rounded up: what is told must never seem newer.
 fn millis_since(now: Timestamp, at: Timestamp) -> u64 {
@@ -93,10 +93,14 @@
             .map(|replica| &replica.failure_domain)
             .collect();
         for domain in domains {
-            let candidates = self
-                .membership
-                .responsible_addresses(now, domain, "lease", CANDIDATES);
-            for to in candidates {
+            // Whoever got the lease need not be a candidate any more.
+            let membership = &self.membership;
+            let mut told: BTreeSet<Address> = membership
+                .holder_addresses(now, domain)
+                .into_iter()
+                .collect();
+            told.extend(membership.responsible_addresses(now, domain, "lease", CANDIDATES));
+            for to in told {
                 let mut pull = self.make_pull(now);
                 pull.suspects.clone_from(&suspects);
                 out.push(Action::Pull { to, pull });
@@ -159,7 +163,28 @@
         self.confirmation = newer(self.confirmation, reached);
     }
 
+    /// Tells all peers of a replica that surely lost a member: each would else send it
+    /// requests until its list shows the loss.
+    pub(super) fn tell_lost(&mut self, now: Timestamp, replica: ReplicaId, out: &mut Vec<Action>) {
+        let peers = self
+            .membership
+            .alive(now)
+            .map(|peer| peer.address)
+            .collect();
+        self.notify(peers, vec![replica.clone()], out);
+        self.lose(now, &replica, out);
+    }
+
+    fn lose(&mut self, now: Timestamp, replica: &ReplicaId, out: &mut Vec<Action>) {
+        let mut actions = Vec::new();
+        self.router.lose(now, replica, &mut self.rng, &mut actions);
+        self.router_actions(now, actions, out);
+    }
+
     pub(super) fn on_noticed(&mut self, now: Timestamp, notice: Notice, out: &mut Vec<Action>) {
+        for replica in &notice.lost {
+            self.lose(now, replica, out);
+        }
         if self.state.is_behind(&notice.digest) {
             let pull = self.make_pull(now);
             out.push(Action::Pull {
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -59,6 +59,9 @@
     pub from: Address,
     /// Versions known there.
     pub digest: VersionDigest,
+    /// Replicas that surely lost a member, by whoever holds their failure domain.
+    #[serde(default)]
+    pub lost: Vec<ReplicaId>,
 }
 
 /// Who asked for an engine's status.
--- a/shalehinge/src/core/membership.rs
+++ b/shalehinge/src/core/membership.rs
@@ -31,6 +31,9 @@
     pub leaving: bool,
     /// Version of the configuration that it has in force.
     pub fleet: Version,
+    /// It holds control of its failure domain.
+    #[serde(default)]
+    pub holds_control: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -75,6 +78,19 @@
         self.me.fleet = version;
     }
 
+    /// Tells peers whether this daemon holds control of its failure domain.
+    pub fn set_control(&mut self, holds_control: bool) {
+        self.me.holds_control = holds_control;
+    }
+
+    /// Where those are reached that hold control of a failure domain, by what they told.
+    pub fn holder_addresses(&self, now: Timestamp, domain: &FailureDomain) -> Vec<Address> {
+        self.alive(now)
+            .filter(|peer| peer.holds_control && peer.failure_domain == *domain)
+            .map(|peer| peer.address)
+            .collect()
+    }
+
     /// Tells peers that this daemon is stopping.
     pub fn leave(&mut self) {
         self.me.leaving = true;
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -527,6 +527,15 @@
         self.expire_waiting(now, out);
         self.expire_running(now, out);
         self.leave_stalled(now, out);
+        self.dispatch_all(now, rng, out);
+    }
+
+    pub(super) fn dispatch_all(
+        &mut self,
+        now: Timestamp,
+        rng: &mut impl rand::Rng,
+        out: &mut Vec<RouterAction>,
+    ) {
         let targets: Vec<Target> = self.targets.keys().cloned().collect();
         for target in targets {
             if let Some(state) = self.targets.get_mut(&target) {
--- a/shalehinge/src/core/router/stalled.rs
+++ b/shalehinge/src/core/router/stalled.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use crate::core::types::{RequestId, Timestamp};
+use crate::core::types::{ReplicaId, RequestId, Timestamp};
 
 use super::dispatch::{Router, RouterAction};
 use super::request::{Outcome, UnknownReason, UpstreamId};
+use super::upstream::Evidence;
 
 /// A daemon that was not run for so long can't tell who stood still meanwhile.
 const MOST_TICK_GAP: Duration = Duration::from_millis(300);
@@ -32,6 +33,33 @@
         }
     }
 
+    /// A replica surely lost a member: it gets nothing more, and what may be repeated
+    /// moves away at once.
+    pub fn lose(
+        &mut self,
+        now: Timestamp,
+        replica: &ReplicaId,
+        rng: &mut impl rand::Rng,
+        out: &mut Vec<RouterAction>,
+    ) {
+        let id = UpstreamId::Replica(replica.clone());
+        let mut upstreams = self
+            .targets
+            .values_mut()
+            .flat_map(|state| &mut state.upstreams);
+        let Some(upstream) = upstreams.find(|upstream| upstream.spec.id == id) else {
+            return;
+        };
+        // Where engines report, their reports decide who may be sent requests.
+        if upstream.is_lost() || upstream.spec.evidence == Evidence::Reports {
+            return;
+        }
+        upstream.on_lost();
+        out.push(RouterAction::Log(format!("{id} lost a member")));
+        self.move_away(now, &id, out);
+        self.dispatch_all(now, rng, out);
+    }
+
     fn move_away(&mut self, now: Timestamp, id: &UpstreamId, out: &mut Vec<RouterAction>) {
         let movable: Vec<RequestId> = self
             .pending
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -119,6 +119,7 @@
     moved_at: Timestamp,
     /// Requests run there, and none has moved for long.
     stalled: bool,
+    lost: bool,
     /// Requests there whose output has begun.
     streaming: u32,
 }
@@ -149,6 +150,7 @@
             rests_until: Timestamp::ZERO,
             moved_at: Timestamp::ZERO,
             stalled: false,
+            lost: false,
             streaming: 0,
         }
     }
@@ -156,14 +158,28 @@
     /// Whether it may serve: in the topology, trusted, and shown to be complete.
     pub fn is_eligible(&self, now: Timestamp) -> bool {
         let rests = now < self.rests_until || self.stalled;
-        self.spec.accepts_new && self.is_complete(now) && !self.outlier.is_ejected(now) && !rests
+        self.may_be_used() && self.is_complete(now) && !self.outlier.is_ejected(now) && !rests
+    }
+
+    fn may_be_used(&self) -> bool {
+        self.spec.accepts_new && !self.lost
+    }
+
+    /// Whether it surely lost a member.
+    pub fn is_lost(&self) -> bool {
+        self.lost
+    }
+
+    /// It surely lost a member; another group of these hosts has another number.
+    pub fn on_lost(&mut self) {
+        self.lost = true;
     }
 
     /// Whether it may serve now or after a short rest.
     pub fn may_serve(&self, now: Timestamp) -> bool {
         match self.spec.evidence {
             Evidence::Reports => self.is_eligible(now),
-            Evidence::Listed => self.spec.accepts_new,
+            Evidence::Listed => self.may_be_used(),
         }
     }
 
@@ -328,25 +344,30 @@
     pub fn on_progress(&mut self, now: Timestamp) {
         self.moved_at = now;
         self.stalled = false;
+        if self.spec.evidence == Evidence::Listed {
+            self.suspect_since = None;
+        }
     }
 
     /// Notes whether nothing moves there any more, though requests run; true if that
-    /// was found just now.
+    /// was found just now. The lease holder is told earlier than requests are moved.
     pub fn check_stall(&mut self, now: Timestamp, settings: &RouterSettings) -> bool {
         let is_watched = self.spec.evidence == Evidence::Listed && self.spec.group.is_some();
+        if !is_watched || self.in_flight == 0 || self.stalled || self.lost {
+            return false;
+        }
         // Those that wait for their first output may wait for their turn.
         let patience = if self.streaming > 0 {
-            settings.stall_after
+            1.0
         } else {
-            settings.stall_after.mul_f64(UNSEEN_PATIENCE)
+            UNSEEN_PATIENCE
         };
-        let stands = self.in_flight > 0 && now.since(self.moved_at) >= patience;
-        if !is_watched || !stands || self.stalled {
-            return false;
+        let stands_for = now.since(self.moved_at);
+        if stands_for >= settings.suspect_after.mul_f64(patience) {
+            self.suspect_since = Some(now);
         }
-        self.stalled = true;
-        self.suspect_since = Some(now);
-        true
+        self.stalled = stands_for >= settings.stall_after.mul_f64(patience);
+        self.stalled
     }
 
     /// Whether the peak of this work fits beside what runs and what was sent since.
--- a/shalehinge/src/settings/router.rs
+++ b/shalehinge/src/settings/router.rs
@@ -53,6 +53,8 @@
     pub uneven_share: f64,
     /// Requests run at a listed replica, and none moves for so long: it lost a member.
     pub stall_after: Duration,
+    /// As `stall_after`, for the lease holder to be told, who asks the members.
+    pub suspect_after: Duration,
     /// Whether `retry_burst` is for the whole fleet and each daemon has a part of it.
     pub retry_burst_is_shared: bool,
     /// When refused callers are told to come back, where nothing better is known.
@@ -97,6 +99,7 @@
             policy: ChoicePolicy::Score,
             uneven_share: 3.0,
             stall_after: Duration::from_millis(800),
+            suspect_after: Duration::from_millis(800),
             retry_burst_is_shared: false,
             retry_after: Duration::from_secs(2),
         }
@@ -133,6 +136,7 @@
             policy: section.policy("policy", default.policy),
             uneven_share: section.fraction("uneven_share", default.uneven_share),
             stall_after: section.duration("stall_after", default.stall_after),
+            suspect_after: section.duration("suspect_after", default.suspect_after),
             retry_burst_is_shared: section
                 .flag("retry_burst_is_shared", default.retry_burst_is_shared),
             retry_after: section.duration("retry_after", default.retry_after),
--- a/shalehinge/tests/listed_routing.rs
+++ b/shalehinge/tests/listed_routing.rs
@@ -73,10 +73,14 @@
 
 impl Harness {
     fn with_replicas(count: u64) -> Self {
+        Self::with_settings(count, RouterSettings::default())
+    }
+
+    fn with_settings(count: u64, settings: RouterSettings) -> Self {
         let settings = RouterSettings {
             max_attempts: 5,
             retry_burst: 50.0,
-            ..RouterSettings::default()
+            ..settings
         };
         let mut router = Router::new(settings, Incarnation(1));
         let specs = (0..count).map(spec).collect();
@@ -93,6 +97,15 @@
         harness
     }
 
+    fn lose(&mut self, upstream: &UpstreamId) {
+        let UpstreamId::Replica(replica) = upstream else {
+            panic!("no replica");
+        };
+        let mut out = Vec::new();
+        self.router.lose(self.now, replica, &mut self.rng, &mut out);
+        self.take(out);
+    }
+
     fn submit(&mut self, request: u64, meta: RequestMeta) {
         let mut out = Vec::new();
         let id = RequestId(request);
@@ -205,6 +218,39 @@
     assert_eq!(harness.router.suspects(harness.now).len(), 1);
 }
 
+#[test]
+fn the_holder_is_told_of_a_standstill_before_requests_are_moved() {
+    let settings = RouterSettings {
+        suspect_after: Duration::from_millis(200),
+        ..RouterSettings::default()
+    };
+    let mut harness = Harness::with_settings(2, settings);
+    harness.submit(1, stream());
+    harness.output(1);
+    harness.advance(Duration::from_millis(300));
+    assert_eq!(harness.router.suspects(harness.now).len(), 1);
+    assert_eq!(harness.attempts(1), 1, "it may be a pause");
+    harness.progress(1);
+    assert_eq!(harness.router.suspects(harness.now).len(), 0);
+}
+
+#[test]
+fn a_replica_that_lost_a_member_gets_nothing_more_and_its_streams_move_at_once() {
+    let mut harness = Harness::with_replicas(2);
+    harness.submit(1, stream());
+    harness.output(1);
+    let lost = harness.last(1).upstream;
+    harness.lose(&lost);
+    assert_eq!(harness.attempts(1), 2);
+    assert_ne!(harness.last(1).upstream, lost);
+    for request in 2..6 {
+        harness.submit(request, stream());
+        assert_ne!(harness.last(request).upstream, lost);
+    }
+    harness.lose(&lost);
+    assert_eq!(harness.abandoned, 1, "told twice, moved once");
+}
+
 #[test]
 fn a_stream_runs_on_no_more_upstreams_than_its_route_allows() {
     let mut harness = Harness::with_replicas(4);
--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -84,6 +84,7 @@
     domain.run_until("dissolved", |domain| {
         !domain.stored.value.groups.contains_key(&number)
     });
+    assert_eq!(domain.told_lost, [number], "routers need not find it out");
     domain.engine(&members[2]).is_listed = false;
     domain.run_until("a small group gave way", |domain| {
         domain.open_groups(LARGE) == 1
--- a/shalehinge/tests/ordered_support/mod.rs
+++ b/shalehinge/tests/ordered_support/mod.rs
@@ -62,6 +62,8 @@
     /// Orders that go unanswered and are carried out later.
     pub late: Vec<(HostId, Order)>,
     pub loses_answers: bool,
+    /// Groups that routers were told of as lost.
+    pub told_lost: Vec<GroupNumber>,
     state: FleetState,
     list_version: u64,
     as_of: Timestamp,
@@ -132,6 +134,7 @@
             orders: 0,
             late: Vec::new(),
             loses_answers: false,
+            told_lost: Vec::new(),
             state,
             list_version: 0,
             as_of: Timestamp::ZERO,
@@ -261,6 +264,7 @@
                         .on_no_status(self.now, asked_at, &rank_zero.host);
                 }
             }
+            ControllerAction::TellLost(number) => self.told_lost.push(number),
             ControllerAction::Log(_) => {}
         }
     }
--- a/shalehinge/tests/placement_support/mod.rs
+++ b/shalehinge/tests/placement_support/mod.rs
@@ -171,8 +171,10 @@
         groups.all(|group| group.version.as_str() == version && group.phase == GroupPhase::Serving)
     }
 
-    pub fn members_of(&self, number: u64) -> Vec<String> {
-        let group = &self.assignment.groups[&GroupNumber(number)];
+    /// Members of the group that was formed as the `index`th.
+    pub fn members_of(&self, index: u64) -> Vec<String> {
+        let number = GroupNumber(GroupNumber::FIRST.0 + index);
+        let group = &self.assignment.groups[&number];
         let members = group.members.iter();
         members.map(|member| member.host.to_string()).collect()
     }
