feat(controller): an unanswered order is no loss while the host answers looks

Excluded: rule TWO (numbers of groups only rise, so a late order is refused or changes nothing; the oracle of ordered.rs stays green), a lack of hosts.

Change: such an order is given again and its host is asked at once whether it lives; only silence to that counts, in groups that form as well.

Requests without any output move later (1.8 s in place of 1.1 s): the loss of a member is told by the holder now, and in an overload moving adds to it.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -155,6 +155,41 @@
         ".is_some_and(|seen_at| self.is_list_newer(seen_at))", ".is_some()",
         "ordered", "older_than_the_assignment",
     ),
+    "primed-hosts": (
+        CORE + "controller/ordered.rs",
+        "self.prime_hosts(now, epoch, &stored.value, &mut actions);", "",
+        "ordered", "free_host_holds",
+    ),
+    "joins-without-loads": (
+        CORE + "controller/staging.rs",
+        "is_staged || is_last ||", "is_staged || (is_last && false) ||",
+        "ordered", "need_no_part",
+    ),
+    "joining-is-no-holding": (
+        CORE + "controller/staging.rs",
+        "if is_ready || group.phase == GroupPhase::Serving {", "if is_ready || true {",
+        "ordered", "no_faster",
+    ),
+    "unanswered-order": (
+        CORE + "controller/mod.rs",
+        "self.doubt(now, host);", "self.on_no_status(now, asked_at, host);",
+        "ordered", "ends_no_group",
+    ),
+    "lost-told": (
+        CORE + "router/upstream.rs",
+        "self.spec.accepts_new && !self.lost", "self.spec.accepts_new",
+        "listed_routing", "lost_a_member",
+    ),
+    "stale-lag": (
+        CORE + "feed.rs",
+        "self.exact_until = now + EXACT_AFTER_LAG;", "",
+        "learning", "lags_behind",
+    ),
+    "holder-known": (
+        CORE + "membership.rs",
+        "peer.holds_control && peer.failure_domain == *domain", "peer.failure_domain == *domain",
+        "membership", "control",
+    ),
     "load-rate": (
         CORE + "controller/load_budget.rs", "if self.tokens < 1.0 {", "if false {",
         "ordered", "no_faster",
--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -117,6 +117,8 @@
     released: BTreeMap<HostId, GroupNumber>,
     health: BTreeMap<GroupNumber, GroupHealth>,
     unreachable: BTreeMap<HostId, Timestamp>,
+    /// Hosts that left an order unanswered, and when they are asked whether they live.
+    doubted: BTreeMap<HostId, Timestamp>,
     next_call_at: BTreeMap<HostId, (CallPurpose, Timestamp)>,
     retiring_since: BTreeMap<GroupNumber, Timestamp>,
     forming_since: BTreeMap<GroupNumber, Timestamp>,
@@ -157,6 +159,7 @@
             released: BTreeMap::new(),
             health: BTreeMap::new(),
             unreachable: BTreeMap::new(),
+            doubted: BTreeMap::new(),
             next_call_at: BTreeMap::new(),
             retiring_since: BTreeMap::new(),
             forming_since: BTreeMap::new(),
@@ -320,7 +323,7 @@
     /// An engine told its status.
     pub fn on_status(&mut self, now: Timestamp, asked_at: Timestamp, status: EngineStatus) {
         if self.settings.assembly == Assembly::Orders {
-            self.on_probed(&status);
+            self.on_probed(now, &status);
             return;
         }
         self.unreachable.remove(&status.host);
@@ -355,7 +358,16 @@
         health.is_lost |= now.since(since) >= self.settings.loss_confirm;
     }
 
-    /// An engine did not answer an order or a probe.
+    /// An engine left an order unanswered.
+    pub fn on_order_unanswered(&mut self, now: Timestamp, asked_at: Timestamp, host: &HostId) {
+        if self.settings.assembly == Assembly::Orders {
+            self.doubt(now, host);
+        } else {
+            self.on_no_status(now, asked_at, host);
+        }
+    }
+
+    /// An engine did not answer a probe.
     pub fn on_no_status(&mut self, now: Timestamp, asked_at: Timestamp, host: &HostId) {
         if self.settings.assembly == Assembly::Orders {
             self.on_silent(now, asked_at, host);
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -12,7 +12,7 @@
 use super::{CallPurpose, Controller, ControllerAction};
 use crate::core::engine::{Command, EngineStatus, LoadCommand, Order};
 use crate::core::fleet_state::FleetState;
-use crate::core::objects::{Assignment, Group, GroupPhase, HostRecord};
+use crate::core::objects::{Assignment, Group, GroupPhase, HostRecord, Member};
 use crate::core::types::{Address, Epoch, GroupNumber, HostId, ModelName, Timestamp};
 
 /// Refusals of an order after which its group is given up.
@@ -182,6 +182,7 @@
                 GroupPhase::Retiring => self.retire(now, epoch, *number, group, &mut actions),
             }
         }
+        self.ask_doubted(now, &mut actions);
         self.note_primed();
         self.release_hosts(now, epoch, &stored.value, &mut actions);
         self.prime_hosts(now, epoch, &stored.value, &mut actions);
@@ -333,6 +334,7 @@
     /// An engine answered an order.
     pub(super) fn on_ordered(&mut self, now: Timestamp, host: &HostId, order: &Order, taken: bool) {
         self.unreachable.remove(host);
+        self.doubted.remove(host);
         let is_load = matches!(order.command, Command::Load(_));
         if is_load && order.group == GroupNumber::PRIMING {
             self.on_prime_answered(host, taken);
@@ -364,19 +366,50 @@
         }
     }
 
+    /// A host left an order unanswered. The order may be carried out late, which the
+    /// numbers of groups make harmless, and is given again; only a host that answers no
+    /// look either is out of reach.
+    pub(super) fn doubt(&mut self, now: Timestamp, host: &HostId) {
+        self.doubted.entry(host.clone()).or_insert(now);
+    }
+
+    fn ask_doubted(&mut self, now: Timestamp, actions: &mut Vec<ControllerAction>) {
+        let listed = &self.listed;
+        self.doubted.retain(|host, _| listed.contains_key(host));
+        for (host, next_at) in &mut self.doubted {
+            if now < *next_at {
+                continue;
+            }
+            *next_at = now + SUSPECT_SPACING;
+            let host = host.clone();
+            let address = listed[&host].record.address;
+            actions.push(ControllerAction::Probe {
+                group: GroupNumber::PRIMING,
+                rank_zero: Member { host, address },
+            });
+        }
+    }
+
     /// A member was asked and answered.
-    pub(super) fn on_probed(&mut self, status: &EngineStatus) {
+    pub(super) fn on_probed(&mut self, now: Timestamp, status: &EngineStatus) {
         self.unreachable.remove(&status.host);
+        self.doubted.remove(&status.host);
         let Some(stored) = &self.stored else {
             return;
         };
         let group = stored.value.groups.iter();
         let mut of_host = group.filter(|(_, group)| group.contains(&status.host));
-        let Some((number, _)) = of_host.next() else {
+        let Some((number, group)) = of_host.next() else {
             return;
         };
+        let is_joining = group.phase == GroupPhase::Forming;
+        // A member that answers need not be asked again as soon as a silent one.
+        let next = now + self.settings.order_interval;
+        let purpose = CallPurpose::Probe(*number);
+        self.next_call_at
+            .insert(status.host.clone(), (purpose, next));
         let health = self.health.entry(*number).or_default();
-        if status.shows_member(*number) {
+        if status.shows_member(*number) || is_joining {
             if health.silent_member.as_ref() == Some(&status.host) {
                 health.silent_member = None;
                 health.incomplete_since = None;
@@ -395,18 +428,15 @@
         };
         let groups = stored.value.groups.iter();
         let mut of_host = groups.filter(|(_, group)| group.contains(host));
-        let Some((number, group)) = of_host.next() else {
+        let Some((number, _)) = of_host.next() else {
+            self.doubted.remove(host);
             return;
         };
         let health = self.health.entry(*number).or_default();
         let since = *health.incomplete_since.get_or_insert(asked_at);
         health.silent_member.get_or_insert_with(|| host.clone());
-        let patience = match group.phase {
-            // Orders may be carried out late.
-            GroupPhase::Forming => self.settings.loss_confirm * 5,
-            GroupPhase::Serving | GroupPhase::Retiring => self.settings.loss_confirm,
-        };
-        if now.since(since) >= patience {
+        if now.since(since) >= self.settings.loss_confirm {
+            self.doubted.remove(host);
             health.is_lost = true;
             health.lost_member = Some(host.clone());
         }
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -283,7 +283,7 @@
                     self.controller
                         .on_order_reply(now, asked_at, &host, &order, reply);
                 }
-                None => self.controller.on_no_status(now, asked_at, &host),
+                None => self.controller.on_order_unanswered(now, asked_at, &host),
             },
             Event::Request { request, meta } => self.on_request(now, request, meta, out),
             Event::Output { request, attempt } => self.router.on_output(now, request, attempt),
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -22,8 +22,11 @@
 /// How long one that stood still gets nothing new after its last request ended.
 const STALL_REST: Duration = Duration::from_secs(3);
 
-/// How much longer requests without any output may stand, against `stall_after`.
-const UNSEEN_PATIENCE: f64 = 2.5;
+/// How much longer requests without any output may stand, against `suspect_after`.
+const UNSEEN_SUSPICION: f64 = 2.5;
+/// The same against `stall_after`: they may wait for their turn at an upstream that has
+/// much to do, and to move them then would add to it.
+const UNSEEN_PATIENCE: f64 = 4.0;
 
 /// Weight of a report's figures against what is known, by their age.
 fn smoothing(age_ms: Option<u64>) -> f64 {
@@ -357,13 +360,13 @@
             return false;
         }
         // Those that wait for their first output may wait for their turn.
-        let patience = if self.streaming > 0 {
-            1.0
+        let (suspicion, patience) = if self.streaming > 0 {
+            (1.0, 1.0)
         } else {
-            UNSEEN_PATIENCE
+            (UNSEEN_SUSPICION, UNSEEN_PATIENCE)
         };
         let stands_for = now.since(self.moved_at);
-        if stands_for >= settings.suspect_after.mul_f64(patience) {
+        if stands_for >= settings.suspect_after.mul_f64(suspicion) {
             self.suspect_since = Some(now);
         }
         self.stalled = stands_for >= settings.stall_after.mul_f64(patience);
--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -176,6 +176,29 @@
     assert_eq!(domain.open_groups(LARGE) + domain.open_groups(SMALL), 3);
 }
 
+#[test]
+fn an_unanswered_order_to_a_host_that_lives_ends_no_group() {
+    let mut domain = Domain::new(&[8]);
+    domain.loses_answers = true;
+    domain.run_for(seconds(6));
+    domain.loses_answers = false;
+    domain.run_until("all serve", |domain| {
+        domain.open_groups(LARGE) == 1 && domain.open_groups(SMALL) == 2
+    });
+    assert_eq!(domain.told_lost, [], "the hosts answered when asked");
+}
+
+#[test]
+fn a_host_that_leaves_order_and_look_unanswered_is_replaced_while_its_group_forms() {
+    let mut domain = Domain::new(&[9]);
+    let dark = host(0);
+    domain.go_dark(&dark);
+    domain.run_until("all serve without it", |domain| {
+        domain.open_groups(LARGE) == 1 && domain.open_groups(SMALL) == 2
+    });
+    assert!(!domain.stored.value.uses(&dark) || domain.stored.value.releasing.contains_key(&dark));
+}
+
 #[test]
 fn loads_begin_no_faster_than_the_rate_allows() {
     let mut domain = Domain::new(&[8, 8, 8, 8]);
