fix(controller): a loss needs two looks, and none that ended while the daemon stood still

Cause (by reading): one look without an answer that ended late made a loss, so a holder that was not run for 300 ms could dissolve groups that live.

Change: two looks, begun at different times; a look that ended long after its time proves nothing. Tests in ordered.rs, red without it by the way they are built (one look of 400 ms, three of 700 to 900 ms).

--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -420,8 +420,12 @@
         }
     }
 
-    /// A member did not answer an order or a look.
+    /// A host did not answer a look. One look may be lost on the way, so a loss needs
+    /// two; one that ended long after its time shows that this daemon stood still.
     pub(super) fn on_silent(&mut self, now: Timestamp, asked_at: Timestamp, host: &HostId) {
+        if now.since(asked_at) >= self.settings.loss_confirm * 2 {
+            return;
+        }
         self.unreachable.insert(host.clone(), now);
         let Some(stored) = &self.stored else {
             return;
@@ -435,7 +439,8 @@
         let health = self.health.entry(*number).or_default();
         let since = *health.incomplete_since.get_or_insert(asked_at);
         health.silent_member.get_or_insert_with(|| host.clone());
-        if now.since(since) >= self.settings.loss_confirm {
+        let is_second = asked_at > since;
+        if is_second && now.since(since) >= self.settings.loss_confirm {
             self.doubted.remove(host);
             health.is_lost = true;
             health.lost_member = Some(host.clone());
--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use ordered_support::{Domain, LARGE, SMALL, host};
+use ordered_support::{Domain, LARGE, LOOK_TIMEOUT, SMALL, host};
 use shalehinge::core::engine::EnginePhase;
 use shalehinge::core::objects::GroupPhase;
 
@@ -199,6 +199,26 @@
     assert!(!domain.stored.value.uses(&dark) || domain.stored.value.releasing.contains_key(&dark));
 }
 
+#[test]
+fn one_look_without_an_answer_is_no_loss() {
+    let mut domain = Domain::serving(&[8]);
+    let (number, members) = domain.group_of(LARGE);
+    domain.give_up_look(&members[1], LOOK_TIMEOUT * 2);
+    domain.run_for(seconds(3));
+    assert!(domain.stored.value.groups.contains_key(&number));
+}
+
+#[test]
+fn looks_that_ended_while_the_daemon_stood_still_are_no_loss() {
+    let mut domain = Domain::serving(&[8]);
+    let (number, members) = domain.group_of(LARGE);
+    for age in [900, 800, 700] {
+        domain.give_up_look(&members[1], Duration::from_millis(age));
+    }
+    domain.run_for(seconds(3));
+    assert!(domain.stored.value.groups.contains_key(&number));
+}
+
 #[test]
 fn loads_begin_no_faster_than_the_rate_allows() {
     let mut domain = Domain::new(&[8, 8, 8, 8]);
--- a/shalehinge/tests/ordered_support/mod.rs
+++ b/shalehinge/tests/ordered_support/mod.rs
@@ -25,6 +25,8 @@
 use shalehinge::settings::control::{Assembly, ControlSettings};
 
 const STEP: Duration = Duration::from_millis(50);
+/// How long a look waits for its answer.
+pub const LOOK_TIMEOUT: Duration = Duration::from_millis(200);
 const WARM_JOIN: Duration = Duration::from_millis(1_500);
 const COLD_JOIN: Duration = Duration::from_secs(15);
 
@@ -259,9 +261,7 @@
                     let status = engine.status(&rank_zero.host);
                     self.controller.on_status(self.now, self.now, status);
                 } else {
-                    let asked_at = self.now.minus(Duration::from_millis(300));
-                    self.controller
-                        .on_no_status(self.now, asked_at, &rank_zero.host);
+                    self.give_up_look(&rank_zero.host, LOOK_TIMEOUT);
                 }
             }
             ControllerAction::TellLost(number) => self.told_lost.push(number),
@@ -269,6 +269,12 @@
         }
     }
 
+    /// A look that was begun so long ago ends without an answer.
+    pub fn give_up_look(&mut self, host: &HostId, after: Duration) {
+        let asked_at = self.now.minus(after);
+        self.controller.on_no_status(self.now, asked_at, host);
+    }
+
     fn order(&mut self, host: HostId, order: Order) {
         self.orders += 1;
         if self.loses_answers {
