feat(placement): small groups give way to the model that lacks more

Cause: after losses the large model stood at 3 to 6 of 9 groups for 20 s and more while the small one had 15 to 17 of 18: the counts wanted fit the hosts, but no way led there, as each fabric domain had too few free hosts left for a large group and the survivors went to small ones.

Excluded: detection (0.4 s), loads (survivors hold both models).

Change: where a model can be formed nowhere, a serving group of a model that would still be better served without it is retired, if its hosts and the free ones beside it hold the weights already; these free hosts are kept until then. The worse served of the two is served better, so it ends.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -190,6 +190,21 @@
         "peer.holds_control && peer.failure_domain == *domain", "peer.failure_domain == *domain",
         "membership", "control",
     ),
+    "gives-way": (
+        CORE + "placement/planner.rs",
+        "self.have_way_given();", "",
+        "placement", "gives_way",
+    ),
+    "two-looks": (
+        CORE + "controller/ordered.rs",
+        "let is_second = asked_at > since;", "let is_second = true;",
+        "ordered", "one_look",
+    ),
+    "paused-looks": (
+        CORE + "controller/ordered.rs",
+        "if now.since(asked_at) >= self.settings.loss_confirm * 2 {", "if false {",
+        "ordered", "stood_still",
+    ),
     "load-rate": (
         CORE + "controller/load_budget.rs", "if self.tokens < 1.0 {", "if false {",
         "ordered", "no_faster",
--- a/shalehinge/src/core/placement/planner.rs
+++ b/shalehinge/src/core/placement/planner.rs
@@ -9,8 +9,9 @@
     FabricDomain, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion,
 };
 
+use super::give_way::{fabric_to_keep, group_to_give_way, holds};
 use super::host_choice::{ChoiceInput, FreeHost, FreeHosts, HostChoice, take_hosts};
-use super::make_room::{count_free, frees_enough, group_to_move};
+use super::make_room::{FreeCounts, count_free, fabric_of, frees_enough, group_to_move};
 use super::stranded::group_sizes;
 use super::yielding::group_to_yield;
 use super::{FormReason, PlacementStep, RetireReason};
@@ -292,6 +293,7 @@
             if !self.form(reason) {
                 self.make_room();
                 self.ask_for_yield();
+                self.have_way_given();
                 return;
             }
         }
@@ -405,6 +407,49 @@
         self.forming.yielded = true;
     }
 
+    /// Where replicas follow from shares, a group of a model that lacks less is retired
+    /// for one of this model; until it is gone, the free hosts beside it are kept.
+    fn have_way_given(&mut self) {
+        let context = self.context;
+        let size = self.intent.hosts_per_replica as usize;
+        let free = count_free(&self.forming.free);
+        // With loads it could be formed as it is.
+        let has_hosts = free.values().any(|count| *count >= size);
+        if !context.keeps_surplus || has_hosts || self.forming.slots == 0 {
+            return;
+        }
+        if let Some(fabric) = fabric_to_keep(context, &free, size) {
+            self.forming.free.remove(&fabric);
+            return;
+        }
+        if self.forming.yielded {
+            return;
+        }
+        let warm = self.count_holding();
+        let Some(number) = group_to_give_way(context, &warm, self.model, size) else {
+            return;
+        };
+        let group = &context.assignment.groups[&number];
+        if let Some(fabric) = fabric_of(group, context.hosts) {
+            self.forming.free.remove(fabric);
+        }
+        self.forming.yielded = true;
+        let to = self.model.clone();
+        self.retire(number, RetireReason::GiveWay { to });
+    }
+
+    /// Free hosts that hold the weights of this model, by fabric domain.
+    fn count_holding(&self) -> FreeCounts {
+        let free = self.forming.free.iter();
+        free.map(|(fabric, hosts)| {
+            let holding = hosts
+                .iter()
+                .filter(|free| holds(self.context, &free.host, self.model));
+            (fabric.clone(), holding.count())
+        })
+        .collect()
+    }
+
     /// Whether some model has more groups than wanted: one is being moved.
     fn is_moving(&self) -> bool {
         let context = self.context;
--- a/shalehinge/tests/placement.rs
+++ b/shalehinge/tests/placement.rs
@@ -174,3 +174,50 @@
     let (json, message_pack) = domain.assignment_sizes();
     println!("160 groups of 8: {json} bytes in JSON, {message_pack} in MessagePack");
 }
+
+/// One fabric domain with a large group and three small ones; the large one lost a host.
+fn large_group_without_a_spare() -> Domain {
+    let mut domain = Domain::new().fabric("a", 10);
+    domain.follows_shares = true;
+    domain.hold(&["large", "small"]);
+    domain.want("large", 4, 1);
+    domain.want("small", 2, 3);
+    domain.settle();
+    let members = domain.members_of(0);
+    domain.lose(&members[1]);
+    let steps = domain.steps();
+    domain.apply(&steps);
+    domain.finish_changes();
+    domain
+}
+
+#[test]
+fn a_small_group_gives_way_where_the_large_model_lacks_more() {
+    let mut domain = large_group_without_a_spare();
+    let steps = domain.steps();
+    assert_eq!(retired(&steps).len(), 1);
+    domain.apply(&steps);
+    assert_eq!(domain.steps(), [], "the free hosts are kept for it");
+    domain.finish_changes();
+    let steps = domain.steps();
+    assert_eq!(formed(&steps).len(), 1, "{steps:?}");
+    domain.settle();
+    assert_eq!(domain.count(GroupPhase::Serving), 3);
+}
+
+#[test]
+fn no_group_gives_way_to_one_that_would_have_to_load() {
+    let mut domain = large_group_without_a_spare();
+    domain.hold(&["small"]);
+    assert_eq!(retired(&domain.steps()), []);
+}
+
+#[test]
+fn a_group_gives_way_only_if_its_model_is_still_served_better() {
+    let mut domain = large_group_without_a_spare();
+    domain.want("small", 2, 3);
+    domain.want("large", 4, 1);
+    domain.settle();
+    // One of one and two of three: the small model has no claim on the large group.
+    assert_eq!(domain.steps(), []);
+}
--- a/shalehinge/tests/placement_support/mod.rs
+++ b/shalehinge/tests/placement_support/mod.rs
@@ -21,6 +21,9 @@
     assignment: Assignment,
     down: BTreeSet<HostId>,
     lost: BTreeMap<GroupNumber, Option<HostId>>,
+    /// Whether replicas follow from shares, so that models give way to each other.
+    pub follows_shares: bool,
+    pub held: HeldWeights,
 }
 
 impl Domain {
@@ -32,6 +35,8 @@
             assignment: Assignment::default(),
             down: BTreeSet::new(),
             lost: BTreeMap::new(),
+            follows_shares: false,
+            held: HeldWeights::new(),
         };
         domain.customer("all", 1);
         domain
@@ -57,6 +62,17 @@
         self
     }
 
+    /// All hosts hold these models' weights.
+    pub fn hold(&mut self, models: &[&str]) {
+        let version = ModelVersion::new("v1");
+        let held: Vec<_> = models
+            .iter()
+            .map(|model| (ModelName::new(model), version.clone()))
+            .collect();
+        let hosts = self.hosts.hosts.keys();
+        self.held = hosts.map(|host| (host.clone(), held.clone())).collect();
+    }
+
     pub fn customer(&mut self, name: &str, share: u32) -> &mut Self {
         let customer = CustomerConfig {
             key_sha256: Vec::new(),
@@ -108,11 +124,11 @@
             assignment: &self.assignment,
             unreachable: &self.down,
             lost: &self.lost,
-            held: &HeldWeights::new(),
+            held: &self.held,
             choice: HostChoice::BestFit,
             max_forming: 8,
             max_loads: usize::MAX,
-            keeps_surplus: false,
+            keeps_surplus: self.follows_shares,
         })
     }
 
