fix(controller): what was planned breaks no requests off

Also what only the list had lost was told to the routers as lost.

Excluded: an overload as the cause (refusals came after the break).

Change: routers are told only of what looks showed. A silent member that is leaving or no longer listed ends its group by retiring it: nothing new, while the head finishes.

--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -93,7 +93,10 @@
     incomplete_since: Option<Timestamp>,
     lost_member: Option<HostId>,
     is_lost: bool,
-    /// The routers were told that it is lost.
+    /// A look at a member showed the loss, so nothing moves in the group any more. What
+    /// only the list lost may still finish its requests.
+    stands_still: bool,
+    /// The routers were told that it stands still.
     is_told: bool,
     /// A router saw it incomplete; it is looked at often until then.
     suspect_until: Option<Timestamp>,
@@ -137,6 +140,9 @@
     loads: LoadBudget,
     /// The model of each host's last group, as far as this daemon saw it.
     last_model: BTreeMap<HostId, ModelName>,
+    /// Members that answer no more and were leaving: their groups take nothing new, but
+    /// finish what they have.
+    departed: BTreeSet<HostId>,
     /// Free hosts that were told to hold a model's weights in memory.
     priming: BTreeMap<HostId, ModelName>,
     /// Since when hosts are being released.
@@ -173,6 +179,7 @@
             plans: ServicePlans::default(),
             loads: LoadBudget::default(),
             last_model: BTreeMap::new(),
+            departed: BTreeSet::new(),
             priming: BTreeMap::new(),
             releasing_since: BTreeMap::new(),
             staged_at: BTreeMap::new(),
@@ -207,12 +214,12 @@
         actions
     }
 
-    /// Groups that were found lost since the last time.
+    /// Groups that were found to stand still since the last time.
     fn tell_lost(&mut self) -> Vec<ControllerAction> {
         let untold = self
             .health
             .iter_mut()
-            .filter(|(_, health)| health.is_lost && !health.is_told);
+            .filter(|(_, health)| health.stands_still && !health.is_told);
         untold
             .map(|(number, health)| {
                 health.is_told = true;
@@ -449,6 +456,7 @@
         log: &mut Vec<String>,
     ) {
         self.take_departures(now, value);
+        self.departed.retain(|host| value.uses(host));
         self.drop_retired(value, log);
         self.promote_open(value, log);
         self.note_listed_losses(now, value);
@@ -476,9 +484,11 @@
         for max_loads in passes.into_iter().flatten() {
             for (index, plan) in self.plans.iter().enumerate() {
                 let part = self.plans.part_of(index, value);
+                let mut fleet = plan.fleet.clone();
+                fleet.draining.extend(self.departed.iter().cloned());
                 let context = PlacementContext {
                     domain: &self.domain,
-                    fleet: &plan.fleet,
+                    fleet: &fleet,
                     hosts: &plan.hosts,
                     assignment: &part,
                     unreachable: &avoided,
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -12,7 +12,7 @@
 use super::{CallPurpose, Controller, ControllerAction};
 use crate::core::engine::{Command, EngineStatus, LoadCommand, Order};
 use crate::core::fleet_state::FleetState;
-use crate::core::objects::{Assignment, Group, GroupPhase, HostRecord, Member};
+use crate::core::objects::{Assignment, Group, GroupPhase, HostRecord, HostState, Member};
 use crate::core::types::{Address, Epoch, GroupNumber, HostId, ModelName, Timestamp};
 
 /// Refusals of an order after which its group is given up.
@@ -394,6 +394,7 @@
     pub(super) fn on_probed(&mut self, now: Timestamp, status: &EngineStatus) {
         self.unreachable.remove(&status.host);
         self.doubted.remove(&status.host);
+        self.departed.remove(&status.host);
         let Some(stored) = &self.stored else {
             return;
         };
@@ -416,6 +417,7 @@
             }
         } else if status.group.is_some() {
             health.is_lost = true;
+            health.stands_still = true;
             health.lost_member = Some(status.host.clone());
         }
     }
@@ -432,17 +434,25 @@
         };
         let groups = stored.value.groups.iter();
         let mut of_host = groups.filter(|(_, group)| group.contains(host));
-        let Some((number, _)) = of_host.next() else {
+        let Some((number, group)) = of_host.next() else {
             self.doubted.remove(host);
             return;
         };
+        let listed = self.listed.get(host);
+        let is_live =
+            listed.is_some_and(|host| host.is_listed && host.record.state == HostState::Live);
         let health = self.health.entry(*number).or_default();
         let since = *health.incomplete_since.get_or_insert(asked_at);
         health.silent_member.get_or_insert_with(|| host.clone());
         let is_second = asked_at > since;
         if is_second && now.since(since) >= self.settings.loss_confirm {
             self.doubted.remove(host);
+            if !is_live && group.phase != GroupPhase::Forming {
+                self.departed.insert(host.clone());
+                return;
+            }
             health.is_lost = true;
+            health.stands_still = true;
             health.lost_member = Some(host.clone());
         }
     }
--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -121,6 +121,7 @@
     domain.engine(&members[0]).is_listed = false;
     domain.run_for(seconds(1));
     assert!(!domain.stored.value.groups.contains_key(&number));
+    assert_eq!(domain.told_lost, [], "it may still finish its requests");
 }
 
 #[test]
@@ -199,6 +200,22 @@
     assert!(!domain.stored.value.uses(&dark) || domain.stored.value.releasing.contains_key(&dark));
 }
 
+#[test]
+fn a_member_that_left_as_planned_and_listens_no_more_lets_its_group_finish() {
+    let mut domain = Domain::serving(&[8]);
+    let (number, members) = domain.group_of(SMALL);
+    domain.engine(&members[1]).is_listed = false;
+    domain.go_dark(&members[1]);
+    let now = domain.now;
+    domain.controller.suspect(now, number);
+    domain.run_until("retired", |domain| {
+        let group = domain.stored.value.groups.get(&number);
+        group.is_none_or(|group| group.phase == GroupPhase::Retiring)
+    });
+    assert_eq!(domain.told_lost, [], "no router breaks its requests off");
+    assert!(!domain.stored.value.releasing.contains_key(&members[0]));
+}
+
 #[test]
 fn one_look_without_an_answer_is_no_loss() {
     let mut domain = Domain::serving(&[8]);
