feat(learning): keys outlive an outage of the platform unless revocation is strict

Cause: requests with a key were refused 4 s after the last confirmation by the platform, everywhere, also at deployments that do not ask for strict revocation. Excluded: the refusals were no lack of replicas (groups stayed open). Change: [learning] strict_revocation and revoke_within follow the deployment's bounds; keys count for four fifths of revoke_within, without strictness without end. A strict setting without its time is refused at the start.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -99,6 +99,18 @@
         "Command::Release { drain: false }",
         "always", "fixed",
     ),
+    "revocation-unless-strict": (
+        "shalehinge/src/settings/learning.rs",
+        "self.revoke_within.filter(|_| self.strict_revocation)?",
+        "self.revoke_within?",
+        "settings", "where_revocation_is_not_strict",
+    ),
+    "revocation-strict": (
+        "shalehinge/src/settings/learning.rs",
+        "let within = self.revoke_within.filter(|_| self.strict_revocation)?;",
+        "let within = self.revoke_within.filter(|_| !self.strict_revocation)?;",
+        "settings", "of_a_strict_revocation_time",
+    ),
     "never-reverts": (
         CORE + "fleet_state.rs",
         "slot.as_ref().is_none_or(|known| version > known.version)",
--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -125,7 +125,7 @@
 
     /// Until when requests with a key may be sent on what is known now.
     pub(super) fn keys_valid_until(&self) -> Option<Timestamp> {
-        let valid_for = self.settings.learning.keys_valid_for?;
+        let valid_for = self.settings.learning.keys_valid_for()?;
         let confirmed_at = self.confirmed_at().unwrap_or(Timestamp::ZERO);
         Some(confirmed_at + valid_for)
     }
--- a/shalehinge/src/settings/learning.rs
+++ b/shalehinge/src/settings/learning.rs
@@ -25,9 +25,12 @@
     pub confirm_after: Duration,
     /// How long after it was confirmed a daemon asks the platform exactly itself.
     pub ask_after: Duration,
-    /// How long after the platform last confirmed the configuration requests with a
-    /// key are still served; for ever without.
-    pub keys_valid_for: Option<Duration>,
+    /// Whether a key that was taken away must stop working everywhere within
+    /// `revoke_within`, also at daemons that cannot reach the platform.
+    pub strict_revocation: bool,
+    /// Time after the platform took a configuration until a key that it no longer
+    /// holds must not work any more. Only with `strict_revocation`.
+    pub revoke_within: Option<Duration>,
     /// How fresh the configuration must be for a request to be refused as unknown
     /// for good; however old without.
     pub refuse_within: Option<Duration>,
@@ -54,7 +57,8 @@
             stale_watches: false,
             confirm_after: Duration::from_secs(1),
             ask_after: Duration::from_secs(2),
-            keys_valid_for: None,
+            strict_revocation: false,
+            revoke_within: None,
             refuse_within: None,
         }
     }
@@ -74,8 +78,21 @@
             stale_watches: section.flag("stale_watches", default.stale_watches),
             confirm_after: section.duration("confirm_after", default.confirm_after),
             ask_after: section.duration("ask_after", default.ask_after),
-            keys_valid_for: section.optional_duration("keys_valid_for"),
+            strict_revocation: section.flag("strict_revocation", default.strict_revocation),
+            revoke_within: section.optional_duration("revoke_within"),
             refuse_within: section.optional_duration("refuse_within"),
         }
     }
+
+    /// How long after the platform last confirmed the configuration requests with a
+    /// key are still served; `None` without end. Where revocation is not strict, a
+    /// daemon that cannot reach the platform goes on with the keys that it knows.
+    pub fn keys_valid_for(&self) -> Option<Duration> {
+        /// Part of `revoke_within` in which keys are used. The rest is for the request's
+        /// way to the upstream and for clocks that run at different rates; chosen, the
+        /// same part has been in use since relayed routes exist.
+        const USED_PART: f64 = 0.8;
+        let within = self.revoke_within.filter(|_| self.strict_revocation)?;
+        Some(within.mul_f64(USED_PART))
+    }
 }
--- a/shalehinge/src/settings/mod.rs
+++ b/shalehinge/src/settings/mod.rs
@@ -78,6 +78,12 @@
         let mend = "raise term, to three times the interval or more".to_owned();
         reader.problem("lease", Some("term"), message, mend);
     }
+    let learning = core.learning;
+    if learning.strict_revocation && learning.revoke_within.is_none() {
+        let message = "strict_revocation needs revoke_within".to_owned();
+        let mend = "add a line like `revoke_within = 5s`".to_owned();
+        reader.problem("learning", Some("strict_revocation"), message, mend);
+    }
     let router = core.router;
     if router.report_interval >= router.evidence_ttl {
         let message = "evidence_ttl must be longer than report_interval".to_owned();
--- a/shalehinge/tests/settings.rs
+++ b/shalehinge/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings files: given this text, expect that problem, with line and mend.
 
+use std::time::Duration;
+
 use shalehinge::settings::Settings;
 use shalehinge::settings::core::CoreSettings;
 use shalehinge::settings::daemon::LimitSettings;
@@ -96,3 +98,31 @@
 fn text_that_is_no_ini_is_told_with_its_line() {
     assert!(problems("[daemon\nname = x\n")[0].contains("this is not INI"));
 }
+
+/// How long keys count with these lines in `[learning]`.
+fn keys_valid_for(lines: &str) -> Option<Duration> {
+    let text = format!("{GOOD}[learning]\n{lines}");
+    let settings = Settings::parse("entry.ini", &text).expect("in order");
+    settings.core.learning.keys_valid_for()
+}
+
+#[test]
+fn keys_count_for_four_fifths_of_a_strict_revocation_time() {
+    for (within_ms, valid_ms) in [(2_500, 2_000), (5_000, 4_000), (10_000, 8_000)] {
+        let lines = format!("strict_revocation = true\nrevoke_within = {within_ms}ms\n");
+        let valid_for = Duration::from_millis(valid_ms);
+        assert_eq!(keys_valid_for(&lines), Some(valid_for));
+    }
+}
+
+#[test]
+fn keys_count_through_an_outage_where_revocation_is_not_strict() {
+    let lines = "strict_revocation = false\nrevoke_within = 5000ms\n";
+    assert_eq!(keys_valid_for(lines), None);
+}
+
+#[test]
+fn strict_revocation_without_its_time_is_refused() {
+    let text = format!("{GOOD}[learning]\nstrict_revocation = yes\n");
+    assert!(problems(&text)[0].contains("strict_revocation needs revoke_within"));
+}
