feat(placement): a small group is preempted where the large model would have to load

Excluded: too few hosts (9 of 57 were free in each failure domain). Change: a model that lacks more preempts a small group already where a group could be formed with a load, not only where none could; free hosts beside a group that retires are kept for it. Orders are logged, as the logs did not show what a group waited for. give_way is called preemption now, as the field says.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -202,10 +202,16 @@
         "peer.holds_control && peer.failure_domain == *domain", "peer.failure_domain == *domain",
         "membership", "control",
     ),
-    "gives-way": (
+    "retiring-without-gone": (
+        CORE + "controller/ordered.rs",
+        "let is_finished = group.phase == GroupPhase::Retiring && self.has_left(rank_zero, number);",
+        "let is_finished = false;",
+        "ordered", "gone_keeps",
+    ),
+    "preemption": (
         CORE + "placement/planner.rs",
-        "self.have_way_given();", "",
-        "placement", "gives_way",
+        "if self.preempt() {", "if false {",
+        "placement", "preempted",
     ),
     "two-looks": (
         CORE + "controller/ordered.rs",
--- a/shalehinge/src/core/daemon/control.rs
+++ b/shalehinge/src/core/daemon/control.rs
@@ -129,12 +129,16 @@
                 host,
                 address,
                 order,
-            } => out.push(Action::Order {
-                host,
-                address,
-                order,
-                valid_until: self.lease.valid_until(),
-            }),
+            } => {
+                let text = format!("orders {host}, group {}: {}", order.group.0, order.command);
+                log(out, Part::Place, text);
+                out.push(Action::Order {
+                    host,
+                    address,
+                    order,
+                    valid_until: self.lease.valid_until(),
+                });
+            }
             ControllerAction::Probe { group, rank_zero } => out.push(Action::AskStatus {
                 purpose: StatusPurpose::Probe(group),
                 host: Some(rank_zero.host),
--- a/shalehinge/src/core/engine.rs
+++ b/shalehinge/src/core/engine.rs
@@ -3,6 +3,8 @@
 //! Orders carry absolute state, so that repeating one changes nothing. Engines
 //! that check fences refuse an order that is older than one they have taken.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use super::types::{Address, Epoch, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion};
@@ -40,6 +42,18 @@
     },
 }
 
+impl fmt::Display for Command {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Load(load) => write!(f, "load {} as rank {}", load.model, load.rank),
+            Self::Open => f.write_str("open"),
+            Self::Stage { model } => write!(f, "stage {model}"),
+            Self::Release { drain: true } => f.write_str("finish and release"),
+            Self::Release { drain: false } => f.write_str("release"),
+        }
+    }
+}
+
 /// What to load, and as which part of the group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadCommand {
--- a/shalehinge/src/core/placement/mod.rs
+++ b/shalehinge/src/core/placement/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! - `planner`: the next steps of a failure domain
 //! - `host_choice`: which free hosts form a group
-//! - `give_way`: groups of a well-served model that give way to one that lacks more
+//! - `preemption`: groups of a well-served model that are preempted for one that lacks more
 //! - `make_room`: moving a small group so that a large one can be formed
 //! - `yielding`: when customers give hosts back
 //! - `shares`: how many replicas follow from the models' parts of the work
@@ -15,10 +15,10 @@
 //! - `preview`: the planner run ahead
 
 pub mod divide;
-pub mod give_way;
 pub mod host_choice;
 pub mod make_room;
 pub mod planner;
+pub mod preemption;
 pub mod preview;
 pub mod shares;
 pub mod stranded;
@@ -108,7 +108,7 @@
     /// One of its hosts is leaving.
     HostLeaving(HostId),
     /// Another model lacks more of its replicas than this one will.
-    GiveWay {
+    Preempted {
         /// The model that gets the hosts.
         to: ModelName,
     },
@@ -177,7 +177,7 @@
             Self::Surplus => f.write_str("more replicas than wanted"),
             Self::OldVersion { wanted } => write!(f, "version {wanted} is wanted"),
             Self::HostLeaving(host) => write!(f, "host {host} is leaving"),
-            Self::GiveWay { to } => write!(f, "gives way to {to}, which lacks more"),
+            Self::Preempted { to } => write!(f, "preempted for {to}, which lacks more"),
             Self::Yield { to } => write!(f, "yields to {to}, which is below its share"),
         }
     }
--- a/shalehinge/src/core/placement/planner.rs
+++ b/shalehinge/src/core/placement/planner.rs
@@ -9,9 +9,9 @@
     FabricDomain, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion,
 };
 
-use super::give_way::{fabric_to_keep, group_to_give_way, holds};
 use super::host_choice::{ChoiceInput, FreeHost, FreeHosts, HostChoice, take_hosts};
 use super::make_room::{FreeCounts, count_free, fabric_of, frees_enough, group_to_move};
+use super::preemption::{fabric_to_keep, group_to_preempt, holds};
 use super::stranded::group_sizes;
 use super::yielding::group_to_yield;
 use super::{FormReason, PlacementStep, RetireReason};
@@ -290,10 +290,17 @@
                 wanted: wanted as u32,
                 present: present as u32,
             };
+            if self.context.keeps_surplus {
+                if self.form_without_loads(reason.clone()) {
+                    continue;
+                }
+                if self.preempt() {
+                    return;
+                }
+            }
             if !self.form(reason) {
                 self.make_room();
                 self.ask_for_yield();
-                self.have_way_given();
                 return;
             }
         }
@@ -402,32 +409,30 @@
         };
         let wanted = (group.model.clone(), group.version.clone());
         let others = self.forming.take_all_but(&fabric);
-        self.form_group(wanted, group.members.len(), reason);
+        self.form_group(wanted, group.members.len(), context.max_loads, reason);
         self.forming.free.extend(others);
         self.forming.yielded = true;
     }
 
-    /// Where replicas follow from shares, a group of a model that lacks less is retired
-    /// for one of this model; until it is gone, the free hosts beside it are kept.
-    fn have_way_given(&mut self) {
+    /// Preempts a group of a model that lacks less, where that avoids a load, which
+    /// takes several times as long. Until the group is gone, the free hosts beside it
+    /// are kept for this model. Tells whether hosts are coming free.
+    fn preempt(&mut self) -> bool {
         let context = self.context;
         let size = self.intent.hosts_per_replica as usize;
-        let free = count_free(&self.forming.free);
-        // With loads it could be formed as it is.
-        let has_hosts = free.values().any(|count| *count >= size);
-        if !context.keeps_surplus || has_hosts || self.forming.slots == 0 {
-            return;
+        if self.forming.slots == 0 {
+            return false;
         }
-        if let Some(fabric) = fabric_to_keep(context, &free, size) {
+        let free = self.count_holding();
+        if let Some(fabric) = fabric_to_keep(context, &free, self.model, size) {
             self.forming.free.remove(&fabric);
-            return;
+            return true;
         }
         if self.forming.yielded {
-            return;
+            return false;
         }
-        let warm = self.count_holding();
-        let Some(number) = group_to_give_way(context, &warm, self.model, size) else {
-            return;
+        let Some(number) = group_to_preempt(context, &free, self.model, size) else {
+            return false;
         };
         let group = &context.assignment.groups[&number];
         if let Some(fabric) = fabric_of(group, context.hosts) {
@@ -435,7 +440,8 @@
         }
         self.forming.yielded = true;
         let to = self.model.clone();
-        self.retire(number, RetireReason::GiveWay { to });
+        self.retire(number, RetireReason::Preempted { to });
+        true
     }
 
     /// Free hosts that hold the weights of this model, by fabric domain.
@@ -496,14 +502,25 @@
 
     /// Forms one group of this model if hosts and slots are there.
     fn form(&mut self, reason: FormReason) -> bool {
+        self.form_with(self.context.max_loads, reason)
+    }
+
+    /// Forms one group of hosts that all hold the weights.
+    fn form_without_loads(&mut self, reason: FormReason) -> bool {
+        self.form_with(0, reason)
+    }
+
+    fn form_with(&mut self, max_loads: usize, reason: FormReason) -> bool {
         let wanted = (self.model.clone(), self.intent.version.clone());
-        self.form_group(wanted, self.intent.hosts_per_replica as usize, reason)
+        let size = self.intent.hosts_per_replica as usize;
+        self.form_group(wanted, size, max_loads, reason)
     }
 
     fn form_group(
         &mut self,
         wanted: (ModelName, ModelVersion),
         size: usize,
+        max_loads: usize,
         reason: FormReason,
     ) -> bool {
         if self.forming.slots == 0 {
@@ -518,7 +535,7 @@
             sizes: &self.forming.sizes,
             weights: self.context.fleet.weights,
             choice: self.context.choice,
-            max_loads: self.context.max_loads,
+            max_loads,
         };
         let Some(chosen) = take_hosts(&mut self.forming.free, &input) else {
             return false;
--- a/shalehinge/src/core/placement/preemption.rs
+++ b/shalehinge/src/core/placement/preemption.rs
@@ -1,9 +1,10 @@
-//! Groups of a well-served model that give way to one of a model that lacks more.
+//! Preemption of groups of a well-served model for one that lacks more.
 //!
 //! A large replica that lost a host may leave survivors that are too few for another
-//! one, while small groups stand beside them. Where the large model has less of what it
-//! should have than the small one would still have, a small group is retired: the worse
-//! served of the two is then served better.
+//! one, or too few that hold its weights, while small groups stand beside them. Where
+//! the large model has less of what it should have than the small one would still have,
+//! a small group is retired: the worse served of the two is then served better, and
+//! sooner than by a load of weights.
 
 use std::collections::BTreeMap;
 
@@ -39,7 +40,7 @@
 /// The group whose hosts, beside the free ones of its fabric domain, are enough for a
 /// group of `size` without a load, and whose model is still served better without it
 /// than `model` is. `free` counts hosts that hold the weights of `model`.
-pub fn group_to_give_way(
+pub fn group_to_preempt(
     context: &PlacementContext<'_>,
     free: &FreeCounts,
     model: &ModelName,
@@ -66,11 +67,13 @@
     givers.first().map(|(_, number)| *number)
 }
 
-/// A fabric domain where a group of `size` can be formed once those that retire have
-/// left: its free hosts must not be used up meanwhile.
+/// A fabric domain where a group of `size` can be formed without a load once those that
+/// retire have left: its free hosts must not be used up meanwhile. `free` counts hosts
+/// that hold the weights of `model`.
 pub fn fabric_to_keep(
     context: &PlacementContext<'_>,
     free: &FreeCounts,
+    model: &ModelName,
     size: usize,
 ) -> Option<FabricDomain> {
     let mut coming: BTreeMap<&FabricDomain, usize> = BTreeMap::new();
@@ -78,8 +81,10 @@
         if group.phase != GroupPhase::Retiring {
             continue;
         }
+        let members = group.members.iter();
+        let holding = members.filter(|member| holds(context, &member.host, model));
         if let Some(fabric) = fabric_of(group, context.hosts) {
-            *coming.entry(fabric).or_default() += group.members.len();
+            *coming.entry(fabric).or_default() += holding.count();
         }
     }
     let fabric = coming.into_iter().find(|(fabric, count)| {
--- a/shalehinge/tests/placement.rs
+++ b/shalehinge/tests/placement.rs
@@ -192,7 +192,7 @@
 }
 
 #[test]
-fn a_small_group_gives_way_where_the_large_model_lacks_more() {
+fn a_small_group_is_preempted_where_the_large_model_lacks_more() {
     let mut domain = large_group_without_a_spare();
     let steps = domain.steps();
     assert_eq!(retired(&steps).len(), 1);
@@ -206,14 +206,14 @@
 }
 
 #[test]
-fn no_group_gives_way_to_one_that_would_have_to_load() {
+fn no_group_is_preempted_for_one_that_would_have_to_load() {
     let mut domain = large_group_without_a_spare();
     domain.hold(&["small"]);
     assert_eq!(retired(&domain.steps()), []);
 }
 
 #[test]
-fn a_group_gives_way_only_if_its_model_is_still_served_better() {
+fn a_group_is_preempted_only_if_its_model_is_still_served_better() {
     let mut domain = large_group_without_a_spare();
     domain.want("small", 2, 3);
     domain.want("large", 4, 1);
@@ -221,3 +221,22 @@
     // One of one and two of three: the small model has no claim on the large group.
     assert_eq!(domain.steps(), []);
 }
+
+#[test]
+fn a_small_group_is_preempted_where_a_spare_would_have_to_load() {
+    let mut domain = large_group_without_a_spare();
+    domain.add_hosts("a", 10..11);
+    let steps = domain.steps();
+    assert_eq!(retired(&steps).len(), 1, "{steps:?}");
+    assert_eq!(formed(&steps), [], "a load would take longer");
+    domain.apply(&steps);
+    assert_eq!(domain.steps(), [], "the free hosts are kept for it");
+    domain.finish_changes();
+    let steps = domain.steps();
+    let loads = steps.iter().filter_map(|step| match step {
+        PlacementStep::Form { model, loads, .. } => Some((model.as_str(), *loads)),
+        _ => None,
+    });
+    let loads: Vec<_> = loads.collect();
+    assert_eq!(loads, [("large", 0), ("small", 1)]);
+}
--- a/shalehinge/tests/placement_support/mod.rs
+++ b/shalehinge/tests/placement_support/mod.rs
@@ -44,7 +44,13 @@
 
     /// Hosts `name0` and so on, connected by one fabric.
     pub fn fabric(mut self, name: &str, hosts: u16) -> Self {
-        for number in 0..hosts {
+        self.add_hosts(name, 0..hosts);
+        self
+    }
+
+    /// Adds hosts with these numbers to a fabric; they hold no weights.
+    pub fn add_hosts(&mut self, name: &str, numbers: std::ops::Range<u16>) {
+        for number in numbers {
             let record = HostRecord {
                 address: ([10, 0, 0, 1], number).into(),
                 failure_domain: self.name.clone(),
@@ -59,7 +65,6 @@
             let id = HostId::new(&format!("{name}{number}"));
             self.hosts.hosts.insert(id, record);
         }
-        self
     }
 
     /// All hosts hold these models' weights.
