fix(controller): hosts of a retiring group no longer wait for a member that is gone

Cause: a group retires when a member leaves; it ended only once all members had taken the release. Change: once rank 0 has finished and left, a member that the list lost or that answers no more makes the group dissolve, and each host is free as it leaves. Test: a_member_that_is_gone_keeps_no_other_host..., red before ('never').

--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -124,6 +124,10 @@
                 lost.extend(first.map(|host| (*number, host)));
                 continue;
             }
+            if let Some(host) = self.gone_from_retiring(*number, group, trusts_absence) {
+                lost.push((*number, host));
+                continue;
+            }
             for (rank, member) in group.members.iter().enumerate() {
                 let (host, is_head) = (&member.host, rank == 0);
                 if self.has_lost(*number, group.phase, host, is_head, trusts_absence) {
@@ -145,6 +149,25 @@
             .is_some_and(|since| now.since(*since) >= self.settings.forming_timeout)
     }
 
+    /// A member of a retiring group that will never take its release. Once rank 0 has
+    /// finished and left, the other hosts need not wait for it.
+    fn gone_from_retiring(
+        &self,
+        number: GroupNumber,
+        group: &Group,
+        trusts_absence: bool,
+    ) -> Option<HostId> {
+        let rank_zero = &group.members.first()?.host;
+        let is_finished = group.phase == GroupPhase::Retiring && self.has_left(rank_zero, number);
+        if !is_finished || !trusts_absence {
+            return None;
+        }
+        let members = group.members.iter().map(|member| &member.host);
+        let mut remaining = members.filter(|host| !self.has_left(host, number));
+        let is_gone = |host: &HostId| !self.is_listed(host) || self.departed.contains(host);
+        remaining.find(|host| is_gone(host)).cloned()
+    }
+
     /// Whether the list shows that the host is no member any more.
     fn has_lost(
         &self,
--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -279,3 +279,18 @@
     });
     assert_eq!(host(0).as_str(), "host-00");
 }
+
+#[test]
+fn a_member_that_is_gone_keeps_no_other_host_in_a_group_that_retires() {
+    let mut domain = Domain::serving(&[8]);
+    let (number, members) = domain.group_of(LARGE);
+    domain.engine(&members[1]).is_listed = false;
+    domain.go_dark(&members[1]);
+    let now = domain.now;
+    domain.controller.suspect(now, number);
+    let waited = domain.run_until("the others are free", |domain| {
+        !domain.stored.value.groups.contains_key(&number)
+    });
+    assert!(waited < seconds(3), "{waited:?}");
+    assert_eq!(domain.engines[&members[0]].phase, EnginePhase::Idle);
+}
