feat(controller): the assignment names the model that free hosts hold

Excluded: the list (its field for models is empty for hosts in no group; trial). Change: held_by_free in the assignment object, written with it. Test: a_new_holder_knows_which_model_a_free_host_holds, red before.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -208,6 +208,11 @@
         "let is_finished = false;",
         "ordered", "gone_keeps",
     ),
+    "held-by-free": (
+        CORE + "controller/mod.rs",
+        "self.last_model.clone_from(&stored.value.held_by_free);", "",
+        "ordered", "new_holder_knows",
+    ),
     "preemption": (
         CORE + "placement/planner.rs",
         "if self.preempt() {", "if false {",
--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -266,10 +266,14 @@
         self.in_flight = false;
         self.pending = None;
         self.stored_seen_at = None;
-        self.stored = Some(value.unwrap_or(Versioned {
+        let stored = value.unwrap_or(Versioned {
             version: Version(0),
             value: Assignment::default(),
-        }));
+        });
+        if self.last_model.is_empty() {
+            self.last_model.clone_from(&stored.value.held_by_free);
+        }
+        self.stored = Some(stored);
     }
 
     /// A write took effect.
@@ -416,6 +420,7 @@
         self.note_times(now, &value);
         if self.settings.assembly == Assembly::Orders {
             self.next_ordered(now, &mut value, state, &mut log);
+            value.held_by_free = self.held_by_free(&value);
             let changed = value != stored.value;
             return (changed.then_some(value), log);
         }
--- a/shalehinge/src/core/controller/staging.rs
+++ b/shalehinge/src/core/controller/staging.rs
@@ -172,6 +172,18 @@
         }
     }
 
+    /// What a successor could not learn from the host list: the last models of hosts
+    /// that are in no group.
+    pub(super) fn held_by_free(&self, value: &Assignment) -> BTreeMap<HostId, ModelName> {
+        let used = value.used_hosts();
+        let free = self
+            .last_model
+            .iter()
+            .filter(|(host, _)| !used.contains(host) && self.is_listed(host));
+        free.map(|(host, model)| (host.clone(), model.clone()))
+            .collect()
+    }
+
     fn wanted_weights(&mut self, value: &Assignment) -> Vec<StageWish> {
         let strays = self.strays(value);
         let mut group_of: BTreeMap<&HostId, &Group> = BTreeMap::new();
--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -311,6 +311,10 @@
     /// the most that the listed hosts ever allowed.
     #[serde(default)]
     pub wanted: BTreeMap<ModelName, u32>,
+    /// The model that each free host last held in memory, where engines join by order:
+    /// a host joins a group of that model at once, and the host list does not tell it.
+    #[serde(default)]
+    pub held_by_free: BTreeMap<HostId, ModelName>,
 }
 
 /// The hosts that form one replica. Members never change; a change makes a new group.
@@ -369,6 +373,7 @@
             releasing: BTreeMap::new(),
             heads: BTreeMap::new(),
             wanted: BTreeMap::new(),
+            held_by_free: BTreeMap::new(),
         }
     }
 }
--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -294,3 +294,21 @@
     assert!(waited < seconds(3), "{waited:?}");
     assert_eq!(domain.engines[&members[0]].phase, EnginePhase::Idle);
 }
+
+#[test]
+fn a_new_holder_knows_which_model_a_free_host_holds() {
+    for model in [LARGE, SMALL] {
+        let mut domain = Domain::serving(&[9]);
+        domain.change_holder();
+        domain.run_for(seconds(1));
+        let wanted = domain.open_groups(model);
+        let (number, members) = domain.group_of(model);
+        domain.go_dark(&members[1]);
+        let now = domain.now;
+        domain.controller.suspect(now, number);
+        domain.run_until("formed again", |domain| {
+            !domain.stored.value.groups.contains_key(&number) && domain.open_groups(model) == wanted
+        });
+        assert!(domain.loads.is_empty(), "{model} had to be loaded");
+    }
+}
