feat(controller): hosts answer before they join a group, where others fell silent

Excluded: one daemon's view dissolving what serves others (all lost groups had a silent member; the holder's two probes decide). Change: a silent host stays out of new groups until it answers (before: for 5 s), and a free host must answer a probe once others fell silent that the list shows alive. How dead, cut off and slow are told apart stands in reachability.rs. Test: hosts_that_fell_silent_together..., red before.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -213,6 +213,12 @@
         "self.last_model.clone_from(&stored.value.held_by_free);", "",
         "ordered", "new_holder_knows",
     ),
+    "silent-together": (
+        CORE + "controller/reachability.rs",
+        "let Some(since) = self.silent_since() else {",
+        "let Some(since) = None::<Timestamp> else {",
+        "ordered", "fell_silent",
+    ),
     "preemption": (
         CORE + "placement/planner.rs",
         "if self.preempt() {", "if false {",
--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -8,6 +8,7 @@
 //!
 //! - `calls`: orders and looks that follow from what is stored
 //! - `ordered`: the same for engines that join and open by order
+//! - `reachability`: hosts that this daemon can't reach, where engines join by order
 //! - `service_plan`: what follows from the models' parts of the work
 //! - `departures`: hosts that leave, and when they may join others
 //! - `staging`: second weights on every host
@@ -17,6 +18,7 @@
 mod departures;
 mod load_budget;
 mod ordered;
+mod reachability;
 mod service_plan;
 mod staging;
 
@@ -120,8 +122,10 @@
     released: BTreeMap<HostId, GroupNumber>,
     health: BTreeMap<GroupNumber, GroupHealth>,
     unreachable: BTreeMap<HostId, Timestamp>,
-    /// Hosts that left an order unanswered, and when they are asked whether they live.
+    /// Hosts that left an order or a probe unanswered, and when they are probed next.
     doubted: BTreeMap<HostId, Timestamp>,
+    /// When each host last answered an order or a probe.
+    answered_at: BTreeMap<HostId, Timestamp>,
     next_call_at: BTreeMap<HostId, (CallPurpose, Timestamp)>,
     retiring_since: BTreeMap<GroupNumber, Timestamp>,
     forming_since: BTreeMap<GroupNumber, Timestamp>,
@@ -166,6 +170,7 @@
             health: BTreeMap::new(),
             unreachable: BTreeMap::new(),
             doubted: BTreeMap::new(),
+            answered_at: BTreeMap::new(),
             next_call_at: BTreeMap::new(),
             retiring_since: BTreeMap::new(),
             forming_since: BTreeMap::new(),
@@ -466,7 +471,7 @@
         self.promote_open(value, log);
         self.note_listed_losses(now, value);
         let lost = self.lost_groups(value);
-        let mut avoided = self.recently_unreachable(now);
+        let mut avoided = self.out_of_reach(now, value);
         log.extend(self.plans.refresh(
             state,
             &self.domain,
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -12,7 +12,7 @@
 use super::{CallPurpose, Controller, ControllerAction};
 use crate::core::engine::{Command, EngineStatus, LoadCommand, Order};
 use crate::core::fleet_state::FleetState;
-use crate::core::objects::{Assignment, Group, GroupPhase, HostRecord, HostState, Member};
+use crate::core::objects::{Assignment, Group, GroupPhase, HostRecord};
 use crate::core::types::{Address, Epoch, GroupNumber, HostId, ModelName, Timestamp};
 
 /// Refusals of an order after which its group is given up.
@@ -356,8 +356,7 @@
 
     /// An engine answered an order.
     pub(super) fn on_ordered(&mut self, now: Timestamp, host: &HostId, order: &Order, taken: bool) {
-        self.unreachable.remove(host);
-        self.doubted.remove(host);
+        self.note_answer(now, host);
         let is_load = matches!(order.command, Command::Load(_));
         if is_load && order.group == GroupNumber::PRIMING {
             self.on_prime_answered(host, taken);
@@ -389,34 +388,9 @@
         }
     }
 
-    /// A host left an order unanswered. The order may be carried out late, which the
-    /// numbers of groups make harmless, and is given again; only a host that answers no
-    /// look either is out of reach.
-    pub(super) fn doubt(&mut self, now: Timestamp, host: &HostId) {
-        self.doubted.entry(host.clone()).or_insert(now);
-    }
-
-    fn ask_doubted(&mut self, now: Timestamp, actions: &mut Vec<ControllerAction>) {
-        let listed = &self.listed;
-        self.doubted.retain(|host, _| listed.contains_key(host));
-        for (host, next_at) in &mut self.doubted {
-            if now < *next_at {
-                continue;
-            }
-            *next_at = now + SUSPECT_SPACING;
-            let host = host.clone();
-            let address = listed[&host].record.address;
-            actions.push(ControllerAction::Probe {
-                group: GroupNumber::PRIMING,
-                rank_zero: Member { host, address },
-            });
-        }
-    }
-
     /// A member was asked and answered.
     pub(super) fn on_probed(&mut self, now: Timestamp, status: &EngineStatus) {
-        self.unreachable.remove(&status.host);
-        self.doubted.remove(&status.host);
+        self.note_answer(now, &status.host);
         self.departed.remove(&status.host);
         let Some(stored) = &self.stored else {
             return;
@@ -451,25 +425,21 @@
         if now.since(asked_at) >= self.settings.loss_confirm * 2 {
             return;
         }
-        self.unreachable.insert(host.clone(), now);
+        self.note_silence(now, host);
         let Some(stored) = &self.stored else {
             return;
         };
         let groups = stored.value.groups.iter();
         let mut of_host = groups.filter(|(_, group)| group.contains(host));
         let Some((number, group)) = of_host.next() else {
-            self.doubted.remove(host);
             return;
         };
-        let listed = self.listed.get(host);
-        let is_live =
-            listed.is_some_and(|host| host.is_listed && host.record.state == HostState::Live);
+        let is_live = self.is_live(host);
         let health = self.health.entry(*number).or_default();
         let since = *health.incomplete_since.get_or_insert(asked_at);
         health.silent_member.get_or_insert_with(|| host.clone());
         let is_second = asked_at > since;
         if is_second && now.since(since) >= self.settings.loss_confirm {
-            self.doubted.remove(host);
             if !is_live && group.phase != GroupPhase::Forming {
                 self.departed.insert(host.clone());
                 return;
--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -312,3 +312,29 @@
         assert!(domain.loads.is_empty(), "{model} had to be loaded");
     }
 }
+
+#[test]
+fn hosts_that_fell_silent_together_join_no_new_group_while_the_list_still_shows_them() {
+    let mut domain = Domain::serving(&[11]);
+    let used = domain.stored.value.used_hosts();
+    let mut free = domain.engines.keys().filter(|id| !used.contains(*id));
+    let spare = free.next().expect("one host is left over").clone();
+    let (number, members) = domain.group_of(SMALL);
+    let silent = [&spare, &members[1]];
+    for host in silent {
+        domain.go_dark(host);
+    }
+    let now = domain.now;
+    domain.controller.suspect(now, number);
+    for _ in 0..600 {
+        domain.run_for(Duration::from_millis(50));
+        let groups = domain.stored.value.groups.iter();
+        let mut forming = groups.filter(|(_, group)| group.phase == GroupPhase::Forming);
+        let joined = forming.find(|(_, group)| silent.iter().any(|host| group.contains(host)));
+        assert!(joined.is_none(), "{joined:?} includes a silent host");
+    }
+    for host in silent {
+        domain.engine(host).is_reachable = true;
+    }
+    domain.run_until("all serve again", |domain| domain.open_groups(SMALL) == 3);
+}
