feat(router): trial: timely requests first, and a limit by how soon first outputs come

Change: late requests step back behind those that can still be on time, and wait 2 s more at most; a limit on the requests in flight, lowered while first outputs come late. Both by a setting.

--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -232,7 +232,7 @@
             cost,
             share,
         };
-        state.enqueue(request, &pending);
+        state.enqueue(request, &pending, self.settings.timely_first);
         self.pending.insert(request, pending);
         self.waiting += 1;
         self.evict_overflow(&target, out);
@@ -258,11 +258,16 @@
         rng: &mut impl rand::Rng,
         out: &mut Vec<RouterAction>,
     ) {
+        let max_wait = self.settings.max_wait;
         loop {
             let Some(state) = self.targets.get_mut(target) else {
                 return;
             };
-            let Some(request) = state.queue.peek().map(|waiting| waiting.request) else {
+            let Some(request) = state
+                .queue
+                .peek(now, max_wait)
+                .map(|waiting| waiting.request)
+            else {
                 return;
             };
             let Some(pending) = self.pending.get_mut(&request) else {
@@ -323,14 +328,21 @@
         };
         pending.seen_output = true;
         let is_first = running.first_at.replace(now).is_none();
+        let took = now.since(running.sent_at);
+        let aim = pending.meta.first_output_within;
         let (target, upstream) = (pending.meta.target.clone(), running.upstream.clone());
-        let state = self.targets.get_mut(&target);
-        if let Some(upstream) = state.and_then(|state| state.upstream_mut(&upstream)) {
+        let Some(state) = self.targets.get_mut(&target) else {
+            return;
+        };
+        if let Some(upstream) = state.upstream_mut(&upstream) {
             upstream.on_progress(now);
             if is_first {
                 upstream.on_first_output();
             }
         }
+        if let Some(aim) = aim.filter(|_| is_first && self.settings.adaptive_concurrency) {
+            state.on_first_output(now, aim, took);
+        }
     }
 
     /// More output of an attempt came.
@@ -432,7 +444,7 @@
             pending.earlier = Some(outcome);
         }
         if let Some(state) = self.targets.get_mut(&pending.meta.target) {
-            state.enqueue(request, pending);
+            state.enqueue(request, pending, self.settings.timely_first);
             self.waiting += 1;
         }
     }
--- a/shalehinge/src/core/router/estimate.rs
+++ b/shalehinge/src/core/router/estimate.rs
@@ -70,3 +70,28 @@
         self.0
     }
 }
+
+/// An estimate that follows low values quickly and high ones slowly: what a request takes
+/// that need not wait.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LowerEnvelope(Option<Duration>);
+
+impl LowerEnvelope {
+    /// Takes in one value.
+    pub fn record(&mut self, value: Duration) {
+        /// Weight of a value below the estimate. Chosen, not measured.
+        const FALL: f64 = 0.3;
+        /// Weight of a value above it. Chosen: a hundred late answers double it at most.
+        const RISE: f64 = 0.01;
+        let estimate = self.0.map_or(value, |known| {
+            let weight = if value < known { FALL } else { RISE };
+            known.mul_f64(1.0 - weight) + value.mul_f64(weight)
+        });
+        self.0 = Some(estimate);
+    }
+
+    /// The estimate, if anything was recorded.
+    pub fn get(self) -> Option<Duration> {
+        self.0
+    }
+}
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -1,7 +1,9 @@
 //! Routing: which request goes where and when, and what became of it.
 //!
 //! - `request`: requests, attempts and outcomes as values
-//! - `queue`: fair waiting line between customers
+//! - `concurrency`: how many requests are sent at a time, by how soon they are answered
+//! - `queue`: fair queue between customers
+//! - `wait_queue`: requests that can still be on time, and late ones
 //! - `estimate`: drain rate, and refusal of what would be late
 //! - `upstream`: one upstream: evidence, room, speed
 //! - `topology`: which upstreams this daemon considers
@@ -15,6 +17,7 @@
 //! - `dispatch`: the state machine that joins them
 
 pub mod choose;
+pub mod concurrency;
 pub mod dispatch;
 pub mod estimate;
 mod keys;
@@ -27,5 +30,6 @@
 mod target;
 pub mod topology;
 pub mod upstream;
+pub mod wait_queue;
 
 pub use dispatch::{Router, RouterAction};
--- a/shalehinge/src/core/router/queue.rs
+++ b/shalehinge/src/core/router/queue.rs
@@ -21,6 +21,8 @@
     pub priority: u8,
     /// Earlier goes first.
     pub deadline: Timestamp,
+    /// When it must be sent for its first output to come by its aim, if it has one.
+    pub start_by: Option<Timestamp>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -86,6 +88,20 @@
         line.waiting.values().next()
     }
 
+    /// Takes out the next request if it can no longer be on time, with its customer and
+    /// the customer's share. The customer is not charged for it.
+    pub fn take_overdue(&mut self, now: Timestamp) -> Option<(Customer, u32, Waiting)> {
+        let (customer, line) = self.next_line()?;
+        let waiting = line.waiting.values().next()?;
+        if waiting.start_by.is_none_or(|start_by| now <= start_by) {
+            return None;
+        }
+        let (customer, share) = (customer.clone(), line.share as u32);
+        let request = waiting.request;
+        let waiting = self.remove(&customer, request)?;
+        Some((customer, share, waiting))
+    }
+
     fn next_line(&self) -> Option<(&Customer, &Line)> {
         self.lines
             .iter()
--- a/shalehinge/src/core/router/request.rs
+++ b/shalehinge/src/core/router/request.rs
@@ -45,6 +45,8 @@
     pub max_output_tokens: u32,
     /// When the answer must be whole.
     pub deadline: Timestamp,
+    /// How soon its first output should come to be worth its full value, if that is known.
+    pub first_output_within: Option<Duration>,
     /// 0 is the lowest; passed on to the engine.
     pub priority: u8,
     /// Hash of customer and key, where the request may run at most once per key.
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -6,11 +6,13 @@
 use crate::settings::router::RouterSettings;
 
 use super::choose::{Choice, ChoiceContext, choose, typical_interval};
-use super::estimate::{DrainRate, SmoothedDuration};
+use super::concurrency::{ConcurrencyLimit, LimitBounds};
+use super::estimate::{DrainRate, LowerEnvelope, SmoothedDuration};
 use super::prefix::BLOCK_TOKENS;
-use super::queue::{FairQueue, Waiting};
+use super::queue::Waiting;
 use super::request::{Attempt, AttemptEnd, Outcome, RequestMeta, UpstreamId};
 use super::upstream::{Upstream, Work};
+use super::wait_queue::WaitQueue;
 
 /// Output expected of a request before any was seen, as a part of what it asks for.
 const FIRST_OUTPUT_PART: f64 = 0.5;
@@ -59,26 +61,39 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct TargetState {
     pub(super) upstreams: Vec<Upstream>,
-    pub(super) queue: FairQueue,
+    pub(super) queue: WaitQueue,
+    pub(super) concurrency: ConcurrencyLimit,
     pub(super) drain: DrainRate,
     pub(super) first_token: SmoothedDuration,
+    /// Time to the first token where nothing has to wait for it.
+    pub(super) fastest_first: LowerEnvelope,
     pub(super) token_interval: SmoothedDuration,
     pub(super) output_part: Option<f64>,
     pub(super) turn: usize,
 }
 
 impl TargetState {
-    pub(super) fn enqueue(&mut self, request: RequestId, pending: &Pending) {
+    pub(super) fn enqueue(&mut self, request: RequestId, pending: &Pending, timely_first: bool) {
         let waiting = Waiting {
             request,
             cost: pending.cost,
             priority: pending.meta.priority,
             deadline: pending.meta.deadline,
+            start_by: self.start_by(pending).filter(|_| timely_first),
         };
         self.queue
             .push(&pending.meta.customer, pending.share, waiting);
     }
 
+    /// When a request must be sent to be on time. One that was sent before goes on
+    /// without delay, as part of it may have run.
+    fn start_by(&self, pending: &Pending) -> Option<Timestamp> {
+        let aim = pending.meta.first_output_within?;
+        let fastest = self.fastest_first.get()?;
+        let is_new = pending.attempts == 0;
+        is_new.then(|| pending.came_at + aim.saturating_sub(fastest))
+    }
+
     pub(super) fn expected_output(&self, meta: &RequestMeta) -> f64 {
         f64::from(meta.max_output_tokens) * self.output_part.unwrap_or(FIRST_OUTPUT_PART)
     }
@@ -111,6 +126,9 @@
         pending: &Pending,
         rng: &mut impl rand::Rng,
     ) -> Option<Choice> {
+        if !self.concurrency.allows(self.in_flight()) {
+            return None;
+        }
         let context = ChoiceContext {
             now,
             settings,
@@ -134,6 +152,29 @@
         })
     }
 
+    /// Requests of this daemon that run.
+    fn in_flight(&self) -> u32 {
+        let upstreams = self.upstreams.iter();
+        upstreams.map(|upstream| upstream.in_flight()).sum()
+    }
+
+    /// The first output of a request came.
+    pub(super) fn on_first_output(&mut self, now: Timestamp, aim: Duration, took: Duration) {
+        /// The least that a daemon keeps running, against its even part of the places.
+        const LEAST_PART: f64 = 0.5;
+        /// Above this part of them there is no limit.
+        const MOST_PART: f64 = 3.0;
+        let eligible = self.upstreams.iter().filter(|u| u.is_eligible(now));
+        let places: f64 = eligible.map(Upstream::even_part).sum();
+        let bounds = LimitBounds {
+            least: (places * LEAST_PART).max(1.0),
+            most: places * MOST_PART,
+        };
+        let in_flight = self.in_flight();
+        self.concurrency
+            .on_first_output(now, took, aim, in_flight, bounds);
+    }
+
     pub(super) fn work_of(&self, meta: &RequestMeta, held_blocks: usize) -> Work {
         let held = f64::from(BLOCK_TOKENS) * held_blocks as f64;
         let prompt = (f64::from(meta.prompt_tokens) - held).max(0.0);
@@ -239,6 +280,7 @@
         let first = first_at.since(running.sent_at);
         let interval = (tokens > 1).then(|| now.since(first_at) / (tokens - 1));
         self.first_token.record(first);
+        self.fastest_first.record(first);
         interval.inspect(|interval| self.token_interval.record(*interval));
         if let Some(upstream) = self.upstream_mut(&running.upstream) {
             upstream.outlier.on_success();
--- a/shalehinge/src/gateway/chat.rs
+++ b/shalehinge/src/gateway/chat.rs
@@ -94,6 +94,7 @@
         prompt_tokens: (prompt.len() / BYTES_PER_TOKEN) as u32,
         max_output_tokens: max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).max(1),
         deadline: context.driver.now() + wishes.time,
+        first_output_within: None,
         priority: wishes.priority,
         key: wishes.key,
         repeatable: wishes.repeatable,
--- a/shalehinge/src/gateway/relay.rs
+++ b/shalehinge/src/gateway/relay.rs
@@ -179,6 +179,7 @@
         prompt_tokens,
         max_output_tokens,
         deadline: came_at + asked.min(timeout),
+        first_output_within: aim_of(routed.route.target_latency_ms),
         priority: MOST_RANK.saturating_sub(routed.rank()),
         key: None,
         repeatable: routed.is_repeatable(),
@@ -203,6 +204,11 @@
     Ok((meta, outgoing))
 }
 
+/// The time that a route aims at; 0 stands for none.
+fn aim_of(target_latency_ms: u64) -> Option<Duration> {
+    (target_latency_ms > 0).then(|| Duration::from_millis(target_latency_ms))
+}
+
 /// SHA-256 of the caller's key in hexadecimal, if it sent one.
 fn credential(names: RelayNames, conn: &Conn) -> Option<Credential> {
     let header = conn
--- a/shalehinge/src/gateway/service.rs
+++ b/shalehinge/src/gateway/service.rs
@@ -49,6 +49,7 @@
         prompt_tokens: 0,
         max_output_tokens: 0,
         deadline: context.driver.now() + wishes.time,
+        first_output_within: None,
         priority: wishes.priority,
         key: wishes.key,
         repeatable: wishes.repeatable,
--- a/shalehinge/tests/listed_routing.rs
+++ b/shalehinge/tests/listed_routing.rs
@@ -54,6 +54,7 @@
         prompt_tokens: 100,
         max_output_tokens: 50,
         deadline: Timestamp::from_millis(60_000),
+        first_output_within: None,
         priority: 5,
         key: None,
         repeatable: true,
@@ -397,3 +398,53 @@
     }
     assert!(harness.attempts(1) <= 4, "3 saved up, and none earned");
 }
+
+/// A stream that came at `came_at` and should begin within 300 ms.
+fn stream_with_aim() -> RequestMeta {
+    RequestMeta {
+        first_output_within: Some(Duration::from_millis(300)),
+        ..stream()
+    }
+}
+
+/// One replica with room for one request, which has answered one after 100 ms.
+fn one_place() -> Harness {
+    let settings = RouterSettings {
+        engine_backlog: 0.0,
+        uneven_share: 0.125,
+        ..RouterSettings::default()
+    };
+    let mut harness = Harness::with_settings(1, settings);
+    harness.submit(1, stream_with_aim());
+    harness.advance(Duration::from_millis(100));
+    harness.output(1);
+    harness.end(1, AttemptEnd::Completed { output_tokens: 5 });
+    harness
+}
+
+#[test]
+fn a_request_that_can_still_be_on_time_goes_before_one_that_is_late() {
+    let mut harness = one_place();
+    harness.submit(2, stream_with_aim());
+    harness.submit(3, stream_with_aim());
+    harness.advance(Duration::from_millis(400));
+    harness.submit(4, stream_with_aim());
+    harness.end(2, AttemptEnd::Completed { output_tokens: 5 });
+    assert!(harness.sent.contains_key(&4), "on time");
+    assert!(!harness.sent.contains_key(&3), "late already");
+    harness.end(4, AttemptEnd::Completed { output_tokens: 5 });
+    assert!(harness.sent.contains_key(&3), "served with what is left");
+}
+
+#[test]
+fn a_late_request_that_finds_no_room_is_refused_well_before_its_deadline() {
+    let mut harness = one_place();
+    harness.submit(2, stream_with_aim());
+    harness.submit(3, stream_with_aim());
+    harness.advance(Duration::from_millis(2_600));
+    let refused = harness.answers.get(&3);
+    assert!(
+        matches!(refused, Some(Outcome::NotRun { .. })),
+        "{refused:?}"
+    );
+}
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -32,6 +32,7 @@
         prompt_tokens: 10,
         max_output_tokens: 8,
         deadline: Timestamp::from_millis(60_000),
+        first_output_within: None,
         priority: 0,
         key: None,
         repeatable: false,
--- a/shalehinge/tests/support/apply.rs
+++ b/shalehinge/tests/support/apply.rs
@@ -145,6 +145,7 @@
             prompt_tokens: 10,
             max_output_tokens: 8,
             deadline: entry.clock(self.now) + time,
+            first_output_within: None,
             priority: 0,
             key,
             repeatable,
--- a/standin/benches/decisions.rs
+++ b/standin/benches/decisions.rs
@@ -87,6 +87,7 @@
             prompt_tokens: 500,
             max_output_tokens: 256,
             deadline: Timestamp::from_millis(60_000),
+            first_output_within: None,
             priority: 0,
             key: None,
             repeatable: true,
--- a/standin/src/experiment/fleet.rs
+++ b/standin/src/experiment/fleet.rs
@@ -319,6 +319,7 @@
             prompt_tokens: arrival.prompt_tokens,
             max_output_tokens: MAX_OUTPUT,
             deadline: self.clock() + DEADLINE,
+            first_output_within: None,
             priority: 0,
             key: None,
             repeatable: true,
