--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -328,21 +328,14 @@
         };
         pending.seen_output = true;
         let is_first = running.first_at.replace(now).is_none();
-        let took = now.since(running.sent_at);
-        let aim = pending.meta.first_output_within;
         let (target, upstream) = (pending.meta.target.clone(), running.upstream.clone());
-        let Some(state) = self.targets.get_mut(&target) else {
-            return;
-        };
-        if let Some(upstream) = state.upstream_mut(&upstream) {
+        let state = self.targets.get_mut(&target);
+        if let Some(upstream) = state.and_then(|state| state.upstream_mut(&upstream)) {
             upstream.on_progress(now);
             if is_first {
                 upstream.on_first_output();
             }
         }
-        if let Some(aim) = aim.filter(|_| is_first && self.settings.adaptive_concurrency) {
-            state.on_first_output(now, aim, took);
-        }
     }
 
     /// More output of an attempt came.
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -1,7 +1,6 @@
 //! Routing: which request goes where and when, and what became of it.
 //!
 //! - `request`: requests, attempts and outcomes as values
-//! - `concurrency`: how many requests are sent at a time, by how soon they are answered
 //! - `queue`: fair queue between customers
 //! - `wait_queue`: requests that can still be on time, and late ones
 //! - `estimate`: drain rate, and refusal of what would be late
@@ -17,7 +16,6 @@
 //! - `dispatch`: the state machine that joins them
 
 pub mod choose;
-pub mod concurrency;
 pub mod dispatch;
 pub mod estimate;
 mod keys;
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -6,7 +6,6 @@
 use crate::settings::router::RouterSettings;
 
 use super::choose::{Choice, ChoiceContext, choose, typical_interval};
-use super::concurrency::{ConcurrencyLimit, LimitBounds};
 use super::estimate::{DrainRate, LowerEnvelope, SmoothedDuration};
 use super::prefix::BLOCK_TOKENS;
 use super::queue::Waiting;
@@ -62,7 +61,6 @@
 pub(super) struct TargetState {
     pub(super) upstreams: Vec<Upstream>,
     pub(super) queue: WaitQueue,
-    pub(super) concurrency: ConcurrencyLimit,
     pub(super) drain: DrainRate,
     pub(super) first_token: SmoothedDuration,
     /// Time to the first token where nothing has to wait for it.
@@ -126,9 +124,6 @@
         pending: &Pending,
         rng: &mut impl rand::Rng,
     ) -> Option<Choice> {
-        if !self.concurrency.allows(self.in_flight()) {
-            return None;
-        }
         let context = ChoiceContext {
             now,
             settings,
@@ -152,29 +147,6 @@
         })
     }
 
-    /// Requests of this daemon that run.
-    fn in_flight(&self) -> u32 {
-        let upstreams = self.upstreams.iter();
-        upstreams.map(|upstream| upstream.in_flight()).sum()
-    }
-
-    /// The first output of a request came.
-    pub(super) fn on_first_output(&mut self, now: Timestamp, aim: Duration, took: Duration) {
-        /// The least that a daemon keeps running, against its even part of the places.
-        const LEAST_PART: f64 = 0.5;
-        /// Above this part of them there is no limit.
-        const MOST_PART: f64 = 3.0;
-        let eligible = self.upstreams.iter().filter(|u| u.is_eligible(now));
-        let places: f64 = eligible.map(Upstream::even_part).sum();
-        let bounds = LimitBounds {
-            least: (places * LEAST_PART).max(1.0),
-            most: places * MOST_PART,
-        };
-        let in_flight = self.in_flight();
-        self.concurrency
-            .on_first_output(now, took, aim, in_flight, bounds);
-    }
-
     pub(super) fn work_of(&self, meta: &RequestMeta, held_blocks: usize) -> Work {
         let held = f64::from(BLOCK_TOKENS) * held_blocks as f64;
         let prompt = (f64::from(meta.prompt_tokens) - held).max(0.0);
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -333,11 +333,6 @@
         part.ceil().clamp(1.0, whole.ceil()) as u32
     }
 
-    /// This daemon's even part of the places of a listed upstream.
-    pub fn even_part(&self) -> f64 {
-        self.spec.slots.map_or(0.0, f64::from) / self.sharers.max(1) as f64
-    }
-
     /// How many daemons send there.
     pub fn set_sharers(&mut self, sharers: usize) {
         self.sharers = sharers;
--- a/shalehinge/src/settings/router.rs
+++ b/shalehinge/src/settings/router.rs
@@ -47,8 +47,6 @@
     pub max_wait: Duration,
     /// Send what can still be on time before what is late already.
     pub timely_first: bool,
-    /// Keep fewer requests at the upstreams while first outputs come late.
-    pub adaptive_concurrency: bool,
     /// What a replica in another failure domain must be better by.
     pub remote_penalty: Duration,
     /// Choose at random among the upstreams, in turn, or by score.
@@ -100,7 +98,6 @@
             early_refusal: true,
             max_wait: Duration::from_secs(2),
             timely_first: true,
-            adaptive_concurrency: true,
             remote_penalty: Duration::from_millis(5),
             policy: ChoicePolicy::Score,
             uneven_share: 3.0,
@@ -139,8 +136,6 @@
             early_refusal: section.flag("early_refusal", default.early_refusal),
             max_wait: section.duration("max_wait", default.max_wait),
             timely_first: section.flag("timely_first", default.timely_first),
-            adaptive_concurrency: section
-                .flag("adaptive_concurrency", default.adaptive_concurrency),
             remote_penalty: section.duration("remote_penalty", default.remote_penalty),
             policy: section.policy("policy", default.policy),
             uneven_share: section.fraction("uneven_share", default.uneven_share),
