fix(controller): entries that lapsed in an outage are not taken as gone before they can return

Change: where the list was not renewed for more than two heartbeats, a missing host counts as gone only 2.5 s after the list's return; the heartbeat comes from the deployment. The knowledge outlives the lease, which such an outage ends. Tests: rank_zero_that_is_missing_just_after_an_outage..., red with the protection taken out, and rank_zero_that_stays_missing_after_an_outage_is_lost.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -219,6 +219,17 @@
         "let Some(since) = None::<Timestamp> else {",
         "ordered", "fell_silent",
     ),
+    "lapsed-entries": (
+        CORE + "controller/ordered.rs",
+        " && !self.list_outage.may_return()", "",
+        "ordered", "just_after_an_outage",
+    ),
+    "timely-first": (
+        CORE + "router/wait_queue.rs",
+        "while let Some((customer, share, mut waiting)) = self.timely.take_overdue(now) {",
+        "while let Some((customer, share, mut waiting)) = self.timely.take_overdue(Timestamp::ZERO) {",
+        "listed_routing", "late",
+    ),
     "preemption": (
         CORE + "placement/planner.rs",
         "if self.preempt() {", "if false {",
--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -12,10 +12,12 @@
 //! - `service_plan`: what follows from the models' parts of the work
 //! - `departures`: hosts that leave, and when they may join others
 //! - `staging`: second weights on every host
+//! - `list_outage`: entries that lapse while the platform is away
 //! - `load_budget`: how many loads may begin
 
 mod calls;
 mod departures;
+mod list_outage;
 mod load_budget;
 mod ordered;
 mod reachability;
@@ -39,6 +41,7 @@
 };
 use crate::settings::control::{Assembly, ControlSettings};
 
+use list_outage::ListOutage;
 use load_budget::LoadBudget;
 use ordered::ListedHost;
 use service_plan::{ONLY_VERSION, ServicePlans};
@@ -136,6 +139,8 @@
     listing: Listing,
     listed: BTreeMap<HostId, ListedHost>,
     listed_version: Version,
+    /// Known also while no lease is held, as an outage ends the lease.
+    list_outage: ListOutage,
     /// When a host last appeared in the list.
     hosts_came_at: Option<Timestamp>,
     /// Since when rank 0 of a dissolved group stands still, as a member left it.
@@ -179,6 +184,7 @@
             listing: Listing::default(),
             listed: BTreeMap::new(),
             listed_version: Version(0),
+            list_outage: ListOutage::default(),
             hosts_came_at: None,
             standing_since: BTreeMap::new(),
             plans: ServicePlans::default(),
@@ -205,6 +211,8 @@
         listing: Listing,
         operation: OperationId,
     ) -> Vec<ControllerAction> {
+        self.list_outage
+            .note(listing.as_of, self.settings.host_heartbeat);
         let Some(epoch) = epoch else {
             self.resign();
             return Vec::new();
@@ -263,7 +271,9 @@
 
     /// The lease is not held: what was known may be out of date.
     fn resign(&mut self) {
+        let list_outage = self.list_outage;
         *self = Self::new(self.settings, self.domain.clone());
+        self.list_outage = list_outage;
     }
 
     /// A read of the assignment was answered.
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -101,6 +101,11 @@
             .is_some_and(|seen_at| self.is_list_newer(seen_at))
     }
 
+    /// Whether a host that the list no longer names is gone.
+    fn is_gone(&self, host: &HostId) -> bool {
+        !self.is_listed(host) && self.trusts_absence() && !self.list_outage.may_return()
+    }
+
     /// A forming group serves once its rank 0 takes requests.
     pub(super) fn promote_open(&self, value: &mut Assignment, log: &mut Vec<String>) {
         for (number, group) in &mut value.groups {
@@ -124,7 +129,7 @@
                 lost.extend(first.map(|host| (*number, host)));
                 continue;
             }
-            if let Some(host) = self.gone_from_retiring(*number, group, trusts_absence) {
+            if let Some(host) = self.gone_from_retiring(*number, group) {
                 lost.push((*number, host));
                 continue;
             }
@@ -151,20 +156,15 @@
 
     /// A member of a retiring group that will never take its release. Once rank 0 has
     /// finished and left, the other hosts need not wait for it.
-    fn gone_from_retiring(
-        &self,
-        number: GroupNumber,
-        group: &Group,
-        trusts_absence: bool,
-    ) -> Option<HostId> {
+    fn gone_from_retiring(&self, number: GroupNumber, group: &Group) -> Option<HostId> {
         let rank_zero = &group.members.first()?.host;
         let is_finished = group.phase == GroupPhase::Retiring && self.has_left(rank_zero, number);
-        if !is_finished || !trusts_absence {
+        if !is_finished {
             return None;
         }
         let members = group.members.iter().map(|member| &member.host);
         let mut remaining = members.filter(|host| !self.has_left(host, number));
-        let is_gone = |host: &HostId| !self.is_listed(host) || self.departed.contains(host);
+        let is_gone = |host: &HostId| self.is_gone(host) || self.departed.contains(host);
         remaining.find(|host| is_gone(host)).cloned()
     }
 
@@ -181,7 +181,7 @@
             // Routers send nothing to a rank 0 that is not listed, and a group that
             // never served is not worth the wait.
             let needs_it = phase == GroupPhase::Forming || is_head;
-            return needs_it && trusts_absence;
+            return needs_it && self.is_gone(host);
         }
         let Some(status) = self.status(host) else {
             return false;
--- a/shalehinge/src/settings/control.rs
+++ b/shalehinge/src/settings/control.rs
@@ -42,6 +42,9 @@
     /// How long rank 0 may stand still after the loss of a member before it is
     /// surely broken.
     pub stall: Duration,
+    /// Time between two heartbeats of a host at the platform, where the host list is kept
+    /// by heartbeats.
+    pub host_heartbeat: Duration,
     /// How long a group that retires may finish its requests, where it closes by order.
     pub retire_within: Duration,
     /// How long after its start, on the fleet's first start, a daemon may load as
@@ -66,6 +69,7 @@
             choice: HostChoice::default(),
             assembly: Assembly::default(),
             stall: Duration::from_millis(5_500),
+            host_heartbeat: Duration::from_millis(1_200),
             retire_within: Duration::from_secs(10),
             free_loads_within: Duration::from_secs(6),
             load_share: 0.9,
@@ -90,6 +94,7 @@
             choice: section.host_choice("choice", default.choice),
             assembly: section.assembly("assembly", default.assembly),
             stall: section.duration("stall", default.stall),
+            host_heartbeat: section.duration("host_heartbeat", default.host_heartbeat),
             retire_within: section.duration("retire_within", default.retire_within),
             free_loads_within: section.duration("free_loads_within", default.free_loads_within),
             spare_share: section.fraction("spare_share", default.spare_share),
--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -8,6 +8,7 @@
 use ordered_support::{Domain, LARGE, LOOK_TIMEOUT, SMALL, host};
 use shalehinge::core::engine::EnginePhase;
 use shalehinge::core::objects::GroupPhase;
+use shalehinge::core::types::HostId;
 
 fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
@@ -338,3 +339,33 @@
     }
     domain.run_until("all serve again", |domain| domain.open_groups(SMALL) == 3);
 }
+
+/// The list does not change for 5 s; then it is true again, without this host.
+fn list_returns_without(domain: &mut Domain, host: &HostId) {
+    domain.list_moves = false;
+    domain.run_for(seconds(5));
+    domain.engine(host).is_listed = false;
+    domain.list_moves = true;
+}
+
+#[test]
+fn rank_zero_that_is_missing_just_after_an_outage_may_still_come_back() {
+    let mut domain = Domain::serving(&[8]);
+    let (number, members) = domain.group_of(LARGE);
+    list_returns_without(&mut domain, &members[0]);
+    domain.run_for(Duration::from_millis(1_900));
+    domain.engine(&members[0]).is_listed = true;
+    domain.run_for(seconds(3));
+    assert!(domain.stored.value.groups.contains_key(&number));
+}
+
+#[test]
+fn rank_zero_that_stays_missing_after_an_outage_is_lost() {
+    let mut domain = Domain::serving(&[8]);
+    let (number, members) = domain.group_of(LARGE);
+    list_returns_without(&mut domain, &members[0]);
+    let waited = domain.run_until("dissolved", |domain| {
+        !domain.stored.value.groups.contains_key(&number)
+    });
+    assert!(waited < seconds(3), "{waited:?}");
+}
