test(placement): a healthy group retired as one too many is known to be red

The path is older than this work. Excluded: a lack of weights (0 loads for the groups formed there).

--- a/shalehinge/tests/placement_support/mod.rs
+++ b/shalehinge/tests/placement_support/mod.rs
@@ -121,6 +121,11 @@
         self.down.insert(host);
     }
 
+    /// A host left one probe unanswered; whether its group lost it is not known yet.
+    pub fn silence(&mut self, host: &str) {
+        self.down.insert(HostId::new(host));
+    }
+
     pub fn steps(&self) -> Vec<PlacementStep> {
         next_steps(&PlacementContext {
             domain: &self.name,
