--- a/scripts/ablation.py
+++ b/scripts/ablation.py
@@ -28,10 +28,11 @@
 # Name: the lines that switch a mechanism off.
 VARIANTS = {
     "choice by score": {"router.policy": "least-in-flight"},
-    "rest after failures": {"router.eject_after": "100000"},
+    "ejection after failures": {"router.eject_after": "100000"},
     "moving from stalled replicas": {"router.stall_after": "60s"},
     "suspicion told to the holder": {"router.suspect_after": "60s"},
-    "two looks for a loss": {"control.loss_confirm": "1ms"},
+    # So short a time makes the holder pass over every silent probe.
+    "losses found by probes": {"control.loss_confirm": "1ms"},
     "early refusal": {"router.early_refusal": "no"},
     "retry burst sharing": {"router.retry_burst_is_shared": "no"},
     "KV reservation": {"router.reserve_kv": "no"},
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -9,6 +9,7 @@
 
 use std::time::Duration;
 
+use super::reachability::DOUBT_SPACING;
 use super::{CallPurpose, Controller, ControllerAction};
 use crate::core::engine::{Command, EngineStatus, LoadCommand, Order};
 use crate::core::fleet_state::FleetState;
@@ -20,9 +21,6 @@
 /// How long new groups that must load wait after a host came.
 const ARRIVAL_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Time between two looks at a member of a group that is suspected.
-const SUSPECT_SPACING: Duration = Duration::from_millis(100);
-
 /// What the list tells of the hosts of this failure domain, and how fresh that is.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Listing {
@@ -295,7 +293,7 @@
         for member in &group.members {
             let purpose = CallPurpose::Probe(number);
             if is_suspect && self.is_due_again(now, &member.host, purpose) {
-                let next = now + SUSPECT_SPACING;
+                let next = now + DOUBT_SPACING;
                 self.next_call_at
                     .insert(member.host.clone(), (purpose, next));
                 actions.push(ControllerAction::Probe {
--- a/shalehinge/src/core/controller/staging.rs
+++ b/shalehinge/src/core/controller/staging.rs
@@ -122,7 +122,7 @@
     }
 
     /// Each host gets the weights of another model than its last: free hosts first,
-    /// then members of the small groups, which give way to large ones.
+    /// then members of the small groups, which are preempted for large ones.
     pub(super) fn stage_weights(
         &mut self,
         now: Timestamp,
--- a/shalehinge/src/core/placement/planner.rs
+++ b/shalehinge/src/core/placement/planner.rs
@@ -551,7 +551,7 @@
         true
     }
 
-    /// One group at a time gives way, and only when no hosts are coming free.
+    /// One group at a time yields, and only when no hosts are coming free.
     fn ask_for_yield(&mut self) {
         if self.forming.yielded || self.forming.slots == 0 {
             return;
--- a/shalehinge/src/core/placement/shares.rs
+++ b/shalehinge/src/core/placement/shares.rs
@@ -3,7 +3,7 @@
 //!
 //! A model's part of the work is its part of the hosts. What is left once each model
 //! has its part goes to the models with the smallest replicas: their hosts are the
-//! first to give way when a larger replica loses a member.
+//! first to be preempted when a larger replica loses a member.
 
 use std::collections::BTreeMap;
 
--- a/shalehinge/src/core/placement/yielding.rs
+++ b/shalehinge/src/core/placement/yielding.rs
@@ -47,7 +47,7 @@
     usage
 }
 
-/// The group that should give way to `wanting`, and to whom its hosts go.
+/// The group that should yield to `wanting`, and to whom its hosts go.
 pub fn group_to_yield(
     fleet: &FleetConfig,
     assignment: &Assignment,
--- a/shalehinge/src/core/router/estimate.rs
+++ b/shalehinge/src/core/router/estimate.rs
@@ -81,7 +81,7 @@
     pub fn record(&mut self, value: Duration) {
         /// Weight of a value below the estimate. Chosen, not measured.
         const FALL: f64 = 0.3;
-        /// Weight of a value above it. Chosen: a hundred late answers double it at most.
+        /// Weight of a value above it. Chosen: some seventy of them take it half the way.
         const RISE: f64 = 0.01;
         let estimate = self.0.map_or(value, |known| {
             let weight = if value < known { FALL } else { RISE };
--- a/shalehinge/src/settings/control.rs
+++ b/shalehinge/src/settings/control.rs
@@ -31,7 +31,8 @@
     pub forming_timeout: Duration,
     /// Time between the mark that a group retires and the order to its engine.
     pub retire_grace: Duration,
-    /// How long a host that did not answer is left out of new groups.
+    /// How long a host that did not answer is left out of new groups, where engines
+    /// report. Where they join by order, it stays out until it answers.
     pub avoid_unreachable: Duration,
     /// Groups that may be forming at a time.
     pub max_forming: usize,
