feat(placement): models are divided over all failure domains where one can't hold each

Cause: each failure domain divided its hosts by itself. Excluded: a lack of hosts (50 hosts, replicas of 8 and 4), of weights, of formation. Change: placement/fleet_shares.rs, a pure function of all domains' hosts. Domains that hold each model are as before. The others keep what stands, give free hosts to the model with least of its part, and give up a replica only for a model that nobody serves or that gains twofold. The list's lapses in an outage change nothing. A model without room anywhere is named in a log line. Counts moved with each lost host, and groups that served were retired for ones that had to load 7 of 8 hosts. Tests: shares.rs, red without (fuzz of 2,000 fleets among them).

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -18,6 +18,18 @@
 # name: (file, text as it stands, text without the protection, test, filter,
 #        and further edits where two protections stand behind each other)
 PROTECTIONS = {
+    "models-over-the-fleet": (
+        CORE + "placement/fleet_shares.rs",
+        "let is_narrow = counts.values().any(|count| *count == 0);",
+        "let is_narrow = false;",
+        "shares", "hold_different_ones",
+    ),
+    "silent-member-is-no-surplus": (
+        CORE + "placement/planner.rs",
+        "current.filter(|n| self.is_answering(n)).collect()",
+        "current.collect()",
+        "placement", "no_surplus_while_another",
+    ),
     "evidence": (
         CORE + "router/upstream.rs",
         "self.spec.evidence == Evidence::Listed || now < self.complete_until",
--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -34,6 +34,7 @@
 use crate::core::objects::{Assignment, GroupPhase, Member, Versioned};
 use crate::core::placement::planner::HeldWeights;
 use crate::core::placement::preview::apply_step;
+use crate::core::placement::shares::ReplicaCounts;
 use crate::core::placement::{PlacementContext, next_steps};
 use crate::core::types::{
     Address, Epoch, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion, OperationId,
@@ -44,7 +45,21 @@
 use list_outage::ListOutage;
 use load_budget::LoadBudget;
 use ordered::ListedHost;
-use service_plan::{ONLY_VERSION, ServicePlans};
+use service_plan::{ONLY_VERSION, PlanInput, ServicePlans};
+
+/// Replicas by model that stand and neither retire nor are lost.
+fn standing_replicas(
+    value: &Assignment,
+    lost: &BTreeMap<GroupNumber, Option<HostId>>,
+) -> ReplicaCounts {
+    let mut counts = ReplicaCounts::new();
+    for (number, group) in &value.groups {
+        if group.phase != GroupPhase::Retiring && !lost.contains_key(number) {
+            *counts.entry(group.model.clone()).or_default() += 1;
+        }
+    }
+    counts
+}
 
 /// What the controller wants done.
 #[derive(Clone, Debug, PartialEq)]
@@ -482,13 +497,15 @@
         self.note_listed_losses(now, value);
         let lost = self.lost_groups(value);
         let mut avoided = self.out_of_reach(now, value);
-        log.extend(self.plans.refresh(
-            state,
-            &self.domain,
-            self.settings.spare_share,
-            &avoided,
-            &mut value.wanted,
-        ));
+        let standing = standing_replicas(value, &lost);
+        let input = PlanInput {
+            domain: &self.domain,
+            standing: &standing,
+            spare_share: self.settings.spare_share,
+            unreachable: &avoided,
+            entries_may_return: self.list_outage.may_return(),
+        };
+        log.extend(self.plans.refresh(state, input, &mut value.wanted));
         avoided.extend(self.strays(value).into_keys());
         let held = self.listed_weights();
         // Survivors of a lost group are free in a moment, and soonest ready again.
--- a/shalehinge/src/core/controller/service_plan.rs
+++ b/shalehinge/src/core/controller/service_plan.rs
@@ -1,8 +1,9 @@
 //! What one model service wants of a failure domain, as the planner reads it.
 //!
 //! Models with a profile have no replicas written in the configuration; they follow
-//! from their parts of the work and from the hosts that are listed. Each service
-//! has hosts of its own, so each is planned apart.
+//! from their parts of the work and from the hosts that are listed, in this failure domain
+//! and, where it is too small for each model, in the others. Each service has hosts of
+//! its own, so each is planned apart.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -10,9 +11,15 @@
 use crate::core::objects::{
     Assignment, FleetConfig, HostList, HostState, ModelIntent, ModelProfile,
 };
-use crate::core::placement::shares::{ReplicaCounts, replicas_by_share, replicas_that_fit};
+use crate::core::placement::fleet_shares::{
+    DomainHosts, DomainShare, FleetShares, fleet_shares, models_without_room,
+};
+use crate::core::placement::shares::{
+    ReplicaCounts, fill, replicas_by_share, replicas_that_fit, usable_hosts,
+};
 use crate::core::types::{
-    Customer, FabricDomain, FailureDomain, HostId, ModelName, ModelVersion, ServiceName, Version,
+    Customer, FabricDomain, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion,
+    ServiceName, Version,
 };
 
 /// The version of models whose configuration names none.
@@ -28,11 +35,30 @@
     pub(super) hosts: HostList,
 }
 
+/// What the plans of a failure domain are made from.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PlanInput<'a> {
+    /// The failure domain.
+    pub(super) domain: &'a FailureDomain,
+    /// Part of the hosts that stays free once each model has its part.
+    pub(super) spare_share: f64,
+    /// Hosts of this failure domain that can't be used, though listed.
+    pub(super) unreachable: &'a BTreeSet<HostId>,
+    /// Replicas of this failure domain that stand and don't retire.
+    pub(super) standing: &'a ReplicaCounts,
+    /// Whether entries that the list lost may come back: what the list shows of other
+    /// failure domains is then no reason to change what this one serves.
+    pub(super) entries_may_return: bool,
+}
+
 /// The plans of all services, made anew when what they follow from changes.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ServicePlans {
     made_from: (Version, Version),
     made_without: BTreeSet<HostId>,
+    made_beside: ReplicaCounts,
+    shares: BTreeMap<ServiceName, DomainShare>,
+    without_room: Vec<ModelName>,
     plans: Vec<ServicePlan>,
 }
 
@@ -41,33 +67,72 @@
     pub(super) fn refresh(
         &mut self,
         state: &FleetState,
-        domain: &FailureDomain,
-        spare_share: f64,
-        unreachable: &BTreeSet<HostId>,
+        input: PlanInput<'_>,
         wanted: &mut ReplicaCounts,
     ) -> Vec<String> {
         let versions = (state.fleet_version(), state.hosts_version());
         let (Some(fleet), Some(hosts)) = (state.fleet(), state.hosts()) else {
             return Vec::new();
         };
-        if versions == self.made_from && *unreachable == self.made_without {
+        let is_known = versions == self.made_from
+            && *input.unreachable == self.made_without
+            && *input.standing == self.made_beside;
+        if is_known {
             return Vec::new();
         }
         self.made_from = versions;
-        self.made_without.clone_from(unreachable);
-        let plans = plans_of(
-            &fleet.value,
-            &hosts.value,
-            domain,
-            spare_share,
-            unreachable,
-            wanted,
-        );
-        let lines = changes(&self.plans, &plans, domain);
+        self.made_without.clone_from(input.unreachable);
+        self.made_beside.clone_from(input.standing);
+        let mut lines = self.divide(&fleet.value, &hosts.value, input);
+        wanted.retain(|model, _| fleet.value.profiles.contains_key(model));
+        let services = services_of(&fleet.value);
+        let plans: Vec<ServicePlan> = services
+            .into_iter()
+            .map(|service| {
+                let share = self.shares.get(service).cloned().unwrap_or_default();
+                plan_of(&fleet.value, &hosts.value, service, &share, input, wanted)
+            })
+            .collect();
+        lines.extend(changes(&self.plans, &plans, input.domain));
         self.plans = plans;
         lines
     }
 
+    /// Divides the models of each service over the failure domains.
+    fn divide(
+        &mut self,
+        fleet: &FleetConfig,
+        hosts: &HostList,
+        input: PlanInput<'_>,
+    ) -> Vec<String> {
+        if input.entries_may_return && !self.shares.is_empty() {
+            return Vec::new();
+        }
+        let mut shares = BTreeMap::new();
+        let mut without_room = Vec::new();
+        for service in services_of(fleet) {
+            let profiles = profiles_of(fleet, service);
+            let mut by_domain = hosts_by_domain(hosts, service);
+            if let Some(own) = by_domain.get_mut(input.domain) {
+                own.standing.clone_from(input.standing);
+            }
+            let of_fleet: FleetShares = fleet_shares(&profiles, &by_domain, input.spare_share);
+            without_room.extend(models_without_room(&profiles, &of_fleet));
+            if let Some(share) = of_fleet.get(input.domain) {
+                shares.insert(service.clone(), share.clone());
+            }
+        }
+        self.shares = shares;
+        if self.without_room == without_room {
+            return Vec::new();
+        }
+        self.without_room = without_room;
+        let lacking = self.without_room.iter();
+        lacking
+            .map(|model| format!("no failure domain has the hosts for a replica of {model}"))
+            .collect()
+    }
+
     pub(super) fn iter(&self) -> impl Iterator<Item = &ServicePlan> {
         self.plans.iter()
     }
@@ -96,41 +161,94 @@
     }
 }
 
-fn plans_of(
-    fleet: &FleetConfig,
+fn services_of(fleet: &FleetConfig) -> BTreeSet<&ServiceName> {
+    fleet.profiles.values().map(|p| &p.service).collect()
+}
+
+fn profiles_of(fleet: &FleetConfig, service: &ServiceName) -> BTreeMap<ModelName, ModelProfile> {
+    let profiles = fleet.profiles.iter();
+    profiles
+        .filter(|(_, profile)| profile.service == *service)
+        .map(|(model, profile)| (model.clone(), profile.clone()))
+        .collect()
+}
+
+/// The live hosts of a service in each failure domain, and the replicas that the list
+/// shows there.
+fn hosts_by_domain(
     hosts: &HostList,
-    domain: &FailureDomain,
-    spare_share: f64,
-    unreachable: &BTreeSet<HostId>,
-    wanted: &mut ReplicaCounts,
-) -> Vec<ServicePlan> {
-    wanted.retain(|model, _| fleet.profiles.contains_key(model));
-    let services: BTreeSet<&ServiceName> = fleet.profiles.values().map(|p| &p.service).collect();
-    services
+    service: &ServiceName,
+) -> BTreeMap<FailureDomain, DomainHosts> {
+    let mut fabrics: BTreeMap<&FailureDomain, BTreeMap<&FabricDomain, usize>> = BTreeMap::new();
+    let mut groups: BTreeMap<&FailureDomain, BTreeMap<GroupNumber, ModelName>> = BTreeMap::new();
+    for record in hosts.hosts.values() {
+        let is_usable = record.state == HostState::Live;
+        if record.service.as_ref() != Some(service) || !is_usable {
+            continue;
+        }
+        let domain = &record.failure_domain;
+        let sizes = fabrics.entry(domain).or_default();
+        *sizes.entry(&record.fabric_domain).or_default() += 1;
+        if let Some((number, model)) = record.standing_group() {
+            let known = groups.entry(domain).or_default();
+            known.insert(number, model.clone());
+        }
+    }
+    fabrics
         .into_iter()
-        .map(|service| {
-            plan_of(
-                fleet,
-                hosts,
-                domain,
-                service,
-                spare_share,
-                unreachable,
-                wanted,
-            )
+        .map(|(domain, sizes)| {
+            let standing = groups.remove(domain).unwrap_or_default();
+            let hosts = DomainHosts {
+                fabric_sizes: sizes.into_values().collect(),
+                standing: count_models(standing.values()),
+            };
+            (domain.clone(), hosts)
         })
         .collect()
 }
 
+fn count_models<'a>(models: impl Iterator<Item = &'a ModelName>) -> ReplicaCounts {
+    let mut counts = ReplicaCounts::new();
+    for model in models {
+        *counts.entry(model.clone()).or_default() += 1;
+    }
+    counts
+}
+
+/// What the failure domain should have of each model, as far as its usable hosts allow. A
+/// count once wanted stays wanted, so that a lost host does not lower it for good; only
+/// where the domain can't hold each model, the fleet's division decides anew each time.
+fn counts_of(
+    profiles: &BTreeMap<ModelName, ModelProfile>,
+    share: &DomainShare,
+    sizes: &[usize],
+    spare_share: f64,
+    wanted: &mut ReplicaCounts,
+) -> ReplicaCounts {
+    if share.is_narrow {
+        wanted.extend(share.counts.clone());
+        let counts = replicas_that_fit(profiles, sizes, share.counts.clone());
+        // Hosts of a replica that finds no room here after all serve what they can.
+        return fill(profiles, sizes, usable_hosts(sizes, spare_share), counts);
+    }
+    let mut counts = replicas_by_share(profiles, sizes, spare_share);
+    for (model, count) in &mut counts {
+        let most = wanted.entry(model.clone()).or_default();
+        *most = (*most).max(*count);
+        *count = *most;
+    }
+    replicas_that_fit(profiles, sizes, counts)
+}
+
 fn plan_of(
     fleet: &FleetConfig,
     hosts: &HostList,
-    domain: &FailureDomain,
     service: &ServiceName,
-    spare_share: f64,
-    unreachable: &BTreeSet<HostId>,
+    share: &DomainShare,
+    input: PlanInput<'_>,
     wanted: &mut ReplicaCounts,
 ) -> ServicePlan {
+    let PlanInput { domain, .. } = input;
     let own = hosts.hosts.iter().filter(|(_, record)| {
         record.service.as_ref() == Some(service) && record.failure_domain == *domain
     });
@@ -139,20 +257,9 @@
             .map(|(host, record)| (host.clone(), record.clone()))
             .collect(),
     };
-    let profiles: BTreeMap<ModelName, ModelProfile> = fleet
-        .profiles
-        .iter()
-        .filter(|(_, profile)| profile.service == *service)
-        .map(|(model, profile)| (model.clone(), profile.clone()))
-        .collect();
-    let sizes = fabric_sizes(&hosts, unreachable);
-    let mut counts = replicas_by_share(&profiles, &sizes, spare_share);
-    for (model, count) in &mut counts {
-        let most = wanted.entry(model.clone()).or_default();
-        *most = (*most).max(*count);
-        *count = *most;
-    }
-    let counts = replicas_that_fit(&profiles, &sizes, counts);
+    let profiles = profiles_of(fleet, service);
+    let sizes = fabric_sizes(&hosts, input.unreachable);
+    let counts = counts_of(&profiles, share, &sizes, input.spare_share, wanted);
     let models = profiles.iter().map(|(model, profile)| {
         let intent = ModelIntent {
             owner: Customer::new(service.as_str()),
--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -268,6 +268,25 @@
     pub status: Option<EngineStatus>,
 }
 
+impl HostRecord {
+    /// The group whose requests this host takes as its rank 0, and its model, where the
+    /// list tells.
+    pub fn open_group(&self) -> Option<(GroupNumber, &ModelName)> {
+        let status = self.status.as_ref()?;
+        let (number, model) = self.standing_group()?;
+        status.shows_open(number).then_some((number, model))
+    }
+
+    /// The group that this host joined, and its model, where the list tells and the group
+    /// is not broken.
+    pub fn standing_group(&self) -> Option<(GroupNumber, &ModelName)> {
+        let status = self.status.as_ref()?;
+        let number = status.group.filter(|number| status.shows_member(*number))?;
+        let held = status.held.as_ref()?;
+        (number != GroupNumber::PRIMING).then_some((number, &held.model))
+    }
+}
+
 /// Hosts that changed since an earlier list.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct HostChanges {
--- a/shalehinge/src/core/placement/mod.rs
+++ b/shalehinge/src/core/placement/mod.rs
@@ -10,11 +10,13 @@
 //! - `make_room`: moving a small group so that a large one can be formed
 //! - `yielding`: when customers give hosts back
 //! - `shares`: how many replicas follow from the models' parts of the work
+//! - `fleet_shares`: the same for all failure domains, where some are too small for each model
 //! - `divide`: how many replicas go to which failure domain
 //! - `stranded`: idle accelerators that no group can use
 //! - `preview`: the planner run ahead
 
 pub mod divide;
+pub mod fleet_shares;
 pub mod host_choice;
 pub mod make_room;
 pub mod planner;
--- a/shalehinge/src/core/placement/shares.rs
+++ b/shalehinge/src/core/placement/shares.rs
@@ -21,7 +21,7 @@
     spare_share: f64,
 ) -> ReplicaCounts {
     let hosts: usize = fabric_sizes.iter().sum();
-    let usable = (hosts as f64 * (1.0 - spare_share)).floor() as usize;
+    let usable = usable_hosts(fabric_sizes, spare_share);
     let total: f64 = profiles.values().map(|profile| profile.work_share).sum();
     let mut counts: ReplicaCounts = profiles
         .iter()
@@ -32,6 +32,23 @@
         })
         .collect();
     counts = replicas_that_fit(profiles, fabric_sizes, counts);
+    fill(profiles, fabric_sizes, usable, counts)
+}
+
+/// Hosts that need not stay free once each model has its part.
+pub fn usable_hosts(fabric_sizes: &[usize], spare_share: f64) -> usize {
+    let hosts: usize = fabric_sizes.iter().sum();
+    (hosts as f64 * (1.0 - spare_share)).floor() as usize
+}
+
+/// Adds replicas, the smallest first, as long as they find room and leave all but
+/// `usable` hosts free.
+pub fn fill(
+    profiles: &BTreeMap<ModelName, ModelProfile>,
+    fabric_sizes: &[usize],
+    usable: usize,
+    mut counts: ReplicaCounts,
+) -> ReplicaCounts {
     let mut by_size: Vec<_> = profiles.iter().collect();
     by_size.sort_by_key(|(_, profile)| profile.hosts_per_replica);
     for (model, _) in by_size {
@@ -39,7 +56,7 @@
             let mut more = counts.clone();
             *more.entry(model.clone()).or_default() += 1;
             let has_spares = hosts_of(profiles, &more) <= usable;
-            if !has_spares || !fits(profiles, &more, fabric_sizes) {
+            if !has_spares || !fit(profiles, &more, fabric_sizes) {
                 break;
             }
             counts = more;
@@ -56,7 +73,7 @@
     wanted: ReplicaCounts,
 ) -> ReplicaCounts {
     let mut counts = wanted.clone();
-    while !fits(profiles, &counts, fabric_sizes) {
+    while !fit(profiles, &counts, fabric_sizes) {
         let giver = richest(profiles, &counts, 1).or_else(|| richest(profiles, &counts, 0));
         let Some(model) = giver else {
             break;
@@ -67,7 +84,7 @@
         while counts[model] < *most {
             let mut more = counts.clone();
             *more.entry(model.clone()).or_default() += 1;
-            if !fits(profiles, &more, fabric_sizes) {
+            if !fit(profiles, &more, fabric_sizes) {
                 break;
             }
             counts = more;
@@ -83,17 +100,26 @@
     counts: &ReplicaCounts,
     least: u32,
 ) -> Option<ModelName> {
-    profiles
-        .iter()
-        .filter(|(model, _)| counts[*model] > least)
-        .max_by(|a, b| supply(counts, a.0, a.1).total_cmp(&supply(counts, b.0, b.1)))
-        .map(|(model, _)| model.clone())
+    let models = profiles.keys().filter(|model| counts[*model] > least);
+    most_spared(profiles, counts, models)
+}
+
+/// Of these models the one with the most hosts against its part.
+pub(super) fn most_spared<'a>(
+    profiles: &BTreeMap<ModelName, ModelProfile>,
+    counts: &ReplicaCounts,
+    models: impl Iterator<Item = &'a ModelName>,
+) -> Option<ModelName> {
+    let supply_of = |model: &ModelName| supply(counts[model], &profiles[model]);
+    models
+        .max_by(|a, b| supply_of(a).total_cmp(&supply_of(b)))
+        .cloned()
 }
 
-/// Hosts of a model's replicas against its part of the work.
-fn supply(counts: &ReplicaCounts, model: &ModelName, profile: &ModelProfile) -> f64 {
+/// Hosts of so many replicas of a model against its part of the work.
+pub(super) fn supply(replicas: u32, profile: &ModelProfile) -> f64 {
     const LEAST_SHARE: f64 = 1e-3;
-    let hosts = f64::from(counts[model] * profile.hosts_per_replica);
+    let hosts = f64::from(replicas * profile.hosts_per_replica);
     hosts / profile.work_share.max(LEAST_SHARE)
 }
 
@@ -103,7 +129,7 @@
 }
 
 /// Whether so many replicas find room, the large ones placed first.
-fn fits(
+pub(super) fn fit(
     profiles: &BTreeMap<ModelName, ModelProfile>,
     counts: &ReplicaCounts,
     fabric_sizes: &[usize],
--- a/shalehinge/src/core/router/topology.rs
+++ b/shalehinge/src/core/router/topology.rs
@@ -97,15 +97,9 @@
         return replicas;
     };
     for (host, record) in &list.value.hosts {
-        let Some(status) = &record.status else {
+        let Some((number, model)) = record.open_group() else {
             continue;
         };
-        let (Some(number), Some(held)) = (status.group, &status.held) else {
-            continue;
-        };
-        if !status.shows_open(number) {
-            continue;
-        }
         let replica = ReplicaId {
             failure_domain: record.failure_domain.clone(),
             number,
@@ -120,7 +114,7 @@
             evidence: Evidence::Listed,
             slots: record.slots,
         };
-        let target = Target::Model(held.model.clone());
+        let target = Target::Model(model.clone());
         replicas.entry(target).or_default().push(spec);
     }
     replicas
--- /dev/null
+++ b/shalehinge/tests/shares.rs
@@ -0,0 +1,160 @@
+//! How models are divided over failure domains by their parts of the work.
+
+use std::collections::BTreeMap;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use shalehinge::core::objects::ModelProfile;
+use shalehinge::core::placement::fleet_shares::{
+    DomainHosts, FleetShares, fleet_shares, models_without_room,
+};
+use shalehinge::core::types::{FailureDomain, ModelName, ServiceName};
+
+type Profiles = BTreeMap<ModelName, ModelProfile>;
+type Domains = BTreeMap<FailureDomain, DomainHosts>;
+
+fn profiles(models: &[(&str, u32)]) -> Profiles {
+    let profile = |size: u32| ModelProfile {
+        service: ServiceName::new("s"),
+        hosts_per_replica: size,
+        work_share: 1.0 / models.len() as f64,
+        pace: 1.0,
+        slots: 8,
+    };
+    models
+        .iter()
+        .map(|(name, size)| (ModelName::new(name), profile(*size)))
+        .collect()
+}
+
+/// Failure domains `d0` and so on with fabric domains of these sizes.
+fn domains(fabrics: &[&[usize]]) -> Domains {
+    let hosts = |sizes: &[usize]| DomainHosts {
+        fabric_sizes: sizes.to_vec(),
+        standing: BTreeMap::new(),
+    };
+    let named = fabrics.iter().enumerate();
+    named
+        .map(|(index, sizes)| (FailureDomain::new(&format!("d{index}")), hosts(sizes)))
+        .collect()
+}
+
+fn replicas(shares: &FleetShares, model: &str) -> u32 {
+    let counts = shares
+        .values()
+        .map(|share| share.counts[&ModelName::new(model)]);
+    counts.sum()
+}
+
+fn domains_with(shares: &FleetShares, model: &str) -> Vec<String> {
+    let with = shares
+        .iter()
+        .filter(|(_, share)| share.counts[&ModelName::new(model)] > 0);
+    with.map(|(domain, _)| domain.to_string()).collect()
+}
+
+#[test]
+fn domains_too_small_for_each_model_hold_different_ones() {
+    let profiles = profiles(&[("large", 8), ("small", 4)]);
+    let shares = fleet_shares(&profiles, &domains(&vec![&[10][..]; 5]), 0.0);
+    assert_eq!(
+        (replicas(&shares, "large"), replicas(&shares, "small")),
+        (2, 6)
+    );
+}
+
+#[test]
+fn a_domain_that_holds_each_model_keeps_its_own_counts() {
+    let profiles = profiles(&[("large", 16), ("small", 8)]);
+    let shares = fleet_shares(&profiles, &domains(&[&[37; 5], &[37; 5], &[21]]), 0.0);
+    let count = |domain: &str, model: &str| {
+        shares[&FailureDomain::new(domain)].counts[&ModelName::new(model)]
+    };
+    assert_eq!((count("d0", "large"), count("d0", "small")), (5, 10));
+    assert!(shares[&FailureDomain::new("d2")].is_narrow);
+    assert!(!shares[&FailureDomain::new("d0")].is_narrow);
+}
+
+#[test]
+fn a_large_replica_that_fits_one_domain_alone_goes_there() {
+    let profiles = profiles(&[("large", 16), ("small", 8)]);
+    let shares = fleet_shares(&profiles, &domains(&[&[10], &[21], &[15]]), 0.0);
+    assert_eq!(domains_with(&shares, "large"), ["d1"]);
+    assert_eq!(domains_with(&shares, "small"), ["d0", "d2"]);
+}
+
+#[test]
+fn a_model_no_domain_has_room_for_is_named() {
+    let profiles = profiles(&[("large", 8), ("small", 4)]);
+    let shares = fleet_shares(&profiles, &domains(&vec![&[7][..]; 3]), 0.0);
+    assert_eq!(
+        models_without_room(&profiles, &shares),
+        [ModelName::new("large")]
+    );
+    assert_eq!(replicas(&shares, "small"), 3);
+}
+
+#[test]
+fn hosts_that_come_elsewhere_move_no_replica_that_serves() {
+    let profiles = profiles(&[("large", 8), ("small", 4)]);
+    let mut fleet = domains(&vec![&[10][..]; 5]);
+    for domain in ["d3", "d4"] {
+        let hosts = fleet.get_mut(&FailureDomain::new(domain)).expect("known");
+        hosts.standing.insert(ModelName::new("large"), 1);
+    }
+    for other in ["d0", "d1"] {
+        let hosts = fleet.get_mut(&FailureDomain::new(other)).expect("known");
+        hosts.fabric_sizes = vec![11];
+    }
+    let shares = fleet_shares(&profiles, &fleet, 0.0);
+    assert_eq!(domains_with(&shares, "large"), ["d3", "d4"]);
+}
+
+#[test]
+fn what_stands_is_given_up_only_for_a_model_that_nobody_serves() {
+    let profiles = profiles(&[("large", 8), ("small", 4)]);
+    let mut fleet = domains(&[&[10], &[10], &[10]]);
+    for hosts in fleet.values_mut() {
+        hosts.standing.insert(ModelName::new("small"), 2);
+    }
+    let shares = fleet_shares(&profiles, &fleet, 0.0);
+    assert_eq!(
+        (replicas(&shares, "large"), replicas(&shares, "small")),
+        (1, 4)
+    );
+    let hosts = fleet.get_mut(&FailureDomain::new("d1")).expect("known");
+    hosts.standing = BTreeMap::from([(ModelName::new("large"), 1)]);
+    let shares = fleet_shares(&profiles, &fleet, 0.0);
+    assert_eq!(domains_with(&shares, "large"), ["d1"]);
+}
+
+#[test]
+fn others_make_up_for_a_domain_that_is_gone() {
+    let profiles = profiles(&[("large", 8), ("small", 4)]);
+    let mut fleet = domains(&vec![&[10][..]; 5]);
+    let before = domains_with(&fleet_shares(&profiles, &fleet, 0.0), "large");
+    fleet.remove(&FailureDomain::new(&before[0]));
+    let after = fleet_shares(&profiles, &fleet, 0.0);
+    assert_eq!(replicas(&after, "large"), 2);
+}
+
+/// Room in some domain for a replica of each model, one at a time, and more domains than
+/// models: then no model is without a replica.
+#[test]
+fn no_model_is_left_out_where_domains_can_hold_it() {
+    const RUNS: u64 = 2_000;
+    for seed in 0..RUNS {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let sizes: Vec<u32> = (0..2).map(|_| rng.random_range(1..=16)).collect();
+        let profiles = profiles(&[("a", sizes[0]), ("b", sizes[1])]);
+        let largest = sizes.iter().max().copied().unwrap_or(1) as usize;
+        let count = rng.random_range(2..=6);
+        let fabrics: Vec<Vec<usize>> = (0..count)
+            .map(|_| vec![rng.random_range(largest..=largest * 3)])
+            .collect();
+        let fabrics: Vec<&[usize]> = fabrics.iter().map(Vec::as_slice).collect();
+        let shares = fleet_shares(&profiles, &domains(&fabrics), 0.0);
+        let without = models_without_room(&profiles, &shares);
+        assert_eq!(without, [], "seed {seed}: {sizes:?} on {fabrics:?}");
+    }
+}
