feat(membership): a large fleet knows its members, and messages grow with the domain only

Cause: a message named nine members whatever the fleet's size. Simulated (gossip of heartbeat counters, one pull a second, dead after 10 s) a daemon of 295 saw 111 of 294 others alive, 22 of 58 in its own failure domain; of 58, 52 of 57. So duties that are divided by members had too many takers (five watchers of the configuration in place of two, eight candidates for a lease in place of three), and the retry burst, divided by the daemons that seem alive, was handed out 2.6 times over. Change: a message also carries, in a few bytes each, the heartbeats of the sender's whole failure domain and a sample of the others; a reply names members that the asker lacks; half of the pulls go to the own domain; seeds are asked more rarely the more daemons there are. A heartbeat's content has a revision of its own, so that news is not overtaken by the counter. What is divided among all counts at least as many daemons as the own failure domain has, times the domains. Tests: membership.rs, red with the brief heartbeats taken out (scripts/red-runs.py).

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -18,6 +18,12 @@
 # name: (file, text as it stands, text without the protection, test, filter,
 #        and further edits where two protections stand behind each other)
 PROTECTIONS = {
+    "members-in-brief": (
+        CORE + "membership.rs",
+        "brief: own.iter().chain(&remote).map(|peer| peer.brief()).collect(),",
+        "brief: { let _ = (&own, &remote); Vec::new() },",
+        "membership", "duties_of_a_large_fleet",
+    ),
     "models-over-the-fleet": (
         CORE + "placement/fleet_shares.rs",
         "let is_narrow = counts.values().any(|count| *count == 0);",
--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -96,7 +96,7 @@
             // Whoever holds control is the first to need the news.
             Scope::Hosts if self.was_holder => self.settings.learning.host_spacing / 3,
             Scope::Hosts => {
-                let daemons = self.membership.alive(now).count() + 1;
+                let daemons = self.membership.fleet_size(now);
                 spacing_among(self.settings.learning.host_spacing, daemons)
             }
             Scope::Shared | Scope::Configuration => Duration::ZERO,
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -141,6 +141,7 @@
             failure_domain: identity.failure_domain.clone(),
             incarnation: identity.incarnation,
             counter: 0,
+            revision: 0,
             leaving: false,
             fleet: Version(0),
             holds_control: false,
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -62,7 +62,7 @@
             digest.hosts = Version(u64::MAX);
         }
         Pull {
-            heartbeats: self.membership.sample(now, &mut self.rng),
+            gossip: self.membership.gossip(now, None, &mut self.rng),
             digest,
             suspects: Vec::new(),
         }
@@ -125,10 +125,12 @@
         pull: Pull,
         out: &mut Vec<Action>,
     ) {
-        self.membership.merge(now, pull.heartbeats);
+        let asked = Some(&pull.gossip);
+        let gossip = self.membership.gossip(now, asked, &mut self.rng);
+        self.membership.merge(now, pull.gossip);
         self.note_suspects(now, &pull.suspects);
         let reply = PullReply {
-            heartbeats: self.membership.sample(now, &mut self.rng),
+            gossip,
             updates: self.state.newer_than(&pull.digest),
             confirmed_ms_ago: self.confirmed_at().map(|at| millis_since(now, at)),
             reached: self.confirmation.map(|confirmation| Reached {
@@ -149,7 +151,7 @@
         let Some(reply) = reply else {
             return;
         };
-        self.membership.merge(now, reply.heartbeats);
+        self.membership.merge(now, reply.gossip);
         self.apply(now, reply.updates, out);
         // The answer held whatever the peer knew that was newer than what is known here.
         if let Some(age) = reply.confirmed_ms_ago {
--- a/shalehinge/src/core/daemon/requests.rs
+++ b/shalehinge/src/core/daemon/requests.rs
@@ -121,7 +121,7 @@
     }
 
     pub(super) fn tick_router(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        let sharers = self.membership.alive(now).count() + 1;
+        let sharers = self.membership.fleet_size(now);
         self.router.set_sharers(sharers);
         self.router.set_keys_until(self.keys_valid_until());
         for spec in self.router.reports_wanted(now) {
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -6,7 +6,7 @@
 
 use super::engine::{EngineStatus, Order, OrderReply};
 use super::fleet_state::{ObjectUpdate, VersionDigest};
-use super::membership::Heartbeat;
+use super::membership::Gossip;
 use super::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
 use super::platform::{CallId, PlatformCall, PlatformResult, Revision};
 use super::router::request::{Attempt, AttemptEnd, Outcome, RequestMeta, UpstreamId};
@@ -19,8 +19,8 @@
 /// A daemon asks a peer for what is new.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Pull {
-    /// Heartbeats that the asker knows, its own among them.
-    pub heartbeats: Vec<Heartbeat>,
+    /// What the asker knows of the members.
+    pub gossip: Gossip,
     /// Versions that the asker knows.
     pub digest: VersionDigest,
     /// Replicas that the asker saw lose a member; for whoever holds their domain.
@@ -30,8 +30,8 @@
 /// The answer to a pull.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PullReply {
-    /// Heartbeats that the answerer knows.
-    pub heartbeats: Vec<Heartbeat>,
+    /// What the answerer knows of the members.
+    pub gossip: Gossip,
     /// Objects that are newer there.
     pub updates: Vec<ObjectUpdate>,
     /// How long ago the platform last confirmed the configuration that is in force
