feat(learning): few daemons read the platform, the others hear from peers what changed

Cause: every daemon listed and watched the host list and the configuration, so that calls and bytes grew with daemons times changes. Change: the watchers of a failure domain and the holder of its control read; the others ask each the daemon above them in a tree of fan-out 8 that follows from the weights which choose the watchers. They are told only what routing needs (instances of plain services, rank 0 of open groups) and only what changed since their version. Ages add up on the way. Who hears nothing new asks others, then the platform, one after the other. A watcher that the platform turns away hears from peers. First lists and the reads of candidates for a lease may be stale: a lease that was renewed meanwhile can't be taken, as the write has the version read for its condition; a list that is older than what is known is read again exactly. Tests: relays.rs (60 to 240 daemons in one thread): reads do not grow with the daemons, news reach all in time, dead watchers and watchers turned away are bridged, ages never seem newer. Four protections seen red (scripts/red-runs.py).

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -18,6 +18,30 @@
 # name: (file, text as it stands, text without the protection, test, filter,
 #        and further edits where two protections stand behind each other)
 PROTECTIONS = {
+    "few-read-the-list": (
+        CORE + "daemon/configuration.rs",
+        "_ if !settings.relays => true,",
+        "_ if settings.relays => true,",
+        "relays", "few_daemons_read",
+    ),
+    "reads-when-peers-are-silent": (
+        CORE + "daemon/relays.rs",
+        "self.is_watcher(now) || self.is_cut_off_from_news(now)",
+        "self.is_watcher(now)",
+        "relays", "death_of_all_watchers",
+    ),
+    "news-of-peers-where-turned-away": (
+        CORE + "daemon/relays.rs",
+        "if !self.is_reading(now) && self.hosts_told_at > answered_at {",
+        "if false && self.hosts_told_at > answered_at {",
+        "relays", "turns_away",
+    ),
+    "ages-add-up": (
+        CORE + "daemon/peers.rs",
+        "hosts_ms_ago: self.host_list_heard_at().map(|at| millis_since(now, at)),",
+        "hosts_ms_ago: self.host_list_heard_at().map(|_| 0),",
+        "relays", "never_too_new",
+    ),
     "members-in-brief": (
         CORE + "membership.rs",
         "brief: own.iter().chain(&remote).map(|peer| peer.brief()).collect(),",
--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -441,7 +441,7 @@
         state: &FleetState,
     ) -> (Option<Assignment>, Vec<String>) {
         let (Some(stored), Some(fleet), Some(hosts)) =
-            (self.stored.clone(), state.fleet(), state.hosts())
+            (self.stored.clone(), state.fleet(), state.whole_hosts())
         else {
             return (None, Vec::new());
         };
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -14,7 +14,7 @@
 use crate::core::engine::{Command, EngineStatus, LoadCommand, Order};
 use crate::core::fleet_state::FleetState;
 use crate::core::objects::{Assignment, Group, GroupPhase, HostRecord};
-use crate::core::types::{Address, Epoch, GroupNumber, HostId, ModelName, Timestamp};
+use crate::core::types::{Address, Epoch, GroupNumber, HostId, ModelName, Timestamp, Version};
 
 /// Refusals of an order after which its group is given up.
 const MOST_REFUSALS: u32 = 3;
@@ -50,7 +50,7 @@
     /// Takes in the list; hosts that it no longer names are remembered for a while,
     /// as long as the assignment names them.
     pub(super) fn note_listed(&mut self, now: Timestamp, state: &FleetState) {
-        let Some(hosts) = state.hosts() else {
+        let Some(hosts) = state.whole_hosts() else {
             return;
         };
         if self.listed_version == hosts.version {
@@ -191,6 +191,10 @@
 
     /// Orders and looks that follow from the stored assignment.
     pub(super) fn ordered_calls(&mut self, now: Timestamp, epoch: Epoch) -> Vec<ControllerAction> {
+        if self.listed_version == Version(0) {
+            // A holder that has not read the host list yet knows of no host how far it is.
+            return Vec::new();
+        }
         let Some(stored) = self.stored.take() else {
             return Vec::new();
         };
--- a/shalehinge/src/core/daemon/claiming.rs
+++ b/shalehinge/src/core/daemon/claiming.rs
@@ -4,7 +4,7 @@
 use crate::core::claims::{ClaimResult, ClaimStep};
 use crate::core::event::{Action, Part};
 use crate::core::objects::{Object, ObjectKey, Versioned};
-use crate::core::platform::{NoAnswer, PlatformCall, PlatformReply, PlatformResult};
+use crate::core::platform::{Freshness, NoAnswer, PlatformCall, PlatformReply, PlatformResult};
 use crate::core::router::request::Outcome;
 use crate::core::types::{RequestId, Timestamp};
 
@@ -35,7 +35,10 @@
     pub(super) fn claim_step(&mut self, step: ClaimStep, out: &mut Vec<Action>) {
         match step {
             ClaimStep::Read(partition) => {
-                let request = PlatformCall::Get(ObjectKey::Claims(partition));
+                let request = PlatformCall::Get {
+                    key: ObjectKey::Claims(partition),
+                    freshness: Freshness::Exact,
+                };
                 self.call(Purpose::Claims(partition), request, out);
             }
             ClaimStep::Write {
--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -7,7 +7,8 @@
 use super::{Daemon, Purpose, RUMOUR_FANOUT, WATCH_DUTY, WATCH_PAUSE, log};
 use crate::core::event::{Action, Notice, Part};
 use crate::core::feed::{Confirmation, Feed};
-use crate::core::fleet_state::ObjectUpdate;
+use crate::core::fleet_state::{Applied, ObjectUpdate};
+use crate::core::objects::ObjectKey;
 use crate::core::platform::{Freshness, PlatformResult, Scope};
 use crate::core::router::topology;
 use crate::core::routes::RouteTable;
@@ -41,6 +42,15 @@
         let settings = self.settings.learning;
         for index in 0..self.feeds.len() {
             let scope = self.feeds[index].scope();
+            if !self.reads(now, scope) {
+                if scope == Scope::Hosts {
+                    self.stop_reading_hosts(index);
+                }
+                continue;
+            }
+            if scope == Scope::Hosts && settings.relays {
+                self.prefer_news_of_peers(now, index);
+            }
             let watch = self.watch_of(now, scope);
             let is_slow = scope == Scope::Hosts || watch == Some(Freshness::MayBeStale);
             let wait = if is_slow {
@@ -55,6 +65,19 @@
         }
     }
 
+    /// Whether this daemon reads a scope from the platform now, or peers tell it.
+    fn reads(&self, now: Timestamp, scope: Scope) -> bool {
+        let settings = self.settings.learning;
+        match scope {
+            _ if !settings.relays => true,
+            Scope::Hosts => self.reads_hosts(now),
+            Scope::Shared | Scope::Configuration => {
+                let is_confirmed = self.is_confirmed_within(now, settings.ask_after);
+                self.may_read(now) && (self.is_watcher(now) || !is_confirmed)
+            }
+        }
+    }
+
     /// How this daemon watches a scope now, if it does. The watchers of a failure
     /// domain ask exactly. Where the others watch too, stale answers do for them as
     /// long as a watcher confirms the configuration.
@@ -91,10 +114,12 @@
         let jitter = self.rng.random_range(0.0..1.0);
         let pause = WATCH_PAUSE.mul_f64(1.0 + jitter);
         let feed = &mut self.feeds[index];
+        let scope = feed.scope();
         self.confirmation = newer(self.confirmation, feed.confirmation(result));
-        let spacing = match feed.scope() {
+        let spacing = match scope {
             // Whoever holds control is the first to need the news.
             Scope::Hosts if self.was_holder => self.settings.learning.host_spacing / 3,
+            Scope::Hosts if self.settings.learning.relays => self.settings.learning.host_spacing,
             Scope::Hosts => {
                 let daemons = self.membership.fleet_size(now);
                 spacing_among(self.settings.learning.host_spacing, daemons)
@@ -102,6 +127,11 @@
             Scope::Shared | Scope::Configuration => Duration::ZERO,
         };
         feed.on_answer(now, result, spacing, pause, self.confirmation);
+        let is_list_known = scope != Scope::Hosts || self.state.whole_hosts().is_some();
+        if feed.has_listed() && !is_list_known {
+            // The list was older than what peers told.
+            feed.list_again(now);
+        }
     }
 
     /// The time of which the configuration in force is known to be the newest.
@@ -137,19 +167,24 @@
         updates: Vec<ObjectUpdate>,
         out: &mut Vec<Action>,
     ) {
-        let mut changed = false;
+        let mut is_changed = false;
+        let mut is_news = false;
         for update in updates {
             let (key, version) = (update.key.clone(), update.version);
-            if self.state.apply(update) {
-                changed = true;
+            if self.state.apply(update) == Applied::All {
+                is_changed = true;
+                // Daemons that hear of hosts from peers ask for them at intervals.
+                is_news |= key != ObjectKey::Hosts || !self.settings.learning.relays;
                 let text = format!("{key:?} version {} is in force", version.0);
                 log(out, Part::Config, text);
             }
         }
-        if changed {
-            self.membership.set_fleet(self.state.fleet_version());
+        if is_changed {
             self.rebuild_routes(now, out);
             self.rebuild_topology();
+        }
+        if is_news {
+            self.membership.set_fleet(self.state.fleet_version());
             self.spread(now, out);
         }
     }
--- a/shalehinge/src/core/daemon/control.rs
+++ b/shalehinge/src/core/daemon/control.rs
@@ -8,7 +8,7 @@
 use crate::core::fleet_state::ObjectUpdate;
 use crate::core::lease::LeaseStep;
 use crate::core::objects::{Assignment, Object, ObjectKey, Versioned};
-use crate::core::platform::{NoAnswer, PlatformCall, PlatformReply, PlatformResult};
+use crate::core::platform::{Freshness, NoAnswer, PlatformCall, PlatformReply, PlatformResult};
 use crate::core::types::{FailureDomain, ReplicaId, Timestamp};
 use crate::settings::learning::FeedLayout;
 
@@ -34,7 +34,7 @@
     pub(super) fn lease_step(&mut self, step: LeaseStep, out: &mut Vec<Action>) {
         let key = self.lease_key();
         let request = match step {
-            LeaseStep::Read => PlatformCall::Get(key),
+            LeaseStep::Read(freshness) => PlatformCall::Get { key, freshness },
             LeaseStep::Write { expect, record } => PlatformCall::Put {
                 key,
                 expect,
@@ -92,7 +92,8 @@
     }
 
     fn listing(&self, now: Timestamp) -> Listing {
-        let hosts = self.state.hosts();
+        // Only the holder needs the number of failure domains.
+        let hosts = self.state.whole_hosts().filter(|_| self.was_holder);
         let domains: BTreeSet<&FailureDomain> = hosts
             .iter()
             .flat_map(|list| list.value.hosts.values())
@@ -114,7 +115,10 @@
     ) {
         match action {
             ControllerAction::Read => {
-                let request = PlatformCall::Get(self.assignment_key());
+                let request = PlatformCall::Get {
+                    key: self.assignment_key(),
+                    freshness: Freshness::Exact,
+                };
                 self.call(Purpose::Assignment, request, out);
             }
             ControllerAction::Write { expect, value } => {
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -7,6 +7,7 @@
 //! - `platform_calls`: calls to the platform, and where their answers go
 //! - `configuration`: which objects are in force: listed, watched, spread
 //! - `peers`: pulls and notices between daemons
+//! - `relays`: what daemons that don't read the platform hear from peers
 //! - `control`: the lease, and what its holder does
 //! - `operators`: plans and confirms
 //! - `requests`: requests of callers, and what the router decides
@@ -19,6 +20,7 @@
 mod operators;
 mod peers;
 mod platform_calls;
+mod relays;
 mod requests;
 mod stopping;
 
@@ -32,7 +34,7 @@
 use crate::core::controller::Controller;
 use crate::core::event::{Action, Event, LogLine, Part, StatusPurpose};
 use crate::core::feed::{Confirmation, Feed};
-use crate::core::fleet_state::FleetState;
+use crate::core::fleet_state::{FleetState, HostDetail};
 use crate::core::lease::ControlLease;
 use crate::core::membership::{Heartbeat, Membership};
 use crate::core::objects::KeyHash;
@@ -46,7 +48,7 @@
     Version,
 };
 use crate::settings::core::CoreSettings;
-use crate::settings::learning::FeedLayout;
+use crate::settings::learning::{FeedLayout, LearningSettings};
 
 /// How often a [`Event::Tick`] should come.
 pub const TICK: Duration = Duration::from_millis(50);
@@ -123,6 +125,9 @@
     /// The newest revision that the platform is known to have reached.
     confirmation: Option<Confirmation>,
     next_confirm_at: Timestamp,
+    next_relay_at: Timestamp,
+    /// The time of which peers told the host list.
+    hosts_told_at: Option<Timestamp>,
     next_suspects_at: Timestamp,
     was_holder: bool,
     /// A request came in since the start.
@@ -149,7 +154,11 @@
         let domain = identity.failure_domain.clone();
         Self {
             rng: SmallRng::seed_from_u64(seed),
-            state: FleetState::default(),
+            state: FleetState::new(if settings.learning.relays {
+                HostDetail::Routable
+            } else {
+                HostDetail::Whole
+            }),
             membership: Membership::new(settings.membership, heartbeat, identity.seeds.clone()),
             lease: ControlLease::new(
                 settings.lease,
@@ -165,12 +174,14 @@
             claimed: BTreeMap::new(),
             feeds: scopes(settings.learning.feeds)
                 .iter()
-                .map(|scope| Feed::new(*scope))
+                .map(|scope| first_feed(*scope, settings.learning))
                 .collect(),
             routes: RouteTable::default(),
             confirmed_by_peer: None,
             confirmation: None,
             next_confirm_at: Timestamp::ZERO,
+            next_relay_at: Timestamp::ZERO,
+            hosts_told_at: None,
             next_suspects_at: Timestamp::ZERO,
             was_holder: false,
             has_served: false,
@@ -307,6 +318,7 @@
         self.learn(now, out);
         self.pull(now, out);
         self.ask_watcher(now, out);
+        self.pull_from_relay(now, out);
         self.tick_lease(now, out);
         self.tick_controller(now, out);
         self.tick_claims(now, out);
@@ -324,6 +336,15 @@
     }
 }
 
+/// A list of hosts that may be stale is completed by the watches that follow it.
+fn first_feed(scope: Scope, settings: LearningSettings) -> Feed {
+    if scope == Scope::Hosts && settings.stale_watches {
+        Feed::with_stale_list(scope)
+    } else {
+        Feed::new(scope)
+    }
+}
+
 fn log(out: &mut Vec<Action>, part: Part, text: String) {
     out.push(Action::Log(LogLine { part, text }));
 }
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -7,8 +7,9 @@
 
 use super::configuration::newer;
 use super::{CANDIDATES, CONFIRM_SPACING, Daemon, SUSPECTS_INTERVAL, WATCH_DUTY};
-use crate::core::event::{Action, Notice, Pull, PullId, PullReply, Reached};
+use crate::core::event::{Action, Notice, Pull, PullId, PullReply, PullTopic, Reached};
 use crate::core::feed::{Confirmation, Feed};
+use crate::core::membership::Gossip;
 use crate::core::platform::Scope;
 use crate::core::types::{Address, FailureDomain, ReplicaId, Timestamp, Version};
 
@@ -56,18 +57,30 @@
     }
 
     pub(super) fn make_pull(&mut self, now: Timestamp) -> Pull {
+        self.pull_of(now, PullTopic::All)
+    }
+
+    pub(super) fn pull_of(&mut self, now: Timestamp, topic: PullTopic) -> Pull {
         let mut digest = self.state.digest();
         if self.knows_hosts(now) {
             // Peers need not tell what this daemon reads itself.
             digest.hosts = Version(u64::MAX);
         }
         Pull {
-            gossip: self.membership.gossip(now, None, &mut self.rng),
+            gossip: self.gossip_about(now, topic, None),
+            topic,
             digest,
             suspects: Vec::new(),
         }
     }
 
+    fn gossip_about(&mut self, now: Timestamp, topic: PullTopic, asked: Option<&Gossip>) -> Gossip {
+        match topic {
+            PullTopic::All => self.membership.gossip(now, asked, &mut self.rng),
+            PullTopic::Objects => self.membership.greeting(),
+        }
+    }
+
     /// Whether this daemon reads the host list itself, apart from the rest.
     fn knows_hosts(&self, now: Timestamp) -> bool {
         const FRESH: Duration = Duration::from_secs(2);
@@ -125,14 +138,14 @@
         pull: Pull,
         out: &mut Vec<Action>,
     ) {
-        let asked = Some(&pull.gossip);
-        let gossip = self.membership.gossip(now, asked, &mut self.rng);
+        let gossip = self.gossip_about(now, pull.topic, Some(&pull.gossip));
         self.membership.merge(now, pull.gossip);
         self.note_suspects(now, &pull.suspects);
         let reply = PullReply {
             gossip,
             updates: self.state.newer_than(&pull.digest),
             confirmed_ms_ago: self.confirmed_at().map(|at| millis_since(now, at)),
+            hosts_ms_ago: self.host_list_heard_at().map(|at| millis_since(now, at)),
             reached: self.confirmation.map(|confirmation| Reached {
                 revision: confirmation.revision,
                 ms_ago: millis_since(now, confirmation.at),
@@ -158,6 +171,9 @@
             let confirmed_at = before(asked_at, age);
             self.confirmed_by_peer = self.confirmed_by_peer.max(confirmed_at);
         }
+        if let Some(age) = reply.hosts_ms_ago {
+            self.hosts_told_at = self.hosts_told_at.max(before(asked_at, age));
+        }
         let reached = reply.reached.and_then(|reached| {
             let revision = reached.revision;
             before(asked_at, reached.ms_ago).map(|at| Confirmation { revision, at })
--- a/shalehinge/src/core/daemon/platform_calls.rs
+++ b/shalehinge/src/core/daemon/platform_calls.rs
@@ -15,6 +15,12 @@
         out.push(Action::Platform { call, request });
     }
 
+    /// Answers that are still to come to a feed are passed over.
+    pub(super) fn drop_calls_of_feed(&mut self, index: usize) {
+        let is_other = |purpose: &Purpose| !matches!(purpose, Purpose::Feed(i) if *i == index);
+        self.calls.retain(|_, purpose| is_other(purpose));
+    }
+
     pub(super) fn operation(&mut self) -> OperationId {
         OperationId(self.rng.random())
     }
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -21,12 +21,23 @@
 pub struct Pull {
     /// What the asker knows of the members.
     pub gossip: Gossip,
+    /// What the asker wants to know.
+    pub topic: PullTopic,
     /// Versions that the asker knows.
     pub digest: VersionDigest,
     /// Replicas that the asker saw lose a member; for whoever holds their domain.
     pub suspects: Vec<ReplicaId>,
 }
 
+/// What a pull is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PullTopic {
+    /// Members and objects.
+    All,
+    /// Objects alone: asked often, so that messages are to be small.
+    Objects,
+}
+
 /// The answer to a pull.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PullReply {
@@ -38,6 +49,10 @@
     /// there, in milliseconds; counted from before the platform was asked.
     #[serde(default)]
     pub confirmed_ms_ago: Option<u64>,
+    /// How long ago the platform last answered whoever the host list there comes from, in
+    /// milliseconds; counted from before the platform was asked.
+    #[serde(default)]
+    pub hosts_ms_ago: Option<u64>,
     /// The newest revision that the platform is known there to have reached.
     #[serde(default)]
     pub reached: Option<Reached>,
--- a/shalehinge/src/core/feed.rs
+++ b/shalehinge/src/core/feed.rs
@@ -39,8 +39,11 @@
     next_at: Timestamp,
     as_of: Option<Timestamp>,
     heard_at: Option<Timestamp>,
+    answered_at: Option<Timestamp>,
     /// Answers lagged behind: until then only exact ones are asked for.
     exact_until: Timestamp,
+    /// How new the next list must be.
+    list_freshness: Freshness,
 }
 
 impl Feed {
@@ -54,10 +57,27 @@
             next_at: Timestamp::ZERO,
             as_of: None,
             heard_at: None,
+            answered_at: None,
             exact_until: Timestamp::ZERO,
+            list_freshness: Freshness::Exact,
         }
     }
 
+    /// A feed whose first list may be stale: its watches bring what is missing.
+    pub fn with_stale_list(scope: Scope) -> Self {
+        Self {
+            list_freshness: Freshness::MayBeStale,
+            ..Self::new(scope)
+        }
+    }
+
+    /// Lists anew, exactly, as what was listed does not follow what is known.
+    pub fn list_again(&mut self, now: Timestamp) {
+        self.has_listed = false;
+        self.list_freshness = Freshness::Exact;
+        self.next_at = now;
+    }
+
     /// What it is about.
     pub fn scope(&self) -> Scope {
         self.scope
@@ -73,6 +93,21 @@
         self.heard_at
     }
 
+    /// Time before which the platform was asked whatever it last answered.
+    pub fn answered_at(&self) -> Option<Timestamp> {
+        self.answered_at
+    }
+
+    /// Whether it has listed, or is about to.
+    pub fn is_active(&self) -> bool {
+        self.has_listed || self.question.is_some()
+    }
+
+    /// Forgets all, as what is known now comes from elsewhere.
+    pub fn reset(&mut self) {
+        *self = Self::with_stale_list(self.scope);
+    }
+
     /// Whether it has read everything once.
     pub fn has_listed(&self) -> bool {
         self.has_listed
@@ -90,9 +125,10 @@
             return None;
         }
         if !self.has_listed {
-            let freshness = Freshness::Exact;
+            let freshness = self.list_freshness;
             self.question = Some(Question { at: now, freshness });
-            return Some(PlatformCall::List(self.scope));
+            let scope = self.scope;
+            return Some(PlatformCall::List { scope, freshness });
         }
         let mut freshness = watch?;
         if now < self.exact_until {
@@ -126,6 +162,7 @@
                 self.revision = self.revision.max(*revision);
                 self.has_listed = true;
                 self.heard_at = Some(now);
+                self.answered_at = Some(question.at);
                 self.next_at = question.at + spacing;
                 match question.freshness {
                     Freshness::Exact => self.as_of = self.as_of.max(Some(question.at)),
@@ -133,8 +170,7 @@
                 }
             }
             Ok(PlatformReply::HistoryGone) => {
-                self.has_listed = false;
-                self.next_at = now;
+                self.list_again(now);
             }
             _ => self.next_at = now + pause,
         }
--- a/shalehinge/src/core/fleet_state.rs
+++ b/shalehinge/src/core/fleet_state.rs
@@ -7,6 +7,7 @@
 use super::objects::{
     Assignment, FleetConfig, HostChanges, HostList, Object, ObjectKey, Versioned,
 };
+use super::routable_hosts::{ChangeLog, RoutableChanges, difference, of_changes, routable_hosts};
 use super::types::{FailureDomain, Version};
 
 /// An object that the platform or a peer told of.
@@ -46,15 +47,47 @@
     }
 }
 
+/// How much of the host list is known, or told to peers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum HostDetail {
+    /// All hosts.
+    #[default]
+    Whole,
+    /// Those that requests go to.
+    Routable,
+}
+
+/// What an object changed here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// Nothing: it was not newer, or does not follow what is known.
+    Nothing,
+    /// Something that only the control of a failure domain needs.
+    ControlOnly,
+    /// Something that routing needs, or peers.
+    All,
+}
+
 /// The objects in force at this daemon.
 #[derive(Clone, Debug, Default)]
 pub struct FleetState {
     fleet: Option<Versioned<FleetConfig>>,
     hosts: Option<Versioned<HostList>>,
+    known_hosts: HostDetail,
+    told_hosts: HostDetail,
+    host_changes: ChangeLog,
     assignments: BTreeMap<FailureDomain, Versioned<Assignment>>,
 }
 
 impl FleetState {
+    /// Knows nothing yet; tells peers so much of the host list.
+    pub fn new(told_hosts: HostDetail) -> Self {
+        Self {
+            told_hosts,
+            ..Self::default()
+        }
+    }
+
     /// The configuration in force; `None` before the first was seen.
     pub fn fleet(&self) -> Option<&Versioned<FleetConfig>> {
         self.fleet.as_ref()
@@ -70,26 +103,42 @@
         self.hosts.as_ref().map_or(Version(0), |o| o.version)
     }
 
-    /// The host list as last seen.
+    /// The host list as last seen, or the part of it that routing needs.
     pub fn hosts(&self) -> Option<&Versioned<HostList>> {
         self.hosts.as_ref()
     }
 
+    /// The host list as last seen, if all of it is known.
+    pub fn whole_hosts(&self) -> Option<&Versioned<HostList>> {
+        let is_whole = self.known_hosts == HostDetail::Whole;
+        self.hosts.as_ref().filter(|_| is_whole)
+    }
+
+    /// Keeps the part of the host list that routing needs; from now on peers tell what
+    /// changes in it.
+    pub fn forget_other_hosts(&mut self) {
+        if self.known_hosts == HostDetail::Whole {
+            self.known_hosts = HostDetail::Routable;
+            if let Some(hosts) = &mut self.hosts {
+                hosts.value = routable_hosts(&hosts.value);
+            }
+        }
+    }
+
     /// The assignments by failure domain.
     pub fn assignments(&self) -> &BTreeMap<FailureDomain, Versioned<Assignment>> {
         &self.assignments
     }
 
-    /// Takes in an object if it is newer than what is known; says whether it was.
-    pub fn apply(&mut self, update: ObjectUpdate) -> bool {
+    /// Applies an object if it is newer than what is known.
+    pub fn apply(&mut self, update: ObjectUpdate) -> Applied {
         let version = update.version;
-        match (update.key, update.object) {
+        let is_newer = match (update.key, update.object) {
             (ObjectKey::Fleet, Object::Fleet(value)) => replace(&mut self.fleet, version, value),
-            (ObjectKey::Hosts, Object::Hosts(value)) => replace(&mut self.hosts, version, value),
-            (ObjectKey::Hosts, Object::HostChanges(changes)) => self.change_hosts(version, changes),
+            (ObjectKey::Hosts, object) => return self.apply_hosts(version, object),
             (ObjectKey::Assignment(domain), Object::Assignment(value)) => {
                 if value.check().is_err() {
-                    return false;
+                    return Applied::Nothing;
                 }
                 let mut slot = self.assignments.remove(&domain);
                 let newer = replace(&mut slot, version, value);
@@ -97,23 +146,80 @@
                 newer
             }
             _ => false,
+        };
+        if is_newer {
+            Applied::All
+        } else {
+            Applied::Nothing
         }
     }
 
-    /// Takes in what changed since the list that is known, or since one before it.
-    fn change_hosts(&mut self, version: Version, changes: HostChanges) -> bool {
+    fn apply_hosts(&mut self, version: Version, object: Object) -> Applied {
+        let is_newer = self
+            .hosts
+            .as_ref()
+            .is_none_or(|known| version > known.version);
+        let knows_whole = self.whole_hosts().is_some();
+        match object {
+            // A whole list is more than a part of the same version.
+            Object::Hosts(list) if is_newer || !knows_whole && self.is_at(version) => {
+                self.replace_hosts(version, list, HostDetail::Whole)
+            }
+            Object::RoutableHosts(list) if is_newer && !knows_whole => {
+                self.replace_hosts(version, list, HostDetail::Routable)
+            }
+            Object::HostChanges(changes) if is_newer && knows_whole => {
+                self.change_hosts(version, changes)
+            }
+            Object::RoutableChanges(RoutableChanges { after, changes })
+                if is_newer && !knows_whole && self.hosts_version() >= after =>
+            {
+                self.change_hosts(version, changes)
+            }
+            _ => Applied::Nothing,
+        }
+    }
+
+    fn is_at(&self, version: Version) -> bool {
+        self.hosts.is_some() && self.hosts_version() == version
+    }
+
+    fn replace_hosts(&mut self, version: Version, list: HostList, detail: HostDetail) -> Applied {
+        let changes = match &self.hosts {
+            Some(known) => difference(&known.value, &list),
+            None => {
+                self.host_changes.restart(version);
+                difference(&HostList::default(), &list)
+            }
+        };
+        let value = list;
+        self.hosts = Some(Versioned { version, value });
+        self.known_hosts = detail;
+        self.note_changes(version, changes)
+    }
+
+    /// Applies what changed since the list that is known, or since one before it.
+    fn change_hosts(&mut self, version: Version, changes: HostChanges) -> Applied {
         let Some(known) = &mut self.hosts else {
-            return false;
+            return Applied::Nothing;
         };
-        if version <= known.version {
-            return false;
-        }
+        let of_routing = of_changes(&known.value, &changes);
         known.version = version;
         known.value.hosts.extend(changes.changed);
         for host in &changes.removed {
             known.value.hosts.remove(host);
         }
-        true
+        self.note_changes(version, of_routing)
+    }
+
+    fn note_changes(&mut self, version: Version, changes: HostChanges) -> Applied {
+        let changes_nothing = changes.changed.is_empty() && changes.removed.is_empty();
+        self.host_changes.push(version, changes);
+        if changes_nothing {
+            Applied::ControlOnly
+        } else {
+            Applied::All
+        }
     }
 
     /// What a peer needs to see whether it knows more.
@@ -146,11 +252,7 @@
         if let Some(object) = &self.hosts
             && is_newer(&ObjectKey::Hosts, object.version)
         {
-            updates.push(ObjectUpdate {
-                key: ObjectKey::Hosts,
-                version: object.version,
-                object: Object::Hosts(object.value.clone()),
-            });
+            updates.extend(self.hosts_for_peer(object, digest.hosts));
         }
         for (domain, object) in &self.assignments {
             let key = ObjectKey::Assignment(domain.clone());
@@ -165,13 +267,38 @@
         updates
     }
 
-    /// Whether a peer with this digest knows anything newer.
+    /// What a peer that knows the host list of a version is told.
+    fn hosts_for_peer(
+        &self,
+        known: &Versioned<HostList>,
+        version: Version,
+    ) -> Option<ObjectUpdate> {
+        let object = match (self.told_hosts, self.host_changes.since(version)) {
+            (HostDetail::Whole, _) => {
+                let list = self.whole_hosts()?;
+                Object::Hosts(list.value.clone())
+            }
+            (HostDetail::Routable, Some(changes)) if version > Version(0) => {
+                Object::RoutableChanges(changes)
+            }
+            (HostDetail::Routable, _) => Object::RoutableHosts(routable_hosts(&known.value)),
+        };
+        Some(ObjectUpdate {
+            key: ObjectKey::Hosts,
+            version: known.version,
+            object,
+        })
+    }
+
+    /// Whether a peer with this digest knows anything newer. Parts of the host list are
+    /// asked for at intervals, not as soon as a peer knows more.
     pub fn is_behind(&self, digest: &VersionDigest) -> bool {
         let mine = self.digest();
         let newer_assignment = digest.assignments.iter().any(|(domain, version)| {
             *version > mine.version_of(&ObjectKey::Assignment(domain.clone()))
         });
-        digest.fleet > mine.fleet || digest.hosts > mine.hosts || newer_assignment
+        let newer_hosts = self.told_hosts == HostDetail::Whole && digest.hosts > mine.hosts;
+        digest.fleet > mine.fleet || newer_hosts || newer_assignment
     }
 }
 
--- a/shalehinge/src/core/lease.rs
+++ b/shalehinge/src/core/lease.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use super::objects::{LeaseRecord, Versioned};
+use super::platform::Freshness;
 use super::types::{DaemonId, Epoch, Incarnation, OperationId, Timestamp, Version};
 use crate::settings::lease::LeaseSettings;
 
@@ -15,7 +16,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeaseStep {
     /// Read the lease object.
-    Read,
+    Read(Freshness),
     /// Write this record if the object still has this version.
     Write {
         /// Version that the write is conditional on.
@@ -111,10 +112,10 @@
 
     fn choose_step(&mut self, now: Timestamp, operation: OperationId) -> LeaseStep {
         let Some(observation) = &self.observation else {
-            return LeaseStep::Read;
+            return LeaseStep::Read(Freshness::Exact);
         };
         if self.pending.is_some() {
-            return LeaseStep::Read;
+            return LeaseStep::Read(Freshness::Exact);
         }
         let Some(lease) = &observation.lease else {
             return self.write(now, Version(0), Epoch(1), operation);
@@ -129,7 +130,9 @@
         if lease.value.released || lapsed {
             return self.write(now, version, Epoch(epoch.0 + 1), operation);
         }
-        LeaseStep::Read
+        // An old answer only shows the holder's last writes later. A lease that was renewed
+        // meanwhile can't be taken, as the write has this version for its condition.
+        LeaseStep::Read(Freshness::MayBeStale)
     }
 
     fn write(
@@ -224,7 +227,19 @@
         self.valid_until = sent_at + useful;
     }
 
+    /// Whether an answer shows the lease as it was before what is known of it.
+    fn is_older(&self, lease: Option<&Versioned<LeaseRecord>>) -> bool {
+        let known = self
+            .observation
+            .as_ref()
+            .and_then(|seen| seen.lease.as_ref());
+        known.is_some_and(|known| lease.is_none_or(|lease| lease.version < known.version))
+    }
+
     fn observe(&mut self, now: Timestamp, lease: Option<Versioned<LeaseRecord>>) {
+        if self.is_older(lease.as_ref()) {
+            return;
+        }
         let held_by_other = lease.as_ref().is_some_and(|lease| {
             lease.value.holder != self.me || lease.value.incarnation != self.incarnation
         });
--- a/shalehinge/src/core/membership.rs
+++ b/shalehinge/src/core/membership.rs
@@ -171,7 +171,7 @@
     /// Every other pull goes to the own failure domain, whose members matter most. Seeds
     /// stay targets for ever, so that a healed cut is found again; the more daemons there
     /// are, the more rarely each asks one.
-    fn random_peer(&self, now: Timestamp, rng: &mut impl rand::Rng) -> Option<Address> {
+    pub fn random_peer(&self, now: Timestamp, rng: &mut impl rand::Rng) -> Option<Address> {
         const SEED_TURN: f64 = 0.1;
         /// Pulls of seeds in one turn of the whole fleet.
         const SEED_PULLS: f64 = 1.5;
@@ -200,6 +200,15 @@
         self.runs.retain(|_, daemon| members.contains_key(daemon));
     }
 
+    /// What a message tells that is not about members.
+    pub fn greeting(&self) -> Gossip {
+        Gossip {
+            sender: self.me.clone(),
+            members: Vec::new(),
+            brief: Vec::new(),
+        }
+    }
+
     /// What a message of this daemon tells. `asked` is what the peer told, if this is the
     /// answer to it: then it is told of members that it does not know as they are.
     pub fn gossip(
@@ -330,6 +339,17 @@
             .map(|peer| &peer.daemon)
     }
 
+    /// Members of the own failure domain by their weight for a duty, the highest first.
+    pub fn ranked(&self, now: Timestamp, duty: &str) -> Vec<&DaemonId> {
+        let domain = &self.me.failure_domain;
+        hash::top(&duty, self.on_duty(now, domain), usize::MAX)
+    }
+
+    /// Whether there is any daemon to ask.
+    pub fn has_seeds(&self) -> bool {
+        !self.seeds.is_empty()
+    }
+
     /// Whether this daemon is among the `count` responsible for `duty` in its domain.
     pub fn is_responsible(&self, now: Timestamp, duty: &str, count: usize) -> bool {
         let domain = &self.me.failure_domain;
--- a/shalehinge/src/core/mod.rs
+++ b/shalehinge/src/core/mod.rs
@@ -10,6 +10,7 @@
 //! - `event`: what goes in, what comes out
 //! - `daemon`: the whole of a daemon's decisions
 //! - `feed`: one part of what the platform keeps, listed and watched
+//! - `routable_hosts`: the part of the host list that routing needs
 //! - `fleet_state`: the newest objects known, which never revert
 //! - `membership`, `hash`: which daemons live, and who does what
 //! - `lease`: who acts for a failure domain
@@ -35,6 +36,7 @@
 pub mod operator;
 pub mod placement;
 pub mod platform;
+pub mod routable_hosts;
 pub mod route_config;
 pub mod router;
 pub mod routes;
--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::engine::EngineStatus;
+use super::routable_hosts::RoutableChanges;
 pub use super::route_config::{
     CallerLimits, LoadRate, ModelProfile, RequestKind, RouteConfig, WeightedService,
 };
@@ -43,6 +44,10 @@
     Hosts(HostList),
     /// See [`HostChanges`].
     HostChanges(HostChanges),
+    /// The part of a host list that routing needs.
+    RoutableHosts(HostList),
+    /// See [`RoutableChanges`].
+    RoutableChanges(RoutableChanges),
     /// See [`Assignment`].
     Assignment(Assignment),
     /// See [`LeaseRecord`].
--- a/shalehinge/src/core/operator.rs
+++ b/shalehinge/src/core/operator.rs
@@ -16,7 +16,7 @@
 use super::fleet_state::FleetState;
 use super::objects::{Assignment, FleetConfig, HostList, Object, ObjectKey};
 use super::placement::{Effects, preview};
-use super::platform::{PlatformCall, PlatformReply, PlatformResult, Scope};
+use super::platform::{Freshness, PlatformCall, PlatformReply, PlatformResult, Scope};
 use super::types::{FailureDomain, OperationId, Timestamp, Version};
 
 /// How long a confirm tries to learn what became of its write.
@@ -132,7 +132,7 @@
             give_up_at: now + READ_BACK_FOR,
         };
         self.sessions.insert(id, session);
-        OperatorStep::Platform(PlatformCall::List(Scope::Shared))
+        OperatorStep::Platform(fresh_list())
     }
 
     /// The platform answered a call made for `id`. `state` has the answer in it.
@@ -168,7 +168,7 @@
             }
             (Stage::Writing(written), _) => {
                 self.stage = Stage::ReadingBack(written.clone());
-                OperatorStep::Platform(PlatformCall::List(Scope::Shared))
+                OperatorStep::Platform(fresh_list())
             }
             (Stage::ReadingBack(written), Ok(_)) => {
                 let written = written.clone();
@@ -177,9 +177,7 @@
             (Stage::ReadingBack(_), Err(_)) if is_over => {
                 OperatorStep::Answer(OperatorAnswer::Unclear)
             }
-            (Stage::ReadingBack(_), Err(_)) => {
-                OperatorStep::Platform(PlatformCall::List(Scope::Shared))
-            }
+            (Stage::ReadingBack(_), Err(_)) => OperatorStep::Platform(fresh_list()),
         }
     }
 
@@ -318,3 +316,11 @@
 pub fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
+
+/// Plans are made and confirmed on what the platform holds now.
+fn fresh_list() -> PlatformCall {
+    PlatformCall::List {
+        scope: Scope::Shared,
+        freshness: Freshness::Exact,
+    }
+}
--- a/shalehinge/src/core/platform.rs
+++ b/shalehinge/src/core/platform.rs
@@ -21,7 +21,12 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum PlatformCall {
     /// Read one object.
-    Get(ObjectKey),
+    Get {
+        /// Which object.
+        key: ObjectKey,
+        /// How new the answer must be.
+        freshness: Freshness,
+    },
     /// Write one object if it still has this version.
     Put {
         /// Which object.
@@ -32,7 +37,12 @@
         object: Box<Object>,
     },
     /// Read the objects of a scope.
-    List(Scope),
+    List {
+        /// Which objects.
+        scope: Scope,
+        /// How new the answer must be.
+        freshness: Freshness,
+    },
     /// Wait for changes of a scope after a revision.
     Watch {
         /// What to wait for.
@@ -46,7 +56,7 @@
     },
 }
 
-/// How new the answer to a watch must be. Platforms may charge less for older ones.
+/// How new an answer must be. Platforms may charge less for older ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
     /// It holds all changes up to the question.
--- a/shalehinge/src/object_api/http.rs
+++ b/shalehinge/src/object_api/http.rs
@@ -85,7 +85,8 @@
 fn encode(object: &Object) -> serde_json::Result<Vec<u8>> {
     match object {
         Object::Fleet(value) => serde_json::to_vec(value),
-        Object::Hosts(value) => serde_json::to_vec(value),
+        Object::Hosts(value) | Object::RoutableHosts(value) => serde_json::to_vec(value),
+        Object::RoutableChanges(value) => serde_json::to_vec(value),
         Object::HostChanges(value) => serde_json::to_vec(value),
         Object::Assignment(value) => serde_json::to_vec(value),
         Object::Lease(value) => serde_json::to_vec(value),
@@ -159,13 +160,13 @@
 
     async fn make(self, request: PlatformCall) -> PlatformResult {
         match request {
-            PlatformCall::Get(key) => self.get(key).await,
+            PlatformCall::Get { key, .. } => self.get(key).await,
             PlatformCall::Put {
                 key,
                 expect,
                 object,
             } => self.put(key, expect, *object).await,
-            PlatformCall::List(scope) => {
+            PlatformCall::List { scope, .. } => {
                 let path = format!("/v1/objects?kinds={}", kinds_of(scope));
                 self.objects(path, self.timeout).await
             }
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -202,7 +202,7 @@
 
     fn call_platform(self: &Arc<Self>, call: CallId, request: PlatformCall) {
         self.metrics.count(match &request {
-            PlatformCall::Get(_) | PlatformCall::List(_) => Counter::PlatformReads,
+            PlatformCall::Get { .. } | PlatformCall::List { .. } => Counter::PlatformReads,
             PlatformCall::Put { .. } => Counter::PlatformWrites,
             PlatformCall::Watch { .. } => Counter::PlatformWatches,
         });
--- a/shalehinge/src/settings/learning.rs
+++ b/shalehinge/src/settings/learning.rs
@@ -25,6 +25,11 @@
     pub confirm_after: Duration,
     /// How long after it was confirmed a daemon asks the platform exactly itself.
     pub ask_after: Duration,
+    /// Whether only the watchers of a failure domain and whoever holds its control read the
+    /// platform, and the others hear from peers what changed; only with `feeds = split`.
+    pub relays: bool,
+    /// Time between two questions for what changed, where peers relay it.
+    pub relay_interval: Duration,
     /// Whether a key that was taken away must stop working everywhere within
     /// `revoke_within`, also at daemons that cannot reach the platform.
     pub strict_revocation: bool,
@@ -57,6 +62,8 @@
             stale_watches: false,
             confirm_after: Duration::from_secs(1),
             ask_after: Duration::from_secs(2),
+            relays: false,
+            relay_interval: Duration::from_millis(400),
             strict_revocation: false,
             revoke_within: None,
             refuse_within: None,
@@ -78,6 +85,8 @@
             stale_watches: section.flag("stale_watches", default.stale_watches),
             confirm_after: section.duration("confirm_after", default.confirm_after),
             ask_after: section.duration("ask_after", default.ask_after),
+            relays: section.flag("relays", default.relays),
+            relay_interval: section.duration("relay_interval", default.relay_interval),
             strict_revocation: section.flag("strict_revocation", default.strict_revocation),
             revoke_within: section.optional_duration("revoke_within"),
             refuse_within: section.optional_duration("refuse_within"),
--- a/shalehinge/tests/focused.rs
+++ b/shalehinge/tests/focused.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use shalehinge::core::fleet_state::{FleetState, ObjectUpdate};
+use shalehinge::core::fleet_state::{Applied, FleetState, ObjectUpdate};
 use shalehinge::core::objects::{FleetConfig, Object, ObjectKey};
 use shalehinge::core::router::request::Outcome;
 use shalehinge::core::types::Version;
@@ -37,8 +37,8 @@
         version: Version(version),
         object: Object::Fleet(FleetConfig::default()),
     };
-    assert!(state.apply(update(5)));
-    assert!(!state.apply(update(4)));
+    assert_eq!(state.apply(update(5)), Applied::All);
+    assert_eq!(state.apply(update(4)), Applied::Nothing);
     assert_eq!(state.digest().fleet, Version(5));
 }
 
--- a/shalehinge/tests/learning.rs
+++ b/shalehinge/tests/learning.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use shalehinge::core::feed::{Confirmation, Feed};
-use shalehinge::core::fleet_state::{FleetState, ObjectUpdate};
+use shalehinge::core::fleet_state::{Applied, FleetState, ObjectUpdate};
 use shalehinge::core::objects::{
     CustomerConfig, FleetConfig, HostChanges, HostList, HostRecord, HostState, ModelProfile,
     Object, ObjectKey, RequestKind, RouteConfig, WeightedService,
@@ -28,6 +28,13 @@
     Timestamp::from_millis(millis)
 }
 
+fn exact_list() -> PlatformCall {
+    PlatformCall::List {
+        scope: Scope::Hosts,
+        freshness: Freshness::Exact,
+    }
+}
+
 fn objects(revision: u64) -> PlatformReply {
     PlatformReply::Objects {
         revision: Revision(revision),
@@ -38,7 +45,7 @@
 #[test]
 fn a_feed_lists_once_then_watches_from_there() {
     let mut feed = Feed::new(Scope::Hosts);
-    let list = PlatformCall::List(Scope::Hosts);
+    let list = exact_list();
     assert_eq!(feed.next_call(at(10), EXACT, WAIT), Some(list));
     assert_eq!(feed.next_call(at(11), EXACT, WAIT), None, "one at a time");
     feed.on_answer(at(20), &Ok(objects(7)), SPACING, PAUSE, None);
@@ -137,7 +144,7 @@
         PAUSE,
         None,
     );
-    let list = PlatformCall::List(Scope::Hosts);
+    let list = exact_list();
     assert_eq!(feed.next_call(at(410), EXACT, WAIT), Some(list));
 }
 
@@ -176,11 +183,18 @@
             }),
         )
     };
-    assert!(!state.apply(change(3, &b, None)), "over nothing");
+    assert_eq!(
+        state.apply(change(3, &b, None)),
+        Applied::Nothing,
+        "over nothing"
+    );
     let hosts = BTreeMap::from([(a.clone(), record(1))]);
-    assert!(state.apply(update(5, Object::Hosts(HostList { hosts }))));
-    assert!(!state.apply(change(4, &b, None)), "older");
-    assert!(state.apply(change(6, &b, Some(&a))));
+    assert_ne!(
+        state.apply(update(5, Object::Hosts(HostList { hosts }))),
+        Applied::Nothing
+    );
+    assert_eq!(state.apply(change(4, &b, None)), Applied::Nothing, "older");
+    assert_ne!(state.apply(change(6, &b, Some(&a))), Applied::Nothing);
     let known: Vec<HostId> = state
         .hosts()
         .expect("known")
--- a/shalehinge/tests/operator.rs
+++ b/shalehinge/tests/operator.rs
@@ -10,7 +10,9 @@
 use shalehinge::core::operator::{
     Confirm, OperatorAnswer, OperatorCall, OperatorCallId, OperatorStep, Operators, Plan,
 };
-use shalehinge::core::platform::{NoAnswer, PlatformCall, PlatformReply, PlatformResult, Revision};
+use shalehinge::core::platform::{
+    Freshness, NoAnswer, PlatformCall, PlatformReply, PlatformResult, Revision, Scope,
+};
 use shalehinge::core::types::{
     Customer, FabricDomain, FailureDomain, HostId, ModelName, ModelVersion, OperationId, Timestamp,
     Version,
@@ -121,9 +123,10 @@
     let step = operators.on_platform(at(1), ID, &Err(NoAnswer), state);
     assert_eq!(
         step,
-        Some(OperatorStep::Platform(PlatformCall::List(
-            shalehinge::core::platform::Scope::Shared
-        )))
+        Some(OperatorStep::Platform(PlatformCall::List {
+            scope: Scope::Shared,
+            freshness: Freshness::Exact,
+        }))
     );
     operators
 }
--- a/shalehinge/tests/support/platform.rs
+++ b/shalehinge/tests/support/platform.rs
@@ -51,11 +51,11 @@
             return Err(NoAnswer);
         }
         match call {
-            PlatformCall::Get(key) => {
+            PlatformCall::Get { key, .. } => {
                 self.reads += 1;
                 Ok(PlatformReply::Object(self.objects.get(&key).cloned()))
             }
-            PlatformCall::List(_) => {
+            PlatformCall::List { .. } => {
                 self.reads += 1;
                 Ok(self.changed(Revision(0)))
             }
