fix(learning): a fleet that starts again reads at once; one daemon confirms the configuration

Cause: (1) a harness with watches that wait showed 47 exact lists in ten quiet seconds: a reader's last question is older than the patience while a watch waits, so that it took peers' news for fresher, dropped its list and listed again. (3) All daemons of a first start listed the configuration, as none was confirmed yet, and all candidates read the lease exactly. Change: what counts is when the platform answered, and the patience follows from the interval; a daemon that starts again asks peers for 200 ms only; the second watcher asks exactly only if the first has failed; a first read of a lease may be stale.

--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -72,12 +72,33 @@
             _ if !settings.relays => true,
             Scope::Hosts => self.reads_hosts(now),
             Scope::Shared | Scope::Configuration => {
-                let is_confirmed = self.is_confirmed_within(now, settings.ask_after);
-                self.may_read(now) && (self.is_watcher(now) || !is_confirmed)
+                // A daemon that just started gives its peers as much time as later.
+                let confirmed_at = self.confirmed_at().unwrap_or(Timestamp::ZERO);
+                let is_confirmed = now.since(confirmed_at) < self.asks_exactly_after(now);
+                self.may_read(now) && !is_confirmed
             }
         }
     }
 
+    /// How long after the configuration was confirmed this daemon asks the platform, where
+    /// peers relay: the first watcher always, the others once that one has failed, who
+    /// are no watchers last.
+    fn asks_exactly_after(&self, now: Timestamp) -> Duration {
+        let settings = self.settings.learning;
+        if self.is_first_watcher(now) {
+            Duration::ZERO
+        } else if self.is_watcher(now) {
+            (settings.confirm_after + settings.ask_after) / 2
+        } else {
+            settings.ask_after
+        }
+    }
+
+    /// Whether this daemon is the one that peers rely on for a confirmed configuration.
+    pub(super) fn is_first_watcher(&self, now: Timestamp) -> bool {
+        self.membership.is_responsible(now, WATCH_DUTY, 1)
+    }
+
     /// How this daemon watches a scope now, if it does. The watchers of a failure
     /// domain ask exactly. Where the others watch too, stale answers do for them as
     /// long as a watcher confirms the configuration.
--- a/shalehinge/src/core/daemon/control.rs
+++ b/shalehinge/src/core/daemon/control.rs
@@ -22,8 +22,9 @@
     }
 
     pub(super) fn tick_lease(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        let candidate =
-            !self.is_leaving && self.membership.is_responsible(now, "lease", CANDIDATES);
+        let candidate = !self.is_leaving
+            && self.may_read(now)
+            && self.membership.is_responsible(now, "lease", CANDIDATES);
         let operation = self.operation();
         if let Some(step) = self.lease.step(now, candidate, operation) {
             self.lease_step(step, out);
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -40,7 +40,7 @@
             && !self.has_stopped
             && now >= self.next_confirm_at
             && !self.is_confirmed_within(now, settings.confirm_after)
-            && !self.is_watcher(now);
+            && !self.asks_alone(now);
         if !is_due {
             return;
         }
@@ -56,6 +56,15 @@
         }
     }
 
+    /// Whether nobody else is there to confirm the configuration to this daemon.
+    fn asks_alone(&self, now: Timestamp) -> bool {
+        if self.settings.learning.relays {
+            self.is_first_watcher(now)
+        } else {
+            self.is_watcher(now)
+        }
+    }
+
     pub(super) fn make_pull(&mut self, now: Timestamp) -> Pull {
         self.pull_of(now, PullTopic::All)
     }
--- a/shalehinge/src/core/daemon/relays.rs
+++ b/shalehinge/src/core/daemon/relays.rs
@@ -15,24 +15,30 @@
 
 use super::{Daemon, WATCH_DUTY};
 use crate::core::event::{Action, PullTopic};
+use crate::core::feed::Feed;
 use crate::core::platform::Scope;
 use crate::core::types::{Address, Timestamp};
 
 /// Daemons that ask the same one. Chosen: at four hundred milliseconds an interval some 20
 /// small questions a second, and two levels below the watchers reach 130 daemons.
 const FANOUT: usize = 8;
-/// How long a daemon that knows nothing yet asks only peers. Chosen: by then a start of
-/// all has spread who is there, so that few daemons read the platform.
-const FIRST_READ_AFTER: Duration = Duration::from_secs(1);
+/// How long a daemon asks only peers on the fleet's first start. Chosen: by then it is
+/// known who is there, so that few daemons read the platform; requests come later.
+const FIRST_START_READ_AFTER: Duration = Duration::from_secs(1);
+/// How long a daemon that starts again asks only peers. Chosen: a peer that lives answers
+/// by then; where all daemons start again, requests wait for each to know something.
+const RESTART_READ_AFTER: Duration = Duration::from_millis(200);
 /// Time between two questions of a daemon that knows nothing yet.
-const START_INTERVAL: Duration = Duration::from_millis(250);
+const START_INTERVAL: Duration = Duration::from_millis(150);
 /// How much later than the one before it a daemon reads the platform itself. Chosen: the
 /// first few to get through tell the rest.
 const FALLBACK_STEP: Duration = Duration::from_millis(30);
 /// How much later at the most.
 const FALLBACK_SPREAD: Duration = Duration::from_secs(2);
-/// Intervals without anything newer after which others are asked than the one above.
-const PATIENCE_INTERVALS: u32 = 4;
+/// Intervals without an answer of the platform after which others are asked than the one
+/// above. Readers hear of it each interval and the wait of a watch, which is some one and
+/// a half, and each level of the tree adds one.
+const PATIENCE_INTERVALS: u32 = 6;
 
 impl Daemon {
     /// Asks a peer for what changed, if it is time.
@@ -64,20 +70,21 @@
         self.state.fleet().is_some() && self.state.hosts().is_some()
     }
 
+    fn patience(&self) -> Duration {
+        self.settings.learning.relay_interval * PATIENCE_INTERVALS
+    }
+
     /// Whether the platform answers what this daemon asks of the host list.
     fn is_reading(&self, now: Timestamp) -> bool {
-        let patience = self.settings.learning.relay_interval * PATIENCE_INTERVALS;
         let feed = self.feeds.iter().find(|feed| feed.scope() == Scope::Hosts);
-        let answered_at = feed.and_then(|feed| feed.answered_at());
-        answered_at.is_some_and(|at| now.since(at) < patience)
+        let heard_at = feed.and_then(Feed::heard_at);
+        heard_at.is_some_and(|at| now.since(at) < self.patience())
     }
 
     /// The daemon above this one; any other, while that one has nothing new.
     fn relay_target(&mut self, now: Timestamp) -> Option<Address> {
-        let patience = self.settings.learning.relay_interval * PATIENCE_INTERVALS;
-        let is_fresh = self
-            .host_list_heard_at()
-            .is_some_and(|at| now.since(at) < patience);
+        let heard_at = self.host_list_heard_at();
+        let is_fresh = heard_at.is_some_and(|at| now.since(at) < self.patience());
         let above = is_fresh.then(|| self.daemon_above(now)).flatten();
         if above.is_some() {
             return above;
@@ -114,7 +121,12 @@
 
     /// Whether peers had their time to tell what they know to a daemon that just started.
     pub(super) fn may_read(&self, now: Timestamp) -> bool {
-        let is_new = now.as_duration() < FIRST_READ_AFTER;
+        let read_after = if self.identity.is_first_start {
+            FIRST_START_READ_AFTER
+        } else {
+            RESTART_READ_AFTER
+        };
+        let is_new = now.as_duration() < read_after;
         !self.settings.learning.relays || !is_new || !self.membership.has_seeds()
     }
 
@@ -126,21 +138,21 @@
         let rank = ranked.iter().position(|daemon| *daemon == me).unwrap_or(0) as u32;
         let step = (FALLBACK_STEP * rank).min(FALLBACK_SPREAD);
         let heard_at = self.hosts_told_at.unwrap_or(Timestamp::ZERO);
-        now.since(heard_at) >= self.settings.learning.ask_after + step
+        now.since(heard_at) >= self.patience() + step
     }
 
     /// When the platform last answered whoever the host list in force comes from.
     pub fn host_list_heard_at(&self) -> Option<Timestamp> {
         let feed = self.feeds.iter().find(|feed| feed.scope() == Scope::Hosts);
-        let own = feed.and_then(|feed| feed.answered_at());
+        let own = feed.and_then(Feed::heard_at);
         own.max(self.hosts_told_at)
     }
 
     /// Where the platform no longer answers this daemon, but others, what they tell counts.
     /// The feed goes on asking, and lists anew once it is answered.
     pub(super) fn prefer_news_of_peers(&mut self, now: Timestamp, index: usize) {
-        let answered_at = self.feeds[index].answered_at();
-        if !self.is_reading(now) && self.hosts_told_at > answered_at {
+        let heard_at = self.feeds[index].heard_at();
+        if !self.is_reading(now) && self.hosts_told_at > heard_at {
             self.state.forget_other_hosts();
         }
     }
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -50,7 +50,7 @@
     #[serde(default)]
     pub confirmed_ms_ago: Option<u64>,
     /// How long ago the platform last answered whoever the host list there comes from, in
-    /// milliseconds; counted from before the platform was asked.
+    /// milliseconds.
     #[serde(default)]
     pub hosts_ms_ago: Option<u64>,
     /// The newest revision that the platform is known there to have reached.
--- a/shalehinge/src/core/feed.rs
+++ b/shalehinge/src/core/feed.rs
@@ -39,7 +39,6 @@
     next_at: Timestamp,
     as_of: Option<Timestamp>,
     heard_at: Option<Timestamp>,
-    answered_at: Option<Timestamp>,
     /// Answers lagged behind: until then only exact ones are asked for.
     exact_until: Timestamp,
     /// How new the next list must be.
@@ -57,7 +56,6 @@
             next_at: Timestamp::ZERO,
             as_of: None,
             heard_at: None,
-            answered_at: None,
             exact_until: Timestamp::ZERO,
             list_freshness: Freshness::Exact,
         }
@@ -93,11 +91,6 @@
         self.heard_at
     }
 
-    /// Time before which the platform was asked whatever it last answered.
-    pub fn answered_at(&self) -> Option<Timestamp> {
-        self.answered_at
-    }
-
     /// Whether it has listed, or is about to.
     pub fn is_active(&self) -> bool {
         self.has_listed || self.question.is_some()
@@ -162,7 +155,6 @@
                 self.revision = self.revision.max(*revision);
                 self.has_listed = true;
                 self.heard_at = Some(now);
-                self.answered_at = Some(question.at);
                 self.next_at = question.at + spacing;
                 match question.freshness {
                     Freshness::Exact => self.as_of = self.as_of.max(Some(question.at)),
--- a/shalehinge/src/core/lease.rs
+++ b/shalehinge/src/core/lease.rs
@@ -54,6 +54,8 @@
     valid_until: Timestamp,
     next_step_at: Timestamp,
     in_flight: bool,
+    /// How the lease is read while nothing is known of it.
+    first_read: Freshness,
 }
 
 impl ControlLease {
@@ -69,6 +71,7 @@
             valid_until: Timestamp::ZERO,
             next_step_at: Timestamp::ZERO,
             in_flight: false,
+            first_read: Freshness::MayBeStale,
         }
     }
 
@@ -112,7 +115,7 @@
 
     fn choose_step(&mut self, now: Timestamp, operation: OperationId) -> LeaseStep {
         let Some(observation) = &self.observation else {
-            return LeaseStep::Read(Freshness::Exact);
+            return LeaseStep::Read(self.first_read);
         };
         if self.pending.is_some() {
             return LeaseStep::Read(Freshness::Exact);
@@ -214,6 +217,7 @@
         self.next_step_at = now;
         // What is known is out of date; the next step reads.
         self.observation = None;
+        self.first_read = Freshness::Exact;
     }
 
     /// A call failed and may or may not have taken effect.
--- a/shalehinge/src/settings/learning.rs
+++ b/shalehinge/src/settings/learning.rs
@@ -76,7 +76,7 @@
     pub fn read(reader: &mut Reader) -> Self {
         let mut section = reader.section("learning");
         let default = Self::default();
-        Self {
+        let settings = Self {
             feeds: section.feed_layout("feeds", default.feeds),
             watch_wait: section.duration("watch_wait", default.watch_wait),
             host_wait: section.duration("host_wait", default.host_wait),
@@ -90,7 +90,12 @@
             strict_revocation: section.flag("strict_revocation", default.strict_revocation),
             revoke_within: section.optional_duration("revoke_within"),
             refuse_within: section.optional_duration("refuse_within"),
+        };
+        if settings.relays && settings.feeds != FeedLayout::Split {
+            let message = "relays = yes needs feeds = split".to_owned();
+            section.problem("relays", message, "write feeds = split, or relays = no");
         }
+        settings
     }
 
     /// How long after the platform last confirmed the configuration requests with a
--- a/shalehinge/tests/relays.rs
+++ b/shalehinge/tests/relays.rs
@@ -8,8 +8,9 @@
 use shalehinge::core::fleet_state::ObjectUpdate;
 use shalehinge::core::objects::{
     FleetConfig, HostChanges, HostList, HostRecord, HostState, Object, ObjectKey, ServiceConfig,
+    Versioned,
 };
-use shalehinge::core::platform::{NoAnswer, PlatformCall, PlatformReply, Revision, Scope};
+use shalehinge::core::platform::{CallId, NoAnswer, PlatformCall, PlatformReply, Revision, Scope};
 use shalehinge::core::types::{
     Address, DaemonId, FabricDomain, FailureDomain, HostId, Incarnation, ServiceName, Timestamp,
     Version,
@@ -28,7 +29,7 @@
             stale_watches: true,
             relays: true,
             watch_wait: Duration::from_millis(700),
-            host_wait: Duration::from_millis(1_200),
+            host_wait: Duration::from_millis(600),
             host_spacing: Duration::from_millis(400),
             confirm_after: Duration::from_millis(1_400),
             ask_after: Duration::from_millis(2_400),
@@ -52,9 +53,10 @@
     }
 }
 
-/// A platform that answers at once and remembers all changes.
+/// A platform that remembers all changes; a watch waits for one.
 struct Platform {
     changes: Vec<(u64, HostId, HostRecord)>,
+    objects: BTreeMap<ObjectKey, Versioned<Object>>,
     lists: usize,
     calls: usize,
 }
@@ -63,6 +65,7 @@
     fn new() -> Self {
         let mut platform = Self {
             changes: Vec::new(),
+            objects: BTreeMap::new(),
             lists: 0,
             calls: 0,
         };
@@ -82,6 +85,29 @@
         self.changes.push((revision, host, record(port, state)));
     }
 
+    fn put(&mut self, key: &ObjectKey, expect: Version, object: &Object) -> PlatformReply {
+        let known = self
+            .objects
+            .get(key)
+            .map_or(Version(0), |known| known.version);
+        if known != expect {
+            return PlatformReply::Conflict;
+        }
+        let version = Version(known.0 + 1);
+        let value = object.clone();
+        self.objects
+            .insert(key.clone(), Versioned { version, value });
+        PlatformReply::Written(version)
+    }
+
+    /// How long the call waits for a change.
+    fn wait(&self, request: &PlatformCall) -> Duration {
+        match request {
+            PlatformCall::Watch { wait, .. } => *wait,
+            _ => TICK,
+        }
+    }
+
     fn answer(&mut self, request: &PlatformCall) -> PlatformReply {
         self.calls += 1;
         let revision = Revision(self.revision());
@@ -117,8 +143,14 @@
                 vec![update(ObjectKey::Hosts, revision, changes)]
             }
             PlatformCall::Watch { .. } => Vec::new(),
-            PlatformCall::Get { .. } => return PlatformReply::Object(None),
-            PlatformCall::Put { .. } => return PlatformReply::Conflict,
+            PlatformCall::Get { key, .. } => {
+                return PlatformReply::Object(self.objects.get(key).cloned());
+            }
+            PlatformCall::Put {
+                key,
+                expect,
+                object,
+            } => return self.put(key, *expect, object),
         };
         PlatformReply::Objects { revision, updates }
     }
@@ -145,7 +177,15 @@
     }
 }
 
-/// Daemons in one thread; calls to the platform take `host_wait`, others a step.
+/// A call to the platform that is not answered yet.
+struct Call {
+    daemon: usize,
+    until: Duration,
+    call: CallId,
+    request: PlatformCall,
+}
+
+/// Daemons in one thread.
 struct Fleet {
     now: Duration,
     platform: Platform,
@@ -156,10 +196,15 @@
     events: BTreeMap<(Duration, u64), (usize, Event)>,
     next_event: u64,
     pulls: BTreeMap<PullId, (usize, Timestamp)>,
+    calls: Vec<Call>,
 }
 
 impl Fleet {
     fn new(daemons: u16) -> Self {
+        Self::start(daemons, true)
+    }
+
+    fn start(daemons: u16, is_first_start: bool) -> Self {
         let address = |port: u16| -> Address { ([10, 0, 0, 1], port).into() };
         let daemon = |port: u16| {
             let identity = Identity {
@@ -168,7 +213,7 @@
                 address: address(port),
                 incarnation: Incarnation(1),
                 seeds: (0..3).map(address).collect(),
-                is_first_start: true,
+                is_first_start,
                 wall_seconds: 0,
             };
             Daemon::new(settings(), identity, u64::from(port))
@@ -182,6 +227,7 @@
             events: BTreeMap::new(),
             next_event: 0,
             pulls: BTreeMap::new(),
+            calls: Vec::new(),
         }
     }
 
@@ -198,6 +244,7 @@
                 self.handle(index, Event::Tick);
             }
             self.now += TICK;
+            self.answer_calls();
             while let Some(entry) = self.events.first_entry() {
                 if entry.key().0 > self.now {
                     break;
@@ -208,6 +255,32 @@
         }
     }
 
+    /// Answers the calls whose time came, and watches that something changed for.
+    fn answer_calls(&mut self) {
+        let revision = self.platform.revision();
+        let is_due = |call: &Call| match &call.request {
+            PlatformCall::Watch {
+                scope: Scope::Hosts,
+                after,
+                ..
+            } if after.0 < revision => true,
+            _ => self.now >= call.until,
+        };
+        let calls = std::mem::take(&mut self.calls);
+        let (due, waiting): (Vec<Call>, Vec<Call>) = calls.into_iter().partition(is_due);
+        self.calls = waiting;
+        for Call {
+            daemon,
+            call,
+            request,
+            ..
+        } in due
+        {
+            let result = Ok(self.platform.answer(&request));
+            self.handle(daemon, Event::Platform { call, result });
+        }
+    }
+
     fn handle(&mut self, index: usize, event: Event) {
         if self.dead.contains(&index) {
             return;
@@ -223,13 +296,18 @@
     fn act(&mut self, index: usize, now: Timestamp, action: Action) {
         match action {
             Action::Platform { call, request } => {
-                let result = if self.refused.contains(&index) {
+                if self.refused.contains(&index) {
                     self.platform.calls += 1;
-                    Err(NoAnswer)
-                } else {
-                    Ok(self.platform.answer(&request))
-                };
-                self.later(TICK, index, Event::Platform { call, result });
+                    let result = Err(NoAnswer);
+                    self.later(TICK, index, Event::Platform { call, result });
+                    return;
+                }
+                self.calls.push(Call {
+                    daemon: index,
+                    until: self.now + self.platform.wait(&request),
+                    call,
+                    request,
+                });
             }
             Action::Pull { to, pull } => {
                 let peer = to.port() as usize;
@@ -277,23 +355,29 @@
     }
 }
 
+/// Calls of ten seconds in which nothing changes.
+fn calls_at_rest(daemons: u16) -> usize {
+    let mut fleet = Fleet::new(daemons);
+    fleet.run(Duration::from_secs(15));
+    let before = fleet.platform.calls;
+    fleet.run(Duration::from_secs(10));
+    fleet.platform.calls - before
+}
+
 #[test]
 fn few_daemons_read_the_list_and_all_know_it() {
     let mut fleet = Fleet::new(60);
     fleet.run(Duration::from_secs(5));
     assert_eq!(fleet.behind(), Vec::<usize>::new());
     assert!(fleet.platform.lists <= 12, "{} lists", fleet.platform.lists);
-    let before = fleet.platform.calls;
-    fleet.run(Duration::from_secs(10));
-    let per_second = (fleet.platform.calls - before) / 10;
-    let mut larger = Fleet::new(240);
-    larger.run(Duration::from_secs(5));
-    let before = larger.platform.calls;
-    larger.run(Duration::from_secs(10));
-    let of_larger = (larger.platform.calls - before) / 10;
+}
+
+#[test]
+fn calls_do_not_grow_with_the_daemons() {
+    let (few, many) = (calls_at_rest(60), calls_at_rest(240));
     assert!(
-        of_larger <= per_second + 2,
-        "{per_second} and {of_larger} calls a second"
+        many <= few + few / 20,
+        "{few} and {many} calls in ten seconds"
     );
 }
 
@@ -311,6 +395,13 @@
     );
 }
 
+#[test]
+fn a_fleet_that_starts_again_knows_the_list_at_once() {
+    let mut fleet = Fleet::start(60, false);
+    fleet.run(Duration::from_millis(500));
+    assert_eq!(fleet.behind(), Vec::<usize>::new());
+}
+
 #[test]
 fn the_death_of_all_watchers_is_bridged() {
     let mut fleet = Fleet::new(60);
--- a/shalehinge/tests/settings.rs
+++ b/shalehinge/tests/settings.rs
@@ -94,6 +94,14 @@
     assert!(problems(&text)[0].contains("evidence_ttl must be longer"));
 }
 
+#[test]
+fn relays_without_split_feeds_are_refused() {
+    let text = format!("{GOOD}[learning]\nrelays = yes\n");
+    assert!(problems(&text)[0].contains("relays = yes needs feeds = split"));
+    let text = format!("{GOOD}[learning]\nrelays = yes\nfeeds = split\n");
+    assert_eq!(problems(&text), Vec::<String>::new());
+}
+
 #[test]
 fn text_that_is_no_ini_is_told_with_its_line() {
     assert!(problems("[daemon\nname = x\n")[0].contains("this is not INI"));
--- a/shalehinge/tests/shares.rs
+++ b/shalehinge/tests/shares.rs
@@ -56,7 +56,7 @@
 #[test]
 fn domains_too_small_for_each_model_hold_different_ones() {
     let profiles = profiles(&[("large", 8), ("small", 4)]);
-    let shares = fleet_shares(&profiles, &domains(&vec![&[10][..]; 5]), 0.0);
+    let shares = fleet_shares(&profiles, &domains(&[&[10][..]; 5]), 0.0);
     assert_eq!(
         (replicas(&shares, "large"), replicas(&shares, "small")),
         (2, 6)
@@ -86,7 +86,7 @@
 #[test]
 fn a_model_no_domain_has_room_for_is_named() {
     let profiles = profiles(&[("large", 8), ("small", 4)]);
-    let shares = fleet_shares(&profiles, &domains(&vec![&[7][..]; 3]), 0.0);
+    let shares = fleet_shares(&profiles, &domains(&[&[7][..]; 3]), 0.0);
     assert_eq!(
         models_without_room(&profiles, &shares),
         [ModelName::new("large")]
@@ -97,7 +97,7 @@
 #[test]
 fn hosts_that_come_elsewhere_move_no_replica_that_serves() {
     let profiles = profiles(&[("large", 8), ("small", 4)]);
-    let mut fleet = domains(&vec![&[10][..]; 5]);
+    let mut fleet = domains(&[&[10][..]; 5]);
     for domain in ["d3", "d4"] {
         let hosts = fleet.get_mut(&FailureDomain::new(domain)).expect("known");
         hosts.standing.insert(ModelName::new("large"), 1);
@@ -131,7 +131,7 @@
 #[test]
 fn others_make_up_for_a_domain_that_is_gone() {
     let profiles = profiles(&[("large", 8), ("small", 4)]);
-    let mut fleet = domains(&vec![&[10][..]; 5]);
+    let mut fleet = domains(&[&[10][..]; 5]);
     let before = domains_with(&fleet_shares(&profiles, &fleet, 0.0), "large");
     fleet.remove(&FailureDomain::new(&before[0]));
     let after = fleet_shares(&profiles, &fleet, 0.0);
