--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -34,7 +34,7 @@
 use crate::core::objects::{Assignment, GroupPhase, Member, Versioned};
 use crate::core::placement::planner::HeldWeights;
 use crate::core::placement::preview::apply_step;
-use crate::core::placement::shares::ReplicaCounts;
+use crate::core::placement::shares::{ReplicaCounts, count_models};
 use crate::core::placement::{PlacementContext, next_steps};
 use crate::core::types::{
     Address, Epoch, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion, OperationId,
@@ -52,13 +52,10 @@
     value: &Assignment,
     lost: &BTreeMap<GroupNumber, Option<HostId>>,
 ) -> ReplicaCounts {
-    let mut counts = ReplicaCounts::new();
-    for (number, group) in &value.groups {
-        if group.phase != GroupPhase::Retiring && !lost.contains_key(number) {
-            *counts.entry(group.model.clone()).or_default() += 1;
-        }
-    }
-    counts
+    let standing = value.groups.iter().filter(|(number, group)| {
+        group.phase != GroupPhase::Retiring && !lost.contains_key(number)
+    });
+    count_models(standing.map(|(_, group)| &group.model))
 }
 
 /// What the controller wants done.
--- a/shalehinge/src/core/controller/service_plan.rs
+++ b/shalehinge/src/core/controller/service_plan.rs
@@ -15,7 +15,7 @@
     DomainHosts, DomainShare, FleetShares, fleet_shares, models_without_room,
 };
 use crate::core::placement::shares::{
-    ReplicaCounts, fill, replicas_by_share, replicas_that_fit, usable_hosts,
+    ReplicaCounts, count_models, fill, replicas_by_share, replicas_that_fit, usable_hosts,
 };
 use crate::core::types::{
     Customer, FabricDomain, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion,
@@ -207,14 +207,6 @@
         .collect()
 }
 
-fn count_models<'a>(models: impl Iterator<Item = &'a ModelName>) -> ReplicaCounts {
-    let mut counts = ReplicaCounts::new();
-    for model in models {
-        *counts.entry(model.clone()).or_default() += 1;
-    }
-    counts
-}
-
 /// What the failure domain should have of each model, as far as its usable hosts allow. A
 /// count once wanted stays wanted, so that a lost host does not lower it for good; only
 /// where the domain can't hold each model, the fleet's division decides anew each time.
--- a/shalehinge/src/core/membership.rs
+++ b/shalehinge/src/core/membership.rs
@@ -64,8 +64,8 @@
     }
 }
 
-/// A run of a daemon, in four bytes. Two runs that share one are told apart no more; a
-/// daemon that is wrongly seen alive for that costs a call without an answer.
+/// A run of a daemon, in four bytes. Two runs may share one, so that a dead daemon seems
+/// alive: that costs calls without an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RunId(pub u32);
--- a/shalehinge/src/core/placement/shares.rs
+++ b/shalehinge/src/core/placement/shares.rs
@@ -13,6 +13,15 @@
 /// Replicas by model.
 pub type ReplicaCounts = BTreeMap<ModelName, u32>;
 
+/// How many replicas of each model these are.
+pub fn count_models<'a>(models: impl Iterator<Item = &'a ModelName>) -> ReplicaCounts {
+    let mut counts = ReplicaCounts::new();
+    for model in models {
+        *counts.entry(model.clone()).or_default() += 1;
+    }
+    counts
+}
+
 /// Divides the hosts of fabric domains of these sizes among the models; `spare_share`
 /// is the part of the hosts that stays free once each model has its part.
 pub fn replicas_by_share(
