fix(demo): the last list of log lines is read to its end

Cause: `... | sort | cut | head -n 40` under pipefail. head ends after 40 lines; where cut has more to write by then, it ends with SIGPIPE and the demo with 141, though all was seen. Shown without the demo: `seq 100000 | sort | cut -c1-180 | head -n 40` gives 141 under pipefail, with `sed -n 1,40p` in place of head 0.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -233,5 +233,6 @@
 wait_for "entry-2 has ended" bash -c "! kill -0 ${DAEMON_PID[entry-2]}"
 
 say "decisions in the logs:"
-grep -h -E ' (route|place|lease|claim): ' "$WORK"/entry-*.log | sort | cut -c1-180 | head -n 40
+# Read to the end: a reader that stops early ends the writer before it with SIGPIPE.
+grep -h -E ' (route|place|lease|claim): ' "$WORK"/entry-*.log | sort | cut -c1-180 | sed -n 1,40p
 say "all was seen"
