refactor(learning): ranks are reckoned only once peers fell silent

Reading the change again: whether a daemon lacks news was asked each tick and hashed all members of its failure domain each time, though the age alone settles it nearly always. One look-up of the host feed for two, one choice by what is known for two.

--- a/shalehinge/src/core/daemon/relays.rs
+++ b/shalehinge/src/core/daemon/relays.rs
@@ -48,20 +48,16 @@
         if !is_due || self.is_reading(now) && self.knows_objects() {
             return;
         }
-        let interval = if self.knows_objects() {
-            settings.relay_interval
+        let (interval, topic) = if self.knows_objects() {
+            (settings.relay_interval, PullTopic::Objects)
         } else {
-            START_INTERVAL
+            (START_INTERVAL, PullTopic::All)
         };
         self.next_relay_at = now + interval;
         let Some(to) = self.relay_target(now) else {
             return;
         };
-        let pull = if self.knows_objects() {
-            self.pull_of(now, PullTopic::Objects)
-        } else {
-            self.pull_of(now, PullTopic::All)
-        };
+        let pull = self.pull_of(now, topic);
         out.push(Action::Pull { to, pull });
     }
 
@@ -76,8 +72,7 @@
 
     /// Whether the platform answers what this daemon asks of the host list.
     fn is_reading(&self, now: Timestamp) -> bool {
-        let feed = self.feeds.iter().find(|feed| feed.scope() == Scope::Hosts);
-        let heard_at = feed.and_then(Feed::heard_at);
+        let heard_at = self.host_feed_heard_at();
         heard_at.is_some_and(|at| now.since(at) < self.patience())
     }
 
@@ -133,19 +128,28 @@
     /// Whether peers told nothing new of the host list for so long that this daemon reads
     /// it itself.
     fn is_cut_off_from_news(&self, now: Timestamp) -> bool {
+        let heard_at = self.hosts_told_at.unwrap_or(Timestamp::ZERO);
+        let silent_for = now.since(heard_at);
+        // Asked each tick, and nearly always settled here: the ranks cost more.
+        if silent_for < self.patience() {
+            return false;
+        }
         let ranked = self.membership.ranked(now, WATCH_DUTY);
         let me = &self.identity.daemon;
         let rank = ranked.iter().position(|daemon| *daemon == me).unwrap_or(0) as u32;
         let step = (FALLBACK_STEP * rank).min(FALLBACK_SPREAD);
-        let heard_at = self.hosts_told_at.unwrap_or(Timestamp::ZERO);
-        now.since(heard_at) >= self.patience() + step
+        silent_for >= self.patience() + step
     }
 
     /// When the platform last answered whoever the host list in force comes from.
     pub fn host_list_heard_at(&self) -> Option<Timestamp> {
+        self.host_feed_heard_at().max(self.hosts_told_at)
+    }
+
+    /// When the platform last answered this daemon itself about hosts.
+    fn host_feed_heard_at(&self) -> Option<Timestamp> {
         let feed = self.feeds.iter().find(|feed| feed.scope() == Scope::Hosts);
-        let own = feed.and_then(Feed::heard_at);
-        own.max(self.hosts_told_at)
+        feed.and_then(Feed::heard_at)
     }
 
     /// Where the platform no longer answers this daemon, but others, what they tell counts.
