feat(controller): second weights leave half of the weight store to groups that form

Change: loads that run are counted for the time that the configuration names; second weights are loaded only while fewer than half of the failure domain's part of the full-speed loads run. Loads of groups that form are not held up. Test: second_weights_leave_half_of_the_full_speed_loads_to_groups_that_form.

--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -701,6 +701,24 @@
             .collect()
     }
 
+    /// This failure domain's part of what the weight store can do.
+    fn note_load_rate(&mut self, state: &FleetState, domains: usize) {
+        let fleet = state.fleet().map(|fleet| &fleet.value);
+        let rate = fleet.and_then(|fleet| fleet.load_rate);
+        let part = 1.0 / domains.max(1) as f64;
+        let usable = self.settings.load_share * part;
+        self.loads
+            .set_rate(rate.map(|rate| rate.per_second * usable));
+        let at_once = rate.and_then(|rate| rate.at_once);
+        let profiles = fleet.into_iter().flat_map(|fleet| fleet.profiles.values());
+        let longest = profiles
+            .filter_map(|profile| profile.load_seconds)
+            .max_by(f64::total_cmp);
+        let load_time = longest.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+        self.loads
+            .set_at_once(at_once.map(|at_once| at_once * part), load_time);
+    }
+
     fn note_hosts(&mut self, now: Timestamp, state: &FleetState, listing: Listing) {
         if self.stored.is_some() {
             self.stored_seen_at.get_or_insert(now);
@@ -708,9 +726,7 @@
         self.listing = listing;
         if self.settings.assembly == Assembly::Orders {
             self.note_listed(now, state);
-            let rate = state.fleet().and_then(|fleet| fleet.value.load_rate);
-            let part = self.settings.load_share / listing.domains.max(1) as f64;
-            self.loads.set_rate(rate.map(|rate| rate.per_second * part));
+            self.note_load_rate(state, listing.domains);
             return;
         }
         let Some(hosts) = state.hosts() else {
--- a/shalehinge/src/core/controller/staging.rs
+++ b/shalehinge/src/core/controller/staging.rs
@@ -28,12 +28,17 @@
 }
 
 impl Controller {
-    /// Whether the host has the model's weights, or may load them now.
+    /// Whether the host has the model's weights, or may load them now to join a group.
     pub(super) fn may_load(&mut self, now: Timestamp, host: &HostId, model: &ModelName) -> bool {
+        self.needs_no_load(host, model) || self.loads.take(now)
+    }
+
+    /// Whether the host has the model's weights, or loads cost nothing yet.
+    fn needs_no_load(&self, host: &HostId, model: &ModelName) -> bool {
         let listed = self.listed.get(host);
         let is_staged = listed.is_some_and(|listed| listed.record.staged.contains(model));
         let is_last = self.last_model.get(host) == Some(model);
-        is_staged || is_last || self.listing.loads_are_free || self.loads.take(now)
+        is_staged || is_last || self.listing.loads_are_free
     }
 
     /// Hosts that hold their model by now.
@@ -143,7 +148,9 @@
                 .staged_at
                 .get(&host)
                 .is_none_or(|(last, at)| *last != purpose || now >= *at);
-            if !is_due || !self.may_load(now, &host, &model) {
+            let may_load = is_due
+                && (self.needs_no_load(&host, &model) || self.loads.take_for_second_weights(now));
+            if !may_load {
                 continue;
             }
             self.staged_at
--- a/shalehinge/src/core/route_config.rs
+++ b/shalehinge/src/core/route_config.rs
@@ -66,6 +66,9 @@
     pub pace: f64,
     /// Requests that a replica runs at once.
     pub slots: u32,
+    /// Seconds that a host takes to load its weights, where that is known.
+    #[serde(default)]
+    pub load_seconds: Option<f64>,
 }
 
 /// Bounds for relayed requests.
@@ -80,4 +83,7 @@
 pub struct LoadRate {
     /// Loads that may begin each second, over the whole fleet.
     pub per_second: f64,
+    /// Loads that run at a time without slowing each other down, over the whole fleet.
+    #[serde(default)]
+    pub at_once: Option<f64>,
 }
--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -294,6 +294,23 @@
     assert!(domain.loads.len() >= 32, "all hosts load in the end");
 }
 
+/// A host that came empty, in a fabric domain of its own.
+fn add_empty_hosts(domain: &mut Domain, count: usize) {
+    for _ in 0..count {
+        domain.add_host(1);
+    }
+}
+
+#[test]
+fn second_weights_leave_half_of_the_full_speed_loads_to_groups_that_form() {
+    let mut domain = Domain::serving(&[8]);
+    domain.set_loads(100.0, Some(6.0));
+    add_empty_hosts(&mut domain, 20);
+    domain.run_for(seconds(10));
+    let second_weights = domain.stages.len();
+    assert!((1..=3).contains(&second_weights), "{second_weights}");
+}
+
 #[test]
 fn a_group_with_a_leaving_host_is_replaced_and_its_rank_zero_finishes_first() {
     let mut domain = Domain::serving(&[8]);
--- a/shalehinge/tests/ordered_support/mod.rs
+++ b/shalehinge/tests/ordered_support/mod.rs
@@ -60,6 +60,8 @@
     pub list_moves: bool,
     pub loads_are_free: bool,
     pub loads: Vec<Timestamp>,
+    /// Loads of second weights.
+    pub stages: Vec<Timestamp>,
     pub orders: usize,
     /// Orders that go unanswered and are carried out later.
     pub late: Vec<(HostId, Order)>,
@@ -95,6 +97,7 @@
         work_share,
         pace: 1.0,
         slots: 26,
+        load_seconds: None,
     }
 }
 
@@ -104,7 +107,10 @@
             (ModelName::new(LARGE), profile(4, 0.67)),
             (ModelName::new(SMALL), profile(2, 0.33)),
         ]),
-        load_rate: Some(LoadRate { per_second: 4.0 }),
+        load_rate: Some(LoadRate {
+            per_second: 4.0,
+            at_once: None,
+        }),
         ..FleetConfig::default()
     }
 }
@@ -135,6 +141,7 @@
             list_moves: true,
             loads_are_free: true,
             loads: Vec::new(),
+            stages: Vec::new(),
             orders: 0,
             late: Vec::new(),
             loses_answers: false,
@@ -148,7 +155,15 @@
 
     /// From now on so many loads a second may begin.
     pub fn set_load_rate(&mut self, per_second: f64) {
-        let load_rate = Some(LoadRate { per_second });
+        self.set_loads(per_second, None);
+    }
+
+    /// From now on so many loads a second may begin, and so many run at full speed.
+    pub fn set_loads(&mut self, per_second: f64, at_once: Option<f64>) {
+        let load_rate = Some(LoadRate {
+            per_second,
+            at_once,
+        });
         let config = FleetConfig {
             load_rate,
             ..fleet()
@@ -166,9 +181,16 @@
         domain.run_for(Duration::from_secs(90));
         domain.loads_are_free = false;
         domain.loads.clear();
+        domain.stages.clear();
         domain
     }
 
+    /// A host comes to this fabric domain, empty.
+    pub fn add_host(&mut self, fabric: usize) {
+        self.engines
+            .insert(host(self.engines.len()), Engine::new(fabric));
+    }
+
     pub fn run_for(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
@@ -371,6 +393,7 @@
             }
             Command::Stage { model } => {
                 self.loads.push(now);
+                self.stages.push(now);
                 let engine = self.engines.get_mut(host).expect("known");
                 engine.staged = vec![model.clone()];
                 true
