feat(placement): repair and preemption follow the work that arrives

Cause: which model is repaired first, and for which a small group is preempted, was counted against the wanted replicas, which follow the configured shares. Change: daemons count requests, prompt tokens and outputs by model, whatever becomes of them, and send their counts and sixteen others' with the messages that they exchange each second. The lease holder reckons how many replicas the work keeps busy by the engines' published times, and counts against that once it heard of 200 requests. The log names it (place: work for MODEL keeps N replicas busy). Messages between daemons changed.

--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -29,9 +29,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use crate::core::demand::FleetWork;
 use crate::core::engine::{Command, EngineStatus, Order, OrderReply};
 use crate::core::fleet_state::FleetState;
 use crate::core::objects::{Assignment, GroupPhase, Member, Versioned};
+use crate::core::placement::need::{NO_NEEDS, Needs, differ_much, needs_of};
 use crate::core::placement::planner::HeldWeights;
 use crate::core::placement::preview::apply_step;
 use crate::core::placement::shares::{ReplicaCounts, count_models};
@@ -169,6 +171,10 @@
     /// Since when rank 0 of a dissolved group stands still, as a member left it.
     standing_since: BTreeMap<GroupNumber, Timestamp>,
     plans: ServicePlans,
+    /// What the work that arrives needs; empty as long as too little of it is known.
+    needs: Needs,
+    /// What was last logged of it.
+    logged_needs: Needs,
     /// A member of a suspected group fell silent since routers were last asked what moves.
     asks_moving: bool,
     loads: LoadBudget,
@@ -213,6 +219,8 @@
             hosts_came_at: None,
             standing_since: BTreeMap::new(),
             plans: ServicePlans::default(),
+            needs: Needs::new(),
+            logged_needs: Needs::new(),
             asks_moving: false,
             loads: LoadBudget::default(),
             last_model: BTreeMap::new(),
@@ -335,6 +343,24 @@
         self.stored = None;
     }
 
+    /// The work that arrives at the fleet, as far as this daemon knows. As long as that is
+    /// little, replicas are counted against those that are wanted.
+    ///
+    /// Returns lines for the log where it differs much from what was last logged.
+    pub fn note_work(&mut self, state: &FleetState, work: &FleetWork) -> Vec<String> {
+        let fleet = state.fleet();
+        let needs = fleet.and_then(|fleet| needs_of(&fleet.value.profiles, work));
+        self.needs = needs.unwrap_or_default();
+        if !differ_much(&self.needs, &self.logged_needs) {
+            return Vec::new();
+        }
+        self.logged_needs.clone_from(&self.needs);
+        let needs = self.needs.iter();
+        needs
+            .map(|(model, busy)| format!("work for {model} keeps {busy:.1} replicas busy"))
+            .collect()
+    }
+
     /// A router saw that a group is no longer complete: it is looked at now, and
     /// often for a while.
     pub fn suspect(&mut self, now: Timestamp, number: GroupNumber) {
@@ -493,6 +519,7 @@
             max_forming: self.settings.max_forming,
             max_loads: usize::MAX,
             keeps_surplus: false,
+            needs: &NO_NEEDS,
         };
         let steps = next_steps(&context);
         for step in &steps {
@@ -556,6 +583,7 @@
                     max_forming,
                     max_loads,
                     keeps_surplus: true,
+                    needs: &self.needs,
                 };
                 for step in next_steps(&context) {
                     log.push(step.to_string());
--- a/shalehinge/src/core/daemon/control.rs
+++ b/shalehinge/src/core/daemon/control.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::{CANDIDATES, Daemon, Purpose, log};
+use super::{CANDIDATES, Daemon, Purpose, WORK_INTERVAL, log};
 use crate::core::controller::{ControllerAction, Listing};
 use crate::core::event::{Action, Part, StatusPurpose};
 use crate::core::fleet_state::ObjectUpdate;
@@ -83,6 +83,7 @@
     pub(super) fn tick_controller(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let epoch = self.lease.held(now).filter(|_| !self.is_leaving);
         let operation = self.operation();
+        self.tell_controller_work(now, out);
         let listing = self.listing(now);
         let actions = self
             .controller
@@ -92,6 +93,19 @@
         }
     }
 
+    /// Whoever holds control forms groups in the order in which the work needs them.
+    fn tell_controller_work(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        if !self.was_holder || now < self.next_work_at {
+            return;
+        }
+        self.next_work_at = now + WORK_INTERVAL;
+        let daemons = self.membership.fleet_size(now);
+        let work = self.demand.of_fleet(now, daemons);
+        for text in self.controller.note_work(&self.state, &work) {
+            log(out, Part::Place, text);
+        }
+    }
+
     fn listing(&self, now: Timestamp) -> Listing {
         // Only the holder needs the number of failure domains.
         let hosts = self.state.whole_hosts().filter(|_| self.was_holder);
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -32,6 +32,7 @@
 
 use crate::core::claims::{ClaimBook, ClaimResult};
 use crate::core::controller::Controller;
+use crate::core::demand::Demand;
 use crate::core::event::{Action, Event, LogLine, Part, StatusPurpose};
 use crate::core::feed::{Confirmation, Feed};
 use crate::core::fleet_state::{FleetState, HostDetail};
@@ -66,6 +67,8 @@
 /// Daemons that are asked whether a replica moves. Chosen: one in five of ninety daemons
 /// runs a request at a given replica, so that some of twelve do in nine cases of ten.
 const MOVING_WITNESSES: usize = 12;
+/// Time between two sums of the work that arrives at the fleet.
+const WORK_INTERVAL: Duration = Duration::from_secs(1);
 /// Peers told at once of something new.
 const RUMOUR_FANOUT: usize = 3;
 /// Pause before a failed watch is tried again, to which up to as much is added.
@@ -122,6 +125,8 @@
     claims: ClaimBook,
     operators: Operators,
     router: Router,
+    demand: Demand,
+    next_work_at: Timestamp,
     calls: BTreeMap<CallId, Purpose>,
     next_call: u64,
     claimed: BTreeMap<RequestId, Claimed>,
@@ -175,6 +180,8 @@
             claims: ClaimBook::new(settings.claims),
             operators: Operators::default(),
             router: Router::new(settings.router, identity.incarnation),
+            demand: Demand::default(),
+            next_work_at: Timestamp::ZERO,
             calls: BTreeMap::new(),
             next_call: 1,
             claimed: BTreeMap::new(),
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -10,6 +10,7 @@
     CANDIDATES, CONFIRM_SPACING, Daemon, MOVING_WITHIN, MOVING_WITNESSES, SUSPECTS_INTERVAL,
     WATCH_DUTY,
 };
+use crate::core::demand::ToldWork;
 use crate::core::event::{Action, LastOutput, Notice, Pull, PullId, PullReply, PullTopic, Reached};
 use crate::core::feed::{Confirmation, Feed};
 use crate::core::membership::Gossip;
@@ -83,6 +84,7 @@
             topic,
             digest,
             suspects: Vec::new(),
+            work: self.work_about(now, topic),
         }
     }
 
@@ -93,6 +95,18 @@
         }
     }
 
+    /// What arrived here, in messages that are not to be small.
+    fn work_about(&mut self, now: Timestamp, topic: PullTopic) -> Vec<ToldWork> {
+        match topic {
+            PullTopic::All => self.demand.told(now, &self.identity.daemon, &mut self.rng),
+            PullTopic::Objects | PullTopic::Moving => Vec::new(),
+        }
+    }
+
+    fn note_work(&mut self, now: Timestamp, told: Vec<ToldWork>) {
+        self.demand.on_told(now, &self.identity.daemon, told);
+    }
+
     /// Whether this daemon reads the host list itself, apart from the rest.
     fn knows_hosts(&self, now: Timestamp) -> bool {
         const FRESH: Duration = Duration::from_secs(2);
@@ -194,6 +208,7 @@
             PullTopic::Moving => self.last_outputs(now, &pull.gossip.sender.failure_domain),
             PullTopic::All | PullTopic::Objects => Vec::new(),
         };
+        self.note_work(now, pull.work);
         self.membership.merge(now, pull.gossip);
         self.note_suspects(now, &pull.suspects);
         let reply = PullReply {
@@ -205,6 +220,7 @@
                 revision: confirmation.revision,
                 ms_ago: millis_since(now, confirmation.at),
             }),
+            work: self.work_about(now, pull.topic),
             moving,
         };
         out.push(Action::AnswerPull { pull_id, reply });
@@ -220,6 +236,7 @@
         let Some(reply) = reply else {
             return;
         };
+        self.note_work(now, reply.work);
         self.note_moving(asked_at, reply.moving);
         self.membership.merge(now, reply.gossip);
         self.apply(now, reply.updates, out);
--- a/shalehinge/src/core/daemon/requests.rs
+++ b/shalehinge/src/core/daemon/requests.rs
@@ -6,7 +6,7 @@
 use crate::core::engine::EngineStatus;
 use crate::core::event::{Action, Part, StatusPurpose};
 use crate::core::router::RouterAction;
-use crate::core::router::request::{AttemptEnd, NotRunReason, RequestMeta, UpstreamId};
+use crate::core::router::request::{AttemptEnd, NotRunReason, RequestMeta, Target, UpstreamId};
 use crate::core::types::{AttemptId, Customer, RequestId, Timestamp};
 
 impl Daemon {
@@ -18,6 +18,7 @@
         out: &mut Vec<Action>,
     ) {
         self.has_served = true;
+        self.record_demand(now, &meta);
         if self.is_stopping {
             let outcome = not_run(NotRunReason::Stopping, Duration::from_secs(1));
             out.push(Action::Answer { request, outcome });
@@ -44,6 +45,14 @@
         self.tick_claims(now, out);
     }
 
+    /// Counts what arrives for a model, whatever becomes of it.
+    fn record_demand(&mut self, now: Timestamp, meta: &RequestMeta) {
+        let Target::Model(model) = &meta.target else {
+            return;
+        };
+        self.demand.record_request(now, model, meta.prompt_tokens);
+    }
+
     pub(super) fn share_of(&self, customer: &Customer) -> u32 {
         let fleet = self.state.fleet();
         fleet
@@ -73,6 +82,11 @@
         end: AttemptEnd,
         out: &mut Vec<Action>,
     ) {
+        if let AttemptEnd::Completed { output_tokens } = end
+            && let Some(Target::Model(model)) = self.router.target_of(request)
+        {
+            self.demand.record_answer(now, model, output_tokens);
+        }
         let mut actions = Vec::new();
         self.router
             .on_ended(now, request, attempt, end, &mut self.rng, &mut actions);
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::demand::ToldWork;
 use super::engine::{EngineStatus, Order, OrderReply};
 use super::fleet_state::{ObjectUpdate, VersionDigest};
 use super::membership::Gossip;
@@ -27,6 +28,9 @@
     pub digest: VersionDigest,
     /// Replicas that the asker saw lose a member; for whoever holds their domain.
     pub suspects: Vec<ReplicaId>,
+    /// What arrived at the asker and others; only where members are asked for too.
+    #[serde(default)]
+    pub work: Vec<ToldWork>,
 }
 
 /// What a pull is about.
@@ -58,6 +62,9 @@
     /// The newest revision that the platform is known there to have reached.
     #[serde(default)]
     pub reached: Option<Reached>,
+    /// What arrived at the answerer and others; only where members were asked for too.
+    #[serde(default)]
+    pub work: Vec<ToldWork>,
     /// Replicas of the asker's failure domain that brought the answerer output lately; only
     /// where they were asked for.
     #[serde(default)]
--- a/shalehinge/src/core/mod.rs
+++ b/shalehinge/src/core/mod.rs
@@ -14,6 +14,7 @@
 //! - `fleet_state`: the newest objects known, which never revert
 //! - `membership`, `hash`: which daemons live, and who does what
 //! - `lease`: who acts for a failure domain
+//! - `demand`: the work that callers ask of each model
 //! - `controller`, `placement`: which hosts form which replica
 //! - `change`, `operator`: plans that operators confirm
 //! - `claims`: requests that may run at most once
@@ -25,6 +26,7 @@
 pub mod claims;
 pub mod controller;
 pub mod daemon;
+pub mod demand;
 pub mod engine;
 pub mod event;
 pub mod feed;
--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -10,7 +10,7 @@
 use super::engine::EngineStatus;
 use super::routable_hosts::RoutableChanges;
 pub use super::route_config::{
-    CallerLimits, LoadRate, ModelProfile, RequestKind, RouteConfig, WeightedService,
+    CallerLimits, EngineTimes, LoadRate, ModelProfile, RequestKind, RouteConfig, WeightedService,
 };
 use super::types::{
     Address, Customer, DaemonId, Epoch, FabricDomain, FailureDomain, GroupNumber, HostId,
--- a/shalehinge/src/core/placement/mod.rs
+++ b/shalehinge/src/core/placement/mod.rs
@@ -11,6 +11,7 @@
 //! - `yielding`: when customers give hosts back
 //! - `shares`: how many replicas follow from the models' parts of the work
 //! - `fleet_shares`: the same for all failure domains, where some are too small for each model
+//! - `need`: how many replicas the work of each model keeps busy
 //! - `divide`: how many replicas go to which failure domain
 //! - `stranded`: idle accelerators that no group can use
 //! - `preview`: the planner run ahead
@@ -19,6 +20,7 @@
 pub mod fleet_shares;
 pub mod host_choice;
 pub mod make_room;
+pub mod need;
 pub mod planner;
 pub mod preemption;
 pub mod preview;
--- a/shalehinge/src/core/placement/planner.rs
+++ b/shalehinge/src/core/placement/planner.rs
@@ -11,6 +11,7 @@
 
 use super::host_choice::{ChoiceInput, FreeHost, FreeHosts, HostChoice, take_hosts};
 use super::make_room::{FreeCounts, count_free, fabric_of, frees_enough, group_to_move};
+use super::need::Needs;
 use super::preemption::{fabric_to_keep, group_to_preempt, holds};
 use super::stranded::group_sizes;
 use super::yielding::group_to_yield;
@@ -45,6 +46,8 @@
     pub max_loads: usize,
     /// Whether groups above what is wanted stay, unless another model needs their hosts.
     pub keeps_surplus: bool,
+    /// What the work of each model needs, where the replicas follow from it.
+    pub needs: &'a Needs,
 }
 
 impl PlacementContext<'_> {
@@ -68,6 +71,18 @@
         listed_leaving || self.fleet.draining.contains(id)
     }
 
+    /// What replicas of a model are counted against: those that its work keeps busy where
+    /// that is known, else those that are wanted. Only the ratio between models is of use.
+    pub fn replicas_needed(&self, model: &ModelName) -> f64 {
+        let knows_all = self.fleet.models.keys().all(|m| self.needs.contains_key(m));
+        if let Some(busy) = self.needs.get(model).filter(|_| knows_all) {
+            return *busy;
+        }
+        let intent = self.fleet.models.get(model);
+        let wanted = intent.and_then(|intent| intent.replicas.get(self.domain));
+        f64::from(wanted.copied().unwrap_or(0).max(1))
+    }
+
     fn leaving_member(&self, group: &Group) -> Option<HostId> {
         group
             .members
@@ -153,18 +168,17 @@
 
 /// Models by how much they lack: the load that ends most downtime comes first.
 fn by_need<'a>(context: &PlacementContext<'a>) -> Vec<(&'a ModelName, &'a ModelIntent)> {
-    let serving_part = |model: &ModelName, intent: &ModelIntent| -> f64 {
+    let serving_part = |model: &ModelName| -> f64 {
         let serving = context
             .assignment
             .groups
             .values()
             .filter(|group| group.model == *model && group.phase == GroupPhase::Serving)
             .count();
-        let wanted = intent.replicas.get(context.domain).copied().unwrap_or(0);
-        serving as f64 / f64::from(wanted.max(1))
+        serving as f64 / context.replicas_needed(model)
     };
     let mut models: Vec<_> = context.fleet.models.iter().collect();
-    models.sort_by(|a, b| serving_part(a.0, a.1).total_cmp(&serving_part(b.0, b.1)));
+    models.sort_by(|a, b| serving_part(a.0).total_cmp(&serving_part(b.0)));
     models
 }
 
--- a/shalehinge/src/core/placement/preemption.rs
+++ b/shalehinge/src/core/placement/preemption.rs
@@ -14,21 +14,14 @@
 use super::make_room::{FreeCounts, fabric_of, frees_enough};
 use super::planner::PlacementContext;
 
-/// Part of the wanted replicas of a model that stands, with `more` of them.
+/// Part of the needed replicas of a model that stands, with `more` of them.
 fn standing_part(context: &PlacementContext<'_>, model: &ModelName, more: i64) -> f64 {
-    let wanted = context
-        .fleet
-        .models
-        .get(model)
-        .and_then(|intent| intent.replicas.get(context.domain))
-        .copied()
-        .unwrap_or(0);
     let groups = context.assignment.groups.iter();
     let standing = groups.filter(|(number, group)| {
         let is_lost = context.lost.contains_key(number);
         group.model == *model && group.phase != GroupPhase::Retiring && !is_lost
     });
-    (standing.count() as i64 + more) as f64 / f64::from(wanted.max(1))
+    (standing.count() as i64 + more) as f64 / context.replicas_needed(model)
 }
 
 /// Whether a host holds the weights of a model, of any version.
--- a/shalehinge/src/core/placement/preview.rs
+++ b/shalehinge/src/core/placement/preview.rs
@@ -12,6 +12,7 @@
 
 use super::PlacementStep;
 use super::host_choice::HostChoice;
+use super::need::NO_NEEDS;
 use super::planner::{HeldWeights, PlacementContext, next_steps};
 use super::stranded::stranded_accelerators;
 
@@ -62,6 +63,7 @@
             max_forming: usize::MAX,
             max_loads: usize::MAX,
             keeps_surplus: false,
+            needs: &NO_NEEDS,
         };
         let steps = next_steps(&context);
         if steps.is_empty() {
--- a/shalehinge/src/core/route_config.rs
+++ b/shalehinge/src/core/route_config.rs
@@ -66,11 +66,27 @@
     pub pace: f64,
     /// Requests that a replica runs at once.
     pub slots: u32,
+    /// The times of an engine before `pace`, where they are known.
+    #[serde(default)]
+    pub times: Option<EngineTimes>,
     /// Seconds that a host takes to load its weights, where that is known.
     #[serde(default)]
     pub load_seconds: Option<f64>,
 }
 
+/// How long an engine takes for the parts of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EngineTimes {
+    /// Milliseconds of a step, in which each running request gets a token.
+    pub step_ms: f64,
+    /// Milliseconds that each running request adds to a step.
+    pub step_ms_per_request: f64,
+    /// Steps, and so tokens, that one event of a stream brings.
+    pub steps_per_event: u32,
+    /// Tokens of prompts that are read in a second.
+    pub prompt_tokens_per_second: f64,
+}
+
 /// Bounds for relayed requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -156,6 +156,11 @@
         self.targets.values().flat_map(|state| &state.upstreams)
     }
 
+    /// What a request is for that is not yet answered.
+    pub fn target_of(&self, request: RequestId) -> Option<&Target> {
+        Some(&self.pending.get(&request)?.meta.target)
+    }
+
     /// Why a new request would be refused now, if it would.
     pub fn refusal(
         &self,
--- a/shalehinge/tests/learning.rs
+++ b/shalehinge/tests/learning.rs
@@ -311,6 +311,7 @@
         work_share,
         pace: 1.0,
         slots: 8,
+        times: None,
         load_seconds: None,
     }
 }
--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -3,12 +3,14 @@
 
 mod ordered_support;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use ordered_support::{Domain, LARGE, LOOK_TIMEOUT, SMALL, host};
+use shalehinge::core::demand::{FleetWork, ModelWork};
 use shalehinge::core::engine::EnginePhase;
 use shalehinge::core::objects::GroupPhase;
-use shalehinge::core::types::HostId;
+use shalehinge::core::types::{HostId, ModelName};
 
 fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
@@ -311,6 +313,56 @@
     assert!((1..=3).contains(&second_weights), "{second_weights}");
 }
 
+fn work(large: f64, small: f64) -> FleetWork {
+    let of_model = |requests: f64| ModelWork {
+        requests,
+        prompt_tokens: 700.0 * requests,
+        answers: requests,
+        outputs: 30.0 * requests,
+    };
+    FleetWork {
+        per_second: BTreeMap::from([
+            (ModelName::new(LARGE), of_model(large)),
+            (ModelName::new(SMALL), of_model(small)),
+        ]),
+        sampled_requests: 1_000.0,
+    }
+}
+
+/// Loses a large group, two of whose hosts are gone, while so much work arrives.
+fn lose_large_group(domain: &mut Domain, large: f64, small: f64) {
+    let (number, members) = domain.group_of(LARGE);
+    for member in &members[1..3] {
+        domain.go_dark(member);
+        domain.engine(member).is_listed = false;
+    }
+    domain.note_work(&work(large, small));
+    let now = domain.now;
+    domain.controller.suspect(now, number);
+}
+
+#[test]
+fn a_small_group_that_has_less_to_do_is_preempted() {
+    let mut domain = Domain::serving(&[8, 8]);
+    lose_large_group(&mut domain, 200.0, 5.0);
+    domain.run_until("a second large group stands again", |domain| {
+        domain.open_groups(LARGE) == 2
+    });
+    assert!(domain.loads.is_empty(), "hosts with the weights were there");
+}
+
+#[test]
+fn work_of_which_little_is_known_changes_no_order() {
+    let mut domain = Domain::serving(&[8, 8]);
+    lose_large_group(&mut domain, 200.0, 5.0);
+    let mut seen = work(5.0, 200.0);
+    seen.sampled_requests = 20.0;
+    domain.note_work(&seen);
+    domain.run_until("as if nothing were known", |domain| {
+        domain.open_groups(LARGE) == 2
+    });
+}
+
 #[test]
 fn a_group_with_a_leaving_host_is_replaced_and_its_rank_zero_finishes_first() {
     let mut domain = Domain::serving(&[8]);
--- a/shalehinge/tests/ordered_support/mod.rs
+++ b/shalehinge/tests/ordered_support/mod.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use shalehinge::core::controller::{Controller, ControllerAction, Listing};
+use shalehinge::core::demand::FleetWork;
 use shalehinge::core::engine::{
     Command, EngineLoad, EnginePhase, EngineStatus, HeldModel, Order, OrderReply,
 };
@@ -97,6 +98,7 @@
         work_share,
         pace: 1.0,
         slots: 26,
+        times: None,
         load_seconds: None,
     }
 }
@@ -185,6 +187,11 @@
         domain
     }
 
+    /// So much work arrives at the fleet.
+    pub fn note_work(&mut self, work: &FleetWork) {
+        self.controller.note_work(&self.state, work);
+    }
+
     /// A host comes to this fabric domain, empty.
     pub fn add_host(&mut self, fabric: usize) {
         self.engines
--- a/shalehinge/tests/placement.rs
+++ b/shalehinge/tests/placement.rs
@@ -5,6 +5,7 @@
 use placement_support::Domain;
 use shalehinge::core::objects::GroupPhase;
 use shalehinge::core::placement::{FormReason, PlacementStep, RetireReason};
+use shalehinge::core::types::ModelName;
 
 fn formed(steps: &[PlacementStep]) -> Vec<(&str, Vec<&str>)> {
     let forms = steps.iter().filter_map(|step| match step {
@@ -222,6 +223,45 @@
     assert_eq!(domain.steps(), []);
 }
 
+/// Two large groups, one of which lost a host, and three small ones, one beside it.
+fn one_of_two_large_groups_lost() -> Domain {
+    let mut domain = Domain::new().fabric("a", 6).fabric("b", 4).fabric("c", 4);
+    domain.follows_shares = true;
+    domain.hold(&["large", "small"]);
+    domain.want("large", 4, 2);
+    domain.settle();
+    domain.want("small", 2, 3);
+    domain.settle();
+    domain.lose("a0");
+    let steps = domain.steps();
+    domain.apply(&steps);
+    domain.finish_changes();
+    domain
+}
+
+#[test]
+fn a_group_is_preempted_for_a_model_that_has_less_for_its_work() {
+    let mut domain = one_of_two_large_groups_lost();
+    domain.needs = [("large", 3.0), ("small", 1.0)]
+        .map(|(model, busy)| (ModelName::new(model), busy))
+        .into();
+    assert_eq!(retired(&domain.steps()).len(), 1);
+}
+
+#[test]
+fn a_group_is_not_preempted_for_a_model_that_has_more_for_its_work() {
+    let mut domain = one_of_two_large_groups_lost();
+    assert_eq!(
+        retired(&domain.steps()).len(),
+        1,
+        "by the wanted counts it is"
+    );
+    domain.needs = [("large", 0.5), ("small", 3.0)]
+        .map(|(model, busy)| (ModelName::new(model), busy))
+        .into();
+    assert_eq!(retired(&domain.steps()), []);
+}
+
 #[test]
 fn a_small_group_is_preempted_where_a_spare_would_have_to_load() {
     let mut domain = large_group_without_a_spare();
--- a/shalehinge/tests/placement_support/mod.rs
+++ b/shalehinge/tests/placement_support/mod.rs
@@ -7,6 +7,7 @@
     ModelIntent,
 };
 use shalehinge::core::placement::host_choice::HostChoice;
+use shalehinge::core::placement::need::Needs;
 use shalehinge::core::placement::planner::HeldWeights;
 use shalehinge::core::placement::preview::apply_step;
 use shalehinge::core::placement::{PlacementContext, PlacementStep, next_steps};
@@ -24,6 +25,8 @@
     /// Whether replicas follow from shares, so that models give way to each other.
     pub follows_shares: bool,
     pub held: HeldWeights,
+    /// Replicas that the work of each model keeps busy, as far as it is known.
+    pub needs: Needs,
 }
 
 impl Domain {
@@ -37,6 +40,7 @@
             lost: BTreeMap::new(),
             follows_shares: false,
             held: HeldWeights::new(),
+            needs: Needs::new(),
         };
         domain.customer("all", 1);
         domain
@@ -139,6 +143,7 @@
             max_forming: 8,
             max_loads: usize::MAX,
             keeps_surplus: self.follows_shares,
+            needs: &self.needs,
         })
     }
 
--- a/shalehinge/tests/shares.rs
+++ b/shalehinge/tests/shares.rs
@@ -20,6 +20,7 @@
         work_share: 1.0 / models.len() as f64,
         pace: 1.0,
         slots: 8,
+        times: None,
         load_seconds: None,
     };
     models
--- a/standin/benches/decisions.rs
+++ b/standin/benches/decisions.rs
@@ -10,6 +10,7 @@
 use shalehinge::core::engine::{EngineLoad, EnginePhase, EngineStatus};
 use shalehinge::core::objects::{Assignment, PlacementWeights};
 use shalehinge::core::placement::host_choice::HostChoice;
+use shalehinge::core::placement::need::NO_NEEDS;
 use shalehinge::core::placement::planner::HeldWeights;
 use shalehinge::core::placement::preview::apply_step;
 use shalehinge::core::placement::{PlacementContext, next_steps};
@@ -148,6 +149,7 @@
             max_forming: usize::MAX,
             max_loads: usize::MAX,
             keeps_surplus: false,
+            needs: &NO_NEEDS,
         })
     });
 }
@@ -170,6 +172,7 @@
             max_forming: usize::MAX,
             max_loads: usize::MAX,
             keeps_surplus: false,
+            needs: &NO_NEEDS,
         })
     };
     for step in context(&assignment) {
--- a/standin/src/experiment/day.rs
+++ b/standin/src/experiment/day.rs
@@ -13,6 +13,7 @@
     ModelIntent, PlacementWeights,
 };
 use shalehinge::core::placement::host_choice::HostChoice;
+use shalehinge::core::placement::need::NO_NEEDS;
 use shalehinge::core::placement::planner::HeldWeights;
 use shalehinge::core::placement::preview::apply_step;
 use shalehinge::core::placement::stranded::stranded_accelerators;
@@ -321,6 +322,7 @@
                 max_forming: 1_000,
                 max_loads: usize::MAX,
                 keeps_surplus: false,
+                needs: &NO_NEEDS,
             };
             let steps = next_steps(&context);
             if steps.is_empty() {
