--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -436,8 +436,8 @@
         };
         let is_live = self.is_live(host);
         let health = self.health.entry(*number).or_default();
-        let is_told = health.is_suspect(now);
-        if group.phase == GroupPhase::Serving && !is_told {
+        let is_suspect = health.is_suspect(now);
+        if group.phase == GroupPhase::Serving && !is_suspect {
             // It may be cut off from this daemon alone: requests show a loss at once, and
             // none did. In replays of such a cut five of eleven dissolved groups served.
             return;
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -61,7 +61,7 @@
 const CONFIRM_SPACING: Duration = Duration::from_millis(400);
 /// Time between two tellings of replicas that lost a member.
 const SUSPECTS_INTERVAL: Duration = Duration::from_millis(500);
-/// Outputs of replicas that are older are not told to whoever asks what moves. Chosen: a
+/// Outputs of replicas that are older are left out of the answer to what moves. Chosen: a
 /// loss is decided on within 400 ms, and older outputs prove nothing then.
 const MOVING_WITHIN: Duration = Duration::from_millis(500);
 /// Daemons that are asked whether a replica moves. Chosen: one in five of ninety daemons
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -10,7 +10,7 @@
     CANDIDATES, CONFIRM_SPACING, Daemon, MOVING_WITHIN, MOVING_WITNESSES, SUSPECTS_INTERVAL,
     WATCH_DUTY,
 };
-use crate::core::demand::ToldWork;
+use crate::core::demand::WorkReport;
 use crate::core::event::{Action, LastOutput, Notice, Pull, PullId, PullReply, PullTopic, Reached};
 use crate::core::feed::{Confirmation, Feed};
 use crate::core::membership::Gossip;
@@ -96,15 +96,17 @@
     }
 
     /// What arrived here, in messages that are not to be small.
-    fn work_about(&mut self, now: Timestamp, topic: PullTopic) -> Vec<ToldWork> {
+    fn work_about(&mut self, now: Timestamp, topic: PullTopic) -> Vec<WorkReport> {
         match topic {
-            PullTopic::All => self.demand.told(now, &self.identity.daemon, &mut self.rng),
+            PullTopic::All => self
+                .demand
+                .reports(now, &self.identity.daemon, &mut self.rng),
             PullTopic::Objects | PullTopic::Moving => Vec::new(),
         }
     }
 
-    fn note_work(&mut self, now: Timestamp, told: Vec<ToldWork>) {
-        self.demand.on_told(now, &self.identity.daemon, told);
+    fn note_work(&mut self, now: Timestamp, reports: Vec<WorkReport>) {
+        self.demand.merge(now, &self.identity.daemon, reports);
     }
 
     /// Whether this daemon reads the host list itself, apart from the rest.
--- a/shalehinge/src/core/demand.rs
+++ b/shalehinge/src/core/demand.rs
@@ -120,7 +120,7 @@
 
 /// What arrived at a daemon until some time ago.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ToldWork {
+pub struct WorkReport {
     /// The daemon.
     pub daemon: DaemonId,
     /// How long ago it was counted, in milliseconds.
@@ -174,14 +174,19 @@
     }
 
     /// What a message of this daemon, `me`, tells: its own counts, and those of others.
-    pub fn told(&self, now: Timestamp, me: &DaemonId, rng: &mut impl rand::Rng) -> Vec<ToldWork> {
-        let own = ToldWork {
+    pub fn reports(
+        &self,
+        now: Timestamp,
+        me: &DaemonId,
+        rng: &mut impl rand::Rng,
+    ) -> Vec<WorkReport> {
+        let own = WorkReport {
             daemon: me.clone(),
             ms_ago: 0,
             work: self.own(now),
         };
         let others = self.peers.iter().choose_multiple(rng, FORWARDED);
-        let others = others.into_iter().map(|(daemon, peer)| ToldWork {
+        let others = others.into_iter().map(|(daemon, peer)| WorkReport {
             daemon: daemon.clone(),
             ms_ago: now.since(peer.counted_at).as_millis() as u64,
             work: peer.work.clone(),
@@ -195,12 +200,12 @@
     }
 
     /// A peer sent what it knows; what is older than what is known changes nothing.
-    pub fn on_told(&mut self, now: Timestamp, me: &DaemonId, told: Vec<ToldWork>) {
-        for ToldWork {
+    pub fn merge(&mut self, now: Timestamp, me: &DaemonId, reports: Vec<WorkReport>) {
+        for WorkReport {
             daemon,
             ms_ago,
             work,
-        } in told
+        } in reports
         {
             let age = Duration::from_millis(ms_ago);
             if daemon == *me || age >= FORGET_AFTER.min(now.as_duration()) {
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::demand::ToldWork;
+use super::demand::WorkReport;
 use super::engine::{EngineStatus, Order, OrderReply};
 use super::fleet_state::{ObjectUpdate, VersionDigest};
 use super::membership::Gossip;
@@ -30,7 +30,7 @@
     pub suspects: Vec<ReplicaId>,
     /// What arrived at the asker and others; only where members are asked for too.
     #[serde(default)]
-    pub work: Vec<ToldWork>,
+    pub work: Vec<WorkReport>,
 }
 
 /// What a pull is about.
@@ -64,7 +64,7 @@
     pub reached: Option<Reached>,
     /// What arrived at the answerer and others; only where members were asked for too.
     #[serde(default)]
-    pub work: Vec<ToldWork>,
+    pub work: Vec<WorkReport>,
     /// Replicas of the asker's failure domain that brought the answerer output lately; only
     /// where they were asked for.
     #[serde(default)]
--- a/shalehinge/tests/demand.rs
+++ b/shalehinge/tests/demand.rs
@@ -1,11 +1,11 @@
-//! The work that callers ask of each model: counted, told on, and turned into needs.
+//! The work that callers ask of each model: counted, sent on, and turned into needs.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use shalehinge::core::demand::{Demand, FleetWork, ModelWork, ToldWork};
+use shalehinge::core::demand::{Demand, FleetWork, ModelWork, WorkReport};
 use shalehinge::core::objects::{EngineTimes, ModelProfile};
 use shalehinge::core::placement::need::needs_of;
 use shalehinge::core::types::{DaemonId, ModelName, ServiceName, Timestamp};
@@ -37,9 +37,9 @@
     demand
 }
 
-fn told(demand: &Demand, now: Timestamp, number: usize) -> Vec<ToldWork> {
+fn reports(demand: &Demand, now: Timestamp, number: usize) -> Vec<WorkReport> {
     let mut rng = StdRng::seed_from_u64(1);
-    demand.told(now, &daemon(number), &mut rng)
+    demand.reports(now, &daemon(number), &mut rng)
 }
 
 fn about(value: f64, expected: f64) -> bool {
@@ -52,7 +52,7 @@
     let mut holder = counted(4, 700);
     for number in 1..10 {
         let other = counted(8, 700);
-        holder.on_told(now, &daemon(0), told(&other, now, number));
+        holder.merge(now, &daemon(0), reports(&other, now, number));
     }
     let work = holder.of_fleet(now, 20);
     let small = work.per_second[&model(SMALL)];
@@ -71,7 +71,11 @@
 fn what_was_heard_long_ago_counts_for_less_and_then_not_at_all() {
     let mut holder = Demand::default();
     let heard_at = at(11_000);
-    holder.on_told(heard_at, &daemon(0), told(&counted(20, 700), heard_at, 1));
+    holder.merge(
+        heard_at,
+        &daemon(0),
+        reports(&counted(20, 700), heard_at, 1),
+    );
     let sampled = |later: u64| {
         let now = heard_at + Duration::from_secs(later);
         holder.of_fleet(now, 1).sampled_requests
@@ -81,7 +85,7 @@
     let requests = rate.per_second[&model(SMALL)].requests;
     assert!(about(requests, 20.0), "the rate itself stays: {requests}");
     let later = heard_at + Duration::from_secs(30);
-    holder.on_told(later, &daemon(0), Vec::new());
+    holder.merge(later, &daemon(0), Vec::new());
     assert_eq!(holder.of_fleet(later, 1), FleetWork::default());
 }
 
@@ -90,17 +94,17 @@
     let now = at(11_000);
     let mut holder = counted(5, 700);
     let own_alone = holder.of_fleet(now, 1).sampled_requests;
-    let own = told(&holder, now, 0);
-    holder.on_told(now, &daemon(0), own);
+    let own = reports(&holder, now, 0);
+    holder.merge(now, &daemon(0), own);
     assert_eq!(holder.of_fleet(now, 1).sampled_requests, own_alone);
-    let peer = told(&counted(5, 700), now, 1);
-    holder.on_told(now, &daemon(0), peer.clone());
+    let peer = reports(&counted(5, 700), now, 1);
+    holder.merge(now, &daemon(0), peer.clone());
     let with_peer = holder.of_fleet(now, 1).sampled_requests;
-    let older = peer.into_iter().map(|told| ToldWork {
+    let older = peer.into_iter().map(|report| WorkReport {
         ms_ago: 500,
-        ..told
+        ..report
     });
-    holder.on_told(now, &daemon(0), older.collect());
+    holder.merge(now, &daemon(0), older.collect());
     assert_eq!(holder.of_fleet(now, 1).sampled_requests, with_peer);
 }
 
@@ -109,9 +113,9 @@
     let now = at(11_000);
     let mut holder = counted(5, 700);
     for number in 1..300 {
-        holder.on_told(now, &daemon(0), told(&counted(2, 700), now, number));
+        holder.merge(now, &daemon(0), reports(&counted(2, 700), now, number));
     }
-    assert!(told(&holder, now, 0).len() <= 17);
+    assert!(reports(&holder, now, 0).len() <= 17);
 }
 
 fn profile(hosts_per_replica: u32, pace: f64) -> ModelProfile {
