feat(telemetry): how questions to peers fare, and how late ticks come

Cause: in the incident a daemon's link was full and it was not to be seen of what: how many questions to peers were open, answered or given up, and with how many bytes. Change: a line a second at the most where answers are large or missing, counters of bytes and unanswered pulls, a histogram of the lateness of ticks. No decision changes.

--- a/shalehinge/src/peer/client.rs
+++ b/shalehinge/src/peer/client.rs
@@ -9,6 +9,15 @@
 use crate::core::types::Address;
 use crate::utils::http::{exchange, pooled_client, url};
 
+/// A peer's answer to a pull.
+#[derive(Clone, Debug)]
+pub struct PulledReply {
+    /// What it says.
+    pub reply: PullReply,
+    /// Bytes that it took on the way.
+    pub bytes: usize,
+}
+
 /// A client of all peers.
 #[derive(Clone, Debug)]
 pub struct PeerClient {
@@ -26,14 +35,16 @@
     }
 
     /// Pulls from a peer; `None` if no answer came.
-    pub async fn pull(&self, to: Address, pull: &Pull) -> Option<PullReply> {
+    pub async fn pull(&self, to: Address, pull: &Pull) -> Option<PulledReply> {
         let body = rmp_serde::to_vec(pull).ok()?;
         let conn = self.client.post(url(to, PULL_PATH)).with_body(body);
         let (status, body) = exchange(conn, self.timeout).await?;
         if status != 200 {
             return None;
         }
-        rmp_serde::from_slice(&body).ok()
+        let reply = rmp_serde::from_slice(&body).ok()?;
+        let bytes = body.len();
+        Some(PulledReply { reply, bytes })
     }
 
     /// Tells a peer that there is something new; a lost notice does no harm.
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -8,12 +8,13 @@
 use std::hash::Hash;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use trillium_client::Client;
 
 use super::callers::{CallerPart, Callers};
+use super::peer_traffic::PeerTraffic;
 use crate::core::daemon::Daemon;
 use crate::core::event::{Action, Event, Pull, PullId, PullReply, StatusPurpose};
 use crate::core::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
@@ -50,6 +51,7 @@
     operators: Waiting<OperatorCallId, OperatorAnswer>,
     pulls: Waiting<PullId, PullReply>,
     next_id: AtomicU64,
+    peer_traffic: PeerTraffic,
     /// Counts and times.
     pub metrics: Metrics,
     stopped: Sender<()>,
@@ -94,6 +96,7 @@
             operators: Waiting::new(),
             pulls: Waiting::new(),
             next_id: AtomicU64::new(1),
+            peer_traffic: PeerTraffic::default(),
             metrics,
             stopped,
         };
@@ -126,6 +129,15 @@
         drop(core);
     }
 
+    /// Lets time pass in the core. The tick was due so long ago.
+    pub fn tick(self: &Arc<Self>, late_by: Duration) {
+        self.metrics.tick_lateness(late_by);
+        if let Some(line) = self.peer_traffic.tick(self.now(), late_by) {
+            log::info!(target: "shalehinge", "peers: {line}");
+        }
+        self.dispatch(Event::Tick);
+    }
+
     /// Takes in a request; parts of its answer come out of the receiver.
     pub fn submit(
         self: &Arc<Self>,
@@ -216,10 +228,13 @@
     }
 
     fn pull(self: &Arc<Self>, to: Address, pull: Pull) {
-        self.metrics.count(Counter::Pulls);
-        let asked_at = self.now();
+        let (asked_at, topic) = (self.now(), pull.topic);
+        self.peer_traffic.asked(topic, &self.metrics);
         self.spawn(move |driver| async move {
-            let reply = driver.clients.peers.pull(to, &pull).await;
+            let pulled = driver.clients.peers.pull(to, &pull).await;
+            let bytes = pulled.as_ref().map(|pulled| pulled.bytes);
+            driver.peer_traffic.ended(topic, bytes, &driver.metrics);
+            let reply = pulled.map(|pulled| pulled.reply);
             driver.dispatch(Event::PullAnswered { asked_at, reply });
         });
     }
--- /dev/null
+++ b/shalehinge/src/process/peer_traffic.rs
@@ -0,0 +1,138 @@
+//! How questions to peers fare: how many are open, answered or given up, and how many bytes
+//! their answers hold.
+//!
+//! A daemon whose link is full of answers does not learn what is new, and looks like one
+//! whose processor or platform is slow. This line and the lateness of the ticks beside it tell
+//! these apart.
+
+use std::fmt;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use crate::core::event::PullTopic;
+use crate::core::types::Timestamp;
+use crate::telemetry::metrics::{Counter, Metrics};
+
+/// Time between two lines. Chosen: one line a second at the most, whatever happens.
+const INTERVAL: Duration = Duration::from_secs(1);
+/// Bytes of answers of an interval from which a line is written. Chosen: an ordinary interval
+/// of a daemon of seventy has some 20 kB.
+const NOTABLE_BYTES: usize = 200_000;
+
+/// Questions of one topic.
+#[derive(Clone, Copy, Debug, Default)]
+struct TopicCounts {
+    open: u32,
+    answered: u32,
+    unanswered: u32,
+    bytes: usize,
+}
+
+impl fmt::Display for TopicCounts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            open,
+            answered,
+            unanswered,
+            bytes,
+        } = self;
+        write!(
+            f,
+            "{answered} answered with {bytes} bytes, {unanswered} unanswered, {open} open"
+        )
+    }
+}
+
+#[derive(Debug, Default)]
+struct Interval {
+    began_at: Timestamp,
+    all: TopicCounts,
+    objects: TopicCounts,
+    moving: TopicCounts,
+    latest_tick: Duration,
+}
+
+impl Interval {
+    fn of(&mut self, topic: PullTopic) -> &mut TopicCounts {
+        match topic {
+            PullTopic::All => &mut self.all,
+            PullTopic::Objects => &mut self.objects,
+            PullTopic::Moving => &mut self.moving,
+        }
+    }
+
+    fn is_notable(&self) -> bool {
+        let topics = [self.all, self.objects, self.moving];
+        let bytes: usize = topics.iter().map(|topic| topic.bytes).sum();
+        let unanswered: u32 = topics.iter().map(|topic| topic.unanswered).sum();
+        unanswered > 0 || bytes >= NOTABLE_BYTES
+    }
+
+    /// The open ones stay open.
+    fn restart(&mut self, now: Timestamp) {
+        self.began_at = now;
+        self.latest_tick = Duration::ZERO;
+        for topic in [PullTopic::All, PullTopic::Objects, PullTopic::Moving] {
+            let counts = self.of(topic);
+            *counts = TopicCounts {
+                open: counts.open,
+                ..TopicCounts::default()
+            };
+        }
+    }
+}
+
+/// Counts the questions to peers of one daemon.
+#[derive(Debug, Default)]
+pub struct PeerTraffic(Mutex<Interval>);
+
+impl PeerTraffic {
+    /// A question is asked.
+    pub fn asked(&self, topic: PullTopic, metrics: &Metrics) {
+        metrics.count(Counter::Pulls);
+        self.lock().of(topic).open += 1;
+    }
+
+    /// A question ended: with an answer of so many bytes, or without one.
+    pub fn ended(&self, topic: PullTopic, bytes: Option<usize>, metrics: &Metrics) {
+        let mut interval = self.lock();
+        let counts = interval.of(topic);
+        counts.open = counts.open.saturating_sub(1);
+        match bytes {
+            Some(bytes) => {
+                counts.answered += 1;
+                counts.bytes += bytes;
+                metrics.add(Counter::PullBytes, bytes as u64);
+            }
+            None => {
+                counts.unanswered += 1;
+                metrics.count(Counter::PullsUnanswered);
+            }
+        }
+    }
+
+    /// A tick came so much later than it was due. Returns the line of the interval that
+    /// ended, if there is something to say.
+    pub fn tick(&self, now: Timestamp, late_by: Duration) -> Option<String> {
+        let mut interval = self.lock();
+        interval.latest_tick = interval.latest_tick.max(late_by);
+        if now.since(interval.began_at) < INTERVAL {
+            return None;
+        }
+        let line = interval.is_notable().then(|| {
+            format!(
+                "all: {}; objects: {}; moving: {}; ticks late by {} ms at most",
+                interval.all,
+                interval.objects,
+                interval.moving,
+                interval.latest_tick.as_millis()
+            )
+        });
+        interval.restart(now);
+        line
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Interval> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/shalehinge/src/process/run.rs
+++ b/shalehinge/src/process/run.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
@@ -214,9 +215,12 @@
 }
 
 async fn tick(driver: Arc<Driver>) {
+    let mut late_by = Duration::ZERO;
     loop {
-        driver.dispatch(Event::Tick);
-        Timer::after(TICK).await;
+        driver.tick(late_by);
+        let due_at = Instant::now() + TICK;
+        Timer::at(due_at).await;
+        late_by = due_at.elapsed();
     }
 }
 
@@ -237,7 +241,7 @@
 }
 
 /// Lets connections finish what they write, then closes them.
-async fn shut_down(servers: Vec<ServerHandle>, limit: std::time::Duration) {
+async fn shut_down(servers: Vec<ServerHandle>, limit: Duration) {
     for server in servers {
         if within(limit, server.shut_down()).await.is_none() {
             log::warn!("daemon: connections are not done within {limit:?}");
--- a/shalehinge/src/telemetry/metrics.rs
+++ b/shalehinge/src/telemetry/metrics.rs
@@ -42,6 +42,10 @@
     Statuses,
     /// Pulls from peers.
     Pulls,
+    /// Pulls from peers that got no answer.
+    PullsUnanswered,
+    /// Bytes of the answers to pulls.
+    PullBytes,
     /// Notices to peers.
     Notices,
 }
@@ -63,6 +67,8 @@
             Self::Orders => "engine.orders",
             Self::Statuses => "engine.statuses",
             Self::Pulls => "peer.pulls",
+            Self::PullsUnanswered => "peer.pulls.unanswered",
+            Self::PullBytes => "peer.pulls.bytes",
             Self::Notices => "peer.notices",
         }
     }
@@ -72,6 +78,7 @@
 struct Totals {
     counters: BTreeMap<Counter, u64>,
     first_output_ms: [u64; TIME_BOUNDS_MS.len() + 1],
+    tick_late_ms: [u64; TIME_BOUNDS_MS.len() + 1],
 }
 
 /// The metrics of one daemon.
@@ -95,10 +102,25 @@
 
     /// Counts one.
     pub fn count(&self, counter: Counter) {
+        self.add(counter, 1);
+    }
+
+    /// Counts so many.
+    pub fn add(&self, counter: Counter, count: u64) {
         // A metric that can't be sent is lost; serving goes on.
-        let _ = self.client.count(counter.name(), 1);
+        let _ = self.client.count(counter.name(), count as i64);
+        if let Ok(mut totals) = self.totals.lock() {
+            *totals.counters.entry(counter).or_default() += count;
+        }
+    }
+
+    /// Notes how late a tick came.
+    pub fn tick_lateness(&self, time: Duration) {
+        let millis = time.as_millis() as u64;
+        let _ = self.client.time("tick.late", millis);
+        let bucket = TIME_BOUNDS_MS.partition_point(|bound| *bound < millis);
         if let Ok(mut totals) = self.totals.lock() {
-            *totals.counters.entry(counter).or_default() += 1;
+            totals.tick_late_ms[bucket] += 1;
         }
     }
 
@@ -121,15 +143,20 @@
         for (counter, value) in &totals.counters {
             page.push_str(&format!("{PREFIX}.{} {value}\n", counter.name()));
         }
-        for (index, value) in totals.first_output_ms.iter().enumerate() {
-            let bound = TIME_BOUNDS_MS.get(index);
-            let bound = bound.map_or("more".to_owned(), |bound| format!("{bound}ms"));
-            page.push_str(&format!("{PREFIX}.first_output.up_to_{bound} {value}\n"));
-        }
+        write_times(&mut page, "first_output", &totals.first_output_ms);
+        write_times(&mut page, "tick.late", &totals.tick_late_ms);
         page
     }
 }
 
+fn write_times(page: &mut String, name: &str, counts: &[u64]) {
+    for (index, value) in counts.iter().enumerate() {
+        let bound = TIME_BOUNDS_MS.get(index);
+        let bound = bound.map_or("more".to_owned(), |bound| format!("{bound}ms"));
+        page.push_str(&format!("{PREFIX}.{name}.up_to_{bound} {value}\n"));
+    }
+}
+
 fn udp_sink(address: SocketAddr) -> Option<impl MetricSink> {
     let socket = UdpSocket::bind("0.0.0.0:0").ok()?;
     socket.set_nonblocking(true).ok()?;
