--- /dev/null
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -0,0 +1,630 @@
+//! A fleet of daemons before a platform, stepped in one thread, with links that carry so much.
+
+#![allow(dead_code)] // Each test file uses a part of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use shalehinge::core::daemon::{Daemon, Identity, TICK};
+use shalehinge::core::engine::{EngineLoad, EnginePhase, EngineStatus, HeldModel};
+use shalehinge::core::event::{Action, Event, Pull, PullId, PullReply, Timeouts};
+use shalehinge::core::fleet_state::ObjectUpdate;
+use shalehinge::core::objects::{
+    CustomerConfig, FleetConfig, HostChanges, HostList, HostRecord, HostState, ModelProfile,
+    Object, ObjectKey, RequestKind, RouteConfig, ServiceConfig, Versioned, WeightedService,
+};
+use shalehinge::core::platform::{CallId, NoAnswer, PlatformCall, PlatformReply, Revision, Scope};
+use shalehinge::core::router::request::{RequestMeta, Target};
+use shalehinge::core::routes::model_of_service;
+use shalehinge::core::types::{
+    Address, Customer, DaemonId, FabricDomain, FailureDomain, GroupNumber, HostId, Incarnation,
+    ModelName, ModelVersion, RequestId, ServiceName, Timestamp, Version,
+};
+use shalehinge::settings::core::CoreSettings;
+use shalehinge::settings::learning::{FeedLayout, LearningSettings};
+
+const DOMAINS: u16 = 3;
+/// Time that callers give a stream.
+const STREAM_DEADLINE: Duration = Duration::from_secs(6);
+/// Hosts of the list: instances of a plain service, each a target of requests.
+const HOSTS: u16 = 30;
+
+fn settings() -> CoreSettings {
+    CoreSettings {
+        learning: LearningSettings {
+            feeds: FeedLayout::Split,
+            stale_watches: true,
+            relays: true,
+            watch_wait: Duration::from_millis(700),
+            host_wait: Duration::from_millis(600),
+            host_spacing: Duration::from_millis(400),
+            confirm_after: Duration::from_millis(1_400),
+            ask_after: Duration::from_millis(2_400),
+            ..LearningSettings::default()
+        },
+        ..CoreSettings::default()
+    }
+}
+
+fn record(port: u16, state: HostState) -> HostRecord {
+    HostRecord {
+        address: ([10, 0, 9, 1], port).into(),
+        failure_domain: FailureDomain::new(&format!("d{}", port % DOMAINS)),
+        fabric_domain: FabricDomain::new("f"),
+        accelerators: 1,
+        state,
+        service: Some(ServiceName::new("plain")),
+        slots: Some(4),
+        staged: Vec::new(),
+        status: None,
+    }
+}
+
+fn model() -> ModelName {
+    model_of_service(&ServiceName::new("engines"), "lector")
+}
+
+/// Rank 0 of an open group.
+fn open_group(port: u16) -> HostRecord {
+    let number = GroupNumber(u64::from(port));
+    let status = EngineStatus {
+        host: HostId::new(&format!("h{port}")),
+        phase: EnginePhase::Serving,
+        group: Some(number),
+        held: Some(HeldModel {
+            model: model(),
+            version: ModelVersion::new("1"),
+        }),
+        members_present: 1,
+        member_count: 1,
+        members_age_ms: 0,
+        load: EngineLoad::default(),
+    };
+    HostRecord {
+        service: Some(ServiceName::new("engines")),
+        status: Some(status),
+        ..record(port, HostState::Live)
+    }
+}
+
+/// A platform that remembers all changes; a watch waits for one.
+pub struct Platform {
+    revision: u64,
+    changes: Vec<(u64, HostId, HostRecord)>,
+    configuration: Versioned<FleetConfig>,
+    objects: BTreeMap<ObjectKey, Versioned<Object>>,
+    pub lists: usize,
+    pub calls: usize,
+}
+
+impl Platform {
+    fn new() -> Self {
+        let mut platform = Self {
+            revision: 1,
+            changes: Vec::new(),
+            configuration: Versioned {
+                version: Version(1),
+                value: fleet_config(0),
+            },
+            objects: BTreeMap::new(),
+            lists: 0,
+            calls: 0,
+        };
+        for port in 0..HOSTS {
+            platform.change(port, HostState::Live);
+        }
+        platform
+    }
+
+    pub fn change(&mut self, port: u16, state: HostState) {
+        self.revision += 1;
+        let host = HostId::new(&format!("h{port}"));
+        self.changes
+            .push((self.revision, host, record(port, state)));
+    }
+
+    /// Groups of one host each are listed as open, so many of them, from port 100 on.
+    pub fn open_groups(&mut self, count: u16) {
+        for port in 100..100 + count {
+            self.revision += 1;
+            let host = HostId::new(&format!("h{port}"));
+            self.changes.push((self.revision, host, open_group(port)));
+        }
+    }
+
+    /// Version of the newest host list.
+    fn hosts_version(&self) -> u64 {
+        self.changes.last().map_or(1, |(revision, _, _)| *revision)
+    }
+
+    /// Takes a configuration; returns its version.
+    pub fn configure(&mut self, value: FleetConfig) -> Version {
+        self.revision += 1;
+        let version = Version(self.revision);
+        self.configuration = Versioned { version, value };
+        version
+    }
+
+    fn configuration(&self) -> ObjectUpdate {
+        ObjectUpdate {
+            key: ObjectKey::Fleet,
+            version: self.configuration.version,
+            object: Object::Fleet(self.configuration.value.clone()),
+        }
+    }
+
+    /// Whether a watch that waits has something to tell.
+    fn has_news_for(&self, request: &PlatformCall) -> bool {
+        match request {
+            PlatformCall::Watch {
+                scope: Scope::Hosts,
+                after,
+                ..
+            } => after.0 < self.hosts_version(),
+            PlatformCall::Watch { after, .. } => after.0 < self.configuration.version.0,
+            _ => false,
+        }
+    }
+
+    fn put(&mut self, key: &ObjectKey, expect: Version, object: &Object) -> PlatformReply {
+        let known = self
+            .objects
+            .get(key)
+            .map_or(Version(0), |known| known.version);
+        if known != expect {
+            return PlatformReply::Conflict;
+        }
+        let version = Version(known.0 + 1);
+        let value = object.clone();
+        self.objects
+            .insert(key.clone(), Versioned { version, value });
+        PlatformReply::Written(version)
+    }
+
+    /// How long the call waits for a change.
+    fn wait(&self, request: &PlatformCall) -> Duration {
+        match request {
+            PlatformCall::Watch { wait, .. } => *wait,
+            _ => TICK,
+        }
+    }
+
+    fn answer(&mut self, request: &PlatformCall) -> PlatformReply {
+        self.calls += 1;
+        let revision = Revision(self.revision);
+        let updates = match request {
+            PlatformCall::List {
+                scope: Scope::Hosts,
+                ..
+            } => {
+                self.lists += 1;
+                let hosts = self.changes.iter().cloned();
+                let hosts = hosts.map(|(_, host, record)| (host, record)).collect();
+                vec![update(
+                    ObjectKey::Hosts,
+                    revision,
+                    Object::Hosts(HostList { hosts }),
+                )]
+            }
+            PlatformCall::List { .. } => vec![self.configuration()],
+            PlatformCall::Watch {
+                scope: Scope::Hosts,
+                after,
+                ..
+            } => {
+                let newer = self.changes.iter().filter(|(at, _, _)| *at > after.0);
+                let changed = newer.map(|(_, host, record)| (host.clone(), record.clone()));
+                let changes = Object::HostChanges(HostChanges {
+                    changed: changed.collect(),
+                    removed: BTreeSet::new(),
+                });
+                vec![update(ObjectKey::Hosts, revision, changes)]
+            }
+            PlatformCall::Watch { .. } if self.has_news_for(request) => {
+                vec![self.configuration()]
+            }
+            PlatformCall::Watch { .. } => Vec::new(),
+            PlatformCall::Get { key, .. } => {
+                return PlatformReply::Object(self.objects.get(key).cloned());
+            }
+            PlatformCall::Put {
+                key,
+                expect,
+                object,
+            } => return self.put(key, *expect, object),
+        };
+        PlatformReply::Objects { revision, updates }
+    }
+}
+
+fn update(key: ObjectKey, revision: Revision, object: Object) -> ObjectUpdate {
+    ObjectUpdate {
+        key,
+        version: Version(revision.0),
+        object,
+    }
+}
+
+/// A configuration with so many routes to one plain service.
+pub fn fleet_config(routes: usize) -> FleetConfig {
+    let plain = ServiceConfig {
+        path_prefix: String::new(),
+        upstreams: Vec::new(),
+        not_repeatable: Vec::new(),
+        is_listed: true,
+    };
+    let profile = ModelProfile {
+        service: ServiceName::new("engines"),
+        hosts_per_replica: 1,
+        work_share: 1.0,
+        pace: 1.0,
+        slots: 30,
+        times: None,
+        load_seconds: None,
+    };
+    FleetConfig {
+        services: BTreeMap::from([(ServiceName::new("plain"), plain)]),
+        profiles: BTreeMap::from([(model(), profile)]),
+        routes: (0..routes).map(route).collect(),
+        ..FleetConfig::default()
+    }
+}
+
+fn route(number: usize) -> RouteConfig {
+    RouteConfig {
+        name: format!("route-{number:06}"),
+        host: "lectura.example".to_owned(),
+        path_prefix: format!("/readings/{number:06}/"),
+        kind: RequestKind::Repeatable,
+        timeout_ms: 1_000,
+        target_latency_ms: 120,
+        rank: 2,
+        max_attempts: 2,
+        is_anonymous: false,
+        is_resumable: false,
+        backends: vec![WeightedService {
+            service: ServiceName::new("plain"),
+            weight: 1,
+        }],
+    }
+}
+
+/// The same configuration with a customer that holds so many keys.
+pub fn with_keys(mut config: FleetConfig, keys: usize) -> FleetConfig {
+    let customer = CustomerConfig {
+        key_sha256: (0..keys).map(|key| format!("{key:064}")).collect(),
+        share: 1,
+        rank: None,
+    };
+    config.customers.insert(Customer::new("one"), customer);
+    config
+}
+
+/// A call to the platform that is not answered yet.
+struct Call {
+    daemon: usize,
+    until: Duration,
+    call: CallId,
+    request: PlatformCall,
+}
+
+/// An answer on its way to a daemon.
+struct Transfer {
+    /// The peer that it comes from; the platform's link is never full.
+    from: Option<usize>,
+    to: usize,
+    bytes_left: f64,
+    gives_up_at: Duration,
+    /// What the daemon is told when the answer is whole, and when it is given up; `None` once
+    /// it was told.
+    events: Option<(Event, Event)>,
+}
+
+/// Daemons in one thread.
+pub struct Fleet {
+    pub now: Duration,
+    pub platform: Platform,
+    pub daemons: Vec<Daemon>,
+    pub dead: BTreeSet<usize>,
+    /// Daemons that the platform does not answer.
+    pub refused: BTreeSet<usize>,
+    /// Bytes a second that the link of each daemon carries each way; answers of peers come
+    /// at once without.
+    pub links: Option<Vec<f64>>,
+    /// Bytes of answers that came to each daemon, also of those that it gave up.
+    pub bytes_in: Vec<f64>,
+    transfers: Vec<Transfer>,
+    events: BTreeMap<(Duration, u64), (usize, Event)>,
+    next_event: u64,
+    pulls: BTreeMap<PullId, (usize, Timestamp, Pull)>,
+    calls: Vec<Call>,
+}
+
+impl Fleet {
+    pub fn new(daemons: u16) -> Self {
+        Self::start(daemons, true)
+    }
+
+    pub fn start(daemons: u16, is_first_start: bool) -> Self {
+        let address = |port: u16| -> Address { ([10, 0, 0, 1], port).into() };
+        let daemon = |port: u16| {
+            let identity = Identity {
+                daemon: DaemonId::new(&format!("daemon-{port}")),
+                failure_domain: FailureDomain::new(&format!("d{}", port % DOMAINS)),
+                address: address(port),
+                incarnation: Incarnation(1),
+                seeds: (0..3).map(address).collect(),
+                is_first_start,
+                wall_seconds: 0,
+            };
+            Daemon::new(settings(), identity, u64::from(port))
+        };
+        Self {
+            now: Duration::from_millis(1),
+            platform: Platform::new(),
+            daemons: (0..daemons).map(daemon).collect(),
+            dead: BTreeSet::new(),
+            refused: BTreeSet::new(),
+            links: None,
+            bytes_in: vec![0.0; usize::from(daemons)],
+            transfers: Vec::new(),
+            events: BTreeMap::new(),
+            next_event: 0,
+            pulls: BTreeMap::new(),
+            calls: Vec::new(),
+        }
+    }
+
+    fn later(&mut self, after: Duration, daemon: usize, event: Event) {
+        self.next_event += 1;
+        self.events
+            .insert((self.now + after, self.next_event), (daemon, event));
+    }
+
+    /// Answers of peers take their time from now on: all links carry so many bytes a second.
+    pub fn limit_links(&mut self, bytes_per_second: f64) {
+        self.links = Some(vec![bytes_per_second; self.daemons.len()]);
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            for index in 0..self.daemons.len() {
+                self.handle(index, Event::Tick);
+            }
+            self.now += TICK;
+            self.answer_calls();
+            self.move_transfers();
+            while let Some(entry) = self.events.first_entry() {
+                if entry.key().0 > self.now {
+                    break;
+                }
+                let (index, event) = entry.remove();
+                self.handle(index, event);
+            }
+        }
+    }
+
+    /// Answers the calls whose time came, and watches that something changed for.
+    fn answer_calls(&mut self) {
+        let is_due =
+            |call: &Call| self.platform.has_news_for(&call.request) || self.now >= call.until;
+        let calls = std::mem::take(&mut self.calls);
+        let (due, waiting): (Vec<Call>, Vec<Call>) = calls.into_iter().partition(is_due);
+        self.calls = waiting;
+        for Call {
+            daemon,
+            call,
+            request,
+            ..
+        } in due
+        {
+            let gives_up_at = self.now + Timeouts::default().platform;
+            let reply = self.platform.answer(&request);
+            let bytes = platform_bytes(&reply);
+            let result = Ok(reply);
+            let whole = Event::Platform { call, result };
+            let result = Err(NoAnswer);
+            let lost = Event::Platform { call, result };
+            self.begin(None, daemon, bytes, gives_up_at, (whole, lost));
+        }
+    }
+
+    /// An answer begins its way, or is there at once where links have no limit.
+    fn begin(
+        &mut self,
+        from: Option<usize>,
+        to: usize,
+        bytes: usize,
+        gives_up_at: Duration,
+        events: (Event, Event),
+    ) {
+        if self.links.is_none() {
+            self.later(Duration::ZERO, to, events.0);
+            return;
+        }
+        self.transfers.push(Transfer {
+            from,
+            to,
+            bytes_left: bytes as f64,
+            gives_up_at,
+            events: Some(events),
+        });
+    }
+
+    /// Moves answers on; those that share a link share it evenly.
+    fn move_transfers(&mut self) {
+        let Some(links) = &self.links else {
+            return;
+        };
+        let mut coming = vec![0.0; links.len()];
+        let mut leaving = vec![0.0; links.len()];
+        for transfer in &self.transfers {
+            coming[transfer.to] += 1.0;
+            if let Some(from) = transfer.from {
+                leaving[from] += 1.0;
+            }
+        }
+        let mut room = links.clone();
+        let share = |transfer: &Transfer| links[transfer.to] / coming[transfer.to];
+        // Those with the narrowest way in leave what they can't use to the others.
+        self.transfers
+            .sort_by(|one, other| share(one).total_cmp(&share(other)));
+        for transfer in &mut self.transfers {
+            let mut rate = share(transfer);
+            if let Some(from) = transfer.from {
+                rate = rate.min(room[from] / leaving[from]);
+                room[from] -= rate;
+                leaving[from] -= 1.0;
+            }
+            let moved = (rate * TICK.as_secs_f64()).min(transfer.bytes_left);
+            transfer.bytes_left -= moved;
+            self.bytes_in[transfer.to] += moved;
+        }
+        for mut transfer in std::mem::take(&mut self.transfers) {
+            let is_whole = transfer.bytes_left <= 0.0;
+            let is_late = self.now >= transfer.gives_up_at;
+            if (is_whole || is_late)
+                && let Some((whole, given_up)) = transfer.events.take()
+            {
+                let event = if is_whole { whole } else { given_up };
+                self.later(Duration::ZERO, transfer.to, event);
+            }
+            // What is under way fills the link also after it was given up.
+            if !is_whole {
+                self.transfers.push(transfer);
+            }
+        }
+    }
+
+    fn answer_pull(&mut self, from: usize, pull_id: PullId, reply: PullReply) {
+        let (to, asked_at, pull) = self.pulls.remove(&pull_id).expect("asked");
+        let bytes = rmp_serde::to_vec(&reply).expect("encodes").len();
+        let gives_up_at = asked_at.as_duration() + peer_timeout(&pull);
+        let whole = answered(asked_at, &pull, Some(reply));
+        let lost = answered(asked_at, &pull, None);
+        self.begin(Some(from), to, bytes, gives_up_at, (whole, lost));
+    }
+
+    /// Callers send a daemon so many streams, each of which stops after its first output.
+    pub fn streams_that_stand_still(&mut self, index: usize, count: u64) {
+        for _ in 0..count {
+            self.next_event += 1;
+            let request = RequestId(self.next_event);
+            let meta = stream(Timestamp::from_duration(self.now + STREAM_DEADLINE));
+            self.handle(index, Event::Request { request, meta });
+        }
+    }
+
+    fn handle(&mut self, index: usize, event: Event) {
+        if self.dead.contains(&index) {
+            return;
+        }
+        let now = Timestamp::from_duration(self.now);
+        let mut actions = Vec::new();
+        self.daemons[index].handle(now, event, &mut actions);
+        for action in actions {
+            self.act(index, now, action);
+        }
+    }
+
+    fn act(&mut self, index: usize, now: Timestamp, action: Action) {
+        match action {
+            Action::Platform { call, request } => {
+                if self.refused.contains(&index) {
+                    self.platform.calls += 1;
+                    let result = Err(NoAnswer);
+                    self.later(TICK, index, Event::Platform { call, result });
+                    return;
+                }
+                self.calls.push(Call {
+                    daemon: index,
+                    until: self.now + self.platform.wait(&request),
+                    call,
+                    request,
+                });
+            }
+            Action::Pull { to, pull } => {
+                let peer = to.port() as usize;
+                if self.dead.contains(&peer) {
+                    let event = answered(now, &pull, None);
+                    self.later(peer_timeout(&pull), index, event);
+                    return;
+                }
+                self.next_event += 1;
+                let pull_id = PullId(self.next_event);
+                self.pulls.insert(pull_id, (index, now, pull.clone()));
+                self.later(Duration::ZERO, peer, Event::PullAsked { pull_id, pull });
+            }
+            Action::AnswerPull { pull_id, reply } => self.answer_pull(index, pull_id, reply),
+            Action::Send(attempt) => {
+                let (request, attempt) = (attempt.request, attempt.id);
+                self.later(TICK, index, Event::Output { request, attempt });
+            }
+            Action::Notify { to, notice } => {
+                self.later(TICK, to.port() as usize, Event::Noticed(notice));
+            }
+            _ => {}
+        }
+    }
+
+    /// Daemons that live and do not know the platform's newest list.
+    pub fn behind(&self) -> Vec<usize> {
+        let newest = Version(self.platform.hosts_version());
+        let is_behind = |index: &usize| {
+            !self.dead.contains(index) && self.daemons[*index].state().hosts_version() < newest
+        };
+        (0..self.daemons.len()).filter(is_behind).collect()
+    }
+
+    /// Daemons that do not have this configuration, or a newer one, in force.
+    pub fn without_configuration(&self, version: Version) -> Vec<usize> {
+        let is_behind = |index: &usize| self.daemons[*index].state().fleet_version() < version;
+        (0..self.daemons.len()).filter(is_behind).collect()
+    }
+
+    pub fn watchers(&self) -> Vec<usize> {
+        let now = Timestamp::from_duration(self.now);
+        let is_watcher = |index: &usize| {
+            let membership = self.daemons[*index].membership();
+            membership.is_responsible(now, "watch", 2)
+        };
+        (0..self.daemons.len()).filter(is_watcher).collect()
+    }
+}
+
+/// A stream that may not be repeated.
+fn stream(deadline: Timestamp) -> RequestMeta {
+    RequestMeta {
+        customer: Customer::new("one"),
+        target: Target::Model(model()),
+        prompt_tokens: 100,
+        max_output_tokens: 100,
+        deadline,
+        first_output_within: None,
+        priority: 5,
+        key: None,
+        repeatable: false,
+        prefix: Vec::new(),
+        max_attempts: Some(1),
+        is_resumable: false,
+        credential: None,
+    }
+}
+
+/// Bytes of an answer of the platform, which tells names where peers tell places.
+fn platform_bytes(reply: &PlatformReply) -> usize {
+    let PlatformReply::Objects { updates, .. } = reply else {
+        return 0;
+    };
+    serde_json::to_vec(updates).expect("encodes").len()
+}
+
+/// How long an answer of a peer may take.
+fn peer_timeout(_pull: &Pull) -> Duration {
+    Timeouts::default().peer
+}
+
+fn answered(asked_at: Timestamp, _pull: &Pull, reply: Option<PullReply>) -> Event {
+    Event::PullAnswered { asked_at, reply }
+}
