fix(platform): lists and watches that come slowly are read to their end

Cause: the same as for answers of peers: a configuration of 0.5 MB that took more than two seconds over a busy link was given up and asked for again. Change: the limit of lists and watches is silence; 8 s more than for the head in all. Leases and other single objects keep their limit for the whole.

--- a/shalehinge/src/object_api/http.rs
+++ b/shalehinge/src/object_api/http.rs
@@ -15,7 +15,7 @@
     NoAnswer, PlatformCall, PlatformReply, PlatformResult, Revision, Scope,
 };
 use crate::core::types::{FailureDomain, Version};
-use crate::utils::http::{exchange, pooled_client, url};
+use crate::utils::http::{AnswerLimits, exchange, exchange_within, pooled_client, url};
 
 /// Kinds that are listed and watched.
 pub const SHARED_KINDS: &str = "config,hosts,assignments";
@@ -145,9 +145,10 @@
         }
     }
 
-    async fn objects(&self, path: String, timeout: Duration) -> PlatformResult {
+    async fn objects(&self, path: String, head: Duration) -> PlatformResult {
         let conn = self.client.get(url(self.address, &path));
-        let Some((200, body)) = exchange(conn, timeout).await else {
+        let limits = AnswerLimits::of_large(head, self.timeout);
+        let Some((200, body)) = exchange_within(conn, limits).await else {
             return Err(NoAnswer);
         };
         let wire: WireList = parse(&body)?;
--- a/shalehinge/src/peer/client.rs
+++ b/shalehinge/src/peer/client.rs
@@ -9,10 +9,6 @@
 use crate::core::types::Address;
 use crate::utils::http::{AnswerLimits, exchange, exchange_within, pooled_client, url};
 
-/// Time in which large objects must be whole, though parts of them go on coming. Chosen: 1 MB,
-/// the most that the platform keeps in one object, over a twentieth of a link of 20 Mbit/s.
-pub const WHOLE_OBJECTS_TIMEOUT: Duration = Duration::from_secs(8);
-
 /// A peer's answer to a pull.
 #[derive(Clone, Debug)]
 pub struct PulledReply {
@@ -54,14 +50,11 @@
 
     /// How long the answer may take: what may be large goes on as long as parts of it come.
     fn limits(&self, topic: PullTopic) -> AnswerLimits {
-        let whole = match topic {
-            PullTopic::WholeObjects => WHOLE_OBJECTS_TIMEOUT,
-            PullTopic::All | PullTopic::Objects | PullTopic::Moving => self.timeout,
-        };
-        AnswerLimits {
-            head: self.timeout,
-            silence: self.timeout,
-            whole,
+        match topic {
+            PullTopic::WholeObjects => AnswerLimits::of_large(self.timeout, self.timeout),
+            PullTopic::All | PullTopic::Objects | PullTopic::Moving => {
+                AnswerLimits::in_all(self.timeout)
+            }
         }
     }
 
--- a/shalehinge/src/utils/http.rs
+++ b/shalehinge/src/utils/http.rs
@@ -96,6 +96,10 @@
     format!("http://{address}{path}")
 }
 
+/// Time in which a large answer must be whole, though parts of it go on coming. Chosen: 1 MB,
+/// the most that the platform keeps in one object, over a twentieth of a link of 20 Mbit/s.
+pub const LARGE_ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// How long an answer may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerLimits {
@@ -107,14 +111,31 @@
     pub whole: Duration,
 }
 
+impl AnswerLimits {
+    /// All of it within so long.
+    pub fn in_all(limit: Duration) -> Self {
+        Self {
+            head: limit,
+            silence: limit,
+            whole: limit,
+        }
+    }
+
+    /// Its head within `head`; then parts of it must come at intervals of `silence` at most.
+    /// With a limit for the whole, what is too large for a busy link is given up and asked
+    /// for again without end.
+    pub fn of_large(head: Duration, silence: Duration) -> Self {
+        Self {
+            head,
+            silence,
+            whole: head + LARGE_ANSWER_TIMEOUT,
+        }
+    }
+}
+
 /// Sends a request and reads its whole answer, if all of it comes in time.
 pub async fn exchange(conn: ClientConn, limit: Duration) -> Option<(u16, Vec<u8>)> {
-    let limits = AnswerLimits {
-        head: limit,
-        silence: limit,
-        whole: limit,
-    };
-    exchange_within(conn, limits).await
+    exchange_within(conn, AnswerLimits::in_all(limit)).await
 }
 
 /// Sends a request and reads its whole answer, as long as it comes within these limits.
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -20,9 +20,9 @@
     Address, Customer, DaemonId, FabricDomain, FailureDomain, GroupNumber, HostId, Incarnation,
     ModelName, ModelVersion, RequestId, ServiceName, Timestamp, Version,
 };
-use shalehinge::peer::client::WHOLE_OBJECTS_TIMEOUT;
 use shalehinge::settings::core::CoreSettings;
 use shalehinge::settings::learning::{FeedLayout, LearningSettings};
+use shalehinge::utils::http::LARGE_ANSWER_TIMEOUT;
 
 const DOMAINS: u16 = 3;
 /// Time that callers give a stream.
@@ -640,7 +640,7 @@
 /// How long an answer of a peer may take.
 fn peer_timeout(pull: &Pull) -> Duration {
     match pull.topic {
-        PullTopic::WholeObjects => WHOLE_OBJECTS_TIMEOUT,
+        PullTopic::WholeObjects => Timeouts::default().peer + LARGE_ANSWER_TIMEOUT,
         PullTopic::All | PullTopic::Objects | PullTopic::Moving => Timeouts::default().peer,
     }
 }
