fix(learning): a configuration known to be out of date is not served by

Cause: daemons that could not get a newer configuration had long been told of its version, and went on with keys that were taken away. And a daemon that starts took its own start for the confirmation where a peer's was from before it, so that with strict revocation keys could count for up to twice their time. Change: [learning] in_force_within (the platform's bound): with a newer version known of for six tenths of it, requests are answered 503 with a time to come back. A confirmation from before the start counts from when it was; none confirms nothing.

--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -174,11 +174,25 @@
         feed.and_then(Feed::as_of)
     }
 
-    /// Until when requests with a key may be sent on what is known now.
+    /// Until when requests with a key may be sent on what is known now. A daemon that just
+    /// started may know only a confirmation from before, and none lets it send nothing: its
+    /// start confirms nothing.
     pub(super) fn keys_valid_until(&self) -> Option<Timestamp> {
         let valid_for = self.settings.learning.keys_valid_for()?;
-        let confirmed_at = self.confirmed_at().unwrap_or(Timestamp::ZERO);
-        Some(confirmed_at + valid_for)
+        if let Some(confirmed_at) = self.confirmed_at() {
+            return Some(confirmed_at + valid_for);
+        }
+        let before_start = self.confirmed_before_start.unwrap_or(valid_for);
+        Some(Timestamp::ZERO + valid_for.saturating_sub(before_start))
+    }
+
+    /// Whether a newer configuration has been known of for so long that this one must not be
+    /// served by. Guards against a link that is too full for the newer one: callers are told
+    /// to come back, where a key that was taken away or a route that is gone would be used.
+    pub(super) fn is_out_of_date(&self, now: Timestamp) -> bool {
+        let within = self.settings.learning.served_when_superseded();
+        let since = self.superseded.since();
+        within.is_some_and(|within| since.is_some_and(|since| now.since(since) >= within))
     }
 
     /// Takes in objects that are newer, and tells peers of them.
@@ -201,6 +215,7 @@
             }
         }
         if is_changed {
+            self.superseded.take(self.state.fleet_version());
             self.rebuild_routes(now, out);
             self.rebuild_topology();
         }
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -44,6 +44,7 @@
 use crate::core::router::Router;
 use crate::core::router::request::{NotRunReason, Outcome, RequestMeta, UnknownReason};
 use crate::core::routes::{RouteQuery, RouteRefusal, RouteTable, Routed};
+use crate::core::superseded::Superseded;
 use crate::core::types::{
     Address, Customer, DaemonId, FailureDomain, Incarnation, OperationId, RequestId, Timestamp,
     Version,
@@ -141,6 +142,10 @@
     /// The time of which peers told the host list.
     hosts_told_at: Option<Timestamp>,
     whole_fetch: WholeFetch,
+    superseded: Superseded,
+    /// How long before the start of this daemon the platform confirmed the configuration, as
+    /// peers told; counts until it is confirmed again.
+    confirmed_before_start: Option<Duration>,
     next_suspects_at: Timestamp,
     was_holder: bool,
     /// A request came in since the start.
@@ -198,6 +203,8 @@
             next_relay_at: Timestamp::ZERO,
             hosts_told_at: None,
             whole_fetch: WholeFetch::default(),
+            superseded: Superseded::default(),
+            confirmed_before_start: None,
             next_suspects_at: Timestamp::ZERO,
             was_holder: false,
             has_served: false,
@@ -255,9 +262,9 @@
     }
 
     /// Where a relayed request goes. It is refused for good only on a configuration
-    /// that is known to be fresh.
+    /// that is known to be fresh, and not served on one that is known to be out of date.
     pub fn route(&self, now: Timestamp, query: RouteQuery<'_>) -> Result<Routed, RouteRefusal> {
-        if self.state.fleet().is_none() {
+        if self.state.fleet().is_none() || self.is_out_of_date(now) {
             return Err(RouteRefusal::NotReady);
         }
         let routed = self.routes.find(query);
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -252,8 +252,25 @@
         }
     }
 
-    /// Notes that a peer knows these versions, and asks it for what is newer there.
-    fn hear_versions(&mut self, from: Address, digest: &VersionDigest) {
+    /// A peer knew the configuration in force here to be the newest, so long before it was
+    /// asked.
+    fn note_confirmed(&mut self, asked_at: Timestamp, age: Duration) {
+        match age.checked_sub(asked_at.as_duration()) {
+            None => {
+                let confirmed_at = Some(asked_at.minus(age));
+                self.confirmed_by_peer = self.confirmed_by_peer.max(confirmed_at);
+            }
+            Some(before_start) => {
+                let known = self.confirmed_before_start.unwrap_or(before_start);
+                self.confirmed_before_start = Some(known.min(before_start));
+            }
+        }
+    }
+
+    /// Notes that a peer knows these versions, and which peer to ask for what is newer.
+    fn hear_versions(&mut self, now: Timestamp, from: Address, digest: &VersionDigest) {
+        let own = self.state.fleet_version();
+        self.superseded.hear(now, digest.fleet, own);
         if self.state.is_behind(digest) {
             self.whole_fetch.hear(from);
         }
@@ -302,12 +319,11 @@
         // What a peer says of its configuration holds only for one that is as new.
         let is_as_new = self.state.fleet_version() >= reply.digest.fleet;
         if let Some(age) = reply.confirmed_ms_ago.filter(|_| is_as_new) {
-            let confirmed_at = before(asked_at, age);
-            self.confirmed_by_peer = self.confirmed_by_peer.max(confirmed_at);
+            self.note_confirmed(asked_at, Duration::from_millis(age));
         }
         // An answer with whole objects held all that could be taken of them.
         if topic != PullTopic::WholeObjects {
-            self.hear_versions(from, &reply.digest);
+            self.hear_versions(now, from, &reply.digest);
         }
         if let Some(age) = reply.hosts_ms_ago {
             self.hosts_told_at = self.hosts_told_at.max(before(asked_at, age));
@@ -341,7 +357,7 @@
         for replica in &notice.lost {
             self.lose(now, replica, out);
         }
-        self.hear_versions(notice.from, &notice.digest);
+        self.hear_versions(now, notice.from, &notice.digest);
         self.fetch_whole_objects(now, out);
     }
 }
--- a/shalehinge/src/core/mod.rs
+++ b/shalehinge/src/core/mod.rs
@@ -10,6 +10,7 @@
 //! - `event`: what goes in, what comes out
 //! - `daemon`: the whole of a daemon's decisions
 //! - `feed`: one part of what the platform keeps, listed and watched
+//! - `superseded`: since when a newer configuration is known of
 //! - `whole_fetch`: whom a daemon asks for large objects
 //! - `routable_hosts`: the part of the host list that routing needs
 //! - `fleet_state`: the newest objects known, which never revert
@@ -43,5 +44,6 @@
 pub mod route_config;
 pub mod router;
 pub mod routes;
+pub mod superseded;
 pub mod types;
 pub mod whole_fetch;
--- a/shalehinge/src/settings/learning.rs
+++ b/shalehinge/src/settings/learning.rs
@@ -36,6 +36,9 @@
     /// Time after the platform took a configuration until a key that it no longer
     /// holds must not work any more. Only with `strict_revocation`.
     pub revoke_within: Option<Duration>,
+    /// Time after the platform took a configuration until it must be in force everywhere;
+    /// without, an older one is served by for as long as the newer one does not come.
+    pub in_force_within: Option<Duration>,
     /// How fresh the configuration must be for a request to be refused as unknown
     /// for good; however old without.
     pub refuse_within: Option<Duration>,
@@ -66,6 +69,7 @@
             relay_interval: Duration::from_millis(400),
             strict_revocation: false,
             revoke_within: None,
+            in_force_within: None,
             refuse_within: None,
         }
     }
@@ -89,6 +93,7 @@
             relay_interval: section.duration("relay_interval", default.relay_interval),
             strict_revocation: section.flag("strict_revocation", default.strict_revocation),
             revoke_within: section.optional_duration("revoke_within"),
+            in_force_within: section.optional_duration("in_force_within"),
             refuse_within: section.optional_duration("refuse_within"),
         };
         if settings.relays && settings.feeds != FeedLayout::Split {
@@ -98,6 +103,14 @@
         settings
     }
 
+    /// How long requests are served by a configuration once a newer one is known of.
+    pub fn served_when_superseded(&self) -> Option<Duration> {
+        /// Part of `in_force_within`. The rest is for the time until the newer one was heard
+        /// of, and for the request's way to the upstream; chosen.
+        const USED_PART: f64 = 0.6;
+        Some(self.in_force_within?.mul_f64(USED_PART))
+    }
+
     /// How long after the platform last confirmed the configuration requests with a
     /// key are still served; `None` without end. Where revocation is not strict, a
     /// daemon that cannot reach the platform goes on with the keys that it knows.
--- /dev/null
+++ b/shalehinge/tests/superseded.rs
@@ -0,0 +1,250 @@
+//! A daemon that heard of a newer configuration, and one that knows only an old confirmation.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use shalehinge::core::daemon::{Daemon, Identity};
+use shalehinge::core::event::{Action, Event, Notice, PullReply, PullTopic};
+use shalehinge::core::fleet_state::{ObjectUpdate, VersionDigest};
+use shalehinge::core::membership::{Gossip, Heartbeat};
+use shalehinge::core::objects::{
+    FleetConfig, Object, ObjectKey, RequestKind, RouteConfig, ServiceConfig, WeightedService,
+};
+use shalehinge::core::router::request::{NotRunReason, Outcome, RequestMeta, Target};
+use shalehinge::core::routes::{RouteQuery, RouteRefusal};
+use shalehinge::core::types::{
+    Address, Customer, DaemonId, FailureDomain, Incarnation, RequestId, ServiceName, Timestamp,
+    Version,
+};
+use shalehinge::settings::core::CoreSettings;
+use shalehinge::settings::learning::{FeedLayout, LearningSettings};
+
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(3);
+const REVOKE_WITHIN: Duration = Duration::from_secs(5);
+
+fn address(port: u16) -> Address {
+    ([10, 0, 0, 1], port).into()
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn daemon() -> Daemon {
+    let settings = CoreSettings {
+        learning: LearningSettings {
+            feeds: FeedLayout::Split,
+            relays: true,
+            strict_revocation: true,
+            revoke_within: Some(REVOKE_WITHIN),
+            in_force_within: Some(IN_FORCE_WITHIN),
+            ..LearningSettings::default()
+        },
+        ..CoreSettings::default()
+    };
+    let identity = Identity {
+        daemon: DaemonId::new("one"),
+        failure_domain: FailureDomain::new("d"),
+        address: address(1),
+        incarnation: Incarnation(1),
+        seeds: vec![address(2)],
+        is_first_start: false,
+        wall_seconds: 0,
+    };
+    Daemon::new(settings, identity, 1)
+}
+
+fn gossip(port: u16) -> Gossip {
+    Gossip {
+        sender: Heartbeat {
+            daemon: DaemonId::new(&format!("peer-{port}")),
+            address: address(port),
+            failure_domain: FailureDomain::new("d"),
+            incarnation: Incarnation(1),
+            counter: 1,
+            revision: 0,
+            leaving: false,
+            fleet: Version(0),
+            holds_control: false,
+        },
+        members: Vec::new(),
+        brief: Vec::new(),
+    }
+}
+
+fn digest(fleet: u64) -> VersionDigest {
+    VersionDigest {
+        fleet: Version(fleet),
+        ..VersionDigest::default()
+    }
+}
+
+fn configuration(version: u64) -> ObjectUpdate {
+    let plain = ServiceName::new("plain");
+    let service = ServiceConfig {
+        path_prefix: String::new(),
+        upstreams: Vec::new(),
+        not_repeatable: Vec::new(),
+        is_listed: true,
+    };
+    let route = RouteConfig {
+        name: "all".to_owned(),
+        host: "h".to_owned(),
+        path_prefix: "/".to_owned(),
+        kind: RequestKind::Repeatable,
+        timeout_ms: 1_000,
+        target_latency_ms: 100,
+        rank: 2,
+        max_attempts: 2,
+        is_anonymous: false,
+        is_resumable: false,
+        backends: vec![WeightedService {
+            service: plain.clone(),
+            weight: 1,
+        }],
+    };
+    ObjectUpdate {
+        key: ObjectKey::Fleet,
+        version: Version(version),
+        object: Object::Fleet(FleetConfig {
+            services: BTreeMap::from([(plain, service)]),
+            routes: vec![route],
+            ..FleetConfig::default()
+        }),
+    }
+}
+
+/// A peer's answer with whole objects: this version, confirmed so long ago.
+fn whole(asked_at: Timestamp, version: u64, confirmed_ms_ago: u64) -> Event {
+    Event::PullAnswered {
+        topic: PullTopic::WholeObjects,
+        asked_at,
+        reply: Some(PullReply {
+            gossip: gossip(2),
+            digest: digest(version),
+            updates: vec![configuration(version)],
+            confirmed_ms_ago: Some(confirmed_ms_ago),
+            hosts_ms_ago: None,
+            reached: None,
+            work: Vec::new(),
+            moving: Vec::new(),
+        }),
+    }
+}
+
+fn notice(port: u16, version: u64) -> Event {
+    Event::Noticed(Notice {
+        from: address(port),
+        digest: digest(version),
+        lost: Vec::new(),
+    })
+}
+
+fn handle(daemon: &mut Daemon, now: Timestamp, event: Event) -> Vec<Action> {
+    let mut actions = Vec::new();
+    daemon.handle(now, event, &mut actions);
+    actions
+}
+
+fn is_routed(daemon: &Daemon, now: Timestamp) -> bool {
+    let query = RouteQuery {
+        host: "h",
+        path: "/x",
+        key_sha256: None,
+        spread: 0,
+    };
+    match daemon.route(now, query) {
+        Ok(_) => true,
+        Err(refusal) => {
+            assert_eq!(refusal, RouteRefusal::NotReady);
+            false
+        }
+    }
+}
+
+/// Questions for whole objects among the actions.
+fn fetches(actions: &[Action]) -> usize {
+    let is_fetch = |action: &&Action| matches!(action, Action::Pull { pull, .. } if pull.topic == PullTopic::WholeObjects);
+    actions.iter().filter(is_fetch).count()
+}
+
+/// An operator took keys away, and a daemon behind a full link went on with them for six
+/// seconds, though its peers had told it long before that there was something newer.
+#[test]
+fn a_configuration_that_is_known_to_be_out_of_date_is_not_served_by_for_long() {
+    let mut daemon = daemon();
+    handle(&mut daemon, at(900), whole(at(800), 5, 100));
+    handle(&mut daemon, at(1_000), notice(2, 7));
+    assert!(is_routed(&daemon, at(1_500)), "the newer one is on its way");
+    handle(&mut daemon, at(2_000), notice(3, 9));
+    assert!(!is_routed(&daemon, at(3_000)));
+    handle(&mut daemon, at(3_100), whole(at(1_000), 7, 50));
+    assert!(is_routed(&daemon, at(3_200)), "9 is known of since 2.0 s");
+    assert!(!is_routed(&daemon, at(4_000)));
+    handle(&mut daemon, at(4_100), whole(at(4_050), 9, 50));
+    assert!(is_routed(&daemon, at(60_000)));
+}
+
+#[test]
+fn one_peer_at_a_time_is_asked_for_whole_objects() {
+    let mut daemon = daemon();
+    let mut asked = 0;
+    for port in 2..8 {
+        asked += fetches(&handle(&mut daemon, at(1_000), notice(port, 7)));
+    }
+    assert_eq!(asked, 1);
+    let lost = Event::PullAnswered {
+        topic: PullTopic::WholeObjects,
+        asked_at: at(1_000),
+        reply: None,
+    };
+    let actions = handle(&mut daemon, at(2_000), lost);
+    assert_eq!(fetches(&actions), 1, "the next one that told of it");
+}
+
+/// How a request with a key ends that comes at this time.
+fn refusal_of_key(daemon: &mut Daemon, now: Timestamp) -> NotRunReason {
+    handle(daemon, now, Event::Tick);
+    let meta = RequestMeta {
+        customer: Customer::new("one"),
+        target: Target::Service(ServiceName::new("plain")),
+        prompt_tokens: 0,
+        max_output_tokens: 0,
+        deadline: at(60_000),
+        first_output_within: None,
+        priority: 5,
+        key: None,
+        repeatable: true,
+        prefix: Vec::new(),
+        max_attempts: Some(1),
+        is_resumable: false,
+        credential: Some("a-hash".into()),
+    };
+    let request = RequestId(now.as_duration().as_millis() as u64);
+    let actions = handle(daemon, now, Event::Request { request, meta });
+    let reason = actions.iter().find_map(|action| match action {
+        Action::Answer {
+            outcome: Outcome::NotRun { reason, .. },
+            ..
+        } => Some(*reason),
+        _ => None,
+    });
+    reason.expect("not run, as the service has no instance")
+}
+
+/// A key may be used for four seconds after the platform confirmed the configuration. A daemon
+/// that starts in an outage hears one that was confirmed 3.8 s before: its own start confirms
+/// nothing.
+#[test]
+fn a_confirmation_from_before_the_start_counts_from_then() {
+    let mut daemon = daemon();
+    handle(&mut daemon, at(250), whole(at(200), 5, 3_800));
+    let reason = refusal_of_key(&mut daemon, at(300));
+    assert_eq!(
+        reason,
+        NotRunReason::NoUpstream,
+        "0.4 s are left from the start"
+    );
+    let reason = refusal_of_key(&mut daemon, at(450));
+    assert_eq!(reason, NotRunReason::OutOfDate);
+}
