--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -18,6 +18,44 @@
 # name: (file, text as it stands, text without the protection, test, filter,
 #        and further edits where two protections stand behind each other)
 PROTECTIONS = {
+    "one-peer-for-whole-objects": (
+        CORE + "whole_fetch.rs",
+        "if self.is_open {",
+        "if false && self.is_open {",
+        "superseded", "one_peer_at_a_time",
+    ),
+    "whole-objects-only-when-asked": (
+        CORE + "daemon/peers.rs",
+        "PullTopic::All | PullTopic::Objects => hosts.into_iter().collect(),",
+        "PullTopic::All | PullTopic::Objects => {\n"
+        "    let mut updates = self.state.whole_objects_after(known);\n"
+        "    updates.extend(hosts);\n    updates\n}",
+        "configuration_spread", "catches_up",
+    ),
+    "closes-what-it-gives-up": (
+        "shalehinge/src/utils/http.rs",
+        'drop(conn.with_request_header(KnownHeaderName::Connection, "close"));',
+        "drop(conn);",
+        "http_client", "not_read_on",
+    ),
+    "out-of-date-is-not-served": (
+        CORE + "daemon/mod.rs",
+        "|| self.is_out_of_date(now) {",
+        "|| false && self.is_out_of_date(now) {",
+        "superseded", "known_to_be_out_of_date",
+    ),
+    "a-start-confirms-nothing": (
+        CORE + "daemon/configuration.rs",
+        "Some(Timestamp::ZERO + valid_for.saturating_sub(before_start))",
+        "Some(Timestamp::ZERO + valid_for.max(before_start))",
+        "superseded", "before_the_start",
+    ),
+    "age-counts-where-as-new": (
+        CORE + "daemon/peers.rs",
+        "reply.confirmed_ms_ago.filter(|_| is_as_new)",
+        "reply.confirmed_ms_ago.filter(|_| is_as_new || true)",
+        "superseded", "newer_configuration_confirms",
+    ),
     "old-answer-of-a-lease": (
         CORE + "lease.rs",
         "if self.is_older(lease.as_ref()) {",
@@ -56,8 +94,8 @@
     ),
     "news-of-peers-where-turned-away": (
         CORE + "daemon/relays.rs",
-        "if !self.is_reading(now) && self.hosts_told_at > answered_at {",
-        "if false && self.hosts_told_at > answered_at {",
+        "if !self.is_reading(now) && self.hosts_told_at > heard_at {",
+        "if false && self.hosts_told_at > heard_at {",
         "relays", "turns_away",
     ),
     "ages-add-up": (
--- a/shalehinge/tests/superseded.rs
+++ b/shalehinge/tests/superseded.rs
@@ -114,24 +114,41 @@
     }
 }
 
-/// A peer's answer with whole objects: this version, confirmed so long ago.
+/// A peer's answer: this version is in force there, and was confirmed so long ago.
+fn reply(version: u64, confirmed_ms_ago: u64) -> PullReply {
+    PullReply {
+        gossip: gossip(2),
+        digest: digest(version),
+        updates: Vec::new(),
+        confirmed_ms_ago: Some(confirmed_ms_ago),
+        hosts_ms_ago: None,
+        reached: None,
+        work: Vec::new(),
+        moving: Vec::new(),
+    }
+}
+
+/// An answer with the configuration itself.
 fn whole(asked_at: Timestamp, version: u64, confirmed_ms_ago: u64) -> Event {
     Event::PullAnswered {
         topic: PullTopic::WholeObjects,
         asked_at,
         reply: Some(PullReply {
-            gossip: gossip(2),
-            digest: digest(version),
             updates: vec![configuration(version)],
-            confirmed_ms_ago: Some(confirmed_ms_ago),
-            hosts_ms_ago: None,
-            reached: None,
-            work: Vec::new(),
-            moving: Vec::new(),
+            ..reply(version, confirmed_ms_ago)
         }),
     }
 }
 
+/// An answer that tells versions only.
+fn versions(asked_at: Timestamp, version: u64, confirmed_ms_ago: u64) -> Event {
+    Event::PullAnswered {
+        topic: PullTopic::All,
+        asked_at,
+        reply: Some(reply(version, confirmed_ms_ago)),
+    }
+}
+
 fn notice(port: u16, version: u64) -> Event {
     Event::Noticed(Notice {
         from: address(port),
@@ -248,3 +265,16 @@
     let reason = refusal_of_key(&mut daemon, at(450));
     assert_eq!(reason, NotRunReason::OutOfDate);
 }
+
+/// What a peer says of the age of its configuration says nothing of an older one.
+#[test]
+fn a_peer_with_a_newer_configuration_confirms_nothing() {
+    let mut daemon = daemon();
+    handle(&mut daemon, at(900), whole(at(800), 5, 100));
+    handle(&mut daemon, at(4_000), versions(at(3_990), 5, 10));
+    let reason = refusal_of_key(&mut daemon, at(5_000));
+    assert_eq!(reason, NotRunReason::NoUpstream, "confirmed at 3.98 s");
+    handle(&mut daemon, at(7_000), versions(at(6_990), 7, 10));
+    let reason = refusal_of_key(&mut daemon, at(8_500));
+    assert_eq!(reason, NotRunReason::OutOfDate);
+}
