fix(controller): a holder that hosts don't answer takes none for lost

Ways: today's (two silent looks of a suspected group); hold back while no host answers at all; while in no fabric domain three in four of the hosts asked lately answered. The second still dissolves where one probe in four gets through; the third is kept, as a fabric domain that goes dark leaves the others to answer. Change: with the first suspicion of a group some hosts of each fabric domain are asked too; each verdict says how long the host was silent and how many others answered, and doubt is logged once.

--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -9,6 +9,7 @@
 //! - `calls`: orders and looks that follow from what is stored
 //! - `ordered`: the same for engines that join and open by order
 //! - `reachability`: hosts that this daemon can't reach, where engines join by order
+//! - `own_reach`: whether a silence says something of the host, or of this daemon
 //! - `service_plan`: what follows from the models' parts of the work
 //! - `departures`: hosts that leave, and when they may join others
 //! - `staging`: second weights on every host
@@ -20,6 +21,7 @@
 mod list_outage;
 mod load_budget;
 mod ordered;
+mod own_reach;
 mod reachability;
 mod service_plan;
 mod staging;
@@ -47,6 +49,7 @@
 use list_outage::ListOutage;
 use load_budget::LoadBudget;
 use ordered::ListedHost;
+use own_reach::OwnReach;
 use service_plan::{ONLY_VERSION, PlanInput, ServicePlans};
 
 /// Replicas by model that stand and neither retire nor are lost.
@@ -152,6 +155,9 @@
     unreachable: BTreeMap<HostId, Timestamp>,
     /// Hosts that left an order or a probe unanswered, and when they are probed next.
     doubted: BTreeMap<HostId, Timestamp>,
+    own_reach: OwnReach,
+    /// Lines for the log of what was decided between two ticks.
+    remarks: Vec<String>,
     /// When each host last answered an order or a probe.
     answered_at: BTreeMap<HostId, Timestamp>,
     next_call_at: BTreeMap<HostId, (CallPurpose, Timestamp)>,
@@ -206,6 +212,8 @@
             health: BTreeMap::new(),
             unreachable: BTreeMap::new(),
             doubted: BTreeMap::new(),
+            own_reach: OwnReach::default(),
+            remarks: Vec::new(),
             answered_at: BTreeMap::new(),
             next_call_at: BTreeMap::new(),
             retiring_since: BTreeMap::new(),
@@ -257,6 +265,8 @@
         }
         self.note_hosts(now, state, listing);
         let mut actions = self.tell_lost();
+        let remarks = std::mem::take(&mut self.remarks);
+        actions.extend(remarks.into_iter().map(ControllerAction::Log));
         if std::mem::take(&mut self.asks_moving) {
             actions.push(ControllerAction::AskMoving);
         }
@@ -374,10 +384,14 @@
             return;
         };
         let health = self.health.entry(number).or_default();
-        if health.suspect_until.is_none_or(|until| now >= until) {
+        let is_new = health.suspect_until.is_none_or(|until| now >= until);
+        if is_new {
             self.next_call_at.remove(&rank_zero.host);
         }
         health.suspect_until = Some(now + FOR);
+        if is_new && self.settings.assembly == Assembly::Orders {
+            self.ask_beside(now);
+        }
     }
 
     /// A router had output of a group at this time or later: it was whole until then.
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -391,6 +391,7 @@
     /// A member was asked and answered.
     pub(super) fn on_probed(&mut self, now: Timestamp, status: &EngineStatus) {
         self.note_answer(now, &status.host);
+        self.note_look(now, &status.host, true);
         self.departed.remove(&status.host);
         let Some(stored) = &self.stored else {
             return;
@@ -426,6 +427,7 @@
             return;
         }
         self.note_silence(now, host);
+        self.note_look(now, host, false);
         let Some(stored) = &self.stored else {
             return;
         };
@@ -453,6 +455,23 @@
         health.silent_member.get_or_insert_with(|| host.clone());
         let is_second = asked_at > since;
         if is_second && now.since(since) >= self.settings.loss_confirm {
+            // Guards against a daemon that nobody answers: with its link full of a large
+            // configuration one dissolved nine groups that had lost no member.
+            if !self.own_reach.trusts_silence(asked_at) {
+                let line = self.own_reach.doubt_line();
+                self.remarks.extend(line);
+                return;
+            }
+            if !health.is_lost {
+                let counts = self.own_reach.all();
+                self.remarks.push(format!(
+                    "group {} lost {host}: silent for {} ms, {} of {} hosts asked lately answered",
+                    number.0,
+                    now.since(since).as_millis(),
+                    counts.answered,
+                    counts.asked
+                ));
+            }
             if !is_live && group.phase != GroupPhase::Forming {
                 self.departed.insert(host.clone());
                 return;
--- /dev/null
+++ b/shalehinge/src/core/controller/own_reach.rs
@@ -0,0 +1,147 @@
+//! Whether the silence of a host says something of the host, or of this daemon.
+//!
+//! A daemon whose own link is full or cut gets no answer in time from anybody, and would
+//! take all hosts for lost. So a silence counts only while others answer: with the first
+//! look at a suspected group some hosts of each fabric domain are asked too, and in one of
+//! these at least three in four must have answered lately. A fabric domain that goes dark
+//! leaves the others to answer; where none answers, dissolving groups would gain nothing, as
+//! no host could be ordered into new ones.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::Controller;
+use crate::core::types::{FabricDomain, HostId, Timestamp};
+
+/// How long a look counts. Chosen: two looks at a silent host, which prove its loss, take
+/// 300 to 500 ms.
+const COUNTS_FOR: Duration = Duration::from_millis(600);
+/// Hosts of a fabric domain that are asked beside suspected groups. Chosen: one in four may
+/// be lost without a doubt of the others.
+const ASKED_BESIDE: usize = 4;
+
+/// How the last look at a host ended.
+#[derive(Clone, Debug)]
+struct Look {
+    fabric_domain: FabricDomain,
+    ended_at: Timestamp,
+    is_answered: bool,
+}
+
+/// How many hosts of a fabric domain were looked at lately.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct LookCounts {
+    pub(super) answered: usize,
+    pub(super) asked: usize,
+}
+
+impl LookCounts {
+    /// Whether at least three in four answered.
+    fn is_sound(self) -> bool {
+        self.answered * 4 >= self.asked * 3
+    }
+}
+
+/// The last looks of this daemon at hosts of its failure domain.
+#[derive(Clone, Debug, Default)]
+pub(super) struct OwnReach {
+    looks: BTreeMap<HostId, Look>,
+    /// Since when the looks that count show that this daemon reaches hosts.
+    sound_since: Option<Timestamp>,
+    /// A silence was not believed since they last did.
+    is_doubt_told: bool,
+}
+
+impl OwnReach {
+    /// A look at a host ended.
+    fn note(&mut self, now: Timestamp, host: HostId, fabric_domain: FabricDomain, answered: bool) {
+        let look = Look {
+            fabric_domain,
+            ended_at: now,
+            is_answered: answered,
+        };
+        self.looks
+            .retain(|_, look| now.since(look.ended_at) < COUNTS_FOR);
+        self.looks.insert(host, look);
+        let is_sound = self.counts().values().any(|counts| counts.is_sound());
+        self.sound_since = match self.sound_since {
+            _ if !is_sound => None,
+            Some(since) => Some(since),
+            None => Some(now),
+        };
+        self.is_doubt_told &= !is_sound;
+    }
+
+    fn counts(&self) -> BTreeMap<&FabricDomain, LookCounts> {
+        let mut counts: BTreeMap<&FabricDomain, LookCounts> = BTreeMap::new();
+        for look in self.looks.values() {
+            let counts = counts.entry(&look.fabric_domain).or_default();
+            counts.asked += 1;
+            counts.answered += usize::from(look.is_answered);
+        }
+        counts
+    }
+
+    /// Looks that count, over all fabric domains.
+    pub(super) fn all(&self) -> LookCounts {
+        let mut all = LookCounts::default();
+        for counts in self.counts().into_values() {
+            all.answered += counts.answered;
+            all.asked += counts.asked;
+        }
+        all
+    }
+
+    /// Whether a look that was begun then and went unanswered says something of the host.
+    pub(super) fn trusts_silence(&self, asked_at: Timestamp) -> bool {
+        self.sound_since.is_some_and(|since| asked_at >= since)
+    }
+
+    /// What to log where a silence is not believed: once, until hosts answer again.
+    pub(super) fn doubt_line(&mut self) -> Option<String> {
+        let is_told = std::mem::replace(&mut self.is_doubt_told, true);
+        let LookCounts { answered, asked } = self.all();
+        (!is_told).then(|| {
+            format!(
+                "no group is lost by silence: {answered} of {asked} hosts asked lately answered"
+            )
+        })
+    }
+
+    fn looked_at_lately(&self, now: Timestamp, host: &HostId) -> bool {
+        let look = self.looks.get(host);
+        look.is_some_and(|look| now.since(look.ended_at) < COUNTS_FOR)
+    }
+}
+
+impl Controller {
+    /// A look at a host ended.
+    pub(super) fn note_look(&mut self, now: Timestamp, host: &HostId, answered: bool) {
+        if let Some(listed) = self.listed.get(host) {
+            let fabric_domain = listed.record.fabric_domain.clone();
+            self.own_reach
+                .note(now, host.clone(), fabric_domain, answered);
+        }
+    }
+
+    /// Asks some hosts of each fabric domain beside those of suspected groups.
+    pub(super) fn ask_beside(&mut self, now: Timestamp) {
+        let mut asked: BTreeMap<&FabricDomain, usize> = BTreeMap::new();
+        let mut hosts = Vec::new();
+        for (host, listed) in &self.listed {
+            if !self.is_live(host) {
+                continue;
+            }
+            let asked = asked.entry(&listed.record.fabric_domain).or_default();
+            if *asked < ASKED_BESIDE {
+                *asked += 1;
+                if !self.own_reach.looked_at_lately(now, host) {
+                    hosts.push(host.clone());
+                }
+            }
+        }
+        for host in hosts {
+            self.doubt(now, &host);
+        }
+    }
+}
--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -472,3 +472,102 @@
     });
     assert!(waited < seconds(3), "{waited:?}");
 }
+
+/// Routers that are late or cut off themselves take every group for stalled.
+fn suspect_all(domain: &mut Domain) {
+    let now = domain.now;
+    let groups: Vec<_> = domain.stored.value.groups.keys().copied().collect();
+    for number in groups {
+        domain.controller.suspect(now, number);
+    }
+}
+
+/// A lease holder whose link was full of a large configuration got no answer to its probes in
+/// time, and routers in the same plight saw no output: it dissolved all nine groups of its
+/// failure domain, none of which had lost a member, and cut 200 callers' streams.
+#[test]
+fn a_holder_that_no_host_answers_dissolves_nothing() {
+    for stall_ms in [500, 2_000, 5_000] {
+        let mut domain = Domain::serving(&[9, 9]);
+        let before = domain.stored.value.groups.clone();
+        for engine in domain.engines.values_mut() {
+            engine.is_reachable = false;
+        }
+        for _ in 0..stall_ms / 500 {
+            suspect_all(&mut domain);
+            domain.run_for(Duration::from_millis(500));
+        }
+        for engine in domain.engines.values_mut() {
+            engine.is_reachable = true;
+        }
+        domain.run_for(seconds(5));
+        assert_eq!(domain.stored.value.groups, before, "after {stall_ms} ms");
+        assert_eq!(domain.told_lost, []);
+    }
+}
+
+/// The same, and most probes get through late.
+#[test]
+fn a_holder_that_few_hosts_answer_dissolves_nothing() {
+    let mut domain = Domain::serving(&[9, 9]);
+    let before = domain.stored.value.groups.clone();
+    for round in 0..6 {
+        suspect_all(&mut domain);
+        for (index, engine) in domain.engines.values_mut().enumerate() {
+            engine.is_reachable = index % 4 == round % 4;
+        }
+        domain.run_for(Duration::from_millis(500));
+    }
+    for engine in domain.engines.values_mut() {
+        engine.is_reachable = true;
+    }
+    domain.run_for(seconds(5));
+    assert_eq!(domain.stored.value.groups, before);
+}
+
+#[test]
+fn a_loss_is_found_as_soon_as_hosts_answer_again() {
+    let mut domain = Domain::serving(&[9, 9]);
+    let (number, members) = domain.group_of(LARGE);
+    for engine in domain.engines.values_mut() {
+        engine.is_reachable = false;
+    }
+    suspect_all(&mut domain);
+    domain.run_for(seconds(1));
+    for (id, engine) in &mut domain.engines {
+        engine.is_reachable = *id != members[1];
+    }
+    let now = domain.now;
+    domain.controller.suspect(now, number);
+    let took = domain.run_until("dissolved", |domain| {
+        !domain.stored.value.groups.contains_key(&number)
+    });
+    assert!(took < seconds(1), "{took:?}");
+    assert_eq!(domain.told_lost, [number]);
+}
+
+#[test]
+fn a_fabric_domain_that_goes_dark_is_found_as_soon_as_one_host() {
+    let mut domain = Domain::serving(&[9, 9]);
+    let dark: Vec<HostId> = (0..9).map(host).collect();
+    for id in &dark {
+        domain.go_dark(id);
+    }
+    let value = &domain.stored.value;
+    let lost: Vec<_> = value
+        .groups
+        .iter()
+        .filter(|(_, group)| dark.contains(&group.members[0].host))
+        .map(|(number, _)| *number)
+        .collect();
+    assert!(lost.len() >= 2, "some groups stood there");
+    let now = domain.now;
+    for number in &lost {
+        domain.controller.suspect(now, *number);
+    }
+    let took = domain.run_until("all dissolved", |domain| {
+        let groups = &domain.stored.value.groups;
+        lost.iter().all(|number| !groups.contains_key(number))
+    });
+    assert!(took <= Duration::from_millis(600), "{took:?}");
+}
