--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -8,6 +8,8 @@
 //!
 //! - `calls`: orders and looks that follow from what is stored
 //! - `ordered`: the same for engines that join and open by order
+//! - `ordered_plan`: what a holder wants next of these
+//! - `reported`: the same for engines that report how far they are
 //! - `reachability`: hosts that this daemon can't reach, where engines join by order
 //! - `own_reach`: whether a silence says something of the host, or of this daemon
 //! - `service_plan`: what follows from the models' parts of the work
@@ -21,8 +23,10 @@
 mod list_outage;
 mod load_budget;
 mod ordered;
+mod ordered_plan;
 mod own_reach;
 mod reachability;
+mod reported;
 mod service_plan;
 mod staging;
 
@@ -35,14 +39,9 @@
 use crate::core::engine::{Command, EngineStatus, Order, OrderReply};
 use crate::core::fleet_state::FleetState;
 use crate::core::objects::{Assignment, GroupPhase, Member, Versioned};
-use crate::core::placement::need::{NO_NEEDS, Needs, differ_much, needs_of};
-use crate::core::placement::planner::HeldWeights;
-use crate::core::placement::preview::apply_step;
-use crate::core::placement::shares::{ReplicaCounts, count_models};
-use crate::core::placement::{PlacementContext, next_steps};
+use crate::core::placement::need::{Needs, differ_much, needs_of};
 use crate::core::types::{
-    Address, Epoch, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion, OperationId,
-    Timestamp, Version,
+    Address, Epoch, FailureDomain, GroupNumber, HostId, ModelName, OperationId, Timestamp, Version,
 };
 use crate::settings::control::{Assembly, ControlSettings};
 
@@ -50,18 +49,7 @@
 use load_budget::LoadBudget;
 use ordered::ListedHost;
 use own_reach::OwnReach;
-use service_plan::{ONLY_VERSION, PlanInput, ServicePlans};
-
-/// Replicas by model that stand and neither retire nor are lost.
-fn standing_replicas(
-    value: &Assignment,
-    lost: &BTreeMap<GroupNumber, Option<HostId>>,
-) -> ReplicaCounts {
-    let standing = value.groups.iter().filter(|(number, group)| {
-        group.phase != GroupPhase::Retiring && !lost.contains_key(number)
-    });
-    count_models(standing.map(|(_, group)| &group.model))
-}
+use service_plan::ServicePlans;
 
 /// What the controller wants done.
 #[derive(Clone, Debug, PartialEq)]
@@ -433,33 +421,6 @@
         self.observed.insert(status.host.clone(), status);
     }
 
-    fn judge_rank_zero(&mut self, now: Timestamp, asked_at: Timestamp, status: &EngineStatus) {
-        let Some(stored) = &self.stored else {
-            return;
-        };
-        let serving = stored.value.groups.iter().find(|(_, group)| {
-            let rank_zero = group.members.first();
-            group.phase == GroupPhase::Serving
-                && rank_zero.is_some_and(|member| member.host == status.host)
-        });
-        let Some((number, _)) = serving else {
-            return;
-        };
-        let health = self.health.entry(*number).or_default();
-        if status.shows_complete(*number) {
-            health.incomplete_since = None;
-            return;
-        }
-        if status.shows_released(*number) {
-            // Its engine started anew: what it held is gone.
-            health.is_lost = true;
-            health.lost_member = Some(status.host.clone());
-            return;
-        }
-        let since = *health.incomplete_since.get_or_insert(asked_at);
-        health.is_lost |= now.since(since) >= self.settings.loss_confirm;
-    }
-
     /// An engine left an order unanswered.
     pub fn on_order_unanswered(&mut self, now: Timestamp, asked_at: Timestamp, host: &HostId) {
         if self.settings.assembly == Assembly::Orders {
@@ -475,24 +436,7 @@
             self.on_silent(now, asked_at, host);
             return;
         }
-        self.unreachable.insert(host.clone(), now);
-        let Some(stored) = &self.stored else {
-            return;
-        };
-        let group = stored
-            .value
-            .groups
-            .iter()
-            .find(|(_, group)| group.contains(host));
-        let Some((number, _)) = group else {
-            return;
-        };
-        let health = self.health.entry(*number).or_default();
-        let since = *health.incomplete_since.get_or_insert(asked_at);
-        if now.since(since) >= self.settings.loss_confirm {
-            health.is_lost = true;
-            health.lost_member = Some(host.clone());
-        }
+        self.on_no_report(now, asked_at, host);
     }
 
     /// The next value of the assignment, if it should change, and why.
@@ -501,9 +445,8 @@
         now: Timestamp,
         state: &FleetState,
     ) -> (Option<Assignment>, Vec<String>) {
-        let (Some(stored), Some(fleet), Some(hosts)) =
-            (self.stored.clone(), state.fleet(), state.whole_hosts())
-        else {
+        let knows_all = state.fleet().is_some() && state.whole_hosts().is_some();
+        let Some(stored) = self.stored.clone().filter(|_| knows_all) else {
             return (None, Vec::new());
         };
         let mut value = stored.value.clone();
@@ -515,98 +458,11 @@
             let changed = value != stored.value;
             return (changed.then_some(value), log);
         }
-        self.take_acknowledgements(&mut value, state, &mut log);
-        self.promote_ready(&mut value, &mut log);
-        self.note_losses(now, &value, state);
-        let lost = self.lost_groups(&value);
-        let unreachable = self.recently_unreachable(now);
-        let held = self.held_weights();
-        let context = PlacementContext {
-            domain: &self.domain,
-            fleet: &fleet.value,
-            hosts: &hosts.value,
-            assignment: &value,
-            unreachable: &unreachable,
-            lost: &lost,
-            held: &held,
-            choice: self.settings.choice,
-            max_forming: self.settings.max_forming,
-            max_loads: usize::MAX,
-            keeps_surplus: false,
-            needs: &NO_NEEDS,
-        };
-        let steps = next_steps(&context);
-        for step in &steps {
-            log.push(step.to_string());
-            apply_step(&mut value, step);
-        }
+        self.next_reported(now, &mut value, state, &mut log);
         let changed = value != stored.value;
         (changed.then_some(value), log)
     }
 
-    /// The next value where engines join by order and replicas follow from shares.
-    fn next_ordered(
-        &mut self,
-        now: Timestamp,
-        value: &mut Assignment,
-        state: &FleetState,
-        log: &mut Vec<String>,
-    ) {
-        self.take_departures(now, value);
-        self.departed.retain(|host| value.uses(host));
-        self.drop_retired(value, log);
-        self.promote_open(value, log);
-        self.note_listed_losses(now, value);
-        let lost = self.lost_groups(value);
-        let mut avoided = self.out_of_reach(now, value);
-        let standing = standing_replicas(value, &lost);
-        let input = PlanInput {
-            domain: &self.domain,
-            standing: &standing,
-            spare_share: self.settings.spare_share,
-            unreachable: &avoided,
-            entries_may_return: self.list_outage.may_return(),
-        };
-        log.extend(self.plans.refresh(state, input, &mut value.wanted));
-        avoided.extend(self.strays(value).into_keys());
-        let held = self.listed_weights();
-        // Survivors of a lost group are free in a moment, and soonest ready again.
-        let awaits_survivors = self.awaits_survivors(now, value, &avoided);
-        let max_forming = if awaits_survivors {
-            0
-        } else {
-            self.settings.max_forming
-        };
-        // Groups whose weights lie ready come first, whatever model lacks most.
-        let may_load = !self.has_new_hosts(now);
-        let passes = [Some(0), may_load.then_some(usize::MAX)];
-        for max_loads in passes.into_iter().flatten() {
-            for (index, plan) in self.plans.iter().enumerate() {
-                let part = self.plans.part_of(index, value);
-                let mut fleet = plan.fleet.clone();
-                fleet.draining.extend(self.departed.iter().cloned());
-                let context = PlacementContext {
-                    domain: &self.domain,
-                    fleet: &fleet,
-                    hosts: &plan.hosts,
-                    assignment: &part,
-                    unreachable: &avoided,
-                    lost: &lost,
-                    held: &held,
-                    choice: self.settings.choice,
-                    max_forming,
-                    max_loads,
-                    keeps_surplus: true,
-                    needs: &self.needs,
-                };
-                for step in next_steps(&context) {
-                    log.push(step.to_string());
-                    apply_step(value, &step);
-                }
-            }
-        }
-    }
-
     fn note_times(&mut self, now: Timestamp, value: &Assignment) {
         for (times, phase) in [
             (&mut self.retiring_since, GroupPhase::Retiring),
@@ -631,24 +487,6 @@
         self.released.get(host) == Some(&number)
     }
 
-    /// Hosts whose engines show that they left are free again.
-    fn take_acknowledgements(
-        &self,
-        value: &mut Assignment,
-        state: &FleetState,
-        log: &mut Vec<String>,
-    ) {
-        let has_left = |host: &HostId, number: &GroupNumber| self.has_left(host, *number);
-        let is_listed = |host: &HostId| {
-            let hosts = state.hosts();
-            hosts.is_some_and(|list| list.value.hosts.contains_key(host))
-        };
-        value
-            .releasing
-            .retain(|host, number| is_listed(host) && !has_left(host, number));
-        self.drop_retired(value, log);
-    }
-
     /// Groups that retired are gone once all members left.
     fn drop_retired(&self, value: &mut Assignment, log: &mut Vec<String>) {
         let has_left = |host: &HostId, number: &GroupNumber| self.has_left(host, *number);
@@ -667,44 +505,6 @@
         }
     }
 
-    /// A forming group serves once rank 0 sees all members.
-    fn promote_ready(&self, value: &mut Assignment, log: &mut Vec<String>) {
-        for (number, group) in &mut value.groups {
-            if group.phase != GroupPhase::Forming {
-                continue;
-            }
-            let rank_zero = group.members.first().map(|member| &member.host);
-            let status = rank_zero.and_then(|host| self.observed.get(host));
-            if status.is_some_and(|status| status.shows_complete(*number)) {
-                log.push(format!("group {} is complete and serves", number.0));
-                group.phase = GroupPhase::Serving;
-            }
-        }
-    }
-
-    /// Losses that no engine reports: hosts gone from the list, forming without end.
-    fn note_losses(&mut self, now: Timestamp, value: &Assignment, state: &FleetState) {
-        let Some(hosts) = state.hosts() else {
-            return;
-        };
-        for (number, group) in &value.groups {
-            let gone = group
-                .members
-                .iter()
-                .map(|member| &member.host)
-                .find(|host| !hosts.value.hosts.contains_key(*host));
-            let stuck = self
-                .forming_since
-                .get(number)
-                .is_some_and(|since| now.since(*since) >= self.settings.forming_timeout);
-            if gone.is_some() || stuck {
-                let health = self.health.entry(*number).or_default();
-                health.is_lost = true;
-                health.lost_member = health.lost_member.take().or(gone.cloned());
-            }
-        }
-    }
-
     fn lost_groups(&self, value: &Assignment) -> BTreeMap<GroupNumber, Option<HostId>> {
         self.health
             .iter()
@@ -713,54 +513,6 @@
             .collect()
     }
 
-    fn recently_unreachable(&mut self, now: Timestamp) -> BTreeSet<HostId> {
-        let avoid = self.settings.avoid_unreachable;
-        self.unreachable
-            .retain(|_, since| now.since(*since) < avoid);
-        self.unreachable.keys().cloned().collect()
-    }
-
-    /// Weights that lie on the hosts, by the list, and those of their last groups.
-    fn listed_weights(&self) -> HeldWeights {
-        let version = ModelVersion::new(ONLY_VERSION);
-        self.listed
-            .iter()
-            .map(|(host, listed)| {
-                let models = listed.staged().iter().chain(self.last_model.get(host));
-                let held = models.map(|model| (model.clone(), version.clone()));
-                (host.clone(), held.collect())
-            })
-            .collect()
-    }
-
-    fn held_weights(&self) -> HeldWeights {
-        self.observed
-            .iter()
-            .filter_map(|(host, status)| {
-                let held = status.held.clone()?;
-                Some((host.clone(), vec![(held.model, held.version)]))
-            })
-            .collect()
-    }
-
-    /// This failure domain's part of what the weight store can do.
-    fn note_load_rate(&mut self, state: &FleetState, domains: usize) {
-        let fleet = state.fleet().map(|fleet| &fleet.value);
-        let rate = fleet.and_then(|fleet| fleet.load_rate);
-        let part = 1.0 / domains.max(1) as f64;
-        let usable = self.settings.load_share * part;
-        self.loads
-            .set_rate(rate.map(|rate| rate.per_second * usable));
-        let at_once = rate.and_then(|rate| rate.at_once);
-        let profiles = fleet.into_iter().flat_map(|fleet| fleet.profiles.values());
-        let longest = profiles
-            .filter_map(|profile| profile.load_seconds)
-            .max_by(f64::total_cmp);
-        let load_time = longest.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
-        self.loads
-            .set_at_once(at_once.map(|at_once| at_once * part), load_time);
-    }
-
     fn note_hosts(&mut self, now: Timestamp, state: &FleetState, listing: Listing) {
         if self.stored.is_some() {
             self.stored_seen_at.get_or_insert(now);
--- /dev/null
+++ b/shalehinge/src/core/controller/ordered_plan.rs
@@ -0,0 +1,122 @@
+//! What a holder wants next where engines join by order and replicas follow from the models'
+//! parts of the work.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::Controller;
+use super::service_plan::{ONLY_VERSION, PlanInput};
+use crate::core::fleet_state::FleetState;
+use crate::core::objects::{Assignment, GroupPhase};
+use crate::core::placement::planner::HeldWeights;
+use crate::core::placement::preview::apply_step;
+use crate::core::placement::shares::{ReplicaCounts, count_models};
+use crate::core::placement::{PlacementContext, next_steps};
+use crate::core::types::{GroupNumber, HostId, ModelVersion, Timestamp};
+
+/// Replicas by model that stand and neither retire nor are lost.
+fn standing_replicas(
+    value: &Assignment,
+    lost: &BTreeMap<GroupNumber, Option<HostId>>,
+) -> ReplicaCounts {
+    let standing = value.groups.iter().filter(|(number, group)| {
+        group.phase != GroupPhase::Retiring && !lost.contains_key(number)
+    });
+    count_models(standing.map(|(_, group)| &group.model))
+}
+
+impl Controller {
+    /// The next value where engines join by order and replicas follow from shares.
+    pub(super) fn next_ordered(
+        &mut self,
+        now: Timestamp,
+        value: &mut Assignment,
+        state: &FleetState,
+        log: &mut Vec<String>,
+    ) {
+        self.take_departures(now, value);
+        self.departed.retain(|host| value.uses(host));
+        self.drop_retired(value, log);
+        self.promote_open(value, log);
+        self.note_listed_losses(now, value);
+        let lost = self.lost_groups(value);
+        let mut avoided = self.out_of_reach(now, value);
+        let standing = standing_replicas(value, &lost);
+        let input = PlanInput {
+            domain: &self.domain,
+            standing: &standing,
+            spare_share: self.settings.spare_share,
+            unreachable: &avoided,
+            entries_may_return: self.list_outage.may_return(),
+        };
+        log.extend(self.plans.refresh(state, input, &mut value.wanted));
+        avoided.extend(self.strays(value).into_keys());
+        let held = self.listed_weights();
+        // Survivors of a lost group are free in a moment, and soonest ready again.
+        let awaits_survivors = self.awaits_survivors(now, value, &avoided);
+        let max_forming = if awaits_survivors {
+            0
+        } else {
+            self.settings.max_forming
+        };
+        // Groups whose weights lie ready come first, whatever model lacks most.
+        let may_load = !self.has_new_hosts(now);
+        let passes = [Some(0), may_load.then_some(usize::MAX)];
+        for max_loads in passes.into_iter().flatten() {
+            for (index, plan) in self.plans.iter().enumerate() {
+                let part = self.plans.part_of(index, value);
+                let mut fleet = plan.fleet.clone();
+                fleet.draining.extend(self.departed.iter().cloned());
+                let context = PlacementContext {
+                    domain: &self.domain,
+                    fleet: &fleet,
+                    hosts: &plan.hosts,
+                    assignment: &part,
+                    unreachable: &avoided,
+                    lost: &lost,
+                    held: &held,
+                    choice: self.settings.choice,
+                    max_forming,
+                    max_loads,
+                    keeps_surplus: true,
+                    needs: &self.needs,
+                };
+                for step in next_steps(&context) {
+                    log.push(step.to_string());
+                    apply_step(value, &step);
+                }
+            }
+        }
+    }
+
+    /// Weights that lie on the hosts, by the list, and those of their last groups.
+    fn listed_weights(&self) -> HeldWeights {
+        let version = ModelVersion::new(ONLY_VERSION);
+        self.listed
+            .iter()
+            .map(|(host, listed)| {
+                let models = listed.staged().iter().chain(self.last_model.get(host));
+                let held = models.map(|model| (model.clone(), version.clone()));
+                (host.clone(), held.collect())
+            })
+            .collect()
+    }
+
+    /// This failure domain's part of what the weight store can do.
+    pub(super) fn note_load_rate(&mut self, state: &FleetState, domains: usize) {
+        let fleet = state.fleet().map(|fleet| &fleet.value);
+        let rate = fleet.and_then(|fleet| fleet.load_rate);
+        let part = 1.0 / domains.max(1) as f64;
+        let usable = self.settings.load_share * part;
+        self.loads
+            .set_rate(rate.map(|rate| rate.per_second * usable));
+        let at_once = rate.and_then(|rate| rate.at_once);
+        let profiles = fleet.into_iter().flat_map(|fleet| fleet.profiles.values());
+        let longest = profiles
+            .filter_map(|profile| profile.load_seconds)
+            .max_by(f64::total_cmp);
+        let load_time = longest.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+        self.loads
+            .set_at_once(at_once.map(|at_once| at_once * part), load_time);
+    }
+}
--- /dev/null
+++ b/shalehinge/src/core/controller/reported.rs
@@ -0,0 +1,181 @@
+//! Engines that report how far they are: rank 0 tells that its group is complete.
+
+use std::collections::BTreeSet;
+
+use super::Controller;
+use crate::core::engine::EngineStatus;
+use crate::core::fleet_state::FleetState;
+use crate::core::objects::{Assignment, GroupPhase};
+use crate::core::placement::need::NO_NEEDS;
+use crate::core::placement::planner::HeldWeights;
+use crate::core::placement::preview::apply_step;
+use crate::core::placement::{PlacementContext, next_steps};
+use crate::core::types::{GroupNumber, HostId, Timestamp};
+
+impl Controller {
+    /// The next value where engines report and replicas follow from intents.
+    pub(super) fn next_reported(
+        &mut self,
+        now: Timestamp,
+        value: &mut Assignment,
+        state: &FleetState,
+        log: &mut Vec<String>,
+    ) {
+        let (Some(fleet), Some(hosts)) = (state.fleet(), state.whole_hosts()) else {
+            return;
+        };
+        self.take_acknowledgements(value, state, log);
+        self.promote_ready(value, log);
+        self.note_losses(now, value, state);
+        let lost = self.lost_groups(value);
+        let unreachable = self.recently_unreachable(now);
+        let held = self.held_weights();
+        let context = PlacementContext {
+            domain: &self.domain,
+            fleet: &fleet.value,
+            hosts: &hosts.value,
+            assignment: value,
+            unreachable: &unreachable,
+            lost: &lost,
+            held: &held,
+            choice: self.settings.choice,
+            max_forming: self.settings.max_forming,
+            max_loads: usize::MAX,
+            keeps_surplus: false,
+            needs: &NO_NEEDS,
+        };
+        let steps = next_steps(&context);
+        for step in &steps {
+            log.push(step.to_string());
+            apply_step(value, step);
+        }
+    }
+
+    /// What a report of rank 0 says of its group.
+    pub(super) fn judge_rank_zero(
+        &mut self,
+        now: Timestamp,
+        asked_at: Timestamp,
+        status: &EngineStatus,
+    ) {
+        let Some(stored) = &self.stored else {
+            return;
+        };
+        let serving = stored.value.groups.iter().find(|(_, group)| {
+            let rank_zero = group.members.first();
+            group.phase == GroupPhase::Serving
+                && rank_zero.is_some_and(|member| member.host == status.host)
+        });
+        let Some((number, _)) = serving else {
+            return;
+        };
+        let health = self.health.entry(*number).or_default();
+        if status.shows_complete(*number) {
+            health.incomplete_since = None;
+            return;
+        }
+        if status.shows_released(*number) {
+            // Its engine started anew: what it held is gone.
+            health.is_lost = true;
+            health.lost_member = Some(status.host.clone());
+            return;
+        }
+        let since = *health.incomplete_since.get_or_insert(asked_at);
+        health.is_lost |= now.since(since) >= self.settings.loss_confirm;
+    }
+
+    /// An engine that reports did not answer.
+    pub(super) fn on_no_report(&mut self, now: Timestamp, asked_at: Timestamp, host: &HostId) {
+        self.unreachable.insert(host.clone(), now);
+        let Some(stored) = &self.stored else {
+            return;
+        };
+        let group = stored
+            .value
+            .groups
+            .iter()
+            .find(|(_, group)| group.contains(host));
+        let Some((number, _)) = group else {
+            return;
+        };
+        let health = self.health.entry(*number).or_default();
+        let since = *health.incomplete_since.get_or_insert(asked_at);
+        if now.since(since) >= self.settings.loss_confirm {
+            health.is_lost = true;
+            health.lost_member = Some(host.clone());
+        }
+    }
+
+    /// Hosts whose engines show that they left are free again.
+    fn take_acknowledgements(
+        &self,
+        value: &mut Assignment,
+        state: &FleetState,
+        log: &mut Vec<String>,
+    ) {
+        let has_left = |host: &HostId, number: &GroupNumber| self.has_left(host, *number);
+        let is_listed = |host: &HostId| {
+            let hosts = state.hosts();
+            hosts.is_some_and(|list| list.value.hosts.contains_key(host))
+        };
+        value
+            .releasing
+            .retain(|host, number| is_listed(host) && !has_left(host, number));
+        self.drop_retired(value, log);
+    }
+
+    /// A forming group serves once rank 0 sees all members.
+    fn promote_ready(&self, value: &mut Assignment, log: &mut Vec<String>) {
+        for (number, group) in &mut value.groups {
+            if group.phase != GroupPhase::Forming {
+                continue;
+            }
+            let rank_zero = group.members.first().map(|member| &member.host);
+            let status = rank_zero.and_then(|host| self.observed.get(host));
+            if status.is_some_and(|status| status.shows_complete(*number)) {
+                log.push(format!("group {} is complete and serves", number.0));
+                group.phase = GroupPhase::Serving;
+            }
+        }
+    }
+
+    /// Losses that no engine reports: hosts gone from the list, forming without end.
+    fn note_losses(&mut self, now: Timestamp, value: &Assignment, state: &FleetState) {
+        let Some(hosts) = state.hosts() else {
+            return;
+        };
+        for (number, group) in &value.groups {
+            let gone = group
+                .members
+                .iter()
+                .map(|member| &member.host)
+                .find(|host| !hosts.value.hosts.contains_key(*host));
+            let stuck = self
+                .forming_since
+                .get(number)
+                .is_some_and(|since| now.since(*since) >= self.settings.forming_timeout);
+            if gone.is_some() || stuck {
+                let health = self.health.entry(*number).or_default();
+                health.is_lost = true;
+                health.lost_member = health.lost_member.take().or(gone.cloned());
+            }
+        }
+    }
+
+    fn recently_unreachable(&mut self, now: Timestamp) -> BTreeSet<HostId> {
+        let avoid = self.settings.avoid_unreachable;
+        self.unreachable
+            .retain(|_, since| now.since(*since) < avoid);
+        self.unreachable.keys().cloned().collect()
+    }
+
+    fn held_weights(&self) -> HeldWeights {
+        self.observed
+            .iter()
+            .filter_map(|(host, status)| {
+                let held = status.held.clone()?;
+                Some((host.clone(), vec![(held.model, held.version)]))
+            })
+            .collect()
+    }
+}
