fix(learning): a daemon that is cut off goes on with the configuration it knows

Cause: seen in review: a failure domain that is cut off just after a rumour of a newer version reached it would have answered 503 until the cut ends, where each must serve what it can. Change: a configuration counts as superseded only while peers still tell of the newer one. Test: superseded.rs, red before.

--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -189,10 +189,10 @@
     /// Whether a newer configuration has been known of for so long that this one must not be
     /// served by. Guards against a link that is too full for the newer one: callers are told
     /// to come back, where a key that was taken away or a route that is gone would be used.
+    /// A daemon that is cut off from all who know the newer one serves on.
     pub(super) fn is_out_of_date(&self, now: Timestamp) -> bool {
         let within = self.settings.learning.served_when_superseded();
-        let since = self.superseded.since();
-        within.is_some_and(|within| since.is_some_and(|since| now.since(since) >= within))
+        within.is_some_and(|within| self.superseded.is_known_for(now, within))
     }
 
     /// Takes in objects that are newer, and tells peers of them.
--- a/shalehinge/src/core/superseded.rs
+++ b/shalehinge/src/core/superseded.rs
@@ -1,9 +1,11 @@
 //! Since when a daemon knows that its configuration is not the newest.
 //!
 //! A peer tells the version in force there at once, while the configuration itself may take its
-//! time over a busy link. What an operator took away must not go on working meanwhile.
+//! time over a busy link. What an operator took away must not go on working meanwhile. A daemon
+//! that no peer tells of it any more is cut off, and goes on with what it knows.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::types::{Timestamp, Version};
 
@@ -13,25 +15,33 @@
 /// Configurations that a daemon heard of and does not have.
 #[derive(Clone, Debug, Default)]
 pub struct Superseded {
-    heard_at: BTreeMap<Version, Timestamp>,
+    first_heard_at: BTreeMap<Version, Timestamp>,
+    last_heard_at: Timestamp,
 }
 
 impl Superseded {
     /// A peer has this version in force; `own` is in force here.
     pub fn hear(&mut self, now: Timestamp, version: Version, own: Version) {
         self.take(own);
-        if version > own && self.heard_at.len() < MOST_REMEMBERED {
-            self.heard_at.entry(version).or_insert(now);
+        if version <= own {
+            return;
+        }
+        self.last_heard_at = now;
+        if self.first_heard_at.len() < MOST_REMEMBERED {
+            self.first_heard_at.entry(version).or_insert(now);
         }
     }
 
     /// This version is in force here.
     pub fn take(&mut self, own: Version) {
-        self.heard_at = self.heard_at.split_off(&Version(own.0 + 1));
+        self.first_heard_at = self.first_heard_at.split_off(&Version(own.0 + 1));
     }
 
-    /// Since when a newer version than the one in force here is known of.
-    pub fn since(&self) -> Option<Timestamp> {
-        self.heard_at.values().min().copied()
+    /// Whether peers have told of a newer version than the one in force here for so long, and
+    /// not for so long ago.
+    pub fn is_known_for(&self, now: Timestamp, time: Duration) -> bool {
+        let mut first = self.first_heard_at.values();
+        let is_long_known = first.any(|at| now.since(*at) >= time);
+        is_long_known && now.since(self.last_heard_at) < time
     }
 }
--- a/shalehinge/tests/superseded.rs
+++ b/shalehinge/tests/superseded.rs
@@ -198,6 +198,7 @@
     assert!(!is_routed(&daemon, at(3_000)));
     handle(&mut daemon, at(3_100), whole(at(1_000), 7, 50));
     assert!(is_routed(&daemon, at(3_200)), "9 is known of since 2.0 s");
+    handle(&mut daemon, at(3_500), notice(4, 9));
     assert!(!is_routed(&daemon, at(4_000)));
     handle(&mut daemon, at(4_100), whole(at(4_050), 9, 50));
     assert!(is_routed(&daemon, at(60_000)));
@@ -222,6 +223,17 @@
     assert_eq!(fetch.begin(at(2_400)), Some(far), "nobody near told of it");
 }
 
+/// A failure domain is cut off just after a rumour reached it: it serves what it can.
+#[test]
+fn a_daemon_that_is_cut_off_goes_on_with_what_it_knows() {
+    let mut daemon = daemon();
+    handle(&mut daemon, at(900), whole(at(800), 5, 100));
+    handle(&mut daemon, at(1_000), notice(2, 7));
+    handle(&mut daemon, at(2_000), notice(2, 7));
+    assert!(!is_routed(&daemon, at(3_000)));
+    assert!(is_routed(&daemon, at(4_000)), "nobody tells of it any more");
+}
+
 #[test]
 fn one_peer_at_a_time_is_asked_for_whole_objects() {
     let mut daemon = daemon();
