--- /dev/null
+++ b/shalehinge/tests/peer_traffic.rs
@@ -0,0 +1,65 @@
+//! What the log says of questions to peers.
+
+use std::time::Duration;
+
+use shalehinge::core::event::PullTopic;
+use shalehinge::core::types::Timestamp;
+use shalehinge::process::peer_traffic::PeerTraffic;
+use shalehinge::telemetry::metrics::Metrics;
+
+const ON_TIME: Duration = Duration::ZERO;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+#[test]
+fn small_answers_are_not_worth_a_line() {
+    let (traffic, metrics) = (PeerTraffic::default(), Metrics::new(None));
+    traffic.asked(PullTopic::All, &metrics);
+    traffic.ended(PullTopic::All, Some(4_000), &metrics);
+    assert_eq!(traffic.tick(at(1_000), ON_TIME), None);
+}
+
+#[test]
+fn a_full_link_is_told_apart_from_a_late_process() {
+    let (traffic, metrics) = (PeerTraffic::default(), Metrics::new(None));
+    for _ in 0..3 {
+        traffic.asked(PullTopic::All, &metrics);
+    }
+    traffic.asked(PullTopic::WholeObjects, &metrics);
+    traffic.ended(PullTopic::All, None, &metrics);
+    assert_eq!(traffic.tick(at(500), Duration::from_millis(7)), None);
+    let line = traffic.tick(at(1_000), ON_TIME).expect("worth a line");
+    assert!(
+        line.starts_with("all: 0 answered with 0 bytes, 1 unanswered, 2 open;"),
+        "{line}"
+    );
+    assert!(
+        line.contains("whole objects: 0 answered with 0 bytes, 0 unanswered, 1 open"),
+        "{line}"
+    );
+    assert!(line.ends_with("ticks late by 7 ms at most"), "{line}");
+}
+
+#[test]
+fn what_is_open_stays_open_and_the_rest_begins_anew() {
+    let (traffic, metrics) = (PeerTraffic::default(), Metrics::new(None));
+    traffic.asked(PullTopic::Objects, &metrics);
+    traffic.asked(PullTopic::Objects, &metrics);
+    traffic.ended(PullTopic::Objects, Some(300_000), &metrics);
+    assert!(traffic.tick(at(1_000), ON_TIME).is_some());
+    assert_eq!(traffic.tick(at(1_500), ON_TIME), None, "once a second");
+    traffic.ended(PullTopic::Objects, None, &metrics);
+    let line = traffic.tick(at(2_000), ON_TIME).expect("one unanswered");
+    let objects = "objects: 0 answered with 0 bytes, 1 unanswered, 0 open";
+    assert!(line.contains(objects), "{line}");
+    let page = metrics.page();
+    for metric in [
+        "peer.pulls 2",
+        "peer.pulls.unanswered 1",
+        "peer.pulls.bytes 300000",
+    ] {
+        assert!(page.contains(metric), "{metric} in {page}");
+    }
+}
