--- a/shalehinge/tests/configuration_spread.rs
+++ b/shalehinge/tests/configuration_spread.rs
@@ -86,3 +86,29 @@
         assert!(times < 2.0, "daemon {daemon}: {times:.1} read");
     }
 }
+
+/// By hand: how long a configuration takes to be in force everywhere, by daemons and routes.
+#[test]
+#[ignore = "measures"]
+fn time_until_a_configuration_is_in_force_everywhere() {
+    for (daemons, routes) in [(68, 240), (68, 2_040), (340, 240), (340, 2_040)] {
+        let mut fleet = Fleet::new(daemons);
+        fleet.run(Duration::from_secs(10));
+        fleet.limit_links(SMALL_LINK);
+        let version = fleet.platform.configure(with_keys(fleet_config(routes), 8));
+        fleet.bytes_in.fill(BytesIn::default());
+        let began = fleet.now;
+        while !fleet.without_configuration(version).is_empty() {
+            fleet.run(Duration::from_millis(50));
+            assert!(fleet.now - began < Duration::from_secs(60), "never");
+        }
+        let of_peers: f64 = fleet.bytes_in.iter().map(|bytes| bytes.of_peers).sum();
+        let of_platform: f64 = fleet.bytes_in.iter().map(|bytes| bytes.of_platform).sum();
+        println!(
+            "{daemons} daemons, {routes} routes: {:?}, {:.1} MB between daemons, {:.1} MB read",
+            fleet.now - began,
+            of_peers / 1e6,
+            of_platform / 1e6
+        );
+    }
+}
