--- a/shalehinge/tests/http_client.rs
+++ b/shalehinge/tests/http_client.rs
@@ -58,3 +58,41 @@
     let sent = server.join().expect("ends");
     assert!(sent < ANSWER_BYTES, "all of it was read");
 }
+
+/// Answers so many requests on one connection; returns how many came on it.
+fn answer_on_one_connection(listener: &TcpListener, requests: usize) -> usize {
+    let (mut stream, _) = listener.accept().expect("a caller");
+    stream
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .expect("set");
+    let mut answered = 0;
+    while answered < requests {
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") {
+            match stream.read(&mut byte) {
+                Ok(1) => head.push(byte[0]),
+                _ => return answered,
+            }
+        }
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            .expect("an answer");
+        answered += 1;
+    }
+    answered
+}
+
+#[test]
+fn a_connection_whose_answer_was_read_whole_is_used_again() {
+    const REQUESTS: usize = 3;
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let server = std::thread::spawn(move || answer_on_one_connection(&listener, REQUESTS));
+    let client = pooled_client();
+    for _ in 0..REQUESTS {
+        let call = exchange(client.get(url(address, "/short")), Duration::from_secs(2));
+        smol::block_on(call);
+    }
+    assert_eq!(server.join().expect("ends"), REQUESTS);
+}
