--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -139,8 +139,6 @@
     confirmation: Option<Confirmation>,
     next_confirm_at: Timestamp,
     next_relay_at: Timestamp,
-    /// Time until the next question, as long as nothing is known.
-    start_interval: Duration,
     /// The time of which peers told the host list.
     hosts_told_at: Option<Timestamp>,
     whole_fetch: WholeFetch,
@@ -203,7 +201,6 @@
             confirmation: None,
             next_confirm_at: Timestamp::ZERO,
             next_relay_at: Timestamp::ZERO,
-            start_interval: relays::START_INTERVAL,
             hosts_told_at: None,
             whole_fetch: WholeFetch::default(),
             superseded: Superseded::default(),
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -240,23 +240,17 @@
     /// answer a daemon that was behind took in 15 configurations of 145 kB a second, none of
     /// them in time, and stayed behind for as long as a failure domain was dark (measured at
     /// 68 daemons with links of 20 Mbit/s).
-    ///
-    /// A daemon that knows no configuration yet gets all with its first answer. Where a whole
-    /// fleet starts again few have it, and two questions to these take twice their time: 301
-    /// daemons served again 30 s after a kill of all with two, after 8.5 s with one.
     fn updates_for(&self, topic: PullTopic, known: &VersionDigest) -> Vec<ObjectUpdate> {
-        let knows_nothing = known.fleet == Version(0);
-        let is_for_whole = match topic {
-            PullTopic::Moving => return Vec::new(),
-            PullTopic::WholeObjects => true,
-            PullTopic::All | PullTopic::Objects => knows_nothing,
-        };
-        let mut updates = Vec::new();
-        if is_for_whole {
-            updates = self.state.whole_objects_after(known);
+        let hosts = self.state.routable_hosts_after(known);
+        match topic {
+            PullTopic::All | PullTopic::Objects => hosts.into_iter().collect(),
+            PullTopic::WholeObjects => {
+                let mut updates = self.state.whole_objects_after(known);
+                updates.extend(hosts);
+                updates
+            }
+            PullTopic::Moving => Vec::new(),
         }
-        updates.extend(self.state.routable_hosts_after(known));
-        updates
     }
 
     /// A peer knew the configuration in force here to be the newest, so long before it was
--- a/shalehinge/src/core/daemon/relays.rs
+++ b/shalehinge/src/core/daemon/relays.rs
@@ -28,12 +28,8 @@
 /// How long a daemon that starts again asks only peers. Chosen: a peer that lives answers
 /// by then; where all daemons start again, requests wait for each to know something.
 const RESTART_READ_AFTER: Duration = Duration::from_millis(200);
-/// Time between the first two questions of a daemon that knows nothing yet; each further one
-/// comes twice as late as the one before.
-pub(super) const START_INTERVAL: Duration = Duration::from_millis(150);
-/// Most time between two of them. Chosen: a fleet of hundreds that starts again asks its three
-/// seeds some hundred times a second then, and each answers so many.
-const MOST_START_INTERVAL: Duration = Duration::from_millis(1_200);
+/// Time between two questions of a daemon that knows nothing yet.
+const START_INTERVAL: Duration = Duration::from_millis(150);
 /// How much later than the one before it a daemon reads the platform itself. Chosen: the
 /// first few to get through tell the rest.
 const FALLBACK_STEP: Duration = Duration::from_millis(30);
@@ -55,9 +51,7 @@
         let (interval, topic) = if self.knows_objects() {
             (settings.relay_interval, PullTopic::Objects)
         } else {
-            let interval = self.start_interval;
-            self.start_interval = (interval * 2).min(MOST_START_INTERVAL);
-            (interval, PullTopic::All)
+            (START_INTERVAL, PullTopic::All)
         };
         self.next_relay_at = now + interval;
         let Some(to) = self.relay_target(now) else {
