--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -61,8 +61,14 @@
 # address_of NAME: the address that a stand-in printed.
 address_of() { sed -n 's/.* listens on //p' "$WORK/$1.out" | head -n 1; }
 
-free_port() {
-    python3 -c 'import socket; s = socket.socket(); s.bind(("127.0.0.1", 0)); print(s.getsockname()[1])'
+# free_ports COUNT: ports that are free now and differ from one another, as all are held at once.
+free_ports() {
+    python3 -c '
+import socket, sys
+held = [socket.socket() for _ in range(int(sys.argv[1]))]
+for one in held:
+    one.bind(("127.0.0.1", 0))
+print(*(one.getsockname()[1] for one in held))' "$1"
 }
 
 start platform "$BIN/standin" platform
@@ -91,10 +97,12 @@
 KEY_SHA=$(printf 'lectura-key' | sha256sum | cut -d' ' -f1)
 
 declare -A CALLERS OPERATORS PEERS DAEMON_PID
-for name in entry-1 entry-2 entry-3; do
-    CALLERS[$name]="127.0.0.1:$(free_port)"
-    OPERATORS[$name]="127.0.0.1:$(free_port)"
-    PEERS[$name]="127.0.0.1:$(free_port)"
+read -r -a PORTS <<<"$(free_ports 9)"
+for n in 0 1 2; do
+    name="entry-$((n + 1))"
+    CALLERS[$name]="127.0.0.1:${PORTS[n * 3]}"
+    OPERATORS[$name]="127.0.0.1:${PORTS[n * 3 + 1]}"
+    PEERS[$name]="127.0.0.1:${PORTS[n * 3 + 2]}"
 done
 for name in entry-1 entry-2 entry-3; do
     domain=talca-a
