--- a/shalehinge/src/core/mod.rs
+++ b/shalehinge/src/core/mod.rs
@@ -13,6 +13,7 @@
 //! - `superseded`: since when a newer configuration is known of
 //! - `whole_fetch`: whom a daemon asks for large objects
 //! - `routable_hosts`: the part of the host list that routing needs
+//! - `fingerprint`: what a request asks, the same each time that it comes
 //! - `fleet_state`: the newest objects known, which never revert
 //! - `membership`, `hash`: which daemons live, and who does what
 //! - `lease`: who acts for a failure domain
@@ -32,6 +33,7 @@
 pub mod engine;
 pub mod event;
 pub mod feed;
+pub mod fingerprint;
 pub mod fleet_state;
 pub mod hash;
 pub mod lease;
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -377,6 +377,12 @@
             return;
         };
         let target = pending.meta.target.clone();
+        if end == AttemptEnd::Lost {
+            out.push(RouterAction::Log(format!(
+                "request {} broke off at {}, asks {}",
+                request.0, running.upstream, pending.meta.fingerprint
+            )));
+        }
         if let Some(state) = self.targets.get_mut(&target) {
             state.settle(now, &self.settings, pending, &running, end);
         }
--- a/shalehinge/src/core/router/request.rs
+++ b/shalehinge/src/core/router/request.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::core::fingerprint::Fingerprint;
 use crate::core::objects::KeyHash;
 use crate::core::types::{
     Address, AttemptId, Customer, GroupNumber, HostId, ModelName, ReplicaId, RequestId,
@@ -37,6 +38,8 @@
 pub struct RequestMeta {
     /// Who sent it.
     pub customer: Customer,
+    /// What it asks, the same each time that it comes.
+    pub fingerprint: Fingerprint,
     /// What it is for.
     pub target: Target,
     /// Estimated tokens of the prompt.
--- a/shalehinge/src/gateway/chat.rs
+++ b/shalehinge/src/gateway/chat.rs
@@ -8,6 +8,7 @@
 
 use super::answer::{ErrorAnswer, serve};
 use super::{GatewayContext, access, intake};
+use crate::core::fingerprint::Fingerprint;
 use crate::core::router::prefix;
 use crate::core::router::request::{RequestMeta, Target};
 use crate::core::types::{Customer, ModelName};
@@ -53,7 +54,7 @@
     let wishes = intake::wishes(context, conn, &customer)?;
     let body = intake::body(context, conn).await?;
     let chat = parse(&body)?;
-    let meta = meta_of(context, customer, wishes, &chat);
+    let meta = meta_of(context, customer, wishes, &chat, &body);
     let outgoing = OutgoingRequest {
         method: Method::Post,
         path: PATH.to_owned(),
@@ -85,10 +86,12 @@
     customer: Customer,
     wishes: intake::Wishes,
     chat: &ChatRequest,
+    body: &[u8],
 ) -> RequestMeta {
     let prompt = prompt_text(chat);
     let max_tokens = chat.max_completion_tokens.or(chat.max_tokens);
     RequestMeta {
+        fingerprint: Fingerprint::of(&customer, Method::Post.as_str(), PATH, body),
         customer,
         target: Target::Model(ModelName::new(&chat.model)),
         prompt_tokens: (prompt.len() / BYTES_PER_TOKEN) as u32,
--- a/shalehinge/src/gateway/relay.rs
+++ b/shalehinge/src/gateway/relay.rs
@@ -11,6 +11,7 @@
 
 use super::answer::LeaveGuard;
 use super::{GatewayContext, intake};
+use crate::core::fingerprint::Fingerprint;
 use crate::core::objects::RequestKind;
 use crate::core::operator::hex;
 use crate::core::router::request::{
@@ -126,12 +127,13 @@
         .as_ref()
         .and_then(|relay| relay.request_id.as_deref());
     format!(
-        "is {} of {} for {}, {} {}",
+        "is {} of {} for {}, {} {}, asks {}",
         id.unwrap_or("without id"),
         meta.customer,
         meta.target,
         outgoing.method,
-        outgoing.path
+        outgoing.path,
+        meta.fingerprint
     )
 }
 
@@ -169,12 +171,15 @@
         .map_or(timeout, Duration::from_millis);
     let (prompt_tokens, max_output_tokens) = tokens(headers.get_str(names.tokens));
     let passed = passed_headers(names, conn);
+    let host_and_path = format!("{host}{}", conn.path_and_query());
     let most = limits.map_or(context.limits.max_body_bytes, |limits| {
         limits.max_body_bytes
     });
     let body = body(context, conn, most).await?;
+    let payer = customer.clone().unwrap_or_else(|| Customer::new(ANONYMOUS));
     let meta = RequestMeta {
-        customer: customer.clone().unwrap_or_else(|| Customer::new(ANONYMOUS)),
+        fingerprint: Fingerprint::of(&payer, conn.method().as_str(), &host_and_path, &body),
+        customer: payer,
         target,
         prompt_tokens,
         max_output_tokens,
--- a/shalehinge/src/gateway/service.rs
+++ b/shalehinge/src/gateway/service.rs
@@ -6,6 +6,7 @@
 
 use super::answer::{ErrorAnswer, serve};
 use super::{GatewayContext, access, intake};
+use crate::core::fingerprint::Fingerprint;
 use crate::core::objects::ServiceConfig;
 use crate::core::router::request::{NotRunReason, Outcome, RequestMeta, Target};
 use crate::core::types::ServiceName;
@@ -43,7 +44,9 @@
         wishes.repeatable = false;
     }
     let body = intake::body(context, conn).await?;
+    let path = conn.path_and_query();
     let meta = RequestMeta {
+        fingerprint: Fingerprint::of(&customer, conn.method().as_str(), path, &body),
         customer,
         target: Target::Service(name),
         prompt_tokens: 0,
--- a/shalehinge/tests/listed_routing.rs
+++ b/shalehinge/tests/listed_routing.rs
@@ -6,6 +6,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use shalehinge::core::fingerprint::Fingerprint;
 use shalehinge::core::router::request::{
     Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta, Target, UnknownReason, UpstreamId,
 };
@@ -50,6 +51,7 @@
 fn stream() -> RequestMeta {
     RequestMeta {
         customer: Customer::new("one"),
+        fingerprint: Fingerprint(1),
         target: target(),
         prompt_tokens: 100,
         max_output_tokens: 50,
@@ -110,6 +112,10 @@
     fn submit(&mut self, request: u64, meta: RequestMeta) {
         let mut out = Vec::new();
         let id = RequestId(request);
+        let meta = RequestMeta {
+            fingerprint: Fingerprint(request),
+            ..meta
+        };
         self.router
             .submit(self.now, id, meta, 1, &mut self.rng, &mut out);
         self.take(out);
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -8,6 +8,7 @@
 use shalehinge::core::daemon::{Daemon, Identity, TICK};
 use shalehinge::core::engine::{EngineLoad, EnginePhase, EngineStatus, HeldModel};
 use shalehinge::core::event::{Action, Event, Pull, PullId, PullReply, PullTopic, Timeouts};
+use shalehinge::core::fingerprint::Fingerprint;
 use shalehinge::core::fleet_state::ObjectUpdate;
 use shalehinge::core::objects::{
     CustomerConfig, FleetConfig, HostChanges, HostList, HostRecord, HostState, ModelProfile,
@@ -609,6 +610,7 @@
 fn stream(deadline: Timestamp) -> RequestMeta {
     RequestMeta {
         customer: Customer::new("one"),
+        fingerprint: Fingerprint(1),
         target: Target::Model(model()),
         prompt_tokens: 100,
         max_output_tokens: 100,
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -6,6 +6,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use shalehinge::core::engine::{EngineLoad, EnginePhase, EngineStatus};
+use shalehinge::core::fingerprint::Fingerprint;
 use shalehinge::core::router::request::{
     Attempt, AttemptEnd, Outcome, RequestMeta, Target, UpstreamId,
 };
@@ -28,6 +29,7 @@
 pub fn request() -> RequestBuilder {
     RequestBuilder(RequestMeta {
         customer: Customer::new("one"),
+        fingerprint: Fingerprint(1),
         target: target(),
         prompt_tokens: 10,
         max_output_tokens: 8,
@@ -144,6 +146,7 @@
     pub fn submit(&mut self, number: u64, request: RequestBuilder) -> Option<UpstreamId> {
         let mut meta = request.0;
         meta.deadline = self.now + Duration::from_secs(60);
+        meta.fingerprint = Fingerprint(number);
         let mut out = Vec::new();
         let id = RequestId(number);
         self.router
--- a/shalehinge/tests/superseded.rs
+++ b/shalehinge/tests/superseded.rs
@@ -5,6 +5,7 @@
 
 use shalehinge::core::daemon::{Daemon, Identity};
 use shalehinge::core::event::{Action, Event, Notice, PullReply, PullTopic};
+use shalehinge::core::fingerprint::Fingerprint;
 use shalehinge::core::fleet_state::{ObjectUpdate, VersionDigest};
 use shalehinge::core::membership::{Gossip, Heartbeat};
 use shalehinge::core::objects::{
@@ -256,6 +257,7 @@
     handle(daemon, now, Event::Tick);
     let meta = RequestMeta {
         customer: Customer::new("one"),
+        fingerprint: Fingerprint(1),
         target: Target::Service(ServiceName::new("plain")),
         prompt_tokens: 0,
         max_output_tokens: 0,
--- a/shalehinge/tests/support/apply.rs
+++ b/shalehinge/tests/support/apply.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 use shalehinge::core::change::Change;
 use shalehinge::core::event::Event;
+use shalehinge::core::fingerprint::Fingerprint;
 use shalehinge::core::objects::{KeyHash, ObjectKey};
 use shalehinge::core::operator::{Confirm, OperatorAnswer, OperatorCall, OperatorCallId};
 use shalehinge::core::router::request::{AttemptEnd, RequestMeta, Target};
@@ -141,6 +142,7 @@
         entry.requests.insert(request, caller);
         let meta = RequestMeta {
             customer: Customer::new(CUSTOMER),
+            fingerprint: Fingerprint(caller),
             target: Target::Model(ModelName::new(MODEL)),
             prompt_tokens: 10,
             max_output_tokens: 8,
--- a/standin/benches/decisions.rs
+++ b/standin/benches/decisions.rs
@@ -8,6 +8,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use shalehinge::core::engine::{EngineLoad, EnginePhase, EngineStatus};
+use shalehinge::core::fingerprint::Fingerprint;
 use shalehinge::core::objects::{Assignment, PlacementWeights};
 use shalehinge::core::placement::host_choice::HostChoice;
 use shalehinge::core::placement::need::NO_NEEDS;
@@ -84,6 +85,7 @@
         let mut out = Vec::new();
         let meta = RequestMeta {
             customer: Customer::new("customer-1"),
+            fingerprint: Fingerprint(number),
             target: Target::Model(ModelName::new("model")),
             prompt_tokens: 500,
             max_output_tokens: 256,
--- a/standin/src/experiment/fleet.rs
+++ b/standin/src/experiment/fleet.rs
@@ -9,6 +9,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use shalehinge::core::engine::{EngineLoad, EnginePhase, EngineStatus};
+use shalehinge::core::fingerprint::Fingerprint;
 use shalehinge::core::fleet_state::{FleetState, ObjectUpdate};
 use shalehinge::core::objects::{
     Assignment, FleetConfig, GroupPhase, Member, ModelIntent, Object, ObjectKey,
@@ -315,6 +316,7 @@
         let router = index % self.spec.routers;
         let meta = RequestMeta {
             customer: customer_name(arrival.customer),
+            fingerprint: Fingerprint(index as u64),
             target: Target::Model(model_name()),
             prompt_tokens: arrival.prompt_tokens,
             max_output_tokens: MAX_OUTPUT,
