test(controller): a new holder with an old list uses a host that it shows in an open group

Trace: rank 0 and one other member of a group were cut off from the platform, the group was dissolved, two members left, and after their time the other one was no longer held back, as it was not listed. The list was older than that holder's first look at the assignment, and strays are only looked for in a newer one.

--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -392,6 +392,45 @@
     assert_eq!(host(0).as_str(), "host-00");
 }
 
+/// Seen: rank 0 and one other member of a group were cut off from the platform, and the group
+/// was dissolved without them. The lease passed on, and 100 ms later its new holder put the
+/// other member, which was listed again, into a new group, while rank 0 was still open and
+/// nobody had told the member to leave. Evidence, from the log of the holders: the list showed
+/// the member in its old group, but was older than the new holder's first look at the
+/// assignment, and what an old list shows was not counted at all.
+#[test]
+fn a_new_holder_with_an_old_list_uses_no_host_that_it_shows_in_a_group() {
+    let mut domain = Domain::serving(&[6]);
+    let (number, members) = domain.group_of(LARGE);
+    let (_, pair) = domain.group_of(SMALL);
+    let lose = |domain: &mut Domain, host: &HostId| {
+        domain.engine(host).is_listed = false;
+        domain.go_dark(host);
+    };
+    lose(&mut domain, &members[0]);
+    lose(&mut domain, &members[2]);
+    domain.run_until("the others left", |domain| {
+        let left = |host| domain.engines[host].group.is_none();
+        left(&members[1]) && left(&members[3])
+    });
+    // One free host is left, which would make a small group with the one that comes back.
+    for host in [&members[1], &members[3], &pair[0]] {
+        lose(&mut domain, host);
+    }
+    domain.run_for(seconds(8));
+    assert!(!domain.stored.value.groups.contains_key(&number));
+    domain.engine(&members[2]).is_reachable = true;
+    domain.engine(&members[2]).is_listed = true;
+    let list = domain.list_with_what_is_new();
+    domain.change_holder_with_list(list);
+    domain.run_for(seconds(1));
+    assert_eq!(domain.engines[&members[2]].group, Some(number));
+    domain.list_moves = true;
+    domain.run_until("it left and is used", |domain| {
+        domain.open_groups(SMALL) == 1
+    });
+}
+
 #[test]
 fn a_member_that_is_gone_keeps_no_other_host_in_a_group_that_retires() {
     let mut domain = Domain::serving(&[8]);
--- a/shalehinge/tests/ordered_support/mod.rs
+++ b/shalehinge/tests/ordered_support/mod.rs
@@ -221,6 +221,12 @@
         (self.state.clone(), self.as_of)
     }
 
+    /// The list as it is just before a successor's first look at the assignment.
+    pub fn list_with_what_is_new(&mut self) -> (FleetState, Timestamp) {
+        self.update_list();
+        self.list_as_it_is()
+    }
+
     /// Another daemon takes over, which knows only an old list and learns no newer one.
     pub fn change_holder_with_list(&mut self, (state, as_of): (FleetState, Timestamp)) {
         self.change_holder();
