fix(controller): a host that any list shows in a group is used for nothing else before it left it

Cause: see the test before. Change: what the list shows of a host that no group has counts against its use however old the list is; whether it is told to leave still needs a newer list. Before: 'host-02 joins 3 while 1 takes requests'; after: green.

--- a/shalehinge/src/core/controller/departures.rs
+++ b/shalehinge/src/core/controller/departures.rs
@@ -60,11 +60,22 @@
         }
     }
 
-    /// Free hosts that show a group all the same; not to be used until they left it.
-    pub(super) fn strays(&self, value: &Assignment) -> BTreeMap<HostId, GroupNumber> {
-        if !self.trusts_absence() {
-            return BTreeMap::new();
+    /// Hosts of no group that are shown in one which the assignment surely doesn't have any
+    /// more, to be told to leave it.
+    fn strays(&self, value: &Assignment) -> BTreeMap<HostId, GroupNumber> {
+        if self.trusts_absence() {
+            self.shown_in_a_group(value)
+        } else {
+            BTreeMap::new()
         }
+    }
+
+    /// Hosts of no group that the list shows in one all the same; not to be used until they
+    /// left it. That counts in an old list too: a member that was cut off when its group was
+    /// dissolved may be back, was never told to leave, and its rank 0 may still be open. A
+    /// new holder that looked at newer lists alone put such a member into another group
+    /// within 100 ms (one in eight plays of a day with cuts and a lease that passes on).
+    pub(super) fn shown_in_a_group(&self, value: &Assignment) -> BTreeMap<HostId, GroupNumber> {
         let used = value.used_hosts();
         self.listed
             .iter()
--- a/shalehinge/src/core/controller/ordered_plan.rs
+++ b/shalehinge/src/core/controller/ordered_plan.rs
@@ -50,7 +50,7 @@
             entries_may_return: self.list_outage.may_return(),
         };
         log.extend(self.plans.refresh(state, input, &mut value.wanted));
-        avoided.extend(self.strays(value).into_keys());
+        avoided.extend(self.shown_in_a_group(value).into_keys());
         let held = self.listed_weights();
         // Survivors of a lost group are free in a moment, and soonest ready again.
         let awaits_survivors = self.awaits_survivors(now, value, &avoided);
--- a/shalehinge/src/core/controller/staging.rs
+++ b/shalehinge/src/core/controller/staging.rs
@@ -88,12 +88,12 @@
             return;
         }
         let used = value.used_hosts();
-        let strays = self.strays(value);
+        let in_a_group = self.shown_in_a_group(value);
         let idle = self.listed.iter().filter(|(host, listed)| {
             listed.is_listed
                 && listed.record.state == HostState::Live
                 && !used.contains(host)
-                && !strays.contains_key(host)
+                && !in_a_group.contains_key(host)
                 && !self.unreachable.contains_key(host)
                 && !self.last_model.contains_key(host)
         });
@@ -192,7 +192,7 @@
     }
 
     fn wanted_weights(&mut self, value: &Assignment) -> Vec<StageWish> {
-        let strays = self.strays(value);
+        let in_a_group = self.shown_in_a_group(value);
         let mut group_of: BTreeMap<&HostId, &Group> = BTreeMap::new();
         for group in value.groups.values() {
             for member in &group.members {
@@ -208,7 +208,7 @@
             let is_usable = listed.is_listed
                 && listed.record.state == HostState::Live
                 && !value.releasing.contains_key(host)
-                && !strays.contains_key(host)
+                && !in_a_group.contains_key(host)
                 && !self.unreachable.contains_key(host)
                 && !self.priming.contains_key(host);
             let group = group_of.get(host);
