fix(router): a request that was lost at two upstreams and completed at none is quarantined

Cause: a daemon knew of a request only while it was under way. One that crashes whoever runs it was new to each daemon at each attempt of its caller, and cost an upstream each time (14 of 14 heads that ended in eight seconds ran it). Excluded: load (0.2 of the slots or less in 2,252 of 2,698 choices), news that spread too late (nothing was known that could spread). Change: lost attempts are counted by what was asked, over all daemons: each tells two daemons of each failure domain, whoever decides tells all, and answers to peers hold what is in quarantine. A whole answer anywhere since the first loss ends it. What is in quarantine is answered 'not run' at once, also out of the line, and is not tried again. Messages between daemons changed.

--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::{Daemon, Purpose, RUMOUR_FANOUT, WATCH_DUTY, WATCH_PAUSE, log};
-use crate::core::event::{Action, Notice, Part};
+use crate::core::event::{Action, Notice, Part, QuarantineReport};
 use crate::core::feed::{Confirmation, Feed};
 use crate::core::fleet_state::{Applied, ObjectUpdate};
 use crate::core::objects::ObjectKey;
@@ -260,13 +260,22 @@
 
     pub(super) fn notify(&self, peers: Vec<Address>, lost: Vec<ReplicaId>, out: &mut Vec<Action>) {
         let notice = Notice {
-            from: self.identity.address,
-            digest: self.state.digest(),
             lost,
+            ..self.notice()
         };
         for to in peers {
             let notice = notice.clone();
             out.push(Action::Notify { to, notice });
         }
     }
+
+    /// A notice that tells versions alone.
+    pub(super) fn notice(&self) -> Notice {
+        Notice {
+            from: self.identity.address,
+            digest: self.state.digest(),
+            lost: Vec::new(),
+            quarantine: QuarantineReport::default(),
+        }
+    }
 }
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -7,6 +7,7 @@
 //! - `platform_calls`: calls to the platform, and where their answers go
 //! - `configuration`: which objects are in force: listed, watched, spread
 //! - `peers`: pulls and notices between daemons
+//! - `quarantine`: what daemons tell each other of requests that crash upstreams
 //! - `relays`: what daemons that don't read the platform hear from peers
 //! - `control`: the lease, and what its holder does
 //! - `operators`: plans and confirms
@@ -20,6 +21,7 @@
 mod operators;
 mod peers;
 mod platform_calls;
+mod quarantine;
 mod relays;
 mod requests;
 mod stopping;
@@ -350,6 +352,7 @@
         self.tick_claims(now, out);
         self.tick_router(now, out);
         self.tell_suspects(now, out);
+        self.tell_quarantine(now, out);
         self.finish_stop(out);
     }
 }
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -11,7 +11,9 @@
     WATCH_DUTY,
 };
 use crate::core::demand::WorkReport;
-use crate::core::event::{Action, LastOutput, Notice, Pull, PullId, PullReply, PullTopic, Reached};
+use crate::core::event::{
+    Action, LastOutput, Notice, Pull, PullId, PullReply, PullTopic, QuarantineReport, Reached,
+};
 use crate::core::feed::{Confirmation, Feed};
 use crate::core::fleet_state::{ObjectUpdate, VersionDigest};
 use crate::core::membership::Gossip;
@@ -20,7 +22,7 @@
 use crate::core::whole_fetch::Distance;
 
 /// Milliseconds since then, rounded up: what is told must never seem newer.
-fn millis_since(now: Timestamp, at: Timestamp) -> u64 {
+pub(super) fn millis_since(now: Timestamp, at: Timestamp) -> u64 {
     now.since(at).as_millis() as u64 + 1
 }
 
@@ -231,6 +233,12 @@
             }),
             work: self.work_about(now, pull.topic),
             moving,
+            quarantine: match pull.topic {
+                PullTopic::All => self.quarantine_report(now),
+                PullTopic::Objects | PullTopic::Moving | PullTopic::WholeObjects => {
+                    QuarantineReport::default()
+                }
+            },
         };
         out.push(Action::AnswerPull { pull_id, reply });
     }
@@ -327,6 +335,8 @@
         let from = reply.gossip.sender.address;
         self.note_work(now, reply.work);
         self.note_moving(asked_at, reply.moving);
+        // Reckoned from before the question: what is told on and on must not seem ever newer.
+        self.learn_quarantine(now, asked_at, reply.quarantine, out);
         self.membership.merge(now, reply.gossip);
         self.apply(now, reply.updates, out);
         // What a peer says of its configuration holds only for one that is as new.
@@ -370,6 +380,7 @@
         for replica in &notice.lost {
             self.lose(now, replica, out);
         }
+        self.learn_quarantine(now, now, notice.quarantine, out);
         self.hear_versions(now, notice.from, &notice.digest);
         self.fetch_whole_objects(now, out);
     }
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -6,6 +6,7 @@
 
 use super::demand::WorkReport;
 use super::engine::{EngineStatus, Order, OrderReply};
+use super::fingerprint::Fingerprint;
 use super::fleet_state::{ObjectUpdate, VersionDigest};
 use super::membership::Gossip;
 use super::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
@@ -73,6 +74,52 @@
     /// where they were asked for.
     #[serde(default)]
     pub moving: Vec<LastOutput>,
+    /// Requests in quarantine; only where members were asked for too.
+    #[serde(default)]
+    pub quarantine: QuarantineReport,
+}
+
+/// What is known of requests that crash the upstreams that run them; ages in milliseconds,
+/// rounded up.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineReport {
+    /// Attempts that broke off, for those who count them.
+    pub losses: Vec<LossReport>,
+    /// Requests in quarantine.
+    pub quarantined: Vec<QuarantinedReport>,
+    /// Requests that must not be in quarantine.
+    pub completions: Vec<CompletionReport>,
+}
+
+/// An attempt that broke off at an upstream, without an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LossReport {
+    /// What was asked.
+    pub fingerprint: Fingerprint,
+    /// Where it ran, or might have.
+    pub upstream: UpstreamId,
+    /// How long ago it broke off.
+    pub ms_ago: u64,
+}
+
+/// A request in quarantine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantinedReport {
+    /// What is asked.
+    pub fingerprint: Fingerprint,
+    /// How long ago the first of the losses was that decided it.
+    pub first_lost_ms_ago: u64,
+    /// How long ago the last of them was.
+    pub last_lost_ms_ago: u64,
+}
+
+/// A request that an upstream answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CompletionReport {
+    /// What was asked.
+    pub fingerprint: Fingerprint,
+    /// How long ago the answer was whole.
+    pub ms_ago: u64,
 }
 
 /// When a replica last brought a daemon output.
@@ -103,6 +150,9 @@
     /// Replicas that surely lost a member, by whoever holds their failure domain.
     #[serde(default)]
     pub lost: Vec<ReplicaId>,
+    /// What is new of requests that crash the upstreams that run them.
+    #[serde(default)]
+    pub quarantine: QuarantineReport,
 }
 
 /// Who asked for an engine's status.
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::settings::router::RouterSettings;
 
 use super::choose::Choice;
+use super::quarantine::Quarantine;
 use super::request::{
     Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta, Target, UnknownReason, UpstreamId,
 };
@@ -56,6 +57,7 @@
     pub(super) sharers: usize,
     pub(super) waiting: usize,
     pub(super) keys_until: Option<Timestamp>,
+    pub(super) quarantine: Quarantine,
     pub(super) ticked_at: Timestamp,
 }
 
@@ -76,6 +78,7 @@
             sharers: 1,
             waiting: 0,
             keys_until: None,
+            quarantine: Quarantine::default(),
             ticked_at: Timestamp::ZERO,
         }
     }
@@ -171,6 +174,9 @@
         let Some(state) = self.targets.get(&meta.target) else {
             return Some((NotRunReason::UnknownTarget, MOST_RETRY_AFTER));
         };
+        if let Some(left) = self.quarantined_for(now, meta.fingerprint) {
+            return Some((NotRunReason::Quarantined, left.min(MOST_RETRY_AFTER)));
+        }
         let retry_after = self.settings.retry_after;
         let is_out_of_date = self.keys_until.is_some_and(|until| now >= until);
         if is_out_of_date && meta.credential.is_some() {
@@ -285,18 +291,29 @@
                 && has_waited
                 && pending.attempts == 0
                 && state.service_time(&pending.meta) > time_left;
-            if too_late {
-                state.queue.pop();
-                self.waiting -= 1;
-                self.answer(request, self.not_run(NotRunReason::WouldBeLate), out);
-                continue;
-            }
             let is_out_of_date = pending.meta.credential.is_some()
                 && self.keys_until.is_some_and(|until| now >= until);
-            if is_out_of_date {
+            let quarantine =
+                self.quarantine
+                    .time_left(now, pending.meta.fingerprint, &self.settings);
+            let retry_after = self.settings.retry_after;
+            let refusal = if let Some(left) = quarantine {
+                Some((NotRunReason::Quarantined, left.min(MOST_RETRY_AFTER)))
+            } else if too_late {
+                Some((NotRunReason::WouldBeLate, retry_after))
+            } else if is_out_of_date {
+                Some((NotRunReason::OutOfDate, retry_after))
+            } else {
+                None
+            };
+            if let Some((reason, retry_after)) = refusal {
                 state.queue.pop();
                 self.waiting -= 1;
-                self.answer(request, self.not_run(NotRunReason::OutOfDate), out);
+                let outcome = Outcome::NotRun {
+                    reason,
+                    retry_after,
+                };
+                self.answer(request, outcome, out);
                 continue;
             }
             let Some(choice) = state.choose_for(now, &self.settings, pending, rng) else {
@@ -377,18 +394,14 @@
             return;
         };
         let target = pending.meta.target.clone();
-        if end == AttemptEnd::Lost {
-            out.push(RouterAction::Log(format!(
-                "request {} broke off at {}, asks {}",
-                request.0, running.upstream, pending.meta.fingerprint
-            )));
-        }
+        let fingerprint = pending.meta.fingerprint;
         if let Some(state) = self.targets.get_mut(&target) {
             state.settle(now, &self.settings, pending, &running, end);
         }
         if !matches!(end, AttemptEnd::NotSent | AttemptEnd::Refused) {
             pending.runs += 1;
         }
+        self.learn_from(now, request, fingerprint, &running.upstream, end, out);
         match outcome_of(end, self.settings.retry_after) {
             Outcome::Completed => self.answer(request, Outcome::Completed, out),
             outcome => self.retry_or_answer(now, request, outcome, out),
@@ -434,7 +447,11 @@
         let most_runs = pending.meta.max_attempts;
         let has_runs_left = most_runs.is_none_or(|most| pending.runs < most);
         let has_tries_left = pending.attempts < self.settings.max_attempts;
-        let again = is_safe && in_time && has_tries_left && has_runs_left;
+        let is_quarantined = self
+            .quarantine
+            .time_left(now, pending.meta.fingerprint, &self.settings)
+            .is_some();
+        let again = is_safe && in_time && has_tries_left && has_runs_left && !is_quarantined;
         if !again || !self.retries.withdraw() {
             self.answer(request, outcome, out);
             return;
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -11,6 +11,8 @@
 //! - `outlier`: ejection of upstreams that fail or are slow
 //! - `retry_budget`: how many retries are allowed
 //! - `keys`: keys of relayed requests, and how long they count
+//! - `quarantine`: requests that crash the upstreams that run them
+//! - `suspects`: what the router learns of such requests, and tells of them
 //! - `stalled`: replicas that stand still
 //! - `target`: one model or service: its upstreams and its waiting line
 //! - `dispatch`: the state machine that joins them
@@ -21,10 +23,12 @@
 mod keys;
 pub mod outlier;
 pub mod prefix;
+pub mod quarantine;
 pub mod queue;
 pub mod request;
 pub mod retry_budget;
 mod stalled;
+mod suspects;
 mod target;
 pub mod topology;
 pub mod upstream;
--- a/shalehinge/src/core/router/request.rs
+++ b/shalehinge/src/core/router/request.rs
@@ -70,7 +70,7 @@
 pub type Credential = std::sync::Arc<str>;
 
 /// Names an upstream.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum UpstreamId {
     /// A replica of a model.
     Replica(ReplicaId),
@@ -184,6 +184,8 @@
     KeyTakenAway,
     /// The configuration may be out of date, so keys can't be trusted.
     OutOfDate,
+    /// The same request crashed the upstreams that ran it.
+    Quarantined,
 }
 
 /// Why it is not known whether a request ran.
--- a/shalehinge/src/gateway/answer.rs
+++ b/shalehinge/src/gateway/answer.rs
@@ -153,6 +153,11 @@
                 "key_taken_away",
                 "the key was taken away while the request waited; it did not run",
             ),
+            NotRunReason::Quarantined => (
+                Status::ServiceUnavailable,
+                "quarantined",
+                "upstreams crashed when they ran this request; it did not run this time, so change it or ask the operators",
+            ),
             NotRunReason::OutOfDate => (
                 Status::ServiceUnavailable,
                 "out_of_date",
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -19,7 +19,7 @@
 use crate::core::event::{Action, Event, Pull, PullId, PullReply, StatusPurpose};
 use crate::core::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
 use crate::core::platform::{CallId, NoAnswer, PlatformCall};
-use crate::core::router::request::{Attempt, AttemptEnd, Outcome, RequestMeta};
+use crate::core::router::request::{Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta};
 use crate::core::types::{Address, AttemptId, HostId, RequestId, Timestamp};
 use crate::object_api::PlatformClient;
 use crate::peer::client::PeerClient;
@@ -322,6 +322,13 @@
     }
 
     fn answer(&self, request: RequestId, outcome: Outcome) {
+        if let Outcome::NotRun {
+            reason: NotRunReason::Quarantined,
+            ..
+        } = outcome
+        {
+            self.metrics.count(Counter::Quarantined);
+        }
         self.metrics.count(match outcome {
             Outcome::Completed => Counter::Completed,
             Outcome::Failed { .. } => Counter::Failed,
--- a/shalehinge/src/settings/router.rs
+++ b/shalehinge/src/settings/router.rs
@@ -59,6 +59,11 @@
     pub suspect_after: Duration,
     /// Whether `retry_burst` is for the whole fleet and each daemon has a part of it.
     pub retry_burst_is_shared: bool,
+    /// Upstreams at which a request is lost, and completes at none, before it is quarantined;
+    /// 0 for never.
+    pub quarantine_after: u32,
+    /// How long a request stays in quarantine after its last loss.
+    pub quarantine_for: Duration,
     /// When refused callers are told to come back, where nothing better is known.
     pub retry_after: Duration,
 }
@@ -104,6 +109,8 @@
             stall_after: Duration::from_millis(800),
             suspect_after: Duration::from_millis(800),
             retry_burst_is_shared: false,
+            quarantine_after: 2,
+            quarantine_for: Duration::from_secs(1_800),
             retry_after: Duration::from_secs(2),
         }
     }
@@ -143,6 +150,8 @@
             suspect_after: section.duration("suspect_after", default.suspect_after),
             retry_burst_is_shared: section
                 .flag("retry_burst_is_shared", default.retry_burst_is_shared),
+            quarantine_after: section.count("quarantine_after", default.quarantine_after),
+            quarantine_for: section.duration("quarantine_for", default.quarantine_for),
             retry_after: section.duration("retry_after", default.retry_after),
         }
     }
--- a/shalehinge/src/telemetry/metrics.rs
+++ b/shalehinge/src/telemetry/metrics.rs
@@ -24,6 +24,8 @@
     Failed,
     /// Requests that were not run.
     NotRun,
+    /// Requests that were not run as the same request crashed upstreams before.
+    Quarantined,
     /// Requests whose outcome is unknown.
     Unknown,
     /// Attempts sent to upstreams.
@@ -58,6 +60,7 @@
             Self::Completed => "requests.completed",
             Self::Failed => "requests.failed",
             Self::NotRun => "requests.not_run",
+            Self::Quarantined => "requests.quarantined",
             Self::Unknown => "requests.unknown",
             Self::Attempts => "attempts",
             Self::PlatformReads => "platform.reads",
--- /dev/null
+++ b/shalehinge/tests/quarantine.rs
@@ -0,0 +1,225 @@
+//! Requests that crash the upstreams that run them: what is counted, decided and told.
+
+mod relay_support;
+
+use std::time::Duration;
+
+use relay_support::Fleet;
+use shalehinge::core::fingerprint::Fingerprint;
+use shalehinge::core::router::quarantine::{Completion, Loss, Quarantine};
+use shalehinge::core::router::request::UpstreamId;
+use shalehinge::core::types::{Customer, FailureDomain, GroupNumber, ReplicaId, Timestamp};
+use shalehinge::settings::router::RouterSettings;
+
+const ASKED: Fingerprint = Fingerprint(7);
+
+fn at(seconds: u64) -> Timestamp {
+    Timestamp::from_millis(seconds * 1_000)
+}
+
+fn loss(upstream: u64, seconds: u64) -> Loss {
+    let replica = ReplicaId {
+        failure_domain: FailureDomain::new("d"),
+        number: GroupNumber(upstream),
+    };
+    Loss {
+        fingerprint: ASKED,
+        upstream: UpstreamId::Replica(replica),
+        at: at(seconds),
+    }
+}
+
+fn completion(seconds: u64) -> Completion {
+    Completion {
+        fingerprint: ASKED,
+        at: at(seconds),
+    }
+}
+
+/// A daemon's knowledge, with the default settings.
+#[derive(Default)]
+struct Known {
+    quarantine: Quarantine,
+    settings: RouterSettings,
+}
+
+impl Known {
+    fn lose(&mut self, upstream: u64, seconds: u64) -> bool {
+        let loss = loss(upstream, seconds);
+        self.quarantine.note_loss(loss, &self.settings)
+    }
+
+    fn is_quarantined(&self, seconds: u64) -> bool {
+        self.quarantine
+            .time_left(at(seconds), ASKED, &self.settings)
+            .is_some()
+    }
+}
+
+#[test]
+fn what_was_lost_at_two_upstreams_is_quarantined_until_its_time_is_over() {
+    let mut known = Known::default();
+    assert!(!known.lose(1, 10), "one loss may be the upstream's");
+    assert!(!known.is_quarantined(11));
+    assert!(known.lose(2, 20));
+    assert!(known.is_quarantined(21));
+    let time = known.settings.quarantine_for.as_secs();
+    assert!(known.is_quarantined(20 + time - 1));
+    assert!(!known.is_quarantined(20 + time));
+}
+
+#[test]
+fn a_crash_that_several_daemons_tell_of_counts_once() {
+    let mut known = Known::default();
+    known.lose(1, 10);
+    let told = known.quarantine.learn_loss(loss(1, 10), &known.settings);
+    assert!(!told);
+    assert!(!known.is_quarantined(11));
+    // An instance that was back under its old name and crashed again.
+    let again = known.quarantine.learn_loss(loss(1, 15), &known.settings);
+    assert!(again);
+}
+
+#[test]
+fn losses_long_apart_have_nothing_to_do_with_each_other() {
+    let mut known = Known::default();
+    known.lose(1, 10);
+    assert!(!known.lose(2, 10 + 301));
+    assert!(known.lose(3, 10 + 400));
+}
+
+#[test]
+fn what_an_upstream_answers_since_counts_anew() {
+    let mut known = Known::default();
+    known.lose(1, 10);
+    known.quarantine.note_completion(completion(11));
+    assert!(!known.lose(2, 12));
+    assert!(known.lose(3, 13));
+    assert!(known.quarantine.note_completion(completion(14)), "it ends");
+    assert!(!known.is_quarantined(15));
+}
+
+#[test]
+fn a_daemon_that_had_an_answer_since_the_first_loss_objects_to_a_quarantine() {
+    let mut witness = Known::default();
+    let mut served = Known::default();
+    served.quarantine.note_completion(completion(15));
+    witness.lose(1, 10);
+    witness.lose(2, 20);
+    let news = witness.quarantine.take_news();
+    assert!(!served.quarantine.learn_quarantined(news.quarantined[0]));
+    assert!(!served.is_quarantined(21));
+    let objection = served.quarantine.take_news().completions;
+    assert_eq!(objection, [completion(15)]);
+    assert!(witness.quarantine.learn_completion(objection[0]));
+    assert!(!witness.is_quarantined(21));
+}
+
+#[test]
+fn an_answer_from_before_the_losses_is_no_objection() {
+    let mut known = Known::default();
+    known.quarantine.note_completion(completion(9));
+    let mut witness = Known::default();
+    witness.lose(1, 10);
+    witness.lose(2, 20);
+    let news = witness.quarantine.take_news();
+    assert!(known.quarantine.learn_quarantined(news.quarantined[0]));
+    assert!(known.is_quarantined(21));
+}
+
+#[test]
+fn nothing_is_quarantined_where_that_is_turned_off() {
+    let mut known = Known::default();
+    known.settings.quarantine_after = 0;
+    for upstream in 1..10 {
+        assert!(!known.lose(upstream, upstream));
+    }
+    assert!(known.quarantine.take_news().is_empty());
+}
+
+#[test]
+fn requests_with_losses_take_a_bounded_room() {
+    let mut known = Known::default();
+    for number in 0..10_000 {
+        let loss = Loss {
+            fingerprint: Fingerprint(number),
+            ..loss(1, number)
+        };
+        known.quarantine.note_loss(loss, &known.settings);
+        known.quarantine.take_news();
+    }
+    let last = Loss {
+        fingerprint: Fingerprint(9_999),
+        ..loss(2, 10_000)
+    };
+    assert!(known.quarantine.note_loss(last, &known.settings));
+}
+
+#[test]
+fn customer_method_path_and_body_make_the_fingerprint() {
+    let of = |customer: &str, method: &str, path: &str, body: &[u8]| {
+        Fingerprint::of(&Customer::new(customer), method, path, body)
+    };
+    let one = of("one", "POST", "h/a", b"body");
+    assert_eq!(one, of("one", "POST", "h/a", b"body"));
+    assert_ne!(one, of("two", "POST", "h/a", b"body"));
+    assert_ne!(one, of("one", "PUT", "h/a", b"body"));
+    assert_ne!(one, of("one", "POST", "h/b", b"body"));
+    assert_ne!(one, of("one", "POST", "h/ab", b"ody"));
+    let mut large = vec![0; 1_000_000];
+    let before = of("one", "POST", "h/a", &large);
+    large[999_999] = 1;
+    assert_ne!(before, of("one", "POST", "h/a", &large));
+    large.pop();
+    assert_ne!(before, of("one", "POST", "h/a", &large));
+}
+
+/// Daemons that route to groups of a model.
+fn fleet(daemons: u16) -> Fleet {
+    let mut fleet = Fleet::new(daemons);
+    fleet.platform.open_groups(60);
+    fleet.run(Duration::from_secs(10));
+    fleet
+}
+
+#[test]
+fn a_request_that_comes_to_one_daemon_after_the_other_crashes_few_upstreams() {
+    let mut fleet = fleet(90);
+    for index in 0..90 {
+        fleet.crashing_stream(index);
+        fleet.run(Duration::from_millis(100));
+    }
+    assert!(fleet.crashes >= 2, "it was sent");
+    assert!(fleet.crashes <= 4, "{} upstreams crashed", fleet.crashes);
+}
+
+#[test]
+fn a_daemon_that_missed_the_news_is_told_by_the_peers_that_it_asks() {
+    let mut fleet = fleet(9);
+    fleet.dead.insert(8);
+    fleet.crashing_stream(0);
+    fleet.crashing_stream(1);
+    fleet.run(Duration::from_secs(1));
+    fleet.dead.remove(&8);
+    fleet.run(Duration::from_secs(3));
+    let crashes = fleet.crashes;
+    fleet.crashing_stream(8);
+    fleet.run(Duration::from_secs(1));
+    assert_eq!(fleet.crashes, crashes);
+}
+
+#[test]
+fn what_daemons_tell_each_other_on_and_on_makes_no_quarantine_last_longer() {
+    let mut fleet = fleet(3);
+    fleet.crashing_stream(0);
+    fleet.crashing_stream(1);
+    fleet.run(Duration::from_secs(5));
+    let held = |fleet: &Fleet| {
+        let now = Timestamp::from_duration(fleet.now);
+        let routers = fleet.daemons.iter().map(|daemon| daemon.router());
+        routers.map(|r| r.quarantined(now).count()).sum::<usize>()
+    };
+    assert_eq!(held(&fleet), 3, "each daemon knows");
+    fleet.run(RouterSettings::default().quarantine_for);
+    assert_eq!(held(&fleet), 0);
+}
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -15,7 +15,7 @@
     Object, ObjectKey, RequestKind, RouteConfig, ServiceConfig, Versioned, WeightedService,
 };
 use shalehinge::core::platform::{CallId, NoAnswer, PlatformCall, PlatformReply, Revision, Scope};
-use shalehinge::core::router::request::{RequestMeta, Target};
+use shalehinge::core::router::request::{AttemptEnd, RequestMeta, Target};
 use shalehinge::core::routes::model_of_service;
 use shalehinge::core::types::{
     Address, Customer, DaemonId, FabricDomain, FailureDomain, GroupNumber, HostId, Incarnation,
@@ -347,6 +347,10 @@
     next_event: u64,
     pulls: BTreeMap<PullId, (usize, Timestamp, Pull)>,
     calls: Vec<Call>,
+    /// Requests that crash the upstream that runs them.
+    crashing: BTreeSet<RequestId>,
+    /// Upstreams that crashed so.
+    pub crashes: usize,
 }
 
 impl Fleet {
@@ -381,6 +385,8 @@
             next_event: 0,
             pulls: BTreeMap::new(),
             calls: Vec::new(),
+            crashing: BTreeSet::new(),
+            crashes: 0,
         }
     }
 
@@ -529,6 +535,15 @@
         }
     }
 
+    /// A caller sends a daemon the one request that crashes whoever runs it.
+    pub fn crashing_stream(&mut self, index: usize) {
+        self.next_event += 1;
+        let request = RequestId(self.next_event);
+        self.crashing.insert(request);
+        let meta = stream(Timestamp::from_duration(self.now + STREAM_DEADLINE));
+        self.handle(index, Event::Request { request, meta });
+    }
+
     fn handle(&mut self, index: usize, event: Event) {
         if self.dead.contains(&index) {
             return;
@@ -572,6 +587,17 @@
             Action::AnswerPull { pull_id, reply } => self.answer_pull(index, pull_id, reply),
             Action::Send(attempt) => {
                 let (request, attempt) = (attempt.request, attempt.id);
+                if self.crashing.contains(&request) {
+                    self.crashes += 1;
+                    let end = AttemptEnd::Lost;
+                    let event = Event::Ended {
+                        request,
+                        attempt,
+                        end,
+                    };
+                    self.later(TICK, index, event);
+                    return;
+                }
                 self.later(TICK, index, Event::Output { request, attempt });
             }
             Action::Notify { to, notice } => {
--- a/shalehinge/tests/router.rs
+++ b/shalehinge/tests/router.rs
@@ -156,3 +156,50 @@
         "one at a time on probation"
     );
 }
+
+#[test]
+fn a_request_that_was_lost_twice_is_sent_no_more_and_refused_when_it_comes_again() {
+    let mut harness = Harness::with_replicas(4);
+    harness.submit(1, request().repeatable());
+    harness.end(1, AttemptEnd::Lost);
+    harness.end(1, AttemptEnd::Lost);
+    assert_eq!(harness.attempts(1), 2, "of three that the settings allow");
+    let reason = UnknownReason::Lost;
+    assert_eq!(harness.answer(1), Some(Outcome::Unknown { reason }));
+    harness.submit(2, request().repeatable().that_asks_as(1));
+    assert_eq!(harness.attempts(2), 0);
+    let Some(Outcome::NotRun {
+        reason,
+        retry_after,
+    }) = harness.answer(2)
+    else {
+        panic!("no refusal");
+    };
+    assert_eq!(reason, NotRunReason::Quarantined);
+    assert!(retry_after > Duration::from_secs(1));
+    harness.submit(3, request().repeatable());
+    assert_eq!(harness.attempts(3), 1, "others are served");
+}
+
+#[test]
+fn a_request_that_waits_while_the_same_one_is_quarantined_is_not_sent() {
+    let mut harness = Harness::with_replicas(4);
+    harness.submit(1, request());
+    harness.submit(2, request().that_asks_as(1));
+    harness.fill();
+    harness.submit(3, request().that_asks_as(1));
+    assert_eq!(harness.attempts(3), 0, "it waits");
+    harness.end(1, AttemptEnd::Lost);
+    harness.end(2, AttemptEnd::Lost);
+    harness.advance(Duration::from_millis(100));
+    assert_eq!(harness.attempts(3), 0);
+    let outcome = harness.answer(3);
+    let is_refused = matches!(
+        outcome,
+        Some(Outcome::NotRun {
+            reason: NotRunReason::Quarantined,
+            ..
+        })
+    );
+    assert!(is_refused, "{outcome:?}");
+}
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -23,26 +23,29 @@
 
 /// What a test says of a request.
 #[derive(Clone)]
-pub struct RequestBuilder(RequestMeta);
+pub struct RequestBuilder(RequestMeta, Option<Fingerprint>);
 
 /// A request that may not be repeated, with a minute to run.
 pub fn request() -> RequestBuilder {
-    RequestBuilder(RequestMeta {
-        customer: Customer::new("one"),
-        fingerprint: Fingerprint(1),
-        target: target(),
-        prompt_tokens: 10,
-        max_output_tokens: 8,
-        deadline: Timestamp::from_millis(60_000),
-        first_output_within: None,
-        priority: 0,
-        key: None,
-        repeatable: false,
-        prefix: Vec::new(),
-        max_attempts: None,
-        is_resumable: false,
-        credential: None,
-    })
+    RequestBuilder(
+        RequestMeta {
+            customer: Customer::new("one"),
+            fingerprint: Fingerprint(1),
+            target: target(),
+            prompt_tokens: 10,
+            max_output_tokens: 8,
+            deadline: Timestamp::from_millis(60_000),
+            first_output_within: None,
+            priority: 0,
+            key: None,
+            repeatable: false,
+            prefix: Vec::new(),
+            max_attempts: None,
+            is_resumable: false,
+            credential: None,
+        },
+        None,
+    )
 }
 
 impl RequestBuilder {
@@ -51,6 +54,12 @@
         self
     }
 
+    /// It asks the same as this request.
+    pub fn that_asks_as(mut self, number: u64) -> Self {
+        self.1 = Some(Fingerprint(number));
+        self
+    }
+
     pub fn of(mut self, customer: &str) -> Self {
         self.0.customer = Customer::new(customer);
         self
@@ -146,7 +155,7 @@
     pub fn submit(&mut self, number: u64, request: RequestBuilder) -> Option<UpstreamId> {
         let mut meta = request.0;
         meta.deadline = self.now + Duration::from_secs(60);
-        meta.fingerprint = Fingerprint(number);
+        meta.fingerprint = request.1.unwrap_or(Fingerprint(number));
         let mut out = Vec::new();
         let id = RequestId(number);
         self.router
@@ -155,6 +164,14 @@
         self.upstream_of(number)
     }
 
+    /// Sends requests until one has to wait.
+    pub fn fill(&mut self) {
+        let mut number = 1_000;
+        while self.submit(number, request()).is_some() {
+            number += 1;
+        }
+    }
+
     /// The last attempt of a request ends, if one runs.
     pub fn end(&mut self, number: u64, end: AttemptEnd) {
         self.end_with_attempt_of(number, number, end);
--- a/shalehinge/tests/superseded.rs
+++ b/shalehinge/tests/superseded.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use shalehinge::core::daemon::{Daemon, Identity};
-use shalehinge::core::event::{Action, Event, Notice, PullReply, PullTopic};
+use shalehinge::core::event::{Action, Event, Notice, PullReply, PullTopic, QuarantineReport};
 use shalehinge::core::fingerprint::Fingerprint;
 use shalehinge::core::fleet_state::{ObjectUpdate, VersionDigest};
 use shalehinge::core::membership::{Gossip, Heartbeat};
@@ -127,6 +127,7 @@
         reached: None,
         work: Vec::new(),
         moving: Vec::new(),
+        quarantine: QuarantineReport::default(),
     }
 }
 
@@ -156,6 +157,7 @@
         from: address(port),
         digest: digest(version),
         lost: Vec::new(),
+        quarantine: QuarantineReport::default(),
     })
 }
 
