fix(router): only an upstream that nothing listens at any more counts as crashed

Cause: the first form counted each attempt that broke off. Change: an upstream at which attempts broke off is connected to; only a refused connection makes them count. A request that this may put in quarantine waits for it before it is tried again (one round trip).

--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -334,6 +334,9 @@
                 attempt,
                 end,
             } => self.on_ended(now, request, attempt, end, out),
+            Event::UpstreamChecked { upstream, is_gone } => {
+                self.on_upstream_checked(now, &upstream, is_gone, out);
+            }
             Event::CallerLeft(request) => self.on_caller_left(now, request, out),
             Event::Operator { call_id, call } => self.on_operator(now, call_id, call, out),
             Event::Leave => self.on_leave(now, out),
--- a/shalehinge/src/core/daemon/quarantine.rs
+++ b/shalehinge/src/core/daemon/quarantine.rs
@@ -13,6 +13,7 @@
     Action, CompletionReport, LossReport, Notice, QuarantineReport, QuarantinedReport,
 };
 use crate::core::router::quarantine::{Completion, Loss, QuarantineNews, Quarantined};
+use crate::core::router::request::UpstreamId;
 use crate::core::types::{Address, FailureDomain, Timestamp};
 
 /// The duty of counting losses.
@@ -141,6 +142,20 @@
         }
     }
 
+    /// It was looked whether an upstream is still there.
+    pub(super) fn on_upstream_checked(
+        &mut self,
+        now: Timestamp,
+        upstream: &UpstreamId,
+        is_gone: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let mut actions = Vec::new();
+        self.router
+            .on_upstream_checked(now, upstream, is_gone, &mut self.rng, &mut actions);
+        self.router_actions(now, actions, out);
+    }
+
     /// Takes in what a peer told, with ages as of `told_at`.
     pub(super) fn learn_quarantine(
         &mut self,
--- a/shalehinge/src/core/daemon/requests.rs
+++ b/shalehinge/src/core/daemon/requests.rs
@@ -160,6 +160,9 @@
             match action {
                 RouterAction::Send(attempt) => out.push(Action::Send(attempt)),
                 RouterAction::Abandon(attempt) => out.push(Action::Abandon(attempt)),
+                RouterAction::CheckUpstream { upstream, address } => {
+                    out.push(Action::CheckUpstream { upstream, address });
+                }
                 RouterAction::Log(text) => log(out, Part::Route, text),
                 RouterAction::Answer { request, outcome } => {
                     let text = format!("request {} ends: {outcome:?}", request.0);
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -246,6 +246,14 @@
         /// How.
         end: AttemptEnd,
     },
+    /// It was looked whether an upstream is still there.
+    UpstreamChecked {
+        /// Which upstream.
+        upstream: UpstreamId,
+        /// Whether its host refused the connection, as nothing listens there any more. An
+        /// upstream that nobody hears from may be cut off, which says nothing of a request.
+        is_gone: bool,
+    },
     /// A caller left before its answer.
     CallerLeft(RequestId),
     /// An operator asks.
@@ -316,6 +324,14 @@
     Send(Attempt),
     /// Break off an attempt.
     Abandon(AttemptId),
+    /// Look whether an upstream is still there; always answered by
+    /// [`Event::UpstreamChecked`].
+    CheckUpstream {
+        /// Which upstream.
+        upstream: UpstreamId,
+        /// Where it listened.
+        address: Address,
+    },
     /// Give a caller its final answer.
     Answer {
         /// The request.
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::core::engine::EngineStatus;
-use crate::core::types::{AttemptId, Incarnation, ReplicaId, RequestId, Timestamp};
+use crate::core::types::{Address, AttemptId, Incarnation, ReplicaId, RequestId, Timestamp};
 use crate::settings::router::RouterSettings;
 
 use super::choose::Choice;
@@ -16,6 +16,7 @@
     Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta, Target, UnknownReason, UpstreamId,
 };
 use super::retry_budget::RetryBudget;
+use super::suspects::{Asked, Unexplained};
 use super::target::{FIRST_SERVER_ERROR, Pending, TargetState};
 use super::topology::Topology;
 use super::upstream::Upstream;
@@ -41,6 +42,13 @@
     },
     /// Break off an attempt and never use its connection again.
     Abandon(AttemptId),
+    /// Look whether an upstream is still there.
+    CheckUpstream {
+        /// Which upstream.
+        upstream: UpstreamId,
+        /// Where it listened.
+        address: Address,
+    },
     /// A line for the log of decisions.
     Log(String),
 }
@@ -58,6 +66,8 @@
     pub(super) waiting: usize,
     pub(super) keys_until: Option<Timestamp>,
     pub(super) quarantine: Quarantine,
+    /// Attempts that broke off at upstreams which are being looked for.
+    pub(super) unexplained: BTreeMap<UpstreamId, Unexplained>,
     pub(super) ticked_at: Timestamp,
 }
 
@@ -79,6 +89,7 @@
             waiting: 0,
             keys_until: None,
             quarantine: Quarantine::default(),
+            unexplained: BTreeMap::new(),
             ticked_at: Timestamp::ZERO,
         }
     }
@@ -394,16 +405,22 @@
             return;
         };
         let target = pending.meta.target.clone();
-        let fingerprint = pending.meta.fingerprint;
+        let asked = Asked {
+            fingerprint: pending.meta.fingerprint,
+            target: target.clone(),
+        };
         if let Some(state) = self.targets.get_mut(&target) {
             state.settle(now, &self.settings, pending, &running, end);
         }
         if !matches!(end, AttemptEnd::NotSent | AttemptEnd::Refused) {
             pending.runs += 1;
         }
-        self.learn_from(now, request, fingerprint, &running.upstream, end, out);
+        self.learn_from(now, request, &asked, &running.upstream, end, out);
         match outcome_of(end, self.settings.retry_after) {
             Outcome::Completed => self.answer(request, Outcome::Completed, out),
+            outcome if self.awaits_check(&asked, &running.upstream) => {
+                self.wait_for_check(&running.upstream, request, outcome);
+            }
             outcome => self.retry_or_answer(now, request, outcome, out),
         }
         self.dispatch(now, &target, rng, out);
--- a/shalehinge/src/core/router/quarantine.rs
+++ b/shalehinge/src/core/router/quarantine.rs
@@ -120,6 +120,13 @@
         (now < until).then(|| until.since(now))
     }
 
+    /// Crashes that count against a request.
+    pub fn crashes(&self, fingerprint: Fingerprint) -> usize {
+        self.records
+            .get(&fingerprint)
+            .map_or(0, |record| record.crashes.len())
+    }
+
     /// All that is quarantined.
     pub fn all(
         &self,
--- a/shalehinge/src/core/router/suspects.rs
+++ b/shalehinge/src/core/router/suspects.rs
@@ -7,7 +7,22 @@
 
 use super::dispatch::{Router, RouterAction};
 use super::quarantine::{Completion, Loss, QuarantineNews, Quarantined};
-use super::request::{AttemptEnd, UpstreamId};
+use super::request::{AttemptEnd, Outcome, Target, UpstreamId};
+
+/// Attempts that broke off at an upstream, until it is known whether it crashed.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Unexplained {
+    losses: Vec<Loss>,
+    /// Requests that are tried again, or not, once it is known.
+    waiting: Vec<(RequestId, Outcome)>,
+}
+
+/// What a request asked, and of what.
+#[derive(Clone, Debug)]
+pub(super) struct Asked {
+    pub(super) fingerprint: Fingerprint,
+    pub(super) target: Target,
+}
 
 impl Router {
     /// How long a request is still refused, if it is quarantined.
@@ -26,11 +41,12 @@
         &mut self,
         now: Timestamp,
         request: RequestId,
-        fingerprint: Fingerprint,
+        asked: &Asked,
         upstream: &UpstreamId,
         end: AttemptEnd,
         out: &mut Vec<RouterAction>,
     ) {
+        let fingerprint = asked.fingerprint;
         match end {
             AttemptEnd::Lost => {
                 out.push(RouterAction::Log(format!(
@@ -42,9 +58,7 @@
                     upstream: upstream.clone(),
                     at: now,
                 };
-                if self.quarantine.note_loss(loss, &self.settings) {
-                    out.push(quarantined(fingerprint));
-                }
+                self.look_for(&asked.target, loss, out);
             }
             AttemptEnd::Completed { .. } | AttemptEnd::Failed { .. } => {
                 let completion = Completion {
@@ -59,6 +73,94 @@
         }
     }
 
+    /// A broken connection alone is no crash: an upstream that is still there may have cut
+    /// one answer short. Without this look a request that is sent again and again to flaky
+    /// upstreams was quarantined though none had crashed.
+    fn look_for(&mut self, target: &Target, loss: Loss, out: &mut Vec<RouterAction>) {
+        if self.settings.quarantine_after == 0 {
+            return;
+        }
+        let upstream = loss.upstream.clone();
+        let unexplained = self.unexplained.entry(upstream.clone()).or_default();
+        unexplained.losses.push(loss);
+        if unexplained.losses.len() > 1 {
+            // Its answer tells for all that broke off meanwhile.
+            return;
+        }
+        let state = self.targets.get_mut(target);
+        match state.and_then(|state| state.upstream_mut(&upstream)) {
+            Some(known) => {
+                let address = known.spec.address;
+                out.push(RouterAction::CheckUpstream { upstream, address });
+            }
+            None => {
+                self.unexplained.remove(&upstream);
+            }
+        }
+    }
+
+    /// Whether a request may be in quarantine once it is known what became of the upstream.
+    pub(super) fn awaits_check(&self, asked: &Asked, upstream: &UpstreamId) -> bool {
+        let Some(unexplained) = self.unexplained.get(upstream) else {
+            return false;
+        };
+        let of_request = |loss: &&Loss| loss.fingerprint == asked.fingerprint;
+        let is_there = unexplained.losses.iter().any(|loss| of_request(&loss));
+        let elsewhere = self.unexplained.values().flat_map(|known| &known.losses);
+        let crashes =
+            self.quarantine.crashes(asked.fingerprint) + elsewhere.filter(of_request).count();
+        is_there && crashes >= self.settings.quarantine_after as usize
+    }
+
+    /// Holds back what becomes of a request until the upstream was looked for.
+    pub(super) fn wait_for_check(
+        &mut self,
+        upstream: &UpstreamId,
+        request: RequestId,
+        outcome: Outcome,
+    ) {
+        if let Some(unexplained) = self.unexplained.get_mut(upstream) {
+            unexplained.waiting.push((request, outcome));
+        }
+    }
+
+    /// It was looked whether an upstream is still there after attempts broke off.
+    pub fn on_upstream_checked(
+        &mut self,
+        now: Timestamp,
+        upstream: &UpstreamId,
+        is_gone: bool,
+        rng: &mut impl rand::Rng,
+        out: &mut Vec<RouterAction>,
+    ) {
+        let Unexplained { losses, waiting } = self.unexplained.remove(upstream).unwrap_or_default();
+        if is_gone {
+            self.note_crash(upstream, losses, out);
+        }
+        for (request, outcome) in waiting {
+            self.retry_or_answer(now, request, outcome, out);
+        }
+        self.dispatch_all(now, rng, out);
+    }
+
+    fn note_crash(
+        &mut self,
+        upstream: &UpstreamId,
+        losses: Vec<Loss>,
+        out: &mut Vec<RouterAction>,
+    ) {
+        out.push(RouterAction::Log(format!(
+            "{upstream} crashed while it ran {} requests of this daemon",
+            losses.len()
+        )));
+        for loss in losses {
+            let fingerprint = loss.fingerprint;
+            if self.quarantine.note_loss(loss, &self.settings) {
+                out.push(quarantined(fingerprint));
+            }
+        }
+    }
+
     /// Takes in what another daemon tells.
     pub fn learn_quarantine(&mut self, news: QuarantineNews, out: &mut Vec<RouterAction>) {
         for completion in news.completions {
@@ -88,7 +190,7 @@
 
 fn quarantined(fingerprint: Fingerprint) -> RouterAction {
     RouterAction::Log(format!(
-        "quarantines what asks {fingerprint}: it was lost at several upstreams and completed at none"
+        "quarantines what asks {fingerprint}: several upstreams crashed while they ran it, and none completed it"
     ))
 }
 
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -27,6 +27,7 @@
 use crate::telemetry::metrics::{Counter, Metrics};
 use crate::upstream::EngineClient;
 use crate::upstream::attempt::{self, AnswerPart, AnswerSink, OutgoingRequest};
+use crate::upstream::presence;
 use crate::utils::http::single_use_client;
 use crate::utils::task::spawn;
 
@@ -194,6 +195,12 @@
                 // Dropping the task closes the connection.
                 lock(&self.attempts).remove(&attempt);
             }
+            Action::CheckUpstream { upstream, address } => {
+                self.spawn(|driver| async move {
+                    let is_gone = presence::refuses_connections(address).await;
+                    driver.dispatch(Event::UpstreamChecked { upstream, is_gone });
+                });
+            }
             Action::Answer { request, outcome } => self.answer(request, outcome),
             Action::AnswerOperator { call_id, answer } => {
                 self.operators.answer(&call_id, answer);
--- a/shalehinge/src/upstream/mod.rs
+++ b/shalehinge/src/upstream/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! - `engine`: status and orders of model engines, by JSON over HTTP
 //! - `attempt`: one attempt of a caller's request, at an engine or a plain service
+//! - `presence`: whether anything listens where an upstream was
 //! - `relay`: one attempt of a request that is relayed as it is
 
 pub mod attempt;
 pub mod engine;
+pub mod presence;
 pub mod relay;
 
 use futures_lite::future::Boxed;
--- a/shalehinge/tests/listed_routing.rs
+++ b/shalehinge/tests/listed_routing.rs
@@ -172,6 +172,18 @@
                     assert_eq!(earlier, None, "one answer a request");
                 }
                 RouterAction::Abandon(_) => self.abandoned += 1,
+                RouterAction::CheckUpstream { upstream, .. } => {
+                    let mut out = Vec::new();
+                    let (now, is_gone) = (self.now, false);
+                    self.router.on_upstream_checked(
+                        now,
+                        &upstream,
+                        is_gone,
+                        &mut self.rng,
+                        &mut out,
+                    );
+                    self.take(out);
+                }
                 RouterAction::Log(_) => {}
             }
         }
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -600,6 +600,11 @@
                 }
                 self.later(TICK, index, Event::Output { request, attempt });
             }
+            Action::CheckUpstream { upstream, .. } => {
+                let is_gone = true;
+                let event = Event::UpstreamChecked { upstream, is_gone };
+                self.later(Duration::ZERO, index, event);
+            }
             Action::Notify { to, notice } => {
                 self.later(TICK, to.port() as usize, Event::Noticed(notice));
             }
--- a/shalehinge/tests/router.rs
+++ b/shalehinge/tests/router.rs
@@ -160,6 +160,7 @@
 #[test]
 fn a_request_that_was_lost_twice_is_sent_no_more_and_refused_when_it_comes_again() {
     let mut harness = Harness::with_replicas(4);
+    harness.upstreams_crash = true;
     harness.submit(1, request().repeatable());
     harness.end(1, AttemptEnd::Lost);
     harness.end(1, AttemptEnd::Lost);
@@ -184,6 +185,7 @@
 #[test]
 fn a_request_that_waits_while_the_same_one_is_quarantined_is_not_sent() {
     let mut harness = Harness::with_replicas(4);
+    harness.upstreams_crash = true;
     harness.submit(1, request());
     harness.submit(2, request().that_asks_as(1));
     harness.fill();
@@ -203,3 +205,14 @@
     );
     assert!(is_refused, "{outcome:?}");
 }
+
+#[test]
+fn answers_that_break_off_at_upstreams_that_go_on_quarantine_nothing() {
+    let mut harness = Harness::with_replicas(4);
+    for number in 1..6 {
+        harness.submit(number, request().that_asks_as(1));
+        harness.end(number, AttemptEnd::Lost);
+        assert_eq!(harness.attempts(number), 1, "it is sent each time");
+        harness.advance(Duration::from_secs(1));
+    }
+}
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -77,6 +77,8 @@
     replicas: u64,
     sent: BTreeMap<u64, Vec<Attempt>>,
     answers: BTreeMap<u64, Outcome>,
+    /// Whether upstreams at which attempts are lost have crashed.
+    pub upstreams_crash: bool,
 }
 
 impl Harness {
@@ -90,6 +92,7 @@
             replicas,
             sent: BTreeMap::new(),
             answers: BTreeMap::new(),
+            upstreams_crash: false,
         };
         let specs = (0..replicas).map(spec).collect();
         harness
@@ -212,6 +215,19 @@
                 RouterAction::Answer { request, outcome } => {
                     self.answers.insert(request.0, outcome);
                 }
+                RouterAction::CheckUpstream { upstream, .. } => {
+                    let mut out = Vec::new();
+                    let is_gone = self.upstreams_crash;
+                    let now = self.now;
+                    self.router.on_upstream_checked(
+                        now,
+                        &upstream,
+                        is_gone,
+                        &mut self.rng,
+                        &mut out,
+                    );
+                    self.take(out);
+                }
                 RouterAction::Abandon(_) | RouterAction::Log(_) => {}
             }
         }
--- a/shalehinge/tests/support/world.rs
+++ b/shalehinge/tests/support/world.rs
@@ -38,7 +38,7 @@
     Entry {
         entry: usize,
         run: u64,
-        event: Event,
+        event: Box<Event>,
     },
     Platform {
         entry: usize,
@@ -272,6 +272,7 @@
     }
 
     pub fn send_to_entry(&mut self, delay: Duration, entry: usize, run: u64, event: Event) {
+        let event = Box::new(event);
         self.send_in(delay, Delivery::Entry { entry, run, event });
     }
 
@@ -279,7 +280,7 @@
         match delivery {
             Delivery::Entry { entry, run, event } => {
                 if self.entries[entry].run == run {
-                    self.give(entry, event);
+                    self.give(entry, *event);
                 }
             }
             Delivery::Platform {
@@ -412,6 +413,12 @@
             }
             Action::Send(attempt) => self.send_attempt(index, run, attempt),
             Action::Abandon(attempt) => self.abandon(index, attempt),
+            Action::CheckUpstream { upstream, .. } => {
+                // As if each lost attempt were a crash: nothing may hang on it.
+                let is_gone = true;
+                let event = Event::UpstreamChecked { upstream, is_gone };
+                self.send_to_entry(Duration::ZERO, index, run, event);
+            }
             Action::Answer { request, outcome } => self.answer(index, request, outcome),
             Action::AnswerOperator { call_id, answer } => {
                 self.answer_operator(index, call_id, answer);
--- a/standin/src/experiment/fleet.rs
+++ b/standin/src/experiment/fleet.rs
@@ -392,6 +392,19 @@
                     self.results[index].outcome = Some((outcome, self.now));
                 }
                 RouterAction::Abandon(attempt) => self.abandon(attempt),
+                RouterAction::CheckUpstream { upstream, .. } => {
+                    // A lost replica comes back as another one: its host still answers.
+                    let (now, is_gone) = (self.clock(), false);
+                    let mut out = Vec::new();
+                    self.routers[router].on_upstream_checked(
+                        now,
+                        &upstream,
+                        is_gone,
+                        &mut self.rng,
+                        &mut out,
+                    );
+                    self.act(router, out);
+                }
                 RouterAction::Log(_) => {}
             }
         }
