fix(process): terms and ages are reckoned on a clock that counts the machine's sleep

Cause: the steady clock stands while a machine is suspended. A lease holder that slept past its term went on as if it held the lease, and keys and configurations counted as fresh for as long as it slept. Change: one place reads the clock (rustix, CLOCK_BOOTTIME); all terms of the core follow from it. What the core does after a gap is what it did after a freeze, which the standard library's clock already counted.

--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -8,7 +8,7 @@
 use std::hash::Hash;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use trillium_client::Client;
@@ -28,6 +28,7 @@
 use crate::upstream::EngineClient;
 use crate::upstream::attempt::{self, AnswerPart, AnswerSink, OutgoingRequest};
 use crate::upstream::presence;
+use crate::utils::clock::Clock;
 use crate::utils::http::single_use_client;
 use crate::utils::task::spawn;
 
@@ -44,7 +45,7 @@
 /// The core with everything that its actions need.
 pub struct Driver {
     core: Mutex<Daemon>,
-    started: Instant,
+    clock: Clock,
     clients: Clients,
     upstreams: Client,
     callers: Callers,
@@ -89,7 +90,7 @@
         let (stopped, has_stopped) = async_channel::bounded(1);
         let driver = Self {
             core: Mutex::new(core),
-            started: Instant::now(),
+            clock: Clock::start(),
             clients,
             upstreams: single_use_client(),
             callers: Callers::default(),
@@ -106,7 +107,7 @@
 
     /// The core's time.
     pub fn now(&self) -> Timestamp {
-        Timestamp::from_duration(self.started.elapsed())
+        Timestamp::from_duration(self.clock.elapsed())
     }
 
     /// Looks at the core.
