feat(controller): an engine that starts again under its name is another life of it

A replica may start again under its id and then knows nothing of before. Entries and reports carry the time of its start; another value is another life, also an earlier one, as that clock may jump: which is later the version of the list tells. What belongs to one life ends with it: membership, weights in memory, releases that were answered, ejection, latencies, prefix hints. A group that served with it is lost at once, by the list or by the member's own answer. Not done: claims and the router's evidence do not carry it; the stand-ins of the product don't tell it.

--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -14,7 +14,9 @@
 use crate::core::engine::{Command, EngineStatus, LoadCommand, Order};
 use crate::core::fleet_state::FleetState;
 use crate::core::objects::{Assignment, Group, GroupPhase, HostRecord};
-use crate::core::types::{Address, Epoch, GroupNumber, HostId, ModelName, Timestamp, Version};
+use crate::core::types::{
+    Address, EngineStart, Epoch, GroupNumber, HostId, ModelName, Timestamp, Version,
+};
 
 /// Refusals of an order after which its group is given up.
 const MOST_REFUSALS: u32 = 3;
@@ -46,6 +48,11 @@
     }
 }
 
+/// Whether two lives of an engine are known not to be the same one.
+fn is_other_life(one: Option<EngineStart>, other: Option<EngineStart>) -> bool {
+    matches!((one, other), (Some(one), Some(other)) if one != other)
+}
+
 impl Controller {
     /// Takes in the list; hosts that it no longer names are remembered for a while,
     /// as long as the assignment names them.
@@ -61,17 +68,25 @@
             host.is_listed = false;
         }
         let domain = &self.domain;
+        let mut restarted = Vec::new();
         for (id, record) in &hosts.value.hosts {
             if record.failure_domain == *domain {
                 let host = ListedHost {
                     record: record.clone(),
                     is_listed: true,
                 };
-                if self.listed.insert(id.clone(), host).is_none() {
-                    self.hosts_came_at = Some(now);
+                match self.listed.insert(id.clone(), host) {
+                    None => self.hosts_came_at = Some(now),
+                    Some(known) if is_other_life(known.record.started, record.started) => {
+                        restarted.push(id.clone());
+                    }
+                    Some(_) => {}
                 }
             }
         }
+        for host in restarted {
+            self.note_restart(&host);
+        }
         if let Some(stored) = &self.stored {
             let used = stored.value.used_hosts();
             self.listed
@@ -79,6 +94,30 @@
         }
     }
 
+    /// The engine of a host started again under the same name: it holds no group, and nothing
+    /// of what its earlier life was told or held in memory. A group that served with it is
+    /// lost, without waiting for an entry to lapse, as this one never does.
+    fn note_restart(&mut self, host: &HostId) {
+        self.remarks.push(format!("{host} started again"));
+        self.released.remove(host);
+        self.last_model.remove(host);
+        self.priming.remove(host);
+        self.next_call_at.remove(host);
+        self.unreachable.remove(host);
+        self.departed.remove(host);
+        let stored = self.stored.as_ref();
+        let groups = stored.iter().flat_map(|stored| &stored.value.groups);
+        let serving = groups
+            .filter(|(_, group)| group.phase == GroupPhase::Serving && group.contains(host))
+            .map(|(number, _)| *number);
+        for number in serving.collect::<Vec<_>>() {
+            let health = self.health.entry(number).or_default();
+            health.is_lost = true;
+            health.stands_still = true;
+            health.lost_member = Some(host.clone());
+        }
+    }
+
     pub(super) fn status(&self, host: &HostId) -> Option<&EngineStatus> {
         self.listed.get(host)?.record.status.as_ref()
     }
@@ -402,6 +441,9 @@
             return;
         };
         let is_joining = group.phase == GroupPhase::Forming;
+        let listed = self.listed.get(&status.host);
+        let has_restarted =
+            listed.is_some_and(|listed| is_other_life(listed.record.started, status.started));
         // A member that answers need not be asked again as soon as a silent one.
         let next = now + self.settings.order_interval;
         let purpose = CallPurpose::Probe(*number);
@@ -413,7 +455,7 @@
                 health.silent_member = None;
                 health.incomplete_since = None;
             }
-        } else if status.group.is_some() {
+        } else if status.group.is_some() || has_restarted {
             health.is_lost = true;
             health.stands_still = true;
             health.lost_member = Some(status.host.clone());
--- a/shalehinge/src/core/engine.rs
+++ b/shalehinge/src/core/engine.rs
@@ -7,7 +7,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::types::{Address, Epoch, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion};
+use super::types::{
+    Address, EngineStart, Epoch, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion,
+};
 
 /// An order to the engine on one host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -122,6 +124,9 @@
     pub members_age_ms: u64,
     /// Load; all zero but at rank 0.
     pub load: EngineLoad,
+    /// When the engine started, where it tells.
+    #[serde(default)]
+    pub started: Option<EngineStart>,
 }
 
 /// Weights in an engine's memory.
--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -13,8 +13,8 @@
     CallerLimits, EngineTimes, LoadRate, ModelProfile, RequestKind, RouteConfig, WeightedService,
 };
 use super::types::{
-    Address, Customer, DaemonId, Epoch, FabricDomain, FailureDomain, GroupNumber, HostId,
-    Incarnation, ModelName, ModelVersion, OperationId, ServiceName, Version,
+    Address, Customer, DaemonId, EngineStart, Epoch, FabricDomain, FailureDomain, GroupNumber,
+    HostId, Incarnation, ModelName, ModelVersion, OperationId, ServiceName, Version,
 };
 
 /// How many past operation ids an object remembers for read-backs.
@@ -271,6 +271,9 @@
     /// What its engine told the list.
     #[serde(default)]
     pub status: Option<EngineStatus>,
+    /// When its engine started, where the list tells.
+    #[serde(default)]
+    pub started: Option<EngineStart>,
 }
 
 impl HostRecord {
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -126,7 +126,7 @@
                     Some(index) => old.swap_remove(index),
                     None => Upstream::new(spec.clone()),
                 };
-                upstream.spec = spec.clone();
+                upstream.update(spec.clone());
                 state.upstreams.push(upstream);
             }
             // Those that left the topology stay until their requests have ended.
--- a/shalehinge/src/core/router/topology.rs
+++ b/shalehinge/src/core/router/topology.rs
@@ -52,6 +52,7 @@
             host: None,
             evidence: Evidence::Listed,
             slots: None,
+            started: None,
         });
         let mut specs: Vec<UpstreamSpec> = configured.collect();
         if service.is_listed {
@@ -83,6 +84,7 @@
             host: Some(host.clone()),
             evidence: Evidence::Listed,
             slots: record.slots,
+            started: record.started,
         })
         .collect()
 }
@@ -113,6 +115,7 @@
             host: Some(host.clone()),
             evidence: Evidence::Listed,
             slots: record.slots,
+            started: record.started,
         };
         let target = Target::Model(model.clone());
         replicas.entry(target).or_default().push(spec);
@@ -140,6 +143,7 @@
                 host: None,
                 evidence: Evidence::Reports,
                 slots: None,
+                started: None,
             };
             let target = Target::Model(group.model.clone());
             replicas.entry(target).or_default().push(spec);
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::core::engine::{EngineLoad, EngineStatus};
-use crate::core::types::{Address, GroupNumber, HostId, ReplicaId, Timestamp};
+use crate::core::types::{Address, EngineStart, GroupNumber, HostId, ReplicaId, Timestamp};
 use crate::settings::router::RouterSettings;
 
 use super::estimate::SmoothedDuration;
@@ -59,6 +59,8 @@
     pub evidence: Evidence,
     /// Requests that it runs at once, where that is known beforehand.
     pub slots: Option<u32>,
+    /// When its engine started, where the host list tells.
+    pub started: Option<EngineStart>,
 }
 
 /// What shows that an upstream can serve.
@@ -161,6 +163,23 @@
         }
     }
 
+    /// Takes in what the topology says now. An engine that started again is as one that was
+    /// never seen: only the requests that are still under way are counted on.
+    pub fn update(&mut self, spec: UpstreamSpec) {
+        let is_other =
+            matches!((self.spec.started, spec.started), (Some(old), Some(new)) if old != new);
+        if is_other {
+            let known = std::mem::replace(self, Self::new(spec));
+            self.in_flight = known.in_flight;
+            self.kv_in_flight = known.kv_in_flight;
+            self.streaming = known.streaming;
+            self.sharers = known.sharers;
+            self.moved_at = known.moved_at;
+            return;
+        }
+        self.spec = spec;
+    }
+
     /// The replica of a model that it is, if it is one.
     pub fn replica(&self) -> Option<&ReplicaId> {
         match &self.spec.id {
--- a/shalehinge/src/core/types.rs
+++ b/shalehinge/src/core/types.rs
@@ -142,6 +142,13 @@
     }
 }
 
+/// When a host's engine started, in Unix milliseconds by the host's own clock. It names one life
+/// of the engine: another value is another life, whichever is the greater, as that clock may
+/// jump; which life is the later one the version of the list tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct EngineStart(pub u64);
+
 /// Monotonic time since the daemon's start. Clocks of two daemons are never compared.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/shalehinge/tests/learning.rs
+++ b/shalehinge/tests/learning.rs
@@ -159,6 +159,7 @@
         slots: None,
         staged: Vec::new(),
         status: None,
+        started: None,
     }
 }
 
--- a/shalehinge/tests/listed_routing.rs
+++ b/shalehinge/tests/listed_routing.rs
@@ -45,6 +45,7 @@
         host: Some(HostId::new("host")),
         evidence: Evidence::Listed,
         slots: Some(8),
+        started: None,
     }
 }
 
--- a/shalehinge/tests/operator.rs
+++ b/shalehinge/tests/operator.rs
@@ -60,6 +60,7 @@
             slots: None,
             staged: Vec::new(),
             status: None,
+            started: None,
         };
         list.hosts
             .insert(HostId::new(&format!("h{number}")), record);
--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -610,3 +610,57 @@
     });
     assert!(took <= Duration::from_millis(600), "{took:?}");
 }
+
+/// Restarts a member of a group that serves; says how long the group was kept after that. Then
+/// a whole one serves again.
+fn dissolves_restarted(domain: &mut Domain, rank: usize, started: u64) -> Duration {
+    let (number, members) = domain.group_of(LARGE);
+    domain.restart(&members[rank], started);
+    let kept = domain.run_until("dissolved", |domain| {
+        !domain.stored.value.groups.contains_key(&number)
+    });
+    domain.run_until("a whole group serves again", |domain| {
+        domain.open_groups(LARGE) == 1
+    });
+    kept
+}
+
+#[test]
+fn a_group_whose_member_started_again_is_formed_anew_at_once() {
+    for rank in [0, 2] {
+        let mut domain = Domain::serving(&[8]);
+        let kept = dissolves_restarted(&mut domain, rank, 2_000_000);
+        assert!(kept < Duration::from_millis(200), "rank {rank}: {kept:?}");
+    }
+}
+
+#[test]
+fn a_life_that_began_earlier_by_the_clock_of_its_host_is_another_one_too() {
+    let mut domain = Domain::serving(&[8]);
+    let kept = dissolves_restarted(&mut domain, 1, 998_000);
+    assert!(kept < Duration::from_millis(200), "{kept:?}");
+}
+
+#[test]
+fn a_member_that_started_again_is_known_by_its_own_answer_before_the_list_shows_it() {
+    let mut domain = Domain::serving(&[8]);
+    let (number, members) = domain.group_of(LARGE);
+    domain.list_moves = false;
+    domain.restart(&members[1], 2_000_000);
+    let now = domain.now;
+    domain.controller.suspect(now, number);
+    domain.run_for(seconds(1));
+    assert!(!domain.stored.value.groups.contains_key(&number));
+}
+
+#[test]
+fn all_members_of_a_group_that_start_again_at_once_join_a_new_one() {
+    let mut domain = Domain::serving(&[8]);
+    let (number, members) = domain.group_of(LARGE);
+    for (rank, host) in members.iter().enumerate() {
+        domain.restart(host, 2_000_000 + rank as u64);
+    }
+    domain.run_until("formed anew", |domain| {
+        !domain.stored.value.groups.contains_key(&number) && domain.open_groups(LARGE) == 1
+    });
+}
--- a/shalehinge/tests/ordered_support/mod.rs
+++ b/shalehinge/tests/ordered_support/mod.rs
@@ -20,8 +20,8 @@
     Object, ObjectKey, Versioned,
 };
 use shalehinge::core::types::{
-    Epoch, FabricDomain, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion, OperationId,
-    ServiceName, Timestamp, Version,
+    EngineStart, Epoch, FabricDomain, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion,
+    OperationId, ServiceName, Timestamp, Version,
 };
 use shalehinge::settings::control::{Assembly, ControlSettings};
 
@@ -49,6 +49,7 @@
     members: Vec<HostId>,
     ready_at: Timestamp,
     newest: GroupNumber,
+    started: EngineStart,
 }
 
 /// The failure domain with its controller.
@@ -457,6 +458,18 @@
         self.engines.get_mut(host).expect("known")
     }
 
+    /// The engine starts again under its name and knows nothing of before. `started` is by the
+    /// clock of its host.
+    pub fn restart(&mut self, host: &HostId, started: u64) {
+        let engine = self.engine(host);
+        engine.group = None;
+        engine.phase = EnginePhase::Idle;
+        engine.model = None;
+        engine.members = Vec::new();
+        engine.newest = GroupNumber(0);
+        engine.started = EngineStart(started);
+    }
+
     /// The host is dark: it answers nobody, and the list forgets it after a while.
     pub fn go_dark(&mut self, host: &HostId) {
         self.engine(host).is_reachable = false;
@@ -477,6 +490,7 @@
             model: None,
             ready_at: Timestamp::ZERO,
             newest: GroupNumber(0),
+            started: EngineStart(1_000_000),
         }
     }
 
@@ -493,6 +507,7 @@
             member_count: 0,
             members_age_ms: 0,
             load: EngineLoad::default(),
+            started: Some(self.started),
         }
     }
 
@@ -511,6 +526,7 @@
             slots: Some(26),
             staged: self.staged.clone(),
             status: Some(self.status(host)),
+            started: Some(self.started),
         }
     }
 }
--- a/shalehinge/tests/placement_support/mod.rs
+++ b/shalehinge/tests/placement_support/mod.rs
@@ -65,6 +65,7 @@
                 slots: None,
                 staged: Vec::new(),
                 status: None,
+                started: None,
             };
             let id = HostId::new(&format!("{name}{number}"));
             self.hosts.hosts.insert(id, record);
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -59,6 +59,7 @@
         slots: Some(4),
         staged: Vec::new(),
         status: None,
+        started: None,
     }
 }
 
@@ -81,6 +82,7 @@
         member_count: 1,
         members_age_ms: 0,
         load: EngineLoad::default(),
+        started: None,
     };
     HostRecord {
         service: Some(ServiceName::new("engines")),
--- a/shalehinge/tests/routable.rs
+++ b/shalehinge/tests/routable.rs
@@ -40,6 +40,7 @@
         member_count: 0,
         members_age_ms: 0,
         load: EngineLoad::default(),
+        started: None,
     };
     let is_leaving = rng.random_bool(0.2);
     HostRecord {
@@ -56,6 +57,7 @@
         slots: None,
         staged: vec![ModelName::new(if rng.random_bool(0.5) { "m" } else { "n" })],
         status: rng.random_bool(0.7).then_some(status),
+        started: None,
     }
 }
 
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -247,6 +247,7 @@
         host: None,
         evidence: shalehinge::core::router::upstream::Evidence::Reports,
         slots: None,
+        started: None,
     }
 }
 
@@ -259,6 +260,7 @@
         members_present: 4,
         member_count: 4,
         members_age_ms: 0,
+        started: None,
         load: EngineLoad {
             slots: 16,
             kv_total: 100_000,
--- a/shalehinge/tests/support/world.rs
+++ b/shalehinge/tests/support/world.rs
@@ -196,6 +196,7 @@
                 slots: None,
                 staged: Vec::new(),
                 status: None,
+                started: None,
             };
             list.hosts.insert(host.id.clone(), record);
         }
--- a/standin/benches/decisions.rs
+++ b/standin/benches/decisions.rs
@@ -59,6 +59,7 @@
                 members_present: 8,
                 member_count: 8,
                 members_age_ms: 0,
+                started: None,
                 load: EngineLoad {
                     running: 16,
                     slots: 32,
--- a/standin/src/engine/server.rs
+++ b/standin/src/engine/server.rs
@@ -154,6 +154,7 @@
         slots: None,
         staged: Vec::new(),
         status: None,
+        started: None,
     };
     let body = serde_json::to_vec(&record).unwrap_or_default();
     let path = format!("/admin/hosts/{name}");
--- a/standin/src/engine/state.rs
+++ b/standin/src/engine/state.rs
@@ -232,6 +232,7 @@
             } else {
                 Default::default()
             },
+            started: None,
         }
     }
 }
--- a/standin/src/experiment/day.rs
+++ b/standin/src/experiment/day.rs
@@ -132,6 +132,7 @@
                 slots: None,
                 staged: Vec::new(),
                 status: None,
+                started: None,
             };
             hosts
                 .hosts
--- a/standin/src/experiment/fleet.rs
+++ b/standin/src/experiment/fleet.rs
@@ -376,6 +376,7 @@
             member_count: 1,
             members_age_ms: 0,
             load,
+            started: None,
         })
     }
 
