--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -6,8 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::core::engine::EngineStatus;
-use crate::core::types::{Address, AttemptId, Incarnation, ReplicaId, RequestId, Timestamp};
+use crate::core::types::{Address, AttemptId, Incarnation, RequestId, Timestamp};
 use crate::settings::router::RouterSettings;
 
 use super::choose::Choice;
@@ -273,7 +272,7 @@
     }
 
     /// Sends waiting requests while there is room.
-    fn dispatch(
+    pub(super) fn dispatch(
         &mut self,
         now: Timestamp,
         target: &Target,
@@ -519,124 +518,6 @@
         };
         out.push(RouterAction::Answer { request, outcome });
     }
-
-    /// A load report came.
-    pub fn on_report(
-        &mut self,
-        now: Timestamp,
-        asked_at: Timestamp,
-        upstream: &UpstreamId,
-        status: Option<&EngineStatus>,
-        rng: &mut impl rand::Rng,
-        out: &mut Vec<RouterAction>,
-    ) {
-        let (settings, sharers) = (self.settings, self.sharers);
-        let Some((target, known)) = self.find(upstream) else {
-            return;
-        };
-        match status {
-            Some(status) => known.on_report(asked_at, status, sharers, &settings),
-            None => known.on_report_failed(now),
-        }
-        self.dispatch(now, &target, rng, out);
-    }
-
-    fn find(&mut self, id: &UpstreamId) -> Option<(Target, &mut Upstream)> {
-        self.targets.iter_mut().find_map(|(target, state)| {
-            let upstream = state.upstreams.iter_mut().find(|u| u.spec.id == *id)?;
-            Some((target.clone(), upstream))
-        })
-    }
-
-    /// Upstreams whose report should be asked for now.
-    pub fn reports_wanted(&mut self, now: Timestamp) -> Vec<super::upstream::UpstreamSpec> {
-        let settings = self.settings;
-        self.targets
-            .values_mut()
-            .flat_map(|state| &mut state.upstreams)
-            .filter_map(|upstream| {
-                let wanted = upstream.wants_report(now, &settings);
-                wanted.then(|| upstream.spec.clone())
-            })
-            .collect()
-    }
-
-    /// Replicas that were complete until a short while ago.
-    pub fn suspects(&self, now: Timestamp) -> Vec<ReplicaId> {
-        self.upstreams()
-            .filter(|upstream| upstream.is_suspect(now))
-            .filter_map(Upstream::replica)
-            .cloned()
-            .collect()
-    }
-
-    /// Replicas that brought output, and when they last did.
-    pub fn last_outputs(&self) -> impl Iterator<Item = (&ReplicaId, Timestamp)> {
-        self.upstreams()
-            .filter_map(|upstream| Some((upstream.replica()?, upstream.output_at()?)))
-    }
-
-    /// Ends what is past its deadline and sends what has room by now.
-    pub fn tick(&mut self, now: Timestamp, rng: &mut impl rand::Rng, out: &mut Vec<RouterAction>) {
-        self.expire_waiting(now, out);
-        self.expire_running(now, out);
-        self.leave_stalled(now, out);
-        self.dispatch_all(now, rng, out);
-    }
-
-    pub(super) fn dispatch_all(
-        &mut self,
-        now: Timestamp,
-        rng: &mut impl rand::Rng,
-        out: &mut Vec<RouterAction>,
-    ) {
-        let targets: Vec<Target> = self.targets.keys().cloned().collect();
-        for target in targets {
-            if let Some(state) = self.targets.get_mut(&target) {
-                state.queue.forget_idle();
-            }
-            self.dispatch(now, &target, rng, out);
-        }
-    }
-
-    fn expire_waiting(&mut self, now: Timestamp, out: &mut Vec<RouterAction>) {
-        let mut expired = Vec::new();
-        for state in self.targets.values_mut() {
-            let late = state.queue.expire(now).into_iter();
-            expired.extend(late.map(|request| (request, NotRunReason::WouldBeLate)));
-            if !state.upstreams.iter().any(|u| u.may_serve(now)) {
-                let all = std::iter::from_fn(|| state.queue.pop());
-                expired.extend(all.map(|waiting| (waiting.request, NotRunReason::NoUpstream)));
-            }
-        }
-        for (request, reason) in expired {
-            self.waiting -= 1;
-            self.answer(request, self.not_run(reason), out);
-        }
-    }
-
-    fn expire_running(&mut self, now: Timestamp, out: &mut Vec<RouterAction>) {
-        let expired: Vec<RequestId> = self
-            .pending
-            .iter()
-            .filter(|(_, pending)| pending.running.is_some() && pending.meta.deadline <= now)
-            .map(|(request, _)| *request)
-            .collect();
-        for request in expired {
-            let Some(pending) = self.pending.remove(&request) else {
-                continue;
-            };
-            let state = self.targets.get_mut(&pending.meta.target);
-            if let (Some(state), Some(running)) = (state, &pending.running) {
-                state.release(running);
-                state.blame(now, &self.settings, &running.upstream);
-                out.push(RouterAction::Abandon(running.id));
-            }
-            let reason = UnknownReason::DeadlinePassed;
-            let outcome = Outcome::Unknown { reason };
-            out.push(RouterAction::Answer { request, outcome });
-        }
-    }
 }
 
 /// What the end of the only attempt says of the request.
--- /dev/null
+++ b/shalehinge/src/core/router/expiry.rs
@@ -0,0 +1,70 @@
+//! What time brings: deadlines that pass, and room that is there again.
+
+use crate::core::types::{RequestId, Timestamp};
+
+use super::dispatch::{Router, RouterAction};
+use super::request::{NotRunReason, Outcome, Target, UnknownReason};
+
+impl Router {
+    /// Ends what is past its deadline and sends what has room by now.
+    pub fn tick(&mut self, now: Timestamp, rng: &mut impl rand::Rng, out: &mut Vec<RouterAction>) {
+        self.expire_waiting(now, out);
+        self.expire_running(now, out);
+        self.leave_stalled(now, out);
+        self.dispatch_all(now, rng, out);
+    }
+
+    pub(super) fn dispatch_all(
+        &mut self,
+        now: Timestamp,
+        rng: &mut impl rand::Rng,
+        out: &mut Vec<RouterAction>,
+    ) {
+        let targets: Vec<Target> = self.targets.keys().cloned().collect();
+        for target in targets {
+            if let Some(state) = self.targets.get_mut(&target) {
+                state.queue.forget_idle();
+            }
+            self.dispatch(now, &target, rng, out);
+        }
+    }
+
+    fn expire_waiting(&mut self, now: Timestamp, out: &mut Vec<RouterAction>) {
+        let mut expired = Vec::new();
+        for state in self.targets.values_mut() {
+            let late = state.queue.expire(now).into_iter();
+            expired.extend(late.map(|request| (request, NotRunReason::WouldBeLate)));
+            if !state.upstreams.iter().any(|u| u.may_serve(now)) {
+                let all = std::iter::from_fn(|| state.queue.pop());
+                expired.extend(all.map(|waiting| (waiting.request, NotRunReason::NoUpstream)));
+            }
+        }
+        for (request, reason) in expired {
+            self.waiting -= 1;
+            self.answer(request, self.not_run(reason), out);
+        }
+    }
+
+    fn expire_running(&mut self, now: Timestamp, out: &mut Vec<RouterAction>) {
+        let expired: Vec<RequestId> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| pending.running.is_some() && pending.meta.deadline <= now)
+            .map(|(request, _)| *request)
+            .collect();
+        for request in expired {
+            let Some(pending) = self.pending.remove(&request) else {
+                continue;
+            };
+            let state = self.targets.get_mut(&pending.meta.target);
+            if let (Some(state), Some(running)) = (state, &pending.running) {
+                state.release(running);
+                state.blame(now, &self.settings, &running.upstream);
+                out.push(RouterAction::Abandon(running.id));
+            }
+            let reason = UnknownReason::DeadlinePassed;
+            let outcome = Outcome::Unknown { reason };
+            out.push(RouterAction::Answer { request, outcome });
+        }
+    }
+}
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -13,6 +13,8 @@
 //! - `keys`: keys of relayed requests, and how long they count
 //! - `quarantine`: requests that crash the upstreams that run them
 //! - `suspects`: what the router learns of such requests, and tells of them
+//! - `reports`: what upstreams report
+//! - `expiry`: deadlines that pass, and room that is there again
 //! - `stalled`: replicas that stand still
 //! - `target`: one model or service: its upstreams and its waiting line
 //! - `dispatch`: the state machine that joins them
@@ -20,11 +22,13 @@
 pub mod choose;
 pub mod dispatch;
 pub mod estimate;
+mod expiry;
 mod keys;
 pub mod outlier;
 pub mod prefix;
 pub mod quarantine;
 pub mod queue;
+mod reports;
 pub mod request;
 pub mod retry_budget;
 mod stalled;
