--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -18,6 +18,61 @@
 # name: (file, text as it stands, text without the protection, test, filter,
 #        and further edits where two protections stand behind each other)
 PROTECTIONS = {
+    "crashing-requests-are-quarantined": (
+        CORE + "router/quarantine.rs",
+        "if record.crashes.len() < settings.quarantine_after as usize {",
+        "if record.crashes.len() < usize::MAX {",
+        "quarantine", "crashes_few",
+    ),
+    "only-crashes-count": (
+        CORE + "router/suspects.rs",
+        "        if is_gone {",
+        "        if is_gone || !losses.is_empty() {",
+        "router", "upstreams_that_go_on",
+    ),
+    "waits-for-the-check": (
+        CORE + "router/dispatch.rs",
+        "outcome if self.awaits_check(&asked, &running.upstream) => {",
+        "outcome if self.awaits_check(&asked, &running.upstream) && false => {",
+        "router", "lost_twice",
+    ),
+    "not-sent-out-of-the-line": (
+        CORE + "router/dispatch.rs",
+        "let refusal = if let Some(left) = quarantine {",
+        "let refusal = if let Some(left) = quarantine.filter(|_| false) {",
+        "router", "while_the_same_one",
+    ),
+    "an-answer-ends-a-quarantine": (
+        CORE + "router/quarantine.rs",
+        "record.crashes.retain(|(_, at)| *at > completion.at);",
+        "",
+        "quarantine", "counts_anew",
+    ),
+    "an-answer-is-an-objection": (
+        CORE + "router/quarantine.rs",
+        "if let Some(completion) = self.completed_since(fingerprint, quarantined.first_lost_at) {",
+        "if let Some(completion) = self.completed_since(fingerprint, quarantined.first_lost_at).filter(|_| false) {",
+        "quarantine", "objects_to",
+    ),
+    "quarantine-is-told-again": (
+        CORE + "daemon/quarantine.rs",
+        "quarantined: quarantined.map(|held| report_of(now, held)).collect(),\n            ..Q",
+        "quarantined: quarantined.map(|held| report_of(now, held)).take(0).collect(),\n            ..Q",
+        "quarantine", "missed_the_news",
+    ),
+    "shown-in-a-group-is-not-used": (
+        CORE + "controller/ordered_plan.rs",
+        "avoided.extend(self.shown_in_a_group(value).into_keys());",
+        "if self.trusts_absence() {\n"
+        "    avoided.extend(self.shown_in_a_group(value).into_keys());\n}",
+        "ordered", "with_an_old_list",
+    ),
+    "a-restarted-member-is-a-loss": (
+        CORE + "controller/ordered.rs",
+        "} else if status.group.is_some() || has_restarted {",
+        "} else if status.group.is_some() {",
+        "ordered", "its_own_answer",
+    ),
     "silence-only-while-others-answer": (
         CORE + "controller/ordered.rs",
         "if !self.own_reach.trusts_silence(asked_at) {",
