fix(router): a lost request that waits for the look at its upstream may have run

Cause: found by reading. Two tests, red before ('NotRun CallerLeft', 'NotRun KeyTakenAway'), green after.

--- a/shalehinge/src/core/router/suspects.rs
+++ b/shalehinge/src/core/router/suspects.rs
@@ -122,6 +122,10 @@
         if let Some(unexplained) = self.unexplained.get_mut(upstream) {
             unexplained.waiting.push((request, outcome));
         }
+        if let Some(pending) = self.pending.get_mut(&request) {
+            // Its caller may leave, or its key be taken away, before the look has ended.
+            pending.earlier = Some(outcome);
+        }
     }
 
     /// It was looked whether an upstream is still there after attempts broke off.
--- a/shalehinge/tests/router.rs
+++ b/shalehinge/tests/router.rs
@@ -216,3 +216,33 @@
         harness.advance(Duration::from_secs(1));
     }
 }
+
+/// An attempt was lost, and whether its upstream crashed is not known yet: it may have run.
+#[test]
+fn a_request_that_waits_for_the_look_at_its_upstream_is_not_answered_as_not_run() {
+    let mut harness = Harness::with_replicas(4);
+    harness.upstreams_crash = true;
+    harness.submit(1, request());
+    harness.end(1, AttemptEnd::Lost);
+    harness.holds_back_looks = true;
+    harness.submit(2, request().that_asks_as(1).with_key());
+    harness.end(2, AttemptEnd::Lost);
+    assert_eq!(harness.answer(2), None, "it waits for the look");
+    harness.take_keys_away();
+    let reason = UnknownReason::Lost;
+    assert_eq!(harness.answer(2), Some(Outcome::Unknown { reason }));
+}
+
+#[test]
+fn a_caller_that_leaves_while_its_upstream_is_looked_for_is_told_that_it_may_have_run() {
+    let mut harness = Harness::with_replicas(4);
+    harness.upstreams_crash = true;
+    harness.submit(1, request());
+    harness.end(1, AttemptEnd::Lost);
+    harness.holds_back_looks = true;
+    harness.submit(2, request().that_asks_as(1));
+    harness.end(2, AttemptEnd::Lost);
+    harness.leave(2);
+    let reason = UnknownReason::Lost;
+    assert_eq!(harness.answer(2), Some(Outcome::Unknown { reason }));
+}
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -54,6 +54,12 @@
         self
     }
 
+    /// It came with a key that may be taken away.
+    pub fn with_key(mut self) -> Self {
+        self.0.credential = Some("a-hash".into());
+        self
+    }
+
     /// It asks the same as this request.
     pub fn that_asks_as(mut self, number: u64) -> Self {
         self.1 = Some(Fingerprint(number));
@@ -79,6 +85,8 @@
     answers: BTreeMap<u64, Outcome>,
     /// Whether upstreams at which attempts are lost have crashed.
     pub upstreams_crash: bool,
+    /// Whether looks at upstreams get no answer yet.
+    pub holds_back_looks: bool,
 }
 
 impl Harness {
@@ -93,6 +101,7 @@
             sent: BTreeMap::new(),
             answers: BTreeMap::new(),
             upstreams_crash: false,
+            holds_back_looks: false,
         };
         let specs = (0..replicas).map(spec).collect();
         harness
@@ -192,6 +201,20 @@
         self.take(out);
     }
 
+    /// The caller of a request leaves.
+    pub fn leave(&mut self, number: u64) {
+        let mut out = Vec::new();
+        self.router.cancel(RequestId(number), &mut out);
+        self.take(out);
+    }
+
+    /// Nobody holds any key any more.
+    pub fn take_keys_away(&mut self) {
+        let mut out = Vec::new();
+        self.router.recheck_keys(|_| false, &mut out);
+        self.take(out);
+    }
+
     pub fn attempts(&self, number: u64) -> usize {
         self.sent.get(&number).map_or(0, Vec::len)
     }
@@ -215,6 +238,7 @@
                 RouterAction::Answer { request, outcome } => {
                     self.answers.insert(request.0, outcome);
                 }
+                RouterAction::CheckUpstream { .. } if self.holds_back_looks => {}
                 RouterAction::CheckUpstream { upstream, .. } => {
                     let mut out = Vec::new();
                     let is_gone = self.upstreams_crash;
