refactor: one mark of a lost member, one test of two lives, one way to send a notice

Found by reading the change again. The three lines that mark a member as lost stood three times (GroupHealth::lose), the comparison of two lives twice (EngineStart::differ), the loop that sends a notice twice, and the digest of versions was made anew for each peer.

--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -121,6 +121,13 @@
 }
 
 impl GroupHealth {
+    /// A look at a member, or its new life, shows that the group lost it.
+    fn lose(&mut self, member: &HostId) {
+        self.is_lost = true;
+        self.stands_still = true;
+        self.lost_member = Some(member.clone());
+    }
+
     /// Whether a router saw lately that nothing moves in the group.
     fn is_suspect(&self, now: Timestamp) -> bool {
         self.suspect_until.is_some_and(|until| now < until)
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -48,11 +48,6 @@
     }
 }
 
-/// Whether two lives of an engine are known not to be the same one.
-fn is_other_life(one: Option<EngineStart>, other: Option<EngineStart>) -> bool {
-    matches!((one, other), (Some(one), Some(other)) if one != other)
-}
-
 impl Controller {
     /// Takes in the list; hosts that it no longer names are remembered for a while,
     /// as long as the assignment names them.
@@ -77,7 +72,7 @@
                 };
                 match self.listed.insert(id.clone(), host) {
                     None => self.hosts_came_at = Some(now),
-                    Some(known) if is_other_life(known.record.started, record.started) => {
+                    Some(known) if EngineStart::differ(known.record.started, record.started) => {
                         restarted.push(id.clone());
                     }
                     Some(_) => {}
@@ -112,9 +107,7 @@
             .map(|(number, _)| *number);
         for number in serving.collect::<Vec<_>>() {
             let health = self.health.entry(number).or_default();
-            health.is_lost = true;
-            health.stands_still = true;
-            health.lost_member = Some(host.clone());
+            health.lose(host);
         }
     }
 
@@ -443,7 +436,7 @@
         let is_joining = group.phase == GroupPhase::Forming;
         let listed = self.listed.get(&status.host);
         let has_restarted =
-            listed.is_some_and(|listed| is_other_life(listed.record.started, status.started));
+            listed.is_some_and(|listed| EngineStart::differ(listed.record.started, status.started));
         // A member that answers need not be asked again as soon as a silent one.
         let next = now + self.settings.order_interval;
         let purpose = CallPurpose::Probe(*number);
@@ -456,9 +449,7 @@
                 health.incomplete_since = None;
             }
         } else if status.group.is_some() || has_restarted {
-            health.is_lost = true;
-            health.stands_still = true;
-            health.lost_member = Some(status.host.clone());
+            health.lose(&status.host);
         }
     }
 
@@ -518,9 +509,7 @@
                 self.departed.insert(host.clone());
                 return;
             }
-            health.is_lost = true;
-            health.stands_still = true;
-            health.lost_member = Some(host.clone());
+            health.lose(host);
         }
     }
 
--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -263,10 +263,7 @@
             lost,
             ..self.notice()
         };
-        for to in peers {
-            let notice = notice.clone();
-            out.push(Action::Notify { to, notice });
-        }
+        send_notice(peers, &notice, out);
     }
 
     /// A notice that tells versions alone.
@@ -279,3 +276,11 @@
         }
     }
 }
+
+/// Tells all these peers the same.
+pub(super) fn send_notice(peers: Vec<Address>, notice: &Notice, out: &mut Vec<Action>) {
+    for to in peers {
+        let notice = notice.clone();
+        out.push(Action::Notify { to, notice });
+    }
+}
--- a/shalehinge/src/core/daemon/quarantine.rs
+++ b/shalehinge/src/core/daemon/quarantine.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use super::Daemon;
+use super::configuration::send_notice;
 use super::peers::millis_since;
 use crate::core::event::{
     Action, CompletionReport, LossReport, Notice, QuarantineReport, QuarantinedReport,
@@ -124,13 +125,11 @@
         quarantine: QuarantineReport,
         out: &mut Vec<Action>,
     ) {
-        for to in peers {
-            let notice = Notice {
-                quarantine: quarantine.clone(),
-                ..self.notice()
-            };
-            out.push(Action::Notify { to, notice });
-        }
+        let notice = Notice {
+            quarantine,
+            ..self.notice()
+        };
+        send_notice(peers, &notice, out);
     }
 
     /// What an answer to a peer holds.
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -166,9 +166,7 @@
     /// Takes in what the topology says now. An engine that started again is as one that was
     /// never seen: only the requests that are still under way are counted on.
     pub fn update(&mut self, spec: UpstreamSpec) {
-        let is_other =
-            matches!((self.spec.started, spec.started), (Some(old), Some(new)) if old != new);
-        if is_other {
+        if EngineStart::differ(self.spec.started, spec.started) {
             let known = std::mem::replace(self, Self::new(spec));
             self.in_flight = known.in_flight;
             self.kv_in_flight = known.kv_in_flight;
--- a/shalehinge/src/core/types.rs
+++ b/shalehinge/src/core/types.rs
@@ -149,6 +149,13 @@
 #[serde(transparent)]
 pub struct EngineStart(pub u64);
 
+impl EngineStart {
+    /// Whether two lives are known not to be the same one.
+    pub fn differ(one: Option<Self>, other: Option<Self>) -> bool {
+        matches!((one, other), (Some(one), Some(other)) if one != other)
+    }
+}
+
 /// Monotonic time since the daemon's start. Clocks of two daemons are never compared.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
