--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -1,5 +1,7 @@
 //! A router with a few replicas, for tests that read as examples.
 
+#![allow(dead_code)] // Each test file uses a part of it.
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -215,6 +217,15 @@
         self.take(out);
     }
 
+    /// Upstreams that are out of use for their failures.
+    pub fn ejected(&self) -> Vec<UpstreamId> {
+        let upstreams = self.router.upstreams();
+        upstreams
+            .filter(|upstream| upstream.outlier.is_ejected(self.now))
+            .map(|upstream| upstream.spec.id.clone())
+            .collect()
+    }
+
     pub fn attempts(&self, number: u64) -> usize {
         self.sent.get(&number).map_or(0, Vec::len)
     }
