fix(router): a request that fails wherever it runs takes no upstream after the other out of use

Symptom: one request that each upstream answers with 500 ejected 4 of 10 upstreams. Cause: a failure was counted against whoever answered it, and nothing remembered that the same request failed elsewhere. Change: a failure counts against an upstream unless the same request (by its fingerprint) failed at another one within 60 s and was completed by none since. Ways compared in the same tests: today's (4 of 10, 12 of 30 ejected; one upstream that fails stays in use); failures in a row of different requests only (an upstream that fails is never ejected where all ask the same: by its rule, not built); this one (1 of 10, 3 of 30, the failing three of ten ejected).

--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::settings::router::RouterSettings;
 
 use super::choose::Choice;
+use super::failing::Fault;
 use super::quarantine::Quarantine;
 use super::request::{
     Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta, Target, UnknownReason, UpstreamId,
@@ -409,7 +410,13 @@
             target: target.clone(),
         };
         if let Some(state) = self.targets.get_mut(&target) {
-            state.settle(now, &self.settings, pending, &running, end);
+            let fault = state.settle(now, &self.settings, pending, &running, end);
+            if let Some(Fault::OfRequest { failed_at }) = fault {
+                out.push(RouterAction::Log(format!(
+                    "request {} failed at {} as it did at {failed_at}, which is not counted against them",
+                    request.0, running.upstream
+                )));
+            }
         }
         if !matches!(end, AttemptEnd::NotSent | AttemptEnd::Refused) {
             pending.runs += 1;
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -9,6 +9,7 @@
 //! - `prefix`: which replica holds the start of a prompt
 //! - `choose`: choice of an upstream for a request
 //! - `outlier`: ejection of upstreams that fail or are slow
+//! - `failing`: requests that fail wherever they run
 //! - `retry_budget`: how many retries are allowed
 //! - `keys`: keys of relayed requests, and how long they count
 //! - `quarantine`: requests that crash the upstreams that run them
@@ -23,6 +24,7 @@
 pub mod dispatch;
 pub mod estimate;
 mod expiry;
+pub mod failing;
 mod keys;
 pub mod outlier;
 pub mod prefix;
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -7,6 +7,7 @@
 
 use super::choose::{Choice, ChoiceContext, choose, typical_interval};
 use super::estimate::{DrainRate, LowerEnvelope, SmoothedDuration};
+use super::failing::{FailingRequests, Fault};
 use super::prefix::BLOCK_TOKENS;
 use super::queue::Waiting;
 use super::request::{Attempt, AttemptEnd, Outcome, RequestMeta, UpstreamId};
@@ -68,6 +69,7 @@
     pub(super) token_interval: SmoothedDuration,
     pub(super) output_part: Option<f64>,
     pub(super) turn: usize,
+    pub(super) failing: FailingRequests,
 }
 
 impl TargetState {
@@ -207,7 +209,7 @@
         }
     }
 
-    /// Learns from the end of an attempt.
+    /// Learns from the end of an attempt. Returns what a failure shows, if it was one.
     pub(super) fn settle(
         &mut self,
         now: Timestamp,
@@ -215,10 +217,12 @@
         pending: &Pending,
         running: &Running,
         end: AttemptEnd,
-    ) {
+    ) -> Option<Fault> {
         self.release(running);
+        let fingerprint = pending.meta.fingerprint;
         match end {
             AttemptEnd::Completed { output_tokens } => {
+                self.failing.note_completion(fingerprint);
                 self.learn(now, pending, running, output_tokens);
                 self.eject_if_slow(now, settings, &running.upstream);
             }
@@ -235,10 +239,17 @@
             }
             // The caller's mistake, not the upstream's.
             AttemptEnd::Failed { status } if status < FIRST_SERVER_ERROR => {}
-            AttemptEnd::Failed { .. } | AttemptEnd::WrongAnswer => {
-                self.blame(now, settings, &running.upstream);
+            AttemptEnd::Failed { .. } => {
+                let upstream = &running.upstream;
+                let fault = self.failing.note_failure(now, fingerprint, upstream);
+                if fault == Fault::OfUpstream {
+                    self.blame(now, settings, upstream);
+                }
+                return Some(fault);
             }
+            AttemptEnd::WrongAnswer => self.blame(now, settings, &running.upstream),
         }
+        None
     }
 
     pub(super) fn learn(
