fix(controller): a model whose load ends its engines is tried ever more rarely

Symptom: engines that start again after an order to load were ordered again four times a second, or each 50 ms where loads are free, and so on at other hosts. Cause: nothing remembers that the load ended the engine. Change: ends of engines that were ordered to load a model are counted in a row (within a second they are one); after the second one engine at a time tries, from the third on trials wait 10 s, 20 s and so on up to 5 min; a load that succeeds ends it. Other models go on. Not seen: an engine that crashed and comes back under another name.

--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -17,11 +17,13 @@
 //! - `staging`: second weights on every host
 //! - `list_outage`: entries that lapse while the platform is away
 //! - `load_budget`: how many loads may begin
+//! - `load_crashes`: models whose load ends the engines that try it
 
 mod calls;
 mod departures;
 mod list_outage;
 mod load_budget;
+mod load_crashes;
 mod ordered;
 mod ordered_plan;
 mod own_reach;
@@ -47,6 +49,7 @@
 
 use list_outage::ListOutage;
 use load_budget::LoadBudget;
+use load_crashes::LoadCrashes;
 use ordered::ListedHost;
 use own_reach::OwnReach;
 use service_plan::ServicePlans;
@@ -179,6 +182,8 @@
     /// A member of a suspected group fell silent since routers were last asked what moves.
     asks_moving: bool,
     loads: LoadBudget,
+    /// Known also while no lease is held, as crashes are no matter of the assignment.
+    load_crashes: LoadCrashes,
     /// The model of each host's last group, as far as this daemon saw it.
     last_model: BTreeMap<HostId, ModelName>,
     /// Members that answer no more and were leaving: their groups take nothing new, but
@@ -226,6 +231,7 @@
             logged_needs: Needs::new(),
             asks_moving: false,
             loads: LoadBudget::default(),
+            load_crashes: LoadCrashes::default(),
             last_model: BTreeMap::new(),
             departed: BTreeSet::new(),
             priming: BTreeMap::new(),
@@ -314,8 +320,10 @@
     /// The lease is not held: what was known may be out of date.
     fn resign(&mut self) {
         let list_outage = self.list_outage;
+        let load_crashes = std::mem::take(&mut self.load_crashes);
         *self = Self::new(self.settings, self.domain.clone());
         self.list_outage = list_outage;
+        self.load_crashes = load_crashes;
     }
 
     /// A read of the assignment was answered.
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -20,6 +20,9 @@
 
 /// Refusals of an order after which its group is given up.
 const MOST_REFUSALS: u32 = 3;
+/// How long an engine that started again is not ordered to load. Chosen: a second crash of the
+/// same model is told from the first by then, and a load takes longer.
+const RELOAD_AFTER: Duration = Duration::from_secs(1);
 /// How long new groups that must load wait after a host came.
 const ARRIVAL_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -80,7 +83,7 @@
             }
         }
         for host in restarted {
-            self.note_restart(&host);
+            self.note_restart(now, &host);
         }
         if let Some(stored) = &self.stored {
             let used = stored.value.used_hosts();
@@ -92,12 +95,15 @@
     /// The engine of a host started again under the same name: it holds no group, and nothing
     /// of what its earlier life was told or held in memory. A group that served with it is
     /// lost, without waiting for an entry to lapse, as this one never does.
-    fn note_restart(&mut self, host: &HostId) {
+    fn note_restart(&mut self, now: Timestamp, host: &HostId) {
         self.remarks.push(format!("{host} started again"));
         self.released.remove(host);
         self.last_model.remove(host);
         self.priming.remove(host);
-        self.next_call_at.remove(host);
+        let last_call = self.next_call_at.remove(host);
+        if let Some((CallPurpose::Load(number), _)) = last_call {
+            self.note_end_in_load(now, host, number);
+        }
         self.unreachable.remove(host);
         self.departed.remove(host);
         let stored = self.stored.as_ref();
@@ -111,6 +117,27 @@
         }
     }
 
+    /// An engine that was ordered to load the model of this group started again since.
+    fn note_end_in_load(&mut self, now: Timestamp, host: &HostId, number: GroupNumber) {
+        let stored = self.stored.as_ref();
+        let Some(group) = stored.and_then(|stored| stored.value.groups.get(&number)) else {
+            return;
+        };
+        if group.phase != GroupPhase::Forming {
+            return;
+        }
+        let purpose = CallPurpose::Load(number);
+        self.next_call_at
+            .insert(host.clone(), (purpose, now + RELOAD_AFTER));
+        if let Some((crashes, wait)) = self.load_crashes.note_crash(now, &group.model) {
+            self.remarks.push(format!(
+                "{host} ended while it was to load {}, {crashes} times in a row, the next load waits {} ms",
+                group.model,
+                wait.as_millis()
+            ));
+        }
+    }
+
     pub(super) fn status(&self, host: &HostId) -> Option<&EngineStatus> {
         self.listed.get(host)?.record.status.as_ref()
     }
@@ -261,17 +288,25 @@
         let mut all_ready = true;
         for (rank, member) in group.members.iter().enumerate() {
             let status = self.status(&member.host);
-            all_ready &= status.is_some_and(|status| status.shows_ready(number));
-            if status.is_some_and(|status| status.shows_member(number)) {
+            let is_ready = status.is_some_and(|status| status.shows_ready(number));
+            let is_member = status.is_some_and(|status| status.shows_member(number));
+            all_ready &= is_ready;
+            if is_ready {
+                self.load_crashes.note_loaded(&group.model);
+            }
+            if is_member {
                 continue;
             }
             let purpose = CallPurpose::Load(number);
             if !self.is_due_again(now, &member.host, purpose)
+                || !self.load_crashes.may_load(now, &group.model, &member.host)
                 || !self.may_load(now, &member.host, &group.model)
             {
                 continue;
             }
             self.note_call(now, &member.host, purpose);
+            self.load_crashes
+                .note_order(now, &group.model, &member.host);
             let command = Command::Load(LoadCommand {
                 model: group.model.clone(),
                 version: group.version.clone(),
