fix(controller): our own objects that another writer overwrote are written anew

Symptom: a failure domain whose lease or assignment another program overwrote is controlled by nobody, and its lost groups are never formed anew (known and listed in docs/PROOFS.md, never as a known failure). Cause: what can't be read counted as no answer. Change: the platform's client tells that an object is foreign. A foreign lease counts as held by somebody unknown until it stayed the same for a term; its epoch goes on above the highest known, and above what the assignment was written under before anything is ordered. A foreign assignment is replaced by what the list shows: groups that are shown whole and open stay, hosts of others leave. Ways weighed: as if the object were missing (all groups that stand would be dissolved, as none is stored); this one.

--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -6,6 +6,7 @@
 //! stays in `releasing` until its engine shows that it has left; only then can
 //! another group get it.
 //!
+//! - `adoption`: groups that stand, where what is stored of them can't be read
 //! - `calls`: orders and looks that follow from what is stored
 //! - `ordered`: the same for engines that join and open by order
 //! - `ordered_plan`: what a holder wants next of these
@@ -19,6 +20,7 @@
 //! - `load_budget`: how many loads may begin
 //! - `load_crashes`: models whose load ends the engines that try it
 
+mod adoption;
 mod calls;
 mod departures;
 mod list_outage;
@@ -145,6 +147,8 @@
     epoch: Option<Epoch>,
     stored: Option<Versioned<Assignment>>,
     pending: Option<Assignment>,
+    /// What is stored is not ours: what stands is taken from the list first.
+    adopts: bool,
     in_flight: bool,
     observed: BTreeMap<HostId, EngineStatus>,
     /// The last release that each engine took and carried out.
@@ -206,6 +210,7 @@
             epoch: None,
             stored: None,
             pending: None,
+            adopts: false,
             in_flight: false,
             observed: BTreeMap::new(),
             released: BTreeMap::new(),
@@ -330,6 +335,7 @@
     pub fn on_read(&mut self, value: Option<Versioned<Assignment>>) {
         self.in_flight = false;
         self.pending = None;
+        self.adopts = false;
         self.stored_seen_at = None;
         let stored = value.unwrap_or(Versioned {
             version: Version(0),
@@ -341,9 +347,22 @@
         self.stored = Some(stored);
     }
 
+    /// What is stored is not in the form of an assignment, as another writer overwrote it.
+    pub fn on_foreign(&mut self, version: Version) {
+        if self.settings.assembly != Assembly::Orders {
+            // Only a list of engines that join by order shows the groups that stand.
+            self.on_unclear();
+            return;
+        }
+        let value = Assignment::default();
+        self.on_read(Some(Versioned { version, value }));
+        self.adopts = true;
+    }
+
     /// A write took effect.
     pub fn on_written(&mut self, version: Version) -> Option<&Versioned<Assignment>> {
         self.in_flight = false;
+        self.adopts = false;
         let value = self.pending.take()?;
         self.stored = Some(Versioned { version, value });
         self.stored.as_ref()
@@ -467,6 +486,17 @@
         let mut value = stored.value.clone();
         let mut log = Vec::new();
         self.note_times(now, &value);
+        if self.adopts {
+            if !self.trusts_absence() {
+                return (None, log);
+            }
+            let adopted = self.adopted(state);
+            let count = adopted.groups.len();
+            log.push(format!(
+                "what is stored is not ours, takes over {count} groups that stand"
+            ));
+            return (Some(adopted), log);
+        }
         if self.settings.assembly == Assembly::Orders {
             self.next_ordered(now, &mut value, state, &mut log);
             value.held_by_free = self.held_by_free(&value);
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -250,8 +250,8 @@
 
     /// Orders and looks that follow from the stored assignment.
     pub(super) fn ordered_calls(&mut self, now: Timestamp, epoch: Epoch) -> Vec<ControllerAction> {
-        if self.listed_version == Version(0) {
-            // A holder that has not read the host list yet knows of no host how far it is.
+        if self.listed_version == Version(0) || self.adopts {
+            // Nothing is known yet of how far each host is, or of which groups stand.
             return Vec::new();
         }
         let Some(stored) = self.stored.take() else {
--- a/shalehinge/src/core/daemon/claiming.rs
+++ b/shalehinge/src/core/daemon/claiming.rs
@@ -71,6 +71,7 @@
             Ok(PlatformReply::Written(version)) => self.claims.on_written(partition, version),
             Ok(
                 PlatformReply::Conflict
+                | PlatformReply::Foreign(_)
                 | PlatformReply::Objects { .. }
                 | PlatformReply::HistoryGone,
             )
--- a/shalehinge/src/core/daemon/control.rs
+++ b/shalehinge/src/core/daemon/control.rs
@@ -71,6 +71,7 @@
                 let lease = object.and_then(Versioned::into_lease);
                 self.lease.on_read(now, lease);
             }
+            Ok(PlatformReply::Foreign(version)) => self.lease.on_foreign(now, version),
             Ok(PlatformReply::Written(version)) => self.lease.on_written(now, version),
             Ok(PlatformReply::Conflict) => self.lease.on_conflict(now),
             Ok(PlatformReply::Objects { .. } | PlatformReply::HistoryGone) | Err(NoAnswer) => {
@@ -185,9 +186,13 @@
         match result {
             Ok(PlatformReply::Object(object)) => {
                 let assignment = object.and_then(Versioned::into_assignment);
+                if let Some(assignment) = &assignment {
+                    self.lease.note_epoch(assignment.value.epoch);
+                }
                 self.controller.on_read(assignment.clone());
                 self.apply_assignment(now, assignment, out);
             }
+            Ok(PlatformReply::Foreign(version)) => self.controller.on_foreign(version),
             Ok(PlatformReply::Written(version)) => {
                 let stored = self.controller.on_written(version).cloned();
                 self.apply_assignment(now, stored, out);
--- a/shalehinge/src/core/lease.rs
+++ b/shalehinge/src/core/lease.rs
@@ -51,6 +51,8 @@
     observation: Option<Observation>,
     pending: Option<PendingWrite>,
     held_epoch: Option<Epoch>,
+    /// The highest epoch that is known to have been held.
+    highest_epoch: Epoch,
     valid_until: Timestamp,
     next_step_at: Timestamp,
     in_flight: bool,
@@ -68,6 +70,7 @@
             observation: None,
             pending: None,
             held_epoch: None,
+            highest_epoch: Epoch(0),
             valid_until: Timestamp::ZERO,
             next_step_at: Timestamp::ZERO,
             in_flight: false,
@@ -128,10 +131,14 @@
         if self.held(now).is_some() {
             return self.write(now, version, epoch, operation);
         }
+        let next_epoch = Epoch(self.highest_epoch.0 + 1);
+        if self.is_mine(&lease.value) && epoch < self.highest_epoch {
+            return self.write(now, version, next_epoch, operation);
+        }
         let term = Duration::from_millis(lease.value.term_ms);
         let lapsed = now.since(observation.changed_at) >= term;
         if lease.value.released || lapsed {
-            return self.write(now, version, Epoch(epoch.0 + 1), operation);
+            return self.write(now, version, next_epoch, operation);
         }
         // An old answer only shows the holder's last writes later. A lease that was renewed
         // meanwhile can't be taken, as the write has this version for its condition.
@@ -187,6 +194,38 @@
         self.observe(now, lease);
     }
 
+    /// The object is not in the form of a lease, as another writer overwrote it. It counts as
+    /// held by somebody unknown, until it stayed the same for a term: whoever held the lease
+    /// can't renew it, so that its term is over by then.
+    pub fn on_foreign(&mut self, now: Timestamp, version: Version) {
+        self.in_flight = false;
+        self.pending = None;
+        let value = LeaseRecord {
+            operation: OperationId(0),
+            holder: DaemonId::new(""),
+            incarnation: Incarnation(0),
+            epoch: self.highest_epoch,
+            term_ms: self.settings.term.as_millis() as u64,
+            released: false,
+        };
+        self.observe(now, Some(Versioned { version, value }));
+    }
+
+    /// What is stored was written under this epoch. A lease that began anew below it, as the
+    /// one before was overwritten, is raised above it before anything is ordered: engines
+    /// refuse orders of an epoch that has passed.
+    pub fn note_epoch(&mut self, epoch: Epoch) {
+        self.highest_epoch = self.highest_epoch.max(epoch);
+        if self.held_epoch.is_some_and(|held| held < epoch) {
+            self.held_epoch = None;
+            self.next_step_at = Timestamp::ZERO;
+        }
+    }
+
+    fn is_mine(&self, lease: &LeaseRecord) -> bool {
+        lease.holder == self.me && lease.incarnation == self.incarnation
+    }
+
     /// Decides an unclear write by what the read-back shows.
     fn settle(&mut self, pending: &PendingWrite, lease: Option<&Versioned<LeaseRecord>>) {
         let ours = lease.is_some_and(|lease| lease.value.operation == pending.operation);
@@ -227,7 +266,8 @@
 
     fn hold(&mut self, epoch: Epoch, sent_at: Timestamp) {
         let useful = self.settings.term.saturating_sub(self.settings.margin);
-        self.held_epoch = Some(epoch);
+        self.held_epoch = (epoch >= self.highest_epoch).then_some(epoch);
+        self.highest_epoch = self.highest_epoch.max(epoch);
         self.valid_until = sent_at + useful;
     }
 
@@ -244,9 +284,12 @@
         if self.is_older(lease.as_ref()) {
             return;
         }
-        let held_by_other = lease.as_ref().is_some_and(|lease| {
-            lease.value.holder != self.me || lease.value.incarnation != self.incarnation
-        });
+        let held_by_other = lease
+            .as_ref()
+            .is_some_and(|lease| !self.is_mine(&lease.value));
+        if let Some(lease) = &lease {
+            self.highest_epoch = self.highest_epoch.max(lease.value.epoch);
+        }
         if held_by_other {
             self.held_epoch = None;
         }
--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -35,6 +35,13 @@
     Claims(u16),
 }
 
+impl ObjectKey {
+    /// Whether only daemons write it, so that one in another form may be overwritten.
+    pub fn is_written_here(&self) -> bool {
+        matches!(self, Self::Assignment(_) | Self::Lease(_) | Self::Claims(_))
+    }
+}
+
 /// The value of an object.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Object {
--- a/shalehinge/src/core/platform.rs
+++ b/shalehinge/src/core/platform.rs
@@ -81,6 +81,8 @@
 pub enum PlatformReply {
     /// The object, if it exists.
     Object(Option<Versioned<Object>>),
+    /// The object exists at this version, in a form that is not ours: another writer left it.
+    Foreign(Version),
     /// The write took effect.
     Written(Version),
     /// The object had another version.
--- a/shalehinge/src/object_api/http.rs
+++ b/shalehinge/src/object_api/http.rs
@@ -122,9 +122,12 @@
         match exchange(conn, self.timeout).await {
             Some((200, body)) => {
                 let wire: WireObject = parse(&body)?;
-                let value = decode(&key, wire.value).map_err(|_| unreadable(&key))?;
                 let version = wire.version;
-                Ok(PlatformReply::Object(Some(Versioned { version, value })))
+                match decode(&key, wire.value).map_err(|_| unreadable(&key)) {
+                    Ok(value) => Ok(PlatformReply::Object(Some(Versioned { version, value }))),
+                    Err(_) if key.is_written_here() => Ok(PlatformReply::Foreign(version)),
+                    Err(error) => Err(error),
+                }
             }
             Some((404, _)) => Ok(PlatformReply::Object(None)),
             _ => Err(NoAnswer),
--- a/shalehinge/tests/lease.rs
+++ b/shalehinge/tests/lease.rs
@@ -88,3 +88,40 @@
     let read = step(&mut lease, 2_800);
     assert_eq!(read, Some(LeaseStep::Read(Freshness::Exact)));
 }
+
+#[test]
+fn a_lease_that_another_writer_overwrote_is_taken_after_a_term_above_the_epochs_before() {
+    let mut lease = candidate();
+    step(&mut lease, 0);
+    lease.on_read(at(10), held_by_other(5));
+    step(&mut lease, 1_400);
+    lease.on_foreign(at(1_410), Version(6));
+    step(&mut lease, 2_800);
+    lease.on_foreign(at(2_810), Version(6));
+    let early = step(&mut lease, 4_200);
+    assert!(matches!(early, Some(LeaseStep::Read(_))), "{early:?}");
+    lease.on_foreign(at(4_210), Version(6));
+    let Some(LeaseStep::Write { expect, record }) = step(&mut lease, 5_600) else {
+        panic!("a term has passed since it was overwritten");
+    };
+    assert_eq!((expect, record.epoch), (Version(6), Epoch(4)));
+}
+
+#[test]
+fn a_lease_that_began_anew_is_raised_above_what_is_stored_before_it_is_used() {
+    let mut lease = candidate();
+    step(&mut lease, 0);
+    lease.on_foreign(at(10), Version(6));
+    let taken = step(&mut lease, 4_200);
+    assert!(matches!(taken, Some(LeaseStep::Write { .. })), "{taken:?}");
+    lease.on_written(at(4_210), Version(7));
+    assert_eq!(lease.held(at(4_220)), Some(Epoch(1)));
+    lease.note_epoch(Epoch(7));
+    assert_eq!(lease.held(at(4_230)), None);
+    let Some(LeaseStep::Write { expect, record }) = step(&mut lease, 4_240) else {
+        panic!("it is raised at once");
+    };
+    assert_eq!((expect, record.epoch), (Version(7), Epoch(8)));
+    lease.on_written(at(4_250), Version(8));
+    assert_eq!(lease.held(at(4_260)), Some(Epoch(8)));
+}
--- a/shalehinge/tests/ordered_support/mod.rs
+++ b/shalehinge/tests/ordered_support/mod.rs
@@ -72,6 +72,8 @@
     pub moving: Vec<GroupNumber>,
     /// Groups that routers were told of as lost.
     pub told_lost: Vec<GroupNumber>,
+    /// What is stored is not in the form of an assignment.
+    pub is_foreign: bool,
     /// A model whose load ends the engine, which starts again under its name.
     pub crashing_model: Option<ModelName>,
     /// Engines that ended so, and when.
@@ -154,6 +156,7 @@
             loses_answers: false,
             moving: Vec::new(),
             told_lost: Vec::new(),
+            is_foreign: false,
             crashing_model: None,
             ended: Vec::new(),
             state,
@@ -288,12 +291,16 @@
 
     fn act(&mut self, action: ControllerAction) {
         match action {
+            ControllerAction::Read if self.is_foreign => {
+                self.controller.on_foreign(self.stored.version);
+            }
             ControllerAction::Read => {
                 let stored = self.stored.clone();
                 self.controller.on_read(Some(stored));
             }
             ControllerAction::Write { expect, value } => {
                 assert_eq!(expect, self.stored.version);
+                self.is_foreign = false;
                 value.check().expect("a host is in one place");
                 let version = Version(expect.0 + 1);
                 self.stored = Versioned { version, value };
