--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -12,6 +12,7 @@
 use super::choose::Choice;
 use super::failing::Fault;
 use super::quarantine::Quarantine;
+use super::refusal::{Waiting, waiting_refusal};
 use super::request::{
     Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta, Target, UnknownReason, UpstreamId,
 };
@@ -21,8 +22,6 @@
 use super::topology::Topology;
 use super::upstream::Upstream;
 
-/// Longest time to come back that is told.
-const MOST_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Part of a shared burst that is used: not all daemons know of each other.
 const SAFE_BURST: f64 = 0.7;
 /// Candidates named in a log line.
@@ -175,50 +174,6 @@
         Some(&self.pending.get(&request)?.meta.target)
     }
 
-    /// Why a new request would be refused now, if it would.
-    pub fn refusal(
-        &self,
-        now: Timestamp,
-        meta: &RequestMeta,
-        share: u32,
-    ) -> Option<(NotRunReason, Duration)> {
-        let Some(state) = self.targets.get(&meta.target) else {
-            return Some((NotRunReason::UnknownTarget, MOST_RETRY_AFTER));
-        };
-        if let Some(left) = self.quarantined_for(now, meta.fingerprint) {
-            return Some((NotRunReason::Quarantined, left.min(MOST_RETRY_AFTER)));
-        }
-        let retry_after = self.settings.retry_after;
-        let is_out_of_date = self.keys_until.is_some_and(|until| now >= until);
-        if is_out_of_date && meta.credential.is_some() {
-            return Some((NotRunReason::OutOfDate, retry_after));
-        }
-        if !state.upstreams.iter().any(|u| u.may_serve(now)) {
-            return Some((NotRunReason::NoUpstream, retry_after));
-        }
-        if !self.settings.early_refusal {
-            return None;
-        }
-        let time_left = meta.deadline.since(now);
-        let wait = state.wait_of(&meta.customer, share, state.cost_of(meta));
-        let has_room = state.queue.is_empty() && state.upstreams.iter().any(|u| u.is_eligible(now));
-        let service_time = state.service_time(meta);
-        if has_room {
-            // An estimate from bad times must not keep out what could show better.
-            return None;
-        }
-        let longest_wait = time_left
-            .saturating_sub(service_time)
-            .min(self.settings.max_wait);
-        if wait <= longest_wait && service_time <= time_left {
-            return None;
-        }
-        let too_much = wait.saturating_sub(longest_wait);
-        let least = retry_after.min(Duration::from_secs(1));
-        let retry_after = too_much.clamp(least, MOST_RETRY_AFTER);
-        Some((NotRunReason::WouldBeLate, retry_after))
-    }
-
     /// Takes in a request of a customer with this share.
     pub fn submit(
         &mut self,
@@ -261,17 +216,6 @@
         self.dispatch(now, &target, rng, out);
     }
 
-    fn evict_overflow(&mut self, target: &Target, out: &mut Vec<RouterAction>) {
-        if self.waiting <= self.settings.max_waiting {
-            return;
-        }
-        let state = self.targets.get_mut(target);
-        if let Some(evicted) = state.and_then(|state| state.queue.evict()) {
-            self.waiting -= 1;
-            self.answer(evicted.request, self.not_run(NotRunReason::QueueFull), out);
-        }
-    }
-
     /// Sends waiting requests while there is room.
     pub(super) fn dispatch(
         &mut self,
@@ -296,27 +240,15 @@
                 state.queue.pop();
                 continue;
             };
-            let time_left = pending.meta.deadline.since(now);
-            let has_waited = now > pending.came_at;
-            let too_late = self.settings.early_refusal
-                && has_waited
-                && pending.attempts == 0
-                && state.service_time(&pending.meta) > time_left;
-            let is_out_of_date = pending.meta.credential.is_some()
-                && self.keys_until.is_some_and(|until| now >= until);
-            let quarantine =
-                self.quarantine
-                    .time_left(now, pending.meta.fingerprint, &self.settings);
-            let retry_after = self.settings.retry_after;
-            let refusal = if let Some(left) = quarantine {
-                Some((NotRunReason::Quarantined, left.min(MOST_RETRY_AFTER)))
-            } else if too_late {
-                Some((NotRunReason::WouldBeLate, retry_after))
-            } else if is_out_of_date {
-                Some((NotRunReason::OutOfDate, retry_after))
-            } else {
-                None
-            };
+            let service_time = state.service_time(&pending.meta);
+            let refusal = waiting_refusal(&Waiting {
+                now,
+                settings: &self.settings,
+                quarantine: &self.quarantine,
+                keys_until: self.keys_until,
+                service_time,
+                pending,
+            });
             if let Some((reason, retry_after)) = refusal {
                 state.queue.pop();
                 self.waiting -= 1;
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -10,6 +10,7 @@
 //! - `choose`: choice of an upstream for a request
 //! - `outlier`: ejection of upstreams that fail or are slow
 //! - `failing`: requests that fail wherever they run
+//! - `refusal`: requests that are refused before they are sent
 //! - `retry_budget`: how many retries are allowed
 //! - `keys`: keys of relayed requests, and how long they count
 //! - `quarantine`: requests that crash the upstreams that run them
@@ -30,6 +31,7 @@
 pub mod prefix;
 pub mod quarantine;
 pub mod queue;
+mod refusal;
 mod reports;
 pub mod request;
 pub mod retry_budget;
--- /dev/null
+++ b/shalehinge/src/core/router/refusal.rs
@@ -0,0 +1,109 @@
+//! Requests that are refused before they are sent, on arrival and while they wait.
+
+use std::time::Duration;
+
+use crate::core::types::Timestamp;
+use crate::settings::router::RouterSettings;
+
+use super::dispatch::{Router, RouterAction};
+use super::quarantine::Quarantine;
+use super::request::{NotRunReason, RequestMeta, Target};
+use super::target::Pending;
+
+/// Longest time to come back that is told.
+const MOST_RETRY_AFTER: Duration = Duration::from_secs(60);
+/// Why a request is refused, and when its caller should come back.
+type Refusal = (NotRunReason, Duration);
+
+/// What decides whether a request that waits is still sent.
+pub(super) struct Waiting<'a> {
+    pub(super) now: Timestamp,
+    pub(super) settings: &'a RouterSettings,
+    pub(super) quarantine: &'a Quarantine,
+    /// Until when requests with a key may be sent.
+    pub(super) keys_until: Option<Timestamp>,
+    /// Estimated time once it is sent.
+    pub(super) service_time: Duration,
+    pub(super) pending: &'a Pending,
+}
+
+/// Why the first of those that wait is refused now, if it is.
+pub(super) fn waiting_refusal(waiting: &Waiting<'_>) -> Option<Refusal> {
+    let &Waiting {
+        now,
+        settings,
+        pending,
+        ..
+    } = waiting;
+    let meta = &pending.meta;
+    let quarantine = waiting
+        .quarantine
+        .time_left(now, meta.fingerprint, settings);
+    if let Some(left) = quarantine {
+        return Some((NotRunReason::Quarantined, left.min(MOST_RETRY_AFTER)));
+    }
+    let has_waited = now > pending.came_at;
+    let is_too_late = settings.early_refusal
+        && has_waited
+        && pending.attempts == 0
+        && waiting.service_time > meta.deadline.since(now);
+    if is_too_late {
+        return Some((NotRunReason::WouldBeLate, settings.retry_after));
+    }
+    let is_out_of_date = waiting.keys_until.is_some_and(|until| now >= until);
+    let needs_key = meta.credential.is_some();
+    (needs_key && is_out_of_date).then_some((NotRunReason::OutOfDate, settings.retry_after))
+}
+
+impl Router {
+    /// Why a new request would be refused now, if it would.
+    pub fn refusal(&self, now: Timestamp, meta: &RequestMeta, share: u32) -> Option<Refusal> {
+        let Some(state) = self.targets.get(&meta.target) else {
+            return Some((NotRunReason::UnknownTarget, MOST_RETRY_AFTER));
+        };
+        if let Some(left) = self.quarantined_for(now, meta.fingerprint) {
+            return Some((NotRunReason::Quarantined, left.min(MOST_RETRY_AFTER)));
+        }
+        let retry_after = self.settings.retry_after;
+        let is_out_of_date = self.keys_until.is_some_and(|until| now >= until);
+        if is_out_of_date && meta.credential.is_some() {
+            return Some((NotRunReason::OutOfDate, retry_after));
+        }
+        if !state.upstreams.iter().any(|u| u.may_serve(now)) {
+            return Some((NotRunReason::NoUpstream, retry_after));
+        }
+        if !self.settings.early_refusal {
+            return None;
+        }
+        let time_left = meta.deadline.since(now);
+        let wait = state.wait_of(&meta.customer, share, state.cost_of(meta));
+        let has_room = state.queue.is_empty() && state.upstreams.iter().any(|u| u.is_eligible(now));
+        let service_time = state.service_time(meta);
+        if has_room {
+            // An estimate from bad times must not keep out what could show better.
+            return None;
+        }
+        let longest_wait = time_left
+            .saturating_sub(service_time)
+            .min(self.settings.max_wait);
+        if wait <= longest_wait && service_time <= time_left {
+            return None;
+        }
+        let too_much = wait.saturating_sub(longest_wait);
+        let least = retry_after.min(Duration::from_secs(1));
+        let retry_after = too_much.clamp(least, MOST_RETRY_AFTER);
+        Some((NotRunReason::WouldBeLate, retry_after))
+    }
+
+    /// Refuses a waiting request where too many wait.
+    pub(super) fn evict_overflow(&mut self, target: &Target, out: &mut Vec<RouterAction>) {
+        if self.waiting <= self.settings.max_waiting {
+            return;
+        }
+        let state = self.targets.get_mut(target);
+        if let Some(evicted) = state.and_then(|state| state.queue.evict()) {
+            self.waiting -= 1;
+            self.answer(evicted.request, self.not_run(NotRunReason::QueueFull), out);
+        }
+    }
+}
