--- a/shalehinge/tests/crashing_models.rs
+++ b/shalehinge/tests/crashing_models.rs
@@ -50,6 +50,16 @@
     assert!(most_ends(&domain) <= MOST_ENDS, "{:?}", ends(&domain));
 }
 
+#[test]
+fn a_trial_of_a_model_that_ends_its_engines_costs_one_engine() {
+    let mut domain = crashes_as_one_group_forms();
+    let (_, members) = domain.group_of(LARGE);
+    domain.run_for(FIVE_MINUTES);
+    // Twice all of a group may end, as one crash names no model.
+    let most = 2 * members.len() + (MOST_ENDS - 2);
+    assert!(domain.ended.len() <= most, "{} ends", domain.ended.len());
+}
+
 #[test]
 fn a_model_that_ends_its_engines_when_all_groups_form_is_tried_ever_more_rarely() {
     let mut domain = Domain::new(&[8, 8, 8]);
--- a/shalehinge/tests/failing_requests.rs
+++ b/shalehinge/tests/failing_requests.rs
@@ -97,6 +97,19 @@
     assert_eq!(harness.ejected(), failing);
 }
 
+#[test]
+fn two_upstreams_that_fail_whatever_they_run_are_ejected_though_all_ask_the_same() {
+    let mut harness = Harness::with_replicas(10);
+    let mut failing = some_upstreams(&mut harness, 2);
+    for number in 0..100 {
+        serve(&mut harness, number, ALWAYS_FAILS, &failing);
+    }
+    failing.sort();
+    let mut ejected = harness.ejected();
+    ejected.sort();
+    assert_eq!(ejected, failing);
+}
+
 #[test]
 fn upstreams_that_fail_whatever_they_run_are_ejected_beside_a_request_that_always_fails() {
     let mut harness = Harness::with_replicas(10);
