--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -70,13 +70,13 @@
         CORE + "controller/mod.rs",
         "self.adopts = true;",
         "self.adopts = false;",
-        "ordered", "another_writer_overwrote",
+        "adoption", "another_writer_overwrote",
     ),
     "a-list-newer-than-what-is-foreign": (
         CORE + "controller/mod.rs",
         "            if !self.trusts_absence() {\n                return (None, log);\n            }\n            let adopted",
         "            let adopted",
-        "ordered", "orders_nothing",
+        "adoption", "orders_nothing",
     ),
     "a-foreign-lease-waits-a-term": (
         CORE + "lease.rs",
--- /dev/null
+++ b/shalehinge/tests/adoption.rs
@@ -0,0 +1,60 @@
+//! Groups that stand, where another program overwrote the assignment of their failure domain.
+
+mod ordered_support;
+
+use std::time::Duration;
+
+use ordered_support::{Domain, LARGE, SMALL};
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Another program overwrites the assignment, and the lease passes on.
+fn lose_assignment(domain: &mut Domain) {
+    domain.is_foreign = true;
+    domain.stored.version.0 += 1;
+    domain.change_holder();
+}
+
+#[test]
+fn groups_that_stand_are_taken_over_where_another_writer_overwrote_the_assignment() {
+    let mut domain = Domain::serving(&[8, 8]);
+    let before = domain.stored.value.groups.clone();
+    lose_assignment(&mut domain);
+    domain.run_for(seconds(10));
+    assert!(!domain.is_foreign, "it was written anew");
+    let after = &domain.stored.value.groups;
+    assert_eq!(
+        after.keys().collect::<Vec<_>>(),
+        before.keys().collect::<Vec<_>>()
+    );
+    assert_eq!(
+        (domain.open_groups(LARGE), domain.open_groups(SMALL)),
+        (2, 4)
+    );
+}
+
+#[test]
+fn a_group_that_lost_a_member_while_the_assignment_was_overwritten_is_formed_anew() {
+    let mut domain = Domain::serving(&[8, 8]);
+    let (_, members) = domain.group_of(LARGE);
+    domain.engine(&members[1]).is_listed = false;
+    domain.engine(&members[1]).is_reachable = false;
+    lose_assignment(&mut domain);
+    domain.run_until("formed anew", |domain| {
+        !domain.is_foreign && domain.open_groups(LARGE) == 2
+    });
+}
+
+#[test]
+fn a_holder_without_a_list_newer_than_the_overwritten_assignment_orders_nothing() {
+    let mut domain = Domain::serving(&[8]);
+    let list = domain.list_as_it_is();
+    lose_assignment(&mut domain);
+    domain.change_holder_with_list(list);
+    let orders = domain.orders;
+    domain.run_for(seconds(5));
+    assert_eq!(domain.orders, orders);
+    assert!(domain.is_foreign);
+}
