--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -677,9 +677,12 @@
 
     /// Daemons that live and can't route: they lack the configuration or the hosts.
     pub fn cannot_route(&self) -> usize {
-        let lacks =
-            |daemon: &&Daemon| daemon.state().fleet().is_none() || daemon.state().hosts().is_none();
-        self.daemons.iter().filter(lacks).count()
+        let lacks = |index: &usize| {
+            let state = self.daemons[*index].state();
+            state.fleet().is_none() || state.hosts().is_none()
+        };
+        let living = (0..self.daemons.len()).filter(|index| !self.dead.contains(index));
+        living.filter(lacks).count()
     }
 
     /// Daemons that do not have this configuration, or a newer one, in force.
