feat(router): log and gauge of the limits that upstreams in need name

Neither logs nor metrics told whether an answer named a limit, which, and to which daemon. A line when a limit begins, changes by a tenth or more, ends, or can't be read; a gauge for each upstream. Nothing is decided on it yet. An answer to a request from before the limit ends nothing, as answers overtake one another.

--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -10,6 +10,7 @@
 //! - `quarantine`: what daemons tell each other of requests that crash upstreams
 //! - `relays`: what daemons that don't read the platform hear from peers
 //! - `control`: the lease, and what its holder does
+//! - `limits`: how many requests upstreams in need take from all daemons together
 //! - `operators`: plans and confirms
 //! - `requests`: requests of callers, and what the router decides
 //! - `claiming`: keys of requests: claimed before, settled after
@@ -18,6 +19,7 @@
 mod claiming;
 mod configuration;
 mod control;
+mod limits;
 mod operators;
 mod peers;
 mod platform_calls;
@@ -329,6 +331,11 @@
             Event::Progress { request, attempt } => {
                 self.router.on_progress(now, request, attempt);
             }
+            Event::LimitNamed {
+                request,
+                attempt,
+                limit,
+            } => self.on_limit_named(now, request, attempt, limit, out),
             Event::Ended {
                 request,
                 attempt,
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -9,6 +9,7 @@
 use super::fingerprint::Fingerprint;
 use super::fleet_state::{ObjectUpdate, VersionDigest};
 use super::membership::Gossip;
+use super::named_limit::NamedLimit;
 use super::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
 use super::platform::{CallId, PlatformCall, PlatformResult, Revision};
 use super::router::request::{Attempt, AttemptEnd, Outcome, RequestMeta, UpstreamId};
@@ -237,6 +238,15 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// The answer of an attempt says how many requests its upstream takes.
+    LimitNamed {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+        /// What it says.
+        limit: NamedLimit,
+    },
     /// An attempt ended.
     Ended {
         /// The request.
--- a/shalehinge/src/core/mod.rs
+++ b/shalehinge/src/core/mod.rs
@@ -21,6 +21,7 @@
 //! - `controller`, `placement`: which hosts form which replica
 //! - `change`, `operator`: plans that operators confirm
 //! - `claims`: requests that may run at most once
+//! - `named_limit`: what upstreams in need say of the requests that they take
 //! - `router`: which request goes where
 //! - `route_config`: routes and models as they are configured
 //! - `routes`: which route a relayed request takes
@@ -38,6 +39,7 @@
 pub mod hash;
 pub mod lease;
 pub mod membership;
+pub mod named_limit;
 pub mod objects;
 pub mod operator;
 pub mod placement;
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -10,6 +10,7 @@
 //! - `choose`: choice of an upstream for a request
 //! - `outlier`: ejection of upstreams that fail or are slow
 //! - `failing`: requests that fail wherever they run
+//! - `named`, `limits`: upstreams in need, which name how many requests they take
 //! - `refusal`: requests that are refused before they are sent
 //! - `retry_budget`: how many retries are allowed
 //! - `keys`: keys of relayed requests, and how long they count
@@ -27,6 +28,8 @@
 mod expiry;
 pub mod failing;
 mod keys;
+mod limits;
+pub mod named;
 pub mod outlier;
 pub mod prefix;
 pub mod quarantine;
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -7,6 +7,7 @@
 use crate::settings::router::RouterSettings;
 
 use super::estimate::SmoothedDuration;
+use super::named::LimitState;
 use super::outlier::OutlierState;
 use super::prefix::PrefixHints;
 use super::request::UpstreamId;
@@ -97,6 +98,8 @@
     pub prefixes: PrefixHints,
     /// Whether it is trusted.
     pub outlier: OutlierState,
+    /// How many requests it takes from all daemons together, while it names that.
+    pub limit: LimitState,
     /// Time to the first token.
     pub first_token: SmoothedDuration,
     /// Time between two tokens.
@@ -138,6 +141,7 @@
             spec,
             prefixes: PrefixHints::default(),
             outlier: OutlierState::default(),
+            limit: LimitState::default(),
             first_token: SmoothedDuration::default(),
             token_interval: SmoothedDuration::default(),
             report: None,
--- a/shalehinge/src/operator_api.rs
+++ b/shalehinge/src/operator_api.rs
@@ -133,11 +133,23 @@
             async move { context.status(conn) }
         })
         .get("/metrics", move |conn: Conn| {
-            let page = metrics.driver.metrics.page();
+            let mut page = metrics.driver.metrics.page();
+            page.push_str(&limits_page(&metrics.driver));
             async move { conn.ok(page) }
         })
 }
 
+/// Gauges of upstreams in need, a line each: the requests a second that it takes from all daemons
+/// together, by what this daemon knows.
+fn limits_page(driver: &Driver) -> String {
+    driver.read(|_, core| {
+        let limited = core.router().limited_upstreams();
+        limited
+            .map(|(upstream, rate)| format!("shalehinge.upstream.limit.{upstream} {rate}\n"))
+            .collect()
+    })
+}
+
 #[derive(Clone)]
 struct Context {
     driver: Arc<Driver>,
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -17,6 +17,7 @@
 use super::peer_traffic::PeerTraffic;
 use crate::core::daemon::Daemon;
 use crate::core::event::{Action, Event, Pull, PullId, PullReply, StatusPurpose};
+use crate::core::named_limit::NamedLimit;
 use crate::core::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
 use crate::core::platform::{CallId, NoAnswer, PlatformCall};
 use crate::core::router::request::{Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta};
@@ -387,4 +388,12 @@
         // until the core breaks it off, or to its end where it may not repeat.
         let _ = self.parts.send(CallerPart::Part(part)).await;
     }
+
+    fn hear_limit(&self, limit: NamedLimit) {
+        self.driver.dispatch(Event::LimitNamed {
+            request: self.attempt.request,
+            attempt: self.attempt.id,
+            limit,
+        });
+    }
 }
