--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -10,6 +10,7 @@
 use shalehinge::core::event::{Action, Event, Pull, PullId, PullReply, PullTopic, Timeouts};
 use shalehinge::core::fingerprint::Fingerprint;
 use shalehinge::core::fleet_state::ObjectUpdate;
+use shalehinge::core::named_limit::{NamedLimit, RequestRate};
 use shalehinge::core::objects::{
     CustomerConfig, FleetConfig, HostChanges, HostList, HostRecord, HostState, ModelProfile,
     Object, ObjectKey, RequestKind, RouteConfig, ServiceConfig, Versioned, WeightedService,
@@ -17,7 +18,7 @@
 use shalehinge::core::platform::{
     CallId, Freshness, NoAnswer, PlatformCall, PlatformReply, Revision, Scope,
 };
-use shalehinge::core::router::request::{AttemptEnd, RequestMeta, Target};
+use shalehinge::core::router::request::{Attempt, AttemptEnd, Outcome, RequestMeta, Target};
 use shalehinge::core::routes::model_of_service;
 use shalehinge::core::types::{
     Address, Customer, DaemonId, FabricDomain, FailureDomain, GroupNumber, HostId, Incarnation,
@@ -382,6 +383,17 @@
     pub of_platform: f64,
 }
 
+/// An attempt that reached the upstream of a group.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub at: Duration,
+    pub daemon: usize,
+    pub group: GroupNumber,
+}
+
+/// How long a request that ends whole runs.
+const RUN_TIME: Duration = Duration::from_millis(300);
+
 /// Daemons in one thread.
 pub struct Fleet {
     pub now: Duration,
@@ -400,6 +412,18 @@
     next_event: u64,
     pulls: BTreeMap<PullId, (usize, Timestamp, Pull)>,
     calls: Vec<Call>,
+    /// What the upstreams of groups in need name.
+    pub limits: BTreeMap<GroupNumber, RequestRate>,
+    /// Requests that end whole.
+    finishing: BTreeSet<RequestId>,
+    /// Attempts of those, in the order in which they reached an upstream.
+    pub arrivals: Vec<Arrival>,
+    /// What became of them.
+    pub outcomes: Vec<Outcome>,
+    /// Daemons that nobody hears and that hear nobody.
+    pub cut_off: BTreeSet<usize>,
+    /// Notices that were sent.
+    pub notices: usize,
     /// Requests that crash the upstream that runs them.
     crashing: BTreeSet<RequestId>,
     /// Upstreams that crashed so.
@@ -438,6 +462,12 @@
             next_event: 0,
             pulls: BTreeMap::new(),
             calls: Vec::new(),
+            limits: BTreeMap::new(),
+            finishing: BTreeSet::new(),
+            arrivals: Vec::new(),
+            outcomes: Vec::new(),
+            cut_off: BTreeSet::new(),
+            notices: 0,
             crashing: BTreeSet::new(),
             crashes: 0,
         }
@@ -589,6 +619,45 @@
         }
     }
 
+    /// A caller sends a daemon a stream that ends whole.
+    pub fn whole_stream(&mut self, index: usize) {
+        self.next_event += 1;
+        let request = RequestId(self.next_event);
+        self.finishing.insert(request);
+        let meta = RequestMeta {
+            fingerprint: Fingerprint(self.next_event),
+            ..stream(Timestamp::from_duration(self.now + STREAM_DEADLINE))
+        };
+        self.handle(index, Event::Request { request, meta });
+    }
+
+    /// The upstream runs an attempt, and says in the head of its answer what it takes.
+    fn run_whole(&mut self, index: usize, sent: &Attempt) {
+        let (request, attempt) = (sent.request, sent.id);
+        let Some(group) = sent.group else {
+            return;
+        };
+        let daemon = index;
+        let at = self.now;
+        self.arrivals.push(Arrival { at, daemon, group });
+        let limit = self.limits.get(&group).copied();
+        let limit = limit.map_or(NamedLimit::None, NamedLimit::Rate);
+        let named = Event::LimitNamed {
+            request,
+            attempt,
+            limit,
+        };
+        self.later(TICK, index, named);
+        self.later(TICK, index, Event::Output { request, attempt });
+        let end = AttemptEnd::Completed { output_tokens: 20 };
+        let ended = Event::Ended {
+            request,
+            attempt,
+            end,
+        };
+        self.later(RUN_TIME, index, ended);
+    }
+
     /// A caller sends a daemon the one request that crashes whoever runs it.
     pub fn crashing_stream(&mut self, index: usize) {
         self.next_event += 1;
@@ -598,6 +667,10 @@
         self.handle(index, Event::Request { request, meta });
     }
 
+    fn is_cut(&self, one: usize, other: usize) -> bool {
+        self.cut_off.contains(&one) != self.cut_off.contains(&other)
+    }
+
     fn handle(&mut self, index: usize, event: Event) {
         if self.dead.contains(&index) {
             return;
@@ -628,7 +701,8 @@
             }
             Action::Pull { to, pull } => {
                 let peer = to.port() as usize;
-                if self.dead.contains(&peer) {
+                let is_cut = self.is_cut(index, peer);
+                if is_cut || self.dead.contains(&peer) {
                     let event = answered(now, &pull, None);
                     self.later(peer_timeout(&pull), index, event);
                     return;
@@ -640,6 +714,10 @@
             }
             Action::AnswerPull { pull_id, reply } => self.answer_pull(index, pull_id, reply),
             Action::Send(attempt) => {
+                if self.finishing.contains(&attempt.request) {
+                    self.run_whole(index, &attempt);
+                    return;
+                }
                 let (request, attempt) = (attempt.request, attempt.id);
                 if self.crashing.contains(&request) {
                     self.crashes += 1;
@@ -660,7 +738,14 @@
                 self.later(Duration::ZERO, index, event);
             }
             Action::Notify { to, notice } => {
-                self.later(TICK, to.port() as usize, Event::Noticed(notice));
+                let peer = to.port() as usize;
+                self.notices += 1;
+                if !self.is_cut(index, peer) {
+                    self.later(TICK, peer, Event::Noticed(notice));
+                }
+            }
+            Action::Answer { request, outcome } if self.finishing.remove(&request) => {
+                self.outcomes.push(outcome);
             }
             _ => {}
         }
