fix(quarantine): a request that ran beside crashes is tried alone before it is refused for long

Cause: two crashes name all that ran at both. Change: two crashes make a suspect, which is refused for 1.2 s after the last of them with the time to its trial, and then tried at an upstream where no other suspect is tried. One daemon of the fleet, by rendezvous hash over the target, hands out trials. An upstream that crashes then proves it, which quarantines it as before (half an hour), and nothing that ran beside it is counted. A whole answer clears it everywhere.

Ways: today's (2 upstreams end by a culprit, harmless ones refused for half an hour); each daemon tries by itself (not built: one more upstream a daemon); tried by one at a time, kept: 3 upstreams end, also when 90 daemons have the culprit at once. The test of a daemon that missed the news now has the request proven by its trial before the news is missed: two crashes no longer condemn.

--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -50,6 +50,7 @@
 use crate::core::router::request::{NotRunReason, Outcome, RequestMeta, UnknownReason};
 use crate::core::routes::{RouteQuery, RouteRefusal, RouteTable, Routed};
 use crate::core::superseded::Superseded;
+use crate::core::trials::{TrialGrant, TrialOwner};
 use crate::core::types::{
     Address, Customer, DaemonId, FailureDomain, Incarnation, OperationId, RequestId, Timestamp,
     Version,
@@ -132,6 +133,10 @@
     claims: ClaimBook,
     /// The limits of upstreams that this daemon owns.
     permits: PermitOwner,
+    /// The trials that this daemon hands out.
+    trials: TrialOwner,
+    /// Trials that it has for itself.
+    own_trials: Vec<TrialGrant>,
     /// What this daemon has for itself as an owner of limits.
     own_limits: Vec<LimitsNotice>,
     operators: Operators,
@@ -195,6 +200,8 @@
             controller: Controller::new(settings.control, domain),
             claims: ClaimBook::new(settings.claims),
             permits: PermitOwner::default(),
+            trials: TrialOwner::default(),
+            own_trials: Vec::new(),
             own_limits: Vec::new(),
             operators: Operators::default(),
             router: Router::new(settings.router, identity.incarnation),
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -380,7 +380,7 @@
         for replica in &notice.lost {
             self.lose(now, replica, out);
         }
-        self.learn_quarantine(now, now, notice.quarantine, out);
+        self.on_quarantine_told(now, notice.from, notice.quarantine, out);
         self.on_limits_told(now, notice.from, notice.limits, out);
         self.hear_versions(now, notice.from, &notice.digest);
         self.fetch_whole_objects(now, out);
--- a/shalehinge/src/core/daemon/quarantine.rs
+++ b/shalehinge/src/core/daemon/quarantine.rs
@@ -13,8 +13,10 @@
 use crate::core::event::{
     Action, CompletionReport, LossReport, Notice, QuarantineReport, QuarantinedReport,
 };
-use crate::core::router::quarantine::{Completion, Loss, QuarantineNews, Quarantined};
+use crate::core::membership::Owner;
+use crate::core::router::quarantine::{Completion, Evidence, Loss, QuarantineNews, Quarantined};
 use crate::core::router::request::UpstreamId;
+use crate::core::trials::{TrialGrant, TrialRequest};
 use crate::core::types::{Address, FailureDomain, Timestamp};
 
 /// The duty of counting losses.
@@ -34,6 +36,7 @@
         fingerprint: quarantined.fingerprint,
         first_lost_ms_ago: millis_since(now, quarantined.first_lost_at),
         last_lost_ms_ago: millis_since(now, quarantined.last_lost_at),
+        is_proven: quarantined.evidence == Evidence::Proven,
     }
 }
 
@@ -52,6 +55,7 @@
         losses: losses.collect(),
         quarantined: quarantined.map(|held| report_of(now, *held)).collect(),
         completions: completions.collect(),
+        ..QuarantineReport::default()
     }
 }
 
@@ -67,6 +71,11 @@
         fingerprint: held.fingerprint,
         first_lost_at: ago(now, held.first_lost_ms_ago),
         last_lost_at: ago(now, held.last_lost_ms_ago),
+        evidence: if held.is_proven {
+            Evidence::Proven
+        } else {
+            Evidence::Suspected
+        },
     });
     let completions = report.completions.iter().map(|completion| Completion {
         fingerprint: completion.fingerprint,
@@ -86,6 +95,7 @@
         if news.is_empty() {
             return;
         }
+        self.end_trials(&news);
         let losses = news.losses.clone();
         let for_all = QuarantineNews {
             losses: Vec::new(),
@@ -132,6 +142,79 @@
         send_notice(peers, &notice, out);
     }
 
+    /// Asks the owner of a target's trials for one.
+    pub(super) fn ask_trial(
+        &mut self,
+        now: Timestamp,
+        request: TrialRequest,
+        out: &mut Vec<Action>,
+    ) {
+        match self.membership.fleet_owner(now, &request.target) {
+            Owner::Me => {
+                let grant = self.trials.ask(now, &request);
+                self.own_trials.extend(grant);
+            }
+            Owner::Peer(owner) => {
+                let trials_asked = vec![request];
+                let report = QuarantineReport {
+                    trials_asked,
+                    ..QuarantineReport::default()
+                };
+                self.send_quarantine(vec![owner], report, out);
+            }
+        }
+    }
+
+    /// A peer asks for a trial. Only the owner by this daemon's own view answers.
+    fn on_trial_asked(
+        &mut self,
+        now: Timestamp,
+        from: Address,
+        request: &TrialRequest,
+        out: &mut Vec<Action>,
+    ) {
+        if self.membership.fleet_owner(now, &request.target) != Owner::Me {
+            return;
+        }
+        let Some(grant) = self.trials.ask(now, request) else {
+            return;
+        };
+        let report = QuarantineReport {
+            trials_granted: vec![grant],
+            ..QuarantineReport::default()
+        };
+        self.send_quarantine(vec![from], report, out);
+    }
+
+    /// Trials that this daemon, as their owner, has for itself.
+    pub(super) fn take_own_trials(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let granted = std::mem::take(&mut self.own_trials);
+        if granted.is_empty() {
+            return;
+        }
+        self.begin_trials(now, granted, out);
+    }
+
+    fn begin_trials(&mut self, now: Timestamp, granted: Vec<TrialGrant>, out: &mut Vec<Action>) {
+        let mut actions = Vec::new();
+        for grant in granted {
+            self.router
+                .on_trial(now, &grant, &mut self.rng, &mut actions);
+        }
+        self.router_actions(now, actions, out);
+    }
+
+    /// Ends the trials of what was cleared or proven.
+    fn end_trials(&mut self, news: &QuarantineNews) {
+        let proven = news.quarantined.iter();
+        let proven = proven.filter(|held| held.evidence == Evidence::Proven);
+        let ended = proven.map(|held| held.fingerprint);
+        let cleared = news.completions.iter().map(|done| done.fingerprint);
+        for fingerprint in ended.chain(cleared) {
+            self.trials.end(fingerprint);
+        }
+    }
+
     /// What an answer to a peer holds.
     pub(super) fn quarantine_report(&self, now: Timestamp) -> QuarantineReport {
         let quarantined = self.router.quarantined(now).take(MOST_TOLD);
@@ -163,9 +246,26 @@
         report: QuarantineReport,
         out: &mut Vec<Action>,
     ) {
+        let news = news_of(told_at, report);
+        self.end_trials(&news);
         let mut actions = Vec::new();
-        self.router
-            .learn_quarantine(news_of(told_at, report), &mut actions);
+        self.router.learn_quarantine(news, &mut actions);
         self.router_actions(now, actions, out);
     }
+
+    /// Takes in a peer's notice.
+    pub(super) fn on_quarantine_told(
+        &mut self,
+        now: Timestamp,
+        from: Address,
+        mut report: QuarantineReport,
+        out: &mut Vec<Action>,
+    ) {
+        for request in std::mem::take(&mut report.trials_asked) {
+            self.on_trial_asked(now, from, &request, out);
+        }
+        let granted = std::mem::take(&mut report.trials_granted);
+        self.learn_quarantine(now, now, report, out);
+        self.begin_trials(now, granted, out);
+    }
 }
--- a/shalehinge/src/core/daemon/requests.rs
+++ b/shalehinge/src/core/daemon/requests.rs
@@ -168,6 +168,7 @@
                 RouterAction::AskPermits { known, wanted } => {
                     self.ask_permits(now, PermitRequest { known, wanted }, out);
                 }
+                RouterAction::AskTrial(request) => self.ask_trial(now, request, out),
                 RouterAction::Log(text) => log(out, Part::Route, text),
                 RouterAction::Answer { request, outcome } => {
                     let text = format!("request {} ends: {outcome:?}", request.0);
@@ -179,5 +180,6 @@
         }
         self.tick_claims(now, out);
         self.take_own_limits(now, out);
+        self.take_own_trials(now, out);
     }
 }
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -14,6 +14,7 @@
 use super::permits::{LimitReport, PermitGrant, PermitRequest};
 use super::platform::{CallId, PlatformCall, PlatformResult, Revision};
 use super::router::request::{Attempt, AttemptEnd, Outcome, RequestMeta, UpstreamId};
+use super::trials::{TrialGrant, TrialRequest};
 use super::types::{Address, AttemptId, GroupNumber, HostId, ReplicaId, RequestId, Timestamp};
 
 /// Identifies a peer's pull that waits for its answer.
@@ -91,6 +92,10 @@
     pub quarantined: Vec<QuarantinedReport>,
     /// Requests that must not be in quarantine.
     pub completions: Vec<CompletionReport>,
+    /// To the owner of a target's trials.
+    pub trials_asked: Vec<TrialRequest>,
+    /// Of that owner.
+    pub trials_granted: Vec<TrialGrant>,
 }
 
 /// An attempt that broke off at an upstream, without an answer.
@@ -113,6 +118,8 @@
     pub first_lost_ms_ago: u64,
     /// How long ago the last of them was.
     pub last_lost_ms_ago: u64,
+    /// Whether it was proven by a trial, or is only suspected.
+    pub is_proven: bool,
 }
 
 /// A request that an upstream answered.
--- a/shalehinge/src/core/membership.rs
+++ b/shalehinge/src/core/membership.rs
@@ -380,6 +380,20 @@
             .map_or(Owner::Me, Owner::Peer)
     }
 
+    /// The one live member of the fleet that decides on a subject: of a failure domain that the
+    /// subject chooses, whose members know each other.
+    pub fn fleet_owner(&self, now: Timestamp, subject: &impl Hash) -> Owner {
+        let peers = self.alive(now).filter(|peer| !peer.leaving);
+        let domains: BTreeSet<&FailureDomain> = peers
+            .map(|peer| &peer.failure_domain)
+            .chain([&self.me.failure_domain])
+            .collect();
+        let domain = hash::top(subject, domains.into_iter(), 1);
+        domain
+            .first()
+            .map_or(Owner::Me, |domain| self.owner(now, domain, subject))
+    }
+
     /// Where those responsible for `duty` in a failure domain are reached.
     pub fn responsible_addresses(
         &self,
--- a/shalehinge/src/core/mod.rs
+++ b/shalehinge/src/core/mod.rs
@@ -23,6 +23,7 @@
 //! - `claims`: requests that may run at most once
 //! - `named_limit`: what upstreams in need say of the requests that they take
 //! - `permits`: permits to send to these
+//! - `trials`: trials of requests that may crash the upstreams that run them
 //! - `router`: which request goes where
 //! - `route_config`: routes and models as they are configured
 //! - `routes`: which route a relayed request takes
@@ -51,5 +52,6 @@
 pub mod router;
 pub mod routes;
 pub mod superseded;
+pub mod trials;
 pub mod types;
 pub mod whole_fetch;
--- a/shalehinge/src/core/router/choose.rs
+++ b/shalehinge/src/core/router/choose.rs
@@ -34,6 +34,16 @@
     pub compared: Vec<Candidate>,
 }
 
+impl Choice {
+    /// A choice for which nothing was compared.
+    pub fn without_figures(index: usize) -> Self {
+        Self {
+            index,
+            compared: Vec::new(),
+        }
+    }
+}
+
 /// Figures of one candidate.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
@@ -109,7 +119,7 @@
     match context.settings.policy {
         ChoicePolicy::RoundRobin => {
             let index = open[context.turn % open.len()];
-            Some(without_figures(index))
+            Some(Choice::without_figures(index))
         }
         ChoicePolicy::LeastInFlight => {
             let fewest = open
@@ -119,19 +129,12 @@
             let ties = open
                 .into_iter()
                 .filter(|index| upstreams[*index].in_flight() == fewest);
-            ties.choose(rng).map(without_figures)
+            ties.choose(rng).map(Choice::without_figures)
         }
         ChoicePolicy::Score => by_score(upstreams, open, context, rng),
     }
 }
 
-fn without_figures(index: usize) -> Choice {
-    Choice {
-        index,
-        compared: Vec::new(),
-    }
-}
-
 fn is_open(upstream: &Upstream, context: &ChoiceContext<'_>) -> bool {
     upstream.is_eligible(context.now)
         && upstream.has_room(context.work, context.settings)
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -6,7 +6,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::core::fingerprint::Fingerprint;
 use crate::core::permits::LimitReport;
+use crate::core::trials::TrialRequest;
 use crate::core::types::{Address, AttemptId, Incarnation, RequestId, Timestamp};
 use crate::settings::router::RouterSettings;
 
@@ -22,6 +24,7 @@
 use super::suspects::{Asked, Unexplained};
 use super::target::{FIRST_SERVER_ERROR, Pending, TargetState};
 use super::topology::Topology;
+use super::trying::{NO_TRIAL, TrialState};
 use super::upstream::Upstream;
 
 /// Part of a shared burst that is used: not all daemons know of each other.
@@ -59,6 +62,8 @@
         /// Permits that can be used soon.
         wanted: u32,
     },
+    /// Ask whoever hands out the trials of a target for one.
+    AskTrial(TrialRequest),
     /// A line for the log of decisions.
     Log(String),
 }
@@ -78,6 +83,8 @@
     pub(super) quarantine: Quarantine,
     /// Attempts that broke off at upstreams which are being looked for.
     pub(super) unexplained: BTreeMap<UpstreamId, Unexplained>,
+    /// Requests on trial here, and where.
+    pub(super) tried: BTreeMap<Fingerprint, UpstreamId>,
     pub(super) ticked_at: Timestamp,
 }
 
@@ -100,6 +107,7 @@
             keys_until: None,
             quarantine: Quarantine::default(),
             unexplained: BTreeMap::new(),
+            tried: BTreeMap::new(),
             ticked_at: Timestamp::ZERO,
         }
     }
@@ -219,6 +227,17 @@
             earlier: None,
             cost,
             share,
+            trial: TrialState::None,
+        };
+        if self
+            .quarantined_for(now, pending.meta.fingerprint)
+            .is_some()
+        {
+            self.hold_for_trial(now, request, pending, rng, out);
+            return;
+        }
+        let Some(state) = self.targets.get_mut(&target) else {
+            return;
         };
         state.enqueue(request, &pending, self.settings.timely_first);
         self.pending.insert(request, pending);
@@ -272,6 +291,13 @@
             }
             let selection = state.choose_for(now, &self.settings, pending, rng);
             let Some(choice) = selection.choice else {
+                if matches!(pending.trial, TrialState::At(_)) {
+                    // Its upstream is gone: the others that wait must not wait for it.
+                    state.queue.pop();
+                    self.waiting -= 1;
+                    self.answer(request, NO_TRIAL, out);
+                    continue;
+                }
                 state.ask_permits_for_all(now, out);
                 return;
             };
@@ -292,6 +318,10 @@
                 request, pending, state, &choice,
             )));
             let mut attempt = state.send(now, request, pending, id, choice.index);
+            if matches!(pending.trial, TrialState::At(_)) {
+                self.tried
+                    .insert(pending.meta.fingerprint, attempt.upstream.clone());
+            }
             if let (Some(until), Some(_)) = (self.keys_until, &pending.meta.credential) {
                 attempt.valid_until = attempt.valid_until.min(until);
             }
--- a/shalehinge/src/core/router/expiry.rs
+++ b/shalehinge/src/core/router/expiry.rs
@@ -11,6 +11,7 @@
         self.expire_waiting(now, out);
         self.expire_running(now, out);
         self.leave_stalled(now, out);
+        self.check_held(now, out);
         self.dispatch_all(now, rng, out);
     }
 
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -16,6 +16,7 @@
 //! - `keys`: keys of relayed requests, and how long they count
 //! - `quarantine`: requests that crash the upstreams that run them
 //! - `suspects`: what the router learns of such requests, and tells of them
+//! - `trying`: trials of these
 //! - `reports`: what upstreams report
 //! - `expiry`: deadlines that pass, and room that is there again
 //! - `stalled`: replicas that stand still
@@ -42,6 +43,7 @@
 mod suspects;
 mod target;
 pub mod topology;
+mod trying;
 pub mod upstream;
 pub mod wait_queue;
 
--- a/shalehinge/src/core/router/quarantine.rs
+++ b/shalehinge/src/core/router/quarantine.rs
@@ -51,6 +51,17 @@
     pub first_lost_at: Timestamp,
     /// The last of them.
     pub last_lost_at: Timestamp,
+    /// What is known of it.
+    pub evidence: Evidence,
+}
+
+/// What names a request that is quarantined.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Evidence {
+    /// It ran at several upstreams as they crashed, as others may have. A trial tells.
+    Suspected,
+    /// An upstream crashed while it was tried there alone.
+    Proven,
 }
 
 /// A request that an upstream answered, so that it crashes not each that runs it.
@@ -188,12 +199,42 @@
             fingerprint,
             first_lost_at: first.unwrap_or(at),
             last_lost_at: at,
+            evidence: record
+                .quarantined
+                .map_or(Evidence::Suspected, |held| held.evidence),
         };
         record.quarantined = Some(quarantined);
         self.news.quarantined.push(quarantined);
         !was_quarantined
     }
 
+    /// An upstream crashed while this request was tried there alone.
+    pub fn prove(&mut self, loss: &Loss) {
+        let record = self.records.entry(loss.fingerprint).or_default();
+        let first_lost_at = record
+            .quarantined
+            .map_or(loss.at, |held| held.first_lost_at);
+        let quarantined = Quarantined {
+            fingerprint: loss.fingerprint,
+            first_lost_at,
+            last_lost_at: loss.at,
+            evidence: Evidence::Proven,
+        };
+        record.quarantined = Some(quarantined);
+        self.news.quarantined.push(quarantined);
+    }
+
+    /// What is known of a request that is held now.
+    pub fn held(
+        &self,
+        now: Timestamp,
+        fingerprint: Fingerprint,
+        settings: &RouterSettings,
+    ) -> Option<Quarantined> {
+        self.time_left(now, fingerprint, settings)?;
+        self.records.get(&fingerprint)?.quarantined
+    }
+
     /// An upstream gave this daemon a whole answer. Returns whether that ends a quarantine.
     pub fn note_completion(&mut self, completion: Completion) -> bool {
         if self.completions.len() >= MOST_COMPLETIONS {
@@ -238,10 +279,13 @@
         self.make_room();
         let record = self.records.entry(fingerprint).or_default();
         let known = record.quarantined;
-        if known.is_none_or(|known| quarantined.last_lost_at > known.last_lost_at) {
+        let is_news = known.is_none_or(|known| quarantined.evidence > known.evidence);
+        let later = known.is_none_or(|known| quarantined.last_lost_at > known.last_lost_at);
+        let is_weaker = known.is_some_and(|known| quarantined.evidence < known.evidence);
+        if is_news || (later && !is_weaker) {
             record.quarantined = Some(quarantined);
         }
-        known.is_none()
+        is_news
     }
 
     /// The last whole answer since then that is known of here.
--- a/shalehinge/src/core/router/refusal.rs
+++ b/shalehinge/src/core/router/refusal.rs
@@ -6,12 +6,18 @@
 use crate::settings::router::RouterSettings;
 
 use super::dispatch::{Router, RouterAction};
-use super::quarantine::Quarantine;
+use super::quarantine::{Evidence, Quarantine, Quarantined};
 use super::request::{NotRunReason, RequestMeta, Target};
 use super::target::Pending;
+use super::trying::TrialState;
 
 /// Longest time to come back that is told.
 const MOST_RETRY_AFTER: Duration = Duration::from_secs(60);
+/// Time after a crash until those who ran there are tried: whatever else crashes with it, and is
+/// still to be heard of, has crashed by then.
+const SETTLING: Duration = Duration::from_millis(1_200);
+/// When the caller of a suspected request should come back that got no trial now.
+pub(super) const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Why a request is refused, and when its caller should come back.
 type Refusal = (NotRunReason, Duration);
 
@@ -36,11 +42,11 @@
         ..
     } = waiting;
     let meta = &pending.meta;
-    let quarantine = waiting
-        .quarantine
-        .time_left(now, meta.fingerprint, settings);
-    if let Some(left) = quarantine {
-        return Some((NotRunReason::Quarantined, left.min(MOST_RETRY_AFTER)));
+    let held = waiting.quarantine.held(now, meta.fingerprint, settings);
+    let is_tried = matches!(pending.trial, TrialState::At(_));
+    if let Some(held) = held.filter(|held| !is_tried || held.evidence == Evidence::Proven) {
+        let retry_after = retry_after_of(now, &held, settings).unwrap_or(SUSPECT_RETRY_AFTER);
+        return Some((NotRunReason::Quarantined, retry_after));
     }
     let has_waited = now > pending.came_at;
     let is_too_late = settings.early_refusal
@@ -55,14 +61,29 @@
     (needs_key && is_out_of_date).then_some((NotRunReason::OutOfDate, settings.retry_after))
 }
 
+/// When the caller of a request that is held should come back: a suspected one for its trial, one
+/// that is proven as late as is told. `None` if it may be tried now.
+fn retry_after_of(
+    now: Timestamp,
+    held: &Quarantined,
+    settings: &RouterSettings,
+) -> Option<Duration> {
+    let until = match held.evidence {
+        Evidence::Suspected => held.last_lost_at + SETTLING,
+        Evidence::Proven => held.last_lost_at + settings.quarantine_for,
+    };
+    (now < until).then(|| until.since(now).min(MOST_RETRY_AFTER))
+}
+
 impl Router {
     /// Why a new request would be refused now, if it would.
     pub fn refusal(&self, now: Timestamp, meta: &RequestMeta, share: u32) -> Option<Refusal> {
         let Some(state) = self.targets.get(&meta.target) else {
             return Some((NotRunReason::UnknownTarget, MOST_RETRY_AFTER));
         };
-        if let Some(left) = self.quarantined_for(now, meta.fingerprint) {
-            return Some((NotRunReason::Quarantined, left.min(MOST_RETRY_AFTER)));
+        let held = self.quarantine.held(now, meta.fingerprint, &self.settings);
+        if let Some(left) = held.and_then(|held| retry_after_of(now, &held, &self.settings)) {
+            return Some((NotRunReason::Quarantined, left));
         }
         let retry_after = self.settings.retry_after;
         let is_out_of_date = self.keys_until.is_some_and(|until| now >= until);
--- a/shalehinge/src/core/router/suspects.rs
+++ b/shalehinge/src/core/router/suspects.rs
@@ -6,7 +6,7 @@
 use crate::core::types::{RequestId, Timestamp};
 
 use super::dispatch::{Router, RouterAction};
-use super::quarantine::{Completion, Loss, QuarantineNews, Quarantined};
+use super::quarantine::{Completion, Evidence, Loss, QuarantineNews, Quarantined};
 use super::request::{AttemptEnd, Outcome, Target, UpstreamId};
 
 /// Attempts that broke off at an upstream, until it is known whether it crashed.
@@ -157,6 +157,13 @@
             "{upstream} crashed while it ran {} requests of this daemon",
             losses.len()
         )));
+        let tried = losses.iter().find(|loss| self.was_tried(loss)).cloned();
+        if let Some(loss) = tried {
+            // It explains the crash: what ran beside it is not counted.
+            self.quarantine.prove(&loss);
+            out.push(proven(loss.fingerprint));
+            return;
+        }
         for loss in losses {
             let fingerprint = loss.fingerprint;
             if self.quarantine.note_loss(loss, &self.settings) {
@@ -174,7 +181,10 @@
         }
         for held in news.quarantined {
             if self.quarantine.learn_quarantined(held) {
-                out.push(quarantined(held.fingerprint));
+                out.push(match held.evidence {
+                    Evidence::Suspected => quarantined(held.fingerprint),
+                    Evidence::Proven => proven(held.fingerprint),
+                });
             }
         }
         for loss in news.losses {
@@ -192,14 +202,20 @@
     }
 }
 
+fn proven(fingerprint: Fingerprint) -> RouterAction {
+    RouterAction::Log(format!(
+        "quarantines what asks {fingerprint}: an upstream crashed while it was tried there alone"
+    ))
+}
+
 fn quarantined(fingerprint: Fingerprint) -> RouterAction {
     RouterAction::Log(format!(
-        "quarantines what asks {fingerprint}: several upstreams crashed while they ran it, and none completed it"
+        "suspects what asks {fingerprint}: several upstreams crashed while they ran it, and none completed it; it is tried alone next"
     ))
 }
 
 fn no_longer_quarantined(fingerprint: Fingerprint) -> RouterAction {
     RouterAction::Log(format!(
-        "what asks {fingerprint} is no longer quarantined: an upstream answered it"
+        "what asks {fingerprint} is no longer quarantined or suspected: an upstream answered it"
     ))
 }
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -5,12 +5,13 @@
 use crate::core::types::{AttemptId, Customer, RequestId, Timestamp};
 use crate::settings::router::RouterSettings;
 
-use super::choose::{ChoiceContext, Selection, choose, typical_interval};
+use super::choose::{Choice, ChoiceContext, Selection, choose, typical_interval};
 use super::estimate::{DrainRate, LowerEnvelope, SmoothedDuration};
 use super::failing::{FailingRequests, Fault};
 use super::prefix::BLOCK_TOKENS;
 use super::queue::Waiting;
 use super::request::{Attempt, AttemptEnd, Outcome, RequestMeta, UpstreamId};
+use super::trying::TrialState;
 use super::upstream::{Upstream, Work};
 use super::wait_queue::WaitQueue;
 
@@ -34,6 +35,7 @@
     pub(super) earlier: Option<Outcome>,
     pub(super) cost: f64,
     pub(super) share: u32,
+    pub(super) trial: TrialState,
 }
 
 impl Pending {
@@ -126,6 +128,9 @@
         pending: &Pending,
         rng: &mut impl rand::Rng,
     ) -> Selection {
+        if let TrialState::At(upstream) = &pending.trial {
+            return self.trial_choice(now, upstream);
+        }
         let context = ChoiceContext {
             now,
             settings,
@@ -148,6 +153,16 @@
         choose(&self.upstreams, &ChoiceContext { tried, ..context }, rng)
     }
 
+    /// A trial goes to its upstream alone: at another one it may run beside another trial.
+    fn trial_choice(&self, now: Timestamp, id: &UpstreamId) -> Selection {
+        let is_trial_upstream = |u: &Upstream| u.spec.id == *id && u.may_be_sent(now);
+        let index = self.upstreams.iter().position(is_trial_upstream);
+        Selection {
+            choice: index.map(Choice::without_figures),
+            wanted: None,
+        }
+    }
+
     pub(super) fn work_of(&self, meta: &RequestMeta, held_blocks: usize) -> Work {
         let held = f64::from(BLOCK_TOKENS) * held_blocks as f64;
         let prompt = (f64::from(meta.prompt_tokens) - held).max(0.0);
--- a/shalehinge/tests/listed_routing.rs
+++ b/shalehinge/tests/listed_routing.rs
@@ -186,7 +186,8 @@
                     );
                     self.take(out);
                 }
-                RouterAction::TellLimit(_)
+                RouterAction::AskTrial(_)
+                | RouterAction::TellLimit(_)
                 | RouterAction::AskPermits { .. }
                 | RouterAction::Log(_) => {}
             }
--- a/shalehinge/tests/quarantine.rs
+++ b/shalehinge/tests/quarantine.rs
@@ -7,8 +7,11 @@
 use relay_support::Fleet;
 use shalehinge::core::fingerprint::Fingerprint;
 use shalehinge::core::router::quarantine::{Completion, Loss, Quarantine};
-use shalehinge::core::router::request::UpstreamId;
-use shalehinge::core::types::{Customer, FailureDomain, GroupNumber, ReplicaId, Timestamp};
+use shalehinge::core::router::request::{Target, UpstreamId};
+use shalehinge::core::trials::{TrialOwner, TrialRequest};
+use shalehinge::core::types::{
+    Customer, FailureDomain, GroupNumber, ModelName, ReplicaId, Timestamp,
+};
 use shalehinge::settings::router::RouterSettings;
 
 const ASKED: Fingerprint = Fingerprint(7);
@@ -199,7 +202,11 @@
     fleet.dead.insert(8);
     fleet.crashing_stream(0);
     fleet.crashing_stream(1);
+    fleet.run(Duration::from_secs(2));
+    // The trial that proves it.
+    fleet.crashing_stream(2);
     fleet.run(Duration::from_secs(1));
+    assert_eq!(fleet.crashes, 3, "it was tried");
     fleet.dead.remove(&8);
     fleet.run(Duration::from_secs(3));
     let crashes = fleet.crashes;
@@ -223,3 +230,57 @@
     fleet.run(RouterSettings::default().quarantine_for);
     assert_eq!(held(&fleet), 0);
 }
+
+#[test]
+fn a_suspect_is_tried_by_one_daemon_at_a_time() {
+    let mut fleet = fleet(90);
+    fleet.crashing_stream(0);
+    fleet.crashing_stream(1);
+    fleet.run(Duration::from_secs(2));
+    assert_eq!(fleet.crashes, 2);
+    for index in 0..90 {
+        fleet.crashing_stream(index);
+    }
+    fleet.run(Duration::from_secs(3));
+    assert_eq!(fleet.crashes, 3, "90 daemons had it at once");
+}
+
+#[test]
+fn a_request_that_was_tried_and_answered_is_served_everywhere_at_once() {
+    let mut fleet = fleet(9);
+    fleet.crashing_stream(0);
+    fleet.crashing_stream(1);
+    fleet.run(Duration::from_secs(2));
+    // What asks the same, and does not crash any more.
+    fleet.same_stream_that_ends_whole(2);
+    fleet.run(Duration::from_secs(1));
+    let sent = fleet.arrivals.len();
+    assert_eq!(sent, 1, "its trial");
+    for index in 0..9 {
+        fleet.same_stream_that_ends_whole(index);
+    }
+    fleet.run(Duration::from_secs(1));
+    assert_eq!(fleet.arrivals.len(), sent + 9);
+}
+
+#[test]
+fn two_suspects_are_not_tried_at_one_upstream_together() {
+    let mut owner = TrialOwner::default();
+    let upstream = loss(1, 0).upstream;
+    let other = loss(2, 0).upstream;
+    let ask = |asked, candidates: &[&UpstreamId]| TrialRequest {
+        fingerprint: Fingerprint(asked),
+        target: Target::Model(ModelName::new("m")),
+        candidates: candidates.iter().map(|c| (*c).clone()).collect(),
+    };
+    let first = owner.ask(at(1), &ask(1, &[&upstream]));
+    assert_eq!(first.map(|grant| grant.upstream), Some(upstream.clone()));
+    assert_eq!(owner.ask(at(1), &ask(1, &[&other])), None, "one at a time");
+    assert_eq!(owner.ask(at(1), &ask(2, &[&upstream])), None);
+    let second = owner.ask(at(1), &ask(2, &[&upstream, &other]));
+    assert_eq!(second.map(|grant| grant.upstream), Some(other));
+    owner.end(Fingerprint(1));
+    assert!(owner.ask(at(2), &ask(3, &[&upstream])).is_some());
+    // A trial of which nothing was heard.
+    assert!(owner.ask(at(9), &ask(2, &[&upstream])).is_some());
+}
--- a/shalehinge/tests/quarantine_harmless.rs
+++ b/shalehinge/tests/quarantine_harmless.rs
@@ -1,9 +1,9 @@
 //! Requests that crash nobody, and callers that are refused all the same.
 //!
-//! What happens: a request that ran at two upstreams as each crashed is refused for half an
+//! What happened: a request that ran at two upstreams as each crashed was refused for half an
 //! hour, though another request or a dark rack ended them. Why: two crashes name all that ran
-//! at both; only a whole answer ends a quarantine, and what is refused can't bring one. What
-//! showed it: of 30 harmless requests beside one that crashes whoever runs it 11 were refused
+//! at both; only a whole answer ended a quarantine, and what is refused can't bring one. So each
+//! is tried alone before it is condemned. What showed it: of 30 harmless requests beside one that crashes whoever runs it 11 were refused
 //! for all of the 8 s that were looked at, with three daemons and three replicas; a request that
 //! a client repeats was refused for as long after two replicas had gone dark under it.
 //!
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -631,6 +631,15 @@
         self.handle(index, Event::Request { request, meta });
     }
 
+    /// The request of [`Self::crashing_stream`], once no upstream crashes under it any more.
+    pub fn same_stream_that_ends_whole(&mut self, index: usize) {
+        self.next_event += 1;
+        let request = RequestId(self.next_event);
+        self.finishing.insert(request);
+        let meta = stream(Timestamp::from_duration(self.now + STREAM_DEADLINE));
+        self.handle(index, Event::Request { request, meta });
+    }
+
     /// The upstream runs an attempt, and says in the head of its answer what it takes.
     fn run_whole(&mut self, index: usize, sent: &Attempt) {
         let (request, attempt) = (sent.request, sent.id);
--- a/shalehinge/tests/router.rs
+++ b/shalehinge/tests/router.rs
@@ -246,3 +246,68 @@
     let reason = UnknownReason::Lost;
     assert_eq!(harness.answer(2), Some(Outcome::Unknown { reason }));
 }
+
+/// A harness in which two upstreams crashed under request 7, and its trial is due.
+fn with_a_suspect() -> Harness {
+    let mut harness = Harness::with_replicas(6);
+    harness.upstreams_crash = true;
+    for number in 1..=2 {
+        harness.submit(number, request().that_asks_as(7));
+        harness.end(number, AttemptEnd::Lost);
+    }
+    harness.advance(Duration::from_secs(2));
+    harness
+}
+
+#[test]
+fn a_trial_that_ends_an_upstream_proves_the_request_and_nothing_that_ran_beside_it() {
+    let mut harness = with_a_suspect();
+    harness.submit(3, request().that_asks_as(7));
+    let tried_at = harness.upstream_of(3).expect("it is tried");
+    // What else runs there, twice: a crash each would make it a suspect.
+    let beside: Vec<u64> = (10..30)
+        .filter(|number| {
+            harness.submit(*number, request().that_asks_as(8)) == Some(tried_at.clone())
+        })
+        .collect();
+    assert!(!beside.is_empty());
+    for number in beside {
+        harness.end(number, AttemptEnd::Lost);
+    }
+    harness.end(3, AttemptEnd::Lost);
+    harness.advance(Duration::from_secs(10));
+    harness.submit(4, request().that_asks_as(7));
+    assert_eq!(harness.attempts(4), 0);
+    let Some(Outcome::NotRun { retry_after, .. }) = harness.answer(4) else {
+        panic!("no refusal");
+    };
+    assert!(
+        retry_after > Duration::from_secs(30),
+        "to come back soon is of no use"
+    );
+}
+
+#[test]
+fn a_suspect_that_gets_no_trial_is_told_to_come_back_soon() {
+    let mut harness = with_a_suspect();
+    harness.grants_trials = false;
+    harness.submit(3, request().that_asks_as(7));
+    assert_eq!(harness.answer(3), None, "it asks for a trial");
+    harness.advance(Duration::from_secs(1));
+    let Some(Outcome::NotRun { retry_after, .. }) = harness.answer(3) else {
+        panic!("no refusal");
+    };
+    assert!(retry_after <= Duration::from_secs(1));
+    harness.submit(4, request());
+    assert_eq!(harness.attempts(4), 1, "nothing waits behind it");
+}
+
+#[test]
+fn a_suspect_that_another_daemon_cleared_goes_on_at_once() {
+    let mut harness = with_a_suspect();
+    harness.grants_trials = false;
+    harness.submit(3, request().that_asks_as(7));
+    harness.learn_completion(7);
+    harness.advance(Duration::from_millis(100));
+    assert_eq!(harness.attempts(3), 1);
+}
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -9,12 +9,14 @@
 use rand::rngs::SmallRng;
 use shalehinge::core::engine::{EngineLoad, EnginePhase, EngineStatus};
 use shalehinge::core::fingerprint::Fingerprint;
+use shalehinge::core::router::quarantine::{Completion, QuarantineNews};
 use shalehinge::core::router::request::{
     Attempt, AttemptEnd, Outcome, RequestMeta, Target, UpstreamId,
 };
 use shalehinge::core::router::topology::Topology;
 use shalehinge::core::router::upstream::UpstreamSpec;
 use shalehinge::core::router::{Router, RouterAction};
+use shalehinge::core::trials::TrialGrant;
 use shalehinge::core::types::{
     Address, Customer, FailureDomain, GroupNumber, HostId, Incarnation, ModelName, ReplicaId,
     RequestId, Timestamp,
@@ -87,6 +89,8 @@
     answers: BTreeMap<u64, Outcome>,
     /// Whether upstreams at which attempts are lost have crashed.
     pub upstreams_crash: bool,
+    /// Whether trials are granted, each at the first candidate.
+    pub grants_trials: bool,
     /// Whether looks at upstreams get no answer yet.
     pub holds_back_looks: bool,
 }
@@ -103,6 +107,7 @@
             sent: BTreeMap::new(),
             answers: BTreeMap::new(),
             upstreams_crash: false,
+            grants_trials: true,
             holds_back_looks: false,
         };
         let specs = (0..replicas).map(spec).collect();
@@ -203,6 +208,21 @@
         self.take(out);
     }
 
+    /// Another daemon had a whole answer to what this asks.
+    pub fn learn_completion(&mut self, asks: u64) {
+        let completion = Completion {
+            fingerprint: Fingerprint(asks),
+            at: self.now,
+        };
+        let news = QuarantineNews {
+            completions: vec![completion],
+            ..QuarantineNews::default()
+        };
+        let mut out = Vec::new();
+        self.router.learn_quarantine(news, &mut out);
+        self.take(out);
+    }
+
     /// The caller of a request leaves.
     pub fn leave(&mut self, number: u64) {
         let mut out = Vec::new();
@@ -263,7 +283,18 @@
                     );
                     self.take(out);
                 }
+                RouterAction::AskTrial(question) if self.grants_trials => {
+                    let grant = TrialGrant {
+                        fingerprint: question.fingerprint,
+                        upstream: question.candidates[0].clone(),
+                    };
+                    let mut out = Vec::new();
+                    self.router
+                        .on_trial(self.now, &grant, &mut self.rng, &mut out);
+                    self.take(out);
+                }
                 RouterAction::Abandon(_)
+                | RouterAction::AskTrial(_)
                 | RouterAction::TellLimit(_)
                 | RouterAction::AskPermits { .. }
                 | RouterAction::Log(_) => {}
--- a/standin/src/experiment/fleet.rs
+++ b/standin/src/experiment/fleet.rs
@@ -406,8 +406,9 @@
                     );
                     self.act(router, out);
                 }
-                // No engine of an experiment names a limit.
-                RouterAction::TellLimit(_)
+                // No engine of an experiment names a limit or crashes.
+                RouterAction::AskTrial(_)
+                | RouterAction::TellLimit(_)
                 | RouterAction::AskPermits { .. }
                 | RouterAction::Log(_) => {}
             }
