--- a/shalehinge/src/core/permits.rs
+++ b/shalehinge/src/core/permits.rs
@@ -74,7 +74,7 @@
     pub count: u32,
 }
 
-/// A limit with the time from which it is known.
+/// A limit, or that there is none, with the time of which it is known.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Known {
     started: Option<EngineStart>,
@@ -210,7 +210,7 @@
         granted
     }
 
-    /// Whether a limit is in force, of those who ask for permits of an upstream that has none.
+    /// What is known of an upstream's limit, for a daemon that asks on a limit that has ended.
     pub fn report(&self, now: Timestamp, upstream: &UpstreamId) -> Option<LimitReport> {
         let owned = self.limits.get(upstream)?;
         Some(owned.report(now, upstream))
--- a/shalehinge/tests/limited_upstreams.rs
+++ b/shalehinge/tests/limited_upstreams.rs
@@ -335,3 +335,22 @@
     let each = (scene.fleet.notices - before) as f64 / 10.0;
     assert!(each < 30.0, "{each} messages a second of 90 daemons");
 }
+
+#[test]
+#[ignore = "prints a table; run by hand with --nocapture"]
+fn table_of_rates_and_sizes() {
+    for (daemons, groups, every) in [(3, 4, 1), (9, 18, 1), (90, 60, 4), (340, 60, 5)] {
+        for value in [0.2, 1.0, 1.4, 5.0, 50.0] {
+            let mut scene = Scene::new(daemons, groups, every);
+            scene.limit(0, value);
+            let since = scene.fleet.now + IN_CONTACT;
+            let notices = scene.fleet.notices;
+            scene.serve_seconds(13);
+            let most = scene.most(0, since);
+            let allowed = most_in_window(value);
+            let used = scene.rate_since(0, since);
+            let messages = (scene.fleet.notices - notices) as f64 / 13.0;
+            println!("{daemons} daemons, {value}/s: {most} of {allowed} in 4 s, {used:.2}/s used, {messages:.1} messages a second");
+        }
+    }
+}
