--- a/shalehinge/tests/limited_upstreams.rs
+++ b/shalehinge/tests/limited_upstreams.rs
@@ -350,7 +350,9 @@
             let allowed = most_in_window(value);
             let used = scene.rate_since(0, since);
             let messages = (scene.fleet.notices - notices) as f64 / 13.0;
-            println!("{daemons} daemons, {value}/s: {most} of {allowed} in 4 s, {used:.2}/s used, {messages:.1} messages a second");
+            println!(
+                "{daemons} daemons, {value}/s: {most} of {allowed} in 4 s, {used:.2}/s used, {messages:.1} messages a second"
+            );
         }
     }
 }
