--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -18,6 +18,90 @@
 # name: (file, text as it stands, text without the protection, test, filter,
 #        and further edits where two protections stand behind each other)
 PROTECTIONS = {
+    "a-limited-upstream-needs-a-permit": (
+        CORE + "router/named.rs",
+        "self.rate.is_none() || (self.permits.left > 0",
+        "self.rate.is_some() || (self.permits.left > 0",
+        "limited_upstreams", "from_nine_daemons",
+    ),
+    "one-owner-hands-out-permits": (
+        CORE + "daemon/limits.rs",
+        "        match self.owner_of(now, &request.known) {",
+        "        match Owner::Me {",
+        "limited_upstreams", "from_340_daemons",
+    ),
+    "an-owner-begins-with-nothing": (
+        CORE + "permits.rs",
+        "            tokens: 0.0,",
+        "            tokens: 100.0,",
+        "limited_upstreams", "daemons_end_and_start",
+    ),
+    "little-is-saved-up": (
+        CORE + "permits.rs",
+        ".min(at_once(rate));",
+        ".min(1_000.0);",
+        "limited_upstreams", "few_requests_come_late",
+    ),
+    "a-limit-of-nothing-can-end": (
+        CORE + "permits.rs",
+        "const LEAST_RATE: f64 = 0.25;",
+        "const LEAST_RATE: f64 = 0.0;",
+        "limited_upstreams", "its_share_again",
+    ),
+    "whoever-asks-last-keeps-its-turn": (
+        CORE + "permits.rs",
+        "Duration::from_millis(2_500)",
+        "Duration::from_millis(1_000)",
+        "limited_upstreams", "where_all_upstreams",
+    ),
+    "permits-are-asked-where-they-are-used": (
+        CORE + "router/choose.rs",
+        "    picked.extend(open.iter().copied().filter(has_permit));",
+        "    let _ = has_permit;",
+        "limited_upstreams", "any_rate_and_size",
+    ),
+    "an-answer-from-before-a-limit-ends-nothing": (
+        CORE + "router/named.rs",
+        "NamedLimit::None => self.set(sent_at, None),",
+        "NamedLimit::None => self.set(now.max(sent_at), None),",
+        "named_limit", "from_before_a_limit",
+    ),
+    "what-cannot-be-read-is-no-limit": (
+        CORE + "named_limit.rs",
+        "            .filter(|text| text.chars().all(is_decimal))\n",
+        "            .filter(|text| is_decimal('0') || text.is_empty())\n",
+        "named_limit", "is_no_limit",
+    ),
+    "a-suspect-is-tried": (
+        CORE + "router/refusal.rs",
+        "Evidence::Suspected => held.last_lost_at + SETTLING,",
+        "Evidence::Suspected => held.last_lost_at + settings.quarantine_for,",
+        "quarantine_harmless", "are_served_again_soon",
+    ),
+    "one-trial-at-a-time": (
+        CORE + "trials.rs",
+        "if self.trials.contains_key(&fingerprint) || ",
+        "if ",
+        "quarantine", "one_daemon_at_a_time",
+    ),
+    "one-trial-at-an-upstream": (
+        CORE + "trials.rs",
+        "trials.all(|trial| trial.upstream != **upstream)",
+        "trials.all(|trial| trial.upstream != **upstream || true)",
+        "quarantine", "not_tried_at_one_upstream",
+    ),
+    "a-trial-explains-its-crash": (
+        CORE + "router/suspects.rs",
+        "let tried = losses.iter().find(|loss| self.was_tried(loss)).cloned();",
+        "let tried: Option<Loss> = None;",
+        "router", "proves_the_request",
+    ),
+    "nothing-waits-behind-a-suspect": (
+        CORE + "router/trying.rs",
+        "            } else if now >= until {",
+        "            } else if now >= until + Duration::from_secs(60) {",
+        "router", "come_back_soon",
+    ),
     "crashing-requests-are-quarantined": (
         CORE + "router/quarantine.rs",
         "if record.crashes.len() < settings.quarantine_after as usize {",
--- a/shalehinge/tests/limited_upstreams.rs
+++ b/shalehinge/tests/limited_upstreams.rs
@@ -336,6 +336,19 @@
     assert!(each < 30.0, "{each} messages a second of 90 daemons");
 }
 
+/// A limit of which nobody made use for long is no store of permits.
+#[test]
+fn few_requests_come_late_and_no_more_than_a_limit_is_sent_at_once() {
+    let mut scene = Scene::new(9, 1, usize::MAX);
+    scene.limit(0, 5.0);
+    scene.fleet.whole_stream(0);
+    scene.serve_seconds(50);
+    scene.every = 1;
+    let since = scene.fleet.now;
+    scene.serve_seconds(8);
+    assert_holds(&scene, 0, 5.0, since);
+}
+
 #[test]
 #[ignore = "prints a table; run by hand with --nocapture"]
 fn table_of_rates_and_sizes() {
