--- a/shalehinge/src/core/router/expiry.rs
+++ b/shalehinge/src/core/router/expiry.rs
@@ -12,6 +12,7 @@
         self.expire_running(now, out);
         self.leave_stalled(now, out);
         self.check_held(now, out);
+        self.note_capacity(now);
         self.dispatch_all(now, rng, out);
     }
 
@@ -30,6 +31,13 @@
         }
     }
 
+    fn note_capacity(&mut self, now: Timestamp) {
+        for state in self.targets.values_mut() {
+            let present = state.present();
+            state.usual.note(now, present);
+        }
+    }
+
     fn expire_waiting(&mut self, now: Timestamp, out: &mut Vec<RouterAction>) {
         let mut expired = Vec::new();
         for state in self.targets.values_mut() {
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -7,6 +7,7 @@
 //! - `upstream`: one upstream: evidence, room, speed
 //! - `topology`: which upstreams this daemon considers
 //! - `prefix`: which replica holds the start of a prompt
+//! - `capacity`: whether upstreams are missing
 //! - `choose`: choice of an upstream for a request
 //! - `outlier`: ejection of upstreams that fail or are slow
 //! - `failing`: requests that fail wherever they run
@@ -23,6 +24,7 @@
 //! - `target`: one model or service: its upstreams and its waiting line
 //! - `dispatch`: the state machine that joins them
 
+pub mod capacity;
 pub mod choose;
 pub mod dispatch;
 pub mod estimate;
--- a/shalehinge/src/core/router/refusal.rs
+++ b/shalehinge/src/core/router/refusal.rs
@@ -16,6 +16,8 @@
 /// Time after a crash until those who ran there are tried: whatever else crashes with it, and is
 /// still to be heard of, has crashed by then.
 const SETTLING: Duration = Duration::from_millis(1_200);
+/// Time after a crash in which a trial waits for upstreams that are missing.
+const MOST_TRIAL_DELAY: Duration = Duration::from_secs(6);
 /// When the caller of a suspected request should come back that got no trial now.
 pub(super) const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Why a request is refused, and when its caller should come back.
@@ -82,8 +84,15 @@
             return Some((NotRunReason::UnknownTarget, MOST_RETRY_AFTER));
         };
         let held = self.quarantine.held(now, meta.fingerprint, &self.settings);
-        if let Some(left) = held.and_then(|held| retry_after_of(now, &held, &self.settings)) {
-            return Some((NotRunReason::Quarantined, left));
+        if let Some(held) = held {
+            if let Some(left) = retry_after_of(now, &held, &self.settings) {
+                return Some((NotRunReason::Quarantined, left));
+            }
+            // A trial may end another upstream: it waits until those that ended are back.
+            let may_wait = now < held.last_lost_at + MOST_TRIAL_DELAY;
+            if may_wait && state.usual.is_short(state.present()) {
+                return Some((NotRunReason::Quarantined, SUSPECT_RETRY_AFTER));
+            }
         }
         let retry_after = self.settings.retry_after;
         let is_out_of_date = self.keys_until.is_some_and(|until| now >= until);
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -5,6 +5,7 @@
 use crate::core::types::{AttemptId, Customer, RequestId, Timestamp};
 use crate::settings::router::RouterSettings;
 
+use super::capacity::UsualCapacity;
 use super::choose::{Choice, ChoiceContext, Selection, choose, typical_interval};
 use super::estimate::{DrainRate, LowerEnvelope, SmoothedDuration};
 use super::failing::{FailingRequests, Fault};
@@ -72,9 +73,16 @@
     pub(super) output_part: Option<f64>,
     pub(super) turn: usize,
     pub(super) failing: FailingRequests,
+    pub(super) usual: UsualCapacity,
 }
 
 impl TargetState {
+    /// Upstreams that are there, also those that get nothing new for a while.
+    pub(super) fn present(&self) -> usize {
+        let present = self.upstreams.iter().filter(|u| u.is_present());
+        present.count()
+    }
+
     pub(super) fn enqueue(&mut self, request: RequestId, pending: &Pending, timely_first: bool) {
         let waiting = Waiting {
             request,
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -197,7 +197,7 @@
     /// Whether it may serve: in the topology, trusted, and shown to be complete.
     pub fn is_eligible(&self, now: Timestamp) -> bool {
         let rests = now < self.rests_until || self.stalled;
-        self.may_be_used() && self.is_complete(now) && !self.outlier.is_ejected(now) && !rests
+        self.is_present() && self.is_complete(now) && !self.outlier.is_ejected(now) && !rests
     }
 
     /// Whether it may serve, and a limit that it names leaves room for a request.
@@ -205,7 +205,8 @@
         self.is_eligible(now) && self.limit.may_send(now)
     }
 
-    fn may_be_used(&self) -> bool {
+    /// Whether it is there and may be given new work, if not now.
+    pub fn is_present(&self) -> bool {
         self.spec.accepts_new && !self.lost
     }
 
@@ -223,7 +224,7 @@
     pub fn may_serve(&self, now: Timestamp) -> bool {
         match self.spec.evidence {
             Evidence::Reports => self.is_eligible(now),
-            Evidence::Listed => self.may_be_used(),
+            Evidence::Listed => self.is_present(),
         }
     }
 
--- a/shalehinge/tests/router.rs
+++ b/shalehinge/tests/router.rs
@@ -311,3 +311,20 @@
     harness.advance(Duration::from_millis(100));
     assert_eq!(harness.attempts(3), 1);
 }
+
+#[test]
+fn a_trial_waits_while_upstreams_are_missing_but_not_for_ever() {
+    let mut harness = Harness::with_replicas(6);
+    harness.upstreams_crash = true;
+    for number in 1..=2 {
+        harness.submit(number, request().that_asks_as(7));
+        harness.end(number, AttemptEnd::Lost);
+    }
+    harness.keep(5);
+    harness.advance(Duration::from_secs(3));
+    harness.submit(3, request().that_asks_as(7));
+    assert_eq!(harness.attempts(3), 0, "one of six is missing");
+    harness.advance(Duration::from_secs(4));
+    harness.submit(4, request().that_asks_as(7));
+    assert_eq!(harness.attempts(4), 1);
+}
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -127,6 +127,14 @@
         self.pass(time, false);
     }
 
+    /// Only so many replicas are left in the topology.
+    pub fn keep(&mut self, replicas: u64) {
+        self.replicas = replicas;
+        let specs = (0..replicas).map(spec).collect();
+        self.router
+            .set_topology(Topology::from([(target(), specs)]));
+    }
+
     /// No replica is complete any more.
     pub fn lose_all(&mut self) {
         for number in 0..self.replicas {
