--- a/standin/src/engine/faults.rs
+++ b/standin/src/engine/faults.rs
@@ -1,4 +1,4 @@
-//! Wrong answers of a stand-in engine, on request.
+//! Wrong and unusual answers of a stand-in engine, on request.
 
 use serde::{Deserialize, Serialize};
 
@@ -21,4 +21,9 @@
     Silent,
     /// Answers every request with an error.
     Failing,
+    /// Answers well, and names in each answer how many requests it takes from all daemons.
+    NamesLimit {
+        /// Tenths of a request a second.
+        tenths_a_second: u32,
+    },
 }
--- a/standin/src/engine/server.rs
+++ b/standin/src/engine/server.rs
@@ -16,7 +16,7 @@
 use shalehinge::core::objects::{HostRecord, HostState};
 use shalehinge::core::router::prefix;
 use shalehinge::core::types::{FabricDomain, FailureDomain, GroupNumber, HostId};
-use shalehinge::upstream::attempt::{ATTEMPT_HEADER, GROUP_HEADER, NOT_RUN_HEADER};
+use shalehinge::upstream::attempt::{ATTEMPT_HEADER, GROUP_HEADER, LIMIT_HEADER, NOT_RUN_HEADER};
 use shalehinge::upstream::engine::{ORDERS_PATH, STATUS_PATH};
 use shalehinge::utils::http::{exchange, pooled_client, url};
 use shalehinge::utils::time::wall_clock;
@@ -384,7 +384,11 @@
         } else {
             attempt
         };
-        let conn = conn.with_response_header(ATTEMPT_HEADER, said);
+        let mut conn = conn.with_response_header(ATTEMPT_HEADER, said);
+        if let EngineFault::NamesLimit { tenths_a_second } = fault {
+            let limit = format!("{}.{}", tenths_a_second / 10, tenths_a_second % 10);
+            conn = conn.with_response_header(LIMIT_HEADER, limit);
+        }
         if request.stream {
             return stream_answer(conn, id, tokens, fault);
         }
