--- a/shalehinge/src/core/controller/adoption.rs
+++ b/shalehinge/src/core/controller/adoption.rs
@@ -14,7 +14,7 @@
 use crate::core::objects::{Assignment, Group, GroupPhase, Member};
 use crate::core::types::{GroupNumber, HostId, ModelName, ModelVersion};
 
-/// Numbers above the highest shown that may have been used. Chosen: far more groups than a
+/// Numbers above the highest shown that may have been used. Far more groups than a
 /// failure domain begins between two lists, and numbers cost nothing.
 const NUMBERS_UNSEEN: u64 = 1_000;
 
--- a/shalehinge/src/core/controller/load_budget.rs
+++ b/shalehinge/src/core/controller/load_budget.rs
@@ -17,7 +17,7 @@
 /// them, some 120 loads ran beside 20 at full speed after a tenth of the hosts was cut off,
 /// and groups that lacked one load formed for more than 16 s in place of 12.
 const SECOND_WEIGHTS_PART: f64 = 0.5;
-/// How long a load takes where the model does not say. Chosen: that of a large model.
+/// How long a load takes where the model does not say. That of a large model.
 const USUAL_LOAD: Duration = Duration::from_secs(16);
 
 /// The budget of one failure domain.
--- a/shalehinge/src/core/controller/load_crashes.rs
+++ b/shalehinge/src/core/controller/load_crashes.rs
@@ -13,19 +13,19 @@
 
 use crate::core::types::{HostId, ModelName, Timestamp};
 
-/// Ends of engines within this time are one crash. Chosen: the engines of a group are ordered to
+/// Ends of engines within this time are one crash. The engines of a group are ordered to
 /// load within less, and hosts that lose power together are listed anew within less.
 const SAME_CRASH: Duration = Duration::from_secs(1);
 /// Crashes in a row from which on a model is loaded by one engine at a time.
 const ONE_AT_A_TIME_AFTER: u32 = 2;
 /// Crashes in a row after which loads of the model wait.
 const WAIT_AFTER: u32 = 3;
-/// The first such wait, doubled each time. Chosen: most loads take longer than that.
+/// The first such wait, doubled each time. Most loads take longer than that.
 const FIRST_WAIT: Duration = Duration::from_secs(10);
-/// The longest one. Chosen: an hour costs twelve engines at the most, and whoever mends the
+/// The longest one. An hour costs twelve engines at the most, and whoever mends the
 /// model waits five minutes for it.
 const LONGEST_WAIT: Duration = Duration::from_secs(300);
-/// How long a trial keeps other engines from loading, where its end is not seen. Chosen: twice
+/// How long a trial keeps other engines from loading, where its end is not seen. Twice
 /// the longest load of the models so far.
 const TRIAL_TIME: Duration = Duration::from_secs(40);
 
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -20,7 +20,7 @@
 
 /// Refusals of an order after which its group is given up.
 const MOST_REFUSALS: u32 = 3;
-/// How long an engine that started again is not ordered to load. Chosen: a second crash of the
+/// How long an engine that started again is not ordered to load. A second crash of the
 /// same model is told from the first by then, and a load takes longer.
 const RELOAD_AFTER: Duration = Duration::from_secs(1);
 /// How long new groups that must load wait after a host came.
--- a/shalehinge/src/core/controller/own_reach.rs
+++ b/shalehinge/src/core/controller/own_reach.rs
@@ -13,10 +13,10 @@
 use super::Controller;
 use crate::core::types::{FabricDomain, HostId, Timestamp};
 
-/// How long a look counts. Chosen: two looks at a silent host, which prove its loss, take
+/// How long a look counts. Two looks at a silent host, which prove its loss, take
 /// 300 to 500 ms.
 const COUNTS_FOR: Duration = Duration::from_millis(600);
-/// Hosts of a fabric domain that are asked beside suspected groups. Chosen: one in four may
+/// Hosts of a fabric domain that are asked beside suspected groups. One in four may
 /// be lost without a doubt of the others.
 const ASKED_BESIDE: usize = 4;
 
--- a/shalehinge/src/core/controller/reachability.rs
+++ b/shalehinge/src/core/controller/reachability.rs
@@ -14,9 +14,9 @@
 use crate::core::types::{GroupNumber, HostId, Timestamp};
 
 /// Time between two probes of a host that left an order unanswered, or is a member of a
-/// suspected group. Chosen: two probes are the proof of a loss, and a group waits for it.
+/// suspected group. Two probes are the proof of a loss, and a group waits for it.
 pub(super) const DOUBT_SPACING: Duration = Duration::from_millis(100);
-/// Time between two probes of a host that is known to be silent. Chosen: a cut that ends
+/// Time between two probes of a host that is known to be silent. A cut that ends
 /// is noticed within half a second, for a few probes a second.
 const SILENT_SPACING: Duration = Duration::from_millis(500);
 
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -69,10 +69,10 @@
 const CONFIRM_SPACING: Duration = Duration::from_millis(400);
 /// Time between two tellings of replicas that lost a member.
 const SUSPECTS_INTERVAL: Duration = Duration::from_millis(500);
-/// Outputs of replicas that are older are left out of the answer to what moves. Chosen: a
+/// Outputs of replicas that are older are left out of the answer to what moves. A
 /// loss is decided on within 400 ms, and older outputs prove nothing then.
 const MOVING_WITHIN: Duration = Duration::from_millis(500);
-/// Daemons that are asked whether a replica moves. Chosen: one in five of ninety daemons
+/// Daemons that are asked whether a replica moves. One in five of ninety daemons
 /// runs a request at a given replica, so that some of twelve do in nine cases of ten.
 const MOVING_WITNESSES: usize = 12;
 /// Time between two sums of the work that arrives at the fleet.
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -245,9 +245,8 @@
 
     /// Objects that may be large go only to a peer that asks for them by that topic: each
     /// daemon has one such question open, whatever else it asks of whom. With them in every
-    /// answer a daemon that was behind took in 15 configurations of 145 kB a second, none of
-    /// them in time, and stayed behind for as long as a failure domain was dark (measured at
-    /// 68 daemons with links of 20 Mbit/s).
+    /// answer a daemon that is behind takes in several whole configurations at once, none of
+    /// them in time, and stays behind.
     fn updates_for(&self, topic: PullTopic, known: &VersionDigest) -> Vec<ObjectUpdate> {
         let hosts = self.state.routable_hosts_after(known);
         match topic {
--- a/shalehinge/src/core/daemon/quarantine.rs
+++ b/shalehinge/src/core/daemon/quarantine.rs
@@ -21,7 +21,7 @@
 
 /// The duty of counting losses.
 const WITNESS_DUTY: &str = "quarantine";
-/// Daemons of each failure domain that count. Chosen: one may be down, and each failure domain
+/// Daemons of each failure domain that count. One may be down, and each failure domain
 /// decides by itself when it is cut off.
 const WITNESSES: usize = 2;
 /// Requests in quarantine that an answer to a peer holds. Each takes some 20 bytes.
--- a/shalehinge/src/core/daemon/relays.rs
+++ b/shalehinge/src/core/daemon/relays.rs
@@ -19,18 +19,18 @@
 use crate::core::platform::Scope;
 use crate::core::types::{Address, Timestamp};
 
-/// Daemons that ask the same one. Chosen: at four hundred milliseconds an interval some 20
+/// Daemons that ask the same one. At four hundred milliseconds an interval some 20
 /// small questions a second, and two levels below two watchers reach 146 daemons.
 const FANOUT: usize = 8;
-/// How long a daemon asks only peers on the fleet's first start. Chosen: by then it is
+/// How long a daemon asks only peers on the fleet's first start. By then it is
 /// known who is there, so that few daemons read the platform; requests come later.
 const FIRST_START_READ_AFTER: Duration = Duration::from_secs(1);
-/// How long a daemon that starts again asks only peers. Chosen: a peer that lives answers
+/// How long a daemon that starts again asks only peers. A peer that lives answers
 /// by then; where all daemons start again, requests wait for each to know something.
 const RESTART_READ_AFTER: Duration = Duration::from_millis(200);
 /// Time between two questions of a daemon that knows nothing yet.
 const START_INTERVAL: Duration = Duration::from_millis(150);
-/// How much later than the one before it a daemon reads the platform itself. Chosen: the
+/// How much later than the one before it a daemon reads the platform itself. The
 /// first few to get through tell the rest.
 const FALLBACK_STEP: Duration = Duration::from_millis(30);
 /// How much later at the most.
--- a/shalehinge/src/core/demand.rs
+++ b/shalehinge/src/core/demand.rs
@@ -14,13 +14,13 @@
 
 use super::types::{DaemonId, ModelName, Timestamp};
 
-/// Time in which a count decays to a third. Chosen: a burst of two or three seconds moves
+/// Time in which a count decays to a third. A burst of two or three seconds moves
 /// no replicas, which take 2 to 16 s to form, and a lasting change does.
 const MEMORY: Duration = Duration::from_secs(8);
 /// A peer's counts are forgotten after so long; they have decayed to a twentieth by then.
 const FORGET_AFTER: Duration = Duration::from_secs(24);
 
-/// Other daemons whose counts go into one message. Chosen: at two messages a second a daemon
+/// Other daemons whose counts go into one message. At two messages a second a daemon
 /// knows most of a fleet of a hundred after four seconds, for some two kilobytes each.
 const FORWARDED: usize = 16;
 
--- a/shalehinge/src/core/fingerprint.rs
+++ b/shalehinge/src/core/fingerprint.rs
@@ -10,7 +10,7 @@
 
 use super::types::Customer;
 
-/// Bytes of the start and of the end of a body that count, besides its length. Chosen: hashing
+/// Bytes of the start and of the end of a body that count, besides its length. Hashing
 /// both takes less than a millisecond of a quarter core, and a body of megabytes would hold up
 /// all other requests of the daemon.
 const HASHED_BYTES: usize = 32 * 1024;
--- a/shalehinge/src/core/membership.rs
+++ b/shalehinge/src/core/membership.rs
@@ -19,10 +19,10 @@
 use super::types::{Address, DaemonId, FailureDomain, Incarnation, Timestamp, Version};
 use crate::settings::membership::MembershipSettings;
 
-/// Counters of other failure domains in one message. Simulated with 295 daemons in five
-/// domains: 276 of 294 others are seen alive with 32, 279 with 64.
+/// Counters of other failure domains in one message: so many that most members of a fleet of
+/// hundreds are seen alive, while messages stay small.
 const REMOTE_COUNTERS: usize = 32;
-/// Members in a reply that the asker does not know, or not as they are now. Chosen: a
+/// Members in a reply that the asker does not know, or not as they are now. A
 /// daemon that starts knows a domain of 60 after a few pulls.
 const NEWS: usize = 16;
 
--- a/shalehinge/src/core/placement/fleet_shares.rs
+++ b/shalehinge/src/core/placement/fleet_shares.rs
@@ -24,7 +24,7 @@
 };
 
 /// How many times better off the worst served model must be after a replica that stands
-/// was given up for it. Chosen: below that the loads cost more than they bring.
+/// was given up for it. Below that the loads cost more than they bring.
 const WORTH_AN_EXCHANGE: f64 = 2.0;
 
 /// What a failure domain has for the models of one service.
--- a/shalehinge/src/core/placement/need.rs
+++ b/shalehinge/src/core/placement/need.rs
@@ -7,14 +7,14 @@
 use crate::core::objects::{EngineTimes, ModelProfile};
 use crate::core::types::ModelName;
 
-/// Requests in a sample from which on it counts. Chosen: a model with a tenth of them is
+/// Requests in a sample from which on it counts. A model with a tenth of them is
 /// then known to within a fifth, and less is no reason to move replicas.
 const LEAST_SAMPLE: f64 = 200.0;
 /// Replicas that a model keeps busy at the least: nobody asked for it lately, or hardly
 /// anybody, and it may be asked for again.
 const LEAST_BUSY: f64 = 0.05;
 /// Where an engine publishes no times, an output counts as so many tokens of a prompt.
-/// Chosen: a token of a full batch takes about as long as ten tokens of a prompt.
+/// A token of a full batch takes about as long as ten tokens of a prompt.
 const OUTPUT_WEIGHT: f64 = 10.0;
 /// And a replica is taken to read so many tokens of a prompt in a second.
 const PROMPT_TOKENS_PER_SECOND: f64 = 50_000.0;
@@ -25,7 +25,7 @@
 /// Nothing is known of what the work needs.
 pub static NO_NEEDS: Needs = Needs::new();
 
-/// Factor by which a need must change for the log to name it again. Chosen.
+/// Factor by which a need must change for the log to name it again.
 const MUCH: f64 = 1.5;
 
 /// Whether some model's need is another, by far, than it was.
--- a/shalehinge/src/core/routable_hosts.rs
+++ b/shalehinge/src/core/routable_hosts.rs
@@ -12,7 +12,7 @@
 use super::objects::{HostChanges, HostList, HostRecord};
 use super::types::{HostId, Version};
 
-/// Changes that are remembered. Chosen: some ten seconds of changes of a large fleet; who
+/// Changes that are remembered. Some ten seconds of changes of a large fleet; who
 /// asks later is told the whole part.
 const MOST_REMEMBERED: usize = 128;
 
--- a/shalehinge/src/core/router/estimate.rs
+++ b/shalehinge/src/core/router/estimate.rs
@@ -79,9 +79,9 @@
 impl LowerEnvelope {
     /// Takes in one value.
     pub fn record(&mut self, value: Duration) {
-        /// Weight of a value below the estimate. Chosen, not measured.
+        /// Weight of a value below the estimate.
         const FALL: f64 = 0.3;
-        /// Weight of a value above it. Chosen: some seventy of them take it half the way.
+        /// Weight of a value above it. Some seventy of them take it half the way.
         const RISE: f64 = 0.01;
         let estimate = self.0.map_or(value, |known| {
             let weight = if value < known { FALL } else { RISE };
--- a/shalehinge/src/core/router/failing.rs
+++ b/shalehinge/src/core/router/failing.rs
@@ -2,9 +2,8 @@
 //!
 //! A failure counts against the upstream that answered it, unless the same request failed at
 //! another one too and was completed by none since. Guards against one caller's request that
-//! takes one upstream after the other out of use for all: 4 of 10 after 30 such requests, and
-//! then an upstream that fails whatever it runs stayed in use, as no more may be ejected
-//! (`tests/failing_requests.rs`).
+//! takes one upstream after the other out of use for all, until none may be ejected that really
+//! fails.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -14,7 +13,7 @@
 
 use super::request::UpstreamId;
 
-/// How long a failure is remembered after the last one of the same request. Chosen: as long as
+/// How long a failure is remembered after the last one of the same request. As long as
 /// the longest ejection, so that a request that comes less often ejects one upstream at a time.
 const FAILURE_MEMORY: Duration = Duration::from_secs(60);
 /// Requests that are remembered at most, some 100 bytes each.
--- a/shalehinge/src/core/router/quarantine.rs
+++ b/shalehinge/src/core/router/quarantine.rs
@@ -2,12 +2,10 @@
 //!
 //! A caller that sends such a request again gives it a new id, mostly at another daemon, so
 //! that limits on the attempts of one request don't hold it. Daemons count lost attempts by
-//! what was asked: once it was lost at several upstreams and completed at none, it is
-//! quarantined, which means that it is refused and sent to no upstream for a while.
-//!
-//! Before this, one caller's request ended 27 and 31 replicas within 30 s each, and a tenth of
-//! all streams broke off meanwhile (a day with nine daemons and such a request that comes every
-//! 0.3 s).
+//! what was asked. Once it was lost at several upstreams and completed at none, it is a suspect,
+//! as are others that ran there: it is tried alone, which clears it or proves that it crashes
+//! upstreams. What is proven is refused and sent to no upstream for a while. This guards against
+//! one caller's request that ends one replica after the other.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -18,11 +16,11 @@
 
 use super::request::UpstreamId;
 
-/// How long a lost attempt counts. Chosen: what comes less often does little harm, and the
+/// How long a lost attempt counts. What comes less often does little harm, and the
 /// longer it counts, the likelier are two losses that have nothing to do with each other.
 const LOSS_MEMORY: Duration = Duration::from_secs(300);
 /// Losses of one request at one upstream within this time are one crash, told by several
-/// daemons. Chosen: well above the time between the daemons' notice of it (under 0.1 s), and
+/// daemons. Well above the time between the daemons' notice of it (under 0.1 s), and
 /// below the time that a crashed upstream takes to be back (seconds).
 const SAME_CRASH: Duration = Duration::from_secs(1);
 /// Requests with losses that are remembered; a crash adds as many as ran there.
--- a/shalehinge/src/core/router/suspects.rs
+++ b/shalehinge/src/core/router/suspects.rs
@@ -74,8 +74,8 @@
     }
 
     /// A broken connection alone is no crash: an upstream that is still there may have cut
-    /// one answer short. Without this look a request that is sent again and again to flaky
-    /// upstreams was quarantined though none had crashed.
+    /// one answer short, and a request that is sent again and again to such an upstream crashes
+    /// none.
     fn look_for(&mut self, target: &Target, loss: Loss, out: &mut Vec<RouterAction>) {
         if self.settings.quarantine_after == 0 {
             return;
--- a/shalehinge/src/core/superseded.rs
+++ b/shalehinge/src/core/superseded.rs
@@ -9,7 +9,7 @@
 
 use super::types::{Timestamp, Version};
 
-/// Versions that are remembered. Chosen: a change each 0.3 s for five seconds.
+/// Versions that are remembered. A change each 0.3 s for five seconds.
 const MOST_REMEMBERED: usize = 16;
 
 /// Configurations that a daemon heard of and does not have.
--- a/shalehinge/src/core/whole_fetch.rs
+++ b/shalehinge/src/core/whole_fetch.rs
@@ -10,7 +10,7 @@
 
 use super::types::{Address, Timestamp};
 
-/// How long the own failure domain has to tell of something that others told of. Chosen: its
+/// How long the own failure domain has to tell of something that others told of. Its
 /// readers take some 300 ms to read 0.5 MB from the platform over a link of 20 Mbit/s.
 const NEAR_FIRST: Duration = Duration::from_millis(400);
 
--- a/shalehinge/src/process/peer_traffic.rs
+++ b/shalehinge/src/process/peer_traffic.rs
@@ -13,9 +13,9 @@
 use crate::core::types::Timestamp;
 use crate::telemetry::metrics::{Counter, Metrics};
 
-/// Time between two lines. Chosen: one line a second at the most, whatever happens.
+/// Time between two lines. One line a second at the most, whatever happens.
 const INTERVAL: Duration = Duration::from_secs(1);
-/// Bytes of answers of an interval from which a line is written. Chosen: an ordinary interval
+/// Bytes of answers of an interval from which a line is written. An ordinary interval
 /// of a daemon of seventy has some 20 kB.
 const NOTABLE_BYTES: usize = 200_000;
 
--- a/shalehinge/src/settings/router.rs
+++ b/shalehinge/src/settings/router.rs
@@ -4,7 +4,7 @@
 
 use super::reader::Reader;
 
-/// Section `[router]`. The defaults are those measured in docs/MEASUREMENTS.md.
+/// Section `[router]`.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RouterSettings {
     /// Replicas of the own failure domain that are candidates, per model.
@@ -59,10 +59,10 @@
     pub suspect_after: Duration,
     /// Whether `retry_burst` is for the whole fleet and each daemon has a part of it.
     pub retry_burst_is_shared: bool,
-    /// Upstreams at which a request is lost, and completes at none, before it is quarantined;
+    /// Upstreams that crash under a request, while it completes at none, before it is tried alone;
     /// 0 for never.
     pub quarantine_after: u32,
-    /// How long a request stays in quarantine after its last loss.
+    /// How long a request that is proven to crash upstreams is refused after the last crash.
     pub quarantine_for: Duration,
     /// When refused callers are told to come back, where nothing better is known.
     pub retry_after: Duration,
--- a/shalehinge/src/upstream/presence.rs
+++ b/shalehinge/src/upstream/presence.rs
@@ -8,7 +8,7 @@
 use crate::core::types::Address;
 use crate::utils::time::within;
 
-/// Time for a host to refuse a connection. Chosen: some hundred round trips; a host that says
+/// Time for a host to refuse a connection. Some hundred round trips; a host that says
 /// nothing for so long is cut off or dark.
 const ANSWERS_WITHIN: Duration = Duration::from_millis(300);
 
--- a/shalehinge/src/utils/http.rs
+++ b/shalehinge/src/utils/http.rs
@@ -96,7 +96,7 @@
     format!("http://{address}{path}")
 }
 
-/// Time in which a large answer must be whole, though parts of it go on coming. Chosen: 1 MB,
+/// Time in which a large answer must be whole, though parts of it go on coming. 1 MB,
 /// the most that the platform keeps in one object, over a twentieth of a link of 20 Mbit/s.
 pub const LARGE_ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
 
