--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -20,8 +20,8 @@
 PROTECTIONS = {
     "a-limited-upstream-needs-a-permit": (
         CORE + "router/named.rs",
-        "self.rate.is_none() || (self.permits.left > 0",
-        "self.rate.is_some() || (self.permits.left > 0",
+        "self.rate.is_none() || (self.permits.left > 0 && now < self.permits.until)",
+        "self.rate.is_none() || now >= Timestamp::ZERO",
         "limited_upstreams", "from_nine_daemons",
     ),
     "one-owner-hands-out-permits": (
@@ -34,7 +34,7 @@
         CORE + "permits.rs",
         "            tokens: 0.0,",
         "            tokens: 100.0,",
-        "limited_upstreams", "daemons_end_and_start",
+        "permits", "begins_with_nothing",
     ),
     "little-is-saved-up": (
         CORE + "permits.rs",
--- a/shalehinge/tests/configuration_spread.rs
+++ b/shalehinge/tests/configuration_spread.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use relay_support::{BytesIn, Fleet, fleet_config, json_bytes, with_keys};
+use relay_support::configuration::{fleet_config, with_keys};
+use relay_support::platform::json_bytes;
+use relay_support::{BytesIn, Fleet};
 use shalehinge::core::types::Version;
 
 /// Bytes a second of a small entry host's link: 20 Mbit/s.
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -2,37 +2,32 @@
 
 #![allow(dead_code)] // Each test file uses a part of it.
 
+pub mod configuration;
+pub mod platform;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use shalehinge::core::daemon::{Daemon, Identity, TICK};
-use shalehinge::core::engine::{EngineLoad, EnginePhase, EngineStatus, HeldModel};
 use shalehinge::core::event::{Action, Event, Pull, PullId, PullReply, PullTopic, Timeouts};
 use shalehinge::core::fingerprint::Fingerprint;
-use shalehinge::core::fleet_state::ObjectUpdate;
 use shalehinge::core::named_limit::{NamedLimit, RequestRate};
-use shalehinge::core::objects::{
-    CustomerConfig, FleetConfig, HostChanges, HostList, HostRecord, HostState, ModelProfile,
-    Object, ObjectKey, RequestKind, RouteConfig, ServiceConfig, Versioned, WeightedService,
-};
-use shalehinge::core::platform::{
-    CallId, Freshness, NoAnswer, PlatformCall, PlatformReply, Revision, Scope,
-};
+use shalehinge::core::platform::{CallId, NoAnswer, PlatformCall};
 use shalehinge::core::router::request::{Attempt, AttemptEnd, Outcome, RequestMeta, Target};
-use shalehinge::core::routes::model_of_service;
 use shalehinge::core::types::{
-    Address, Customer, DaemonId, FabricDomain, FailureDomain, GroupNumber, HostId, Incarnation,
-    ModelName, ModelVersion, RequestId, ServiceName, Timestamp, Version,
+    Address, Customer, DaemonId, FailureDomain, GroupNumber, Incarnation, RequestId, Timestamp,
+    Version,
 };
 use shalehinge::settings::core::CoreSettings;
 use shalehinge::settings::learning::{FeedLayout, LearningSettings};
 use shalehinge::utils::http::LARGE_ANSWER_TIMEOUT;
 
+use self::configuration::model;
+use self::platform::{Platform, platform_bytes};
+
 const DOMAINS: u16 = 3;
 /// Time that callers give a stream.
 const STREAM_DEADLINE: Duration = Duration::from_secs(6);
-/// Hosts of the list: instances of a plain service, each a target of requests.
-const HOSTS: u16 = 30;
 
 fn settings() -> CoreSettings {
     CoreSettings {
@@ -51,311 +46,6 @@
     }
 }
 
-fn record(port: u16, state: HostState) -> HostRecord {
-    HostRecord {
-        address: ([10, 0, 9, 1], port).into(),
-        failure_domain: FailureDomain::new(&format!("d{}", port % DOMAINS)),
-        fabric_domain: FabricDomain::new("f"),
-        accelerators: 1,
-        state,
-        service: Some(ServiceName::new("plain")),
-        slots: Some(4),
-        staged: Vec::new(),
-        status: None,
-        started: None,
-    }
-}
-
-fn model() -> ModelName {
-    model_of_service(&ServiceName::new("engines"), "lector")
-}
-
-/// Rank 0 of an open group.
-fn open_group(port: u16) -> HostRecord {
-    let number = GroupNumber(u64::from(port));
-    let status = EngineStatus {
-        host: HostId::new(&format!("h{port}")),
-        phase: EnginePhase::Serving,
-        group: Some(number),
-        held: Some(HeldModel {
-            model: model(),
-            version: ModelVersion::new("1"),
-        }),
-        members_present: 1,
-        member_count: 1,
-        members_age_ms: 0,
-        load: EngineLoad::default(),
-        started: None,
-    };
-    HostRecord {
-        service: Some(ServiceName::new("engines")),
-        status: Some(status),
-        ..record(port, HostState::Live)
-    }
-}
-
-/// A platform that remembers all changes; a watch waits for one.
-pub struct Platform {
-    revision: u64,
-    changes: Vec<(u64, HostId, HostRecord)>,
-    configuration: Versioned<FleetConfig>,
-    objects: BTreeMap<ObjectKey, Versioned<Object>>,
-    pub lists: usize,
-    pub calls: usize,
-    /// Pages of the host list, each read after the one before it.
-    pub pages: u32,
-    /// Exact reads that are answered in a second; the others are refused.
-    pub reads_per_second: Option<f64>,
-    /// Exact reads that may be made now.
-    reads_left: f64,
-    /// Exact reads that were refused.
-    pub reads_refused: usize,
-}
-
-/// Time of one page of a list, there and back.
-const PAGE_TIME: Duration = Duration::from_millis(10);
-
-impl Platform {
-    fn new() -> Self {
-        let mut platform = Self {
-            revision: 1,
-            changes: Vec::new(),
-            configuration: Versioned {
-                version: Version(1),
-                value: fleet_config(0),
-            },
-            objects: BTreeMap::new(),
-            lists: 0,
-            calls: 0,
-            pages: 1,
-            reads_per_second: None,
-            reads_left: 0.0,
-            reads_refused: 0,
-        };
-        for port in 0..HOSTS {
-            platform.change(port, HostState::Live);
-        }
-        platform
-    }
-
-    pub fn change(&mut self, port: u16, state: HostState) {
-        self.revision += 1;
-        let host = HostId::new(&format!("h{port}"));
-        self.changes
-            .push((self.revision, host, record(port, state)));
-    }
-
-    /// Groups of one host each are listed as open, so many of them, from port 100 on.
-    pub fn open_groups(&mut self, count: u16) {
-        for port in 100..100 + count {
-            self.revision += 1;
-            let host = HostId::new(&format!("h{port}"));
-            self.changes.push((self.revision, host, open_group(port)));
-        }
-    }
-
-    /// Version of the newest host list.
-    fn hosts_version(&self) -> u64 {
-        self.changes.last().map_or(1, |(revision, _, _)| *revision)
-    }
-
-    /// Takes a configuration; returns its version.
-    pub fn configure(&mut self, value: FleetConfig) -> Version {
-        self.revision += 1;
-        let version = Version(self.revision);
-        self.configuration = Versioned { version, value };
-        version
-    }
-
-    fn configuration(&self) -> ObjectUpdate {
-        ObjectUpdate {
-            key: ObjectKey::Fleet,
-            version: self.configuration.version,
-            object: Object::Fleet(self.configuration.value.clone()),
-        }
-    }
-
-    /// Whether a watch that waits has something to tell.
-    fn has_news_for(&self, request: &PlatformCall) -> bool {
-        match request {
-            PlatformCall::Watch {
-                scope: Scope::Hosts,
-                after,
-                ..
-            } => after.0 < self.hosts_version(),
-            PlatformCall::Watch { after, .. } => after.0 < self.configuration.version.0,
-            _ => false,
-        }
-    }
-
-    fn put(&mut self, key: &ObjectKey, expect: Version, object: &Object) -> PlatformReply {
-        let known = self
-            .objects
-            .get(key)
-            .map_or(Version(0), |known| known.version);
-        if known != expect {
-            return PlatformReply::Conflict;
-        }
-        let version = Version(known.0 + 1);
-        let value = object.clone();
-        self.objects
-            .insert(key.clone(), Versioned { version, value });
-        PlatformReply::Written(version)
-    }
-
-    /// How long the call waits for a change.
-    fn wait(&self, request: &PlatformCall) -> Duration {
-        match request {
-            PlatformCall::Watch { wait, .. } => *wait,
-            PlatformCall::List {
-                scope: Scope::Hosts,
-                ..
-            } => TICK.max(PAGE_TIME * self.pages),
-            _ => TICK,
-        }
-    }
-
-    /// Time passes, and reads may be made again.
-    fn refill(&mut self, time: Duration) {
-        if let Some(rate) = self.reads_per_second {
-            let refilled = self.reads_left + rate * time.as_secs_f64();
-            self.reads_left = refilled.min(rate);
-        }
-    }
-
-    /// Whether the rate of exact reads leaves no room for this call; what it takes is gone in
-    /// either case.
-    fn refuses(&mut self, request: &PlatformCall) -> bool {
-        let (freshness, pages) = match request {
-            PlatformCall::List {
-                scope: Scope::Hosts,
-                freshness,
-            } => (*freshness, self.pages),
-            PlatformCall::List { freshness, .. }
-            | PlatformCall::Get { freshness, .. }
-            | PlatformCall::Watch { freshness, .. } => (*freshness, 1),
-            PlatformCall::Put { .. } => return false,
-        };
-        if self.reads_per_second.is_none() || freshness == Freshness::MayBeStale {
-            return false;
-        }
-        let is_refused = self.reads_left < f64::from(pages);
-        self.reads_left = (self.reads_left - f64::from(pages)).max(0.0);
-        self.reads_refused += usize::from(is_refused);
-        is_refused
-    }
-
-    fn answer(&mut self, request: &PlatformCall) -> PlatformReply {
-        self.calls += 1;
-        let revision = Revision(self.revision);
-        let updates = match request {
-            PlatformCall::List {
-                scope: Scope::Hosts,
-                ..
-            } => {
-                self.lists += 1;
-                let hosts = self.changes.iter().cloned();
-                let hosts = hosts.map(|(_, host, record)| (host, record)).collect();
-                vec![update(
-                    ObjectKey::Hosts,
-                    revision,
-                    Object::Hosts(HostList { hosts }),
-                )]
-            }
-            PlatformCall::List { .. } => vec![self.configuration()],
-            PlatformCall::Watch {
-                scope: Scope::Hosts,
-                after,
-                ..
-            } => {
-                let newer = self.changes.iter().filter(|(at, _, _)| *at > after.0);
-                let changed = newer.map(|(_, host, record)| (host.clone(), record.clone()));
-                let changes = Object::HostChanges(HostChanges {
-                    changed: changed.collect(),
-                    removed: BTreeSet::new(),
-                });
-                vec![update(ObjectKey::Hosts, revision, changes)]
-            }
-            PlatformCall::Watch { .. } if self.has_news_for(request) => {
-                vec![self.configuration()]
-            }
-            PlatformCall::Watch { .. } => Vec::new(),
-            PlatformCall::Get { key, .. } => {
-                return PlatformReply::Object(self.objects.get(key).cloned());
-            }
-            PlatformCall::Put {
-                key,
-                expect,
-                object,
-            } => return self.put(key, *expect, object),
-        };
-        PlatformReply::Objects { revision, updates }
-    }
-}
-
-fn update(key: ObjectKey, revision: Revision, object: Object) -> ObjectUpdate {
-    ObjectUpdate {
-        key,
-        version: Version(revision.0),
-        object,
-    }
-}
-
-/// A configuration with so many routes to one plain service.
-pub fn fleet_config(routes: usize) -> FleetConfig {
-    let plain = ServiceConfig {
-        path_prefix: String::new(),
-        upstreams: Vec::new(),
-        not_repeatable: Vec::new(),
-        is_listed: true,
-    };
-    let profile = ModelProfile {
-        service: ServiceName::new("engines"),
-        hosts_per_replica: 1,
-        work_share: 1.0,
-        pace: 1.0,
-        slots: 30,
-        times: None,
-        load_seconds: None,
-    };
-    FleetConfig {
-        services: BTreeMap::from([(ServiceName::new("plain"), plain)]),
-        profiles: BTreeMap::from([(model(), profile)]),
-        routes: (0..routes).map(route).collect(),
-        ..FleetConfig::default()
-    }
-}
-
-fn route(number: usize) -> RouteConfig {
-    RouteConfig {
-        name: format!("route-{number:06}"),
-        host: "lectura.example".to_owned(),
-        path_prefix: format!("/readings/{number:06}/"),
-        kind: RequestKind::Repeatable,
-        timeout_ms: 1_000,
-        target_latency_ms: 120,
-        rank: 2,
-        max_attempts: 2,
-        is_anonymous: false,
-        is_resumable: false,
-        backends: vec![WeightedService {
-            service: ServiceName::new("plain"),
-            weight: 1,
-        }],
-    }
-}
-
-/// The same configuration with a customer that holds so many keys.
-pub fn with_keys(mut config: FleetConfig, keys: usize) -> FleetConfig {
-    let customer = CustomerConfig {
-        key_sha256: (0..keys).map(|key| format!("{key:064}")).collect(),
-        share: 1,
-        rank: None,
-    };
-    config.customers.insert(Customer::new("one"), customer);
-    config
-}
-
 /// A call to the platform that is not answered yet.
 struct Call {
     daemon: usize,
@@ -815,19 +505,6 @@
     }
 }
 
-/// Bytes of an answer of the platform.
-fn platform_bytes(reply: &PlatformReply) -> usize {
-    let PlatformReply::Objects { updates, .. } = reply else {
-        return 0;
-    };
-    json_bytes(updates)
-}
-
-/// Bytes in the form of the platform, which tells names where peers tell places.
-pub fn json_bytes(value: &impl serde::Serialize) -> usize {
-    serde_json::to_vec(value).expect("encodes").len()
-}
-
 /// How long an answer of a peer may take.
 fn peer_timeout(pull: &Pull) -> Duration {
     match pull.topic {
