--- a/shalehinge/tests/named_limit.rs
+++ b/shalehinge/tests/named_limit.rs
@@ -36,7 +36,8 @@
 fn what_is_no_number_of_requests_is_no_limit() {
     let huge = "9".repeat(400);
     for text in [
-        "", " ", "NaN", "-1", "1e309", "0x10", "inf", "some", "1,4", ".", "1.2.3", &huge,
+        "", " ", "NaN", "-1", "1e309", "0x10", "inf", "some", "1,4", ".", "1.2.3", "1e3", "+5",
+        "-0", &huge,
     ] {
         let limit = read(&[text]);
         assert!(
