refactor: one way to tell an age, one way to a limit's owner, no copy of the open upstreams

Behaviour stays as it is. The copy of the list of open upstreams was made for each request that is sent. A limit's owner that is this daemon hears of itself by the same message as any other.

--- a/shalehinge/src/core/daemon/limits.rs
+++ b/shalehinge/src/core/daemon/limits.rs
@@ -39,20 +39,12 @@
         report: LimitReport,
         out: &mut Vec<Action>,
     ) {
-        match self.owner_of(now, &report) {
-            Owner::Me => {
-                self.permits.learn(now, now, &report);
-                self.tell_limits_in_force(now, out);
-            }
-            Owner::Peer(owner) => {
-                let told = vec![report];
-                let limits = LimitsNotice {
-                    told,
-                    ..LimitsNotice::default()
-                };
-                self.send_limits(vec![owner], limits, out);
-            }
-        }
+        let owner = self.owner_address(now, &report);
+        let limits = LimitsNotice {
+            told: vec![report],
+            ..LimitsNotice::default()
+        };
+        self.send_limits(vec![owner], limits, out);
     }
 
     pub(super) fn ask_permits(
@@ -61,16 +53,18 @@
         request: PermitRequest,
         out: &mut Vec<Action>,
     ) {
-        match self.owner_of(now, &request.known) {
-            Owner::Me => self.on_permits_asked(now, self.identity.address, &request, out),
-            Owner::Peer(owner) => {
-                let asked = vec![request];
-                let limits = LimitsNotice {
-                    asked,
-                    ..LimitsNotice::default()
-                };
-                self.send_limits(vec![owner], limits, out);
-            }
+        let owner = self.owner_address(now, &request.known);
+        let limits = LimitsNotice {
+            asked: vec![request],
+            ..LimitsNotice::default()
+        };
+        self.send_limits(vec![owner], limits, out);
+    }
+
+    fn owner_address(&self, now: Timestamp, report: &LimitReport) -> Address {
+        match self.owner_of(now, report) {
+            Owner::Me => self.identity.address,
+            Owner::Peer(owner) => owner,
         }
     }
 
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -21,11 +21,6 @@
 use crate::core::types::{Address, FailureDomain, ReplicaId, Timestamp, Version};
 use crate::core::whole_fetch::Distance;
 
-/// Milliseconds since then, rounded up: what is told must never seem newer.
-pub(super) fn millis_since(now: Timestamp, at: Timestamp) -> u64 {
-    now.since(at).as_millis() as u64 + 1
-}
-
 /// So many milliseconds before then, if this daemon ran already.
 fn before(at: Timestamp, millis: u64) -> Option<Timestamp> {
     let age = Duration::from_millis(millis);
@@ -189,7 +184,7 @@
             })
             .map(|(replica, at)| LastOutput {
                 replica: replica.clone(),
-                ms_ago: millis_since(now, at),
+                ms_ago: now.millis_since(at),
             })
             .collect()
     }
@@ -225,11 +220,11 @@
             gossip,
             digest: self.state.digest(),
             updates: self.updates_for(pull.topic, &pull.digest),
-            confirmed_ms_ago: self.confirmed_at().map(|at| millis_since(now, at)),
-            hosts_ms_ago: hosts_heard_at.map(|at| millis_since(now, at)),
+            confirmed_ms_ago: self.confirmed_at().map(|at| now.millis_since(at)),
+            hosts_ms_ago: hosts_heard_at.map(|at| now.millis_since(at)),
             reached: self.confirmation.map(|confirmation| Reached {
                 revision: confirmation.revision,
-                ms_ago: millis_since(now, confirmation.at),
+                ms_ago: now.millis_since(confirmation.at),
             }),
             work: self.work_about(now, pull.topic),
             moving,
--- a/shalehinge/src/core/daemon/quarantine.rs
+++ b/shalehinge/src/core/daemon/quarantine.rs
@@ -9,7 +9,6 @@
 
 use super::Daemon;
 use super::configuration::send_notice;
-use super::peers::millis_since;
 use crate::core::event::{
     Action, CompletionReport, LossReport, Notice, QuarantineReport, QuarantinedReport,
 };
@@ -34,8 +33,8 @@
 fn report_of(now: Timestamp, quarantined: Quarantined) -> QuarantinedReport {
     QuarantinedReport {
         fingerprint: quarantined.fingerprint,
-        first_lost_ms_ago: millis_since(now, quarantined.first_lost_at),
-        last_lost_ms_ago: millis_since(now, quarantined.last_lost_at),
+        first_lost_ms_ago: now.millis_since(quarantined.first_lost_at),
+        last_lost_ms_ago: now.millis_since(quarantined.last_lost_at),
         is_proven: quarantined.evidence == Evidence::Proven,
     }
 }
@@ -44,11 +43,11 @@
     let losses = news.losses.into_iter().map(|loss| LossReport {
         fingerprint: loss.fingerprint,
         upstream: loss.upstream,
-        ms_ago: millis_since(now, loss.at),
+        ms_ago: now.millis_since(loss.at),
     });
     let completions = news.completions.iter().map(|completion| CompletionReport {
         fingerprint: completion.fingerprint,
-        ms_ago: millis_since(now, completion.at),
+        ms_ago: now.millis_since(completion.at),
     });
     let quarantined = news.quarantined.iter();
     QuarantineReport {
--- a/shalehinge/src/core/permits.rs
+++ b/shalehinge/src/core/permits.rs
@@ -90,7 +90,7 @@
 }
 
 impl TokenBucket {
-    /// An empty one: an owner before this one may just have handed out what there was.
+    /// An empty one: who owned the limit until now may have granted all that there was.
     fn empty(now: Timestamp) -> Self {
         Self {
             tokens: 0.0,
@@ -150,8 +150,7 @@
 }
 
 impl PermitOwner {
-    /// Takes in what a daemon tells as of `told_at`. Older news, and news of an earlier life,
-    /// change nothing.
+    /// Takes in what a daemon tells as of `told_at`. Older news change nothing.
     pub fn learn(&mut self, now: Timestamp, told_at: Timestamp, report: &LimitReport) {
         let known = Known {
             started: report.started,
@@ -170,14 +169,11 @@
         if known.as_of < owned.known.as_of {
             return;
         }
-        if EngineStart::differ(known.started, owned.known.started) {
-            owned.bucket = TokenBucket::empty(now);
-        }
-        if let Some(rate) = owned.known.rate {
+        let is_same_life = !EngineStart::differ(known.started, owned.known.started);
+        match owned.known.rate.filter(|_| is_same_life) {
             // What has passed counts at the rate that was in force.
-            owned.bucket.fill(now, rate);
-        } else {
-            owned.bucket = TokenBucket::empty(now);
+            Some(rate) => owned.bucket.fill(now, rate),
+            None => owned.bucket = TokenBucket::empty(now),
         }
         owned.known = known;
     }
@@ -251,7 +247,7 @@
             failure_domain: self.failure_domain.clone(),
             started: self.known.started,
             rate: self.known.rate,
-            ms_ago: now.since(self.known.as_of).as_millis() as u64 + 1,
+            ms_ago: now.millis_since(self.known.as_of),
         }
     }
 
--- a/shalehinge/src/core/router/choose.rs
+++ b/shalehinge/src/core/router/choose.rs
@@ -92,7 +92,7 @@
         .filter(|index| is_open(&upstreams[*index], context))
         .collect();
     let may_send = |index: &usize| upstreams[*index].limit.may_send(context.now);
-    let first = pick(upstreams, open.clone(), context, rng);
+    let first = pick(upstreams, &open, context, rng);
     let wanted = first.as_ref().map(|choice| choice.index);
     if wanted.is_none_or(|index| may_send(&index)) {
         return Selection {
@@ -102,14 +102,14 @@
     }
     open.retain(may_send);
     Selection {
-        choice: pick(upstreams, open, context, rng),
+        choice: pick(upstreams, &open, context, rng),
         wanted,
     }
 }
 
 fn pick(
     upstreams: &[Upstream],
-    open: Vec<usize>,
+    open: &[usize],
     context: &ChoiceContext<'_>,
     rng: &mut impl rand::Rng,
 ) -> Option<Choice> {
@@ -127,7 +127,8 @@
                 .map(|index| upstreams[*index].in_flight())
                 .min()?;
             let ties = open
-                .into_iter()
+                .iter()
+                .copied()
                 .filter(|index| upstreams[*index].in_flight() == fewest);
             ties.choose(rng).map(Choice::without_figures)
         }
@@ -143,7 +144,7 @@
 
 fn by_score(
     upstreams: &[Upstream],
-    open: Vec<usize>,
+    open: &[usize],
     context: &ChoiceContext<'_>,
     rng: &mut impl rand::Rng,
 ) -> Option<Choice> {
--- a/shalehinge/src/core/router/limits.rs
+++ b/shalehinge/src/core/router/limits.rs
@@ -148,7 +148,7 @@
         failure_domain: upstream.spec.failure_domain.clone(),
         started: upstream.spec.started,
         rate: upstream.limit.rate(),
-        ms_ago: now.since(upstream.limit.as_of()).as_millis() as u64 + 1,
+        ms_ago: now.millis_since(upstream.limit.as_of()),
     }
 }
 
--- a/shalehinge/src/core/types.rs
+++ b/shalehinge/src/core/types.rs
@@ -182,6 +182,11 @@
         self.0.saturating_sub(earlier.0)
     }
 
+    /// Milliseconds passed since `earlier`, rounded up: what is told must never seem newer.
+    pub fn millis_since(self, earlier: Self) -> u64 {
+        self.since(earlier).as_millis() as u64 + 1
+    }
+
     /// Time since the start.
     pub const fn as_duration(self) -> Duration {
         self.0
