feat(router): log and gauges of what upstreams state about themselves

Neither logs nor metrics told whether an answer asked for a cooldown, how long and of whom, or said that its upstream is leaving. One typed signal (`core/signal.rs`) is read from the head of any answer, whole, streamed, refused or failed, on both interfaces, and takes the place of the event for named limits. Retry-After counts in 429 and 503: seconds, fractions, dates (RFC 9110) against the answer's own Date. What can't be read changes nothing and makes one line. Lines when a cooldown begins and ends and when an upstream says that it leaves, gauges for each. Nothing is decided on it yet.

--- a/shalehinge/src/core/daemon/limits.rs
+++ b/shalehinge/src/core/daemon/limits.rs
@@ -8,25 +8,10 @@
 use super::{Daemon, log};
 use crate::core::event::{Action, LimitsNotice, Notice, Part};
 use crate::core::membership::Owner;
-use crate::core::named_limit::NamedLimit;
 use crate::core::permits::{Granted, LimitReport, PermitRequest};
-use crate::core::types::{Address, AttemptId, RequestId, Timestamp};
+use crate::core::types::{Address, Timestamp};
 
 impl Daemon {
-    pub(super) fn on_limit_named(
-        &mut self,
-        now: Timestamp,
-        request: RequestId,
-        attempt: AttemptId,
-        limit: NamedLimit,
-        out: &mut Vec<Action>,
-    ) {
-        let mut actions = Vec::new();
-        self.router
-            .on_limit_named(now, request, attempt, limit, &mut actions);
-        self.router_actions(now, actions, out);
-    }
-
     fn owner_of(&self, now: Timestamp, report: &LimitReport) -> Owner {
         self.membership
             .owner(now, &report.failure_domain, &report.upstream)
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -345,11 +345,11 @@
             Event::Progress { request, attempt } => {
                 self.router.on_progress(now, request, attempt);
             }
-            Event::LimitNamed {
+            Event::Signal {
                 request,
                 attempt,
-                limit,
-            } => self.on_limit_named(now, request, attempt, limit, out),
+                signal,
+            } => self.on_signal(now, request, attempt, signal, out),
             Event::Ended {
                 request,
                 attempt,
--- a/shalehinge/src/core/daemon/requests.rs
+++ b/shalehinge/src/core/daemon/requests.rs
@@ -8,6 +8,7 @@
 use crate::core::permits::PermitRequest;
 use crate::core::router::RouterAction;
 use crate::core::router::request::{AttemptEnd, NotRunReason, RequestMeta, Target, UpstreamId};
+use crate::core::signal::UpstreamSignal;
 use crate::core::types::{AttemptId, Customer, RequestId, Timestamp};
 
 impl Daemon {
@@ -75,6 +76,20 @@
         self.router_actions(now, actions, out);
     }
 
+    pub(super) fn on_signal(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        attempt: AttemptId,
+        signal: UpstreamSignal,
+        out: &mut Vec<Action>,
+    ) {
+        let mut actions = Vec::new();
+        self.router
+            .on_signal(now, request, attempt, signal, &mut actions);
+        self.router_actions(now, actions, out);
+    }
+
     pub(super) fn on_ended(
         &mut self,
         now: Timestamp,
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -9,11 +9,11 @@
 use super::fingerprint::Fingerprint;
 use super::fleet_state::{ObjectUpdate, VersionDigest};
 use super::membership::Gossip;
-use super::named_limit::NamedLimit;
 use super::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
 use super::permits::{LimitReport, PermitGrant, PermitRequest};
 use super::platform::{CallId, PlatformCall, PlatformResult, Revision};
 use super::router::request::{Attempt, AttemptEnd, Outcome, RequestMeta, UpstreamId};
+use super::signal::UpstreamSignal;
 use super::trials::{TrialGrant, TrialRequest};
 use super::types::{Address, AttemptId, GroupNumber, HostId, ReplicaId, RequestId, Timestamp};
 
@@ -262,14 +262,14 @@
         /// The attempt.
         attempt: AttemptId,
     },
-    /// The answer of an attempt says how many requests its upstream takes.
-    LimitNamed {
+    /// The head of an attempt's answer came.
+    Signal {
         /// The request.
         request: RequestId,
         /// The attempt.
         attempt: AttemptId,
-        /// What it says.
-        limit: NamedLimit,
+        /// What it states about the upstream.
+        signal: UpstreamSignal,
     },
     /// An attempt ended.
     Ended {
--- a/shalehinge/src/core/mod.rs
+++ b/shalehinge/src/core/mod.rs
@@ -23,6 +23,7 @@
 //! - `claims`: requests that may run at most once
 //! - `named_limit`: what upstreams in need say of the requests that they take
 //! - `permits`: permits to send to these
+//! - `signal`: all that upstreams state about themselves in an answer
 //! - `trials`: trials of requests that may crash the upstreams that run them
 //! - `router`: which request goes where
 //! - `route_config`: routes and models as they are configured
@@ -51,6 +52,7 @@
 pub mod route_config;
 pub mod router;
 pub mod routes;
+pub mod signal;
 pub mod superseded;
 pub mod trials;
 pub mod types;
--- a/shalehinge/src/core/named_limit.rs
+++ b/shalehinge/src/core/named_limit.rs
@@ -79,5 +79,10 @@
 }
 
 fn unreadable(text: &str) -> NamedLimit {
-    NamedLimit::Unreadable(text.chars().take(MOST_KEPT).collect())
+    NamedLimit::Unreadable(kept_start(text))
+}
+
+/// The start of a text that can't be read, for the log.
+pub(super) fn kept_start(text: &str) -> String {
+    text.chars().take(MOST_KEPT).collect()
 }
--- a/shalehinge/src/core/router/expiry.rs
+++ b/shalehinge/src/core/router/expiry.rs
@@ -8,6 +8,7 @@
 impl Router {
     /// Ends what is past its deadline and sends what has room by now.
     pub fn tick(&mut self, now: Timestamp, rng: &mut impl rand::Rng, out: &mut Vec<RouterAction>) {
+        self.end_cooldowns(now, out);
         self.expire_waiting(now, out);
         self.expire_running(now, out);
         self.leave_stalled(now, out);
--- a/shalehinge/src/core/router/limits.rs
+++ b/shalehinge/src/core/router/limits.rs
@@ -7,7 +7,8 @@
 
 use crate::core::named_limit::{NamedLimit, RequestRate};
 use crate::core::permits::{LimitReport, PermitGrant, at_once, effective};
-use crate::core::types::{AttemptId, EngineStart, RequestId, Timestamp};
+use crate::core::signal::UpstreamSignal;
+use crate::core::types::{EngineStart, Timestamp};
 
 use super::dispatch::{Router, RouterAction};
 use super::named::{LimitChange, Urgency};
@@ -22,35 +23,6 @@
             .filter_map(|upstream| Some((&upstream.spec.id, upstream.limit.rate()?)))
     }
 
-    /// The answer of an attempt says how many requests its upstream takes.
-    pub fn on_limit_named(
-        &mut self,
-        now: Timestamp,
-        request: RequestId,
-        attempt: AttemptId,
-        limit: NamedLimit,
-        out: &mut Vec<RouterAction>,
-    ) {
-        let Some(pending) = self.pending.get(&request) else {
-            return;
-        };
-        let Some(running) = pending.running.as_ref().filter(|r| r.id == attempt) else {
-            return;
-        };
-        let state = self.targets.get_mut(&pending.meta.target);
-        let upstream = state.and_then(|state| state.upstream_mut(&running.upstream));
-        let Some(upstream) = upstream else {
-            return;
-        };
-        let Some(change) = upstream.limit.hear(now, running.sent_at, limit) else {
-            return;
-        };
-        out.push(limit_line(&upstream.spec.id, &change));
-        if !matches!(change, LimitChange::Unreadable(_)) {
-            out.push(RouterAction::TellLimit(report_of(now, upstream)));
-        }
-    }
-
     /// Another daemon tells of a limit, as of `told_at`.
     pub fn learn_limit(
         &mut self,
@@ -90,6 +62,28 @@
     }
 }
 
+impl Upstream {
+    /// An answer came to a request that was sent at `sent_at`.
+    pub(super) fn on_limit_named(
+        &mut self,
+        now: Timestamp,
+        sent_at: Timestamp,
+        signal: UpstreamSignal,
+        out: &mut Vec<RouterAction>,
+    ) {
+        if !signal.is_success() && signal.limit == NamedLimit::None {
+            return;
+        }
+        let Some(change) = self.limit.hear(now, sent_at, signal.limit) else {
+            return;
+        };
+        out.push(limit_line(&self.spec.id, &change));
+        if !matches!(change, LimitChange::Unreadable(_)) {
+            out.push(RouterAction::TellLimit(report_of(now, self)));
+        }
+    }
+}
+
 impl TargetState {
     /// Asks for permits of an upstream, unless it was asked lately.
     pub(super) fn ask_permits(
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -8,6 +8,7 @@
 //! - `topology`: which upstreams this daemon considers
 //! - `prefix`: which replica holds the start of a prompt
 //! - `capacity`: whether upstreams are missing
+//! - `cooldown`, `leaving`, `signals`: what upstreams state about themselves
 //! - `choose`: choice of an upstream for a request
 //! - `outlier`: ejection of upstreams that fail or are slow
 //! - `failing`: requests that fail wherever they run
@@ -26,11 +27,13 @@
 
 pub mod capacity;
 pub mod choose;
+pub mod cooldown;
 pub mod dispatch;
 pub mod estimate;
 mod expiry;
 pub mod failing;
 mod keys;
+pub mod leaving;
 mod limits;
 pub mod named;
 pub mod outlier;
@@ -41,6 +44,7 @@
 mod reports;
 pub mod request;
 pub mod retry_budget;
+mod signals;
 mod stalled;
 mod suspects;
 mod target;
--- /dev/null
+++ b/shalehinge/src/core/router/signals.rs
@@ -0,0 +1,102 @@
+//! What upstreams state about themselves, and what the router does with it.
+
+use std::time::Duration;
+
+use crate::core::signal::{LeavingMark, UpstreamSignal};
+use crate::core::types::{AttemptId, RequestId, Timestamp};
+
+use super::cooldown::CooldownChange;
+use super::dispatch::{Router, RouterAction};
+use super::request::UpstreamId;
+
+impl Router {
+    /// The head of an attempt's answer came.
+    pub fn on_signal(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        attempt: AttemptId,
+        signal: UpstreamSignal,
+        out: &mut Vec<RouterAction>,
+    ) {
+        let Some(pending) = self.pending.get(&request) else {
+            return;
+        };
+        let Some(running) = pending.running.as_ref().filter(|r| r.id == attempt) else {
+            return;
+        };
+        let state = self.targets.get_mut(&pending.meta.target);
+        let upstream = state.and_then(|state| state.upstream_mut(&running.upstream));
+        let Some(upstream) = upstream else {
+            return;
+        };
+        let id = &running.upstream;
+        if let Some(change) = upstream.cooldown.on_requested(now, &signal.cooldown) {
+            out.push(cooldown_line(id, request, &change));
+        }
+        if upstream.leaving.on_marked(&signal.leaving) {
+            out.push(leaving_line(id, request, &signal.leaving));
+        }
+        let sent_at = running.sent_at;
+        upstream.on_limit_named(now, sent_at, signal, out);
+    }
+
+    /// Ends the cooldowns whose time has passed.
+    pub(super) fn end_cooldowns(&mut self, now: Timestamp, out: &mut Vec<RouterAction>) {
+        let upstreams = self
+            .targets
+            .values_mut()
+            .flat_map(|state| &mut state.upstreams);
+        for upstream in upstreams {
+            if upstream.cooldown.take_end(now) {
+                out.push(RouterAction::Log(format!(
+                    "the cooldown of {} has ended",
+                    upstream.spec.id
+                )));
+            }
+        }
+    }
+
+    /// Upstreams that asked this daemon for a cooldown, with what is left of it.
+    pub fn cooling_upstreams(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (&UpstreamId, Duration)> {
+        self.upstreams().filter_map(move |upstream| {
+            let until = upstream.cooldown.until().filter(|until| now < *until)?;
+            Some((&upstream.spec.id, until.since(now)))
+        })
+    }
+
+    /// Upstreams that said that they are leaving.
+    pub fn leaving_upstreams(&self) -> impl Iterator<Item = &UpstreamId> {
+        let leaving = self.upstreams().filter(|u| u.leaving.is_leaving());
+        leaving.map(|upstream| &upstream.spec.id)
+    }
+}
+
+fn cooldown_line(id: &UpstreamId, request: RequestId, change: &CooldownChange) -> RouterAction {
+    RouterAction::Log(match change {
+        CooldownChange::Begins(time) => {
+            let seconds = time.as_secs_f64();
+            format!(
+                "{id} asks for a cooldown of {seconds} s as it turns request {} away",
+                request.0
+            )
+        }
+        CooldownChange::Unreadable(text) => {
+            format!("{id} asks for a cooldown that can't be read, none is made of it: {text:?}")
+        }
+    })
+}
+
+fn leaving_line(id: &UpstreamId, request: RequestId, mark: &LeavingMark) -> RouterAction {
+    RouterAction::Log(match mark {
+        LeavingMark::Unreadable(text) => {
+            format!("{id} says of its leaving what can't be read, it counts as staying: {text:?}")
+        }
+        LeavingMark::Absent | LeavingMark::Leaving => {
+            format!("{id} is leaving, by its answer to request {}", request.0)
+        }
+    })
+}
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -8,7 +8,9 @@
 };
 use crate::settings::router::RouterSettings;
 
+use super::cooldown::Cooldown;
 use super::estimate::SmoothedDuration;
+use super::leaving::LeavingState;
 use super::named::LimitState;
 use super::outlier::OutlierState;
 use super::prefix::PrefixHints;
@@ -104,6 +106,10 @@
     pub outlier: OutlierState,
     /// How many requests it takes from all daemons together, while it names that.
     pub limit: LimitState,
+    /// How long it wants no requests from this daemon.
+    pub cooldown: Cooldown,
+    /// Whether it said that it is leaving.
+    pub leaving: LeavingState,
     /// Time to the first token.
     pub first_token: SmoothedDuration,
     /// Time between two tokens.
@@ -146,6 +152,8 @@
             prefixes: PrefixHints::default(),
             outlier: OutlierState::default(),
             limit: LimitState::default(),
+            cooldown: Cooldown::default(),
+            leaving: LeavingState::default(),
             first_token: SmoothedDuration::default(),
             token_interval: SmoothedDuration::default(),
             report: None,
--- a/shalehinge/src/operator_api.rs
+++ b/shalehinge/src/operator_api.rs
@@ -134,18 +134,29 @@
         })
         .get("/metrics", move |conn: Conn| {
             let mut page = metrics.driver.metrics.page();
-            page.push_str(&limits_page(&metrics.driver));
+            page.push_str(&signals_page(&metrics.driver));
             async move { conn.ok(page) }
         })
 }
 
-/// Gauges of upstreams in need, a line each: the requests a second that it takes from all daemons
-/// together, by what this daemon knows.
-fn limits_page(driver: &Driver) -> String {
-    driver.read(|_, core| {
-        let limited = core.router().limited_upstreams();
-        limited
-            .map(|(upstream, rate)| format!("shalehinge.upstream.limit.{upstream} {rate}\n"))
+/// Gauges of what upstreams state about themselves, a line each, by what this daemon knows: the
+/// requests a second that one takes from all daemons together, the seconds left of a cooldown, and 1
+/// for one that is leaving.
+fn signals_page(driver: &Driver) -> String {
+    driver.read(|now, core| {
+        let router = core.router();
+        let limited = router.limited_upstreams();
+        let limits = limited.map(|(upstream, rate)| format!("limit.{upstream} {rate}"));
+        let cooling = router.cooling_upstreams(now);
+        let cooldowns = cooling.map(|(upstream, left)| {
+            let seconds = left.as_secs_f64();
+            format!("cooldown_seconds.{upstream} {seconds:.3}")
+        });
+        let leaving = router.leaving_upstreams();
+        let leaving = leaving.map(|upstream| format!("leaving.{upstream} 1"));
+        let gauges = limits.chain(cooldowns).chain(leaving);
+        gauges
+            .map(|gauge| format!("shalehinge.upstream.{gauge}\n"))
             .collect()
     })
 }
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -17,10 +17,10 @@
 use super::peer_traffic::PeerTraffic;
 use crate::core::daemon::Daemon;
 use crate::core::event::{Action, Event, Pull, PullId, PullReply, StatusPurpose};
-use crate::core::named_limit::NamedLimit;
 use crate::core::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
 use crate::core::platform::{CallId, NoAnswer, PlatformCall};
 use crate::core::router::request::{Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta};
+use crate::core::signal::UpstreamSignal;
 use crate::core::types::{Address, AttemptId, HostId, RequestId, Timestamp};
 use crate::object_api::PlatformClient;
 use crate::peer::client::PeerClient;
@@ -389,11 +389,14 @@
         let _ = self.parts.send(CallerPart::Part(part)).await;
     }
 
-    fn hear_limit(&self, limit: NamedLimit) {
-        self.driver.dispatch(Event::LimitNamed {
+    fn on_signal(&self, signal: UpstreamSignal) {
+        if !signal.is_relevant() {
+            return;
+        }
+        self.driver.dispatch(Event::Signal {
             request: self.attempt.request,
             attempt: self.attempt.id,
-            limit,
+            signal,
         });
     }
 }
--- a/shalehinge/src/upstream/attempt.rs
+++ b/shalehinge/src/upstream/attempt.rs
@@ -9,8 +9,9 @@
 use trillium_client::{Client, Conn, Method, ResponseBody};
 
 use super::relay::{self, AnswerHead, RelayPart};
-use crate::core::named_limit::NamedLimit;
+use super::signal::{self, SIGNAL_NAMES};
 use crate::core::router::request::{Attempt, AttemptEnd};
+use crate::core::signal::UpstreamSignal;
 use crate::utils::http::{is_not_connected, url};
 
 /// Header with the attempt's id, sent to and echoed by upstreams.
@@ -23,9 +24,6 @@
 pub const PRIORITY_HEADER: &str = "x-shalehinge-priority";
 /// Header by which an upstream says that it did not run the request.
 pub const NOT_RUN_HEADER: &str = "x-shalehinge-not-run";
-/// Header by which an upstream in need names the requests a second that it takes from all
-/// daemons together, as a decimal number.
-pub const LIMIT_HEADER: &str = "x-shalehinge-limit";
 /// End of a stream of events.
 pub const STREAM_END: &[u8] = b"data: [DONE]";
 
@@ -93,8 +91,8 @@
     /// Passes on a part; waits while the caller is slow.
     fn pass(&self, part: AnswerPart) -> impl Future<Output = ()> + Send;
 
-    /// Takes in what the head of the answer says of the upstream's limit.
-    fn hear_limit(&self, limit: NamedLimit);
+    /// Passes on what the head of the answer states about the upstream.
+    fn on_signal(&self, signal: UpstreamSignal);
 }
 
 /// Makes the attempt.
@@ -126,7 +124,7 @@
         return AttemptEnd::WrongAnswer;
     }
     let is_success = (200..300).contains(&status);
-    relay::hear_limit(&conn, LIMIT_HEADER, is_success, sink);
+    sink.on_signal(signal::read(&conn, status, SIGNAL_NAMES));
     let is_engine = request.answer != AnswerForm::Service;
     if is_engine && headers.get_str(NOT_RUN_HEADER).is_some() {
         return AttemptEnd::Refused;
--- a/shalehinge/src/upstream/mod.rs
+++ b/shalehinge/src/upstream/mod.rs
@@ -4,11 +4,13 @@
 //! - `attempt`: one attempt of a caller's request, at an engine or a plain service
 //! - `presence`: whether anything listens where an upstream was
 //! - `relay`: one attempt of a request that is relayed as it is
+//! - `signal`: what upstreams state about themselves
 
 pub mod attempt;
 pub mod engine;
 pub mod presence;
 pub mod relay;
+pub mod signal;
 
 use futures_lite::future::Boxed;
 
--- a/shalehinge/src/upstream/relay.rs
+++ b/shalehinge/src/upstream/relay.rs
@@ -12,7 +12,7 @@
 use trillium_client::{Client, Conn, ResponseBody};
 
 use super::attempt::{AnswerPart, AnswerSink, OutgoingRequest, WholeAnswer};
-use crate::core::named_limit::NamedLimit;
+use super::signal::{self, SignalNames};
 use crate::core::router::request::{Attempt, AttemptEnd};
 use crate::utils::http::{is_not_connected, url};
 
@@ -62,8 +62,8 @@
     pub signature: &'static str,
     /// The last event that the caller has.
     pub last_event_id: &'static str,
-    /// Requests a second that an upstream in need takes from all daemons together.
-    pub limit: &'static str,
+    /// What an upstream states about itself.
+    pub signals: SignalNames,
     /// Word before the key in `Authorization`.
     pub credential_scheme: &'static str,
 }
@@ -128,8 +128,9 @@
     };
     let is_success = (200..300).contains(&status);
     let refused = judge_head(&conn, status, relay);
-    if refused != Some(AttemptEnd::WrongAnswer) {
-        hear_limit(&conn, relay.names.limit, is_success, sink);
+    // An answer of another upstream, or to another request, states nothing about this one.
+    if refused != Some(AttemptEnd::WrongAnswer) && status != MISDIRECTED {
+        sink.on_signal(signal::read(&conn, status, relay.names.signals));
     }
     if let Some(end) = refused {
         return end;
@@ -168,20 +169,6 @@
     PROMISES.contains(&status).then_some(AttemptEnd::Lost)
 }
 
-/// Passes on what the head of an answer says of the upstream's limit. That it says nothing
-/// counts in a success alone: a refusal may come from a part that doesn't know of the limit.
-pub(super) fn hear_limit(conn: &Conn, header: &str, is_success: bool, sink: &impl AnswerSink) {
-    let values = conn.response_headers().get_values(header);
-    let texts = values
-        .into_iter()
-        .flatten()
-        .map(|value| value.as_str().unwrap_or_default());
-    let limit = NamedLimit::read(texts);
-    if is_success || limit != NamedLimit::None {
-        sink.hear_limit(limit);
-    }
-}
-
 fn build(client: &Client, attempt: &Attempt, request: &OutgoingRequest, relay: &RelayPart) -> Conn {
     let names = relay.names;
     let mut conn = client.build_conn(request.method, url(attempt.address, &request.path));
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -14,6 +14,7 @@
 use shalehinge::core::named_limit::{NamedLimit, RequestRate};
 use shalehinge::core::platform::{CallId, NoAnswer, PlatformCall};
 use shalehinge::core::router::request::{Attempt, AttemptEnd, Outcome, RequestMeta, Target};
+use shalehinge::core::signal::UpstreamSignal;
 use shalehinge::core::types::{
     Address, Customer, DaemonId, FailureDomain, GroupNumber, Incarnation, RequestId, Timestamp,
     Version,
@@ -341,10 +342,14 @@
         self.arrivals.push(Arrival { at, daemon, group });
         let limit = self.limits.get(&group).copied();
         let limit = limit.map_or(NamedLimit::None, NamedLimit::Rate);
-        let named = Event::LimitNamed {
+        let signal = UpstreamSignal {
+            limit,
+            ..UpstreamSignal::silent(200)
+        };
+        let named = Event::Signal {
             request,
             attempt,
-            limit,
+            signal,
         };
         self.later(TICK, index, named);
         self.later(TICK, index, Event::Output { request, attempt });
