--- /dev/null
+++ b/shalehinge/tests/cooldowns.rs
@@ -0,0 +1,134 @@
+//! Upstreams that turn requests away and ask each daemon for a cooldown.
+
+mod relay_support;
+
+use std::time::Duration;
+
+use relay_support::scene::{Scene, group};
+use relay_support::{Arrival, TurnedAway};
+use shalehinge::core::router::request::Outcome;
+
+/// What the upstreams ask for.
+const COOLDOWN: Duration = Duration::from_secs(3);
+/// What was under way when a daemon was asked is still allowed for so long.
+const UNDER_WAY: Duration = Duration::from_millis(500);
+/// Requests of one daemon that users allow in the rest of a cooldown.
+const ALLOWED: usize = 2;
+
+/// Most requests of one daemon to one upstream in the cooldown that it had asked it for.
+fn most_in_cooldown(scene: &Scene) -> usize {
+    let within = |turned: &TurnedAway, arrival: &&Arrival| {
+        let is_same = (arrival.daemon, arrival.group) == (turned.daemon, turned.group);
+        let from = turned.at + UNDER_WAY;
+        is_same && arrival.at > from && arrival.at < turned.at + turned.cooldown
+    };
+    let counts = scene.fleet.turned_away.iter().map(|turned| {
+        let arrivals = scene.fleet.arrivals.iter();
+        arrivals.filter(|arrival| within(turned, arrival)).count()
+    });
+    counts.max().unwrap_or(0)
+}
+
+fn cool(scene: &mut Scene, groups: std::ops::Range<u64>, cooldown: Duration) {
+    let asked = groups.map(|index| (group(index), cooldown));
+    scene.fleet.cooldowns.extend(asked);
+}
+
+#[test]
+fn requests_go_to_no_upstream_in_its_cooldown_at_nine_daemons() {
+    let mut scene = Scene::small();
+    scene.serve_seconds(2);
+    cool(&mut scene, 0..6, COOLDOWN);
+    scene.serve_seconds(8);
+    let most = most_in_cooldown(&scene);
+    assert!(most <= ALLOWED, "{most} requests, allowed {ALLOWED}");
+    assert!(!scene.fleet.turned_away.is_empty());
+}
+
+#[test]
+fn requests_go_to_no_upstream_in_its_cooldown_at_340_daemons() {
+    let mut scene = Scene::new(340, 60, 5);
+    cool(&mut scene, 0..20, COOLDOWN);
+    scene.serve_seconds(8);
+    let most = most_in_cooldown(&scene);
+    assert!(most <= ALLOWED, "{most} requests, allowed {ALLOWED}");
+}
+
+#[test]
+fn callers_are_told_the_true_wait_where_every_upstream_cools_down() {
+    let mut scene = Scene::small();
+    scene.serve_seconds(2);
+    cool(&mut scene, 0..18, COOLDOWN);
+    let began = scene.fleet.now;
+    scene.serve_seconds(1);
+    scene.fleet.outcomes.clear();
+    scene.fleet.cooldowns.clear();
+    let asked = scene.fleet.turned_away.iter();
+    let ends = asked.map(|turned| turned.at + turned.cooldown).min();
+    scene.serve(Duration::from_millis(500));
+    // All of them were rejected at once, as 1.5 s at most have passed of 3 s.
+    let wait = ends.expect("asked") - scene.fleet.now;
+    assert!(scene.fleet.now - began < COOLDOWN / 2 + Duration::from_millis(10));
+    let latest = wait + Duration::from_millis(600);
+    for outcome in &scene.fleet.outcomes {
+        let Outcome::NotRun { retry_after, .. } = outcome else {
+            panic!("{outcome:?}");
+        };
+        assert!(
+            (wait..=latest).contains(retry_after),
+            "told {retry_after:?}, true {wait:?} at least"
+        );
+    }
+    assert_eq!(
+        scene.fleet.outcomes.len(),
+        90,
+        "none waits for its deadline"
+    );
+}
+
+#[test]
+fn callers_are_served_again_once_a_cooldown_has_ended() {
+    let mut scene = Scene::small();
+    cool(&mut scene, 0..18, COOLDOWN);
+    scene.serve_seconds(1);
+    scene.fleet.cooldowns.clear();
+    scene.serve_seconds(3);
+    scene.fleet.outcomes.clear();
+    let since = scene.fleet.now;
+    scene.serve_seconds(4);
+    let (whole, all) = scene.served();
+    assert_eq!(whole, all);
+    for index in 0..18 {
+        assert!(
+            scene.rate_since(index, since) > 5.0,
+            "it has its share again"
+        );
+    }
+}
+
+#[test]
+fn an_upstream_beside_one_that_cools_down_keeps_its_share() {
+    let mut scene = Scene::small();
+    cool(&mut scene, 0..1, COOLDOWN);
+    let since = scene.fleet.now;
+    scene.serve_seconds(8);
+    let (whole, all) = scene.served();
+    assert_eq!(whole, all, "the others run the rest");
+    for index in 1..18 {
+        assert!(scene.rate_since(index, since) > 5.0);
+    }
+}
+
+#[test]
+fn requests_go_to_no_upstream_that_said_it_is_leaving() {
+    let mut scene = Scene::small();
+    scene.serve_seconds(2);
+    scene.fleet.leaving.extend((0..3).map(group));
+    scene.serve_seconds(2);
+    let since = scene.fleet.now;
+    scene.serve_seconds(6);
+    let late: usize = (0..3).map(|index| scene.times(index, since).len()).sum();
+    assert_eq!(late, 0);
+    let (whole, all) = scene.served();
+    assert_eq!(whole, all, "the others run the rest");
+}
--- a/shalehinge/tests/process_support/mod.rs
+++ b/shalehinge/tests/process_support/mod.rs
@@ -22,7 +22,7 @@
 use standin::engine::faults::EngineFault;
 use standin::engine::server::{RunningEngine, spawn as spawn_engines};
 use standin::platform::store::Fault;
-use standin::service::ServiceArguments;
+use standin::service::{ServiceArguments, ServiceFault};
 
 const TOKEN: &str = "token";
 pub const KEY: &str = "key";
@@ -340,6 +340,12 @@
         }
     }
 
+    pub fn service_fault(&self, fault: &ServiceFault) {
+        let body = serde_json::to_string(fault).expect("JSON");
+        let answer = exchange(self.service, "PUT", "/admin/fault", &[], &body);
+        assert_eq!(answer.status, 204);
+    }
+
     /// How often the plain service was called with a key.
     pub fn service_calls(&self, key: &str) -> u64 {
         let answer = exchange(self.service, "GET", "/admin/calls", &[], "");
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod configuration;
 pub mod platform;
+pub mod scene;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -14,7 +15,7 @@
 use shalehinge::core::named_limit::{NamedLimit, RequestRate};
 use shalehinge::core::platform::{CallId, NoAnswer, PlatformCall};
 use shalehinge::core::router::request::{Attempt, AttemptEnd, Outcome, RequestMeta, Target};
-use shalehinge::core::signal::UpstreamSignal;
+use shalehinge::core::signal::{LeavingMark, RequestedCooldown, UpstreamSignal};
 use shalehinge::core::types::{
     Address, Customer, DaemonId, FailureDomain, GroupNumber, Incarnation, RequestId, Timestamp,
     Version,
@@ -82,6 +83,16 @@
     pub group: GroupNumber,
 }
 
+/// An attempt that an upstream turned away, with a cooldown.
+#[derive(Clone, Copy, Debug)]
+pub struct TurnedAway {
+    /// When the daemon was answered.
+    pub at: Duration,
+    pub daemon: usize,
+    pub group: GroupNumber,
+    pub cooldown: Duration,
+}
+
 /// How long a request that ends whole runs.
 const RUN_TIME: Duration = Duration::from_millis(300);
 
@@ -105,6 +116,12 @@
     calls: Vec<Call>,
     /// What the upstreams of groups in need name.
     pub limits: BTreeMap<GroupNumber, RequestRate>,
+    /// What the upstreams of groups that turn all requests away ask for.
+    pub cooldowns: BTreeMap<GroupNumber, Duration>,
+    /// Attempts that were turned away so, when their daemons heard of it.
+    pub turned_away: Vec<TurnedAway>,
+    /// Groups whose upstreams say in each answer that they are leaving.
+    pub leaving: BTreeSet<GroupNumber>,
     /// Requests that end whole.
     finishing: BTreeSet<RequestId>,
     /// Attempts of those, in the order in which they reached an upstream.
@@ -154,6 +171,9 @@
             pulls: BTreeMap::new(),
             calls: Vec::new(),
             limits: BTreeMap::new(),
+            cooldowns: BTreeMap::new(),
+            turned_away: Vec::new(),
+            leaving: BTreeSet::new(),
             finishing: BTreeSet::new(),
             arrivals: Vec::new(),
             outcomes: Vec::new(),
@@ -340,10 +360,15 @@
         let daemon = index;
         let at = self.now;
         self.arrivals.push(Arrival { at, daemon, group });
+        if let Some(cooldown) = self.cooldowns.get(&group).copied() {
+            self.turn_away(index, sent, group, cooldown);
+            return;
+        }
         let limit = self.limits.get(&group).copied();
         let limit = limit.map_or(NamedLimit::None, NamedLimit::Rate);
         let signal = UpstreamSignal {
             limit,
+            leaving: self.mark_of(group),
             ..UpstreamSignal::silent(200)
         };
         let named = Event::Signal {
@@ -362,6 +387,42 @@
         self.later(RUN_TIME, index, ended);
     }
 
+    fn mark_of(&self, group: GroupNumber) -> LeavingMark {
+        if self.leaving.contains(&group) {
+            LeavingMark::Leaving
+        } else {
+            LeavingMark::Absent
+        }
+    }
+
+    /// The upstream does not run an attempt, and asks for a cooldown.
+    fn turn_away(&mut self, daemon: usize, sent: &Attempt, group: GroupNumber, cooldown: Duration) {
+        let (request, attempt) = (sent.request, sent.id);
+        self.turned_away.push(TurnedAway {
+            at: self.now + TICK,
+            daemon,
+            group,
+            cooldown,
+        });
+        let signal = UpstreamSignal {
+            cooldown: RequestedCooldown::For(cooldown),
+            leaving: self.mark_of(group),
+            ..UpstreamSignal::silent(503)
+        };
+        let head = Event::Signal {
+            request,
+            attempt,
+            signal,
+        };
+        self.later(TICK, daemon, head);
+        let ended = Event::Ended {
+            request,
+            attempt,
+            end: AttemptEnd::Refused,
+        };
+        self.later(TICK, daemon, ended);
+    }
+
     /// A caller sends a daemon the one request that crashes whoever runs it.
     pub fn crashing_stream(&mut self, index: usize) {
         self.next_event += 1;
--- a/standin/src/engine/faults.rs
+++ b/standin/src/engine/faults.rs
@@ -26,4 +26,11 @@
         /// Tenths of a request a second.
         tenths_a_second: u32,
     },
+    /// Runs nothing, and asks in each answer for a cooldown.
+    AsksForCooldown {
+        /// Tenths of a second.
+        tenths: u32,
+    },
+    /// Answers well, and says in each answer that it is leaving.
+    SaysLeaving,
 }
--- a/standin/src/engine/server.rs
+++ b/standin/src/engine/server.rs
@@ -18,7 +18,7 @@
 use shalehinge::core::types::{FabricDomain, FailureDomain, GroupNumber, HostId};
 use shalehinge::upstream::attempt::{ATTEMPT_HEADER, GROUP_HEADER, NOT_RUN_HEADER};
 use shalehinge::upstream::engine::{ORDERS_PATH, STATUS_PATH};
-use shalehinge::upstream::signal::LIMIT_HEADER;
+use shalehinge::upstream::signal::{LEAVING_HEADER, LIMIT_HEADER};
 use shalehinge::utils::http::{exchange, pooled_client, url};
 use shalehinge::utils::time::wall_clock;
 use smol::Timer;
@@ -371,14 +371,15 @@
                     .with_response_header(ATTEMPT_HEADER, attempt)
                     .ok("\u{1}\u{2} this is no answer");
             }
+            EngineFault::AsksForCooldown { tenths } => {
+                let seconds = format!("{}.{}", tenths / 10, tenths % 10);
+                return refuse(conn, attempt)
+                    .with_response_header(KnownHeaderName::RetryAfter, seconds);
+            }
             _ => {}
         }
         let Some((id, tokens)) = self.begin(group, &request) else {
-            return conn
-                .with_status(Status::ServiceUnavailable)
-                .with_response_header(ATTEMPT_HEADER, attempt)
-                .with_response_header(NOT_RUN_HEADER, "1")
-                .halt();
+            return refuse(conn, attempt);
         };
         let said = if fault == EngineFault::OtherAttempt {
             "0000000000000000-0".to_owned()
@@ -390,6 +391,9 @@
             let limit = format!("{}.{}", tenths_a_second / 10, tenths_a_second % 10);
             conn = conn.with_response_header(LIMIT_HEADER, limit);
         }
+        if fault == EngineFault::SaysLeaving {
+            conn = conn.with_response_header(LEAVING_HEADER, "1");
+        }
         if request.stream {
             return stream_answer(conn, id, tokens, fault);
         }
@@ -435,6 +439,14 @@
     })
 }
 
+/// An answer to a request that was not run.
+fn refuse(conn: Conn, attempt: String) -> Conn {
+    conn.with_status(Status::ServiceUnavailable)
+        .with_response_header(ATTEMPT_HEADER, attempt)
+        .with_response_header(NOT_RUN_HEADER, "1")
+        .halt()
+}
+
 async fn whole_answer(conn: Conn, id: u64, tokens: Receiver<Token>) -> Conn {
     let mut text = String::new();
     let mut count = 0;
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -3,17 +3,19 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use argh::FromArgs;
+use serde::{Deserialize, Serialize};
 use shalehinge::gateway::intake::KEY_HEADER;
+use shalehinge::upstream::signal::LEAVING_HEADER;
 use smol::Timer;
-use trillium::{Conn, Handler, Status};
+use trillium::{Conn, Handler, KnownHeaderName, Status};
 use trillium_router::Router;
 use trillium_server_common::ServerHandle;
 
-use crate::server::{announce, serve, write_json};
+use crate::server::{announce, read_json, serve, write_json};
 
 /// run a stand-in of a plain service
 #[derive(FromArgs, Debug)]
@@ -42,39 +44,82 @@
     Ok(())
 }
 
-type Calls = Arc<Mutex<BTreeMap<String, u64>>>;
+/// What the service says of itself at present.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServiceFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It runs nothing, and asks for a cooldown by this `Retry-After`.
+    AsksForCooldown(String),
+    /// It answers well, and says that it is leaving.
+    SaysLeaving,
+}
+
+/// Key of calls that were turned away, where calls are counted by key.
+pub const TURNED_AWAY: &str = "turned away";
+
+#[derive(Debug, Default)]
+struct State {
+    calls: BTreeMap<String, u64>,
+    fault: ServiceFault,
+}
+
+type SharedState = Arc<Mutex<State>>;
+
+fn lock(state: &SharedState) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
 
 fn handler(delay: Duration) -> impl Handler {
-    let calls = Calls::default();
-    let counted = calls.clone();
-    let router = Router::new().get("/admin/calls", move |conn: Conn| {
-        let calls = calls.clone();
-        async move {
-            let calls = calls.lock().unwrap_or_else(PoisonError::into_inner).clone();
-            write_json(conn, Status::Ok, &calls)
-        }
-    });
+    let state = SharedState::default();
+    let (counted, changed) = (state.clone(), state.clone());
+    let router = Router::new()
+        .get("/admin/calls", move |conn: Conn| {
+            let calls = lock(&counted).calls.clone();
+            async move { write_json(conn, Status::Ok, &calls) }
+        })
+        .put("/admin/fault", move |conn: Conn| {
+            let state = changed.clone();
+            async move { change_fault(conn, state).await }
+        });
     let echo = move |conn: Conn| {
-        let calls = counted.clone();
-        async move { answer(conn, calls, delay).await }
+        let state = state.clone();
+        async move { answer(conn, state, delay).await }
     };
     (router, echo)
 }
 
-async fn answer(mut conn: Conn, calls: Calls, delay: Duration) -> Conn {
+async fn change_fault(mut conn: Conn, state: SharedState) -> Conn {
+    let Some(fault) = read_json::<ServiceFault>(&mut conn).await else {
+        return conn.with_status(Status::BadRequest).halt();
+    };
+    lock(&state).fault = fault;
+    conn.with_status(Status::NoContent).halt()
+}
+
+async fn answer(mut conn: Conn, state: SharedState, delay: Duration) -> Conn {
     if conn.status().is_some() {
         return conn;
     }
+    let fault = lock(&state).fault.clone();
+    if let ServiceFault::AsksForCooldown(retry_after) = fault {
+        *lock(&state).calls.entry(TURNED_AWAY.into()).or_default() += 1;
+        return conn
+            .with_status(Status::ServiceUnavailable)
+            .with_response_header(KnownHeaderName::RetryAfter, retry_after)
+            .halt();
+    }
+    if fault == ServiceFault::SaysLeaving {
+        conn = conn.with_response_header(LEAVING_HEADER, "1");
+    }
     let key = conn.request_headers().get_str(KEY_HEADER);
     let key = key.unwrap_or("without a key").to_owned();
     let Ok(body) = conn.request_body().read_bytes().await else {
         return conn.with_status(Status::BadRequest).halt();
     };
-    *calls
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .entry(key)
-        .or_default() += 1;
+    *lock(&state).calls.entry(key).or_default() += 1;
     Timer::after(delay).await;
     let method = conn.method().as_str();
     let path = conn.path_and_query().to_owned();
