fix(router): an upstream that says that it is leaving gets nothing new

Callers saw nothing; a replica that leaves went on getting its share from each daemon until the host list said so, also where the list is late or the platform is away. Same class as the cooldown: a word of an upstream about itself that no decision read.

Change: what one said holds for its life, which the list or the number of its group shows; an answer without the mark ends nothing, as answers overtake one another. An instance in the configuration has no life that could be seen, so it is asked again after a minute.

--- a/shalehinge/src/core/router/availability.rs
+++ b/shalehinge/src/core/router/availability.rs
@@ -26,7 +26,7 @@
 impl Upstream {
     /// Whether and when it may get a request of this daemon.
     pub fn availability(&self, now: Timestamp) -> Availability {
-        if !self.is_present() {
+        if !self.is_present(now) {
             return Availability::Closed;
         }
         if !self.is_complete(now) {
--- a/shalehinge/src/core/router/expiry.rs
+++ b/shalehinge/src/core/router/expiry.rs
@@ -34,7 +34,7 @@
 
     fn note_capacity(&mut self, now: Timestamp) {
         for state in self.targets.values_mut() {
-            let present = state.present();
+            let present = state.present(now);
             state.usual.note(now, present);
         }
     }
--- a/shalehinge/src/core/router/refusal.rs
+++ b/shalehinge/src/core/router/refusal.rs
@@ -112,7 +112,7 @@
             }
             // A trial may end another upstream: it waits until those that ended are back.
             let may_wait = now < held.last_lost_at + MOST_TRIAL_DELAY;
-            if may_wait && state.usual.is_short(state.present()) {
+            if may_wait && state.usual.is_short(state.present(now)) {
                 return Some((NotRunReason::Quarantined, SUSPECT_RETRY_AFTER));
             }
         }
--- a/shalehinge/src/core/router/signals.rs
+++ b/shalehinge/src/core/router/signals.rs
@@ -34,7 +34,7 @@
         if let Some(change) = upstream.cooldown.on_requested(now, &signal.cooldown) {
             out.push(cooldown_line(id, request, &change));
         }
-        if upstream.leaving.on_marked(&signal.leaving) {
+        if upstream.leaving.on_marked(now, &signal.leaving) {
             out.push(leaving_line(id, request, &signal.leaving));
         }
         let sent_at = running.sent_at;
@@ -69,8 +69,8 @@
     }
 
     /// Upstreams that said that they are leaving.
-    pub fn leaving_upstreams(&self) -> impl Iterator<Item = &UpstreamId> {
-        let leaving = self.upstreams().filter(|u| u.leaving.is_leaving());
+    pub fn leaving_upstreams(&self, now: Timestamp) -> impl Iterator<Item = &UpstreamId> {
+        let leaving = self.upstreams().filter(move |u| u.is_leaving(now));
         leaving.map(|upstream| &upstream.spec.id)
     }
 }
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -78,8 +78,8 @@
 
 impl TargetState {
     /// Upstreams that are there, also those that get nothing new for a while.
-    pub(super) fn present(&self) -> usize {
-        let present = self.upstreams.iter().filter(|u| u.is_present());
+    pub(super) fn present(&self, now: Timestamp) -> usize {
+        let present = self.upstreams.iter().filter(|u| u.is_present(now));
         present.count()
     }
 
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -203,8 +203,13 @@
     }
 
     /// Whether it is there and may be given new work, if not now.
-    pub fn is_present(&self) -> bool {
-        self.spec.accepts_new && !self.lost
+    pub fn is_present(&self, now: Timestamp) -> bool {
+        self.spec.accepts_new && !self.lost && !self.is_leaving(now)
+    }
+
+    /// Whether it said that it is leaving.
+    pub fn is_leaving(&self, now: Timestamp) -> bool {
+        self.leaving.is_leaving(now, &self.spec.id)
     }
 
     /// Whether it surely lost a member.
--- a/shalehinge/src/operator_api.rs
+++ b/shalehinge/src/operator_api.rs
@@ -152,7 +152,7 @@
             let seconds = left.as_secs_f64();
             format!("cooldown_seconds.{upstream} {seconds:.3}")
         });
-        let leaving = router.leaving_upstreams();
+        let leaving = router.leaving_upstreams(now);
         let leaving = leaving.map(|upstream| format!("leaving.{upstream} 1"));
         let gauges = limits.chain(cooldowns).chain(leaving);
         gauges
--- a/shalehinge/tests/engine_cooldowns.rs
+++ b/shalehinge/tests/engine_cooldowns.rs
@@ -92,3 +92,16 @@
         (call_service(&daemon).status == 200).then_some(())
     });
 }
+
+#[test]
+fn calls_go_to_no_service_that_said_it_is_leaving() {
+    let mut fleet = Fleet::new("service-leaves", 2);
+    let daemon = fleet.serving();
+    fleet.service_fault(&ServiceFault::SaysLeaving);
+    assert_eq!(call_service(&daemon).status, 200);
+    fleet.service_fault(&ServiceFault::None);
+    for _ in 0..5 {
+        assert_eq!(call_service(&daemon).status, 503, "no other one is there");
+    }
+    assert_eq!(fleet.service_calls("without a key"), 1);
+}
--- a/shalehinge/tests/signal.rs
+++ b/shalehinge/tests/signal.rs
@@ -4,8 +4,9 @@
 
 use shalehinge::core::router::cooldown::{Cooldown, CooldownChange};
 use shalehinge::core::router::leaving::LeavingState;
+use shalehinge::core::router::request::UpstreamId;
 use shalehinge::core::signal::{LeavingMark, RequestedCooldown, UpstreamSignal};
-use shalehinge::core::types::Timestamp;
+use shalehinge::core::types::{HostId, ServiceName, Timestamp};
 
 /// Sun, 06 Nov 1994 08:49:37 GMT
 fn answered_at() -> SystemTime {
@@ -143,11 +144,23 @@
 
 #[test]
 fn an_answer_without_the_mark_does_not_bring_a_leaving_upstream_back() {
+    let host = UpstreamId::Host(ServiceName::new("s"), HostId::new("h"));
     let mut state = LeavingState::default();
-    assert!(state.on_marked(&LeavingMark::Leaving));
-    assert!(!state.on_marked(&LeavingMark::Leaving), "no news");
-    assert!(!state.on_marked(&LeavingMark::Absent));
-    assert!(state.is_leaving());
+    assert!(state.on_marked(at(0), &LeavingMark::Leaving));
+    assert!(!state.on_marked(at(1), &LeavingMark::Leaving), "no news");
+    assert!(!state.on_marked(at(2), &LeavingMark::Absent));
+    assert!(state.is_leaving(at(86_400_000), &host));
+}
+
+#[test]
+fn an_instance_whose_restart_nothing_shows_is_asked_again_after_a_minute() {
+    let instance = UpstreamId::Instance(ServiceName::new("s"), ([10, 0, 0, 1], 1).into());
+    let mut state = LeavingState::default();
+    state.on_marked(at(0), &LeavingMark::Leaving);
+    assert!(state.is_leaving(at(59_999), &instance));
+    assert!(!state.is_leaving(at(60_000), &instance));
+    state.on_marked(at(60_050), &LeavingMark::Leaving);
+    assert!(state.is_leaving(at(60_100), &instance));
 }
 
 #[test]
