refactor(router): waits for upstreams are computed where none can take a request

The check of requests in the line ran over all upstreams at each choice; now only where the choice found none. A cooldown that begins just as the last one ends is logged as a new one.

--- a/shalehinge/src/core/router/availability.rs
+++ b/shalehinge/src/core/router/availability.rs
@@ -1,7 +1,9 @@
 //! Whether and when an upstream may get a request of this daemon.
 //!
 //! Every path to an upstream asks [`Upstream::availability`]: the choice, retries, streams that go on
-//! elsewhere, trials, permits, early refusal and the time that refused callers are told.
+//! elsewhere, trials, permits, early refusal and the time that refused callers get.
+
+use std::time::Duration;
 
 use crate::core::types::Timestamp;
 
@@ -70,10 +72,11 @@
 }
 
 impl TargetState {
-    /// From when on some upstream may serve, on what is known now; `None` if nothing shows that
-    /// one will.
-    pub(super) fn available_from(&self, now: Timestamp) -> Option<Timestamp> {
+    /// How long no upstream may serve, on what is known now; `None` if nothing shows that one
+    /// will.
+    pub(super) fn unavailable_for(&self, now: Timestamp) -> Option<Duration> {
         let upstreams = self.upstreams.iter();
-        upstreams.filter_map(|u| u.available_from(now)).min()
+        let earliest = upstreams.filter_map(|u| u.available_from(now)).min();
+        earliest.map(|from| from.since(now))
     }
 }
--- a/shalehinge/src/core/router/cooldown.rs
+++ b/shalehinge/src/core/router/cooldown.rs
@@ -32,7 +32,7 @@
     is_in_force: bool,
     /// No request that was sent since has brought output.
     is_recovering: bool,
-    /// One that was sent since runs there.
+    /// A request that was sent since runs there.
     is_tried: bool,
     tests_left: u32,
     next_test_at: Timestamp,
@@ -84,12 +84,14 @@
         if time.is_zero() {
             return None;
         }
+        let is_new = !self.is_in_force || now >= self.until;
         self.until = self.until.max(now + time);
         self.requested_at = now;
         self.next_test_at = now + TEST_AFTER;
         self.is_recovering = true;
         self.is_tried = false;
-        if std::mem::replace(&mut self.is_in_force, true) {
+        self.is_in_force = true;
+        if !is_new {
             return None;
         }
         self.tests_left = MOST_TESTS;
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -16,7 +16,7 @@
 use super::failing::Fault;
 use super::named::Urgency;
 use super::quarantine::Quarantine;
-use super::refusal::{Waiting, waiting_refusal};
+use super::refusal::{Waiting, unavailable_refusal, waiting_refusal};
 use super::request::{
     Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta, Target, UnknownReason, UpstreamId,
 };
@@ -277,7 +277,6 @@
                 quarantine: &self.quarantine,
                 keys_until: self.keys_until,
                 service_time,
-                available_from: state.available_from(now),
                 pending,
             });
             if let Some((reason, retry_after)) = refusal {
@@ -299,8 +298,20 @@
                     self.answer(request, NO_TRIAL, out);
                     continue;
                 }
+                let deadline = pending.meta.deadline;
+                let refusal = unavailable_refusal(now, &self.settings, state, deadline);
+                if let Some((reason, retry_after)) = refusal {
+                    state.queue.pop();
+                    self.waiting -= 1;
+                    let outcome = Outcome::NotRun {
+                        reason,
+                        retry_after,
+                    };
+                    self.answer(request, outcome, out);
+                    continue;
+                }
                 state.ask_permits_for_all(now, out);
-                if state.available_from(now).is_some_and(|from| now < from) {
+                if state.unavailable_for(now) > Some(Duration::ZERO) {
                     state.drain.restart(now);
                 }
                 return;
@@ -406,7 +417,7 @@
             pending.runs += 1;
         }
         self.learn_from(now, request, &asked, &running.upstream, end, out);
-        match outcome_of(end, self.retry_after(now, &target)) {
+        match outcome_of(end, || self.retry_after(now, &target)) {
             Outcome::Completed => self.answer(request, Outcome::Completed, out),
             outcome if self.awaits_check(&asked, &running.upstream) => {
                 self.wait_for_check(&running.upstream, request, outcome);
@@ -512,12 +523,12 @@
 }
 
 /// What the end of the only attempt says of the request.
-fn outcome_of(end: AttemptEnd, retry_after: Duration) -> Outcome {
+fn outcome_of(end: AttemptEnd, retry_after: impl FnOnce() -> Duration) -> Outcome {
     match end {
         AttemptEnd::Completed { .. } => Outcome::Completed,
         AttemptEnd::NotSent | AttemptEnd::Refused => Outcome::NotRun {
             reason: NotRunReason::Refused,
-            retry_after,
+            retry_after: retry_after(),
         },
         AttemptEnd::Failed { status } => Outcome::Failed { status },
         AttemptEnd::Lost => Outcome::Unknown {
--- a/shalehinge/src/core/router/expiry.rs
+++ b/shalehinge/src/core/router/expiry.rs
@@ -44,7 +44,7 @@
         for state in self.targets.values_mut() {
             let late = state.queue.expire(now).into_iter();
             expired.extend(late.map(|request| (request, NotRunReason::WouldBeLate)));
-            if state.available_from(now).is_none() {
+            if state.unavailable_for(now).is_none() {
                 let all = std::iter::from_fn(|| state.queue.pop());
                 expired.extend(all.map(|waiting| (waiting.request, NotRunReason::NoUpstream)));
             }
--- a/shalehinge/src/core/router/leaving.rs
+++ b/shalehinge/src/core/router/leaving.rs
@@ -27,7 +27,7 @@
         }
     }
 
-    /// An answer came with this mark; true if that is news. An answer without the mark ends
+    /// An answer came with this mark; true if that changes anything. An answer without the mark ends
     /// nothing: it may be from before the upstream began to leave.
     pub fn on_marked(&mut self, now: Timestamp, mark: &LeavingMark) -> bool {
         match mark {
--- a/shalehinge/src/core/router/refusal.rs
+++ b/shalehinge/src/core/router/refusal.rs
@@ -8,12 +8,12 @@
 use super::dispatch::{Router, RouterAction};
 use super::quarantine::{Evidence, Quarantine, Quarantined};
 use super::request::{NotRunReason, RequestMeta, Target};
-use super::target::Pending;
+use super::target::{Pending, TargetState};
 use super::trying::TrialState;
 
-/// Longest time to come back that is told.
+/// Longest time to come back that callers are given.
 const MOST_RETRY_AFTER: Duration = Duration::from_secs(60);
-/// Shortest time to come back that is told, unless the settings ask for less.
+/// Shortest such time, unless the settings ask for less.
 const LEAST_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time after a crash until those who ran there are tried: whatever else crashes with it, and is
 /// still to be heard of, has crashed by then.
@@ -34,8 +34,6 @@
     pub(super) keys_until: Option<Timestamp>,
     /// Estimated time once it is sent.
     pub(super) service_time: Duration,
-    /// From when on some upstream may serve, if one will.
-    pub(super) available_from: Option<Timestamp>,
     pub(super) pending: &'a Pending,
 }
 
@@ -62,25 +60,30 @@
     if is_too_late {
         return Some((NotRunReason::WouldBeLate, settings.retry_after));
     }
-    let time_left = meta.deadline.since(now);
-    let unavailable_for = unavailable_for(now, waiting.available_from);
-    if settings.early_refusal && unavailable_for > time_left.min(settings.max_wait) {
-        let retry_after = told_wait(unavailable_for, settings);
-        return Some((NotRunReason::NoUpstreamInTime, retry_after));
-    }
     let is_out_of_date = waiting.keys_until.is_some_and(|until| now >= until);
     let needs_key = meta.credential.is_some();
     (needs_key && is_out_of_date).then_some((NotRunReason::OutOfDate, settings.retry_after))
 }
 
-/// How long no upstream may serve.
-fn unavailable_for(now: Timestamp, available_from: Option<Timestamp>) -> Duration {
-    available_from.map_or(Duration::ZERO, |from| from.since(now))
+/// Why a request that no upstream can take now is refused, if it can't wait until one may.
+pub(super) fn unavailable_refusal(
+    now: Timestamp,
+    settings: &RouterSettings,
+    state: &TargetState,
+    deadline: Timestamp,
+) -> Option<Refusal> {
+    let unavailable_for = state.unavailable_for(now)?;
+    let longest_wait = deadline.since(now).min(settings.max_wait);
+    let is_too_long = settings.early_refusal && unavailable_for > longest_wait;
+    is_too_long.then(|| {
+        let retry_after = bounded_retry_after(unavailable_for, settings);
+        (NotRunReason::NoUpstreamInTime, retry_after)
+    })
 }
 
-/// A wait as the caller is told: neither so short that it comes back in vain, nor so long that
-/// other upstreams may serve long before.
-fn told_wait(wait: Duration, settings: &RouterSettings) -> Duration {
+/// The time to come back after this wait: not so short that callers return in vain, nor so long
+/// that other upstreams may serve well before.
+fn bounded_retry_after(wait: Duration, settings: &RouterSettings) -> Duration {
     let least = settings.retry_after.min(LEAST_RETRY_AFTER);
     wait.clamp(least, MOST_RETRY_AFTER)
 }
@@ -121,7 +124,7 @@
         if is_out_of_date && meta.credential.is_some() {
             return Some((NotRunReason::OutOfDate, retry_after));
         }
-        let Some(available_from) = state.available_from(now) else {
+        let Some(unavailable_for) = state.unavailable_for(now) else {
             return Some((NotRunReason::NoUpstream, retry_after));
         };
         if !self.settings.early_refusal {
@@ -129,7 +132,6 @@
         }
         let time_left = meta.deadline.since(now);
         let wait = state.wait_of(&meta.customer, share, state.cost_of(meta));
-        let unavailable_for = unavailable_for(now, Some(available_from));
         let wait = wait.max(state.least_wait(now)).max(unavailable_for);
         let has_room = state.queue.is_empty() && state.upstreams.iter().any(|u| u.is_eligible(now));
         let service_time = state.service_time(meta);
@@ -144,23 +146,22 @@
             return None;
         }
         if unavailable_for > longest_wait {
-            let retry_after = told_wait(unavailable_for, &self.settings);
+            let retry_after = bounded_retry_after(unavailable_for, &self.settings);
             return Some((NotRunReason::NoUpstreamInTime, retry_after));
         }
         let too_much = wait.saturating_sub(longest_wait);
-        let retry_after = told_wait(too_much, &self.settings);
+        let retry_after = bounded_retry_after(too_much, &self.settings);
         Some((NotRunReason::WouldBeLate, retry_after))
     }
 
     /// When the caller of a request should come back that upstreams turned away.
     pub(super) fn retry_after(&self, now: Timestamp, target: &Target) -> Duration {
         let state = self.targets.get(target);
-        let available_from = state.and_then(|state| state.available_from(now));
-        let unavailable_for = unavailable_for(now, available_from);
-        if unavailable_for.is_zero() {
-            return self.settings.retry_after;
+        let unavailable_for = state.and_then(|state| state.unavailable_for(now));
+        match unavailable_for {
+            None | Some(Duration::ZERO) => self.settings.retry_after,
+            Some(wait) => bounded_retry_after(wait, &self.settings),
         }
-        told_wait(unavailable_for, &self.settings)
     }
 
     /// Refuses a waiting request where too many wait.
--- a/shalehinge/src/core/signal.rs
+++ b/shalehinge/src/core/signal.rs
@@ -38,7 +38,7 @@
         (200..300).contains(&self.status)
     }
 
-    /// Whether the core has to hear of it. That no limit is named counts in a success alone: a
+    /// Whether a decision may depend on it. That no limit is named counts in a success alone: a
     /// refusal may come from a part of the upstream that doesn't know of the limit.
     pub fn is_relevant(&self) -> bool {
         self.is_success() || *self != Self::silent(self.status)
--- a/shalehinge/src/upstream/signal.rs
+++ b/shalehinge/src/upstream/signal.rs
@@ -7,7 +7,7 @@
 use crate::core::named_limit::NamedLimit;
 use crate::core::signal::{LeavingMark, RequestedCooldown, UpstreamSignal};
 
-/// Header by which an upstream in need names the requests a second that it takes from all
+/// Header by which an overloaded upstream names the requests a second that it takes from all
 /// daemons together, as a decimal number.
 pub const LIMIT_HEADER: &str = "x-shalehinge-limit";
 /// Header by which an upstream says that it is leaving, with the value `1`.
@@ -16,7 +16,7 @@
 /// Names of the headers that upstreams use beside `Retry-After`, in lower case.
 #[derive(Clone, Copy, Debug)]
 pub struct SignalNames {
-    /// Requests a second that an upstream in need takes from all daemons together.
+    /// Requests a second that an overloaded upstream takes from all daemons together.
     pub limit: &'static str,
     /// Marks an upstream that is leaving.
     pub leaving: &'static str,
--- a/shalehinge/tests/cooldowns.rs
+++ b/shalehinge/tests/cooldowns.rs
@@ -149,3 +149,47 @@
     let (whole, all) = scene.served();
     assert_eq!(whole, all, "the others run the rest");
 }
+
+/// Most requests in half a second from `since` on, at the busiest of these upstreams.
+fn most_in_half_a_second(scene: &Scene, groups: std::ops::Range<u64>, since: Duration) -> usize {
+    let busiest = |index| {
+        let times = scene.times(index, since);
+        let from = |start: &Duration| {
+            let within = |at: &&Duration| **at >= *start && **at < *start + UNDER_WAY;
+            times.iter().filter(within).count()
+        };
+        times.iter().map(from).max().unwrap_or(0)
+    };
+    groups.map(busiest).max().unwrap_or(0)
+}
+
+#[test]
+#[ignore = "prints a table; run by hand with --nocapture"]
+fn table_of_cooldowns() {
+    for (daemons, groups, every, cooling) in [
+        (9, 18, 1, 6),
+        (9, 18, 1, 18),
+        (90, 60, 4, 20),
+        (340, 60, 5, 20),
+        (340, 60, 5, 60),
+    ] {
+        let mut scene = Scene::new(daemons, groups, every);
+        scene.serve_seconds(2);
+        scene.fleet.outcomes.clear();
+        let notices = scene.fleet.notices;
+        cool(&mut scene, 0..cooling, COOLDOWN);
+        scene.serve_seconds(9);
+        let messages = scene.fleet.notices - notices;
+        let turned_away = scene.fleet.turned_away.len();
+        let (whole, all) = scene.served();
+        let in_cooldown = most_in_cooldown(&scene);
+        scene.fleet.cooldowns.clear();
+        let end = scene.fleet.now;
+        scene.serve_seconds(4);
+        let burst = most_in_half_a_second(&scene, 0..cooling, end);
+        println!(
+            "{daemons} daemons, {cooling} of {groups} cool: {turned_away} turned away in 9 s, {whole} of {all} served, \
+             {in_cooldown} at most in a cooldown, {burst} at most in half a second after, {messages} messages"
+        );
+    }
+}
