--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -18,6 +18,78 @@
 # name: (file, text as it stands, text without the protection, test, filter,
 #        and further edits where two protections stand behind each other)
 PROTECTIONS = {
+    "a-cooldown-holds-requests-back": (
+        CORE + "router/cooldown.rs",
+        "(now < until).then_some(until)",
+        "(now < until.min(Timestamp::ZERO)).then_some(until)",
+        "cooldowns", "at_nine_daemons",
+    ),
+    "an-answer-ends-no-cooldown-early": (
+        CORE + "router/cooldown.rs",
+        "self.until = self.until.max(now + time);",
+        "self.until = now + time;",
+        "signal", "ends_no_cooldown_early",
+    ),
+    "one-request-at-a-time-after-a-cooldown": (
+        CORE + "router/cooldown.rs",
+        "!(self.is_recovering && self.is_tried)",
+        "!(self.is_recovering && self.is_tried && self.is_unreadable)",
+        "signal", "one_request_at_a_time",
+    ),
+    "a-request-that-is-turned-away-again-leaves-room": (
+        CORE + "router/cooldown.rs",
+        "        self.is_recovering = true;\n        self.is_tried = false;\n",
+        "        self.is_recovering = true;\n",
+        "signal_fuzz", "fixed_sequences",
+    ),
+    "a-request-from-before-a-cooldown-shows-nothing": (
+        CORE + "router/cooldown.rs",
+        "        if sent_at > self.requested_at {\n            self.is_recovering",
+        "        if sent_at >= Timestamp::ZERO {\n            self.is_recovering",
+        "signal_fuzz", "fixed_sequences",
+    ),
+    "a-cooldown-of-a-day-is-tested": (
+        CORE + "router/cooldown.rs",
+        "const MOST_TESTS: u32 = 2;",
+        "const MOST_TESTS: u32 = 0;",
+        "signal", "of_a_day",
+    ),
+    "what-is-no-number-of-seconds-makes-no-cooldown": (
+        CORE + "signal.rs",
+        "    let text = Some(text).filter(|text| text.chars().all(is_decimal))?;\n",
+        "    let _ = is_decimal;\n",
+        "signal", "what_is_no_time",
+    ),
+    "other-statuses-ask-for-no-cooldown": (
+        CORE + "signal.rs",
+        "if ![TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE].contains(&status) {",
+        "if ![TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE, status].contains(&status) {",
+        "signal", "other_statuses",
+    ),
+    "callers-get-the-true-wait": (
+        CORE + "router/refusal.rs",
+        "        if unavailable_for > longest_wait {",
+        "        if unavailable_for > longest_wait + MOST_RETRY_AFTER {",
+        "cooldowns", "the_true_wait",
+    ),
+    "a-standstill-is-no-slow-line": (
+        CORE + "router/dispatch.rs",
+        "                    state.drain.restart(now);\n",
+        "                    let _ = &state.drain;\n",
+        "cooldowns", "that_is_near",
+    ),
+    "a-leaving-upstream-gets-nothing": (
+        CORE + "router/upstream.rs",
+        "self.spec.accepts_new && !self.lost && !self.is_leaving(now)",
+        "self.spec.accepts_new && !self.lost && (!self.is_leaving(now) || now > Timestamp::ZERO)",
+        "cooldowns", "said_it_is_leaving",
+    ),
+    "an-instance-that-left-is-asked-again": (
+        CORE + "router/leaving.rs",
+        "self.said_at.is_some_and(|at| now.since(at) < COUNTS_FOR)",
+        "self.said_at.is_some_and(|at| now.since(at) < COUNTS_FOR * 60)",
+        "signal", "asked_again_after_a_minute",
+    ),
     "a-limited-upstream-needs-a-permit": (
         CORE + "router/named.rs",
         "self.rate.is_none() || (self.permits.left > 0 && now < self.permits.until)",
--- /dev/null
+++ b/shalehinge/tests/signal_fuzz.rs
@@ -0,0 +1,321 @@
+//! Random series of answers: no request goes to an upstream in its cooldown or that said it is
+//! leaving, each request ends once, and upstreams are used again after their cooldown.
+//!
+//! Seeds are fixed here. `FUZZ_SEEDS=FROM..TO cargo test --test signal_fuzz -- --ignored` runs others.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, SystemTime};
+
+use bolero::{ValueGenerator, generator::bolero_generator::driver};
+use rand::SeedableRng;
+use rand::rngs::{SmallRng, StdRng};
+use shalehinge::core::fingerprint::Fingerprint;
+use shalehinge::core::named_limit::NamedLimit;
+use shalehinge::core::router::request::{
+    Attempt, AttemptEnd, Outcome, RequestMeta, Target, UpstreamId,
+};
+use shalehinge::core::router::topology::Topology;
+use shalehinge::core::router::upstream::{Evidence, UpstreamSpec};
+use shalehinge::core::router::{Router, RouterAction};
+use shalehinge::core::signal::{LeavingMark, RequestedCooldown, UpstreamSignal};
+use shalehinge::core::types::{
+    Customer, FailureDomain, HostId, Incarnation, RequestId, ServiceName, Timestamp,
+};
+use shalehinge::settings::router::RouterSettings;
+
+/// Sequences run by the normal test command.
+const SEEDS: u64 = 300;
+const STEPS: usize = 250;
+const TICK: Duration = Duration::from_millis(50);
+/// Requests that come at once at the end of a sequence.
+const ROUND: usize = 30;
+/// After this no cooldown of a sequence is left.
+const LONGEST_COOLDOWN: Duration = Duration::from_millis(255 * 40);
+
+/// One step of a sequence.
+#[derive(Clone, Copy, Debug, bolero::TypeGenerator)]
+enum Step {
+    /// A caller comes; even numbers may be repeated, every third one is a stream that may go on
+    /// elsewhere.
+    Submit(u8),
+    /// So many ticks pass.
+    Wait(u8),
+    /// A running attempt is answered whole.
+    Complete(u8),
+    /// A running attempt brings output.
+    Output(u8),
+    /// A running attempt breaks off.
+    Lose(u8),
+    /// A running attempt is turned away, with a cooldown of 40 ms times this.
+    TurnAway(u8, u8),
+    /// A running attempt is answered whole by an upstream that is leaving.
+    Leave(u8),
+}
+
+struct World {
+    router: Router,
+    rng: SmallRng,
+    now: Timestamp,
+    next: u64,
+    running: BTreeMap<RequestId, Attempt>,
+    open: BTreeSet<RequestId>,
+    outcomes: Vec<Outcome>,
+    cooldowns: BTreeMap<UpstreamId, Timestamp>,
+    leaving: BTreeSet<UpstreamId>,
+}
+
+fn target() -> Target {
+    Target::Service(ServiceName::new("s"))
+}
+
+fn spec(number: u16) -> UpstreamSpec {
+    UpstreamSpec {
+        id: UpstreamId::Host(ServiceName::new("s"), HostId::new(&format!("h{number}"))),
+        address: ([10, 0, 0, 1], number).into(),
+        group: None,
+        failure_domain: FailureDomain::new("d"),
+        remote: false,
+        accepts_new: true,
+        host: Some(HostId::new(&format!("h{number}"))),
+        evidence: Evidence::Listed,
+        slots: Some(4),
+        started: None,
+    }
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let settings = RouterSettings {
+            max_attempts: 5,
+            retry_burst: 1_000.0,
+            quarantine_after: 0,
+            ..RouterSettings::default()
+        };
+        let mut router = Router::new(settings, Incarnation(1));
+        let specs = (0..5).map(spec).collect();
+        router.set_topology(Topology::from([(target(), specs)]));
+        Self {
+            router,
+            rng: SmallRng::seed_from_u64(seed),
+            now: Timestamp::from_millis(1_000),
+            next: 0,
+            running: BTreeMap::new(),
+            open: BTreeSet::new(),
+            outcomes: Vec::new(),
+            cooldowns: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+        }
+    }
+
+    fn submit(&mut self, kind: u8) {
+        self.next += 1;
+        let request = RequestId(self.next);
+        self.open.insert(request);
+        let meta = RequestMeta {
+            customer: Customer::new("one"),
+            fingerprint: Fingerprint(self.next),
+            target: target(),
+            prompt_tokens: 100,
+            max_output_tokens: 50,
+            deadline: self.now + Duration::from_secs(8),
+            first_output_within: None,
+            priority: 5,
+            key: None,
+            repeatable: kind.is_multiple_of(2),
+            prefix: Vec::new(),
+            max_attempts: None,
+            is_resumable: kind.is_multiple_of(3),
+            credential: None,
+        };
+        let mut out = Vec::new();
+        self.router
+            .submit(self.now, request, meta, 1, &mut self.rng, &mut out);
+        self.take(out);
+    }
+
+    fn wait(&mut self, ticks: usize) {
+        for _ in 0..ticks {
+            self.now = self.now + TICK;
+            let mut out = Vec::new();
+            self.router.tick(self.now, &mut self.rng, &mut out);
+            self.take(out);
+        }
+    }
+
+    fn pick(&self, index: u8) -> Option<Attempt> {
+        let count = self.running.len().max(1);
+        self.running
+            .values()
+            .nth(usize::from(index) % count)
+            .cloned()
+    }
+
+    fn end(&mut self, attempt: &Attempt, signal: UpstreamSignal, end: AttemptEnd) {
+        self.running.remove(&attempt.request);
+        let mut out = Vec::new();
+        let (request, id, now) = (attempt.request, attempt.id, self.now);
+        self.router.on_signal(now, request, id, signal, &mut out);
+        self.router
+            .on_ended(now, request, id, end, &mut self.rng, &mut out);
+        self.take(out);
+    }
+
+    fn take(&mut self, actions: Vec<RouterAction>) {
+        for action in actions {
+            match action {
+                RouterAction::Send(attempt) => self.send(attempt),
+                RouterAction::Abandon(id) => self.running.retain(|_, attempt| attempt.id != id),
+                RouterAction::Answer { request, outcome } => {
+                    assert!(self.open.remove(&request), "{request:?} ends twice");
+                    self.running.remove(&request);
+                    self.outcomes.push(outcome);
+                }
+                RouterAction::CheckUpstream { upstream, .. } => {
+                    let mut out = Vec::new();
+                    let now = self.now;
+                    self.router
+                        .on_upstream_checked(now, &upstream, false, &mut self.rng, &mut out);
+                    self.take(out);
+                }
+                RouterAction::TellLimit(_)
+                | RouterAction::AskPermits { .. }
+                | RouterAction::AskTrial(_)
+                | RouterAction::Log(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, attempt: Attempt) {
+        let id = &attempt.upstream;
+        let until = self.cooldowns.get(id).copied().unwrap_or(Timestamp::ZERO);
+        assert!(self.now >= until, "{id} gets a request in its cooldown");
+        assert!(!self.leaving.contains(id), "{id} is leaving");
+        self.running.insert(attempt.request, attempt);
+    }
+
+    fn apply(&mut self, step: Step) {
+        let whole = AttemptEnd::Completed { output_tokens: 8 };
+        match step {
+            Step::Submit(kind) => self.submit(kind),
+            Step::Wait(ticks) => self.wait(usize::from(ticks % 16)),
+            Step::Complete(index) => {
+                if let Some(attempt) = self.pick(index) {
+                    self.end(&attempt, UpstreamSignal::silent(200), whole);
+                }
+            }
+            Step::Output(index) => {
+                if let Some(attempt) = self.pick(index) {
+                    self.router.on_output(self.now, attempt.request, attempt.id);
+                }
+            }
+            Step::Lose(index) => {
+                if let Some(attempt) = self.pick(index) {
+                    self.end(&attempt, UpstreamSignal::silent(500), AttemptEnd::Lost);
+                }
+            }
+            Step::TurnAway(index, length) => self.turn_away(index, length),
+            Step::Leave(index) => {
+                if let Some(attempt) = self.pick(index).filter(|_| self.leaving.len() < 3) {
+                    self.leaving.insert(attempt.upstream.clone());
+                    let leaving = LeavingMark::Leaving;
+                    let signal = UpstreamSignal {
+                        leaving,
+                        ..UpstreamSignal::silent(200)
+                    };
+                    self.end(&attempt, signal, whole);
+                }
+            }
+        }
+    }
+
+    fn turn_away(&mut self, index: u8, length: u8) {
+        let Some(attempt) = self.pick(index) else {
+            return;
+        };
+        let cooldown = Duration::from_millis(u64::from(length) * 40);
+        let until = self
+            .cooldowns
+            .entry(attempt.upstream.clone())
+            .or_insert(Timestamp::ZERO);
+        *until = (*until).max(self.now + cooldown);
+        let signal = UpstreamSignal {
+            cooldown: RequestedCooldown::For(cooldown),
+            ..UpstreamSignal::silent(503)
+        };
+        self.end(&attempt, signal, AttemptEnd::Refused);
+    }
+
+    /// All that runs is answered, all cooldowns end, and each upstream that stays is used again.
+    fn heal(&mut self) {
+        let whole = AttemptEnd::Completed { output_tokens: 8 };
+        let mut used = BTreeSet::new();
+        self.wait(LONGEST_COOLDOWN.as_millis() as usize / TICK.as_millis() as usize);
+        // Ejections of upstreams that broke off last for up to a minute.
+        self.wait(60 * 20);
+        for _ in 0..20 {
+            // More at once than one upstream takes.
+            (0..ROUND).for_each(|_| self.submit(2));
+            used.extend(
+                self.running
+                    .values()
+                    .map(|attempt| attempt.upstream.clone()),
+            );
+            while let Some(attempt) = self.pick(0) {
+                used.insert(attempt.upstream.clone());
+                self.end(&attempt, UpstreamSignal::silent(200), whole);
+            }
+            self.wait(1);
+        }
+        assert!(self.open.is_empty(), "{:?} are not answered", self.open);
+        assert_eq!(used.len(), 5 - self.leaving.len(), "all that stay are used");
+    }
+}
+
+fn run(seed: u64) {
+    let options = driver::Options::default();
+    let mut driver = driver::Rng::new(StdRng::seed_from_u64(seed), &options);
+    let steps = (0..STEPS).filter_map(|_| bolero::produce::<Step>().generate(&mut driver));
+    let mut world = World::new(seed);
+    for step in steps {
+        world.apply(step);
+    }
+    world.heal();
+}
+
+fn run_all(seeds: std::ops::Range<u64>) {
+    for seed in seeds {
+        let result = std::panic::catch_unwind(|| run(seed));
+        assert!(result.is_ok(), "seed {seed}");
+    }
+}
+
+#[test]
+fn no_answer_leads_to_a_request_in_a_cooldown_in_fixed_sequences() {
+    run_all(0..SEEDS);
+}
+
+#[test]
+#[ignore = "long; run by hand with FUZZ_SEEDS=FROM..TO"]
+fn no_answer_leads_to_a_request_in_a_cooldown_in_more_sequences() {
+    let seeds = std::env::var("FUZZ_SEEDS").unwrap_or_else(|_| "1000..5000".into());
+    let (from, to) = seeds.split_once("..").expect("FROM..TO");
+    let number = |text: &str| text.parse::<u64>().expect("a whole number");
+    run_all(number(from)..number(to));
+}
+
+#[test]
+fn any_header_is_read_or_reported() {
+    for seed in 0..20_000 {
+        let options = driver::Options::default();
+        let mut driver = driver::Rng::new(StdRng::seed_from_u64(seed), &options);
+        let generator = bolero::produce::<(u16, Vec<String>)>();
+        let Some((status, values)) = generator.generate(&mut driver) else {
+            continue;
+        };
+        let texts = || values.iter().map(String::as_str);
+        let _ = NamedLimit::read(texts());
+        let _ = LeavingMark::read(texts());
+        let _ = RequestedCooldown::read(status, texts(), SystemTime::UNIX_EPOCH);
+        let _ = RequestedCooldown::read(503, texts(), SystemTime::now());
+    }
+}
