--- a/shalehinge/tests/listed_routing.rs
+++ b/shalehinge/tests/listed_routing.rs
@@ -7,17 +7,15 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use shalehinge::core::fingerprint::Fingerprint;
-use shalehinge::core::router::availability::Availability;
 use shalehinge::core::router::request::{
     Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta, Target, UnknownReason, UpstreamId,
 };
 use shalehinge::core::router::topology::Topology;
-use shalehinge::core::router::upstream::{Evidence, Upstream, UpstreamSpec, Work};
+use shalehinge::core::router::upstream::{Evidence, UpstreamSpec};
 use shalehinge::core::router::{Router, RouterAction};
-use shalehinge::core::signal::{LeavingMark, RequestedCooldown};
 use shalehinge::core::types::{
-    Customer, EngineStart, FailureDomain, GroupNumber, HostId, Incarnation, ModelName, ReplicaId,
-    RequestId, Timestamp,
+    Customer, FailureDomain, GroupNumber, HostId, Incarnation, ModelName, ReplicaId, RequestId,
+    Timestamp,
 };
 use shalehinge::settings::router::RouterSettings;
 
@@ -473,41 +471,3 @@
         "{refused:?}"
     );
 }
-
-#[test]
-fn an_instance_that_started_again_is_trusted_as_one_that_was_never_seen() {
-    let started = |start: u64| UpstreamSpec {
-        started: Some(EngineStart(start)),
-        ..spec(1)
-    };
-    let mut upstream = Upstream::new(started(1_000));
-    let settings = RouterSettings::default();
-    let now = Timestamp::from_millis(5_000);
-    upstream.on_sent(now, Work::default());
-    upstream.outlier.eject(now, &settings);
-    upstream.update(started(1_000));
-    assert!(upstream.outlier.is_ejected(now), "the same life");
-    upstream.update(started(900));
-    assert!(
-        !upstream.outlier.is_ejected(now),
-        "another one, by a clock that jumped back"
-    );
-    assert_eq!(upstream.in_flight(), 1, "what is under way still ends");
-}
-
-#[test]
-fn a_cooldown_or_leaving_ends_with_the_life_of_the_engine_that_asked_for_it() {
-    let started = |start: u64| UpstreamSpec {
-        started: Some(EngineStart(start)),
-        ..spec(1)
-    };
-    let mut upstream = Upstream::new(started(1_000));
-    let now = Timestamp::from_millis(5_000);
-    let asked = RequestedCooldown::For(Duration::from_secs(86_400));
-    upstream.cooldown.on_requested(now, &asked);
-    upstream.leaving.on_marked(now, &LeavingMark::Leaving);
-    upstream.update(started(1_000));
-    assert_eq!(upstream.availability(now), Availability::Closed);
-    upstream.update(started(1_001));
-    assert_eq!(upstream.availability(now), Availability::Open);
-}
--- /dev/null
+++ b/shalehinge/tests/upstream_lives.rs
@@ -0,0 +1,71 @@
+//! An engine that starts again under its name is as one that was never seen.
+
+use std::time::Duration;
+
+use shalehinge::core::router::availability::Availability;
+use shalehinge::core::router::request::UpstreamId;
+use shalehinge::core::router::upstream::{Evidence, Upstream, UpstreamSpec, Work};
+use shalehinge::core::signal::{LeavingMark, RequestedCooldown};
+use shalehinge::core::types::{
+    EngineStart, FailureDomain, GroupNumber, HostId, ReplicaId, Timestamp,
+};
+use shalehinge::settings::router::RouterSettings;
+
+/// A replica that the host list names.
+fn listed() -> UpstreamSpec {
+    let group = GroupNumber(1);
+    let failure_domain = FailureDomain::new("d");
+    UpstreamSpec {
+        id: UpstreamId::Replica(ReplicaId {
+            failure_domain: failure_domain.clone(),
+            number: group,
+        }),
+        address: ([10, 0, 0, 1], 1).into(),
+        group: Some(group),
+        failure_domain,
+        remote: false,
+        accepts_new: true,
+        host: Some(HostId::new("host")),
+        evidence: Evidence::Listed,
+        slots: Some(8),
+        started: None,
+    }
+}
+
+#[test]
+fn an_instance_that_started_again_is_trusted_as_one_that_was_never_seen() {
+    let started = |start: u64| UpstreamSpec {
+        started: Some(EngineStart(start)),
+        ..listed()
+    };
+    let mut upstream = Upstream::new(started(1_000));
+    let settings = RouterSettings::default();
+    let now = Timestamp::from_millis(5_000);
+    upstream.on_sent(now, Work::default());
+    upstream.outlier.eject(now, &settings);
+    upstream.update(started(1_000));
+    assert!(upstream.outlier.is_ejected(now), "the same life");
+    upstream.update(started(900));
+    assert!(
+        !upstream.outlier.is_ejected(now),
+        "another one, by a clock that jumped back"
+    );
+    assert_eq!(upstream.in_flight(), 1, "what is under way still ends");
+}
+
+#[test]
+fn a_cooldown_or_leaving_ends_with_the_life_of_the_engine_that_asked_for_it() {
+    let started = |start: u64| UpstreamSpec {
+        started: Some(EngineStart(start)),
+        ..listed()
+    };
+    let mut upstream = Upstream::new(started(1_000));
+    let now = Timestamp::from_millis(5_000);
+    let asked = RequestedCooldown::For(Duration::from_secs(86_400));
+    upstream.cooldown.on_requested(now, &asked);
+    upstream.leaving.on_marked(now, &LeavingMark::Leaving);
+    upstream.update(started(1_000));
+    assert_eq!(upstream.availability(now), Availability::Closed);
+    upstream.update(started(1_001));
+    assert_eq!(upstream.availability(now), Availability::Open);
+}
