feat(config): log and count what a platform that counts from lower revisions looks like

Now a line says once that an exact answer names a lower revision than before, and once for each configuration that is passed over as older; platform.history_gone counts watches from revisions that the platform doesn't have. No decision changes.

--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -12,7 +12,7 @@
 use crate::core::platform::{Freshness, PlatformResult, Scope};
 use crate::core::router::topology;
 use crate::core::routes::RouteTable;
-use crate::core::types::{Address, ReplicaId, Timestamp};
+use crate::core::types::{Address, ReplicaId, Timestamp, Version};
 
 /// The more daemons read the host list, the more rarely each does, so that the calls
 /// grow more slowly than the fleet; never so rarely that a leaving host is used on.
@@ -131,7 +131,14 @@
             .is_some_and(|confirmed_at| now.since(confirmed_at) < within)
     }
 
-    pub(super) fn on_fed(&mut self, now: Timestamp, index: usize, result: &PlatformResult) {
+    pub(super) fn on_fed(
+        &mut self,
+        now: Timestamp,
+        index: usize,
+        result: &PlatformResult,
+        out: &mut Vec<Action>,
+    ) {
+        self.note_revision(index, result, out);
         let jitter = self.rng.random_range(0.0..1.0);
         let pause = WATCH_PAUSE.mul_f64(1.0 + jitter);
         let feed = &mut self.feeds[index];
@@ -206,7 +213,11 @@
         let mut is_news = false;
         for update in updates {
             let (key, version) = (update.key.clone(), update.version);
-            if self.state.apply(update) == Applied::All {
+            let applied = self.state.apply(update);
+            if applied == Applied::Nothing && key == ObjectKey::Fleet {
+                self.note_passed_over(version, out);
+            }
+            if applied == Applied::All {
                 is_changed = true;
                 // Daemons that hear of hosts from peers ask for them at intervals.
                 is_news |= key != ObjectKey::Hosts || !self.settings.learning.relays;
@@ -225,6 +236,41 @@
         }
     }
 
+    /// Logs once that an older configuration than the one in force was read.
+    fn note_passed_over(&mut self, version: Version, out: &mut Vec<Action>) {
+        let in_force = self.state.fleet_version();
+        if version == in_force || self.passed_over.replace(version) == Some(version) {
+            return;
+        }
+        let text = format!(
+            "Fleet version {} is passed over, {} is in force",
+            version.0, in_force.0
+        );
+        log(out, Part::Config, text);
+    }
+
+    /// Logs once that the platform told a lower revision than before.
+    fn note_revision(&mut self, index: usize, result: &PlatformResult, out: &mut Vec<Action>) {
+        let Some(told) = self.feeds[index].confirmation(result) else {
+            return;
+        };
+        let Some(known) = self
+            .confirmation
+            .filter(|known| told.revision < known.revision)
+        else {
+            self.is_revision_lower = false;
+            return;
+        };
+        if std::mem::replace(&mut self.is_revision_lower, true) {
+            return;
+        }
+        let text = format!(
+            "the platform is at revision {}, it was at {} before",
+            told.revision.0, known.revision.0
+        );
+        log(out, Part::Config, text);
+    }
+
     /// Requests that wait and are no longer allowed end here.
     fn rebuild_routes(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let Some(fleet) = self.state.fleet() else {
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -151,6 +151,10 @@
     confirmed_by_peer: Option<Timestamp>,
     /// The newest revision that the platform is known to have reached.
     confirmation: Option<Confirmation>,
+    /// The platform told a lower revision than before.
+    is_revision_lower: bool,
+    /// The last configuration that was read and is older than the one in force.
+    passed_over: Option<Version>,
     next_confirm_at: Timestamp,
     next_relay_at: Timestamp,
     /// The time of which peers told the host list.
@@ -217,6 +221,8 @@
             routes: RouteTable::default(),
             confirmed_by_peer: None,
             confirmation: None,
+            is_revision_lower: false,
+            passed_over: None,
             next_confirm_at: Timestamp::ZERO,
             next_relay_at: Timestamp::ZERO,
             hosts_told_at: None,
--- a/shalehinge/src/core/daemon/platform_calls.rs
+++ b/shalehinge/src/core/daemon/platform_calls.rs
@@ -39,7 +39,7 @@
             self.apply(now, updates.clone(), out);
         }
         match purpose {
-            Purpose::Feed(index) => self.on_fed(now, index, &result),
+            Purpose::Feed(index) => self.on_fed(now, index, &result, out),
             Purpose::Lease => self.on_lease_reply(now, result, out),
             Purpose::Assignment => self.on_assignment_reply(now, result, out),
             Purpose::Claims(partition) => self.on_claims_reply(now, partition, result, out),
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -18,7 +18,7 @@
 use crate::core::daemon::Daemon;
 use crate::core::event::{Action, Event, Pull, PullId, PullReply, StatusPurpose};
 use crate::core::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
-use crate::core::platform::{CallId, NoAnswer, PlatformCall};
+use crate::core::platform::{CallId, NoAnswer, PlatformCall, PlatformReply};
 use crate::core::router::request::{Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta};
 use crate::core::signal::UpstreamSignal;
 use crate::core::types::{Address, AttemptId, HostId, RequestId, Timestamp};
@@ -232,6 +232,9 @@
             if result == Err(NoAnswer) {
                 driver.metrics.count(Counter::PlatformNoAnswer);
             }
+            if result == Ok(PlatformReply::HistoryGone) {
+                driver.metrics.count(Counter::PlatformHistoryGone);
+            }
             driver.dispatch(Event::Platform { call, result });
         });
     }
--- a/shalehinge/src/telemetry/metrics.rs
+++ b/shalehinge/src/telemetry/metrics.rs
@@ -38,6 +38,8 @@
     PlatformWatches,
     /// Calls to the platform without an answer.
     PlatformNoAnswer,
+    /// Watches from a revision whose history the platform does not have.
+    PlatformHistoryGone,
     /// Orders to engines.
     Orders,
     /// Statuses asked of engines.
@@ -67,6 +69,7 @@
             Self::PlatformWrites => "platform.writes",
             Self::PlatformWatches => "platform.watches",
             Self::PlatformNoAnswer => "platform.no_answer",
+            Self::PlatformHistoryGone => "platform.history_gone",
             Self::Orders => "engine.orders",
             Self::Statuses => "engine.statuses",
             Self::Pulls => "peer.pulls",
