--- a/shalehinge/tests/process_support/mod.rs
+++ b/shalehinge/tests/process_support/mod.rs
@@ -332,6 +332,22 @@
         assert_eq!(answer.status, 204);
     }
 
+    /// The platform copies all that it keeps, or comes back from its copy.
+    fn platform_admin(&self, what: &str) {
+        let path = format!("/admin/{what}");
+        let answer = exchange(self.platform, "PUT", &path, &[], "");
+        assert_eq!(answer.status, 204);
+    }
+
+    pub fn copy_platform(&self) {
+        self.platform_admin("copy");
+    }
+
+    /// What the platform took since its copy is lost, and versions are given out anew.
+    pub fn restore_platform(&self) {
+        self.platform_admin("restore");
+    }
+
     pub fn engine_fault(&self, fault: EngineFault) {
         let body = serde_json::to_string(&fault).expect("JSON");
         for engine in &self.engines {
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -360,6 +360,19 @@
         }
     }
 
+    /// The platform is away for so long, and comes back from its copy.
+    pub fn restore_platform(&mut self, away: Duration) {
+        for Call { daemon, call, .. } in std::mem::take(&mut self.calls) {
+            let result = Err(NoAnswer);
+            self.later(TICK, daemon, Event::Platform { call, result });
+        }
+        let refused = self.refused.clone();
+        self.refused = (0..self.daemons.len()).collect();
+        self.run(away);
+        self.refused = refused;
+        self.platform.restore();
+    }
+
     /// Daemons that live and do not know the platform's newest list.
     pub fn behind(&self) -> Vec<usize> {
         let newest = Version(self.platform.hosts_version());
--- a/shalehinge/tests/relay_support/platform.rs
+++ b/shalehinge/tests/relay_support/platform.rs
@@ -59,9 +59,18 @@
     }
 }
 
+/// What a copy of the platform holds.
+struct Copy {
+    revision: u64,
+    changes: Vec<(u64, HostId, HostRecord)>,
+    configuration: Versioned<FleetConfig>,
+    objects: BTreeMap<ObjectKey, Versioned<Object>>,
+}
+
 /// A platform that remembers all changes; a watch waits for one.
 pub struct Platform {
     revision: u64,
+    copy: Option<Copy>,
     changes: Vec<(u64, HostId, HostRecord)>,
     configuration: Versioned<FleetConfig>,
     objects: BTreeMap<ObjectKey, Versioned<Object>>,
@@ -84,6 +93,7 @@
     pub fn new() -> Self {
         let mut platform = Self {
             revision: 1,
+            copy: None,
             changes: Vec::new(),
             configuration: Versioned {
                 version: Version(1),
@@ -132,6 +142,25 @@
         version
     }
 
+    /// Copies all that is kept now.
+    pub fn take_copy(&mut self) {
+        self.copy = Some(Copy {
+            revision: self.revision,
+            changes: self.changes.clone(),
+            configuration: self.configuration.clone(),
+            objects: self.objects.clone(),
+        });
+    }
+
+    /// Goes on from the copy: what was written since is lost, and revisions are given out anew.
+    pub fn restore(&mut self) {
+        let copy = self.copy.take().expect("copied before");
+        self.revision = copy.revision;
+        self.changes = copy.changes;
+        self.configuration = copy.configuration;
+        self.objects = copy.objects;
+    }
+
     fn configuration(&self) -> ObjectUpdate {
         ObjectUpdate {
             key: ObjectKey::Fleet,
@@ -143,6 +172,7 @@
     /// Whether a watch that waits has something to tell.
     pub fn has_news_for(&self, request: &PlatformCall) -> bool {
         match request {
+            PlatformCall::Watch { after, .. } if after.0 > self.revision => true,
             PlatformCall::Watch {
                 scope: Scope::Hosts,
                 after,
@@ -228,6 +258,9 @@
                 )]
             }
             PlatformCall::List { .. } => vec![self.configuration()],
+            PlatformCall::Watch { after, .. } if after.0 > self.revision => {
+                return PlatformReply::HistoryGone;
+            }
             PlatformCall::Watch {
                 scope: Scope::Hosts,
                 after,
--- /dev/null
+++ b/shalehinge/tests/restored_platform.rs
@@ -0,0 +1,98 @@
+//! A platform that comes back from a copy: its last writes are lost, and it gives out their
+//! revisions anew.
+
+mod relay_support;
+
+use std::time::Duration;
+
+use relay_support::Fleet;
+use relay_support::configuration::{fleet_config, with_keys};
+use shalehinge::core::daemon::Daemon;
+use shalehinge::core::objects::HostState;
+use shalehinge::core::types::HostId;
+
+/// Time after the platform took a change until it must be in force everywhere.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(2);
+/// Time after a host said that it is leaving until nobody may use it.
+const DRAINED_WITHIN: Duration = Duration::from_secs(2);
+/// Writes that the copy lacks.
+const LOST_WRITES: usize = 40;
+const AWAY: Duration = Duration::from_secs(2);
+/// What users allow after trouble in the platform until its clients are in contact again.
+const IN_CONTACT: Duration = Duration::from_secs(3);
+
+/// All daemons know what the platform then loses.
+fn restored(daemons: u16) -> Fleet {
+    let mut fleet = Fleet::new(daemons);
+    fleet.run(Duration::from_secs(10));
+    fleet.platform.configure(fleet_config(1));
+    fleet.run(IN_FORCE_WITHIN);
+    fleet.platform.take_copy();
+    for write in 0..LOST_WRITES {
+        fleet.platform.change((write % 20) as u16, HostState::Live);
+    }
+    fleet.platform.configure(fleet_config(2));
+    fleet.run(IN_FORCE_WITHIN);
+    fleet.restore_platform(AWAY);
+    fleet.run(IN_CONTACT);
+    fleet
+}
+
+fn routes(daemon: &Daemon) -> usize {
+    let fleet = daemon.state().fleet();
+    fleet.map_or(0, |fleet| fleet.value.routes.len())
+}
+
+/// Daemons with another number of routes in force.
+fn without_routes(fleet: &Fleet, count: usize) -> usize {
+    let others = fleet.daemons.iter().filter(|d| routes(d) != count);
+    others.count()
+}
+
+fn a_change_is_in_force(daemons: u16) {
+    let mut fleet = restored(daemons);
+    fleet.platform.configure(fleet_config(2));
+    fleet.platform.configure(with_keys(fleet_config(3), 1));
+    fleet.run(IN_FORCE_WITHIN);
+    assert_eq!(without_routes(&fleet, 3), 0, "of {daemons}");
+}
+
+#[test]
+fn a_change_below_the_last_known_revision_is_in_force_at_nine_daemons() {
+    a_change_is_in_force(9);
+}
+
+#[test]
+fn a_change_below_the_last_known_revision_is_in_force_at_340_daemons() {
+    a_change_is_in_force(340);
+}
+
+fn a_leaving_host_is_known(daemons: u16) {
+    let mut fleet = restored(daemons);
+    fleet.platform.change(3, HostState::Leaving);
+    fleet.run(DRAINED_WITHIN);
+    let host = HostId::new("h3");
+    let uses = |daemon: &&Daemon| {
+        let hosts = daemon.state().hosts().expect("listed");
+        hosts.value.hosts[&host].state == HostState::Live
+    };
+    assert_eq!(fleet.daemons.iter().filter(uses).count(), 0);
+}
+
+#[test]
+fn a_host_that_leaves_below_the_last_known_revision_is_known_to_nine_daemons() {
+    a_leaving_host_is_known(9);
+}
+
+#[test]
+fn a_host_that_leaves_below_the_last_known_revision_is_known_to_340_daemons() {
+    a_leaving_host_is_known(340);
+}
+
+#[test]
+fn the_configuration_that_the_copy_lacks_stays_in_force() {
+    let mut fleet = restored(9);
+    assert_eq!(without_routes(&fleet, 2), 0);
+    fleet.run(Duration::from_secs(10));
+    assert_eq!(without_routes(&fleet, 2), 0);
+}
--- a/standin/src/platform/handler.rs
+++ b/standin/src/platform/handler.rs
@@ -17,6 +17,9 @@
 /// Longest time that a watch is held open.
 const MOST_WAIT: Duration = Duration::from_secs(60);
 
+/// Header of all answers: how often the store came back from a copy.
+const ERA: &str = "x-shalehinge-era";
+
 #[derive(Clone, Default)]
 struct Platform(Arc<Mutex<Store>>);
 
@@ -30,6 +33,8 @@
     let host = platform.clone();
     let gone = platform.clone();
     let fault = platform.clone();
+    let copy = platform.clone();
+    let restore = platform.clone();
     Router::new()
         .get("/v1/objects/:kind/:name", move |conn: Conn| {
             let platform = get.clone();
@@ -59,6 +64,20 @@
             let platform = fault.clone();
             async move { platform.put_fault(conn).await }
         })
+        .put("/admin/copy", move |conn: Conn| {
+            let platform = copy.clone();
+            async move {
+                platform.store().take_copy();
+                conn.with_status(Status::NoContent).halt()
+            }
+        })
+        .put("/admin/restore", move |conn: Conn| {
+            let platform = restore.clone();
+            async move {
+                platform.store().restore();
+                conn.with_status(Status::NoContent).halt()
+            }
+        })
         .get("/admin/counts", move |conn: Conn| {
             let platform = platform.clone();
             async move { write_json(conn, Status::Ok, &platform.store().counts) }
@@ -69,6 +88,11 @@
     conn.with_status(Status::ServiceUnavailable).halt()
 }
 
+/// Says how often the store came back from a copy.
+fn in_era(conn: Conn, store: &Store) -> Conn {
+    conn.with_response_header(ERA, store.era().to_string())
+}
+
 fn kind_and_name(conn: &Conn) -> (String, String) {
     let param = |name| conn.param(name).unwrap_or_default().to_owned();
     (param("kind"), param("name"))
@@ -90,6 +114,7 @@
         let (kind, name) = kind_and_name(&conn);
         let mut store = self.store();
         store.counts.reads += 1;
+        let conn = in_era(conn, &store);
         match store.get(&kind, &name) {
             Some(object) => write_json(conn, Status::Ok, &object),
             None => conn.with_status(Status::NotFound).halt(),
@@ -112,6 +137,7 @@
         if store.fault == Fault::LoseAnswers {
             return unavailable(conn);
         }
+        let conn = in_era(conn, &store);
         match result {
             Ok(version) => write_json(conn, Status::Ok, &WireVersion { version }),
             Err(version) => write_json(conn, Status::Conflict, &WireVersion { version }),
@@ -126,7 +152,7 @@
         let mut store = self.store();
         store.counts.reads += 1;
         let list = store.changed(&kinds, Revision(0));
-        write_json(conn, Status::Ok, &list)
+        write_json(in_era(conn, &store), Status::Ok, &list)
     }
 
     async fn watch(&self, conn: Conn) -> Conn {
@@ -135,15 +161,19 @@
         let wait = Duration::from_millis(query(&conn, "wait_ms").unwrap_or(0)).min(MOST_WAIT);
         let until = Instant::now() + wait;
         self.store().counts.watches += 1;
+        let era = self.store().era();
         loop {
             let next_write = {
                 let mut store = self.store();
-                if store.fault == Fault::Down {
+                if store.fault == Fault::Down || store.era() != era {
                     return unavailable(conn);
                 }
+                if !store.has_reached(after) {
+                    return in_era(conn, &store).with_status(Status::Gone).halt();
+                }
                 let list = store.changed(&kinds, after);
                 if !list.objects.is_empty() || Instant::now() >= until {
-                    return write_json(conn, Status::Ok, &list);
+                    return write_json(in_era(conn, &store), Status::Ok, &list);
                 }
                 store.next_write()
             };
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -36,6 +36,13 @@
     pub bytes_written: u64,
 }
 
+/// What is kept, and what a copy holds of it.
+#[derive(Clone, Debug, Default)]
+struct Content {
+    revision: Revision,
+    objects: BTreeMap<(String, String), Stored>,
+}
+
 #[derive(Clone, Debug)]
 struct Stored {
     version: Version,
@@ -50,8 +57,9 @@
     pub fault: Fault,
     /// Calls taken.
     pub counts: CallCounts,
-    revision: Revision,
-    objects: BTreeMap<(String, String), Stored>,
+    era: u64,
+    content: Content,
+    copy: Content,
     watchers: Vec<async_channel::Sender<()>>,
 }
 
@@ -59,7 +67,7 @@
     /// One object.
     pub fn get(&self, kind: &str, name: &str) -> Option<WireObject> {
         let key = (kind.to_owned(), name.to_owned());
-        let stored = self.objects.get(&key)?;
+        let stored = self.content.objects.get(&key)?;
         Some(wire(&key, stored))
     }
 
@@ -72,7 +80,11 @@
         value: Value,
     ) -> Result<Version, Version> {
         let key = (kind.to_owned(), name.to_owned());
-        let current = self.objects.get(&key).map_or(Version(0), |s| s.version);
+        let current = self
+            .content
+            .objects
+            .get(&key)
+            .map_or(Version(0), |s| s.version);
         if current != expect {
             self.counts.conflicts += 1;
             return Err(current);
@@ -84,6 +96,7 @@
     pub fn update(&mut self, kind: &str, name: &str, change: impl FnOnce(&mut Value)) {
         let key = (kind.to_owned(), name.to_owned());
         let mut value = self
+            .content
             .objects
             .get(&key)
             .map_or_else(|| serde_json::json!({"hosts": {}}), |s| s.value.clone());
@@ -92,32 +105,60 @@
     }
 
     fn write(&mut self, key: (String, String), value: Value) -> Version {
-        let current = self.objects.get(&key).map_or(0, |s| s.version.0);
+        let current = self.content.objects.get(&key).map_or(0, |s| s.version.0);
         let version = Version(current + 1);
-        self.revision = Revision(self.revision.0 + 1);
+        self.content.revision = Revision(self.content.revision.0 + 1);
         let stored = Stored {
             version,
-            revision: self.revision,
+            revision: self.content.revision,
             value,
         };
-        self.objects.insert(key, stored);
+        self.content.objects.insert(key, stored);
+        self.wake_watchers();
+        version
+    }
+
+    fn wake_watchers(&mut self) {
         for watcher in self.watchers.drain(..) {
             let _ = watcher.try_send(());
         }
-        version
+    }
+
+    /// How often it came back from a copy.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Copies all that is kept now.
+    pub fn take_copy(&mut self) {
+        self.copy = self.content.clone();
+    }
+
+    /// Comes back from the copy: what was written since is lost, and versions and revisions are
+    /// given out anew.
+    pub fn restore(&mut self) {
+        self.content = self.copy.clone();
+        self.era += 1;
+        self.wake_watchers();
+    }
+
+    /// Whether changes after this revision can be told.
+    pub fn has_reached(&self, revision: Revision) -> bool {
+        revision <= self.content.revision
     }
 
     /// Objects of these kinds that changed after a revision.
     pub fn changed(&self, kinds: &str, after: Revision) -> WireList {
         let kinds: Vec<&str> = kinds.split(',').collect();
         let objects = self
+            .content
             .objects
             .iter()
             .filter(|((kind, _), stored)| kinds.contains(&kind.as_str()) && stored.revision > after)
             .map(|(key, stored)| wire(key, stored))
             .collect();
         WireList {
-            revision: self.revision,
+            revision: self.content.revision,
             objects,
         }
     }
