--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -19,6 +19,72 @@
 # name: (file, text as it stands, text without the protection, test, filter,
 #        and further edits where two protections stand behind each other)
 PROTECTIONS = {
+    "a-later-era-is-newer": (
+        CORE + "version.rs",
+        "pub struct Version {\n    /// The era in which it was told.\n    pub era: StoreEra,\n    /// The store's number; 0 for an object that does not exist.\n    pub number: u64,",
+        "pub struct Version {\n    /// The store's number; 0 for an object that does not exist.\n    pub number: u64,\n    /// The era in which it was told.\n    pub era: StoreEra,",
+        "restored_platform", "nine_daemons",
+    ),
+    "the-writers-number-goes-first": (
+        CORE + "version.rs",
+        "    /// The number that its writer gave it; 0 where writers give none.\n    pub generation: u64,\n    /// The store's version of it.\n    pub stored: Version,",
+        "    /// The store's version of it.\n    pub stored: Version,\n    /// The number that its writer gave it; 0 where writers give none.\n    pub generation: u64,",
+        "restored_platform", "stays_in_force",
+    ),
+    "a-watch-across-eras-is-no-answer": (
+        CORE + "daemon/store_era.rs",
+        "PlatformReply::Objects { .. } => Ok(PlatformReply::HistoryGone(era)),",
+        "reply @ PlatformReply::Objects { .. } => Ok(reply),",
+        "store_era", "watch",
+    ),
+    "a-write-across-eras-is-unclear": (
+        CORE + "daemon/store_era.rs",
+        "PlatformReply::Written(_) => Err(NoAnswer),",
+        "PlatformReply::Written(_) if false => Err(NoAnswer),",
+        "store_era", "same_number",
+    ),
+    "an-answer-of-an-earlier-era-is-none": (
+        CORE + "daemon/store_era.rs",
+        "if Some(era) < self.era.era {",
+        "if Some(era) < self.era.era && era > StoreEra::LAST {",
+        "store_era", "earlier_era",
+    ),
+    "a-holder-stops-in-a-new-era": (
+        CORE + "lease.rs",
+        "        self.held_epoch = None;\n        self.observation = None;\n        self.pending = None;\n        self.first_read",
+        "        self.observation = None;\n        self.pending = None;\n        self.first_read",
+        "store_era", "stops",
+    ),
+    "a-lease-given-back-in-a-copy-waits": (
+        CORE + "lease.rs",
+        "if lapsed || lease.value.released && is_unheld_for_sure {",
+        "if lapsed || lease.value.released {",
+        "store_era", "given_back",
+    ),
+    "a-lease-missing-in-a-copy-waits": (
+        CORE + "lease.rs",
+        "if !is_unheld_for_sure {",
+        "if !is_unheld_for_sure && self.in_flight && false {",
+        "store_era", "missing",
+    ),
+    "tokens-rise-over-eras": (
+        CORE + "types.rs",
+        "Self(self.0 + 1).max(Self::first_of(era))",
+        "Self(self.0 + 1).max(Self::first_of(StoreEra::UNTOLD).min(Self::first_of(era)))",
+        "store_era", "token",
+    ),
+    "what-was-known-of-hosts-stands": (
+        CORE + "fleet_state.rs",
+        "self.overlaid_hosts.as_ref().or(listed)",
+        "self.overlaid_hosts.as_ref().filter(|_| false).or(listed)",
+        "store_era", "earlier_hosts",
+    ),
+    "what-the-new-era-tells-of-a-host-counts": (
+        CORE + "earlier_hosts.rs",
+        "            self.listed.remove(host);\n",
+        "",
+        "store_era", "told_anew",
+    ),
     "a-cooldown-holds-requests-back": (
         CORE + "router/cooldown.rs",
         "(now < until).then_some(until)",
@@ -225,14 +291,14 @@
     ),
     "what-stands-is-taken-over": (
         CORE + "controller/mod.rs",
-        "self.adopts = true;",
-        "self.adopts = false;",
+        "self.on_read(Versioned { version, value }, Origin::Foreign);",
+        "self.on_read(Versioned { version, value }, Origin::Current);",
         "adoption", "another_writer_overwrote",
     ),
     "a-list-newer-than-what-is-foreign": (
         CORE + "controller/mod.rs",
-        "            if !self.trusts_absence() {\n                return (None, log);\n            }\n            let adopted",
-        "            let adopted",
+        "            if !self.knows_what_stands() {\n                return (None, log);\n            }\n",
+        "",
         "adoption", "orders_nothing",
     ),
     "a-foreign-lease-waits-a-term": (
@@ -348,8 +414,8 @@
     ),
     "exact-after-a-conflict": (
         CORE + "lease.rs",
-        "self.first_read = Freshness::Exact;",
-        "self.first_read = Freshness::MayBeStale;",
+        "        self.observation = None;\n        self.first_read = Freshness::Exact;\n    }\n\n    /// A call failed",
+        "        self.observation = None;\n        self.first_read = Freshness::MayBeStale;\n    }\n\n    /// A call failed",
         "lease", "renewed_unseen",
     ),
     "changes-that-are-forgotten": (
@@ -501,8 +567,8 @@
     ),
     "never-reverts": (
         CORE + "fleet_state.rs",
-        "slot.as_ref().is_none_or(|known| version > known.version)",
-        "slot.as_ref().is_none_or(|known| version != known.version)",
+        "update.fleet_version() > self.fleet_version()",
+        "update.fleet_version() != self.fleet_version()",
         "focused", "older",
     ),
     "spread": (
--- a/shalehinge/src/cli/render.rs
+++ b/shalehinge/src/cli/render.rs
@@ -21,12 +21,12 @@
         }
         OperatorAnswer::Confirmed { version } => format!(
             "Accepted as version {}. It is stored, and in force everywhere within seconds.\n",
-            version.0
+            version
         ),
         OperatorAnswer::OutOfDate { version, plan } => {
             let mut text = format!(
                 "Nothing has changed: the plan is out of date, the fleet is now at version {}.\n",
-                version.0
+                version
             );
             if let Some(plan) = plan {
                 text.push_str("Plan again. It would now be:\n");
@@ -47,7 +47,7 @@
 
 /// A plan as text.
 pub fn plan(plan: &Plan) -> String {
-    let mut text = format!("Plan on version {} of the fleet\n", plan.base.0);
+    let mut text = format!("Plan on version {} of the fleet\n", plan.base);
     for (domain, effects) in &plan.effects {
         text.push_str(&format!("{domain}:\n"));
         for (index, step) in effects.steps.iter().enumerate() {
@@ -73,14 +73,14 @@
 pub fn status(status: &FleetStatus) -> String {
     let mut text = format!(
         "Fleet at version {}, seen by {}\n",
-        status.version.0, status.daemon
+        status.version, status.daemon
     );
     text.push_str("Daemons (configuration in force):\n");
     for daemon in &status.daemons {
         let leaving = if daemon.leaving { ", stopping" } else { "" };
         text.push_str(&format!(
             "  {} in {}: version {}{leaving}\n",
-            daemon.daemon, daemon.failure_domain, daemon.version.0
+            daemon.daemon, daemon.failure_domain, daemon.version
         ));
     }
     text.push_str("Models:\n");
--- a/shalehinge/src/core/claims.rs
+++ b/shalehinge/src/core/claims.rs
@@ -195,7 +195,7 @@
 impl Default for Versioned<ClaimPartition> {
     fn default() -> Self {
         Self {
-            version: Version(0),
+            version: Version::NONE,
             value: ClaimPartition::default(),
         }
     }
--- a/shalehinge/src/core/controller/list_outage.rs
+++ b/shalehinge/src/core/controller/list_outage.rs
@@ -13,7 +13,7 @@
 const LAPSE_HEARTBEATS: u32 = 2;
 /// Time after the platform's return in which lapsed entries come back. The platform
 /// promises about two seconds; the rest is for the list's own delay.
-const RETURN_WAIT: Duration = Duration::from_millis(2_500);
+pub(super) const RETURN_WAIT: Duration = Duration::from_millis(2_500);
 
 /// How the list's age went on.
 #[derive(Clone, Copy, Debug, Default)]
--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -34,6 +34,7 @@
 mod service_plan;
 mod staging;
 
+pub use adoption::Origin;
 pub use ordered::Listing;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -147,8 +148,8 @@
     epoch: Option<Epoch>,
     stored: Option<Versioned<Assignment>>,
     pending: Option<Assignment>,
-    /// What is stored is not ours: what stands is taken from the list first.
-    adopts: bool,
+    /// Where what is stored comes from.
+    origin: Origin,
     in_flight: bool,
     observed: BTreeMap<HostId, EngineStatus>,
     /// The last release that each engine took and carried out.
@@ -210,7 +211,7 @@
             epoch: None,
             stored: None,
             pending: None,
-            adopts: false,
+            origin: Origin::Current,
             in_flight: false,
             observed: BTreeMap::new(),
             released: BTreeMap::new(),
@@ -227,7 +228,7 @@
             stored_seen_at: None,
             listing: Listing::default(),
             listed: BTreeMap::new(),
-            listed_version: Version(0),
+            listed_version: Version::NONE,
             list_outage: ListOutage::default(),
             hosts_came_at: None,
             standing_since: BTreeMap::new(),
@@ -332,15 +333,11 @@
     }
 
     /// A read of the assignment was answered.
-    pub fn on_read(&mut self, value: Option<Versioned<Assignment>>) {
+    pub fn on_read(&mut self, stored: Versioned<Assignment>, origin: Origin) {
         self.in_flight = false;
         self.pending = None;
-        self.adopts = false;
+        self.origin = origin;
         self.stored_seen_at = None;
-        let stored = value.unwrap_or(Versioned {
-            version: Version(0),
-            value: Assignment::default(),
-        });
         if self.last_model.is_empty() {
             self.last_model.clone_from(&stored.value.held_by_free);
         }
@@ -355,14 +352,13 @@
             return;
         }
         let value = Assignment::default();
-        self.on_read(Some(Versioned { version, value }));
-        self.adopts = true;
+        self.on_read(Versioned { version, value }, Origin::Foreign);
     }
 
     /// A write took effect.
     pub fn on_written(&mut self, version: Version) -> Option<&Versioned<Assignment>> {
         self.in_flight = false;
-        self.adopts = false;
+        self.origin = Origin::Current;
         let value = self.pending.take()?;
         self.stored = Some(Versioned { version, value });
         self.stored.as_ref()
@@ -486,14 +482,14 @@
         let mut value = stored.value.clone();
         let mut log = Vec::new();
         self.note_times(now, &value);
-        if self.adopts {
-            if !self.trusts_absence() {
+        if self.adopts() {
+            if !self.knows_what_stands() {
                 return (None, log);
             }
-            let adopted = self.adopted(state);
-            let count = adopted.groups.len();
+            let adopted = self.taken_over(value, state);
+            let (origin, count) = (self.origin, adopted.groups.len());
             log.push(format!(
-                "what is stored is not ours, takes over {count} groups that stand"
+                "what is stored is {origin}, {count} groups stand and are taken over"
             ));
             return (Some(adopted), log);
         }
@@ -504,7 +500,9 @@
             return (changed.then_some(value), log);
         }
         self.next_reported(now, &mut value, state, &mut log);
-        let changed = value != stored.value;
+        // What the store lost is written again, under the epoch of its present era.
+        let is_lost = self.origin == Origin::Copy;
+        let changed = is_lost || value != stored.value;
         (changed.then_some(value), log)
     }
 
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -147,7 +147,7 @@
     }
 
     /// Whether the list is newer than what is known of the assignment.
-    fn is_list_newer(&self, than: Timestamp) -> bool {
+    pub(super) fn is_list_newer(&self, than: Timestamp) -> bool {
         self.listing.as_of.is_some_and(|as_of| as_of >= than)
     }
 
@@ -250,7 +250,7 @@
 
     /// Orders and looks that follow from the stored assignment.
     pub(super) fn ordered_calls(&mut self, now: Timestamp, epoch: Epoch) -> Vec<ControllerAction> {
-        if self.listed_version == Version(0) || self.adopts {
+        if self.listed_version == Version::NONE || self.adopts() {
             // Nothing is known yet of how far each host is, or of which groups stand.
             return Vec::new();
         }
--- a/shalehinge/src/core/controller/service_plan.rs
+++ b/shalehinge/src/core/controller/service_plan.rs
@@ -18,8 +18,8 @@
     ReplicaCounts, count_models, fill, replicas_by_share, replicas_that_fit, usable_hosts,
 };
 use crate::core::types::{
-    Customer, FabricDomain, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion,
-    ServiceName, Version,
+    Customer, FabricDomain, FailureDomain, FleetVersion, GroupNumber, HostId, ModelName,
+    ModelVersion, ServiceName, Version,
 };
 
 /// The version of models whose configuration names none.
@@ -54,7 +54,7 @@
 /// The plans of all services, made anew when what they follow from changes.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ServicePlans {
-    made_from: (Version, Version),
+    made_from: (FleetVersion, Version),
     made_without: BTreeSet<HostId>,
     made_beside: ReplicaCounts,
     shares: BTreeMap<ServiceName, DomainShare>,
--- a/shalehinge/src/core/daemon/claiming.rs
+++ b/shalehinge/src/core/daemon/claiming.rs
@@ -3,10 +3,10 @@
 use super::{Daemon, Purpose, log, refusal_of};
 use crate::core::claims::{ClaimResult, ClaimStep};
 use crate::core::event::{Action, Part};
-use crate::core::objects::{Object, ObjectKey, Versioned};
+use crate::core::objects::{ClaimPartition, Object, ObjectKey, Versioned};
 use crate::core::platform::{Freshness, NoAnswer, PlatformCall, PlatformReply, PlatformResult};
 use crate::core::router::request::Outcome;
-use crate::core::types::{RequestId, Timestamp};
+use crate::core::types::{RequestId, Timestamp, Version};
 
 impl Daemon {
     /// Says in the claim what became of the request, if it had one.
@@ -65,15 +65,21 @@
     ) {
         let results = match result {
             Ok(PlatformReply::Object(object)) => {
-                let value = object.and_then(Versioned::into_claims);
-                self.claims.on_read(partition, value)
+                self.claims.on_read(partition, (*object).into_claims())
+            }
+            Ok(PlatformReply::Missing(era)) => {
+                let nothing = Versioned {
+                    version: Version::absent(era),
+                    value: ClaimPartition::default(),
+                };
+                self.claims.on_read(partition, Some(nothing))
             }
             Ok(PlatformReply::Written(version)) => self.claims.on_written(partition, version),
             Ok(
-                PlatformReply::Conflict
+                PlatformReply::Conflict(_)
                 | PlatformReply::Foreign(_)
                 | PlatformReply::Objects { .. }
-                | PlatformReply::HistoryGone,
+                | PlatformReply::HistoryGone(_),
             )
             | Err(NoAnswer) => {
                 self.claims.on_unclear(partition);
--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -8,11 +8,12 @@
 use crate::core::event::{Action, LimitsNotice, Notice, Part, QuarantineReport};
 use crate::core::feed::{Confirmation, Feed};
 use crate::core::fleet_state::{Applied, ObjectUpdate};
-use crate::core::objects::ObjectKey;
-use crate::core::platform::{Freshness, PlatformResult, Scope};
+use crate::core::objects::{Object, ObjectKey};
+use crate::core::platform::{Freshness, PlatformCall, PlatformReply, PlatformResult, Scope};
 use crate::core::router::topology;
 use crate::core::routes::RouteTable;
-use crate::core::types::{Address, ReplicaId, Timestamp, Version};
+use crate::core::types::{Address, FleetVersion, ReplicaId, Timestamp};
+use crate::settings::learning::FeedLayout;
 
 /// The more daemons read the host list, the more rarely each does, so that the calls
 /// grow more slowly than the fleet; never so rarely that a leaving host is used on.
@@ -138,7 +139,6 @@
         result: &PlatformResult,
         out: &mut Vec<Action>,
     ) {
-        self.note_revision(index, result, out);
         let jitter = self.rng.random_range(0.0..1.0);
         let pause = WATCH_PAUSE.mul_f64(1.0 + jitter);
         let feed = &mut self.feeds[index];
@@ -160,6 +160,29 @@
             // The list was older than what peers told.
             feed.list_again(now);
         }
+        if matches!(result, Ok(PlatformReply::Objects { .. })) {
+            self.rewrite_lost_fleet(now, out);
+        }
+    }
+
+    /// Writes a configuration again that the store lost, where daemons write configurations.
+    fn rewrite_lost_fleet(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let writes = self.settings.learning.feeds == FeedLayout::Shared;
+        if !writes || !self.state.is_fleet_lost() || !self.is_first_watcher(now) {
+            return;
+        }
+        let Some(fleet) = self.state.fleet() else {
+            return;
+        };
+        let version = fleet.fleet_version();
+        let request = PlatformCall::Put {
+            key: ObjectKey::Fleet,
+            expect: self.state.stored_fleet_version(),
+            object: Box::new(Object::Fleet(fleet.value.clone())),
+        };
+        let text = format!("the platform lost Fleet version {version}, it is written again");
+        log(out, Part::Config, text);
+        self.call(Purpose::RewriteFleet, request, out);
     }
 
     /// The time of which the configuration in force is known to be the newest.
@@ -213,15 +236,21 @@
         let mut is_news = false;
         for update in updates {
             let (key, version) = (update.key.clone(), update.version);
+            let fleet_version = update.fleet_version();
+            let heard_at = self.host_list_heard_at();
+            let had_earlier_hosts = self.state.has_earlier_hosts();
             let applied = self.state.apply(update);
-            if applied == Applied::Nothing && key == ObjectKey::Fleet {
+            if !had_earlier_hosts {
+                self.note_earlier_hosts(now, heard_at);
+            }
+            if let Some(version) = fleet_version.filter(|_| applied == Applied::Nothing) {
                 self.note_passed_over(version, out);
             }
             if applied == Applied::All {
                 is_changed = true;
                 // Daemons that hear of hosts from peers ask for them at intervals.
                 is_news |= key != ObjectKey::Hosts || !self.settings.learning.relays;
-                let text = format!("{key:?} version {} is in force", version.0);
+                let text = format!("{key:?} version {version} is in force");
                 log(out, Part::Config, text);
             }
         }
@@ -237,37 +266,12 @@
     }
 
     /// Logs once that an older configuration than the one in force was read.
-    fn note_passed_over(&mut self, version: Version, out: &mut Vec<Action>) {
+    fn note_passed_over(&mut self, version: FleetVersion, out: &mut Vec<Action>) {
         let in_force = self.state.fleet_version();
         if version == in_force || self.passed_over.replace(version) == Some(version) {
             return;
         }
-        let text = format!(
-            "Fleet version {} is passed over, {} is in force",
-            version.0, in_force.0
-        );
-        log(out, Part::Config, text);
-    }
-
-    /// Logs once that the platform told a lower revision than before.
-    fn note_revision(&mut self, index: usize, result: &PlatformResult, out: &mut Vec<Action>) {
-        let Some(told) = self.feeds[index].confirmation(result) else {
-            return;
-        };
-        let Some(known) = self
-            .confirmation
-            .filter(|known| told.revision < known.revision)
-        else {
-            self.is_revision_lower = false;
-            return;
-        };
-        if std::mem::replace(&mut self.is_revision_lower, true) {
-            return;
-        }
-        let text = format!(
-            "the platform is at revision {}, it was at {} before",
-            told.revision.0, known.revision.0
-        );
+        let text = format!("Fleet version {version} is passed over, {in_force} is in force");
         log(out, Part::Config, text);
     }
 
@@ -276,10 +280,10 @@
         let Some(fleet) = self.state.fleet() else {
             return;
         };
-        if fleet.version == self.routes.version() {
+        if fleet.fleet_version() == self.routes.version() {
             return;
         }
-        self.routes = RouteTable::new(fleet.version, &fleet.value);
+        self.routes = RouteTable::new(fleet.fleet_version(), &fleet.value);
         let mut actions = Vec::new();
         let routes = &self.routes;
         self.router
--- a/shalehinge/src/core/daemon/control.rs
+++ b/shalehinge/src/core/daemon/control.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeSet;
 
 use super::{CANDIDATES, Daemon, Purpose, WORK_INTERVAL, log};
-use crate::core::controller::{ControllerAction, Listing};
+use crate::core::controller::{ControllerAction, Listing, Origin};
 use crate::core::event::{Action, Part, StatusPurpose};
 use crate::core::fleet_state::ObjectUpdate;
 use crate::core::lease::LeaseStep;
 use crate::core::objects::{Assignment, Object, ObjectKey, Versioned};
 use crate::core::platform::{Freshness, NoAnswer, PlatformCall, PlatformReply, PlatformResult};
-use crate::core::types::{FailureDomain, ReplicaId, Timestamp};
+use crate::core::types::{FailureDomain, ReplicaId, Timestamp, Version};
 use crate::settings::learning::FeedLayout;
 
 impl Daemon {
@@ -67,14 +67,12 @@
         out: &mut Vec<Action>,
     ) {
         match result {
-            Ok(PlatformReply::Object(object)) => {
-                let lease = object.and_then(Versioned::into_lease);
-                self.lease.on_read(now, lease);
-            }
+            Ok(PlatformReply::Object(object)) => self.lease.on_read(now, (*object).into_lease()),
+            Ok(PlatformReply::Missing(_)) => self.lease.on_read(now, None),
             Ok(PlatformReply::Foreign(version)) => self.lease.on_foreign(now, version),
             Ok(PlatformReply::Written(version)) => self.lease.on_written(now, version),
-            Ok(PlatformReply::Conflict) => self.lease.on_conflict(now),
-            Ok(PlatformReply::Objects { .. } | PlatformReply::HistoryGone) | Err(NoAnswer) => {
+            Ok(PlatformReply::Conflict(_)) => self.lease.on_conflict(now),
+            Ok(PlatformReply::Objects { .. } | PlatformReply::HistoryGone(_)) | Err(NoAnswer) => {
                 self.lease.on_unclear();
             }
         }
@@ -184,13 +182,16 @@
         out: &mut Vec<Action>,
     ) {
         match result {
-            Ok(PlatformReply::Object(object)) => {
-                let assignment = object.and_then(Versioned::into_assignment);
-                if let Some(assignment) = &assignment {
-                    self.lease.note_epoch(assignment.value.epoch);
-                }
-                self.controller.on_read(assignment.clone());
-                self.apply_assignment(now, assignment, out);
+            Ok(PlatformReply::Object(object)) => match (*object).into_assignment() {
+                Some(stored) => self.on_assignment_read(now, stored, out),
+                None => self.controller.on_unclear(),
+            },
+            Ok(PlatformReply::Missing(era)) => {
+                let nothing = Versioned {
+                    version: Version::absent(era),
+                    value: Assignment::default(),
+                };
+                self.on_assignment_read(now, nothing, out);
             }
             Ok(PlatformReply::Foreign(version)) => self.controller.on_foreign(version),
             Ok(PlatformReply::Written(version)) => {
@@ -198,9 +199,9 @@
                 self.apply_assignment(now, stored, out);
             }
             Ok(
-                PlatformReply::Conflict
+                PlatformReply::Conflict(_)
                 | PlatformReply::Objects { .. }
-                | PlatformReply::HistoryGone,
+                | PlatformReply::HistoryGone(_),
             )
             | Err(NoAnswer) => {
                 self.controller.on_unclear();
@@ -208,6 +209,37 @@
         }
     }
 
+    /// What is stored may be of a copy that the store came back from: then what this daemon knows
+    /// to be newer goes first, and what stands where nothing is known.
+    fn on_assignment_read(
+        &mut self,
+        now: Timestamp,
+        stored: Versioned<Assignment>,
+        out: &mut Vec<Action>,
+    ) {
+        let era = stored.version.era;
+        let is_first = stored.version.is_absent() && self.is_in_first_era();
+        let is_copied = stored.value.epoch.is_before(era) && !is_first;
+        let known = self.state.assignments().get(&self.identity.failure_domain);
+        let newer = known
+            .filter(|known| is_copied && known.assignment_version() > stored.assignment_version());
+        let value = newer.map_or(stored.value, |known| known.value.clone());
+        self.lease.note_epoch(value.epoch);
+        let stored = Versioned {
+            version: stored.version,
+            value,
+        };
+        let origin = if is_copied {
+            Origin::Copy
+        } else {
+            Origin::Current
+        };
+        self.controller.on_read(stored.clone(), origin);
+        if !stored.version.is_absent() {
+            self.apply_assignment(now, Some(stored), out);
+        }
+    }
+
     pub(super) fn apply_assignment(
         &mut self,
         now: Timestamp,
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -15,6 +15,7 @@
 //! - `requests`: requests of callers, and what the router decides
 //! - `claiming`: keys of requests: claimed before, settled after
 //! - `stopping`: a planned stop
+//! - `store_era`: which era of the platform's store answers are of
 
 mod claiming;
 mod configuration;
@@ -27,6 +28,7 @@
 mod relays;
 mod requests;
 mod stopping;
+mod store_era;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -52,13 +54,15 @@
 use crate::core::superseded::Superseded;
 use crate::core::trials::{TrialGrant, TrialOwner};
 use crate::core::types::{
-    Address, Customer, DaemonId, FailureDomain, Incarnation, OperationId, RequestId, Timestamp,
-    Version,
+    Address, Customer, DaemonId, FailureDomain, FleetVersion, Incarnation, OperationId, RequestId,
+    Timestamp,
 };
 use crate::core::whole_fetch::WholeFetch;
 use crate::settings::core::CoreSettings;
 use crate::settings::learning::{FeedLayout, LearningSettings};
 
+use self::store_era::{KnownEra, OpenCall};
+
 /// How often a [`Event::Tick`] should come.
 pub const TICK: Duration = Duration::from_millis(50);
 /// Daemons of a failure domain that try to get its lease.
@@ -109,6 +113,8 @@
     Assignment,
     Claims(u16),
     Operator(OperatorCallId),
+    /// A configuration that the store lost is written again.
+    RewriteFleet,
 }
 
 /// A request with a key, from its claim to its answer.
@@ -143,7 +149,8 @@
     router: Router,
     demand: Demand,
     next_work_at: Timestamp,
-    calls: BTreeMap<CallId, Purpose>,
+    calls: BTreeMap<CallId, OpenCall>,
+    era: KnownEra,
     next_call: u64,
     claimed: BTreeMap<RequestId, Claimed>,
     feeds: Vec<Feed>,
@@ -151,10 +158,8 @@
     confirmed_by_peer: Option<Timestamp>,
     /// The newest revision that the platform is known to have reached.
     confirmation: Option<Confirmation>,
-    /// The platform told a lower revision than before.
-    is_revision_lower: bool,
     /// The last configuration that was read and is older than the one in force.
-    passed_over: Option<Version>,
+    passed_over: Option<FleetVersion>,
     next_confirm_at: Timestamp,
     next_relay_at: Timestamp,
     /// The time of which peers told the host list.
@@ -184,7 +189,7 @@
             counter: 0,
             revision: 0,
             leaving: false,
-            fleet: Version(0),
+            fleet: FleetVersion::NONE,
             holds_control: false,
         };
         let domain = identity.failure_domain.clone();
@@ -212,6 +217,7 @@
             demand: Demand::default(),
             next_work_at: Timestamp::ZERO,
             calls: BTreeMap::new(),
+            era: KnownEra::default(),
             next_call: 1,
             claimed: BTreeMap::new(),
             feeds: scopes(settings.learning.feeds)
@@ -221,7 +227,6 @@
             routes: RouteTable::default(),
             confirmed_by_peer: None,
             confirmation: None,
-            is_revision_lower: false,
             passed_over: None,
             next_confirm_at: Timestamp::ZERO,
             next_relay_at: Timestamp::ZERO,
@@ -377,6 +382,7 @@
         self.ask_watcher(now, out);
         self.pull_from_relay(now, out);
         self.fetch_whole_objects(now, out);
+        self.tick_earlier_hosts(now, out);
         self.tick_lease(now, out);
         self.tick_controller(now, out);
         self.tick_claims(now, out);
--- a/shalehinge/src/core/daemon/operators.rs
+++ b/shalehinge/src/core/daemon/operators.rs
@@ -17,10 +17,7 @@
         let what = match &call {
             OperatorCall::Plan(change) => format!("plans {change:?}"),
             OperatorCall::Confirm(confirm) => {
-                format!(
-                    "confirms {:?} on version {}",
-                    confirm.change, confirm.base.0
-                )
+                format!("confirms {:?} on version {}", confirm.change, confirm.base)
             }
         };
         log(out, Part::Operator, what);
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -76,7 +76,7 @@
         let mut digest = self.state.digest();
         if self.knows_hosts(now) {
             // Peers need not tell what this daemon reads itself.
-            digest.hosts = Version(u64::MAX);
+            digest.hosts = Version::MAX;
         }
         Pull {
             gossip: self.gossip_about(now, topic, None),
@@ -270,6 +270,13 @@
         }
     }
 
+    /// A peer that knows a host list knows the era of the store.
+    fn note_era_of_peer(&mut self, now: Timestamp, digest: &VersionDigest, out: &mut Vec<Action>) {
+        if digest.hosts > Version::NONE {
+            self.note_era(now, digest.hosts.era, None, out);
+        }
+    }
+
     /// Notes that a peer knows these versions, and which peer to ask for what is newer.
     fn hear_versions(&mut self, now: Timestamp, from: Address, digest: &VersionDigest) {
         let own = self.state.fleet_version();
@@ -327,6 +334,7 @@
         out: &mut Vec<Action>,
     ) {
         let from = reply.gossip.sender.address;
+        self.note_era_of_peer(now, &reply.digest, out);
         self.note_work(now, reply.work);
         self.note_moving(asked_at, reply.moving);
         // Reckoned from before the question: what is told on and on must not seem ever newer.
@@ -376,6 +384,7 @@
         }
         self.on_quarantine_told(now, notice.from, notice.quarantine, out);
         self.on_limits_told(now, notice.from, notice.limits, out);
+        self.note_era_of_peer(now, &notice.digest, out);
         self.hear_versions(now, notice.from, &notice.digest);
         self.fetch_whole_objects(now, out);
     }
--- a/shalehinge/src/core/daemon/platform_calls.rs
+++ b/shalehinge/src/core/daemon/platform_calls.rs
@@ -2,6 +2,7 @@
 
 use rand::Rng;
 
+use super::store_era::OpenCall;
 use super::{Daemon, Purpose};
 use crate::core::event::Action;
 use crate::core::platform::{CallId, PlatformCall, PlatformReply, PlatformResult};
@@ -11,14 +12,15 @@
     pub(super) fn call(&mut self, purpose: Purpose, request: PlatformCall, out: &mut Vec<Action>) {
         let call = CallId(self.next_call);
         self.next_call += 1;
-        self.calls.insert(call, purpose);
+        let rests_on = request.rests_on();
+        self.calls.insert(call, OpenCall { purpose, rests_on });
         out.push(Action::Platform { call, request });
     }
 
     /// Answers that are still to come to a feed are passed over.
     pub(super) fn drop_calls_of_feed(&mut self, index: usize) {
         let is_other = |purpose: &Purpose| !matches!(purpose, Purpose::Feed(i) if *i == index);
-        self.calls.retain(|_, purpose| is_other(purpose));
+        self.calls.retain(|_, call| is_other(&call.purpose));
     }
 
     pub(super) fn operation(&mut self) -> OperationId {
@@ -32,9 +34,10 @@
         result: PlatformResult,
         out: &mut Vec<Action>,
     ) {
-        let Some(purpose) = self.calls.remove(&call) else {
+        let Some(OpenCall { purpose, rests_on }) = self.calls.remove(&call) else {
             return;
         };
+        let result = self.place_in_era(now, rests_on, result, out);
         if let Ok(PlatformReply::Objects { updates, .. }) = &result {
             self.apply(now, updates.clone(), out);
         }
@@ -43,6 +46,7 @@
             Purpose::Lease => self.on_lease_reply(now, result, out),
             Purpose::Assignment => self.on_assignment_reply(now, result, out),
             Purpose::Claims(partition) => self.on_claims_reply(now, partition, result, out),
+            Purpose::RewriteFleet => {}
             Purpose::Operator(id) => {
                 let step = self.operators.on_platform(now, id, &result, &self.state);
                 self.operator_step(now, id, step, result, out);
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -11,11 +11,13 @@
 use super::membership::Gossip;
 use super::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
 use super::permits::{LimitReport, PermitGrant, PermitRequest};
-use super::platform::{CallId, PlatformCall, PlatformResult, Revision};
+use super::platform::{CallId, PlatformCall, PlatformResult};
 use super::router::request::{Attempt, AttemptEnd, Outcome, RequestMeta, UpstreamId};
 use super::signal::UpstreamSignal;
 use super::trials::{TrialGrant, TrialRequest};
-use super::types::{Address, AttemptId, GroupNumber, HostId, ReplicaId, RequestId, Timestamp};
+use super::types::{
+    Address, AttemptId, GroupNumber, HostId, ReplicaId, RequestId, Timestamp, Version,
+};
 
 /// Identifies a peer's pull that waits for its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -144,7 +146,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reached {
     /// The revision.
-    pub revision: Revision,
+    pub revision: Version,
     /// How long ago it was asked, in milliseconds.
     pub ms_ago: u64,
 }
@@ -404,6 +406,8 @@
     Place,
     /// The control lease.
     Lease,
+    /// The platform's store.
+    Platform,
     /// Accepted configuration.
     Config,
     /// Operators' calls.
@@ -421,6 +425,7 @@
             Self::Route => "route",
             Self::Place => "place",
             Self::Lease => "lease",
+            Self::Platform => "platform",
             Self::Config => "config",
             Self::Operator => "operator",
             Self::Claim => "claim",
--- a/shalehinge/src/core/feed.rs
+++ b/shalehinge/src/core/feed.rs
@@ -7,8 +7,8 @@
 
 use std::time::Duration;
 
-use super::platform::{Freshness, PlatformCall, PlatformReply, PlatformResult, Revision, Scope};
-use super::types::Timestamp;
+use super::platform::{Freshness, PlatformCall, PlatformReply, PlatformResult, Scope};
+use super::types::{Timestamp, Version};
 
 /// How long a feed whose answers lagged behind asks exactly.
 const EXACT_AFTER_LAG: Duration = Duration::from_secs(5);
@@ -17,7 +17,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Confirmation {
     /// The revision.
-    pub revision: Revision,
+    pub revision: Version,
     /// When the platform was asked.
     pub at: Timestamp,
 }
@@ -33,7 +33,7 @@
 #[derive(Clone, Debug)]
 pub struct Feed {
     scope: Scope,
-    revision: Revision,
+    revision: Version,
     has_listed: bool,
     question: Option<Question>,
     next_at: Timestamp,
@@ -43,6 +43,8 @@
     exact_until: Timestamp,
     /// How new the next list must be.
     list_freshness: Freshness,
+    /// The open question is of an era that is over: its answer only shows that the next may be asked.
+    is_question_outdated: bool,
 }
 
 impl Feed {
@@ -50,7 +52,7 @@
     pub fn new(scope: Scope) -> Self {
         Self {
             scope,
-            revision: Revision(0),
+            revision: Version::NONE,
             has_listed: false,
             question: None,
             next_at: Timestamp::ZERO,
@@ -58,6 +60,7 @@
             heard_at: None,
             exact_until: Timestamp::ZERO,
             list_freshness: Freshness::Exact,
+            is_question_outdated: false,
         }
     }
 
@@ -76,6 +79,12 @@
         self.next_at = now;
     }
 
+    /// Lists anew in another era of the store, as soon as an open question has ended.
+    pub fn begin_era(&mut self, now: Timestamp) {
+        self.list_again(now);
+        self.is_question_outdated = self.question.is_some();
+    }
+
     /// What it is about.
     pub fn scope(&self) -> Scope {
         self.scope
@@ -149,6 +158,10 @@
         let Some(question) = self.question.take() else {
             return;
         };
+        if std::mem::take(&mut self.is_question_outdated) {
+            self.next_at = now;
+            return;
+        }
         match result {
             Ok(PlatformReply::Objects { revision, .. }) => {
                 // A stale answer never takes back what is known.
@@ -161,7 +174,7 @@
                     Freshness::MayBeStale => self.judge(now, question, *revision, confirmed),
                 }
             }
-            Ok(PlatformReply::HistoryGone) => {
+            Ok(PlatformReply::HistoryGone(_)) => {
                 self.list_again(now);
             }
             _ => self.next_at = now + pause,
@@ -173,7 +186,7 @@
         &mut self,
         now: Timestamp,
         question: Question,
-        revision: Revision,
+        revision: Version,
         confirmed: Option<Confirmation>,
     ) {
         let Some(confirmed) = confirmed else {
--- a/shalehinge/src/core/fleet_state.rs
+++ b/shalehinge/src/core/fleet_state.rs
@@ -1,14 +1,19 @@
 //! The newest accepted objects that this daemon knows. Versions only rise.
+//!
+//! A store that comes back from a copy tells older objects under newer versions. Configurations
+//! and assignments carry an order of their own, which decides; hosts have none, so that what
+//! was known of them is kept for a while ([`super::earlier_hosts`]).
 
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
+use super::earlier_hosts::{DepartedHosts, EarlierHosts, changes_between};
 use super::objects::{
     Assignment, FleetConfig, HostChanges, HostList, Object, ObjectKey, Versioned,
 };
 use super::routable_hosts::{ChangeLog, RoutableChanges, difference, of_changes, routable_hosts};
-use super::types::{FailureDomain, Version};
+use super::types::{AssignmentVersion, FailureDomain, FleetVersion, Version};
 
 /// An object that the platform or a peer told of.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -21,29 +26,35 @@
     pub object: Object,
 }
 
+impl ObjectUpdate {
+    /// Which configuration it is, if it is one.
+    pub fn fleet_version(&self) -> Option<FleetVersion> {
+        let Object::Fleet(value) = &self.object else {
+            return None;
+        };
+        Some(FleetVersion {
+            generation: value.generation,
+            stored: self.version,
+        })
+    }
+}
+
 /// Versions of the objects that are spread between daemons.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionDigest {
     /// Version of the configuration.
-    pub fleet: Version,
+    pub fleet: FleetVersion,
     /// Version of the host list.
     pub hosts: Version,
     /// Versions of the assignments.
-    pub assignments: Vec<(FailureDomain, Version)>,
+    pub assignments: Vec<(FailureDomain, AssignmentVersion)>,
 }
 
 impl VersionDigest {
-    fn version_of(&self, key: &ObjectKey) -> Version {
-        match key {
-            ObjectKey::Fleet => self.fleet,
-            ObjectKey::Hosts => self.hosts,
-            ObjectKey::Assignment(domain) => self
-                .assignments
-                .iter()
-                .find(|(known, _)| known == domain)
-                .map_or(Version(0), |(_, version)| *version),
-            ObjectKey::Lease(_) | ObjectKey::Claims(_) => Version(u64::MAX),
-        }
+    fn assignment(&self, domain: &FailureDomain) -> AssignmentVersion {
+        let mut assignments = self.assignments.iter();
+        let known = assignments.find(|(known, _)| known == domain);
+        known.map_or(AssignmentVersion::default(), |(_, version)| *version)
     }
 }
 
@@ -72,7 +83,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct FleetState {
     fleet: Option<Versioned<FleetConfig>>,
+    /// The newest configuration that the store told of, which may be an older one.
+    stored_fleet: FleetVersion,
     hosts: Option<Versioned<HostList>>,
+    departed_hosts: DepartedHosts,
+    earlier_hosts: Option<EarlierHosts>,
+    /// The host list with what still stands of the earlier era, as long as anything does.
+    overlaid_hosts: Option<HostList>,
     known_hosts: HostDetail,
     told_hosts: HostDetail,
     host_changes: ChangeLog,
@@ -93,14 +110,52 @@
         self.fleet.as_ref()
     }
 
-    /// Version of the configuration in force; 0 before the first was seen.
-    pub fn fleet_version(&self) -> Version {
-        self.fleet.as_ref().map_or(Version(0), |o| o.version)
+    /// Which configuration is in force.
+    pub fn fleet_version(&self) -> FleetVersion {
+        let fleet = self.fleet.as_ref();
+        fleet.map_or(FleetVersion::NONE, Versioned::fleet_version)
+    }
+
+    /// The store's version of the configuration, for writes that are conditional on it. What is
+    /// stored may be older than what is in force.
+    pub fn stored_fleet_version(&self) -> Version {
+        self.stored_fleet.stored
     }
 
-    /// Version of the host list as last seen; 0 before the first was seen.
+    /// Whether the store lost the configuration that is in force.
+    pub fn is_fleet_lost(&self) -> bool {
+        self.stored_fleet.generation < self.fleet_version().generation
+    }
+
+    /// Version of the host list as last seen.
     pub fn hosts_version(&self) -> Version {
-        self.hosts.as_ref().map_or(Version(0), |o| o.version)
+        self.hosts.as_ref().map_or(Version::NONE, |o| o.version)
+    }
+
+    /// The hosts that requests may go to: those last seen, with what an earlier era of the store
+    /// told of hosts of which the present one has not told yet.
+    pub fn routed_hosts(&self) -> Option<&HostList> {
+        let listed = self.hosts.as_ref().map(|hosts| &hosts.value);
+        self.overlaid_hosts.as_ref().or(listed)
+    }
+
+    /// Whether anything of an earlier era of the store stands.
+    pub fn has_earlier_hosts(&self) -> bool {
+        self.earlier_hosts.is_some()
+    }
+
+    /// Hosts have had their time to write their entries again.
+    pub fn forget_earlier_hosts(&mut self) {
+        self.earlier_hosts = None;
+        self.overlaid_hosts = None;
+    }
+
+    fn overlay_hosts(&mut self) {
+        let hosts = self.hosts.as_ref();
+        let earlier = self.earlier_hosts.as_ref();
+        self.overlaid_hosts = earlier
+            .zip(hosts)
+            .map(|(earlier, hosts)| earlier.laid_over(&hosts.value));
     }
 
     /// The host list as last seen, or the part of it that routing needs.
@@ -134,16 +189,13 @@
     pub fn apply(&mut self, update: ObjectUpdate) -> Applied {
         let version = update.version;
         let is_newer = match (update.key, update.object) {
-            (ObjectKey::Fleet, Object::Fleet(value)) => replace(&mut self.fleet, version, value),
+            (ObjectKey::Fleet, Object::Fleet(value)) => self.apply_fleet(version, value),
             (ObjectKey::Hosts, object) => return self.apply_hosts(version, object),
             (ObjectKey::Assignment(domain), Object::Assignment(value)) => {
                 if value.check().is_err() {
                     return Applied::Nothing;
                 }
-                let mut slot = self.assignments.remove(&domain);
-                let newer = replace(&mut slot, version, value);
-                self.assignments.extend(slot.map(|slot| (domain, slot)));
-                newer
+                self.apply_assignment(domain, Versioned { version, value })
             }
             _ => false,
         };
@@ -154,6 +206,28 @@
         }
     }
 
+    fn apply_fleet(&mut self, version: Version, value: FleetConfig) -> bool {
+        let update = Versioned { version, value };
+        if version > self.stored_fleet.stored {
+            self.stored_fleet = update.fleet_version();
+        }
+        let is_newer = update.fleet_version() > self.fleet_version();
+        if is_newer {
+            self.fleet = Some(update);
+        }
+        is_newer
+    }
+
+    fn apply_assignment(&mut self, domain: FailureDomain, update: Versioned<Assignment>) -> bool {
+        let known = self.assignments.get(&domain);
+        let is_newer =
+            known.is_none_or(|known| update.assignment_version() > known.assignment_version());
+        if is_newer {
+            self.assignments.insert(domain, update);
+        }
+        is_newer
+    }
+
     fn apply_hosts(&mut self, version: Version, object: Object) -> Applied {
         let is_newer = self
             .hosts
@@ -168,11 +242,15 @@
             Object::RoutableHosts(list) if is_newer && !knows_whole => {
                 self.replace_hosts(version, list, HostDetail::Routable)
             }
-            Object::HostChanges(changes) if is_newer && knows_whole => {
+            Object::HostChanges(changes) if is_newer && knows_whole && self.is_of_era(version) => {
                 self.change_hosts(version, changes)
             }
             Object::RoutableChanges(RoutableChanges { after, changes })
-                if is_newer && !knows_whole && self.hosts_version() >= after =>
+                if is_newer
+                    && !knows_whole
+                    && self.is_of_era(version)
+                    && self.is_of_era(after)
+                    && self.hosts_version() >= after =>
             {
                 self.change_hosts(version, changes)
             }
@@ -184,7 +262,35 @@
         self.hosts.is_some() && self.hosts_version() == version
     }
 
+    /// Whether the list that is known was told in the era of this version. Changes can only be
+    /// laid over a list of their own era.
+    fn is_of_era(&self, version: Version) -> bool {
+        self.hosts_version().era == version.era
+    }
+
+    /// Keeps what the earlier era told of hosts, or takes out of it what the new list tells.
+    fn note_era_of_hosts(&mut self, version: Version, list: &HostList) {
+        let is_same_era = self.is_of_era(version);
+        let Some(known) = &self.hosts else {
+            return;
+        };
+        if is_same_era {
+            let changes = changes_between(&known.value, list);
+            self.departed_hosts.note(&known.value, &changes.removed);
+            if let Some(earlier) = &mut self.earlier_hosts {
+                earlier.note_changes(&changes);
+            }
+            return;
+        }
+        let before = self.routed_hosts().cloned().unwrap_or_default();
+        let departed = std::mem::take(&mut self.departed_hosts);
+        self.earlier_hosts = Some(EarlierHosts::new(before, departed));
+        // Peers may know changes of the earlier era that this daemon does not.
+        self.host_changes.restart(version);
+    }
+
     fn replace_hosts(&mut self, version: Version, list: HostList, detail: HostDetail) -> Applied {
+        self.note_era_of_hosts(version, &list);
         let changes = match &self.hosts {
             Some(known) => difference(&known.value, &list),
             None => {
@@ -195,6 +301,7 @@
         let value = list;
         self.hosts = Some(Versioned { version, value });
         self.known_hosts = detail;
+        self.overlay_hosts();
         self.note_changes(version, changes)
     }
 
@@ -204,11 +311,16 @@
             return Applied::Nothing;
         };
         let of_routing = of_changes(&known.value, &changes);
+        self.departed_hosts.note(&known.value, &changes.removed);
+        if let Some(earlier) = &mut self.earlier_hosts {
+            earlier.note_changes(&changes);
+        }
         known.version = version;
         known.value.hosts.extend(changes.changed);
         for host in &changes.removed {
             known.value.hosts.remove(host);
         }
+        self.overlay_hosts();
         self.note_changes(version, of_routing)
     }
 
@@ -230,7 +342,7 @@
             assignments: self
                 .assignments
                 .iter()
-                .map(|(domain, object)| (domain.clone(), object.version))
+                .map(|(domain, object)| (domain.clone(), object.assignment_version()))
                 .collect(),
         }
     }
@@ -238,10 +350,9 @@
     /// The objects that are told whole and are newer here than in the digest. Only those
     /// are copied, as most who ask have little to learn.
     pub fn whole_objects_after(&self, digest: &VersionDigest) -> Vec<ObjectUpdate> {
-        let is_newer = |key: &ObjectKey, version: Version| version > digest.version_of(key);
         let mut updates = Vec::new();
         if let Some(object) = &self.fleet
-            && is_newer(&ObjectKey::Fleet, object.version)
+            && object.fleet_version() > digest.fleet
         {
             updates.push(ObjectUpdate {
                 key: ObjectKey::Fleet,
@@ -251,7 +362,7 @@
         }
         if let Some(list) = self.whole_hosts()
             && self.told_hosts == HostDetail::Whole
-            && is_newer(&ObjectKey::Hosts, list.version)
+            && list.version > digest.hosts
         {
             updates.push(ObjectUpdate {
                 key: ObjectKey::Hosts,
@@ -260,10 +371,9 @@
             });
         }
         for (domain, object) in &self.assignments {
-            let key = ObjectKey::Assignment(domain.clone());
-            if is_newer(&key, object.version) {
+            if object.assignment_version() > digest.assignment(domain) {
                 updates.push(ObjectUpdate {
-                    key,
+                    key: ObjectKey::Assignment(domain.clone()),
                     version: object.version,
                     object: Object::Assignment(object.value.clone()),
                 });
@@ -280,7 +390,7 @@
             return None;
         }
         let object = match self.host_changes.since(digest.hosts) {
-            Some(changes) if digest.hosts > Version(0) => Object::RoutableChanges(changes),
+            Some(changes) if digest.hosts > Version::NONE => Object::RoutableChanges(changes),
             _ => Object::RoutableHosts(routable_hosts(&known.value)),
         };
         Some(ObjectUpdate {
@@ -294,18 +404,11 @@
     /// asked for at intervals, not as soon as a peer knows more.
     pub fn is_behind(&self, digest: &VersionDigest) -> bool {
         let mine = self.digest();
-        let newer_assignment = digest.assignments.iter().any(|(domain, version)| {
-            *version > mine.version_of(&ObjectKey::Assignment(domain.clone()))
-        });
+        let newer_assignment = digest
+            .assignments
+            .iter()
+            .any(|(domain, version)| *version > mine.assignment(domain));
         let newer_hosts = self.told_hosts == HostDetail::Whole && digest.hosts > mine.hosts;
         digest.fleet > mine.fleet || newer_hosts || newer_assignment
     }
 }
-
-fn replace<T>(slot: &mut Option<Versioned<T>>, version: Version, value: T) -> bool {
-    let newer = slot.as_ref().is_none_or(|known| version > known.version);
-    if newer {
-        *slot = Some(Versioned { version, value });
-    }
-    newer
-}
--- a/shalehinge/src/core/lease.rs
+++ b/shalehinge/src/core/lease.rs
@@ -4,12 +4,17 @@
 //! early. A candidate counts a full term from when it last saw the lease change.
 //! Both use their own monotonic clock, so clocks are never compared. The epoch
 //! rises with each holder and fences the orders to engines.
+//!
+//! A store that comes back from a copy may have lost the lease, or hold an older one. Whoever held
+//! it stops at once, and takes it anew without a wait as long as its old term lasts. Nobody else
+//! takes a lease that is missing or given back until a full term after it first saw the era: the
+//! last holder of the era before acts no longer by then.
 
 use std::time::Duration;
 
 use super::objects::{LeaseRecord, Versioned};
 use super::platform::Freshness;
-use super::types::{DaemonId, Epoch, Incarnation, OperationId, Timestamp, Version};
+use super::types::{DaemonId, Epoch, Incarnation, OperationId, StoreEra, Timestamp, Version};
 use crate::settings::lease::LeaseSettings;
 
 /// What the lease wants from the platform next.
@@ -34,6 +39,14 @@
     changed_at: Timestamp,
 }
 
+/// The era of the store that this daemon knows.
+#[derive(Clone, Copy, Debug)]
+struct KnownEra {
+    era: StoreEra,
+    /// When it was first seen; none where nobody can have held a lease before it.
+    seen_at: Option<Timestamp>,
+}
+
 /// A write on its way, or one whose answer was lost.
 #[derive(Clone, Debug)]
 struct PendingWrite {
@@ -54,6 +67,9 @@
     /// The highest epoch that is known to have been held.
     highest_epoch: Epoch,
     valid_until: Timestamp,
+    era: Option<KnownEra>,
+    /// Until when this daemon held the lease in the era before, if it did.
+    held_before_until: Timestamp,
     next_step_at: Timestamp,
     in_flight: bool,
     /// How the lease is read while nothing is known of it.
@@ -72,6 +88,8 @@
             held_epoch: None,
             highest_epoch: Epoch(0),
             valid_until: Timestamp::ZERO,
+            era: None,
+            held_before_until: Timestamp::ZERO,
             next_step_at: Timestamp::ZERO,
             in_flight: false,
             first_read: Freshness::MayBeStale,
@@ -98,6 +116,47 @@
         Some(&lease.value.holder)
     }
 
+    /// The store is in this era. `is_first_start` says that nobody held a lease in an era before,
+    /// as the whole fleet starts for the first time.
+    pub fn note_era(&mut self, now: Timestamp, era: StoreEra, is_first_start: bool) {
+        if self.era.is_some_and(|known| era <= known.era) {
+            return;
+        }
+        let is_first = self.store_era() == StoreEra::UNTOLD;
+        let is_settled = is_first && (is_first_start || era == StoreEra::UNTOLD);
+        self.era = Some(KnownEra {
+            era,
+            seen_at: (!is_settled).then_some(now),
+        });
+        if is_first {
+            return;
+        }
+        let is_held = self.held(now).is_some();
+        self.held_before_until = if is_held { self.valid_until } else { now };
+        self.held_epoch = None;
+        self.observation = None;
+        self.pending = None;
+        self.first_read = Freshness::Exact;
+        self.next_step_at = now;
+    }
+
+    fn store_era(&self) -> StoreEra {
+        self.era.map_or(StoreEra::UNTOLD, |known| known.era)
+    }
+
+    /// Whether a lease that is missing or given back may be taken at once: nobody can still hold it
+    /// by what an earlier era told.
+    fn is_unheld_for_sure(&self, now: Timestamp) -> bool {
+        let seen_at = self.era.and_then(|known| known.seen_at);
+        let is_settled = seen_at.is_none_or(|seen_at| now.since(seen_at) >= self.settings.term);
+        is_settled || self.may_resume(now)
+    }
+
+    /// Whether this daemon held the lease when the era changed, and its term still lasts.
+    fn may_resume(&self, now: Timestamp) -> bool {
+        now < self.held_before_until
+    }
+
     /// What to do now, if anything. `candidate` says whether this daemon should try.
     pub fn step(
         &mut self,
@@ -123,21 +182,32 @@
         if self.pending.is_some() {
             return LeaseStep::Read(Freshness::Exact);
         }
+        let is_unheld_for_sure = self.is_unheld_for_sure(now);
+        let next_epoch = self.highest_epoch.next_in(self.store_era());
         let Some(lease) = &observation.lease else {
-            return self.write(now, Version(0), Epoch(1), operation);
+            if !is_unheld_for_sure {
+                return LeaseStep::Read(Freshness::Exact);
+            }
+            let expect = Version::absent(self.store_era());
+            return self.write(now, expect, next_epoch, operation);
         };
         let version = lease.version;
         let epoch = lease.value.epoch;
         if self.held(now).is_some() {
             return self.write(now, version, epoch, operation);
         }
-        let next_epoch = Epoch(self.highest_epoch.0 + 1);
-        if self.is_mine(&lease.value) && epoch < self.highest_epoch {
+        // Nobody took it since the store came back from its copy.
+        let is_copied = epoch.is_before(self.store_era());
+        if self.may_resume(now) && is_copied {
+            return self.write(now, version, next_epoch, operation);
+        }
+        let is_lower = self.is_mine(&lease.value) && epoch < self.highest_epoch;
+        if is_lower && !is_copied {
             return self.write(now, version, next_epoch, operation);
         }
         let term = Duration::from_millis(lease.value.term_ms);
         let lapsed = now.since(observation.changed_at) >= term;
-        if lease.value.released || lapsed {
+        if lapsed || lease.value.released && is_unheld_for_sure {
             return self.write(now, version, next_epoch, operation);
         }
         // An old answer only shows the holder's last writes later. A lease that was renewed
@@ -191,6 +261,9 @@
         if let Some(pending) = self.pending.take() {
             self.settle(&pending, lease.as_ref());
         }
+        if self.may_resume(now) {
+            self.next_step_at = now;
+        }
         self.observe(now, lease);
     }
 
--- a/shalehinge/src/core/membership.rs
+++ b/shalehinge/src/core/membership.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::hash;
-use super::types::{Address, DaemonId, FailureDomain, Incarnation, Timestamp, Version};
+use super::types::{Address, DaemonId, FailureDomain, FleetVersion, Incarnation, Timestamp};
 use crate::settings::membership::MembershipSettings;
 
 /// Counters of other failure domains in one message: so many that most members of a fleet of
@@ -45,7 +45,7 @@
     /// It is stopping and takes no more duties.
     pub leaving: bool,
     /// Version of the configuration that it has in force.
-    pub fleet: Version,
+    pub fleet: FleetVersion,
     /// It holds control of its failure domain.
     #[serde(default)]
     pub holds_control: bool,
@@ -142,7 +142,7 @@
     }
 
     /// Tells peers which configuration is in force here.
-    pub fn set_fleet(&mut self, version: Version) {
+    pub fn set_fleet(&mut self, version: FleetVersion) {
         self.me.fleet = version;
         self.me.revision += 1;
     }
--- a/shalehinge/src/core/mod.rs
+++ b/shalehinge/src/core/mod.rs
@@ -5,6 +5,7 @@
 //! the one entry to all of it.
 //!
 //! - `types`: identifiers and time
+//! - `version`: versions of what is kept, and the eras of the store that gave them out
 //! - `objects`: what is kept in the platform
 //! - `platform`, `engine`: messages to the platform and to engines
 //! - `event`: what goes in, what comes out
@@ -12,6 +13,7 @@
 //! - `feed`: one part of what the platform keeps, listed and watched
 //! - `superseded`: since when a newer configuration is known of
 //! - `whole_fetch`: whom a daemon asks for large objects
+//! - `earlier_hosts`: hosts as an earlier era of the store told of them
 //! - `routable_hosts`: the part of the host list that routing needs
 //! - `fingerprint`: what a request asks, the same each time that it comes
 //! - `fleet_state`: the newest objects known, which never revert
@@ -34,6 +36,7 @@
 pub mod controller;
 pub mod daemon;
 pub mod demand;
+pub mod earlier_hosts;
 pub mod engine;
 pub mod event;
 pub mod feed;
@@ -56,4 +59,5 @@
 pub mod superseded;
 pub mod trials;
 pub mod types;
+pub mod version;
 pub mod whole_fetch;
--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -13,8 +13,9 @@
     CallerLimits, EngineTimes, LoadRate, ModelProfile, RequestKind, RouteConfig, WeightedService,
 };
 use super::types::{
-    Address, Customer, DaemonId, EngineStart, Epoch, FabricDomain, FailureDomain, GroupNumber,
-    HostId, Incarnation, ModelName, ModelVersion, OperationId, ServiceName, Version,
+    Address, AssignmentVersion, Customer, DaemonId, EngineStart, Epoch, FabricDomain,
+    FailureDomain, FleetVersion, GroupNumber, HostId, Incarnation, ModelName, ModelVersion,
+    OperationId, ServiceName, Version,
 };
 
 /// How many past operation ids an object remembers for read-backs.
@@ -72,6 +73,26 @@
     pub value: T,
 }
 
+impl Versioned<FleetConfig> {
+    /// Which configuration it is.
+    pub fn fleet_version(&self) -> FleetVersion {
+        FleetVersion {
+            generation: self.value.generation,
+            stored: self.version,
+        }
+    }
+}
+
+impl Versioned<Assignment> {
+    /// Which assignment it is.
+    pub fn assignment_version(&self) -> AssignmentVersion {
+        AssignmentVersion {
+            epoch: self.value.epoch,
+            number: self.version.number,
+        }
+    }
+}
+
 impl Versioned<Object> {
     /// The object as a lease, if it is one.
     pub fn into_lease(self) -> Option<Versioned<LeaseRecord>> {
@@ -129,6 +150,9 @@
 /// The accepted configuration: who may call, what is served, and how much of it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct FleetConfig {
+    /// Rises with each configuration that is written, whatever becomes of the store's versions.
+    #[serde(default)]
+    pub generation: u64,
     /// Operations that led here, for read-backs after an unclear write.
     #[serde(default)]
     pub operations: RecentOperations,
--- a/shalehinge/src/core/operator.rs
+++ b/shalehinge/src/core/operator.rs
@@ -203,6 +203,7 @@
             Err(error) => return OperatorStep::Answer(OperatorAnswer::Refused(error)),
         };
         fleet.operations.record(confirm.operation);
+        fleet.generation += 1;
         let base = confirm.base;
         self.write(base, Box::new(fleet))
     }
@@ -274,7 +275,7 @@
             assignments.insert(domain.clone(), assignment.value.clone());
         }
         Self {
-            version: state.fleet().map_or(Version(0), |o| o.version),
+            version: state.stored_fleet_version(),
             fleet: state.fleet().map(|o| o.value.clone()).unwrap_or_default(),
             hosts,
             assignments,
--- a/shalehinge/src/core/platform.rs
+++ b/shalehinge/src/core/platform.rs
@@ -2,21 +2,14 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
 use super::fleet_state::ObjectUpdate;
 use super::objects::{Object, ObjectKey, Versioned};
-use super::types::Version;
+use super::types::{StoreEra, Version};
 
 /// Identifies a call, so that its answer finds back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(pub u64);
 
-/// Position in the platform's sequence of changes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Revision(pub u64);
-
 /// A call to the platform.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PlatformCall {
@@ -48,7 +41,7 @@
         /// What to wait for.
         scope: Scope,
         /// The last revision seen.
-        after: Revision,
+        after: Version,
         /// How long to wait at the most.
         wait: Duration,
         /// How new the answer must be.
@@ -79,23 +72,48 @@
 /// The answer to a call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PlatformReply {
-    /// The object, if it exists.
-    Object(Option<Versioned<Object>>),
+    /// The object.
+    Object(Box<Versioned<Object>>),
+    /// The object does not exist.
+    Missing(StoreEra),
     /// The object exists at this version, in a form that is not ours: another writer left it.
     Foreign(Version),
     /// The write took effect.
     Written(Version),
     /// The object had another version.
-    Conflict,
+    Conflict(StoreEra),
     /// Objects as of a revision; for a watch only the changed ones.
     Objects {
         /// The revision.
-        revision: Revision,
+        revision: Version,
         /// The objects.
         updates: Vec<ObjectUpdate>,
     },
-    /// The platform no longer knows what changed since that revision.
-    HistoryGone,
+    /// The platform does not know what changed since that revision.
+    HistoryGone(StoreEra),
+}
+
+impl PlatformReply {
+    /// The era of the store that gave the answer.
+    pub fn era(&self) -> StoreEra {
+        match self {
+            Self::Object(object) => object.version.era,
+            Self::Foreign(version) | Self::Written(version) => version.era,
+            Self::Objects { revision, .. } => revision.era,
+            Self::Missing(era) | Self::Conflict(era) | Self::HistoryGone(era) => *era,
+        }
+    }
+}
+
+impl PlatformCall {
+    /// The era on whose versions the answer rests; none for a call that names no version.
+    pub fn rests_on(&self) -> Option<StoreEra> {
+        match self {
+            Self::Put { expect, .. } => Some(expect.era),
+            Self::Watch { after, .. } => Some(after.era),
+            Self::Get { .. } | Self::List { .. } => None,
+        }
+    }
 }
 
 /// No answer: a write may have taken effect, or may still do so.
--- a/shalehinge/src/core/router/topology.rs
+++ b/shalehinge/src/core/router/topology.rs
@@ -70,10 +70,10 @@
     service: &ServiceName,
     domain: &FailureDomain,
 ) -> Vec<UpstreamSpec> {
-    let Some(list) = state.hosts() else {
+    let Some(list) = state.routed_hosts() else {
         return Vec::new();
     };
-    let hosts = list.value.hosts.iter();
+    let hosts = list.hosts.iter();
     hosts
         .filter(|(_, record)| record.service.as_ref() == Some(service))
         .map(|(host, record)| UpstreamSpec {
@@ -97,10 +97,10 @@
     domain: &FailureDomain,
 ) -> BTreeMap<Target, Vec<UpstreamSpec>> {
     let mut replicas: BTreeMap<Target, Vec<UpstreamSpec>> = BTreeMap::new();
-    let Some(list) = state.hosts() else {
+    let Some(list) = state.routed_hosts() else {
         return replicas;
     };
-    for (host, record) in &list.value.hosts {
+    for (host, record) in &list.hosts {
         let Some((number, model)) = record.open_group() else {
             continue;
         };
@@ -166,7 +166,7 @@
 }
 
 fn is_listed_leaving(state: &FleetState, host: &HostId) -> bool {
-    let record = state.hosts().and_then(|list| list.value.hosts.get(host));
+    let record = state.routed_hosts().and_then(|list| list.hosts.get(host));
     record.is_some_and(|record| record.state == HostState::Leaving)
 }
 
--- a/shalehinge/src/core/routes.rs
+++ b/shalehinge/src/core/routes.rs
@@ -5,12 +5,12 @@
 use std::collections::HashMap;
 
 use super::objects::{CallerLimits, FleetConfig, RequestKind, RouteConfig};
-use super::types::{Customer, ModelName, ServiceName, Version};
+use super::types::{Customer, FleetVersion, ModelName, ServiceName};
 
 /// The routes and keys of one configuration.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
-    version: Version,
+    version: FleetVersion,
     // Looked up by key only, never iterated in an order that matters.
     by_host: HashMap<String, Vec<RouteConfig>>,
     customers: HashMap<String, KeyHolder>,
@@ -86,7 +86,7 @@
 
 impl RouteTable {
     /// The table of a configuration.
-    pub fn new(version: Version, fleet: &FleetConfig) -> Self {
+    pub fn new(version: FleetVersion, fleet: &FleetConfig) -> Self {
         let mut by_host: HashMap<String, Vec<RouteConfig>> = HashMap::new();
         for route in &fleet.routes {
             let routes = by_host.entry(route.host.to_ascii_lowercase()).or_default();
@@ -115,7 +115,7 @@
     }
 
     /// Version of the configuration that it was built from.
-    pub fn version(&self) -> Version {
+    pub fn version(&self) -> FleetVersion {
         self.version
     }
 
--- a/shalehinge/src/core/superseded.rs
+++ b/shalehinge/src/core/superseded.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::types::{Timestamp, Version};
+use super::types::{FleetVersion, Timestamp};
 
 /// Versions that are remembered. A change each 0.3 s for five seconds.
 const MOST_REMEMBERED: usize = 16;
@@ -15,15 +15,15 @@
 /// Configurations that a daemon heard of and does not have.
 #[derive(Clone, Debug, Default)]
 pub struct Superseded {
-    first_heard_at: BTreeMap<Version, Timestamp>,
+    first_heard_at: BTreeMap<FleetVersion, Timestamp>,
     last_heard_at: Timestamp,
 }
 
 impl Superseded {
     /// A peer has this version in force; `own` is in force here.
-    pub fn hear(&mut self, now: Timestamp, version: Version, own: Version) {
+    pub fn hear(&mut self, now: Timestamp, version: FleetVersion, own: FleetVersion) {
         self.take(own);
-        if version <= own {
+        if !version.supersedes(own) {
             return;
         }
         self.last_heard_at = now;
@@ -33,8 +33,9 @@
     }
 
     /// This version is in force here.
-    pub fn take(&mut self, own: Version) {
-        self.first_heard_at = self.first_heard_at.split_off(&Version(own.0 + 1));
+    pub fn take(&mut self, own: FleetVersion) {
+        self.first_heard_at
+            .retain(|version, _| version.supersedes(own));
     }
 
     /// Whether peers have told of a newer version than the one in force here for so long, and
--- a/shalehinge/src/core/types.rs
+++ b/shalehinge/src/core/types.rs
@@ -7,6 +7,8 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use super::version::{AssignmentVersion, FleetVersion, StoreEra, Version};
+
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
@@ -77,20 +79,34 @@
 #[serde(transparent)]
 pub struct OperationId(pub u64);
 
-/// Version of an object in the platform; 0 means that the object does not exist.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct Version(pub u64);
-
-/// Epoch of a control lease; each new holder has a higher one.
+/// Epoch of a control lease; each new holder has a higher one. Engines take it as a fencing token,
+/// so that it rises over eras too, although a lease may be lost with the writes of one.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(transparent)]
 pub struct Epoch(pub u64);
 
+impl Epoch {
+    /// Epochs of one era. A new holder each second takes twelve days to use them up.
+    const PER_ERA: u64 = 1 << 20;
+
+    /// The first of an era, above all of the eras before it.
+    pub const fn first_of(era: StoreEra) -> Self {
+        Self(era.predecessors() * Self::PER_ERA)
+    }
+
+    /// The next one, in this era.
+    pub fn next_in(self, era: StoreEra) -> Self {
+        Self(self.0 + 1).max(Self::first_of(era))
+    }
+
+    /// Whether it was given out before this era.
+    pub fn is_before(self, era: StoreEra) -> bool {
+        self < Self::first_of(era)
+    }
+}
+
 /// Number of a host group within its failure domain; never used twice. 0 is no group
 /// of an assignment: see [`GroupNumber::PRIMING`].
 #[derive(
--- a/shalehinge/src/object_api/http.rs
+++ b/shalehinge/src/object_api/http.rs
@@ -6,17 +6,18 @@
 use futures_lite::future::Boxed;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use trillium_client::Client;
+use trillium_client::{Client, Conn};
 
 use super::PlatformClient;
+use super::store_era::told_era;
 use crate::core::fleet_state::ObjectUpdate;
 use crate::core::objects::{Object, ObjectKey, Versioned};
-use crate::core::platform::{
-    NoAnswer, PlatformCall, PlatformReply, PlatformResult, Revision, Scope,
-};
-use crate::core::types::{FailureDomain, Version};
-use crate::utils::http::{AnswerLimits, exchange, exchange_within, pooled_client, url};
+use crate::core::platform::{NoAnswer, PlatformCall, PlatformReply, PlatformResult, Scope};
+use crate::core::types::{FailureDomain, StoreEra, Version};
+use crate::utils::http::{AnswerLimits, WholeAnswer, exchange_with_headers, pooled_client, url};
 
+/// Header of all answers: the era of the store.
+pub const ERA: &str = "x-shalehinge-era";
 /// Kinds that are listed and watched.
 pub const SHARED_KINDS: &str = "config,hosts,assignments";
 
@@ -28,7 +29,7 @@
     /// Name within the kind.
     pub name: String,
     /// Version, from 1.
-    pub version: Version,
+    pub version: u64,
     /// Value in JSON.
     pub value: Value,
 }
@@ -37,7 +38,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct WireList {
     /// Revision of the whole store.
-    pub revision: Revision,
+    pub revision: u64,
     /// Objects.
     pub objects: Vec<WireObject>,
 }
@@ -46,7 +47,7 @@
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct WireVersion {
     /// Version that the object has now; 0 if it does not exist.
-    pub version: Version,
+    pub version: u64,
 }
 
 /// Kind and name of an object.
@@ -117,33 +118,53 @@
         url(self.address, &format!("/v1/objects/{kind}/{name}"))
     }
 
+    /// Sends a call and reads the whole answer and its era.
+    /// Sends a call and reads the whole answer and its era.
+    async fn exchange(
+        &self,
+        conn: Conn,
+        limits: AnswerLimits,
+    ) -> Result<(StoreEra, WholeAnswer), NoAnswer> {
+        let answer = exchange_with_headers(conn, limits).await.ok_or(NoAnswer)?;
+        Ok((told_era(&answer.headers, ERA)?, answer))
+    }
+
     async fn get(&self, key: ObjectKey) -> PlatformResult {
         let conn = self.client.get(self.object_url(&key));
-        match exchange(conn, self.timeout).await {
-            Some((200, body)) => {
-                let wire: WireObject = parse(&body)?;
-                let version = wire.version;
+        let (era, answer) = self
+            .exchange(conn, AnswerLimits::in_all(self.timeout))
+            .await?;
+        match answer.status {
+            200 => {
+                let wire: WireObject = parse(&answer.body)?;
+                let version = Version::new(era, wire.version);
                 match decode(&key, wire.value).map_err(|_| unreadable(&key)) {
-                    Ok(value) => Ok(PlatformReply::Object(Some(Versioned { version, value }))),
+                    Ok(value) => Ok(PlatformReply::Object(Box::new(Versioned {
+                        version,
+                        value,
+                    }))),
                     Err(_) if key.is_written_here() => Ok(PlatformReply::Foreign(version)),
                     Err(error) => Err(error),
                 }
             }
-            Some((404, _)) => Ok(PlatformReply::Object(None)),
+            404 => Ok(PlatformReply::Missing(era)),
             _ => Err(NoAnswer),
         }
     }
 
     async fn put(&self, key: ObjectKey, expect: Version, object: Object) -> PlatformResult {
-        let url = format!("{}?expect={}", self.object_url(&key), expect.0);
+        let url = format!("{}?expect={}", self.object_url(&key), expect.number);
         let body = encode(&object).map_err(|_| NoAnswer)?;
         let conn = self.client.put(url).with_body(body);
-        match exchange(conn, self.timeout).await {
-            Some((200, body)) => {
-                let wire: WireVersion = parse(&body)?;
-                Ok(PlatformReply::Written(wire.version))
+        let (era, answer) = self
+            .exchange(conn, AnswerLimits::in_all(self.timeout))
+            .await?;
+        match answer.status {
+            200 => {
+                let wire: WireVersion = parse(&answer.body)?;
+                Ok(PlatformReply::Written(Version::new(era, wire.version)))
             }
-            Some((409, _)) => Ok(PlatformReply::Conflict),
+            409 => Ok(PlatformReply::Conflict(era)),
             _ => Err(NoAnswer),
         }
     }
@@ -151,15 +172,21 @@
     async fn objects(&self, path: String, head: Duration) -> PlatformResult {
         let conn = self.client.get(url(self.address, &path));
         let limits = AnswerLimits::of_large(head, self.timeout);
-        let Some((200, body)) = exchange_within(conn, limits).await else {
-            return Err(NoAnswer);
-        };
-        let wire: WireList = parse(&body)?;
-        let updates = wire.objects.into_iter().filter_map(update_of).collect();
-        Ok(PlatformReply::Objects {
-            revision: wire.revision,
-            updates,
-        })
+        let (era, answer) = self.exchange(conn, limits).await?;
+        match answer.status {
+            200 => {
+                let wire: WireList = parse(&answer.body)?;
+                let objects = wire.objects.into_iter();
+                Ok(PlatformReply::Objects {
+                    revision: Version::new(era, wire.revision),
+                    updates: objects
+                        .filter_map(|object| update_of(era, object))
+                        .collect(),
+                })
+            }
+            410 => Ok(PlatformReply::HistoryGone(era)),
+            _ => Err(NoAnswer),
+        }
     }
 
     async fn make(self, request: PlatformCall) -> PlatformResult {
@@ -178,7 +205,7 @@
             PlatformCall::Watch {
                 scope, after, wait, ..
             } => {
-                let (kinds, after, millis) = (kinds_of(scope), after.0, wait.as_millis());
+                let (kinds, after, millis) = (kinds_of(scope), after.number, wait.as_millis());
                 let path = format!("/v1/watch?kinds={kinds}&after={after}&wait_ms={millis}");
                 self.objects(path, wait + self.timeout).await
             }
@@ -214,12 +241,12 @@
 }
 
 /// An object that can't be read is passed over; the last good one stays in force.
-fn update_of(wire: WireObject) -> Option<ObjectUpdate> {
+fn update_of(era: StoreEra, wire: WireObject) -> Option<ObjectUpdate> {
     let key = key_of(&wire.kind, &wire.name)?;
     match decode(&key, wire.value) {
         Ok(object) => Some(ObjectUpdate {
             key,
-            version: wire.version,
+            version: Version::new(era, wire.version),
             object,
         }),
         Err(error) => {
--- a/shalehinge/src/object_api/mod.rs
+++ b/shalehinge/src/object_api/mod.rs
@@ -1,8 +1,10 @@
 //! The platform as a daemon calls it. Another binding is one more file here.
 //!
 //! - `http`: JSON over HTTP, as in docs/INTERFACES.md
+//! - `store_era`: the era of the store that an answer tells
 
 pub mod http;
+pub mod store_era;
 
 use futures_lite::future::Boxed;
 
--- a/shalehinge/src/operator_api.rs
+++ b/shalehinge/src/operator_api.rs
@@ -14,8 +14,8 @@
 use crate::core::placement::stranded::stranded_accelerators;
 use crate::core::router::request::{Target, UpstreamId};
 use crate::core::types::{
-    Customer, DaemonId, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion, Timestamp,
-    Version,
+    Customer, DaemonId, FailureDomain, FleetVersion, GroupNumber, HostId, ModelName, ModelVersion,
+    Timestamp,
 };
 use crate::gateway::access::bearer_sha256;
 use crate::process::Driver;
@@ -35,7 +35,7 @@
     /// The daemon that answers.
     pub daemon: DaemonId,
     /// Version of the configuration in force here.
-    pub version: Version,
+    pub version: FleetVersion,
     /// All live daemons that this one knows.
     pub daemons: Vec<DaemonStatus>,
     /// Failure domains.
@@ -56,7 +56,7 @@
     /// Where it is.
     pub failure_domain: FailureDomain,
     /// Version of the configuration in force there, as last heard.
-    pub version: Version,
+    pub version: FleetVersion,
     /// It is stopping.
     pub leaving: bool,
 }
@@ -242,7 +242,7 @@
 
 fn fleet_status(now: Timestamp, core: &Daemon) -> FleetStatus {
     let fleet = core.state().fleet();
-    let version = fleet.map_or(Version(0), |fleet| fleet.version);
+    let version = core.state().fleet_version();
     let config = fleet.map(|fleet| fleet.value.clone()).unwrap_or_default();
     let shares = config.customers.iter();
     FleetStatus {
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -232,7 +232,7 @@
             if result == Err(NoAnswer) {
                 driver.metrics.count(Counter::PlatformNoAnswer);
             }
-            if result == Ok(PlatformReply::HistoryGone) {
+            if matches!(result, Ok(PlatformReply::HistoryGone(_))) {
                 driver.metrics.count(Counter::PlatformHistoryGone);
             }
             driver.dispatch(Event::Platform { call, result });
--- a/shalehinge/src/utils/http.rs
+++ b/shalehinge/src/utils/http.rs
@@ -6,6 +6,7 @@
 
 use futures_lite::AsyncReadExt;
 use trillium_client::{Client, Conn as ClientConn, KnownHeaderName};
+use trillium_http::Headers;
 use trillium_server_common::url::Url;
 use trillium_server_common::{Connector, Destination};
 use trillium_smol::{ClientConfig, SmolRuntime};
@@ -140,6 +141,23 @@
 
 /// Sends a request and reads its whole answer, as long as it comes within these limits.
 pub async fn exchange_within(conn: ClientConn, limits: AnswerLimits) -> Option<(u16, Vec<u8>)> {
+    let answer = exchange_with_headers(conn, limits).await?;
+    Some((answer.status, answer.body))
+}
+
+/// An answer that came whole.
+#[derive(Debug)]
+pub struct WholeAnswer {
+    /// Its status.
+    pub status: u16,
+    /// Its headers.
+    pub headers: Headers,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+/// Like [`exchange_within`], with the headers of the answer.
+pub async fn exchange_with_headers(conn: ClientConn, limits: AnswerLimits) -> Option<WholeAnswer> {
     let whole = async {
         let conn = within(limits.head, conn.into_future()).await?.ok()?;
         let mut answer = Answer::new(conn);
@@ -173,9 +191,13 @@
     }
 
     /// Gives the connection back, as its answer was read whole.
-    fn into_parts(mut self, body: Vec<u8>) -> Option<(u16, Vec<u8>)> {
+    fn into_parts(mut self, body: Vec<u8>) -> Option<WholeAnswer> {
         let conn = self.0.take()?;
-        Some((u16::from(conn.status()?), body))
+        Some(WholeAnswer {
+            status: u16::from(conn.status()?),
+            headers: conn.response_headers().clone(),
+            body,
+        })
     }
 }
 
--- a/shalehinge/tests/adoption.rs
+++ b/shalehinge/tests/adoption.rs
@@ -13,7 +13,7 @@
 /// Another program overwrites the assignment, and the lease passes on.
 fn lose_assignment(domain: &mut Domain) {
     domain.is_foreign = true;
-    domain.stored.version.0 += 1;
+    domain.stored.version.number += 1;
     domain.change_holder();
 }
 
--- a/shalehinge/tests/claims.rs
+++ b/shalehinge/tests/claims.rs
@@ -63,7 +63,7 @@
         };
         value.claims.insert(KEY, claim);
     }
-    let version = Version(version);
+    let version = Version::without_era(version);
     Some(Versioned { version, value })
 }
 
@@ -74,7 +74,7 @@
     book.read();
     assert_eq!(book.book.on_read(0, None), []);
     assert_eq!(book.write().claims[&KEY].claimant, OperationId(7));
-    let results = book.book.on_written(0, Version(1));
+    let results = book.book.on_written(0, Version::without_era(1));
     assert_eq!(results, [(RequestId(7), ClaimResult::Granted)]);
 }
 
@@ -117,7 +117,7 @@
     book.write();
     let (_, results) = book.poll_after(Duration::from_secs(3));
     assert_eq!(results, [(RequestId(7), ClaimResult::Unavailable)]);
-    assert_eq!(book.book.on_written(0, Version(1)), []);
+    assert_eq!(book.book.on_written(0, Version::without_era(1)), []);
     assert!(book.write().claims.is_empty());
 }
 
--- a/shalehinge/tests/configuration_spread.rs
+++ b/shalehinge/tests/configuration_spread.rs
@@ -7,7 +7,7 @@
 use relay_support::configuration::{fleet_config, with_keys};
 use relay_support::platform::json_bytes;
 use relay_support::{BytesIn, Fleet};
-use shalehinge::core::types::Version;
+use shalehinge::core::types::FleetVersion;
 
 /// Bytes a second of a small entry host's link: 20 Mbit/s.
 const SMALL_LINK: f64 = 2_500_000.0;
@@ -43,7 +43,7 @@
     fleet.limit_links(SMALL_LINK);
     run_with_lost_replicas(&mut fleet, CHANGE_INTERVAL);
     set_link(&mut fleet, BUSY, SMALL_LINK / 20.0);
-    let mut last = Version(0);
+    let mut last = FleetVersion::NONE;
     for keys in (6..10).rev() {
         let config = with_keys(fleet_config(ROUTES), keys);
         last = fleet.platform.configure(config);
--- a/shalehinge/tests/focused.rs
+++ b/shalehinge/tests/focused.rs
@@ -34,12 +34,12 @@
     let mut state = FleetState::default();
     let update = |version| ObjectUpdate {
         key: ObjectKey::Fleet,
-        version: Version(version),
+        version: Version::without_era(version),
         object: Object::Fleet(FleetConfig::default()),
     };
     assert_eq!(state.apply(update(5)), Applied::All);
     assert_eq!(state.apply(update(4)), Applied::Nothing);
-    assert_eq!(state.digest().fleet, Version(5));
+    assert_eq!(state.digest().fleet.stored, Version::without_era(5));
 }
 
 #[test]
@@ -50,7 +50,7 @@
     world.start(0);
     world.run_for(seconds(15));
     let core = world.entries[0].core.as_ref().expect("runs");
-    assert_eq!(core.state().digest().fleet, Version(1));
+    assert_eq!(core.state().digest().fleet.stored, Version::without_era(1));
     assert!(world.entries[0].sees(4, world.now));
     assert_nothing_violated(&world);
 }
--- a/shalehinge/tests/learning.rs
+++ b/shalehinge/tests/learning.rs
@@ -10,12 +10,11 @@
     Object, ObjectKey, RequestKind, RouteConfig, WeightedService,
 };
 use shalehinge::core::placement::shares::{replicas_by_share, replicas_that_fit};
-use shalehinge::core::platform::{
-    Freshness, NoAnswer, PlatformCall, PlatformReply, Revision, Scope,
-};
+use shalehinge::core::platform::{Freshness, NoAnswer, PlatformCall, PlatformReply, Scope};
 use shalehinge::core::routes::{RouteQuery, RouteRefusal, RouteTable};
 use shalehinge::core::types::{
-    Customer, FabricDomain, FailureDomain, HostId, ModelName, ServiceName, Timestamp, Version,
+    Customer, FabricDomain, FailureDomain, FleetVersion, HostId, ModelName, ServiceName, StoreEra,
+    Timestamp, Version,
 };
 
 const WAIT: Duration = Duration::from_secs(1);
@@ -37,7 +36,7 @@
 
 fn objects(revision: u64) -> PlatformReply {
     PlatformReply::Objects {
-        revision: Revision(revision),
+        revision: Version::without_era(revision),
         updates: Vec::new(),
     }
 }
@@ -52,7 +51,7 @@
     assert_eq!(feed.next_call(at(21), EXACT, WAIT), None, "spaced");
     let watch = PlatformCall::Watch {
         scope: Scope::Hosts,
-        after: Revision(7),
+        after: Version::without_era(7),
         wait: WAIT,
         freshness: Freshness::Exact,
     };
@@ -83,7 +82,7 @@
 
 fn confirmed(revision: u64, millis: u64) -> Confirmation {
     Confirmation {
-        revision: Revision(revision),
+        revision: Version::without_era(revision),
         at: at(millis),
     }
 }
@@ -100,7 +99,7 @@
     assert_eq!(feed.as_of(), Some(at(10)), "the list was exact");
     let watch = PlatformCall::Watch {
         scope: Scope::Hosts,
-        after: Revision(8),
+        after: Version::without_era(8),
         wait: WAIT,
         freshness: Freshness::Exact,
     };
@@ -112,7 +111,7 @@
     let mut feed = feed_with_stale_answer(8, confirmed(9, 2_100));
     let watch = PlatformCall::Watch {
         scope: Scope::Hosts,
-        after: Revision(8),
+        after: Version::without_era(8),
         wait: WAIT,
         freshness: Freshness::MayBeStale,
     };
@@ -124,7 +123,7 @@
     let mut feed = feed_with_stale_answer(5, confirmed(4, 1_000));
     let watch = PlatformCall::Watch {
         scope: Scope::Hosts,
-        after: Revision(7),
+        after: Version::without_era(7),
         wait: WAIT,
         freshness: Freshness::MayBeStale,
     };
@@ -139,7 +138,7 @@
     feed.next_call(at(400), EXACT, WAIT);
     feed.on_answer(
         at(410),
-        &Ok(PlatformReply::HistoryGone),
+        &Ok(PlatformReply::HistoryGone(StoreEra::UNTOLD)),
         SPACING,
         PAUSE,
         None,
@@ -166,7 +165,7 @@
 fn update(version: u64, object: Object) -> ObjectUpdate {
     ObjectUpdate {
         key: ObjectKey::Hosts,
-        version: Version(version),
+        version: Version::without_era(version),
         object,
     }
 }
@@ -255,7 +254,7 @@
         route("h", "/a/b/", "long"),
         route("other", "/a/b/c/", "other"),
     ];
-    let table = RouteTable::new(Version(1), &fleet(routes));
+    let table = RouteTable::new(FleetVersion::NONE, &fleet(routes));
     let service = |path| {
         let routed = table.find(query("h", path, Some("good")));
         routed.map(|routed| routed.service.to_string())
@@ -269,7 +268,10 @@
 fn a_key_is_needed_unless_the_route_is_anonymous_and_its_rank_goes_first() {
     let mut open = route("h", "/open/", "s");
     open.is_anonymous = true;
-    let table = RouteTable::new(Version(1), &fleet(vec![route("h", "/a/", "s"), open]));
+    let table = RouteTable::new(
+        FleetVersion::NONE,
+        &fleet(vec![route("h", "/a/", "s"), open]),
+    );
     let refused = Err(RouteRefusal::UnknownKey);
     assert_eq!(table.find(query("h", "/a/x", None)), refused);
     assert_eq!(table.find(query("h", "/a/x", Some("bad"))), refused);
@@ -294,7 +296,7 @@
             weight: 10,
         },
     ];
-    let table = RouteTable::new(Version(1), &fleet(vec![split]));
+    let table = RouteTable::new(FleetVersion::NONE, &fleet(vec![split]));
     let to_y = (0..1_000).filter(|spread| {
         let query = RouteQuery {
             spread: *spread,
--- a/shalehinge/tests/lease.rs
+++ b/shalehinge/tests/lease.rs
@@ -26,7 +26,7 @@
 /// The lease of another daemon at a version.
 fn held_by_other(version: u64) -> Option<Versioned<LeaseRecord>> {
     Some(Versioned {
-        version: Version(version),
+        version: Version::without_era(version),
         value: LeaseRecord {
             operation: OperationId(1),
             holder: DaemonId::new("holder"),
@@ -52,7 +52,7 @@
     step(&mut lease, 2_800);
     lease.on_read(at(2_810), held_by_other(5));
     let taken = step(&mut lease, 4_200);
-    let expect = Version(5);
+    let expect = Version::without_era(5);
     assert!(
         matches!(taken, Some(LeaseStep::Write { expect: version, .. }) if version == expect),
         "{taken:?}"
@@ -95,33 +95,33 @@
     step(&mut lease, 0);
     lease.on_read(at(10), held_by_other(5));
     step(&mut lease, 1_400);
-    lease.on_foreign(at(1_410), Version(6));
+    lease.on_foreign(at(1_410), Version::without_era(6));
     step(&mut lease, 2_800);
-    lease.on_foreign(at(2_810), Version(6));
+    lease.on_foreign(at(2_810), Version::without_era(6));
     let early = step(&mut lease, 4_200);
     assert!(matches!(early, Some(LeaseStep::Read(_))), "{early:?}");
-    lease.on_foreign(at(4_210), Version(6));
+    lease.on_foreign(at(4_210), Version::without_era(6));
     let Some(LeaseStep::Write { expect, record }) = step(&mut lease, 5_600) else {
         panic!("a term has passed since it was overwritten");
     };
-    assert_eq!((expect, record.epoch), (Version(6), Epoch(4)));
+    assert_eq!((expect, record.epoch), (Version::without_era(6), Epoch(4)));
 }
 
 #[test]
 fn a_lease_that_began_anew_is_raised_above_what_is_stored_before_it_is_used() {
     let mut lease = candidate();
     step(&mut lease, 0);
-    lease.on_foreign(at(10), Version(6));
+    lease.on_foreign(at(10), Version::without_era(6));
     let taken = step(&mut lease, 4_200);
     assert!(matches!(taken, Some(LeaseStep::Write { .. })), "{taken:?}");
-    lease.on_written(at(4_210), Version(7));
+    lease.on_written(at(4_210), Version::without_era(7));
     assert_eq!(lease.held(at(4_220)), Some(Epoch(1)));
     lease.note_epoch(Epoch(7));
     assert_eq!(lease.held(at(4_230)), None);
     let Some(LeaseStep::Write { expect, record }) = step(&mut lease, 4_240) else {
         panic!("it is raised at once");
     };
-    assert_eq!((expect, record.epoch), (Version(7), Epoch(8)));
-    lease.on_written(at(4_250), Version(8));
+    assert_eq!((expect, record.epoch), (Version::without_era(7), Epoch(8)));
+    lease.on_written(at(4_250), Version::without_era(8));
     assert_eq!(lease.held(at(4_260)), Some(Epoch(8)));
 }
--- a/shalehinge/tests/membership.rs
+++ b/shalehinge/tests/membership.rs
@@ -5,7 +5,9 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use shalehinge::core::membership::{Gossip, Heartbeat, Membership};
-use shalehinge::core::types::{Address, DaemonId, FailureDomain, Incarnation, Timestamp, Version};
+use shalehinge::core::types::{
+    Address, DaemonId, FailureDomain, FleetVersion, Incarnation, Timestamp,
+};
 use shalehinge::settings::membership::MembershipSettings;
 
 fn address(port: u16) -> Address {
@@ -21,7 +23,7 @@
         counter,
         revision: counter,
         leaving: false,
-        fleet: Version(0),
+        fleet: FleetVersion::NONE,
         holds_control,
     }
 }
--- a/shalehinge/tests/operator.rs
+++ b/shalehinge/tests/operator.rs
@@ -11,7 +11,7 @@
     Confirm, OperatorAnswer, OperatorCall, OperatorCallId, OperatorStep, Operators, Plan,
 };
 use shalehinge::core::platform::{
-    Freshness, NoAnswer, PlatformCall, PlatformReply, PlatformResult, Revision, Scope,
+    Freshness, NoAnswer, PlatformCall, PlatformReply, PlatformResult, Scope,
 };
 use shalehinge::core::types::{
     Customer, FabricDomain, FailureDomain, HostId, ModelName, ModelVersion, OperationId, Timestamp,
@@ -27,7 +27,7 @@
 
 fn listed() -> PlatformResult {
     Ok(PlatformReply::Objects {
-        revision: Revision(1),
+        revision: Version::without_era(1),
         updates: Vec::new(),
     })
 }
@@ -69,7 +69,7 @@
 }
 
 fn update(state: &mut FleetState, key: ObjectKey, version: u64, object: Object) {
-    let version = Version(version);
+    let version = Version::without_era(version);
     state.apply(ObjectUpdate {
         key,
         version,
@@ -106,12 +106,10 @@
 }
 
 fn is_write(step: Option<&OperatorStep>) -> bool {
+    let base = Version::without_era(3);
     matches!(
         step,
-        Some(OperatorStep::Platform(PlatformCall::Put {
-            expect: Version(3),
-            ..
-        }))
+        Some(OperatorStep::Platform(PlatformCall::Put { expect, .. })) if *expect == base
     )
 }
 
@@ -150,7 +148,7 @@
     fleet.operations.record(OPERATION);
     update(&mut state, ObjectKey::Fleet, 4, Object::Fleet(fleet));
     let step = operators.on_platform(at(2), ID, &listed(), &state);
-    let version = Version(4);
+    let version = Version::without_era(4);
     let answer = OperatorAnswer::Confirmed { version };
     assert_eq!(step, Some(OperatorStep::Answer(answer)));
 }
@@ -164,7 +162,7 @@
     let step = operators.on_platform(at(2), ID, &listed(), &state);
     let is_out_of_date = matches!(
         step,
-        Some(OperatorStep::Answer(OperatorAnswer::OutOfDate { version, .. })) if version == Version(4)
+        Some(OperatorStep::Answer(OperatorAnswer::OutOfDate { version, .. })) if version == Version::without_era(4)
     );
     assert!(is_out_of_date);
 }
--- a/shalehinge/tests/ordered_support/mod.rs
+++ b/shalehinge/tests/ordered_support/mod.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use shalehinge::core::controller::{Controller, ControllerAction, Listing};
+use shalehinge::core::controller::{Controller, ControllerAction, Listing, Origin};
 use shalehinge::core::demand::FleetWork;
 use shalehinge::core::engine::{
     Command, EngineLoad, EnginePhase, EngineStatus, HeldModel, Order, OrderReply,
@@ -136,14 +136,14 @@
         let mut state = FleetState::default();
         state.apply(ObjectUpdate {
             key: ObjectKey::Fleet,
-            version: Version(1),
+            version: Version::without_era(1),
             object: Object::Fleet(fleet()),
         });
         Self {
             controller: Controller::new(settings(), FailureDomain::new("d")),
             engines,
             stored: Versioned {
-                version: Version(0),
+                version: Version::without_era(0),
                 value: Assignment::default(),
             },
             now: Timestamp::from_millis(1_000),
@@ -182,7 +182,7 @@
         };
         self.state.apply(ObjectUpdate {
             key: ObjectKey::Fleet,
-            version: Version(2),
+            version: Version::without_era(2),
             object: Object::Fleet(config),
         });
     }
@@ -284,7 +284,7 @@
             .collect();
         self.state.apply(ObjectUpdate {
             key: ObjectKey::Hosts,
-            version: Version(self.list_version),
+            version: Version::without_era(self.list_version),
             object: Object::Hosts(HostList { hosts }),
         });
     }
@@ -296,13 +296,13 @@
             }
             ControllerAction::Read => {
                 let stored = self.stored.clone();
-                self.controller.on_read(Some(stored));
+                self.controller.on_read(stored, Origin::Current);
             }
             ControllerAction::Write { expect, value } => {
                 assert_eq!(expect, self.stored.version);
                 self.is_foreign = false;
                 value.check().expect("a host is in one place");
-                let version = Version(expect.0 + 1);
+                let version = Version::without_era(expect.number + 1);
                 self.stored = Versioned { version, value };
                 self.controller.on_written(version);
             }
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -16,7 +16,7 @@
 use shalehinge::core::platform::{CallId, NoAnswer, PlatformCall};
 use shalehinge::core::router::request::Outcome;
 use shalehinge::core::types::{
-    Address, DaemonId, FailureDomain, GroupNumber, Incarnation, RequestId, Timestamp, Version,
+    Address, DaemonId, FailureDomain, FleetVersion, GroupNumber, Incarnation, RequestId, Timestamp,
 };
 use shalehinge::settings::core::CoreSettings;
 use shalehinge::settings::learning::{FeedLayout, LearningSettings};
@@ -375,9 +375,10 @@
 
     /// Daemons that live and do not know the platform's newest list.
     pub fn behind(&self) -> Vec<usize> {
-        let newest = Version(self.platform.hosts_version());
+        let newest = self.platform.hosts_version();
         let is_behind = |index: &usize| {
-            !self.dead.contains(index) && self.daemons[*index].state().hosts_version() < newest
+            !self.dead.contains(index)
+                && self.daemons[*index].state().hosts_version().number < newest
         };
         (0..self.daemons.len()).filter(is_behind).collect()
     }
@@ -393,7 +394,7 @@
     }
 
     /// Daemons that do not have this configuration, or a newer one, in force.
-    pub fn without_configuration(&self, version: Version) -> Vec<usize> {
+    pub fn without_configuration(&self, version: FleetVersion) -> Vec<usize> {
         let is_behind = |index: &usize| self.daemons[*index].state().fleet_version() < version;
         (0..self.daemons.len()).filter(is_behind).collect()
     }
--- a/shalehinge/tests/relay_support/platform.rs
+++ b/shalehinge/tests/relay_support/platform.rs
@@ -9,9 +9,10 @@
 use shalehinge::core::objects::{
     FleetConfig, HostChanges, HostList, HostRecord, HostState, Object, ObjectKey, Versioned,
 };
-use shalehinge::core::platform::{Freshness, PlatformCall, PlatformReply, Revision, Scope};
+use shalehinge::core::platform::{Freshness, PlatformCall, PlatformReply, Scope};
 use shalehinge::core::types::{
-    FabricDomain, FailureDomain, GroupNumber, HostId, ModelVersion, ServiceName, Version,
+    FabricDomain, FailureDomain, FleetVersion, GroupNumber, HostId, ModelVersion, ServiceName,
+    StoreEra, Version,
 };
 
 use super::DOMAINS;
@@ -69,8 +70,11 @@
 
 /// A platform that remembers all changes; a watch waits for one.
 pub struct Platform {
+    era: u32,
     revision: u64,
     copy: Option<Copy>,
+    /// Number of the last configuration that was written, whatever became of it.
+    generation: u64,
     changes: Vec<(u64, HostId, HostRecord)>,
     configuration: Versioned<FleetConfig>,
     objects: BTreeMap<ObjectKey, Versioned<Object>>,
@@ -92,11 +96,13 @@
 impl Platform {
     pub fn new() -> Self {
         let mut platform = Self {
+            era: 1,
             revision: 1,
             copy: None,
+            generation: 0,
             changes: Vec::new(),
             configuration: Versioned {
-                version: Version(1),
+                version: Version::new(StoreEra::new(1), 1),
                 value: fleet_config(0),
             },
             objects: BTreeMap::new(),
@@ -134,12 +140,22 @@
         self.changes.last().map_or(1, |(revision, _, _)| *revision)
     }
 
-    /// Takes a configuration; returns its version.
-    pub fn configure(&mut self, value: FleetConfig) -> Version {
+    /// A number that it tells now.
+    fn version(&self, number: u64) -> Version {
+        Version::new(StoreEra::new(self.era), number)
+    }
+
+    /// Takes a configuration, to which its writer gives the next number; returns its version.
+    pub fn configure(&mut self, value: FleetConfig) -> FleetVersion {
         self.revision += 1;
-        let version = Version(self.revision);
+        self.generation += 1;
+        let value = FleetConfig {
+            generation: self.generation,
+            ..value
+        };
+        let version = self.version(self.revision);
         self.configuration = Versioned { version, value };
-        version
+        self.configuration.fleet_version()
     }
 
     /// Copies all that is kept now.
@@ -155,9 +171,11 @@
     /// Goes on from the copy: what was written since is lost, and revisions are given out anew.
     pub fn restore(&mut self) {
         let copy = self.copy.take().expect("copied before");
+        self.era += 1;
         self.revision = copy.revision;
         self.changes = copy.changes;
         self.configuration = copy.configuration;
+        self.configuration.version = self.version(self.configuration.version.number);
         self.objects = copy.objects;
     }
 
@@ -172,26 +190,27 @@
     /// Whether a watch that waits has something to tell.
     pub fn has_news_for(&self, request: &PlatformCall) -> bool {
         match request {
-            PlatformCall::Watch { after, .. } if after.0 > self.revision => true,
+            PlatformCall::Watch { after, .. } if after.number > self.revision => true,
             PlatformCall::Watch {
                 scope: Scope::Hosts,
                 after,
                 ..
-            } => after.0 < self.hosts_version(),
-            PlatformCall::Watch { after, .. } => after.0 < self.configuration.version.0,
+            } => after.number < self.hosts_version(),
+            PlatformCall::Watch { after, .. } => after.number < self.configuration.version.number,
             _ => false,
         }
     }
 
     fn put(&mut self, key: &ObjectKey, expect: Version, object: &Object) -> PlatformReply {
+        let era = StoreEra::new(self.era);
         let known = self
             .objects
             .get(key)
-            .map_or(Version(0), |known| known.version);
-        if known != expect {
-            return PlatformReply::Conflict;
+            .map_or(0, |known| known.version.number);
+        if known != expect.number {
+            return PlatformReply::Conflict(era);
         }
-        let version = Version(known.0 + 1);
+        let version = Version::new(era, known + 1);
         let value = object.clone();
         self.objects
             .insert(key.clone(), Versioned { version, value });
@@ -242,7 +261,7 @@
 
     pub fn answer(&mut self, request: &PlatformCall) -> PlatformReply {
         self.calls += 1;
-        let revision = Revision(self.revision);
+        let revision = self.version(self.revision);
         let updates = match request {
             PlatformCall::List {
                 scope: Scope::Hosts,
@@ -258,15 +277,15 @@
                 )]
             }
             PlatformCall::List { .. } => vec![self.configuration()],
-            PlatformCall::Watch { after, .. } if after.0 > self.revision => {
-                return PlatformReply::HistoryGone;
+            PlatformCall::Watch { after, .. } if after.number > self.revision => {
+                return PlatformReply::HistoryGone(StoreEra::new(self.era));
             }
             PlatformCall::Watch {
                 scope: Scope::Hosts,
                 after,
                 ..
             } => {
-                let newer = self.changes.iter().filter(|(at, _, _)| *at > after.0);
+                let newer = self.changes.iter().filter(|(at, _, _)| *at > after.number);
                 let changed = newer.map(|(_, host, record)| (host.clone(), record.clone()));
                 let changes = Object::HostChanges(HostChanges {
                     changed: changed.collect(),
@@ -279,7 +298,11 @@
             }
             PlatformCall::Watch { .. } => Vec::new(),
             PlatformCall::Get { key, .. } => {
-                return PlatformReply::Object(self.objects.get(key).cloned());
+                let Some(object) = self.objects.get(key).cloned() else {
+                    return PlatformReply::Missing(StoreEra::new(self.era));
+                };
+                let version = self.version(object.version.number);
+                return PlatformReply::Object(Box::new(Versioned { version, ..object }));
             }
             PlatformCall::Put {
                 key,
@@ -291,10 +314,10 @@
     }
 }
 
-fn update(key: ObjectKey, revision: Revision, object: Object) -> ObjectUpdate {
+fn update(key: ObjectKey, revision: Version, object: Object) -> ObjectUpdate {
     ObjectUpdate {
         key,
-        version: Version(revision.0),
+        version: revision,
         object,
     }
 }
--- a/shalehinge/tests/routable.rs
+++ b/shalehinge/tests/routable.rs
@@ -64,7 +64,7 @@
 fn update(version: u64, object: Object) -> ObjectUpdate {
     ObjectUpdate {
         key: ObjectKey::Hosts,
-        version: Version(version),
+        version: Version::without_era(version),
         object,
     }
 }
@@ -134,7 +134,10 @@
         let expected = routable_hosts(&HostList { hosts });
         for state in &self.states[1..] {
             let known = state.hosts().expect("known");
-            assert_eq!((known.version.0, &known.value), (self.version, &expected));
+            assert_eq!(
+                (known.version.number, &known.value),
+                (self.version, &expected)
+            );
         }
     }
 }
--- a/shalehinge/tests/superseded.rs
+++ b/shalehinge/tests/superseded.rs
@@ -16,8 +16,8 @@
 use shalehinge::core::router::request::{NotRunReason, Outcome, RequestMeta, Target};
 use shalehinge::core::routes::{RouteQuery, RouteRefusal};
 use shalehinge::core::types::{
-    Address, Customer, DaemonId, FailureDomain, Incarnation, RequestId, ServiceName, Timestamp,
-    Version,
+    Address, Customer, DaemonId, FailureDomain, FleetVersion, Incarnation, RequestId, ServiceName,
+    Timestamp, Version,
 };
 use shalehinge::core::whole_fetch::{Distance, WholeFetch};
 use shalehinge::settings::core::CoreSettings;
@@ -68,7 +68,7 @@
             counter: 1,
             revision: 0,
             leaving: false,
-            fleet: Version(0),
+            fleet: FleetVersion::NONE,
             holds_control: false,
         },
         members: Vec::new(),
@@ -78,7 +78,7 @@
 
 fn digest(fleet: u64) -> VersionDigest {
     VersionDigest {
-        fleet: Version(fleet),
+        fleet: FleetVersion::without_generation(Version::without_era(fleet)),
         ..VersionDigest::default()
     }
 }
@@ -109,7 +109,7 @@
     };
     ObjectUpdate {
         key: ObjectKey::Fleet,
-        version: Version(version),
+        version: Version::without_era(version),
         object: Object::Fleet(FleetConfig {
             services: BTreeMap::from([(plain, service)]),
             routes: vec![route],
--- a/shalehinge/tests/support/apply.rs
+++ b/shalehinge/tests/support/apply.rs
@@ -291,12 +291,15 @@
 
     fn check_configs(&mut self) {
         let newest = self.platform.objects.get(&ObjectKey::Fleet);
-        let newest = newest.map_or(Version(0), |object| object.version);
+        let newest = newest.map_or(Version::without_era(0), |object| object.version);
         for (index, entry) in self.entries.iter().enumerate() {
             let Some(core) = entry.core.as_ref().filter(|_| !entry.is_frozen) else {
                 continue;
             };
-            let in_force = core.state().fleet().map_or(Version(0), |f| f.version);
+            let in_force = core
+                .state()
+                .fleet()
+                .map_or(Version::without_era(0), |f| f.version);
             let (run, started_at) = (entry.run, entry.started_at);
             self.oracle
                 .check_config(self.now, index, run, started_at, in_force, newest);
--- a/shalehinge/tests/support/platform.rs
+++ b/shalehinge/tests/support/platform.rs
@@ -4,8 +4,8 @@
 
 use shalehinge::core::fleet_state::ObjectUpdate;
 use shalehinge::core::objects::{Object, ObjectKey, Versioned};
-use shalehinge::core::platform::{NoAnswer, PlatformCall, PlatformReply, PlatformResult, Revision};
-use shalehinge::core::types::{OperationId, Version};
+use shalehinge::core::platform::{NoAnswer, PlatformCall, PlatformReply, PlatformResult};
+use shalehinge::core::types::{OperationId, StoreEra, Version};
 
 /// What the platform does wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,8 +28,8 @@
     pub operations: Vec<OperationId>,
     pub reads: u64,
     pub writes: u64,
-    revisions: BTreeMap<ObjectKey, Revision>,
-    revision: Revision,
+    revisions: BTreeMap<ObjectKey, Version>,
+    revision: Version,
 }
 
 impl FakePlatform {
@@ -42,7 +42,7 @@
             reads: 0,
             writes: 0,
             revisions: BTreeMap::new(),
-            revision: Revision(0),
+            revision: Version::without_era(0),
         }
     }
 
@@ -53,11 +53,14 @@
         match call {
             PlatformCall::Get { key, .. } => {
                 self.reads += 1;
-                Ok(PlatformReply::Object(self.objects.get(&key).cloned()))
+                Ok(match self.objects.get(&key) {
+                    Some(object) => PlatformReply::Object(Box::new(object.clone())),
+                    None => PlatformReply::Missing(StoreEra::UNTOLD),
+                })
             }
             PlatformCall::List { .. } => {
                 self.reads += 1;
-                Ok(self.changed(Revision(0)))
+                Ok(self.changed(Version::without_era(0)))
             }
             PlatformCall::Watch { after, .. } => Ok(self.changed(after)),
             PlatformCall::Put { .. } => {
@@ -94,33 +97,36 @@
         else {
             return Err(NoAnswer);
         };
-        let current = self.objects.get(&key).map_or(Version(0), |o| o.version);
+        let current = self
+            .objects
+            .get(&key)
+            .map_or(Version::without_era(0), |o| o.version);
         if current != expect {
-            return Ok(PlatformReply::Conflict);
+            return Ok(PlatformReply::Conflict(StoreEra::UNTOLD));
         }
         Ok(PlatformReply::Written(self.write(key, *object)))
     }
 
     pub fn write(&mut self, key: ObjectKey, object: Object) -> Version {
-        let current = self.objects.get(&key).map_or(0, |o| o.version.0);
-        let version = Version(current + 1);
+        let current = self.objects.get(&key).map_or(0, |o| o.version.number);
+        let version = Version::without_era(current + 1);
         if let Object::Fleet(fleet) = &object
             && let Some(last) = fleet.operations.last()
         {
             self.operations.push(last);
         }
-        self.revision = Revision(self.revision.0 + 1);
+        self.revision = Version::without_era(self.revision.number + 1);
         self.revisions.insert(key.clone(), self.revision);
         let value = object;
         self.objects.insert(key, Versioned { version, value });
         version
     }
 
-    pub fn has_changed(&self, after: Revision) -> bool {
+    pub fn has_changed(&self, after: Version) -> bool {
         matches!(self.changed(after), PlatformReply::Objects { updates, .. } if !updates.is_empty())
     }
 
-    pub fn changed(&self, after: Revision) -> PlatformReply {
+    pub fn changed(&self, after: Version) -> PlatformReply {
         let is_shared = |key: &ObjectKey| {
             matches!(
                 key,
--- a/shalehinge/tests/support/world.rs
+++ b/shalehinge/tests/support/world.rs
@@ -12,11 +12,11 @@
     CustomerConfig, FleetConfig, GroupPhase, HostList, HostRecord, HostState, Object, ObjectKey,
 };
 use shalehinge::core::operator::{OperatorAnswer, OperatorCallId, Plan};
-use shalehinge::core::platform::{CallId, NoAnswer, PlatformCall, Revision};
+use shalehinge::core::platform::{CallId, NoAnswer, PlatformCall};
 use shalehinge::core::router::request::Outcome;
 use shalehinge::core::types::{
     AttemptId, Customer, FabricDomain, FailureDomain, ModelName, ModelVersion, OperationId,
-    RequestId,
+    RequestId, Version,
 };
 
 use super::engines::FakeHost;
@@ -58,7 +58,7 @@
     pub entry: usize,
     pub run: u64,
     pub call: CallId,
-    pub after: Revision,
+    pub after: Version,
     pub until: Duration,
 }
 
--- a/standin/src/experiment/fleet.rs
+++ b/standin/src/experiment/fleet.rs
@@ -186,7 +186,7 @@
     fleet.models.insert(model_name(), intent);
     state.apply(ObjectUpdate {
         key: ObjectKey::Fleet,
-        version: Version(1),
+        version: Version::without_era(1),
         object: Object::Fleet(fleet),
     });
     for domain in 0..domains {
@@ -204,7 +204,7 @@
         }
         state.apply(ObjectUpdate {
             key: ObjectKey::Assignment(domain_name(domain)),
-            version: Version(1),
+            version: Version::without_era(1),
             object: Object::Assignment(assignment),
         });
     }
--- a/standin/src/platform/handler.rs
+++ b/standin/src/platform/handler.rs
@@ -4,9 +4,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
-use shalehinge::core::platform::Revision;
-use shalehinge::core::types::Version;
-use shalehinge::object_api::http::WireVersion;
+use shalehinge::object_api::http::{ERA, WireVersion};
 use shalehinge::utils::time::within;
 use trillium::{Conn, Handler, Status};
 use trillium_router::{Router, RouterConnExt};
@@ -17,9 +15,6 @@
 /// Longest time that a watch is held open.
 const MOST_WAIT: Duration = Duration::from_secs(60);
 
-/// Header of all answers: how often the store came back from a copy.
-const ERA: &str = "x-shalehinge-era";
-
 #[derive(Clone, Default)]
 struct Platform(Arc<Mutex<Store>>);
 
@@ -123,7 +118,7 @@
 
     async fn put(&self, mut conn: Conn) -> Conn {
         let (kind, name) = kind_and_name(&conn);
-        let expect = Version(query(&conn, "expect").unwrap_or(0));
+        let expect = query(&conn, "expect").unwrap_or(0);
         let Some(value) = read_json::<Value>(&mut conn).await else {
             return conn.with_status(Status::BadRequest).halt();
         };
@@ -151,13 +146,13 @@
         let kinds: String = query(&conn, "kinds").unwrap_or_default();
         let mut store = self.store();
         store.counts.reads += 1;
-        let list = store.changed(&kinds, Revision(0));
+        let list = store.changed(&kinds, 0);
         write_json(in_era(conn, &store), Status::Ok, &list)
     }
 
     async fn watch(&self, conn: Conn) -> Conn {
         let kinds: String = query(&conn, "kinds").unwrap_or_default();
-        let after = Revision(query(&conn, "after").unwrap_or(0));
+        let after = query(&conn, "after").unwrap_or(0);
         let wait = Duration::from_millis(query(&conn, "wait_ms").unwrap_or(0)).min(MOST_WAIT);
         let until = Instant::now() + wait;
         self.store().counts.watches += 1;
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -4,8 +4,6 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use shalehinge::core::platform::Revision;
-use shalehinge::core::types::Version;
 use shalehinge::object_api::http::{WireList, WireObject};
 
 /// What the platform does wrong at present.
@@ -39,30 +37,44 @@
 /// What is kept, and what a copy holds of it.
 #[derive(Clone, Debug, Default)]
 struct Content {
-    revision: Revision,
+    revision: u64,
     objects: BTreeMap<(String, String), Stored>,
 }
 
 #[derive(Clone, Debug)]
 struct Stored {
-    version: Version,
-    revision: Revision,
+    version: u64,
+    revision: u64,
     value: Value,
 }
 
 /// All objects.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Store {
     /// What it does wrong.
     pub fault: Fault,
     /// Calls taken.
     pub counts: CallCounts,
-    era: u64,
+    era: u32,
     content: Content,
     copy: Content,
     watchers: Vec<async_channel::Sender<()>>,
 }
 
+impl Default for Store {
+    /// Empty, in its first era.
+    fn default() -> Self {
+        Self {
+            fault: Fault::None,
+            counts: CallCounts::default(),
+            era: 1,
+            content: Content::default(),
+            copy: Content::default(),
+            watchers: Vec::new(),
+        }
+    }
+}
+
 impl Store {
     /// One object.
     pub fn get(&self, kind: &str, name: &str) -> Option<WireObject> {
@@ -72,19 +84,9 @@
     }
 
     /// Writes an object if it has the expected version; otherwise says which it has.
-    pub fn put(
-        &mut self,
-        kind: &str,
-        name: &str,
-        expect: Version,
-        value: Value,
-    ) -> Result<Version, Version> {
+    pub fn put(&mut self, kind: &str, name: &str, expect: u64, value: Value) -> Result<u64, u64> {
         let key = (kind.to_owned(), name.to_owned());
-        let current = self
-            .content
-            .objects
-            .get(&key)
-            .map_or(Version(0), |s| s.version);
+        let current = self.content.objects.get(&key).map_or(0, |s| s.version);
         if current != expect {
             self.counts.conflicts += 1;
             return Err(current);
@@ -104,10 +106,10 @@
         self.write(key, value);
     }
 
-    fn write(&mut self, key: (String, String), value: Value) -> Version {
-        let current = self.content.objects.get(&key).map_or(0, |s| s.version.0);
-        let version = Version(current + 1);
-        self.content.revision = Revision(self.content.revision.0 + 1);
+    fn write(&mut self, key: (String, String), value: Value) -> u64 {
+        let current = self.content.objects.get(&key).map_or(0, |s| s.version);
+        let version = current + 1;
+        self.content.revision += 1;
         let stored = Stored {
             version,
             revision: self.content.revision,
@@ -125,7 +127,7 @@
     }
 
     /// How often it came back from a copy.
-    pub fn era(&self) -> u64 {
+    pub fn era(&self) -> u32 {
         self.era
     }
 
@@ -143,12 +145,12 @@
     }
 
     /// Whether changes after this revision can be told.
-    pub fn has_reached(&self, revision: Revision) -> bool {
+    pub fn has_reached(&self, revision: u64) -> bool {
         revision <= self.content.revision
     }
 
     /// Objects of these kinds that changed after a revision.
-    pub fn changed(&self, kinds: &str, after: Revision) -> WireList {
+    pub fn changed(&self, kinds: &str, after: u64) -> WireList {
         let kinds: Vec<&str> = kinds.split(',').collect();
         let objects = self
             .content
