fix(claims): a claim that the store may have lost is written again

A store that comes back from a copy has lost the last claims, so that a request ran again under its key at the next daemon asked (two runs in the process test). What a daemon claimed that ended with the store stays unknown.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -85,6 +85,18 @@
         "",
         "store_era", "told_anew",
     ),
+    "claims-are-written-again": (
+        CORE + "claims.rs",
+        "                self.partition_of(key).waiting.push(rewrite);",
+        "                let _ = rewrite;",
+        "store_era", "claim",
+    ),
+    "no-key-is-granted-at-once-in-a-new-era": (
+        CORE + "claims.rs",
+        "let may_grant = now >= self.grants_from;",
+        "let may_grant = true;",
+        "store_era", "claim",
+    ),
     "a-cooldown-holds-requests-back": (
         CORE + "router/cooldown.rs",
         "(now < until).then_some(until)",
@@ -525,8 +537,8 @@
     ),
     "claim": (
         CORE + "claims.rs",
-        "if value.claims.contains_key(&key) {",
-        "if false {",
+        "if value.claims.contains_key(&key) {\n                return Applied::Taken;",
+        "if false {\n                return Applied::Taken;",
         "always", "fixed",
     ),
     "claim-read-back": (
--- a/shalehinge/src/core/claims.rs
+++ b/shalehinge/src/core/claims.rs
@@ -5,13 +5,25 @@
 //! may be sent. The write is conditional, so two daemons never both add a key.
 //! Claims that wait for the same partition share one write. A claim goes away
 //! only when its request certainly did not run, or when it is old.
+//!
+//! A store that comes back from a copy may have lost the last claims. Each daemon writes its own
+//! ones again, and grants no key until the others had time to do the same.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
 use super::objects::{Claim, ClaimPartition, ClaimState, KeyHash, Versioned};
 use super::types::{OperationId, RequestId, Timestamp, Version};
 use crate::settings::claims::ClaimSettings;
 
+/// How long a claim is remembered to be written again; the copy of a store is some seconds old.
+const REMEMBERED_FOR: Duration = Duration::from_secs(60);
+/// Claims that are remembered at most: a thousand a second for all that time would be more.
+const MOST_REMEMBERED: usize = 20_000;
+/// How long no key is granted after the store came back from a copy: as long as daemons in
+/// contact with it need to learn of that and to write their claims again.
+const REWRITE_WAIT: Duration = Duration::from_secs(3);
+
 /// What the claims want from the platform.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ClaimStep {
@@ -58,6 +70,11 @@
         key: KeyHash,
         claimant: OperationId,
     },
+    /// A claim that the store may have lost.
+    Rewrite {
+        key: KeyHash,
+        claim: Claim,
+    },
 }
 
 #[derive(Clone, Debug, Default)]
@@ -76,6 +93,10 @@
 pub struct ClaimBook {
     settings: ClaimSettings,
     partitions: BTreeMap<u16, Partition>,
+    /// Claims of this daemon, the oldest first.
+    remembered: VecDeque<(Timestamp, KeyHash, Claim)>,
+    /// When keys may be granted again.
+    grants_from: Timestamp,
 }
 
 impl ClaimBook {
@@ -84,6 +105,8 @@
         Self {
             settings,
             partitions: BTreeMap::new(),
+            remembered: VecDeque::new(),
+            grants_from: Timestamp::ZERO,
         }
     }
 
@@ -108,14 +131,53 @@
         });
     }
 
+    /// The store came back from a copy: what it held of claims may be lost.
+    pub fn on_new_era(&mut self, now: Timestamp) {
+        self.grants_from = now + REWRITE_WAIT;
+        for partition in self.partitions.values_mut() {
+            partition.known = None;
+        }
+        let remembered = std::mem::take(&mut self.remembered);
+        for (at, key, claim) in &remembered {
+            if now.since(*at) < REMEMBERED_FOR {
+                let (key, claim) = (*key, *claim);
+                let rewrite = Change::Rewrite { key, claim };
+                self.partition_of(key).waiting.push(rewrite);
+            }
+        }
+        self.remembered = remembered;
+    }
+
+    /// A request may run by its claim.
+    pub fn remember(&mut self, now: Timestamp, wall_seconds: u64, key: KeyHash, id: OperationId) {
+        let claim = Claim {
+            claimant: id,
+            claimed_at: wall_seconds,
+            state: ClaimState::Claimed,
+        };
+        self.remembered.push_back((now, key, claim));
+        let is_over = |at: Timestamp| now.since(at) >= REMEMBERED_FOR;
+        while self.remembered.len() > MOST_REMEMBERED
+            || self.remembered.front().is_some_and(|(at, ..)| is_over(*at))
+        {
+            self.remembered.pop_front();
+        }
+    }
+
     /// The request behind a claim ran to its end.
     pub fn complete(&mut self, key: KeyHash, claimant: OperationId) {
+        let mut remembered = self.remembered.iter_mut();
+        if let Some((.., claim)) = remembered.find(|(.., claim)| claim.claimant == claimant) {
+            claim.state = ClaimState::Completed;
+        }
         let change = Change::Complete { key, claimant };
         self.partition_of(key).waiting.push(change);
     }
 
     /// The request behind a claim certainly did not run.
     pub fn withdraw(&mut self, key: KeyHash, claimant: OperationId) {
+        self.remembered
+            .retain(|(.., claim)| claim.claimant != claimant);
         let change = Change::Withdraw { key, claimant };
         self.partition_of(key).waiting.push(change);
     }
@@ -127,11 +189,17 @@
         wall_seconds: u64,
     ) -> (Vec<ClaimStep>, Vec<(RequestId, ClaimResult)>) {
         let settings = self.settings;
+        let may_grant = now >= self.grants_from;
         let mut steps = Vec::new();
         let mut results = Vec::new();
         for (number, partition) in &mut self.partitions {
             partition.expire(now, &settings, &mut results);
-            steps.extend(partition.step(*number, now, wall_seconds, &settings, &mut results));
+            if may_grant || partition.has_more_than_claims() {
+                let held_back = partition.hold_claims_back(may_grant);
+                let step = partition.step(*number, now, wall_seconds, &settings, &mut results);
+                partition.waiting.extend(held_back);
+                steps.extend(step);
+            }
         }
         // A partition with nothing to do keeps no memory.
         self.partitions
@@ -188,7 +256,7 @@
 fn granted(change: Change) -> Option<(RequestId, ClaimResult)> {
     match change {
         Change::Claim { request, .. } => Some((request, ClaimResult::Granted)),
-        Change::Complete { .. } | Change::Withdraw { .. } => None,
+        Change::Complete { .. } | Change::Withdraw { .. } | Change::Rewrite { .. } => None,
     }
 }
 
@@ -206,6 +274,20 @@
         self.waiting.is_empty() && self.written.is_empty()
     }
 
+    fn has_more_than_claims(&self) -> bool {
+        let is_other = |change: &Change| !matches!(change, Change::Claim { .. });
+        self.waiting.iter().any(is_other) || !self.written.is_empty()
+    }
+
+    /// Takes out the claims that wait, unless keys may be granted.
+    fn hold_claims_back(&mut self, may_grant: bool) -> Vec<Change> {
+        if may_grant {
+            return Vec::new();
+        }
+        let is_claim = |change: &mut Change| matches!(change, Change::Claim { .. });
+        self.waiting.extract_if(.., is_claim).collect()
+    }
+
     /// Whether the change withdraws a claim that is there.
     fn has_to_withdraw(&self, change: &Change) -> bool {
         let Change::Withdraw { key, claimant } = change else {
@@ -351,6 +433,13 @@
             value.claims.insert(key, claim);
             Applied::Done
         }
+        Change::Rewrite { key, claim } => {
+            if value.claims.contains_key(&key) {
+                return Applied::Nothing;
+            }
+            value.claims.insert(key, claim);
+            Applied::Done
+        }
         Change::Complete { key, claimant } => {
             let claim = value.claims.get_mut(&key);
             let Some(claim) = claim.filter(|claim| claim.claimant == claimant) else {
--- a/shalehinge/src/core/daemon/claiming.rs
+++ b/shalehinge/src/core/daemon/claiming.rs
@@ -103,6 +103,9 @@
                 continue;
             };
             if result == ClaimResult::Granted {
+                let wall_seconds = self.identity.wall_seconds + now.as_duration().as_secs();
+                let (key, claimant) = (claimed.key, claimed.claimant);
+                self.claims.remember(now, wall_seconds, key, claimant);
                 self.submit(now, request, meta, out);
                 continue;
             }
--- a/shalehinge/src/core/daemon/store_era.rs
+++ b/shalehinge/src/core/daemon/store_era.rs
@@ -107,6 +107,7 @@
         };
         self.era.has_passed_over = false;
         self.era.has_changed = true;
+        self.claims.on_new_era(now);
         for feed in &mut self.feeds {
             feed.begin_era(now);
         }
