--- a/shalehinge/src/core/version.rs
+++ b/shalehinge/src/core/version.rs
@@ -28,6 +28,11 @@
         Self(Some(number))
     }
 
+    /// Its number, if the store told one.
+    pub const fn number(self) -> Option<u32> {
+        self.0
+    }
+
     /// How many eras may have been before it, at most.
     pub const fn predecessors(self) -> u64 {
         match self.0 {
--- a/shalehinge/src/operator_api.rs
+++ b/shalehinge/src/operator_api.rs
@@ -15,7 +15,7 @@
 use crate::core::router::request::{Target, UpstreamId};
 use crate::core::types::{
     Customer, DaemonId, FailureDomain, FleetVersion, GroupNumber, HostId, ModelName, ModelVersion,
-    Timestamp,
+    StoreEra, Timestamp,
 };
 use crate::gateway::access::bearer_sha256;
 use crate::process::Driver;
@@ -134,11 +134,24 @@
         })
         .get("/metrics", move |conn: Conn| {
             let mut page = metrics.driver.metrics.page();
+            page.push_str(&store_page(&metrics.driver));
             page.push_str(&signals_page(&metrics.driver));
             async move { conn.ok(page) }
         })
 }
 
+/// Gauges of the platform's store: its era, if it tells one, and whether what was known of hosts in
+/// the era before still stands.
+fn store_page(driver: &Driver) -> String {
+    driver.read(|_, core| {
+        let era = core.store_era().and_then(StoreEra::number);
+        let era = era.map(|era| format!("shalehinge.platform.era {era}\n"));
+        let kept = u8::from(core.state().has_earlier_hosts());
+        let kept = format!("shalehinge.platform.earlier_hosts {kept}\n");
+        era.into_iter().chain([kept]).collect()
+    })
+}
+
 /// Gauges of what upstreams state about themselves, a line each, by what this daemon knows: the
 /// requests a second that one takes from all daemons together, the seconds left of a cooldown, and 1
 /// for one that is leaving.
