test(core): eras of the store at one daemon; rows that take out each protection

Answers of a later, an earlier and no era, on a watch, a list, a write; a jump by two and two copies within a second; who may take a lease in a new era and when; tokens over eras; hosts that leave, are missing, are told anew; configurations by their writer's number; claims that the store lost, and that other keys are granted again.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -35,19 +35,19 @@
         CORE + "daemon/store_era.rs",
         "PlatformReply::Objects { .. } => Ok(PlatformReply::HistoryGone(era)),",
         "reply @ PlatformReply::Objects { .. } => Ok(reply),",
-        "store_era", "watch",
+        "store_era_answers", "watch",
     ),
     "a-write-across-eras-is-unclear": (
         CORE + "daemon/store_era.rs",
         "PlatformReply::Written(_) => Err(NoAnswer),",
         "PlatformReply::Written(_) if false => Err(NoAnswer),",
-        "store_era", "same_number",
+        "store_era_answers", "same_number",
     ),
     "an-answer-of-an-earlier-era-is-none": (
         CORE + "daemon/store_era.rs",
         "if Some(era) < self.era.era {",
         "if Some(era) < self.era.era && era > StoreEra::LAST {",
-        "store_era", "earlier_era",
+        "store_era_answers", "earlier_era",
     ),
     "a-holder-stops-in-a-new-era": (
         CORE + "lease.rs",
--- /dev/null
+++ b/shalehinge/tests/store_era.rs
@@ -0,0 +1,422 @@
+//! Eras of the platform's store at one daemon: which answers count, who may act, what is kept.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use shalehinge::core::claims::{ClaimBook, ClaimResult, ClaimStep};
+use shalehinge::core::fleet_state::{FleetState, ObjectUpdate};
+use shalehinge::core::lease::{ControlLease, LeaseStep};
+use shalehinge::core::objects::{
+    ClaimPartition, FleetConfig, HostChanges, HostList, HostRecord, HostState, KeyHash,
+    LeaseRecord, Object, ObjectKey, Versioned,
+};
+use shalehinge::core::types::{
+    DaemonId, EngineStart, Epoch, FabricDomain, FailureDomain, FleetVersion, HostId, Incarnation,
+    OperationId, RequestId, StoreEra, Timestamp, Version,
+};
+use shalehinge::settings::claims::ClaimSettings;
+use shalehinge::settings::lease::LeaseSettings;
+
+const FIRST: StoreEra = StoreEra::new(1);
+const SECOND: StoreEra = StoreEra::new(2);
+const TERM: Duration = Duration::from_secs(4);
+const MARGIN: Duration = Duration::from_millis(700);
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+#[test]
+fn a_version_of_a_later_era_is_newer_whatever_its_number() {
+    let known = Version::new(FIRST, 314);
+    assert!(Version::new(SECOND, 297) > known);
+    assert!(Version::new(FIRST, 315) > known);
+    assert!(Version::without_era(1_000) < known);
+    assert!(Version::absent(SECOND) > known);
+    assert!(Version::new(StoreEra::new(4), 1) > Version::new(SECOND, 900));
+}
+
+#[test]
+fn only_a_decimal_number_is_an_era() {
+    assert_eq!(StoreEra::parse("7"), Some(StoreEra::new(7)));
+    for text in [
+        "",
+        "x",
+        "-1",
+        "+1",
+        "1.0",
+        " 1",
+        "0x2",
+        "4294967296",
+        "1, 2",
+        "٣",
+    ] {
+        assert_eq!(StoreEra::parse(text), None, "{text:?}");
+    }
+}
+
+#[test]
+fn the_same_configuration_in_another_era_supersedes_nothing() {
+    let of = |generation, stored| FleetVersion { generation, stored };
+    let known = of(28, Version::new(FIRST, 314));
+    assert!(!of(28, Version::new(SECOND, 290)).supersedes(known));
+    assert!(!of(26, Version::new(SECOND, 300)).supersedes(known));
+    assert!(of(28, Version::new(FIRST, 315)).supersedes(known));
+    assert!(of(30, Version::new(SECOND, 290)).supersedes(known));
+}
+
+fn lease() -> ControlLease {
+    let settings = LeaseSettings {
+        term: TERM,
+        margin: MARGIN,
+        interval: Duration::from_millis(1_400),
+    };
+    ControlLease::new(settings, DaemonId::new("me"), Incarnation(1))
+}
+
+fn record(holder: &str, epoch: Epoch, is_released: bool) -> LeaseRecord {
+    LeaseRecord {
+        operation: OperationId(1),
+        holder: DaemonId::new(holder),
+        incarnation: Incarnation(1),
+        epoch,
+        term_ms: TERM.as_millis() as u64,
+        released: is_released,
+    }
+}
+
+fn stored(version: Version, value: LeaseRecord) -> Option<Versioned<LeaseRecord>> {
+    Some(Versioned { version, value })
+}
+
+fn step(lease: &mut ControlLease, millis: u64) -> Option<LeaseStep> {
+    lease.step(at(millis), true, OperationId(millis))
+}
+
+/// A daemon that holds the lease in the first era, by a write sent at 1,400 ms.
+fn holder() -> ControlLease {
+    let mut lease = lease();
+    lease.note_era(at(0), FIRST, true);
+    step(&mut lease, 0);
+    lease.on_read(at(10), None);
+    step(&mut lease, 1_400);
+    lease.on_written(at(1_410), Version::new(FIRST, 5));
+    assert!(lease.held(at(1_500)).is_some());
+    lease
+}
+
+/// When the lease is first written, reading this each time that it asks.
+fn written_at(lease: &mut ControlLease, from: u64, value: Option<Versioned<LeaseRecord>>) -> u64 {
+    for millis in (from..from + 20_000).step_by(50) {
+        match step(lease, millis) {
+            Some(LeaseStep::Write { .. }) => return millis,
+            Some(LeaseStep::Read(_)) => lease.on_read(at(millis + 10), value.clone()),
+            None => {}
+        }
+    }
+    panic!("never written");
+}
+
+#[test]
+fn a_holder_stops_in_a_new_era_and_takes_the_lease_anew_while_its_term_lasts() {
+    let mut lease = holder();
+    let token = lease.held(at(1_500)).expect("held");
+    lease.note_era(at(2_000), SECOND, true);
+    assert_eq!(lease.held(at(2_000)), None);
+    let copied = stored(Version::new(SECOND, 3), record("other", Epoch(1), true));
+    let millis = written_at(&mut lease, 2_000, copied);
+    assert!(millis < 2_200, "{millis}");
+    lease.on_written(at(millis + 10), Version::new(SECOND, 4));
+    let new_token = lease.held(at(millis + 20)).expect("held anew");
+    assert!(new_token > token);
+    assert!(!new_token.is_before(SECOND));
+}
+
+#[test]
+fn a_holder_whose_term_is_over_waits_like_any_other() {
+    let mut lease = holder();
+    lease.note_era(at(6_000), SECOND, true);
+    let copied = stored(Version::new(SECOND, 3), record("other", Epoch(1), true));
+    assert!(written_at(&mut lease, 6_000, copied) >= 10_000);
+}
+
+#[test]
+fn a_lease_given_back_in_a_copy_is_not_taken_until_the_last_holder_has_stopped() {
+    let mut lease = lease();
+    lease.note_era(at(0), SECOND, false);
+    let copied = stored(Version::new(SECOND, 3), record("other", Epoch(1), true));
+    assert!(written_at(&mut lease, 0, copied) >= TERM.as_millis() as u64);
+}
+
+#[test]
+fn a_lease_missing_in_a_copy_is_not_taken_until_the_last_holder_has_stopped() {
+    let mut lease = lease();
+    lease.note_era(at(0), SECOND, false);
+    assert!(written_at(&mut lease, 0, None) >= TERM.as_millis() as u64);
+}
+
+#[test]
+fn a_fleet_that_starts_for_the_first_time_waits_for_no_term() {
+    let mut lease = lease();
+    lease.note_era(at(0), SECOND, true);
+    assert!(written_at(&mut lease, 0, None) < 2_000);
+    let mut lease = self::lease();
+    lease.note_era(at(0), StoreEra::UNTOLD, false);
+    assert!(
+        written_at(&mut lease, 0, None) < 2_000,
+        "no eras, no copies"
+    );
+}
+
+#[test]
+fn a_lease_given_back_in_a_known_era_is_taken_at_once() {
+    let mut lease = lease();
+    lease.note_era(at(0), FIRST, false);
+    step(&mut lease, 0);
+    let held = stored(Version::new(FIRST, 3), record("other", Epoch(1), false));
+    lease.on_read(at(10), held);
+    let given_back = stored(Version::new(FIRST, 4), record("other", Epoch(1), true));
+    let millis = written_at(&mut lease, 5_000, given_back);
+    assert!(millis < 7_000, "{millis}");
+}
+
+#[test]
+fn a_fencing_token_rises_over_eras_though_nothing_is_known_of_the_one_before() {
+    let last_of_first = Epoch::first_of(FIRST).next_in(FIRST);
+    assert!(Epoch(0).next_in(SECOND) > last_of_first);
+    assert!(last_of_first.is_before(SECOND));
+    assert!(!Epoch(0).next_in(SECOND).is_before(SECOND));
+    assert_eq!(Epoch(0).next_in(StoreEra::UNTOLD), Epoch(1));
+    const EXACT_IN_JSON: u64 = 1 << 53;
+    assert!(Epoch::first_of(StoreEra::LAST).0 < EXACT_IN_JSON);
+}
+
+const HOST: &str = "h";
+const OTHER: &str = "other";
+
+fn host(state: HostState, started: u64) -> HostRecord {
+    HostRecord {
+        address: ([10, 0, 0, 1], 80).into(),
+        failure_domain: FailureDomain::new("d"),
+        fabric_domain: FabricDomain::new("f"),
+        accelerators: 1,
+        state,
+        service: None,
+        slots: None,
+        staged: Vec::new(),
+        status: None,
+        started: Some(EngineStart(started)),
+    }
+}
+
+fn list(hosts: &[(&str, HostRecord)]) -> Object {
+    let hosts = hosts.iter();
+    let hosts = hosts.map(|(id, record)| (HostId::new(id), record.clone()));
+    Object::Hosts(HostList {
+        hosts: hosts.collect(),
+    })
+}
+
+fn apply(state: &mut FleetState, version: Version, object: Object) {
+    state.apply(ObjectUpdate {
+        key: ObjectKey::Hosts,
+        version,
+        object,
+    });
+}
+
+fn changed(id: &str, record: HostRecord) -> Object {
+    Object::HostChanges(HostChanges {
+        changed: BTreeMap::from([(HostId::new(id), record)]),
+        removed: BTreeSet::new(),
+    })
+}
+
+fn removed(id: &str) -> Object {
+    Object::HostChanges(HostChanges {
+        changed: BTreeMap::new(),
+        removed: BTreeSet::from([HostId::new(id)]),
+    })
+}
+
+fn routed(state: &FleetState, id: &str) -> Option<HostState> {
+    let hosts = state.routed_hosts()?;
+    hosts.hosts.get(&HostId::new(id)).map(|record| record.state)
+}
+
+const LIVE: Option<HostState> = Some(HostState::Live);
+const LEAVING: Option<HostState> = Some(HostState::Leaving);
+
+/// A list of the first era, then these changes, then the copy.
+fn after_copy(first: Object, changes: Vec<Object>, copy: Object) -> FleetState {
+    let mut state = FleetState::default();
+    apply(&mut state, Version::new(FIRST, 300), first);
+    for (change, number) in changes.into_iter().zip(301..) {
+        apply(&mut state, Version::new(FIRST, number), change);
+    }
+    apply(&mut state, Version::new(SECOND, 290), copy);
+    state
+}
+
+#[test]
+fn earlier_hosts_that_leave_do_not_come_back_with_a_copy() {
+    let live = list(&[(HOST, host(HostState::Live, 1))]);
+    let leaves = vec![changed(HOST, host(HostState::Leaving, 1))];
+    let mut state = after_copy(live.clone(), leaves, live.clone());
+    assert_eq!(routed(&state, HOST), LEAVING);
+    let leaves = changed(HOST, host(HostState::Leaving, 1));
+    apply(&mut state, Version::new(SECOND, 291), leaves);
+    assert_eq!(routed(&state, HOST), LEAVING);
+
+    let state = after_copy(live.clone(), vec![removed(HOST)], live);
+    assert_eq!(routed(&state, HOST), None, "it left before");
+}
+
+#[test]
+fn earlier_hosts_that_a_copy_lacks_stand_until_hosts_have_written_again() {
+    let live = list(&[(HOST, host(HostState::Live, 1))]);
+    let mut state = after_copy(live, Vec::new(), list(&[]));
+    assert_eq!(routed(&state, HOST), LIVE);
+    assert!(state.has_earlier_hosts());
+    state.forget_earlier_hosts();
+    assert_eq!(routed(&state, HOST), None);
+}
+
+#[test]
+fn a_host_told_anew_is_as_the_new_era_tells() {
+    let live = list(&[
+        (HOST, host(HostState::Live, 1)),
+        (OTHER, host(HostState::Live, 1)),
+    ]);
+    let mut state = after_copy(live.clone(), Vec::new(), live);
+    let leaves = changed(HOST, host(HostState::Leaving, 1));
+    apply(&mut state, Version::new(SECOND, 291), leaves);
+    assert_eq!(routed(&state, HOST), LEAVING);
+    apply(&mut state, Version::new(SECOND, 292), removed(HOST));
+    assert_eq!(routed(&state, HOST), None);
+    assert_eq!(routed(&state, OTHER), LIVE);
+    let again = changed(HOST, host(HostState::Live, 2));
+    apply(&mut state, Version::new(SECOND, 293), again);
+    assert_eq!(routed(&state, HOST), LIVE, "another life");
+}
+
+#[test]
+fn a_host_that_says_it_leaves_in_the_first_list_of_an_era_is_leaving() {
+    let live = list(&[(HOST, host(HostState::Live, 1))]);
+    let leaving = list(&[(HOST, host(HostState::Leaving, 1))]);
+    let state = after_copy(live, Vec::new(), leaving);
+    assert_eq!(routed(&state, HOST), LEAVING);
+}
+
+#[test]
+fn changes_of_another_era_are_not_laid_over_a_list() {
+    let mut state = FleetState::default();
+    let live = list(&[(HOST, host(HostState::Live, 1))]);
+    apply(&mut state, Version::new(FIRST, 300), live);
+    let change = changed(OTHER, host(HostState::Live, 1));
+    apply(&mut state, Version::new(SECOND, 310), change);
+    assert_eq!(state.hosts_version(), Version::new(FIRST, 300));
+    assert_eq!(routed(&state, OTHER), None);
+}
+
+#[test]
+fn hosts_outlast_two_copies_in_a_row() {
+    let live = list(&[(HOST, host(HostState::Live, 1))]);
+    let leaves = vec![changed(HOST, host(HostState::Leaving, 1))];
+    let mut state = after_copy(live.clone(), leaves, live.clone());
+    apply(&mut state, Version::new(StoreEra::new(4), 280), live);
+    assert_eq!(routed(&state, HOST), LEAVING);
+}
+
+fn configured(generation: u64, version: Version) -> ObjectUpdate {
+    ObjectUpdate {
+        key: ObjectKey::Fleet,
+        version,
+        object: Object::Fleet(FleetConfig {
+            generation,
+            ..FleetConfig::default()
+        }),
+    }
+}
+
+#[test]
+fn a_configuration_follows_its_writers_number_over_eras() {
+    let mut state = FleetState::default();
+    state.apply(configured(28, Version::new(FIRST, 314)));
+    state.apply(configured(26, Version::new(SECOND, 290)));
+    assert_eq!(state.fleet_version().generation, 28, "not back");
+    assert!(state.is_fleet_lost());
+    assert_eq!(state.stored_fleet_version(), Version::new(SECOND, 290));
+    state.apply(configured(30, Version::new(SECOND, 295)));
+    assert_eq!(state.fleet_version().generation, 30);
+    assert!(!state.is_fleet_lost());
+    state.apply(configured(29, Version::new(FIRST, 400)));
+    assert_eq!(state.fleet_version().generation, 30, "a late peer");
+}
+
+const KEY: KeyHash = KeyHash(1);
+const OTHER_KEY: KeyHash = KeyHash(2);
+const WALL: u64 = 1_000_000;
+
+fn book() -> ClaimBook {
+    ClaimBook::new(ClaimSettings {
+        partitions: 1,
+        ..ClaimSettings::default()
+    })
+}
+
+fn nothing(era: StoreEra) -> Option<Versioned<ClaimPartition>> {
+    Some(Versioned {
+        version: Version::absent(era),
+        value: ClaimPartition::default(),
+    })
+}
+
+#[test]
+fn a_claim_that_the_store_lost_is_written_again_before_any_key_is_granted() {
+    let mut book = book();
+    book.remember(at(1_000), WALL, KEY, OperationId(7));
+    book.on_new_era(at(2_000));
+    book.claim(at(2_000), RequestId(2), OTHER_KEY, OperationId(8));
+    assert_eq!(book.poll(at(2_000), WALL).0, [ClaimStep::Read(0)]);
+    book.on_read(0, nothing(SECOND));
+    let (steps, _) = book.poll(at(2_100), WALL);
+    let Some(ClaimStep::Write { value, .. }) = steps.first() else {
+        panic!("not written again: {steps:?}");
+    };
+    assert_eq!(value.claims.keys().collect::<Vec<_>>(), [&KEY]);
+    let granted = book.on_written(0, Version::new(SECOND, 1));
+    assert_eq!(granted, [], "its own claims are no grants");
+    assert_eq!(book.poll(at(3_000), WALL).0, []);
+    let (steps, results) = book.poll(at(4_000), WALL);
+    assert_eq!(
+        results,
+        [(RequestId(2), ClaimResult::Unavailable)],
+        "not run, and said so"
+    );
+    assert_eq!(steps, [ClaimStep::Read(0)]);
+    book.on_read(0, nothing(SECOND));
+    book.claim(at(5_000), RequestId(3), OTHER_KEY, OperationId(9));
+    let (steps, _) = book.poll(at(5_000), WALL);
+    assert!(
+        matches!(steps.first(), Some(ClaimStep::Write { .. })),
+        "granted again: {steps:?}"
+    );
+}
+
+#[test]
+fn a_claim_that_was_withdrawn_is_not_written_again() {
+    let mut book = book();
+    book.remember(at(1_000), WALL, KEY, OperationId(7));
+    book.withdraw(KEY, OperationId(7));
+    book.poll(at(1_100), WALL);
+    book.on_read(0, nothing(FIRST));
+    book.poll(at(1_200), WALL);
+    book.on_read(0, nothing(FIRST));
+    book.on_new_era(at(2_000));
+    let (steps, _) = book.poll(at(2_100), WALL);
+    assert!(
+        !matches!(steps.first(), Some(ClaimStep::Write { .. })),
+        "{steps:?}"
+    );
+}
--- /dev/null
+++ b/shalehinge/tests/store_era_answers.rs
@@ -0,0 +1,315 @@
+//! Which answers of the platform's store count at one daemon, by the eras that they tell.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use shalehinge::core::daemon::{Daemon, Identity, TICK};
+use shalehinge::core::event::{Action, Event};
+use shalehinge::core::fleet_state::ObjectUpdate;
+use shalehinge::core::objects::{FleetConfig, HostList, Object, ObjectKey};
+use shalehinge::core::platform::{
+    CallId, NoAnswer, PlatformCall, PlatformReply, PlatformResult, Scope,
+};
+use shalehinge::core::types::{DaemonId, FailureDomain, Incarnation, StoreEra, Timestamp, Version};
+use shalehinge::settings::core::CoreSettings;
+use shalehinge::settings::learning::{FeedLayout, LearningSettings};
+
+const FIRST: StoreEra = StoreEra::new(1);
+const SECOND: StoreEra = StoreEra::new(2);
+
+struct One {
+    daemon: Daemon,
+    now: Timestamp,
+    open: BTreeMap<CallId, PlatformCall>,
+    logs: Vec<String>,
+}
+
+impl One {
+    fn new() -> Self {
+        let settings = CoreSettings {
+            learning: LearningSettings {
+                feeds: FeedLayout::Split,
+                ..LearningSettings::default()
+            },
+            ..CoreSettings::default()
+        };
+        let identity = Identity {
+            daemon: DaemonId::new("one"),
+            failure_domain: FailureDomain::new("d"),
+            address: ([10, 0, 0, 1], 1).into(),
+            incarnation: Incarnation(1),
+            seeds: Vec::new(),
+            is_first_start: true,
+            wall_seconds: 0,
+        };
+        let mut one = Self {
+            daemon: Daemon::new(settings, identity, 1),
+            now: Timestamp::from_millis(10),
+            open: BTreeMap::new(),
+            logs: Vec::new(),
+        };
+        one.run(Duration::from_millis(100));
+        one
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.daemon.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Platform { call, request } => {
+                    self.open.insert(call, request);
+                }
+                Action::Log(line) => self.logs.push(line.text),
+                _ => {}
+            }
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + TICK;
+            self.handle(Event::Tick);
+        }
+    }
+
+    /// Answers the open call that fits; says whether there was one.
+    fn answer(&mut self, fits: impl Fn(&PlatformCall) -> bool, result: PlatformResult) -> bool {
+        let call = self.open.iter().find(|(_, request)| fits(request));
+        let Some(call) = call.map(|(call, _)| *call) else {
+            return false;
+        };
+        self.open.remove(&call);
+        self.handle(Event::Platform { call, result });
+        self.run(TICK);
+        true
+    }
+
+    fn in_force(&self) -> u64 {
+        self.daemon.state().fleet_version().generation
+    }
+}
+
+fn lists_configuration(call: &PlatformCall) -> bool {
+    let scope = Scope::Configuration;
+    matches!(call, PlatformCall::List { scope: listed, .. } if *listed == scope)
+}
+
+fn watches_configuration(call: &PlatformCall) -> bool {
+    let scope = Scope::Configuration;
+    matches!(call, PlatformCall::Watch { scope: watched, .. } if *watched == scope)
+}
+
+fn watches_hosts(call: &PlatformCall) -> bool {
+    matches!(
+        call,
+        PlatformCall::Watch {
+            scope: Scope::Hosts,
+            ..
+        }
+    )
+}
+
+fn lists_hosts(call: &PlatformCall) -> bool {
+    matches!(
+        call,
+        PlatformCall::List {
+            scope: Scope::Hosts,
+            ..
+        }
+    )
+}
+
+fn writes_lease(call: &PlatformCall) -> bool {
+    matches!(
+        call,
+        PlatformCall::Put {
+            key: ObjectKey::Lease(_),
+            ..
+        }
+    )
+}
+
+fn reads_lease(call: &PlatformCall) -> bool {
+    matches!(
+        call,
+        PlatformCall::Get {
+            key: ObjectKey::Lease(_),
+            ..
+        }
+    )
+}
+
+fn configuration(revision: Version, generation: u64) -> PlatformResult {
+    let object = Object::Fleet(FleetConfig {
+        generation,
+        ..FleetConfig::default()
+    });
+    Ok(PlatformReply::Objects {
+        revision,
+        updates: vec![ObjectUpdate {
+            key: ObjectKey::Fleet,
+            version: revision,
+            object,
+        }],
+    })
+}
+
+fn hosts(revision: Version) -> PlatformResult {
+    Ok(PlatformReply::Objects {
+        revision,
+        updates: vec![ObjectUpdate {
+            key: ObjectKey::Hosts,
+            version: revision,
+            object: Object::Hosts(HostList::default()),
+        }],
+    })
+}
+
+/// A daemon that knows configuration 28 and the host list of the first era.
+fn serving() -> One {
+    let mut one = One::new();
+    assert!(one.answer(
+        lists_configuration,
+        configuration(Version::new(FIRST, 314), 28)
+    ));
+    assert!(one.answer(lists_hosts, hosts(Version::new(FIRST, 314))));
+    one.run(Duration::from_secs(1));
+    one
+}
+
+#[test]
+fn a_watch_that_is_answered_across_eras_lists_anew() {
+    let mut one = serving();
+    // The counter has passed 314 again: what was written below it would be missed.
+    assert!(one.answer(
+        watches_configuration,
+        configuration(Version::new(SECOND, 320), 30)
+    ));
+    assert_eq!(one.in_force(), 28, "taken from a list only");
+    assert!(one.answer(
+        lists_configuration,
+        configuration(Version::new(SECOND, 320), 30)
+    ));
+    assert_eq!(one.in_force(), 30);
+    assert_eq!(one.daemon.store_era(), Some(SECOND));
+}
+
+#[test]
+fn forgotten_history_in_a_new_era_lists_all_feeds_anew() {
+    let mut one = serving();
+    assert!(one.answer(
+        watches_configuration,
+        Ok(PlatformReply::HistoryGone(SECOND))
+    ));
+    assert!(one.open.values().any(lists_configuration));
+    assert!(one.answer(watches_hosts, Err(NoAnswer)));
+    assert!(
+        one.open.values().any(lists_hosts),
+        "at once, not after a pause"
+    );
+    let line = one
+        .logs
+        .iter()
+        .find(|line| line.contains("came back from a copy"));
+    assert!(
+        line.is_some_and(|line| line.contains("era 1 to 2")),
+        "{line:?}"
+    );
+}
+
+#[test]
+fn a_late_answer_of_an_earlier_era_changes_nothing() {
+    let mut one = serving();
+    assert!(one.answer(watches_hosts, Ok(PlatformReply::HistoryGone(SECOND))));
+    assert!(one.answer(lists_hosts, hosts(Version::new(SECOND, 290))));
+    assert!(one.answer(
+        watches_configuration,
+        configuration(Version::new(FIRST, 330), 40)
+    ));
+    assert_eq!(one.in_force(), 28);
+    assert_eq!(one.daemon.store_era(), Some(SECOND));
+    assert_eq!(
+        one.daemon.state().hosts_version(),
+        Version::new(SECOND, 290)
+    );
+}
+
+#[test]
+fn an_answer_without_an_era_is_passed_over_once_one_is_known() {
+    let mut one = serving();
+    assert!(one.answer(
+        watches_configuration,
+        configuration(Version::without_era(900), 40)
+    ));
+    assert_eq!(one.in_force(), 28);
+    assert_eq!(one.daemon.store_era(), Some(FIRST));
+}
+
+#[test]
+fn a_store_without_eras_is_served_as_before() {
+    let mut one = One::new();
+    assert!(one.answer(
+        lists_configuration,
+        configuration(Version::without_era(10), 3)
+    ));
+    assert!(one.answer(
+        watches_configuration,
+        configuration(Version::without_era(11), 4)
+    ));
+    assert_eq!(one.in_force(), 4);
+}
+
+#[test]
+fn an_era_that_jumps_by_two_counts_as_one_change() {
+    let mut one = serving();
+    let third = StoreEra::new(3);
+    assert!(one.answer(watches_configuration, Ok(PlatformReply::HistoryGone(third))));
+    assert!(one.answer(
+        lists_configuration,
+        configuration(Version::new(third, 280), 30)
+    ));
+    assert_eq!(one.in_force(), 30);
+    let changes = one.logs.iter().filter(|line| line.contains("came back"));
+    assert_eq!(changes.count(), 1);
+}
+
+#[test]
+fn a_store_that_comes_back_twice_within_a_second_is_followed() {
+    let mut one = serving();
+    assert!(one.answer(
+        watches_configuration,
+        Ok(PlatformReply::HistoryGone(SECOND))
+    ));
+    let third = StoreEra::new(3);
+    assert!(one.answer(
+        lists_configuration,
+        configuration(Version::new(third, 285), 26)
+    ));
+    assert_eq!(one.in_force(), 28);
+    assert!(one.answer(
+        lists_configuration,
+        configuration(Version::new(third, 286), 30)
+    ));
+    assert_eq!(one.in_force(), 30);
+}
+
+#[test]
+fn a_write_that_took_effect_on_the_same_number_of_another_era_gives_no_lease() {
+    let mut one = serving();
+    one.answer(reads_lease, Ok(PlatformReply::Missing(FIRST)));
+    one.run(Duration::from_secs(3));
+    assert!(one.answer(
+        writes_lease,
+        Ok(PlatformReply::Written(Version::new(FIRST, 5)))
+    ));
+    assert!(one.daemon.lease().held(one.now).is_some());
+    one.run(Duration::from_millis(2_500));
+    assert!(one.answer(
+        writes_lease,
+        Ok(PlatformReply::Written(Version::new(SECOND, 6)))
+    ));
+    assert!(one.daemon.lease().held(one.now).is_none());
+    assert!(one.open.values().any(reads_lease), "it is read first");
+}
