test(fuzz): random sequences beside a platform that comes back from copies

80 fixed sequences, each with more than one copy on average, with the oracle of the existing fuzz: one holder a failure domain, keys run once, configurations never go back, accepted changes take effect once. Requests have keys only where no daemon is disturbed between a copy and the time in which what it lacks is written again, as a claim whose daemon is gone can't be known. The existing sequences are the same; their platform now tells an era, and a configuration that is written again with its own number counts once.

--- /dev/null
+++ b/shalehinge/tests/always_restored.rs
@@ -0,0 +1,139 @@
+//! Stateful fuzzing beside a platform that comes back from copies, with the oracle asked after each
+//! step.
+//!
+//! Seeds are fixed here. `FUZZ_SEEDS=FROM..TO cargo test --test always_restored -- --ignored`
+//! runs others.
+
+mod support;
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use support::operations::{Operation, sequence};
+use support::world::World;
+
+/// Sequences run by the normal test command.
+const SEEDS: u64 = 80;
+/// Time in which daemons that live write again what a copy lacks.
+const REWRITTEN_WITHIN: Duration = Duration::from_secs(4);
+/// Kinds of requests from here on carry no key.
+const KINDS_WITH_KEY: u8 = 2;
+
+/// Whether a daemon may be unable to write again what it wrote since the copy.
+fn disturbs_daemons(operation: Operation) -> bool {
+    matches!(
+        operation,
+        Operation::KillDaemon(_)
+            | Operation::StopDaemon(_)
+            | Operation::FreezeDaemon(_)
+            | Operation::CutDomain(_)
+            | Operation::CutPlatform(_)
+            | Operation::PlatformFault(_)
+    )
+}
+
+/// The same operation with requests that carry no key.
+fn without_keys(operation: Operation) -> Operation {
+    match operation {
+        Operation::Request { daemon, kind, key } => {
+            let kind = kind % 2 + KINDS_WITH_KEY;
+            Operation::Request { daemon, kind, key }
+        }
+        Operation::Burst { daemon, key, .. } => {
+            let kind = KINDS_WITH_KEY;
+            Operation::Request { daemon, kind, key }
+        }
+        other => other,
+    }
+}
+
+/// A world with copies; requests have keys only in one where no daemon is disturbed between a copy
+/// and the time in which what it lacks is written again.
+struct Run {
+    world: World,
+    rng: SmallRng,
+    has_keys: bool,
+    restores: usize,
+}
+
+impl Run {
+    fn new(seed: u64) -> Self {
+        Self {
+            world: World::serving(seed),
+            rng: SmallRng::seed_from_u64(seed),
+            has_keys: seed.is_multiple_of(2),
+            restores: 0,
+        }
+    }
+
+    fn apply(&mut self, operation: Operation) {
+        if self.has_keys {
+            if disturbs_daemons(operation) {
+                self.world.heal();
+                self.world.platform.drop_copy();
+            }
+            self.world.apply(operation);
+        } else {
+            self.world.apply(without_keys(operation));
+        }
+        if !self.rng.random_bool(0.2) {
+            return;
+        }
+        if !self.world.platform.has_copy() {
+            if self.has_keys {
+                self.world.heal();
+                self.world.run_for(REWRITTEN_WITHIN);
+            }
+            self.world.platform.take_copy();
+            return;
+        }
+        self.restores += 1;
+        self.world.restore_platform();
+        if self.has_keys {
+            self.world.run_for(REWRITTEN_WITHIN);
+        }
+    }
+}
+
+fn run(seed: u64) -> Result<usize, String> {
+    let mut run = Run::new(seed);
+    for operation in sequence(seed) {
+        run.apply(operation);
+        if let Some(violation) = run.world.oracle.violations.first() {
+            let now = run.world.now;
+            return Err(format!(
+                "seed {seed} after {operation:?} at {now:?}: {violation}"
+            ));
+        }
+    }
+    run.world.heal();
+    run.world.run_for(Duration::from_secs(20));
+    match run.world.oracle.violations.first() {
+        Some(violation) => Err(format!("seed {seed} after healing: {violation}")),
+        None => Ok(run.restores),
+    }
+}
+
+fn run_all(seeds: impl Iterator<Item = u64>) {
+    let results: Vec<_> = seeds.map(run).collect();
+    let failures: Vec<&String> = results.iter().filter_map(|r| r.as_ref().err()).collect();
+    let restores: usize = results.iter().filter_map(|r| r.as_ref().ok()).sum();
+    println!("{} sequences, {restores} copies", results.len());
+    assert!(failures.is_empty(), "{failures:#?}");
+    assert!(restores > results.len(), "too little happened: {restores}");
+}
+
+#[test]
+fn what_must_hold_holds_beside_copies_in_fixed_sequences() {
+    run_all(0..SEEDS);
+}
+
+#[test]
+#[ignore = "long; run by hand with FUZZ_SEEDS=FROM..TO"]
+fn what_must_hold_holds_beside_copies_in_more_sequences() {
+    let seeds = std::env::var("FUZZ_SEEDS").unwrap_or_else(|_| "1000..1400".into());
+    let (from, to) = seeds.split_once("..").expect("FROM..TO");
+    let seed = |text: &str| text.parse::<u64>().expect("a seed");
+    run_all(seed(from)..seed(to));
+}
--- a/shalehinge/tests/focused.rs
+++ b/shalehinge/tests/focused.rs
@@ -50,7 +50,7 @@
     world.start(0);
     world.run_for(seconds(15));
     let core = world.entries[0].core.as_ref().expect("runs");
-    assert_eq!(core.state().digest().fleet.stored, Version::without_era(1));
+    assert_eq!(core.state().digest().fleet.stored.number, 1);
     assert!(world.entries[0].sees(4, world.now));
     assert_nothing_violated(&world);
 }
--- a/shalehinge/tests/support/apply.rs
+++ b/shalehinge/tests/support/apply.rs
@@ -6,11 +6,12 @@
 use shalehinge::core::change::Change;
 use shalehinge::core::event::Event;
 use shalehinge::core::fingerprint::Fingerprint;
-use shalehinge::core::objects::{KeyHash, ObjectKey};
+use shalehinge::core::objects::{KeyHash, Object, ObjectKey, Versioned};
 use shalehinge::core::operator::{Confirm, OperatorAnswer, OperatorCall, OperatorCallId};
+use shalehinge::core::platform::NoAnswer;
 use shalehinge::core::router::request::{AttemptEnd, RequestMeta, Target};
 use shalehinge::core::types::{
-    AttemptId, Customer, Incarnation, ModelName, ModelVersion, OperationId, RequestId, Version,
+    AttemptId, Customer, FleetVersion, Incarnation, ModelName, ModelVersion, OperationId, RequestId,
 };
 
 use super::operations::Operation;
@@ -291,15 +292,12 @@
 
     fn check_configs(&mut self) {
         let newest = self.platform.objects.get(&ObjectKey::Fleet);
-        let newest = newest.map_or(Version::without_era(0), |object| object.version);
+        let newest = newest.map_or(FleetVersion::NONE, fleet_version);
         for (index, entry) in self.entries.iter().enumerate() {
             let Some(core) = entry.core.as_ref().filter(|_| !entry.is_frozen) else {
                 continue;
             };
-            let in_force = core
-                .state()
-                .fleet()
-                .map_or(Version::without_era(0), |f| f.version);
+            let in_force = core.state().fleet_version();
             let (run, started_at) = (entry.run, entry.started_at);
             self.oracle
                 .check_config(self.now, index, run, started_at, in_force, newest);
@@ -327,6 +325,22 @@
         }
     }
 
+    /// The platform comes back from its copy; whoever writes the host list writes it again.
+    pub fn restore_platform(&mut self) {
+        if !self.platform.restore() {
+            return;
+        }
+        for watch in std::mem::take(&mut self.watches) {
+            let call = watch.call;
+            let result = Err(NoAnswer);
+            let event = Event::Platform { call, result };
+            self.send_to_entry(STEP, watch.entry, watch.run, event);
+        }
+        self.write_host_list();
+        self.oracle.calm_since = self.now;
+        self.oracle.config_written_at = self.now;
+    }
+
     /// Everything heals; whoever is down starts again.
     pub fn heal(&mut self) {
         self.cut.clear();
@@ -345,6 +359,16 @@
     }
 }
 
+fn fleet_version(object: &Versioned<Object>) -> FleetVersion {
+    let Object::Fleet(fleet) = &object.value else {
+        return FleetVersion::NONE;
+    };
+    FleetVersion {
+        generation: fleet.generation,
+        stored: object.version,
+    }
+}
+
 fn entry_runs(
     running: &std::collections::BTreeMap<AttemptId, RequestId>,
     attempt: AttemptId,
--- a/shalehinge/tests/support/oracle.rs
+++ b/shalehinge/tests/support/oracle.rs
@@ -5,7 +5,7 @@
 
 use shalehinge::core::objects::{Assignment, KeyHash, Object, ObjectKey};
 use shalehinge::core::router::request::Outcome;
-use shalehinge::core::types::{FailureDomain, HostId, OperationId, ReplicaId, Version};
+use shalehinge::core::types::{FailureDomain, FleetVersion, HostId, OperationId, ReplicaId};
 
 /// Names a caller's request over all daemons.
 pub type CallerRequest = u64;
@@ -48,7 +48,7 @@
     pub calm_since: Duration,
     pub config_written_at: Duration,
     /// Highest configuration seen by each run of a daemon.
-    pub config_seen: BTreeMap<(usize, u64), Version>,
+    pub config_seen: BTreeMap<(usize, u64), FleetVersion>,
     pub refused_operations: BTreeSet<OperationId>,
     pub accepted_operations: BTreeSet<OperationId>,
 }
@@ -153,8 +153,8 @@
         daemon: usize,
         run: u64,
         started_at: Duration,
-        in_force: Version,
-        newest: Version,
+        in_force: FleetVersion,
+        newest: FleetVersion,
     ) {
         let highest = self.config_seen.entry((daemon, run)).or_default();
         if in_force < *highest {
--- a/shalehinge/tests/support/platform.rs
+++ b/shalehinge/tests/support/platform.rs
@@ -1,6 +1,6 @@
 //! The platform's object API in memory, with outages and lost answers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use shalehinge::core::fleet_state::ObjectUpdate;
 use shalehinge::core::objects::{Object, ObjectKey, Versioned};
@@ -28,8 +28,19 @@
     pub operations: Vec<OperationId>,
     pub reads: u64,
     pub writes: u64,
-    revisions: BTreeMap<ObjectKey, Version>,
-    revision: Version,
+    revisions: BTreeMap<ObjectKey, u64>,
+    revision: u64,
+    era: u32,
+    copy: Option<Copy>,
+    /// Operations that changed the configuration, and the number that each gave it.
+    written: BTreeSet<(OperationId, u64)>,
+}
+
+/// What a copy of the platform holds.
+struct Copy {
+    objects: BTreeMap<ObjectKey, Versioned<Object>>,
+    revisions: BTreeMap<ObjectKey, u64>,
+    revision: u64,
 }
 
 impl FakePlatform {
@@ -42,7 +53,10 @@
             reads: 0,
             writes: 0,
             revisions: BTreeMap::new(),
-            revision: Version::without_era(0),
+            revision: 0,
+            era: 1,
+            copy: None,
+            written: BTreeSet::new(),
         }
     }
 
@@ -55,12 +69,12 @@
                 self.reads += 1;
                 Ok(match self.objects.get(&key) {
                     Some(object) => PlatformReply::Object(Box::new(object.clone())),
-                    None => PlatformReply::Missing(StoreEra::UNTOLD),
+                    None => PlatformReply::Missing(self.era()),
                 })
             }
             PlatformCall::List { .. } => {
                 self.reads += 1;
-                Ok(self.changed(Version::without_era(0)))
+                Ok(self.changed(Version::NONE))
             }
             PlatformCall::Watch { after, .. } => Ok(self.changed(after)),
             PlatformCall::Put { .. } => {
@@ -97,36 +111,79 @@
         else {
             return Err(NoAnswer);
         };
-        let current = self
-            .objects
-            .get(&key)
-            .map_or(Version::without_era(0), |o| o.version);
-        if current != expect {
-            return Ok(PlatformReply::Conflict(StoreEra::UNTOLD));
+        let current = self.objects.get(&key).map_or(0, |o| o.version.number);
+        if current != expect.number {
+            return Ok(PlatformReply::Conflict(self.era()));
         }
         Ok(PlatformReply::Written(self.write(key, *object)))
     }
 
     pub fn write(&mut self, key: ObjectKey, object: Object) -> Version {
         let current = self.objects.get(&key).map_or(0, |o| o.version.number);
-        let version = Version::without_era(current + 1);
+        let version = Version::new(self.era(), current + 1);
+        // The same configuration written again, after it was lost, changes nothing.
         if let Object::Fleet(fleet) = &object
             && let Some(last) = fleet.operations.last()
+            && self.written.insert((last, fleet.generation))
         {
             self.operations.push(last);
         }
-        self.revision = Version::without_era(self.revision.number + 1);
+        self.revision += 1;
         self.revisions.insert(key.clone(), self.revision);
         let value = object;
         self.objects.insert(key, Versioned { version, value });
         version
     }
 
+    fn era(&self) -> StoreEra {
+        StoreEra::new(self.era)
+    }
+
+    /// Copies all that is kept now.
+    pub fn take_copy(&mut self) {
+        self.copy = Some(Copy {
+            objects: self.objects.clone(),
+            revisions: self.revisions.clone(),
+            revision: self.revision,
+        });
+    }
+
+    /// Goes on from the copy, if there is one: what was written since is lost, and its versions are
+    /// given out anew.
+    pub fn restore(&mut self) -> bool {
+        let Some(copy) = self.copy.take() else {
+            return false;
+        };
+        self.objects = copy.objects;
+        self.revisions = copy.revisions;
+        self.revision = copy.revision;
+        self.era += 1;
+        let era = self.era();
+        for object in self.objects.values_mut() {
+            object.version.era = era;
+        }
+        true
+    }
+
+    pub fn has_copy(&self) -> bool {
+        self.copy.is_some()
+    }
+
+    pub fn drop_copy(&mut self) {
+        self.copy = None;
+    }
+
     pub fn has_changed(&self, after: Version) -> bool {
-        matches!(self.changed(after), PlatformReply::Objects { updates, .. } if !updates.is_empty())
+        match self.changed(after) {
+            PlatformReply::Objects { updates, .. } => !updates.is_empty(),
+            _ => true,
+        }
     }
 
     pub fn changed(&self, after: Version) -> PlatformReply {
+        if after.number > self.revision {
+            return PlatformReply::HistoryGone(self.era());
+        }
         let is_shared = |key: &ObjectKey| {
             matches!(
                 key,
@@ -136,7 +193,7 @@
         let updates = self
             .objects
             .iter()
-            .filter(|(key, _)| is_shared(key) && self.revisions[*key] > after)
+            .filter(|(key, _)| is_shared(key) && self.revisions[*key] > after.number)
             .map(|(key, object)| ObjectUpdate {
                 key: key.clone(),
                 version: object.version,
@@ -144,7 +201,7 @@
             })
             .collect();
         PlatformReply::Objects {
-            revision: self.revision,
+            revision: Version::new(self.era(), self.revision),
             updates,
         }
     }
