--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -21,8 +21,8 @@
 PROTECTIONS = {
     "a-later-era-is-newer": (
         CORE + "version.rs",
-        "pub struct Version {\n    /// The era in which it was told.\n    pub era: StoreEra,\n    /// The store's number; 0 for an object that does not exist.\n    pub number: u64,",
-        "pub struct Version {\n    /// The store's number; 0 for an object that does not exist.\n    pub number: u64,\n    /// The era in which it was told.\n    pub era: StoreEra,",
+        "pub struct Version {\n    /// The era in which it was reported.\n    pub era: StoreEra,\n    /// The store's number; 0 for an object that does not exist.\n    pub number: u64,",
+        "pub struct Version {\n    /// The store's number; 0 for an object that does not exist.\n    pub number: u64,\n    /// The era in which it was reported.\n    pub era: StoreEra,",
         "restored_platform", "nine_daemons",
     ),
     "the-writers-number-goes-first": (
@@ -70,7 +70,7 @@
     "tokens-rise-over-eras": (
         CORE + "types.rs",
         "Self(self.0 + 1).max(Self::first_of(era))",
-        "Self(self.0 + 1).max(Self::first_of(StoreEra::UNTOLD).min(Self::first_of(era)))",
+        "Self(self.0 + 1).max(Self::first_of(StoreEra::UNREPORTED).min(Self::first_of(era)))",
         "store_era", "token",
     ),
     "what-was-known-of-hosts-stands": (
@@ -83,7 +83,7 @@
         CORE + "earlier_hosts.rs",
         "            self.listed.remove(host);\n",
         "",
-        "store_era", "told_anew",
+        "store_era", "reported_anew",
     ),
     "claims-are-written-again": (
         CORE + "claims.rs",
--- a/shalehinge/src/core/claims.rs
+++ b/shalehinge/src/core/claims.rs
@@ -6,7 +6,7 @@
 //! Claims that wait for the same partition share one write. A claim goes away
 //! only when its request certainly did not run, or when it is old.
 //!
-//! A store that comes back from a copy may have lost the last claims. Each daemon writes its own
+//! A store that is restored from a copy may have lost the last claims. Each daemon writes its own
 //! ones again, and grants no key until the others had time to do the same.
 
 use std::collections::{BTreeMap, VecDeque};
@@ -20,7 +20,7 @@
 const REMEMBERED_FOR: Duration = Duration::from_secs(60);
 /// Claims that are remembered at most: a thousand a second for all that time would be more.
 const MOST_REMEMBERED: usize = 20_000;
-/// How long no key is granted after the store came back from a copy: as long as daemons in
+/// How long no key is granted after the store was restored from a copy: as long as daemons in
 /// contact with it need to learn of that and to write their claims again.
 const REWRITE_WAIT: Duration = Duration::from_secs(3);
 
@@ -131,7 +131,7 @@
         });
     }
 
-    /// The store came back from a copy: what it held of claims may be lost.
+    /// The store was restored from a copy: what it held of claims may be lost.
     pub fn on_new_era(&mut self, now: Timestamp) {
         self.grants_from = now + REWRITE_WAIT;
         for partition in self.partitions.values_mut() {
--- a/shalehinge/src/core/controller/adoption.rs
+++ b/shalehinge/src/core/controller/adoption.rs
@@ -1,5 +1,5 @@
 //! Groups that stand, where what is stored of them can't be read any more, or is of a copy that
-//! the store came back from.
+//! the store was restored from.
 //!
 //! The host list shows which hosts are in which group and who takes its requests. A group that
 //! is shown whole is taken over as it stands; hosts of any other are told to leave it.
--- a/shalehinge/src/core/daemon/control.rs
+++ b/shalehinge/src/core/daemon/control.rs
@@ -209,7 +209,7 @@
         }
     }
 
-    /// What is stored may be of a copy that the store came back from: then what this daemon knows
+    /// What is stored may be of a copy that the store was restored from: then what this daemon knows
     /// to be newer goes first, and what stands where nothing is known.
     fn on_assignment_read(
         &mut self,
--- a/shalehinge/src/core/daemon/store_era.rs
+++ b/shalehinge/src/core/daemon/store_era.rs
@@ -1,6 +1,6 @@
 //! Which era of the platform's store an answer is of, and what a new era ends.
 //!
-//! A store that comes back from a copy has lost its last writes and gives out their versions anew.
+//! A store that is restored from a copy has lost its last writes and gives out their versions anew.
 //! So an answer of an earlier era is taken for none, and one that rests on versions of an earlier
 //! era than its own proves nothing of what came between.
 
@@ -31,14 +31,14 @@
     era: Option<StoreEra>,
     /// An answer of an earlier era came since the last change.
     has_passed_over: bool,
-    /// Until when what an earlier era told of hosts stands.
+    /// Until when what an earlier era reported of hosts counts.
     hosts_until: Option<Timestamp>,
     /// It changed since this daemon started.
     has_changed: bool,
 }
 
 impl Daemon {
-    /// The era of the platform's store, once it or a peer told.
+    /// The era of the platform's store, once it or a peer reported it.
     pub fn store_era(&self) -> Option<StoreEra> {
         self.era.era
     }
@@ -102,7 +102,7 @@
         let from = self.era.era.replace(era);
         let was_holder = self.lease.held(now).is_some();
         self.lease.note_era(now, era, self.identity.is_first_start);
-        let Some(from) = from.filter(|from| *from != StoreEra::UNTOLD) else {
+        let Some(from) = from.filter(|from| *from != StoreEra::UNREPORTED) else {
             return;
         };
         self.era.has_passed_over = false;
@@ -113,7 +113,7 @@
         }
         let before = self.confirmation.map(|known| known.revision.number);
         let text = format!(
-            "came back from a copy: era {from} to {era}, revision {} to {}; lists anew{}",
+            "restored from a copy: era {from} to {era}, revision {} to {}; lists anew{}",
             before.map_or("unknown".into(), |number| number.to_string()),
             revision.map_or("unknown".into(), |version| version.number.to_string()),
             if was_holder {
@@ -126,7 +126,7 @@
         self.note_holder(now, out);
     }
 
-    /// What an earlier era told of hosts stands for a while, unless it was old already.
+    /// What an earlier era reported of hosts counts for a while, unless it was old already.
     pub(super) fn note_earlier_hosts(&mut self, now: Timestamp, heard_at: Option<Timestamp>) {
         if !self.state.has_earlier_hosts() {
             return;
--- a/shalehinge/src/core/earlier_hosts.rs
+++ b/shalehinge/src/core/earlier_hosts.rs
@@ -1,8 +1,8 @@
 //! Hosts as they were known in an earlier era of the store.
 //!
-//! The copy that a store comes back from is some seconds old: hosts that came since are missing in
+//! The copy that a store is restored from is some seconds old: hosts that came since are missing in
 //! it, and hosts that began to leave, or left, are listed as they were before. So what was known
-//! of a host stands until the new era tells of that host, or until the time in which hosts write
+//! of a host counts until the new era reports that host, or until the time in which hosts write
 //! their entries again is over.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -38,12 +38,12 @@
     }
 }
 
-/// What an earlier era told of hosts of which the new one has not told yet.
+/// What an earlier era reported of hosts that the new one has not reported yet.
 #[derive(Clone, Debug)]
 pub struct EarlierHosts {
     listed: BTreeMap<HostId, HostRecord>,
     departed: DepartedHosts,
-    told_anew: BTreeSet<HostId>,
+    reported_anew: BTreeSet<HostId>,
 }
 
 impl EarlierHosts {
@@ -52,24 +52,25 @@
         Self {
             listed: list.hosts,
             departed,
-            told_anew: BTreeSet::new(),
+            reported_anew: BTreeSet::new(),
         }
     }
 
-    /// The new era tells of these hosts.
+    /// The new era reports these hosts.
     pub fn note_changes(&mut self, changes: &HostChanges) {
         let told = changes.changed.keys().chain(&changes.removed);
         for host in told {
             self.listed.remove(host);
-            self.told_anew.insert(host.clone());
+            self.reported_anew.insert(host.clone());
         }
     }
 
-    /// A list of the new era, with what still stands of the earlier one.
+    /// A list of the new era, with what still counts of the earlier one.
     pub fn laid_over(&self, list: &HostList) -> HostList {
         let mut hosts = list.hosts.clone();
         hosts.retain(|host, record| {
-            let may_have_left = !self.told_anew.contains(host) && !self.listed.contains_key(host);
+            let may_have_left =
+                !self.reported_anew.contains(host) && !self.listed.contains_key(host);
             !(may_have_left && self.departed.contains(host, record))
         });
         for (host, known) in &self.listed {
--- a/shalehinge/src/core/fleet_state.rs
+++ b/shalehinge/src/core/fleet_state.rs
@@ -1,6 +1,6 @@
 //! The newest accepted objects that this daemon knows. Versions only rise.
 //!
-//! A store that comes back from a copy tells older objects under newer versions. Configurations
+//! A store that is restored from a copy reports older objects under newer versions. Configurations
 //! and assignments carry an order of their own, which decides; hosts have none, so that what
 //! was known of them is kept for a while ([`super::earlier_hosts`]).
 
@@ -83,12 +83,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct FleetState {
     fleet: Option<Versioned<FleetConfig>>,
-    /// The newest configuration that the store told of, which may be an older one.
+    /// The newest configuration that the store reported, which may be an older one.
     stored_fleet: FleetVersion,
     hosts: Option<Versioned<HostList>>,
     departed_hosts: DepartedHosts,
     earlier_hosts: Option<EarlierHosts>,
-    /// The host list with what still stands of the earlier era, as long as anything does.
+    /// The host list with what still counts of the earlier era, as long as anything does.
     overlaid_hosts: Option<HostList>,
     known_hosts: HostDetail,
     told_hosts: HostDetail,
@@ -133,13 +133,13 @@
     }
 
     /// The hosts that requests may go to: those last seen, with what an earlier era of the store
-    /// told of hosts of which the present one has not told yet.
+    /// reported of hosts that the present one has not reported yet.
     pub fn routed_hosts(&self) -> Option<&HostList> {
         let listed = self.hosts.as_ref().map(|hosts| &hosts.value);
         self.overlaid_hosts.as_ref().or(listed)
     }
 
-    /// Whether anything of an earlier era of the store stands.
+    /// Whether anything of an earlier era of the store still counts.
     pub fn has_earlier_hosts(&self) -> bool {
         self.earlier_hosts.is_some()
     }
@@ -262,13 +262,13 @@
         self.hosts.is_some() && self.hosts_version() == version
     }
 
-    /// Whether the list that is known was told in the era of this version. Changes can only be
+    /// Whether the list that is known was reported in the era of this version. Changes can only be
     /// laid over a list of their own era.
     fn is_of_era(&self, version: Version) -> bool {
         self.hosts_version().era == version.era
     }
 
-    /// Keeps what the earlier era told of hosts, or takes out of it what the new list tells.
+    /// Keeps what the earlier era reported of hosts, or removes from it what the new list reports.
     fn note_era_of_hosts(&mut self, version: Version, list: &HostList) {
         let is_same_era = self.is_of_era(version);
         let Some(known) = &self.hosts else {
--- a/shalehinge/src/core/lease.rs
+++ b/shalehinge/src/core/lease.rs
@@ -5,7 +5,7 @@
 //! Both use their own monotonic clock, so clocks are never compared. The epoch
 //! rises with each holder and fences the orders to engines.
 //!
-//! A store that comes back from a copy may have lost the lease, or hold an older one. Whoever held
+//! A store that is restored from a copy may have lost the lease, or hold an older one. Whoever held
 //! it stops at once, and takes it anew without a wait as long as its old term lasts. Nobody else
 //! takes a lease that is missing or given back until a full term after it first saw the era: the
 //! last holder of the era before acts no longer by then.
@@ -122,8 +122,8 @@
         if self.era.is_some_and(|known| era <= known.era) {
             return;
         }
-        let is_first = self.store_era() == StoreEra::UNTOLD;
-        let is_settled = is_first && (is_first_start || era == StoreEra::UNTOLD);
+        let is_first = self.store_era() == StoreEra::UNREPORTED;
+        let is_settled = is_first && (is_first_start || era == StoreEra::UNREPORTED);
         self.era = Some(KnownEra {
             era,
             seen_at: (!is_settled).then_some(now),
@@ -141,11 +141,11 @@
     }
 
     fn store_era(&self) -> StoreEra {
-        self.era.map_or(StoreEra::UNTOLD, |known| known.era)
+        self.era.map_or(StoreEra::UNREPORTED, |known| known.era)
     }
 
     /// Whether a lease that is missing or given back may be taken at once: nobody can still hold it
-    /// by what an earlier era told.
+    /// by what an earlier era reported.
     fn is_unheld_for_sure(&self, now: Timestamp) -> bool {
         let seen_at = self.era.and_then(|known| known.seen_at);
         let is_settled = seen_at.is_none_or(|seen_at| now.since(seen_at) >= self.settings.term);
@@ -196,7 +196,7 @@
         if self.held(now).is_some() {
             return self.write(now, version, epoch, operation);
         }
-        // Nobody took it since the store came back from its copy.
+        // Nobody took it since the store was restored.
         let is_copied = epoch.is_before(self.store_era());
         if self.may_resume(now) && is_copied {
             return self.write(now, version, next_epoch, operation);
--- a/shalehinge/src/core/mod.rs
+++ b/shalehinge/src/core/mod.rs
@@ -13,7 +13,7 @@
 //! - `feed`: one part of what the platform keeps, listed and watched
 //! - `superseded`: since when a newer configuration is known of
 //! - `whole_fetch`: whom a daemon asks for large objects
-//! - `earlier_hosts`: hosts as an earlier era of the store told of them
+//! - `earlier_hosts`: hosts as an earlier era of the store reported them
 //! - `routable_hosts`: the part of the host list that routing needs
 //! - `fingerprint`: what a request asks, the same each time that it comes
 //! - `fleet_state`: the newest objects known, which never revert
--- a/shalehinge/src/core/version.rs
+++ b/shalehinge/src/core/version.rs
@@ -1,6 +1,6 @@
 //! Versions of objects in the platform, and the era of the store that gave them out.
 //!
-//! A store that comes back from a copy loses its last writes and gives out their numbers anew. So
+//! A store that is restored from a copy loses its last writes and gives out their numbers anew. So
 //! a number says something only together with its era, and versions compare as a whole.
 
 use std::fmt;
@@ -9,7 +9,7 @@
 
 use super::types::Epoch;
 
-/// How often the platform's store came back from a copy, by its own count. A store that tells no era
+/// How often the platform's store was restored from a copy, by its own count. A store that reports no era
 /// is before all that do.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -18,8 +18,8 @@
 pub struct StoreEra(Option<u32>);
 
 impl StoreEra {
-    /// The era of a store that tells none.
-    pub const UNTOLD: Self = Self(None);
+    /// The era of a store that reports none.
+    pub const UNREPORTED: Self = Self(None);
     /// The last one that there can be.
     pub const LAST: Self = Self(Some(u32::MAX));
 
@@ -28,7 +28,7 @@
         Self(Some(number))
     }
 
-    /// Its number, if the store told one.
+    /// Its number, if the store reported one.
     pub const fn number(self) -> Option<u32> {
         self.0
     }
@@ -41,7 +41,7 @@
         }
     }
 
-    /// Reads an era as a store tells it: decimal digits alone.
+    /// Reads an era as a store reports it: decimal digits alone.
     pub fn parse(text: &str) -> Option<Self> {
         let is_decimal = text.bytes().all(|byte| byte.is_ascii_digit());
         text.parse().ok().filter(|_| is_decimal).map(Self::new)
@@ -63,7 +63,7 @@
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct Version {
-    /// The era in which it was told.
+    /// The era in which it was reported.
     pub era: StoreEra,
     /// The store's number; 0 for an object that does not exist.
     pub number: u64,
@@ -71,21 +71,21 @@
 
 impl Version {
     /// Older than any other.
-    pub const NONE: Self = Self::absent(StoreEra::UNTOLD);
+    pub const NONE: Self = Self::absent(StoreEra::UNREPORTED);
     /// Newer than any other.
     pub const MAX: Self = Self {
         era: StoreEra::LAST,
         number: u64::MAX,
     };
 
-    /// A version that the store told in an era.
+    /// A version that the store reported in an era.
     pub const fn new(era: StoreEra, number: u64) -> Self {
         Self { era, number }
     }
 
-    /// A version of a store that tells no era.
+    /// A version of a store that reports no era.
     pub const fn without_era(number: u64) -> Self {
-        Self::new(StoreEra::UNTOLD, number)
+        Self::new(StoreEra::UNREPORTED, number)
     }
 
     /// That of an object that does not exist in an era.
@@ -101,7 +101,7 @@
 
 impl fmt::Display for Version {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        if self.era == StoreEra::UNTOLD {
+        if self.era == StoreEra::UNREPORTED {
             write!(f, "{}", self.number)
         } else {
             write!(f, "{} of era {}", self.number, self.era)
@@ -136,7 +136,7 @@
         }
     }
 
-    /// Whether this is a later configuration, not the same one as told in another era.
+    /// Whether this is a later configuration, not the same one reported in another era.
     pub fn supersedes(self, other: Self) -> bool {
         let is_same_era = self.stored.era == other.stored.era;
         self > other && (self.generation > other.generation || is_same_era)
@@ -150,7 +150,7 @@
 }
 
 /// Which assignment. All writes under one epoch are of one era, so that their numbers compare
-/// whatever era told them last.
+/// whatever era reported them last.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
--- a/shalehinge/src/object_api/store_era.rs
+++ b/shalehinge/src/object_api/store_era.rs
@@ -18,18 +18,18 @@
     header: &'static str,
 ) -> Result<(StoreEra, WholeAnswer), NoAnswer> {
     let answer = exchange_with_headers(conn, limits).await.ok_or(NoAnswer)?;
-    Ok((told_era(&answer.headers, header)?, answer))
+    Ok((reported_era(&answer.headers, header)?, answer))
 }
 
-/// Reads the era. An answer without the header is of a store that tells none.
+/// Reads the era. An answer without the header is of a store that reports none.
 ///
 /// # Errors
 ///
 /// The header stands there more than once or is no decimal number of 32 bits, so that the answer
 /// can't be placed before or after any other.
-fn told_era(headers: &Headers, name: &'static str) -> Result<StoreEra, NoAnswer> {
+fn reported_era(headers: &Headers, name: &'static str) -> Result<StoreEra, NoAnswer> {
     let Some(values) = headers.get_values(name) else {
-        return Ok(StoreEra::UNTOLD);
+        return Ok(StoreEra::UNREPORTED);
     };
     let mut values = values.iter();
     let era = match (values.next(), values.next()) {
--- a/shalehinge/tests/always_restored.rs
+++ b/shalehinge/tests/always_restored.rs
@@ -1,4 +1,4 @@
-//! Stateful fuzzing beside a platform that comes back from copies, with the oracle asked after each
+//! Stateful fuzzing beside a platform that is restored from copies, with the oracle asked after each
 //! step.
 //!
 //! Seeds are fixed here. `FUZZ_SEEDS=FROM..TO cargo test --test always_restored -- --ignored`
--- a/shalehinge/tests/learning.rs
+++ b/shalehinge/tests/learning.rs
@@ -138,7 +138,7 @@
     feed.next_call(at(400), EXACT, WAIT);
     feed.on_answer(
         at(410),
-        &Ok(PlatformReply::HistoryGone(StoreEra::UNTOLD)),
+        &Ok(PlatformReply::HistoryGone(StoreEra::UNREPORTED)),
         SPACING,
         PAUSE,
         None,
--- a/shalehinge/tests/process_support/mod.rs
+++ b/shalehinge/tests/process_support/mod.rs
@@ -332,7 +332,7 @@
         assert_eq!(answer.status, 204);
     }
 
-    /// The platform copies all that it keeps, or comes back from its copy.
+    /// The platform copies all that it keeps, or is restored from its copy.
     fn platform_admin(&self, what: &str) {
         let path = format!("/admin/{what}");
         let answer = exchange(self.platform, "PUT", &path, &[], "");
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -360,7 +360,7 @@
         }
     }
 
-    /// The platform is away for so long, and comes back from its copy.
+    /// The platform is away for so long, and is restored from its copy.
     pub fn restore_platform(&mut self, away: Duration) {
         for Call { daemon, call, .. } in std::mem::take(&mut self.calls) {
             let result = Err(NoAnswer);
--- a/shalehinge/tests/restored_platform.rs
+++ b/shalehinge/tests/restored_platform.rs
@@ -1,4 +1,4 @@
-//! A platform that comes back from a copy: its last writes are lost, and it gives out their
+//! A platform that is restored from a copy: its last writes are lost, and it gives out their
 //! revisions anew.
 
 mod relay_support;
--- a/shalehinge/tests/restored_platform_processes.rs
+++ b/shalehinge/tests/restored_platform_processes.rs
@@ -1,4 +1,4 @@
-//! Daemons before a platform of the product's own interface that comes back from a copy.
+//! Daemons before a platform of the product's own interface that is restored from a copy.
 
 mod process_support;
 
--- a/shalehinge/tests/store_era.rs
+++ b/shalehinge/tests/store_era.rs
@@ -161,7 +161,7 @@
     lease.note_era(at(0), SECOND, true);
     assert!(written_at(&mut lease, 0, None) < 2_000);
     let mut lease = self::lease();
-    lease.note_era(at(0), StoreEra::UNTOLD, false);
+    lease.note_era(at(0), StoreEra::UNREPORTED, false);
     assert!(
         written_at(&mut lease, 0, None) < 2_000,
         "no eras, no copies"
@@ -186,7 +186,7 @@
     assert!(Epoch(0).next_in(SECOND) > last_of_first);
     assert!(last_of_first.is_before(SECOND));
     assert!(!Epoch(0).next_in(SECOND).is_before(SECOND));
-    assert_eq!(Epoch(0).next_in(StoreEra::UNTOLD), Epoch(1));
+    assert_eq!(Epoch(0).next_in(StoreEra::UNREPORTED), Epoch(1));
     const EXACT_IN_JSON: u64 = 1 << 53;
     assert!(Epoch::first_of(StoreEra::LAST).0 < EXACT_IN_JSON);
 }
@@ -283,7 +283,7 @@
 }
 
 #[test]
-fn a_host_told_anew_is_as_the_new_era_tells() {
+fn a_host_reported_anew_is_as_the_new_era_tells() {
     let live = list(&[
         (HOST, host(HostState::Live, 1)),
         (OTHER, host(HostState::Live, 1)),
--- a/shalehinge/tests/store_era_answers.rs
+++ b/shalehinge/tests/store_era_answers.rs
@@ -212,7 +212,7 @@
     let line = one
         .logs
         .iter()
-        .find(|line| line.contains("came back from a copy"));
+        .find(|line| line.contains("was restored from a copy"));
     assert!(
         line.is_some_and(|line| line.contains("era 1 to 2")),
         "{line:?}"
@@ -271,7 +271,10 @@
         configuration(Version::new(third, 280), 30)
     ));
     assert_eq!(one.in_force(), 30);
-    let changes = one.logs.iter().filter(|line| line.contains("came back"));
+    let changes = one
+        .logs
+        .iter()
+        .filter(|line| line.contains("restored from a copy"));
     assert_eq!(changes.count(), 1);
 }
 
--- a/shalehinge/tests/support/apply.rs
+++ b/shalehinge/tests/support/apply.rs
@@ -325,7 +325,7 @@
         }
     }
 
-    /// The platform comes back from its copy; whoever writes the host list writes it again.
+    /// The platform is restored from its copy; whoever writes the host list writes it again.
     pub fn restore_platform(&mut self) {
         if !self.platform.restore() {
             return;
--- a/standin/src/platform/handler.rs
+++ b/standin/src/platform/handler.rs
@@ -83,7 +83,7 @@
     conn.with_status(Status::ServiceUnavailable).halt()
 }
 
-/// Says how often the store came back from a copy.
+/// Says how often the store was restored from a copy.
 fn in_era(conn: Conn, store: &Store) -> Conn {
     conn.with_response_header(ERA, store.era().to_string())
 }
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -132,7 +132,7 @@
         }
     }
 
-    /// How often it came back from a copy.
+    /// How often it was restored from a copy.
     pub fn era(&self) -> u32 {
         self.era
     }
@@ -142,7 +142,7 @@
         self.copy = self.content.clone();
     }
 
-    /// Comes back from the copy: what was written since is lost, and versions and revisions are
+    /// Restored from the copy: what was written since is lost, and versions and revisions are
     /// given out anew.
     pub fn restore(&mut self) {
         self.content = self.copy.clone();
