fix(gateway): free the upstream when the caller of a stalled stream leaves

Callers: one that disconnected while its stream paused kept a slot of its replica until the request's deadline, 15 s in the test; others waited.

Cause: the HTTP library notices the end of a connection at the next write once a body is being written, and a stalled stream has none.

Change: while a stream waits for its next part, the caller's connection is watched by peeking at a second handle. The library boxes its transport twice; a connection that is no plain TCP stream is logged and not watched.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -97,6 +97,12 @@
         "let may_grant = true;",
         "store_era", "claim",
     ),
+    "a-caller-that-left-is-noticed": (
+        "shalehinge/src/utils/caller_connection.rs",
+        "            Ok(0) => {}\n",
+        "            Ok(0) => pending().await,\n",
+        "relay", "from_a_stalled_stream",
+    ),
     "a-key-waits-for-witnesses": (
         CORE + "claim_witnesses.rs",
         "let required = REQUIRED_WITNESSES.min(candidates.count());",
--- a/shalehinge/src/gateway/relay.rs
+++ b/shalehinge/src/gateway/relay.rs
@@ -24,6 +24,7 @@
 use crate::upstream::relay::{
     HOP_BY_HOP_HEADERS, RelayContext, RelayHeaderNames, ResponseHead, StreamPosition,
 };
+use crate::utils::caller_connection::{CallerConnection, caller_left, unless_closed};
 
 /// Customer that requests without a key are counted under.
 const ANONYMOUS: &str = "anonymous";
@@ -374,12 +375,17 @@
     parts: Receiver<CallerMessage>,
     guard: DisconnectGuard,
 ) -> Conn {
-    let chunks = stream::unfold(Some((parts, guard)), |state| async move {
-        let (parts, guard) = state?;
+    let connection = CallerConnection::new(&conn);
+    let chunks = stream::unfold(Some((parts, guard, connection)), |state| async move {
+        let (parts, guard, connection) = state?;
         loop {
-            match parts.recv().await {
+            // Dropping the guard reports that the caller has disconnected.
+            let Some(part) = unless_closed(&connection, parts.recv()).await else {
+                return Some((Err(caller_left()), None));
+            };
+            match part {
                 Ok(CallerMessage::Part(ResponsePart::Chunk(chunk))) => {
-                    return Some((Ok(chunk), Some((parts, guard))));
+                    return Some((Ok(chunk), Some((parts, guard, connection))));
                 }
                 Ok(CallerMessage::Part(_)) => {}
                 Ok(CallerMessage::Ended(outcome)) => {
--- a/shalehinge/src/gateway/response.rs
+++ b/shalehinge/src/gateway/response.rs
@@ -16,6 +16,7 @@
 use crate::process::Driver;
 use crate::process::pending_requests::CallerMessage;
 use crate::upstream::attempt::{OutgoingRequest, ResponsePart, WholeResponse};
+use crate::utils::caller_connection::{CallerConnection, caller_left, unless_closed};
 
 /// Response header with the outcome of the request: `completed`, `failed`, `not_run` or
 /// `unknown`.
@@ -412,12 +413,17 @@
 }
 
 fn write_stream(conn: Conn, parts: Receiver<CallerMessage>, guard: DisconnectGuard) -> Conn {
-    let chunks = stream::unfold(Some((parts, guard)), |state| async move {
-        let (parts, mut guard) = state?;
+    let connection = CallerConnection::new(&conn);
+    let chunks = stream::unfold(Some((parts, guard, connection)), |state| async move {
+        let (parts, mut guard, connection) = state?;
         loop {
-            match parts.recv().await {
+            // Dropping the guard reports that the caller has disconnected, if it is armed.
+            let Some(part) = unless_closed(&connection, parts.recv()).await else {
+                return Some((Err(caller_left()), None));
+            };
+            match part {
                 Ok(CallerMessage::Part(ResponsePart::Chunk(chunk))) => {
-                    return Some((Ok::<_, std::io::Error>(chunk), Some((parts, guard))));
+                    return Some((Ok(chunk), Some((parts, guard, connection))));
                 }
                 Ok(CallerMessage::Part(_)) => {}
                 Ok(CallerMessage::Ended(outcome)) => {
--- /dev/null
+++ b/shalehinge/src/utils/caller_connection.rs
@@ -0,0 +1,89 @@
+//! Notices that a caller has closed its connection while a response is being written to it.
+//!
+//! The HTTP library reads from a connection only between requests, and otherwise notices its end
+//! at the next write. A stream without output for a while would keep its upstream busy until then.
+
+use std::any::Any;
+use std::future::pending;
+use std::io::ErrorKind;
+
+use smol::net::TcpStream;
+use smol::net::unix::UnixStream;
+use trillium::{Conn, Transport};
+use trillium_server_common::Binding;
+use trillium_smol::SmolTransport;
+
+type ServerTransport = Binding<SmolTransport<TcpStream>, SmolTransport<UnixStream>>;
+
+/// A second handle of a caller's connection.
+#[derive(Clone, Debug)]
+pub struct CallerConnection(Option<TcpStream>);
+
+impl CallerConnection {
+    /// Takes a handle of the connection. One that is not a plain TCP connection is not observed.
+    pub fn new(conn: &Conn) -> Self {
+        let inner: &trillium_http::Conn<Box<dyn Transport>> = conn.as_ref();
+        let tcp = tcp_stream(&**inner.transport());
+        if tcp.is_none() {
+            log::warn!(target: "shalehinge", "route: a caller's connection can't be observed");
+        }
+        Self(tcp)
+    }
+
+    /// Completes when the caller has closed the connection. Stays pending if the caller sends
+    /// another request meanwhile, as its end can't be seen behind that request.
+    pub async fn closed(&self) {
+        let Some(stream) = &self.0 else {
+            return pending().await;
+        };
+        let mut byte = [0];
+        match stream.peek(&mut byte).await {
+            Ok(0) => {}
+            Err(error) if is_disconnect(error.kind()) => {}
+            Ok(_) => pending().await,
+            Err(error) => {
+                log::warn!(target: "shalehinge", "route: can't observe a caller: {error}");
+                pending().await
+            }
+        }
+    }
+}
+
+/// The TCP stream in a transport, which the HTTP library may have boxed more than once.
+fn tcp_stream(transport: &dyn Transport) -> Option<TcpStream> {
+    let content: &dyn Any = transport;
+    if let Some(boxed) = content.downcast_ref::<Box<dyn Transport>>() {
+        return tcp_stream(&**boxed);
+    }
+    let tcp = content.downcast_ref::<ServerTransport>()?.get_tcp()?;
+    Some(tcp.clone().into_inner())
+}
+
+/// Waits for a value, or returns `None` if the caller closes the connection first.
+pub async fn unless_closed<T>(
+    connection: &CallerConnection,
+    value: impl Future<Output = T>,
+) -> Option<T> {
+    let arrives = async { Some(value.await) };
+    let closes = async {
+        connection.closed().await;
+        None
+    };
+    // A value that is ready takes precedence over the end of the connection.
+    smol::future::or(arrives, closes).await
+}
+
+/// The error that ends the response to a caller that has closed the connection.
+pub fn caller_left() -> std::io::Error {
+    std::io::Error::new(ErrorKind::ConnectionAborted, "the caller disconnected")
+}
+
+fn is_disconnect(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::ConnectionReset
+            | ErrorKind::ConnectionAborted
+            | ErrorKind::BrokenPipe
+            | ErrorKind::NotConnected
+    )
+}
--- a/shalehinge/src/utils/mod.rs
+++ b/shalehinge/src/utils/mod.rs
@@ -1,10 +1,12 @@
 //! Helpers shared by several modules.
 //!
+//! - `caller_connection`: notices that a caller disconnects during its response
 //! - `clock`: the clock for lease terms and ages
 //! - `http`: common configuration of HTTP clients and listeners
 //! - `task`: task executor with several threads
 //! - `time`: time-outs and wall clock
 
+pub mod caller_connection;
 pub mod clock;
 pub mod http;
 pub mod task;
