fix(router): don't retry a request that failed at two upstreams

Callers: after 300 requests of one caller that every upstream answers with 500, another caller's request that failed once was not retried, although nine of ten upstreams could serve it.

Cause: a failure at a second upstream is attributed to the request, but it was retried with a token of the budget that all requests share.

Evidence: the new test, red before: the other request ends as Failed 500.

Change: a failure that is attributed to the request is answered at once. A completion of the same content ends that, as before. A budget for each customer was excluded: one customer's requests at one of 340 daemons are too few to save up a retry.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -103,6 +103,12 @@
         "            Ok(0) => pending().await,\n",
         "relay", "from_a_stalled_stream",
     ),
+    "what-fails-everywhere-is-not-retried": (
+        CORE + "router/dispatch.rs",
+        "outcome if fails_everywhere => self",
+        "outcome if fails_everywhere && outcome == Outcome::Completed => self",
+        "failing_requests", "leaves_retries_to_others",
+    ),
     "a-key-waits-for-witnesses": (
         CORE + "claim_witnesses.rs",
         "let required = REQUIRED_WITNESSES.min(candidates.count());",
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -414,11 +414,13 @@
             fingerprint: pending.meta.fingerprint,
             target: target.clone(),
         };
+        let mut fails_everywhere = false;
         if let Some(state) = self.targets.get_mut(&target) {
             let cause = state.on_attempt_ended(now, &self.settings, pending, &running, end);
             if let Some(FailureCause::Request { failed_at }) = cause {
+                fails_everywhere = true;
                 out.push(RouterAction::Log(format!(
-                    "request {} failed at {} as it did at {failed_at}; this failure is not counted against the upstream",
+                    "request {} failed at {} as it did at {failed_at}; it is not retried, and this failure is not counted against the upstream",
                     request.0, running.upstream
                 )));
             }
@@ -432,6 +434,8 @@
             outcome if self.awaits_check(&subject, &running.upstream) => {
                 self.hold_until_checked(&running.upstream, request, outcome);
             }
+            // A retry would fail too, and take from the budget that all requests share.
+            outcome if fails_everywhere => self.answer(request, outcome, out),
             outcome => self.retry_or_answer(now, request, outcome, out),
         }
         self.dispatch(now, &target, rng, out);
--- a/shalehinge/tests/failing_requests.rs
+++ b/shalehinge/tests/failing_requests.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use router_support::{RouterHarness, request};
-use shalehinge::core::router::request::{AttemptEnd, UpstreamId};
+use shalehinge::core::router::request::{AttemptEnd, Outcome, UpstreamId};
 
 /// Fingerprint of a request that always fails.
 const ALWAYS_FAILS: u64 = 1_000_000;
@@ -133,3 +133,17 @@
         "ejected {ejected:?}, failing {failing:?}"
     );
 }
+
+// Guards against retries of such a request using up the retry budget that all callers share.
+#[test]
+fn a_request_that_fails_everywhere_leaves_retries_to_others() {
+    let mut harness = RouterHarness::with_replicas(10);
+    for number in 0..300 {
+        fail(&mut harness, number, ALWAYS_FAILS);
+    }
+    harness.submit(1_000, request().repeatable().with_fingerprint(1));
+    harness.end_attempt(1_000, FAILED);
+    assert_eq!(harness.answer(1_000), None, "the other request is retried");
+    harness.end_attempt(1_000, COMPLETED);
+    assert_eq!(harness.answer(1_000), Some(Outcome::Completed));
+}
