fix(controller): ask all engines for their groups after an assignment was lost

Callers: on the product's own interface a replica was taken apart while it served, as its hosts were ordered into another group.

Cause: after a restore of the platform the lease holder took the newest assignment that any daemon knew. Where every daemon that knew more than the backup had ended, hosts of groups formed since counted as free. Engines that report for themselves were asked only as members of known groups.

Change: where the assignment may lack groups, nothing is ordered before all engines of the failure domain were asked. Complete groups are taken over, hosts of others released, silent hosts used in no new group. An assignment that another program overwrote is handled in the same way, which stopped control on this interface before.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -109,6 +109,12 @@
         "outcome if fails_everywhere && outcome == Outcome::Completed => self",
         "failing_requests", "leaves_retries_to_others",
     ),
+    "engines-are-asked-after-a-restore": (
+        CORE + "controller/survey.rs",
+        "} else if self.settings.assembly == Assembly::Engines {",
+        "} else if self.settings.assembly == Assembly::Engines && self.addresses.len() > 1_000_000 {",
+        "lost_assignment", "groups_that_no_daemon_knows",
+    ),
     "a-key-waits-for-witnesses": (
         CORE + "claim_witnesses.rs",
         "let required = REQUIRED_WITNESSES.min(candidates.count());",
@@ -327,7 +333,7 @@
     ),
     "a-list-newer-than-what-is-foreign": (
         CORE + "controller/mod.rs",
-        "            if !self.shows_running_groups() {\n                return (None, log);\n            }\n",
+        "            if !self.knows_running_groups() {\n                return (None, log);\n            }\n",
         "",
         "adoption", "sends_no_orders",
     ),
--- a/shalehinge/src/core/controller/adoption.rs
+++ b/shalehinge/src/core/controller/adoption.rs
@@ -1,21 +1,21 @@
 //! Adoption of running groups when the stored assignment cannot be decoded, or comes from a
 //! backup that the store was restored from.
 //!
-//! The host list shows which hosts belong to which group, and which host takes requests for it. A
-//! group that is listed completely is adopted as it is; hosts of any other group are ordered to
-//! leave it.
+//! Where engines join by order, the host list shows which hosts belong to which group, and which
+//! host takes requests for it. Other engines are asked. A group that is shown completely is adopted
+//! as it is; hosts of any other group are ordered to leave it.
 
 use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
 
+use super::Controller;
 use super::list_outage::RECOVERY_WAIT;
 use super::service_plan::ONLY_VERSION;
-use super::{Controller, ListedHost};
 use crate::core::engine::EngineStatus;
 use crate::core::fleet_state::FleetState;
 use crate::core::objects::{Assignment, Group, GroupPhase, Member};
-use crate::core::types::{GroupNumber, HostId, ModelName, ModelVersion};
+use crate::core::types::{Address, GroupNumber, HostId, ModelName, ModelVersion};
 use crate::settings::control::Assembly;
 
 /// Number of group numbers above the highest listed one that are skipped, because they may have
@@ -45,18 +45,27 @@
     }
 }
 
-type ShownHosts<'a> = Vec<(&'a HostId, &'a ListedHost)>;
+/// A host, and the state that its engine reports.
+#[derive(Clone, Copy)]
+struct ShownHost<'a> {
+    host: &'a HostId,
+    address: Address,
+    status: &'a EngineStatus,
+}
 
 impl Controller {
-    /// Whether running groups are adopted from the host list before anything else is decided.
-    /// Only engines that join by order report their groups in the list.
-    pub(super) fn must_adopt(&self) -> bool {
-        self.origin != Origin::Current && self.settings.assembly == Assembly::Orders
+    /// Whether the stored assignment may lack groups that run, so that these are adopted before
+    /// anything else is decided.
+    pub(super) fn may_lack_groups(&self) -> bool {
+        self.origin != Origin::Current
     }
 
-    /// Whether the host list is recent enough to show the running groups. After a restore, hosts
-    /// need some time to write their entries again.
-    pub(super) fn shows_running_groups(&self) -> bool {
+    /// Whether the running groups are known. After a restore, hosts need some time to write their
+    /// entries in the host list again.
+    pub(super) fn knows_running_groups(&self) -> bool {
+        if self.settings.assembly == Assembly::Engines {
+            return self.is_survey_complete();
+        }
         let wait = match self.origin {
             Origin::Restored => RECOVERY_WAIT,
             Origin::Current | Origin::Foreign => Duration::ZERO,
@@ -65,14 +74,14 @@
         seen_at.is_some_and(|seen_at| self.is_list_newer(seen_at + wait))
     }
 
-    /// Merges the running groups into the stored assignment; where both disagree, the host list
-    /// takes precedence.
+    /// Merges the running groups into the stored assignment; where both disagree, what engines
+    /// report takes precedence.
     pub(super) fn merge_running_groups(
         &self,
         stored: Assignment,
         state: &FleetState,
     ) -> Assignment {
-        let shown = self.listed_groups(state);
+        let shown = self.shown_groups(state);
         let mut value = stored;
         let is_shown = |host: &HostId| shown.groups.values().any(|group| group.contains(host));
         value.groups.retain(|number, group| {
@@ -83,7 +92,8 @@
                         .iter()
                         .all(|member| group.contains(&member.host))
             });
-            is_same || !group.members.iter().any(|member| is_shown(&member.host))
+            let is_replaced = group.members.iter().any(|member| is_shown(&member.host));
+            is_same || !is_replaced && !self.has_moved_member(*number, group)
         });
         value.releasing.retain(|host, _| !is_shown(host));
         value.next_group = value.next_group.max(shown.next_group);
@@ -93,19 +103,48 @@
         value
     }
 
-    /// The assignment that follows from the host list alone.
-    fn listed_groups(&self, state: &FleetState) -> Assignment {
-        let mut by_group: BTreeMap<GroupNumber, ShownHosts<'_>> = BTreeMap::new();
-        for (host, listed) in self.listed.iter().filter(|(_, listed)| listed.is_listed) {
-            if let Some(number) = status_of(listed).and_then(|status| status.group) {
-                by_group.entry(number).or_default().push((host, listed));
+    /// The hosts whose engines are known to be in a group.
+    fn shown_hosts(&self) -> Vec<ShownHost<'_>> {
+        if self.settings.assembly == Assembly::Engines {
+            let surveyed = self.surveyed().map(|(host, address, status)| ShownHost {
+                host,
+                address,
+                status,
+            });
+            return surveyed.collect();
+        }
+        let listed = self.listed.iter().filter(|(_, listed)| listed.is_listed);
+        let shown = listed.filter_map(|(host, listed)| {
+            Some(ShownHost {
+                host,
+                address: listed.record.address,
+                status: listed.record.status.as_ref()?,
+            })
+        });
+        shown.collect()
+    }
+
+    /// The assignment that follows from what engines report alone.
+    fn shown_groups(&self, state: &FleetState) -> Assignment {
+        let mut by_group: BTreeMap<GroupNumber, Vec<ShownHost<'_>>> = BTreeMap::new();
+        for shown in self.shown_hosts() {
+            if let Some(number) = shown.status.group {
+                by_group.entry(number).or_default().push(shown);
             }
         }
         let highest = by_group.keys().next_back().map_or(0, |number| number.0);
+        let is_reported = self.settings.assembly == Assembly::Engines;
         let complete = by_group
             .into_iter()
             .filter(|(number, _)| *number != GroupNumber::PRIMING)
-            .filter_map(|(number, shown)| Some((number, complete_group(number, shown, state)?)));
+            .filter_map(|(number, shown)| {
+                let group = if is_reported {
+                    complete_reported_group(number, shown)
+                } else {
+                    complete_listed_group(number, shown, state)
+                };
+                Some((number, group?))
+            });
         Assignment {
             next_group: GroupNumber(highest + GROUP_NUMBER_MARGIN),
             groups: complete.collect(),
@@ -114,35 +153,42 @@
     }
 }
 
-/// The group that these hosts report, if its rank 0 takes requests and no member is missing.
-fn complete_group(
+/// The group that these listed hosts form, if its rank 0 takes requests and no member is missing.
+fn complete_listed_group(
     number: GroupNumber,
-    mut shown: ShownHosts<'_>,
+    mut shown: Vec<ShownHost<'_>>,
     state: &FleetState,
 ) -> Option<Group> {
-    let is_open = |listed: &ListedHost| status_of(listed).is_some_and(|s| s.shows_open(number));
-    let is_ready = |listed: &ListedHost| status_of(listed).is_some_and(|s| s.shows_ready(number));
-    shown.sort_by_key(|(host, listed)| (!is_open(listed), *host));
-    let (_, rank_zero) = shown.first()?;
-    let model = status_of(rank_zero)?.held.as_ref()?.model.clone();
+    shown.sort_by_key(|shown| (!shown.status.shows_open(number), shown.host));
+    let rank_zero = shown.first()?;
+    let model = rank_zero.status.held.as_ref()?.model.clone();
     let is_complete = shown.len() == hosts_per_replica_of(&model, state)?;
-    let serves = is_open(rank_zero) && shown.iter().all(|(_, listed)| is_ready(listed));
-    (is_complete && serves).then(|| Group {
-        model,
-        version: ModelVersion::new(ONLY_VERSION),
-        members: shown.into_iter().map(member).collect(),
-        phase: GroupPhase::Serving,
-    })
+    let serves = rank_zero.status.shows_open(number)
+        && shown.iter().all(|shown| shown.status.shows_ready(number));
+    let version = ModelVersion::new(ONLY_VERSION);
+    (is_complete && serves).then(|| serving_group(model, version, &shown))
 }
 
-fn status_of(listed: &ListedHost) -> Option<&EngineStatus> {
-    listed.record.status.as_ref()
+/// The group that these engines report, if its rank 0 sees all members and all of them answered.
+fn complete_reported_group(number: GroupNumber, mut shown: Vec<ShownHost<'_>>) -> Option<Group> {
+    shown.sort_by_key(|shown| (!shown.status.shows_complete(number), shown.host));
+    let rank_zero = shown.first()?;
+    let held = rank_zero.status.held.clone()?;
+    let is_complete = rank_zero.status.shows_complete(number)
+        && rank_zero.status.member_count as usize == shown.len();
+    is_complete.then(|| serving_group(held.model, held.version, &shown))
 }
 
-fn member((host, listed): (&HostId, &ListedHost)) -> Member {
-    Member {
-        host: host.clone(),
-        address: listed.record.address,
+fn serving_group(model: ModelName, version: ModelVersion, shown: &[ShownHost<'_>]) -> Group {
+    let members = shown.iter().map(|shown| Member {
+        host: shown.host.clone(),
+        address: shown.address,
+    });
+    Group {
+        model,
+        version,
+        members: members.collect(),
+        phase: GroupPhase::Serving,
     }
 }
 
--- a/shalehinge/src/core/controller/calls.rs
+++ b/shalehinge/src/core/controller/calls.rs
@@ -33,7 +33,7 @@
     }
 
     /// Whether a host may be called now for this purpose. Records the call if so.
-    fn try_call(&mut self, now: Timestamp, host: &HostId, purpose: CallPurpose) -> bool {
+    pub(super) fn try_call(&mut self, now: Timestamp, host: &HostId, purpose: CallPurpose) -> bool {
         let is_due = self
             .next_call_at
             .get(host)
--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -31,6 +31,7 @@
 mod reported;
 mod service_plan;
 mod staging;
+mod survey;
 
 pub use adoption::Origin;
 pub use ordered::HostListState;
@@ -57,6 +58,7 @@
 use ordered::ListedHost;
 use own_connectivity::OwnConnectivity;
 use service_plan::ServicePlans;
+use survey::Survey;
 
 /// Action that the controller requests from the daemon.
 #[derive(Clone, Debug, PartialEq)]
@@ -113,6 +115,8 @@
     Stage,
     /// Orders a free host to hold the weights of a model in memory.
     Prime,
+    /// Asks a host for its status because the assignment may lack its group.
+    Survey,
 }
 
 /// Health of a group, as far as it is known.
@@ -168,6 +172,8 @@
     pending: Option<Assignment>,
     /// Origin of the stored assignment.
     origin: Origin,
+    /// What engines reported after an assignment was read that may lack groups.
+    survey: Option<Survey>,
     /// Whether a read or write of the assignment is in flight.
     in_flight: bool,
     /// The last status of each host, for engines that report their progress.
@@ -245,6 +251,7 @@
             stored: None,
             pending: None,
             origin: Origin::Current,
+            survey: None,
             in_flight: false,
             observed: BTreeMap::new(),
             released: BTreeMap::new(),
@@ -344,8 +351,15 @@
             return vec![ControllerAction::Read];
         };
         let expect = stored.version;
+        if self.is_surveying() && !self.is_survey_complete() {
+            return self.survey_probes(now);
+        }
         let (value, log) = self.next_value(now, state);
-        let mut actions = self.calls(now, epoch);
+        let mut actions = if self.is_surveying() {
+            Vec::new()
+        } else {
+            self.calls(now, epoch)
+        };
         if let Some(mut value) = value {
             value.operation = Some(operation);
             value.epoch = epoch;
@@ -380,16 +394,12 @@
             self.last_model.clone_from(&stored.value.held_by_free);
         }
         self.stored = Some(stored);
+        self.begin_survey();
     }
 
     /// Handles a read of an assignment that cannot be decoded because another program overwrote
     /// it.
     pub fn on_foreign(&mut self, version: Version) {
-        if self.settings.assembly != Assembly::Orders {
-            // Only engines that join by order report their groups in the host list.
-            self.on_call_failed();
-            return;
-        }
         let value = Assignment::default();
         self.on_read(Versioned { version, value }, Origin::Foreign);
     }
@@ -398,6 +408,7 @@
     pub fn on_written(&mut self, version: Version) -> Option<&Versioned<Assignment>> {
         self.in_flight = false;
         self.origin = Origin::Current;
+        self.end_survey();
         let value = self.pending.take()?;
         self.stored = Some(Versioned { version, value });
         self.stored.as_ref()
@@ -488,6 +499,7 @@
             return;
         }
         self.unreachable.remove(&status.host);
+        self.record_surveyed(&status.host, Some(&status));
         self.update_group_health(now, asked_at, &status);
         self.observed.insert(status.host.clone(), status);
     }
@@ -507,6 +519,7 @@
             self.on_probe_unanswered(now, asked_at, host);
             return;
         }
+        self.record_surveyed(host, None);
         self.on_no_report(now, asked_at, host);
     }
 
@@ -524,11 +537,12 @@
         let mut value = stored.value.clone();
         let mut log = Vec::new();
         self.record_phase_times(now, &value);
-        if self.must_adopt() {
-            if !self.shows_running_groups() {
+        if self.may_lack_groups() {
+            if !self.knows_running_groups() {
                 return (None, log);
             }
-            let adopted = self.merge_running_groups(value, state);
+            let mut adopted = self.merge_running_groups(value, state);
+            self.release_incomplete_groups(&mut adopted);
             let (origin, count) = (self.origin, adopted.groups.len());
             log.push(format!(
                 "stored assignment is {origin}, {count} running groups are adopted"
@@ -541,10 +555,9 @@
             let changed = value != stored.value;
             return (changed.then_some(value), log);
         }
+        self.release_strays(&mut value);
         self.plan_reported(now, &mut value, state, &mut log);
-        // Writes again what the store lost, under the epoch of its current era.
-        let is_lost = self.origin == Origin::Restored;
-        let changed = is_lost || value != stored.value;
+        let changed = value != stored.value;
         (changed.then_some(value), log)
     }
 
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -255,7 +255,7 @@
 
     /// Returns the orders and probes that are due for the stored assignment.
     pub(super) fn ordered_calls(&mut self, now: Timestamp, epoch: Epoch) -> Vec<ControllerAction> {
-        if self.listed_version == Version::NONE || self.must_adopt() {
+        if self.listed_version == Version::NONE || self.may_lack_groups() {
             // The progress of the hosts, or the set of running groups, is not known yet.
             return Vec::new();
         }
--- a/shalehinge/src/core/controller/reported.rs
+++ b/shalehinge/src/core/controller/reported.rs
@@ -28,7 +28,8 @@
         self.promote_ready(value, log);
         self.mark_losses(now, value, state);
         let lost = self.lost_groups(value);
-        let unreachable = self.recently_unreachable(now);
+        let mut unreachable = self.recently_unreachable(now);
+        unreachable.extend(self.unsurveyed_hosts());
         let held = self.held_weights();
         let context = PlacementContext {
             domain: &self.domain,
--- /dev/null
+++ b/shalehinge/tests/lost_assignment.rs
@@ -0,0 +1,67 @@
+//! An assignment that is lost together with all daemons that knew it: the platform is restored
+//! from a backup from before a group was formed.
+
+mod support;
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use support::operations::Operation;
+use support::world::World;
+
+/// Number of runs, each with a seed of its own.
+const RUNS: u64 = 40;
+/// Number of groups of the fleet.
+const GROUPS: usize = 4;
+/// Time in which a group is formed again and daemons that start take over control.
+const SETTLED: Duration = Duration::from_secs(20);
+
+/// Number of groups that the engines of a failure domain are serving in.
+fn engine_groups(world: &World) -> Vec<Option<u64>> {
+    let groups = world.hosts.iter().map(|host| {
+        let membership = host.engine.membership.as_ref();
+        membership.map(|membership| membership.group.0)
+    });
+    groups.collect()
+}
+
+/// Forms a group after a backup, and then loses the assignment and all daemons.
+fn lose_assignment(seed: u64) -> World {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut world = World::serving(seed);
+    world.run_for(Duration::from_secs(5));
+    world.platform.take_backup();
+    let members: Vec<u8> = (0..world.hosts.len())
+        .filter(|index| world.hosts[*index].engine.membership.is_some())
+        .map(|index| index as u8)
+        .collect();
+    let lost = members[rng.random_range(0..members.len())];
+    world.apply(Operation::KillHost(lost));
+    world.run_for(SETTLED);
+    world.apply(Operation::StartHost(lost));
+    world.run_for(SETTLED);
+    assert_eq!(world.serving_groups(), GROUPS, "seed {seed}: formed again");
+    for daemon in 0..world.entries.len() {
+        world.kill(daemon);
+    }
+    world.restore_platform();
+    for daemon in 0..world.entries.len() {
+        world.start(daemon);
+    }
+    world
+}
+
+// Guards against hosts that serve being ordered into another group.
+#[test]
+fn groups_that_no_daemon_knows_stay_after_a_restore() {
+    for seed in 0..RUNS {
+        let mut world = lose_assignment(seed);
+        let before = engine_groups(&world);
+        world.run_for(SETTLED);
+        let violations = &world.oracle.violations;
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+        assert_eq!(engine_groups(&world), before, "seed {seed}");
+        assert_eq!(world.serving_groups(), GROUPS, "seed {seed}: still known");
+    }
+}
