feat(daemon): report a store whose revisions go back within an era

Operators: if a store lost writes without a new era, changes did not come into force and nothing said why.

Evidence: three exact answers of revision 290 after 314 left no line. The new test is red with the check taken out (row a-lower-revision-is-reported).

Change: an exact answer to a call made after a higher revision of its era was known is counted and logged once. Overlapping calls and equal revisions are not reported.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -115,6 +115,12 @@
         "} else if self.settings.assembly == Assembly::Engines && self.addresses.len() > 1_000_000 {",
         "lost_assignment", "groups_that_no_daemon_knows",
     ),
+    "a-lower-revision-is-reported": (
+        CORE + "daemon/configuration.rs",
+        "if !is_lower || answer.at < self.revision_known_at {",
+        "if !is_lower || answer.at >= Timestamp::ZERO {",
+        "store_era_answers", "reported_once",
+    ),
     "a-key-waits-for-witnesses": (
         CORE + "claim_witnesses.rs",
         "let required = REQUIRED_WITNESSES.min(candidates.count());",
--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -29,7 +29,7 @@
 }
 
 /// The confirmation of the higher revision, or the later of two for the same revision.
-pub(super) fn newer_confirmation(
+fn newer_confirmation(
     known: Option<Confirmation>,
     other: Option<Confirmation>,
 ) -> Option<Confirmation> {
@@ -146,9 +146,12 @@
     ) {
         let jitter = self.rng.random_range(0.0..1.0);
         let pause = WATCH_RETRY_DELAY.mul_f64(1.0 + jitter);
-        let feed = &mut self.feeds[index];
+        let feed = &self.feeds[index];
         let scope = feed.scope();
-        self.confirmation = newer_confirmation(self.confirmation, feed.confirmation(result));
+        let confirmation = feed.confirmation(result);
+        self.check_revision(confirmation, out);
+        self.record_confirmation(now, confirmation);
+        let feed = &mut self.feeds[index];
         let spacing = match scope {
             // The lease holder acts on host changes, so it watches three times as often.
             Scope::Hosts if self.is_lease_holder => self.settings.learning.host_spacing / 3,
@@ -170,6 +173,40 @@
         }
     }
 
+    /// Records proof of a revision that the platform has reached.
+    pub(super) fn record_confirmation(
+        &mut self,
+        now: Timestamp,
+        confirmation: Option<Confirmation>,
+    ) {
+        let known = self.confirmation.map(|known| known.revision);
+        self.confirmation = newer_confirmation(self.confirmation, confirmation);
+        if self.confirmation.map(|newest| newest.revision) > known {
+            self.revision_known_at = now;
+        }
+    }
+
+    /// Reports an exact answer whose revision is lower than one that was known before the call, in
+    /// the same era: the store has lost writes without a new era. The answer proves nothing.
+    fn check_revision(&mut self, answer: Option<Confirmation>, out: &mut Vec<Action>) {
+        let (Some(answer), Some(known)) = (answer, self.confirmation) else {
+            return;
+        };
+        let is_same_era = answer.revision.era == known.revision.era;
+        let is_lower = is_same_era && answer.revision < known.revision;
+        if !is_lower || answer.at < self.revision_known_at {
+            return;
+        }
+        self.lower_revisions += 1;
+        if self.lower_revisions == 1 {
+            let text = format!(
+                "answered with revision {} after {}; the store lost writes within an era, their objects may be out of date here",
+                answer.revision, known.revision
+            );
+            log(out, Component::Platform, text);
+        }
+    }
+
     /// Rewrites a configuration that the store lost, in layouts where daemons write
     /// configurations.
     fn rewrite_lost_fleet(&mut self, now: Timestamp, out: &mut Vec<Action>) {
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -171,6 +171,10 @@
     confirmed_by_peer: Option<Timestamp>,
     /// The newest known revision of the platform, and when it was confirmed.
     confirmation: Option<Confirmation>,
+    /// When this daemon learned of the newest known revision.
+    revision_known_at: Timestamp,
+    /// Number of exact answers whose revision was lower than one known before the call.
+    lower_revisions: u64,
     /// The last configuration version that was ignored because a newer one is in force.
     last_ignored_version: Option<FleetVersion>,
     next_confirm_pull_at: Timestamp,
@@ -242,6 +246,8 @@
             routes: RouteTable::default(),
             confirmed_by_peer: None,
             confirmation: None,
+            revision_known_at: Timestamp::ZERO,
+            lower_revisions: 0,
             last_ignored_version: None,
             next_confirm_pull_at: Timestamp::ZERO,
             next_relay_pull_at: Timestamp::ZERO,
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -5,7 +5,6 @@
 
 use rand::seq::IndexedRandom;
 
-use super::configuration::newer_confirmation;
 use super::{
     CONFIRM_PULL_INTERVAL, Daemon, LAST_OUTPUT_MAX_AGE, LAST_OUTPUT_PEERS, LEASE_CANDIDATES,
     SUSPECT_REPORT_INTERVAL, WATCH_DUTY,
@@ -374,7 +373,7 @@
             let revision = reached.revision;
             time_before(asked_at, reached.ms_ago).map(|at| Confirmation { revision, at })
         });
-        self.confirmation = newer_confirmation(self.confirmation, reached);
+        self.record_confirmation(now, reached);
     }
 
     /// Notifies all peers of a replica that is known to have lost a member. Otherwise each would
--- a/shalehinge/src/core/daemon/store_era.rs
+++ b/shalehinge/src/core/daemon/store_era.rs
@@ -47,6 +47,12 @@
         self.era_state.current
     }
 
+    /// Number of exact answers whose revision was lower than one known before the call, in the same
+    /// era: the store has lost writes without a new era.
+    pub fn lower_revisions(&self) -> u64 {
+        self.lower_revisions
+    }
+
     /// Converts a reply according to its era: a reply of an earlier era counts as none, and a
     /// reply across eras proves only what does not depend on the versions named in the call.
     ///
--- a/shalehinge/src/operator_api.rs
+++ b/shalehinge/src/operator_api.rs
@@ -142,15 +142,18 @@
         })
 }
 
-/// Renders gauges of the platform's store: its era, if it reports one, and whether the daemon
-/// still keeps host records from the previous era.
+/// Renders gauges of the platform's store: its era, if it reports one, whether the daemon still
+/// keeps host records from the previous era, and the number of answers with a lower revision than
+/// was known in the same era.
 fn store_gauges(driver: &Driver) -> String {
     driver.read(|_, core| {
         let era = core.store_era().and_then(StoreEra::number);
         let era = era.map(|era| format!("shalehinge.platform.era {era}\n"));
         let kept = u8::from(core.state().has_earlier_hosts());
         let kept = format!("shalehinge.platform.earlier_hosts {kept}\n");
-        era.into_iter().chain([kept]).collect()
+        let lower = core.lower_revisions();
+        let lower = format!("shalehinge.platform.lower_revisions {lower}\n");
+        era.into_iter().chain([kept, lower]).collect()
     })
 }
 
--- a/shalehinge/tests/store_era_answers.rs
+++ b/shalehinge/tests/store_era_answers.rs
@@ -326,3 +326,33 @@
         "the lease is read before it is written again"
     );
 }
+
+// Guards against writes that a store loses without a new era, which nothing reported.
+#[test]
+fn a_lower_exact_revision_within_an_era_is_reported_once() {
+    let mut harness = serving();
+    let reports = |harness: &DaemonHarness| {
+        let text = "revision 290 of era 1 after 314 of era 1";
+        let lines = harness.logs.iter().filter(|line| line.contains(text));
+        lines.count()
+    };
+    for _ in 0..3 {
+        let lower = configuration(Version::new(FIRST, 290), 27);
+        assert!(harness.answer(watches_configuration, lower));
+        harness.run(Duration::from_secs(1));
+    }
+    assert_eq!(reports(&harness), 1, "{:?}", harness.logs);
+    assert_eq!(harness.daemon.lower_revisions(), 3);
+    assert_eq!(harness.generation_in_force(), 28);
+}
+
+#[test]
+fn equal_and_higher_revisions_within_an_era_are_not_reported_as_lower() {
+    let mut harness = serving();
+    for number in [314, 314, 315] {
+        let answer = configuration(Version::new(FIRST, number), 28);
+        assert!(harness.answer(watches_configuration, answer));
+        harness.run(Duration::from_secs(1));
+    }
+    assert_eq!(harness.daemon.lower_revisions(), 0);
+}
