fix(controller): count crashes by a model over changes of the lease holder

Callers: a model whose load ends its engines was tried anew by each lease holder, on hosts that other models could use.

Cause: the count of consecutive crashes was in the holder's memory alone.

Change: the counts stand in the assignment; a successor goes on counting, and waits from the time at which it took over.

Engines that come back under another name are still not counted and stay listed.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -121,6 +121,12 @@
         "if !is_lower || answer.at >= Timestamp::ZERO {",
         "store_era_answers", "reported_once",
     ),
+    "crash-counts-outlast-the-holder": (
+        CORE + "controller/mod.rs",
+        "            self.load_crashes.resume(now, &stored.value.load_crashes);\n",
+        "",
+        "crashing_models", "while_lease_holders_change",
+    ),
     "a-key-waits-for-witnesses": (
         CORE + "claim_witnesses.rs",
         "let required = REQUIRED_WITNESSES.min(candidates.count());",
--- a/shalehinge/src/core/controller/load_crashes.rs
+++ b/shalehinge/src/core/controller/load_crashes.rs
@@ -4,7 +4,7 @@
 //! model. One such crash has no effect, since engines also lose power. After two consecutive
 //! crashes only one engine at a time may load the model, and from the third crash on each attempt
 //! waits longer than the one before. A successful load resets the state. Other models are not
-//! affected.
+//! affected. The counts are stored in the assignment, so that they outlast the lease holder.
 //!
 //! Without this limit an engine crashed 1,081 times in five minutes while one group of the model
 //! was to form, and 16 engines crashed 5,984 times each while all groups were to form
@@ -71,6 +71,32 @@
         Some((record.crashes, wait))
     }
 
+    /// The number of consecutive crashes by model.
+    pub fn counts(&self) -> BTreeMap<ModelName, u32> {
+        let models = self.models.iter();
+        models
+            .map(|(model, record)| (model.clone(), record.crashes))
+            .collect()
+    }
+
+    /// Continues the counts of a previous lease holder. As it is not known when the last crash
+    /// was, the model waits from now on.
+    pub fn resume(&mut self, now: Timestamp, counts: &BTreeMap<ModelName, u32>) {
+        for (model, crashes) in counts {
+            let known = self.models.get(model).map_or(0, |record| record.crashes);
+            if known >= *crashes {
+                continue;
+            }
+            let record = CrashRecord {
+                crashes: *crashes,
+                crashed_at: now,
+                next_load_at: now + backoff_after(*crashes),
+                attempt: None,
+            };
+            self.models.insert(model.clone(), record);
+        }
+    }
+
     /// Records that an engine loaded the model successfully.
     pub fn record_loaded(&mut self, model: &ModelName) {
         self.models.remove(model);
--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -552,6 +552,7 @@
         if self.settings.assembly == Assembly::Orders {
             self.plan_ordered(now, &mut value, state, &mut log);
             value.held_by_free = self.held_by_free(&value);
+            value.load_crashes = self.load_crashes.counts();
             let changed = value != stored.value;
             return (changed.then_some(value), log);
         }
@@ -612,8 +613,11 @@
     }
 
     fn update_hosts(&mut self, now: Timestamp, state: &FleetState, list_state: HostListState) {
-        if self.stored.is_some() {
-            self.stored_seen_at.get_or_insert(now);
+        if let Some(stored) = &self.stored
+            && self.stored_seen_at.is_none()
+        {
+            self.stored_seen_at = Some(now);
+            self.load_crashes.resume(now, &stored.value.load_crashes);
         }
         self.list_state = list_state;
         if self.settings.assembly == Assembly::Orders {
--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -374,6 +374,10 @@
     /// Such a host can join a group of that model immediately. The host list doesn't report it.
     #[serde(default)]
     pub held_by_free: BTreeMap<HostId, ModelName>,
+    /// Number of consecutive crashes of engines by the model that they were loading, so that a
+    /// new lease holder goes on counting.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub load_crashes: BTreeMap<ModelName, u32>,
 }
 
 /// The hosts that form one replica. Members are immutable; a change of members makes a new group.
@@ -433,6 +437,7 @@
             heads: BTreeMap::new(),
             wanted: BTreeMap::new(),
             held_by_free: BTreeMap::new(),
+            load_crashes: BTreeMap::new(),
         }
     }
 }
--- a/shalehinge/tests/crashing_models.rs
+++ b/shalehinge/tests/crashing_models.rs
@@ -130,3 +130,20 @@
     // Loading takes 15 s on an engine without weights.
     assert!(took < Duration::from_secs(17), "{took:?}");
 }
+
+// Guards against crash counts that end with the lease holder that counted them.
+#[test]
+fn a_crashing_model_is_tried_with_increasing_waits_while_lease_holders_change() {
+    let mut domain = domain_with_crashing_model();
+    let change_interval = Duration::from_secs(20);
+    for _ in 0..OBSERVATION_TIME.as_secs() / change_interval.as_secs() {
+        domain.run_for(change_interval);
+        domain.change_holder();
+    }
+    assert!(!domain.crashes.is_empty());
+    assert!(
+        max_crashes(&domain) <= MAX_CRASHES,
+        "{:?}",
+        crash_counts(&domain)
+    );
+}
