fix(settings): let `quarantine_after = 0` switch the quarantine off

Operators: the value that the page documents as off was refused.

Cause: the setting was read as a count of at least 1. Evidence: the new test, red before with 'use an integer of at least 1'. Other counts were looked at: none is documented with 0.

--- a/shalehinge/src/settings/reader.rs
+++ b/shalehinge/src/settings/reader.rs
@@ -271,6 +271,12 @@
         self.parse(key, default, parse, "use an integer of at least 1")
     }
 
+    /// Reads an integer that may be 0.
+    pub fn count_or_zero<T: FromStr>(&mut self, key: &str, default: T) -> T {
+        let parse = |text: &str| text.parse::<T>().ok();
+        self.parse(key, default, parse, "use an integer of at least 0")
+    }
+
     /// Reads a finite number of at least 0.
     pub fn fraction(&mut self, key: &str, default: f64) -> f64 {
         let parse = |text: &str| {
--- a/shalehinge/src/settings/router.rs
+++ b/shalehinge/src/settings/router.rs
@@ -154,7 +154,7 @@
             suspect_after: section.duration("suspect_after", default.suspect_after),
             retry_burst_is_shared: section
                 .flag("retry_burst_is_shared", default.retry_burst_is_shared),
-            quarantine_after: section.count("quarantine_after", default.quarantine_after),
+            quarantine_after: section.count_or_zero("quarantine_after", default.quarantine_after),
             quarantine_for: section.duration("quarantine_for", default.quarantine_for),
             retry_after: section.duration("retry_after", default.retry_after),
         }
--- a/shalehinge/tests/settings.rs
+++ b/shalehinge/tests/settings.rs
@@ -134,3 +134,12 @@
     let text = format!("{MINIMAL}[learning]\nstrict_revocation = yes\n");
     assert!(problems(&text)[0].contains("strict_revocation requires revoke_within"));
 }
+
+// Guards against an operator who can't switch the quarantine off as documented.
+#[test]
+fn the_quarantine_can_be_switched_off() {
+    let text = format!("{MINIMAL}[router]\nquarantine_after = 0\n");
+    assert_eq!(problems(&text), [""; 0]);
+    let settings = Settings::parse("entry.ini", &text).expect("valid settings");
+    assert_eq!(settings.core.router.quarantine_after, 0);
+}
