fix(operator): don't repeat an invalid key hash in the error

Cause: the error held the rejected text. Evidence: the new test, red before: the message contains the key.

Change: the error names the customer and the number of the entry.

--- a/shalehinge/src/core/change.rs
+++ b/shalehinge/src/core/change.rs
@@ -96,9 +96,16 @@
     /// The path prefix of a service doesn't start with a slash, is `/`, or is below `/v1/`.
     #[error("the path {0:?} of a service must start with '/' and must not be below /v1/")]
     ServicePath(String),
-    /// A key hash is not a SHA-256 in hexadecimal.
-    #[error("{0:?} is not a SHA-256 in 64 hexadecimal digits; create one with `sha256sum`")]
-    KeyHash(String),
+    /// A key hash is not a SHA-256 in hexadecimal. Its text is not repeated, as it may be the key.
+    #[error(
+        "entry {position} of key_sha256 of customer {customer} is not a SHA-256 in 64 hexadecimal digits; create one with `sha256sum`"
+    )]
+    KeyHash {
+        /// The customer whose entry it is.
+        customer: Customer,
+        /// Number of the entry, from 1.
+        position: usize,
+    },
 }
 
 impl Change {
@@ -171,14 +178,17 @@
 
 impl Configuration {
     fn validate(&self) -> Result<(), ChangeError> {
-        for customer in self.customers.values() {
+        for (name, customer) in &self.customers {
             if customer.share == 0 {
                 return Err(ChangeError::ZeroShare);
             }
-            for hash in &customer.key_sha256 {
+            for (index, hash) in customer.key_sha256.iter().enumerate() {
                 let is_sha256_hex = hash.len() == 64 && hash.bytes().all(|b| b.is_ascii_hexdigit());
                 if !is_sha256_hex {
-                    return Err(ChangeError::KeyHash(hash.clone()));
+                    return Err(ChangeError::KeyHash {
+                        customer: name.clone(),
+                        position: index + 1,
+                    });
                 }
             }
         }
--- a/shalehinge/tests/operator.rs
+++ b/shalehinge/tests/operator.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use shalehinge::core::change::Change;
+use shalehinge::core::change::{Change, Configuration};
 use shalehinge::core::fleet_state::{FleetState, ObjectUpdate};
 use shalehinge::core::objects::{
     CustomerConfig, FleetConfig, HostList, HostRecord, HostState, Object, ObjectKey,
@@ -202,3 +202,24 @@
     );
     assert!(is_out_of_date);
 }
+
+// Guards against a raw key, given in place of its hash, that error messages and logs repeat.
+#[test]
+fn an_invalid_key_hash_is_not_repeated_in_the_error() {
+    const RAW_KEY: &str = "a-raw-key";
+    let mut configuration = Configuration::default();
+    let customer = CustomerConfig {
+        key_sha256: vec![RAW_KEY.into()],
+        share: 1,
+        rank: None,
+    };
+    configuration.customers.insert(Customer::new("c"), customer);
+    let change = Change::Configure(Box::new(configuration));
+    let applied = change.apply(&FleetConfig::default(), &HostList::default());
+    let error = applied.expect_err("the hash is invalid").to_string();
+    assert!(!error.contains(RAW_KEY), "{error}");
+    assert!(
+        error.contains("entry 1 of key_sha256 of customer c"),
+        "{error}"
+    );
+}
