fix(controller): go on asking free hosts that were silent during the survey

Callers: after a restore, a free host that was down during the survey of engines stayed unused after it had started, until the lease changed hands.

Cause: silent hosts are in no new group until they have answered, and after the running groups were adopted only members of groups were called.

Evidence: the new test, red before: 3 of 4 groups served 40 s after a member was lost, with that host free.

Change: free hosts that have not answered are probed at the interval of orders.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -127,6 +127,12 @@
         "",
         "crashing_models", "while_lease_holders_change",
     ),
+    "silent-hosts-are-asked-on": (
+        CORE + "controller/mod.rs",
+        "        actions.extend(self.late_survey_probes(now));\n",
+        "",
+        "lost_assignment", "starts_after_the_survey",
+    ),
     "a-key-waits-for-witnesses": (
         CORE + "claim_witnesses.rs",
         "let required = REQUIRED_WITNESSES.min(candidates.count());",
--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -360,6 +360,7 @@
         } else {
             self.calls(now, epoch)
         };
+        actions.extend(self.late_survey_probes(now));
         if let Some(mut value) = value {
             value.operation = Some(operation);
             value.epoch = epoch;
--- a/shalehinge/src/core/controller/survey.rs
+++ b/shalehinge/src/core/controller/survey.rs
@@ -74,18 +74,33 @@
 
     /// Probes of the engines that have not answered.
     pub(super) fn survey_probes(&mut self, now: Timestamp) -> Vec<ControllerAction> {
+        let hosts = self.unsurveyed_hosts();
+        self.probe_hosts(now, hosts)
+    }
+
+    /// Probes, after the running groups were adopted, of free hosts that have not answered; the
+    /// others are called for their groups.
+    pub(super) fn late_survey_probes(&mut self, now: Timestamp) -> Vec<ControllerAction> {
+        let mut hosts = self.unsurveyed_hosts();
+        if let Some(stored) = &self.stored {
+            hosts.retain(|host| !stored.value.is_in_use(host));
+        }
+        self.probe_hosts(now, hosts)
+    }
+
+    fn probe_hosts(&mut self, now: Timestamp, hosts: BTreeSet<HostId>) -> Vec<ControllerAction> {
         let group = GroupNumber::PRIMING;
-        let unknown = self.unsurveyed_hosts();
-        let members = unknown.into_iter().filter_map(|host| {
-            let address = *self.addresses.get(&host)?;
-            Some(Member { host, address })
-        });
-        let members: Vec<Member> = members.collect();
-        members
-            .into_iter()
-            .filter(|member| self.try_call(now, &member.host, CallPurpose::Survey))
-            .map(|member| ControllerAction::Probe { group, member })
-            .collect()
+        let mut actions = Vec::new();
+        for host in hosts {
+            let Some(address) = self.addresses.get(&host).copied() else {
+                continue;
+            };
+            if self.try_call(now, &host, CallPurpose::Survey) {
+                let member = Member { host, address };
+                actions.push(ControllerAction::Probe { group, member });
+            }
+        }
+        actions
     }
 
     /// Hosts of which it is not known whether they are in a group that the assignment lacks.
--- a/shalehinge/tests/lost_assignment.rs
+++ b/shalehinge/tests/lost_assignment.rs
@@ -65,3 +65,30 @@
         assert_eq!(world.serving_groups(), GROUPS, "seed {seed}: still known");
     }
 }
+
+// Guards against a host that was down during the survey and stays unused for ever.
+#[test]
+fn a_host_that_starts_after_the_survey_is_used_again() {
+    for seed in 0..RUNS / 4 {
+        let mut world = World::serving(seed);
+        world.platform.take_backup();
+        let spare = (0..world.hosts.len())
+            .find(|index| world.hosts[*index].engine.membership.is_none())
+            .expect("a free host");
+        world.apply(Operation::KillHost(spare as u8));
+        world.run_for(SETTLED);
+        world.restore_platform();
+        world.run_for(SETTLED);
+        world.apply(Operation::StartHost(spare as u8));
+        world.run_for(SETTLED);
+        let member = (0..world.hosts.len())
+            .find(|index| {
+                let host = &world.hosts[*index];
+                host.engine.membership.is_some() && host.domain == world.hosts[spare].domain
+            })
+            .expect("a member");
+        world.apply(Operation::KillHost(member as u8));
+        world.run_for(SETTLED * 2);
+        assert_eq!(world.serving_groups(), GROUPS, "seed {seed}: uses the host");
+    }
+}
