--- a/shalehinge/src/core/claim_witnesses.rs
+++ b/shalehinge/src/core/claim_witnesses.rs
@@ -105,8 +105,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct PendingGrants {
     grants: BTreeMap<RequestId, PendingGrant>,
-    /// Witnesses of granted claims, which are notified if the request turns out not to have run.
-    witnesses: BTreeMap<OperationId, BTreeSet<Address>>,
+    /// Peers that were sent a granted claim, by claimant. They are notified if the request turns
+    /// out not to have run.
+    informed_peers: BTreeMap<OperationId, BTreeSet<Address>>,
 }
 
 impl PendingGrants {
@@ -143,12 +144,12 @@
         }
     }
 
-    /// Ends the wait of a claim that is settled, and returns the peers that remember it.
+    /// Ends the wait of a claim that is settled, and returns the peers that may remember it.
     pub fn remove(&mut self, request: RequestId, claimant: OperationId) -> BTreeSet<Address> {
         if let Some(pending) = self.grants.remove(&request) {
             return pending.asked;
         }
-        self.witnesses.remove(&claimant).unwrap_or_default()
+        self.informed_peers.remove(&claimant).unwrap_or_default()
     }
 
     /// Returns the claims to send to peers, and the requests whose wait has ended.
@@ -176,7 +177,7 @@
         for request in &actions.granted {
             if let Some(pending) = self.grants.remove(request) {
                 let claimant = pending.witnessed.claim.claimant;
-                self.witnesses.insert(claimant, pending.asked);
+                self.informed_peers.insert(claimant, pending.asked);
             }
         }
         actions
--- a/shalehinge/src/core/daemon/claiming.rs
+++ b/shalehinge/src/core/daemon/claiming.rs
@@ -22,7 +22,7 @@
         let Some(claimed) = self.claimed_requests.remove(&request) else {
             return;
         };
-        let witnesses = self.pending_grants.remove(request, claimed.claimant);
+        let informed_peers = self.pending_grants.remove(request, claimed.claimant);
         match outcome {
             Outcome::NotRun { .. } => {
                 self.claims.withdraw(claimed.key, claimed.claimant);
@@ -30,7 +30,7 @@
                     forget: vec![claimed.claimant],
                     ..ClaimsNotice::default()
                 };
-                self.send_claims_notice(witnesses.into_iter().collect(), claims, out);
+                self.send_claims_notice(informed_peers.into_iter().collect(), claims, out);
             }
             Outcome::Completed | Outcome::Failed { .. } => {
                 self.claims.complete(claimed.key, claimed.claimant);
--- a/shalehinge/src/gateway/relay.rs
+++ b/shalehinge/src/gateway/relay.rs
@@ -24,7 +24,7 @@
 use crate::upstream::relay::{
     HOP_BY_HOP_HEADERS, RelayContext, RelayHeaderNames, ResponseHead, StreamPosition,
 };
-use crate::utils::caller_connection::{CallerConnection, caller_left, unless_closed};
+use crate::utils::caller_connection::{CallerConnection, caller_left};
 
 /// Customer that requests without a key are counted under.
 const ANONYMOUS: &str = "anonymous";
@@ -380,7 +380,7 @@
         let (parts, guard, connection) = state?;
         loop {
             // Dropping the guard reports that the caller has disconnected.
-            let Some(part) = unless_closed(&connection, parts.recv()).await else {
+            let Some(part) = connection.unless_closed(parts.recv()).await else {
                 return Some((Err(caller_left()), None));
             };
             match part {
--- a/shalehinge/src/gateway/response.rs
+++ b/shalehinge/src/gateway/response.rs
@@ -16,7 +16,7 @@
 use crate::process::Driver;
 use crate::process::pending_requests::CallerMessage;
 use crate::upstream::attempt::{OutgoingRequest, ResponsePart, WholeResponse};
-use crate::utils::caller_connection::{CallerConnection, caller_left, unless_closed};
+use crate::utils::caller_connection::{CallerConnection, caller_left};
 
 /// Response header with the outcome of the request: `completed`, `failed`, `not_run` or
 /// `unknown`.
@@ -418,7 +418,7 @@
         let (parts, mut guard, connection) = state?;
         loop {
             // Dropping the guard reports that the caller has disconnected, if it is armed.
-            let Some(part) = unless_closed(&connection, parts.recv()).await else {
+            let Some(part) = connection.unless_closed(parts.recv()).await else {
                 return Some((Err(caller_left()), None));
             };
             match part {
--- a/shalehinge/src/utils/caller_connection.rs
+++ b/shalehinge/src/utils/caller_connection.rs
@@ -30,9 +30,20 @@
         Self(tcp)
     }
 
+    /// Waits for a value, or returns `None` if the caller closes the connection first.
+    pub async fn unless_closed<T>(&self, value: impl Future<Output = T>) -> Option<T> {
+        let arrives = async { Some(value.await) };
+        let closes = async {
+            self.closed().await;
+            None
+        };
+        // A value that is ready takes precedence over the end of the connection.
+        smol::future::or(arrives, closes).await
+    }
+
     /// Completes when the caller has closed the connection. Stays pending if the caller sends
     /// another request meanwhile, as its end can't be seen behind that request.
-    pub async fn closed(&self) {
+    async fn closed(&self) {
         let Some(stream) = &self.0 else {
             return pending().await;
         };
@@ -59,20 +70,6 @@
     Some(tcp.clone().into_inner())
 }
 
-/// Waits for a value, or returns `None` if the caller closes the connection first.
-pub async fn unless_closed<T>(
-    connection: &CallerConnection,
-    value: impl Future<Output = T>,
-) -> Option<T> {
-    let arrives = async { Some(value.await) };
-    let closes = async {
-        connection.closed().await;
-        None
-    };
-    // A value that is ready takes precedence over the end of the connection.
-    smol::future::or(arrives, closes).await
-}
-
 /// The error that ends the response to a caller that has closed the connection.
 pub fn caller_left() -> std::io::Error {
     std::io::Error::new(ErrorKind::ConnectionAborted, "the caller disconnected")
