feat(router): limit requests to upstreams that warm up, over all daemons together

Cause: a replica that starts during traffic bears few requests a second and falls over above that.

Change: the host list states how long a host warms up, the configuration how many requests a second an upstream bears meanwhile. Such an upstream is handled like one that names a limit: permits of one owner, at three quarters of the rate with one saved up, so that permits of two seconds used in one stay below 1.5 times the rate. An owner grants none in its first ten seconds: after a restart of all, each daemon takes itself for the owner.

--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -301,7 +301,7 @@
         if is_changed {
             self.superseded.on_accepted(self.state.fleet_version());
             self.rebuild_routes(now, out);
-            self.rebuild_topology();
+            self.rebuild_topology(now);
         }
         if needs_notice {
             self.membership
@@ -337,14 +337,14 @@
         self.handle_router_actions(now, actions, out);
     }
 
-    pub(super) fn rebuild_topology(&mut self) {
+    pub(super) fn rebuild_topology(&mut self, now: Timestamp) {
         let topology = topology::build(
             &self.state,
             &self.identity.daemon,
             &self.identity.failure_domain,
             &self.settings.router,
         );
-        self.router.set_topology(topology);
+        self.router.set_topology(now, topology);
     }
 
     pub(super) fn notify_random_peers(&mut self, now: Timestamp, out: &mut Vec<Action>) {
--- a/shalehinge/src/core/daemon/store_era.rs
+++ b/shalehinge/src/core/daemon/store_era.rs
@@ -168,7 +168,7 @@
         }
         self.era_state.earlier_hosts_until = None;
         self.state.discard_earlier_hosts();
-        self.rebuild_topology();
+        self.rebuild_topology(now);
         let text = "dropped hosts of the earlier era; the platform's host list applies".to_owned();
         log(out, Component::Platform, text);
     }
--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -10,7 +10,8 @@
 use super::engine::EngineStatus;
 use super::routable_hosts::RoutableChanges;
 pub use super::route_config::{
-    CallerLimits, EngineTimes, LoadRate, ModelProfile, RequestKind, RouteConfig, WeightedService,
+    CallerLimits, EngineTimes, LoadRate, ModelProfile, RequestKind, RouteConfig, WarmUpLimit,
+    WeightedService,
 };
 use super::types::{
     Address, AssignmentVersion, Customer, DaemonId, EngineStart, Epoch, FabricDomain,
@@ -184,6 +185,9 @@
     /// Limit on the rate of weight loads, over all failure domains.
     #[serde(default)]
     pub load_rate: Option<LoadRate>,
+    /// Limits on requests to upstreams that have just started, by service.
+    #[serde(default)]
+    pub warm_ups: BTreeMap<ServiceName, WarmUpLimit>,
 }
 
 /// A customer's API keys, share and priority.
@@ -306,6 +310,9 @@
     /// Start time of the engine, if the list states it.
     #[serde(default)]
     pub started: Option<EngineStart>,
+    /// Remaining time of the host's warm-up in milliseconds, as of when it reported this.
+    #[serde(default)]
+    pub warm_up_ms: u64,
 }
 
 impl HostRecord {
--- a/shalehinge/src/core/permits.rs
+++ b/shalehinge/src/core/permits.rs
@@ -43,6 +43,13 @@
     1.0 + effective_rate(limit) * BURST_SECONDS
 }
 
+/// Maximum number of unused permits of an upstream that warms up: together with the permits that
+/// are granted and used within a second, more would exceed what it can bear.
+const WARM_UP_BURST: f64 = 1.0;
+/// How long after its start a daemon grants no permits of warm-ups. A daemon that knows few
+/// members takes itself for the owner of many upstreams, as do others that started with it.
+const WARM_UP_OWNER_DELAY: Duration = Duration::from_secs(10);
+
 /// What a daemon knows of an upstream's limit.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitReport {
@@ -56,6 +63,10 @@
     pub rate: Option<RequestRate>,
     /// Age of the answer that stated this, in milliseconds, rounded up.
     pub ms_ago: u64,
+    /// Time until the limit ends by itself, in milliseconds, for the limit of a warm-up. All
+    /// daemons know such a limit from the host list, so it isn't broadcast.
+    #[serde(default)]
+    pub expires_in_ms: Option<u64>,
 }
 
 /// A daemon's request for permits to the owner of an upstream's limit.
@@ -82,6 +93,27 @@
     started: Option<EngineStart>,
     rate: Option<RequestRate>,
     as_of: Timestamp,
+    /// When the limit ends by itself, if it is that of a warm-up.
+    expires_at: Option<Timestamp>,
+}
+
+impl LimitState {
+    fn is_warm_up(&self) -> bool {
+        self.expires_at.is_some()
+    }
+
+    fn rate(&self, now: Timestamp) -> Option<RequestRate> {
+        self.rate
+            .filter(|_| self.expires_at.is_none_or(|at| now < at))
+    }
+
+    fn burst(&self, rate: RequestRate) -> f64 {
+        if self.is_warm_up() {
+            WARM_UP_BURST
+        } else {
+            burst_size(rate)
+        }
+    }
 }
 
 /// A token bucket that is filled at the rate of a limit.
@@ -100,9 +132,9 @@
         }
     }
 
-    fn fill(&mut self, now: Timestamp, rate: RequestRate) {
+    fn fill(&mut self, now: Timestamp, rate: RequestRate, burst: f64) {
         let elapsed = now.since(self.filled_at).as_secs_f64();
-        self.tokens = (self.tokens + elapsed * effective_rate(rate)).min(burst_size(rate));
+        self.tokens = (self.tokens + elapsed * effective_rate(rate)).min(burst);
         self.filled_at = self.filled_at.max(now);
     }
 
@@ -161,6 +193,9 @@
             started: report.started,
             rate: report.rate,
             as_of: reported_at.minus(Duration::from_millis(report.ms_ago)),
+            expires_at: report
+                .expires_in_ms
+                .map(|left| now + Duration::from_millis(left)),
         };
         let Some(owned) = self.limits.get_mut(&report.upstream) else {
             if self.limits.len() < MAX_UPSTREAMS {
@@ -177,7 +212,7 @@
         let is_same_start = !EngineStart::differ(known.started, owned.known.started);
         match owned.known.rate.filter(|_| is_same_start) {
             // The time until now counts at the previous rate.
-            Some(rate) => owned.bucket.fill(now, rate),
+            Some(rate) => owned.bucket.fill(now, rate, owned.known.burst(rate)),
             None => owned.bucket = TokenBucket::empty(now),
         }
         owned.known = known;
@@ -233,7 +268,7 @@
     pub fn take_due_broadcasts(&mut self, now: Timestamp) -> Vec<LimitReport> {
         let mut due = Vec::new();
         for (upstream, owned) in &mut self.limits {
-            let is_limited = owned.known.rate.is_some();
+            let is_limited = owned.known.rate.is_some() && !owned.known.is_warm_up();
             let is_due = owned
                 .broadcast_at
                 .is_none_or(|at| now.since(at) >= BROADCAST_INTERVAL);
@@ -267,17 +302,21 @@
             started: self.known.started,
             rate: self.known.rate,
             ms_ago: now.millis_since(self.known.as_of),
+            expires_in_ms: None,
         }
     }
 
     fn grant(&mut self, now: Timestamp, upstream: &UpstreamId, granted: &mut Vec<DaemonGrant>) {
         self.waiters
             .retain(|waiter| now.since(waiter.asked_at) < REQUEST_LIFETIME);
-        let Some(rate) = self.known.rate else {
+        let Some(rate) = self.known.rate(now) else {
             self.waiters.clear();
             return;
         };
-        self.bucket.fill(now, rate);
+        if self.known.is_warm_up() && now.as_duration() < WARM_UP_OWNER_DELAY {
+            return;
+        }
+        self.bucket.fill(now, rate, self.known.burst(rate));
         while let Some(first) = self.waiters.first() {
             let count = self.bucket.take(first.wanted);
             if count == 0 {
--- a/shalehinge/src/core/route_config.rs
+++ b/shalehinge/src/core/route_config.rs
@@ -3,6 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::advertised_limit::RequestRate;
 use super::types::ServiceName;
 
 /// Maps requests to services, and states how they may be handled.
@@ -88,6 +89,15 @@
     pub prompt_tokens_per_second: f64,
 }
 
+/// Limit on the requests to an upstream of a service while it warms up.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WarmUpLimit {
+    /// Requests that one upstream accepts from all daemons together.
+    pub rate: RequestRate,
+    /// Duration of a warm-up in milliseconds.
+    pub duration_ms: u64,
+}
+
 /// Limits on relayed requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
--- a/shalehinge/src/core/router/availability.rs
+++ b/shalehinge/src/core/router/availability.rs
@@ -42,7 +42,7 @@
         if self.is_stalled() {
             return Availability::Unproven;
         }
-        if !self.limit.may_send(now) {
+        if !self.is_within_limit(now) {
             return Availability::NeedsPermit;
         }
         Availability::Open
--- a/shalehinge/src/core/router/choose.rs
+++ b/shalehinge/src/core/router/choose.rs
@@ -169,8 +169,8 @@
     // Always consider limited upstreams with a permit. Otherwise, in a large fleet, permits would
     // expire unused, and no answer would arrive to show that the limit has ended.
     let has_permit = |index: &usize| {
-        let limit = &upstreams[*index].limit;
-        limit.rate().is_some() && limit.may_send(context.now)
+        let upstream = &upstreams[*index];
+        upstream.limit_rate(context.now).is_some() && upstream.limit.has_permit(context.now)
     };
     picked.extend(open.iter().copied().filter(has_permit));
     picked.sort_unstable();
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -149,7 +149,7 @@
     }
 
     /// Replaces the set of upstreams. State of upstreams that remain is kept.
-    pub fn set_topology(&mut self, topology: Topology) {
+    pub fn set_topology(&mut self, now: Timestamp, topology: Topology) {
         for (target, specs) in topology.iter() {
             let state = self.targets.entry(target.clone()).or_default();
             let mut old = std::mem::take(&mut state.upstreams);
@@ -159,7 +159,7 @@
                     Some(index) => old.swap_remove(index),
                     None => Upstream::new(spec.clone()),
                 };
-                upstream.update(spec.clone());
+                upstream.update(now, spec.clone());
                 state.upstreams.push(upstream);
             }
             // Upstreams that left the topology are kept until their requests have ended.
--- a/shalehinge/src/core/router/limit_state.rs
+++ b/shalehinge/src/core/router/limit_state.rs
@@ -81,8 +81,8 @@
 }
 
 impl LimitState {
-    /// The limit in force, if any.
-    pub fn rate(&self) -> Option<RequestRate> {
+    /// The limit that the upstream named, if any.
+    pub fn named_rate(&self) -> Option<RequestRate> {
         self.rate
     }
 
@@ -123,7 +123,7 @@
             (None, None) => None,
             (Some(_), None) => Some(LimitChange::Ends),
             (None, Some(rate)) => {
-                self.permits = Permits::default();
+                self.reset_permits();
                 self.logged = Some(rate);
                 Some(LimitChange::Begins(rate))
             }
@@ -139,16 +139,18 @@
         }
     }
 
-    /// Whether a request may be sent now.
-    pub fn may_send(&self, now: Timestamp) -> bool {
-        self.rate.is_none() || (self.permits.remaining > 0 && now < self.permits.until)
+    /// Whether an unused permit is held.
+    pub fn has_permit(&self, now: Timestamp) -> bool {
+        self.permits.remaining > 0 && now < self.permits.until
     }
 
-    /// Records that a request was sent.
+    /// Discards permits and the state of requests for more, when a limit begins.
+    pub fn reset_permits(&mut self) {
+        self.permits = Permits::default();
+    }
+
+    /// Records that a request was sent while a limit applied.
     pub fn on_sent(&mut self) {
-        if self.rate.is_none() {
-            return;
-        }
         let permits = &mut self.permits;
         permits.remaining = permits.remaining.saturating_sub(1);
         if permits.remaining == 0 {
@@ -158,7 +160,7 @@
 
     /// Returns how many permits to request now, if any, and records the request.
     pub fn permits_wanted(&mut self, now: Timestamp, urgency: PermitUrgency) -> Option<u32> {
-        if self.may_send(now) {
+        if self.has_permit(now) {
             return None;
         }
         let permits = &mut self.permits;
--- a/shalehinge/src/core/router/limits.rs
+++ b/shalehinge/src/core/router/limits.rs
@@ -21,7 +21,7 @@
     /// Upstreams with a limit in force, and the limit.
     pub fn limited_upstreams(&self) -> impl Iterator<Item = (&UpstreamId, RequestRate)> {
         self.upstreams()
-            .filter_map(|upstream| Some((&upstream.spec.id, upstream.limit.rate()?)))
+            .filter_map(|upstream| Some((&upstream.spec.id, upstream.limit.named_rate()?)))
     }
 
     /// Applies a limit reported by another daemon at `reported_at`.
@@ -81,9 +81,25 @@
         };
         out.push(limit_line(&self.spec.id, &change));
         if !matches!(change, LimitChange::Unreadable(_)) {
-            out.push(RouterAction::ReportLimit(report_of(now, self)));
+            out.push(RouterAction::ReportLimit(named_limit_report(now, self)));
         }
     }
+
+    /// The limit on requests from all daemons together that applies now: the one that the upstream
+    /// named or that of its warm-up, whichever is lower.
+    pub fn limit_rate(&self, now: Timestamp) -> Option<RequestRate> {
+        let named = self.limit.named_rate();
+        let warm_up = self.warm_up.rate(now);
+        match (named, warm_up) {
+            (Some(named), Some(warm_up)) if warm_up < named => Some(warm_up),
+            (named, warm_up) => named.or(warm_up),
+        }
+    }
+
+    /// Whether no limit applies, or a permit is held.
+    pub fn is_within_limit(&self, now: Timestamp) -> bool {
+        self.limit.has_permit(now) || self.limit_rate(now).is_none()
+    }
 }
 
 impl TargetState {
@@ -95,15 +111,16 @@
         urgency: PermitUrgency,
     ) -> Option<RouterAction> {
         let upstream = self.upstreams.get_mut(index)?;
+        upstream.limit_rate(now)?;
         let wanted = upstream.limit.permits_wanted(now, urgency)?;
-        let known = report_of(now, upstream);
+        let known = limit_report(now, upstream);
         Some(RouterAction::RequestPermits { known, wanted })
     }
 
     /// Requests permits while queued requests cannot be sent to upstreams without a limit.
     /// Permits are requested for at most as many upstreams as there are queued requests.
     pub(super) fn ask_permits_for_all(&mut self, now: Timestamp, out: &mut Vec<RouterAction>) {
-        let is_limited = |u: &Upstream| u.limit.rate().is_some() && u.is_eligible(now);
+        let is_limited = |u: &Upstream| u.limit_rate(now).is_some() && u.is_eligible(now);
         let limited: Vec<usize> = (0..self.upstreams.len())
             .filter(|index| is_limited(&self.upstreams[*index]))
             .collect();
@@ -124,7 +141,7 @@
         let mut rate = 0.0;
         let mut initial_burst = 0.0;
         for upstream in self.upstreams.iter().filter(|u| u.is_eligible(now)) {
-            let Some(limit) = upstream.limit.rate() else {
+            let Some(limit) = upstream.limit_rate(now) else {
                 return Duration::ZERO;
             };
             rate += effective_rate(limit);
@@ -138,13 +155,30 @@
     }
 }
 
-fn report_of(now: Timestamp, upstream: &Upstream) -> LimitReport {
+fn named_limit_report(now: Timestamp, upstream: &Upstream) -> LimitReport {
     LimitReport {
         upstream: upstream.spec.id.clone(),
         failure_domain: upstream.spec.failure_domain.clone(),
         started: upstream.spec.started,
-        rate: upstream.limit.rate(),
+        rate: upstream.limit.named_rate(),
         ms_ago: now.millis_since(upstream.limit.as_of()),
+        expires_in_ms: None,
+    }
+}
+
+/// Reports the limit that applies now: that of the warm-up if the upstream named none or a higher
+/// one.
+fn limit_report(now: Timestamp, upstream: &Upstream) -> LimitReport {
+    let named = named_limit_report(now, upstream);
+    let rate = upstream.limit_rate(now);
+    if named.rate == rate {
+        return named;
+    }
+    LimitReport {
+        rate,
+        ms_ago: 0,
+        expires_in_ms: upstream.warm_up.ends_in_ms(now),
+        ..named
     }
 }
 
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -14,6 +14,7 @@
 //! - `outlier`: ejection of upstreams that fail or are slow
 //! - `failing`: detection of requests that fail on every upstream
 //! - `limit_state`, `limits`: limits that overloaded upstreams name, and permits to send to them
+//! - `warm_up`: limits on requests to upstreams that have just started
 //! - `refusal`: refusal of requests before they are sent
 //! - `retry_budget`: limit on the number of retries
 //! - `keys`: validity of API keys of relayed requests
@@ -54,5 +55,6 @@
 mod trial;
 pub mod upstream;
 pub mod wait_queue;
+pub mod warm_up;
 
 pub use dispatch::{Router, RouterAction};
--- a/shalehinge/src/core/router/topology.rs
+++ b/shalehinge/src/core/router/topology.rs
@@ -8,12 +8,13 @@
 
 use crate::core::fleet_state::FleetState;
 use crate::core::hash;
-use crate::core::objects::{Group, GroupPhase, HostState};
+use crate::core::objects::{Group, GroupPhase, HostRecord, HostState};
 use crate::core::types::{DaemonId, FailureDomain, HostId, ReplicaId, ServiceName};
 use crate::settings::router::RouterSettings;
 
 use super::request::{Target, UpstreamId};
 use super::upstream::{Evidence, UpstreamSpec};
+use super::warm_up::WarmUpSpec;
 
 /// The considered upstreams by target.
 pub type Topology = BTreeMap<Target, Vec<UpstreamSpec>>;
@@ -54,6 +55,7 @@
             evidence: Evidence::Listed,
             slots: None,
             started: None,
+            warm_up: None,
         });
         let mut specs: Vec<UpstreamSpec> = configured.collect();
         if service.is_listed {
@@ -87,10 +89,18 @@
             evidence: Evidence::Listed,
             slots: record.slots,
             started: record.started,
+            warm_up: warm_up(state, record),
         })
         .collect()
 }
 
+/// The warm-up that a host states, if its service limits requests during it.
+fn warm_up(state: &FleetState, record: &HostRecord) -> Option<WarmUpSpec> {
+    let warm_ups = &state.fleet()?.value.warm_ups;
+    let limit = warm_ups.get(record.service.as_ref()?);
+    WarmUpSpec::new(limit, record.warm_up_ms)
+}
+
 /// Replicas whose rank 0 states in the host list that it accepts requests.
 fn listed_replicas(
     state: &FleetState,
@@ -119,6 +129,7 @@
             evidence: Evidence::Listed,
             slots: record.slots,
             started: record.started,
+            warm_up: warm_up(state, record),
         };
         let target = Target::Model(model.clone());
         replicas.entry(target).or_default().push(spec);
@@ -151,6 +162,7 @@
                 evidence: Evidence::Reports,
                 slots: None,
                 started: None,
+                warm_up: None,
             };
             let target = Target::Model(group.model.clone());
             replicas.entry(target).or_default().push(spec);
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -15,6 +15,7 @@
 use super::outlier::OutlierState;
 use super::prefix::PrefixHints;
 use super::request::UpstreamId;
+use super::warm_up::{WarmUpSpec, WarmUpState};
 
 /// Fraction of the KV cache that reservations may fill; the rest allows for estimates that are
 /// too low.
@@ -46,7 +47,7 @@
 }
 
 /// An upstream as described by the topology.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamSpec {
     /// Identifies the upstream.
     pub id: UpstreamId,
@@ -68,6 +69,8 @@
     pub slots: Option<u32>,
     /// When its engine started, if the host list states it.
     pub started: Option<EngineStart>,
+    /// Its warm-up, if the host list states one and its service limits requests during it.
+    pub warm_up: Option<WarmUpSpec>,
 }
 
 /// What shows that an upstream can serve.
@@ -108,6 +111,8 @@
     pub outlier: OutlierState,
     /// The limit on requests from all daemons together, while the upstream names one.
     pub limit: LimitState,
+    /// Its warm-up.
+    pub warm_up: WarmUpState,
     /// The cooldown it requested from this daemon.
     pub cooldown: Cooldown,
     /// Whether it announced that it is leaving.
@@ -168,6 +173,7 @@
             prefixes: PrefixHints::default(),
             outlier: OutlierState::default(),
             limit: LimitState::default(),
+            warm_up: WarmUpState::default(),
             cooldown: Cooldown::default(),
             leaving: LeavingState::default(),
             first_token: SmoothedDuration::default(),
@@ -197,7 +203,7 @@
 
     /// Applies a new description from the topology. An upstream whose engine has restarted is
     /// treated as new, except that requests still in flight stay counted.
-    pub fn update(&mut self, spec: UpstreamSpec) {
+    pub fn update(&mut self, now: Timestamp, spec: UpstreamSpec) {
         if EngineStart::differ(self.spec.started, spec.started) {
             let known = std::mem::replace(self, Self::new(spec));
             self.in_flight = known.in_flight;
@@ -205,9 +211,19 @@
             self.streaming = known.streaming;
             self.daemon_count = known.daemon_count;
             self.last_progress_at = known.last_progress_at;
+            self.begin_warm_up(now);
             return;
         }
         self.spec = spec;
+        self.begin_warm_up(now);
+    }
+
+    fn begin_warm_up(&mut self, now: Timestamp) {
+        let was_limited = self.limit_rate(now).is_some();
+        self.warm_up.update(now, self.spec.warm_up);
+        if !was_limited && self.limit_rate(now).is_some() {
+            self.limit.reset_permits();
+        }
     }
 
     /// The replica id, if the upstream is a replica of a model.
@@ -475,7 +491,9 @@
         if self.in_flight == 0 {
             self.last_progress_at = now;
         }
-        self.limit.on_sent();
+        if self.limit_rate(now).is_some() {
+            self.limit.on_sent();
+        }
         self.cooldown.on_sent(now);
         self.in_flight += 1;
         self.kv_in_flight += work.kv_peak;
--- a/shalehinge/tests/learning.rs
+++ b/shalehinge/tests/learning.rs
@@ -173,6 +173,7 @@
         staged: Vec::new(),
         status: None,
         started: None,
+        warm_up_ms: 0,
     }
 }
 
--- a/shalehinge/tests/listed_routing.rs
+++ b/shalehinge/tests/listed_routing.rs
@@ -47,6 +47,7 @@
         evidence: Evidence::Listed,
         slots: Some(8),
         started: None,
+        warm_up: None,
     }
 }
 
@@ -89,7 +90,10 @@
         };
         let mut router = Router::new(settings, Incarnation(1));
         let specs = (0..count).map(spec).collect();
-        router.set_topology(Topology::from([(target(), specs)]));
+        router.set_topology(
+            Timestamp::from_millis(1_000),
+            Topology::from([(target(), specs)]),
+        );
         let mut harness = Self {
             router,
             now: Timestamp::from_millis(1_000),
@@ -313,7 +317,7 @@
     harness.submit(1, stream());
     harness.output(1);
     harness.end(1, AttemptEnd::Lost);
-    harness.router.set_topology(Topology::new());
+    harness.router.set_topology(harness.now, Topology::new());
     harness.advance(Duration::from_secs(2));
     let reason = UnknownReason::Lost;
     assert_eq!(harness.answers[&1], Outcome::Unknown { reason });
@@ -420,7 +424,7 @@
     let specs = (0..8).map(spec).collect();
     harness
         .router
-        .set_topology(Topology::from([(target(), specs)]));
+        .set_topology(harness.now, Topology::from([(target(), specs)]));
     harness.router.set_daemon_count(9);
     let without_attempt_limit = RequestMeta {
         max_attempts: None,
--- a/shalehinge/tests/operator.rs
+++ b/shalehinge/tests/operator.rs
@@ -61,6 +61,7 @@
             staged: Vec::new(),
             status: None,
             started: None,
+            warm_up_ms: 0,
         };
         list.hosts
             .insert(HostId::new(&format!("h{number}")), record);
--- a/shalehinge/tests/ordered_support/mod.rs
+++ b/shalehinge/tests/ordered_support/mod.rs
@@ -594,6 +594,7 @@
             staged: self.staged.clone(),
             status: Some(self.status(host)),
             started: Some(self.started),
+            warm_up_ms: 0,
         }
     }
 }
--- a/shalehinge/tests/placement_support/mod.rs
+++ b/shalehinge/tests/placement_support/mod.rs
@@ -70,6 +70,7 @@
                 staged: Vec::new(),
                 status: None,
                 started: None,
+                warm_up_ms: 0,
             };
             let id = HostId::new(&format!("{name}{number}"));
             self.hosts.hosts.insert(id, record);
--- a/shalehinge/tests/relay_support/load_simulation.rs
+++ b/shalehinge/tests/relay_support/load_simulation.rs
@@ -42,6 +42,17 @@
         }
     }
 
+    /// Like [`Self::new`], but requests arrive from the moment at which the daemons start.
+    pub fn starting(daemons: u16, groups: u16, every: usize) -> Self {
+        let mut fleet = Fleet::start(daemons, false);
+        fleet.platform.open_groups(groups);
+        Self {
+            fleet,
+            every,
+            round: 0,
+        }
+    }
+
     /// Nine daemons and 18 groups, under 180 requests a second.
     pub fn small() -> Self {
         Self::new(9, 18, 1)
--- a/shalehinge/tests/relay_support/platform.rs
+++ b/shalehinge/tests/relay_support/platform.rs
@@ -33,6 +33,7 @@
         staged: Vec::new(),
         status: None,
         started: None,
+        warm_up_ms: 0,
     }
 }
 
@@ -141,6 +142,17 @@
         }
     }
 
+    /// Replaces the record of a serving group's host with one that states a warm-up.
+    pub fn begin_warm_up(&mut self, port: u16, warm_up: Duration) {
+        self.revision += 1;
+        let host = HostId::new(&format!("h{port}"));
+        let record = HostRecord {
+            warm_up_ms: warm_up.as_millis() as u64,
+            ..open_group(port)
+        };
+        self.changes.push((self.revision, host, record));
+    }
+
     /// Revision of the newest host list.
     pub fn hosts_version(&self) -> u64 {
         self.changes.last().map_or(1, |(revision, _, _)| *revision)
--- a/shalehinge/tests/routable.rs
+++ b/shalehinge/tests/routable.rs
@@ -58,6 +58,7 @@
         staged: vec![ModelName::new(if rng.random_bool(0.5) { "m" } else { "n" })],
         status: rng.random_bool(0.7).then_some(status),
         started: None,
+        warm_up_ms: 0,
     }
 }
 
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -120,7 +120,7 @@
         let specs = (0..replica_count).map(spec).collect();
         harness
             .router
-            .set_topology(Topology::from([(target(), specs)]));
+            .set_topology(self.now, Topology::from([(target(), specs)]));
         harness.advance(Duration::from_secs(3));
         harness
     }
@@ -140,7 +140,7 @@
         self.replica_count = replica_count;
         let specs = (0..replica_count).map(spec).collect();
         self.router
-            .set_topology(Topology::from([(target(), specs)]));
+            .set_topology(self.now, Topology::from([(target(), specs)]));
     }
 
     /// Fails a report of every replica, so that none counts as complete.
@@ -337,6 +337,7 @@
         evidence: shalehinge::core::router::upstream::Evidence::Reports,
         slots: None,
         started: None,
+        warm_up: None,
     }
 }
 
--- a/shalehinge/tests/signal_fuzz.rs
+++ b/shalehinge/tests/signal_fuzz.rs
@@ -77,6 +77,7 @@
         evidence: Evidence::Listed,
         slots: Some(4),
         started: None,
+        warm_up: None,
     }
 }
 
@@ -90,7 +91,10 @@
         };
         let mut router = Router::new(settings, Incarnation(1));
         let specs = (0..5).map(spec).collect();
-        router.set_topology(Topology::from([(target(), specs)]));
+        router.set_topology(
+            Timestamp::from_millis(1_000),
+            Topology::from([(target(), specs)]),
+        );
         Self {
             router,
             rng: SmallRng::seed_from_u64(seed),
--- a/shalehinge/tests/store_era.rs
+++ b/shalehinge/tests/store_era.rs
@@ -209,6 +209,7 @@
         staged: Vec::new(),
         status: None,
         started: Some(EngineStart(started)),
+        warm_up_ms: 0,
     }
 }
 
--- a/shalehinge/tests/support/world.rs
+++ b/shalehinge/tests/support/world.rs
@@ -221,6 +221,7 @@
                 staged: Vec::new(),
                 status: None,
                 started: None,
+                warm_up_ms: 0,
             };
             list.hosts.insert(host.id.clone(), record);
         }
--- a/shalehinge/tests/upstream_lives.rs
+++ b/shalehinge/tests/upstream_lives.rs
@@ -29,6 +29,7 @@
         evidence: Evidence::Listed,
         slots: Some(8),
         started: None,
+        warm_up: None,
     }
 }
 
@@ -43,12 +44,12 @@
     let now = Timestamp::from_millis(5_000);
     upstream.on_sent(now, Work::default());
     upstream.outlier.eject(now, &settings);
-    upstream.update(started(1_000));
+    upstream.update(Timestamp::ZERO, started(1_000));
     assert!(
         upstream.outlier.is_ejected(now),
         "the engine did not restart"
     );
-    upstream.update(started(900));
+    upstream.update(Timestamp::ZERO, started(900));
     assert!(
         !upstream.outlier.is_ejected(now),
         "the engine restarted, with a clock that was set back"
@@ -71,8 +72,8 @@
     let asked = RequestedCooldown::For(Duration::from_secs(86_400));
     upstream.cooldown.on_requested(now, &asked);
     upstream.leaving.on_marked(now, &LeavingMark::Leaving);
-    upstream.update(started(1_000));
+    upstream.update(Timestamp::ZERO, started(1_000));
     assert_eq!(upstream.availability(now), Availability::Closed);
-    upstream.update(started(1_001));
+    upstream.update(Timestamp::ZERO, started(1_001));
     assert_eq!(upstream.availability(now), Availability::Open);
 }
--- a/standin/src/engine/server.rs
+++ b/standin/src/engine/server.rs
@@ -164,6 +164,7 @@
         staged: Vec::new(),
         status: None,
         started: None,
+        warm_up_ms: 0,
     };
     let body = serde_json::to_vec(&record).unwrap_or_default();
     let path = format!("/admin/hosts/{name}");
--- a/standin/src/experiment/day.rs
+++ b/standin/src/experiment/day.rs
@@ -146,6 +146,7 @@
                 staged: Vec::new(),
                 status: None,
                 started: None,
+                warm_up_ms: 0,
             };
             hosts
                 .hosts
--- a/standin/src/experiment/fleet.rs
+++ b/standin/src/experiment/fleet.rs
@@ -244,7 +244,8 @@
     let mut router = Router::new(spec.settings, Incarnation(index as u64 + 1));
     let own_id = DaemonId::new(&format!("daemon-{index}"));
     let domain = domain_name(index % spec.domains);
-    router.set_topology(topology::build(state, &own_id, &domain, &spec.settings));
+    let upstreams = topology::build(state, &own_id, &domain, &spec.settings);
+    router.set_topology(Timestamp::ZERO, upstreams);
     router.set_daemon_count(spec.routers);
     router
 }
