feat: evacuate failure domains

Change: evacuations are an object of their own, listed and watched by those who confirm the configuration, spread between daemons like it, and a change that operators plan and confirm on the product's own interface ('shalehinge evacuate'). While one lasts, the domain's upstreams get no requests and no group is formed there; groups that serve stay. When it ends, its upstreams warm up, whatever the host list says yet. The adapter only translates.

--- a/shalehinge/src/cli/arguments.rs
+++ b/shalehinge/src/cli/arguments.rs
@@ -47,6 +47,8 @@
     Roll(RollCommand),
     /// Plan to drain a host, or to undo that.
     Drain(DrainCommand),
+    /// Plan to evacuate a failure domain, or to undo that.
+    Evacuate(EvacuateCommand),
     /// Plan to replace customers, services and weights.
     Configure(ConfigureCommand),
     /// Plan a change read from a JSON file.
@@ -150,6 +152,23 @@
     pub save: PathBuf,
 }
 
+/// plan to send no more requests to the upstreams of a failure domain
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "evacuate")]
+pub struct EvacuateCommand {
+    /// name of the failure domain
+    #[argh(option)]
+    pub domain: String,
+
+    /// undo an earlier evacuation
+    #[argh(switch)]
+    pub undo: bool,
+
+    /// file to save the plan to, plan.json by default
+    #[argh(option, default = "default_plan()")]
+    pub save: PathBuf,
+}
+
 /// plan to replace customers, services and weights with those in a file
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "configure")]
--- a/shalehinge/src/cli/mod.rs
+++ b/shalehinge/src/cli/mod.rs
@@ -17,7 +17,7 @@
 use self::client::{CallError, OperatorClient};
 use crate::core::change::{Change, Configuration};
 use crate::core::operator::{Confirm, OperatorAnswer, Plan};
-use crate::core::types::{Customer, HostId, ModelName, ModelVersion, OperationId};
+use crate::core::types::{Customer, FailureDomain, HostId, ModelName, ModelVersion, OperationId};
 
 /// Exit code of the client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -129,6 +129,15 @@
             };
             (change, drain.save)
         }
+        Command::Evacuate(evacuate) => {
+            let domain = FailureDomain::new(&evacuate.domain);
+            let change = if evacuate.undo {
+                Change::Restore { domain }
+            } else {
+                Change::Evacuate { domain }
+            };
+            (change, evacuate.save)
+        }
         Command::Configure(configure) => {
             let configuration = read_configuration(&configure.file)?;
             let change = Change::Configure(Box::new(configuration));
--- a/shalehinge/src/cli/render.rs
+++ b/shalehinge/src/cli/render.rs
@@ -103,6 +103,9 @@
     for host in &status.draining {
         text.push_str(&format!("Draining: {host}\n"));
     }
+    for domain in &status.evacuated {
+        text.push_str(&format!("Evacuated: {domain}\n"));
+    }
     text
 }
 
--- a/shalehinge/src/core/change.rs
+++ b/shalehinge/src/core/change.rs
@@ -4,7 +4,7 @@
 
 use super::objects::{FleetConfig, HostList, ModelIntent, PlacementWeights};
 use super::placement::divide::{capacity, divide};
-use super::types::{Customer, HostId, ModelName, ModelVersion};
+use super::types::{Customer, FailureDomain, HostId, ModelName, ModelVersion};
 
 /// Maximum number of hosts per replica.
 pub const MAX_HOSTS_PER_REPLICA: u32 = 32;
@@ -55,6 +55,16 @@
         /// Name of the host.
         host: HostId,
     },
+    /// Evacuate a failure domain: its upstreams get no requests, and no groups are formed there.
+    Evacuate {
+        /// Name of the failure domain.
+        domain: FailureDomain,
+    },
+    /// End the evacuation of a failure domain.
+    Restore {
+        /// Name of the failure domain.
+        domain: FailureDomain,
+    },
     /// Replace customers, services and placement weights; models and drained hosts stay as they
     /// are.
     Configure(Box<Configuration>),
@@ -87,6 +97,12 @@
     /// The host is not in the platform's list.
     #[error("the platform lists no host {0}; see `shalehinge status` for its hosts")]
     UnknownHost(HostId),
+    /// No listed host is in the failure domain.
+    #[error("the platform lists no host in {0}; see `shalehinge status` for the failure domains")]
+    UnknownDomain(FailureDomain),
+    /// The failure domain is not evacuated.
+    #[error("{0} is not evacuated; see `shalehinge status` for the evacuated failure domains")]
+    NotEvacuated(FailureDomain),
     /// The number of hosts per replica is out of range.
     #[error("a replica must span 1 to {MAX_HOSTS_PER_REPLICA} hosts, not {0}")]
     HostsPerReplica(u32),
@@ -165,6 +181,18 @@
                     return Err(ChangeError::UnknownHost(host.clone()));
                 }
             }
+            Self::Evacuate { domain } => {
+                let mut known = hosts.hosts.values().map(|host| &host.failure_domain);
+                if !known.any(|known| known == domain) {
+                    return Err(ChangeError::UnknownDomain(domain.clone()));
+                }
+                changed.evacuated.insert(domain.clone());
+            }
+            Self::Restore { domain } => {
+                if !changed.evacuated.remove(domain) {
+                    return Err(ChangeError::NotEvacuated(domain.clone()));
+                }
+            }
             Self::Configure(configuration) => {
                 configuration.validate()?;
                 changed.customers = configuration.customers.clone();
--- a/shalehinge/src/core/controller/ordered_plan.rs
+++ b/shalehinge/src/core/controller/ordered_plan.rs
@@ -54,7 +54,7 @@
         let held = self.listed_weights();
         // Survivors of a lost group are released soon, and are the fastest to be ready again.
         let awaits_survivors = self.awaits_survivors(now, value, &avoided);
-        let max_forming = if awaits_survivors {
+        let max_forming = if awaits_survivors || state.is_evacuated(&self.domain) {
             0
         } else {
             self.settings.max_forming
--- a/shalehinge/src/core/controller/reported.rs
+++ b/shalehinge/src/core/controller/reported.rs
@@ -31,6 +31,11 @@
         let mut unreachable = self.recently_unreachable(now);
         unreachable.extend(self.unsurveyed_hosts());
         let held = self.held_weights();
+        let max_forming = if state.is_evacuated(&self.domain) {
+            0
+        } else {
+            self.settings.max_forming
+        };
         let context = PlacementContext {
             domain: &self.domain,
             fleet: &fleet.value,
@@ -40,7 +45,7 @@
             lost: &lost,
             held: &held,
             choice: self.settings.choice,
-            max_forming: self.settings.max_forming,
+            max_forming,
             max_loads: usize::MAX,
             keep_surplus: false,
             replica_demand: &UNKNOWN_DEMAND,
--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -1,5 +1,6 @@
 //! Lists and watches objects on the platform, applies them, and notifies peers of changes.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::Rng;
@@ -13,7 +14,7 @@
 use crate::core::platform::{Freshness, PlatformCall, PlatformReply, PlatformResult, Scope};
 use crate::core::router::topology;
 use crate::core::routes::RouteTable;
-use crate::core::types::{Address, FleetVersion, ReplicaId, Timestamp};
+use crate::core::types::{Address, FailureDomain, FleetVersion, ReplicaId, Timestamp};
 use crate::settings::learning::FeedLayout;
 
 /// The interval between two host watches of a daemon. It grows with the number of daemons that
@@ -28,6 +29,10 @@
     stretched.min(MAX_SPACING.max(spacing))
 }
 
+/// How long a watch of the evacuations waits for a change. A watch that was lost without an error
+/// is repeated after this time, well before an evacuation must be known everywhere.
+const EVACUATION_WAIT: Duration = Duration::from_secs(2);
+
 /// The confirmation of the higher revision, or the later of two for the same revision.
 fn newer_confirmation(
     known: Option<Confirmation>,
@@ -57,11 +62,10 @@
                 self.prefer_peer_host_list(now, index);
             }
             let watch = self.watch_freshness(now, scope);
-            let is_slow = scope == Scope::Hosts || watch == Some(Freshness::MayBeStale);
-            let wait = if is_slow {
-                settings.host_wait
-            } else {
-                settings.watch_wait
+            let wait = match (scope, watch) {
+                (Scope::Evacuations, _) => EVACUATION_WAIT,
+                (Scope::Hosts, _) | (_, Some(Freshness::MayBeStale)) => settings.host_wait,
+                _ => settings.watch_wait,
             };
             let call = self.feeds[index].next_call(now, watch, wait);
             if let Some(call) = call {
@@ -76,7 +80,7 @@
         match scope {
             _ if !settings.relays => true,
             Scope::Hosts => self.should_read_hosts(now),
-            Scope::Shared | Scope::Configuration => {
+            Scope::Shared | Scope::Configuration | Scope::Evacuations => {
                 // At the start, peers have as much time to confirm as they do later.
                 let confirmed_at = self.confirmed_at().unwrap_or(Timestamp::ZERO);
                 let is_confirmed = now.since(confirmed_at) < self.exact_read_delay(now);
@@ -115,7 +119,7 @@
         }
         let needs_exact = match scope {
             Scope::Hosts => self.is_lease_holder && !self.controller.trusts_absence(),
-            Scope::Shared | Scope::Configuration => {
+            Scope::Shared | Scope::Configuration | Scope::Evacuations => {
                 self.is_watcher(now) || !self.is_confirmed_within(now, settings.ask_after)
             }
         };
@@ -160,7 +164,7 @@
                 let daemons = self.membership.fleet_size(now);
                 host_watch_spacing(self.settings.learning.host_spacing, daemons)
             }
-            Scope::Shared | Scope::Configuration => Duration::ZERO,
+            Scope::Shared | Scope::Configuration | Scope::Evacuations => Duration::ZERO,
         };
         feed.on_answer(now, result, spacing, pause, self.confirmation);
         let is_list_known = scope != Scope::Hosts || self.state.full_hosts().is_some();
@@ -233,7 +237,7 @@
         let own = self
             .feeds
             .iter()
-            .find(|feed| feed.scope() != Scope::Hosts)
+            .find(|feed| matches!(feed.scope(), Scope::Shared | Scope::Configuration))
             .and_then(Feed::as_of);
         own.max(self.confirmed_by_peer)
     }
@@ -243,7 +247,7 @@
         let feed = self
             .feeds
             .iter()
-            .find(|feed| feed.scope() != Scope::Configuration);
+            .find(|feed| matches!(feed.scope(), Scope::Shared | Scope::Hosts));
         feed.and_then(Feed::as_of)
     }
 
@@ -278,6 +282,8 @@
     ) {
         let mut is_changed = false;
         let mut needs_notice = false;
+        let evacuated: BTreeSet<FailureDomain> =
+            self.state.evacuated().into_iter().cloned().collect();
         for update in updates {
             let (key, version) = (update.key.clone(), update.version);
             let fleet_version = update.fleet_version();
@@ -302,6 +308,7 @@
             self.superseded.on_accepted(self.state.fleet_version());
             self.rebuild_routes(now, out);
             self.rebuild_topology(now);
+            self.on_evacuations_changed(now, &evacuated, out);
         }
         if needs_notice {
             self.membership
@@ -310,6 +317,35 @@
         }
     }
 
+    /// Logs evacuations that began or ended. Upstreams of a failure domain that serves again may
+    /// have been idle for long, so they warm up first.
+    fn on_evacuations_changed(
+        &mut self,
+        now: Timestamp,
+        before: &BTreeSet<FailureDomain>,
+        out: &mut Vec<Action>,
+    ) {
+        let evacuated = self.state.evacuated();
+        for domain in evacuated.iter().filter(|domain| !before.contains(**domain)) {
+            let hosts = self.state.routed_hosts().into_iter();
+            let mut hosts = hosts.flat_map(|list| list.hosts.values());
+            let is_known = hosts.any(|host| host.failure_domain == **domain);
+            let unknown = if is_known {
+                ""
+            } else {
+                "; no host of it is known"
+            };
+            let text = format!("{domain} is evacuated: its upstreams get no requests{unknown}");
+            log(out, Component::Route, text);
+        }
+        let ended = before.iter().filter(|domain| !evacuated.contains(domain));
+        for domain in ended {
+            let text = format!("the evacuation of {domain} ended: its upstreams warm up");
+            log(out, Component::Route, text);
+            self.router.restart_warm_ups(now, domain);
+        }
+    }
+
     /// Logs, once per version, that a configuration older than the one in force was ignored.
     fn log_ignored_version(&mut self, version: FleetVersion, out: &mut Vec<Action>) {
         let in_force = self.state.fleet_version();
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -239,9 +239,9 @@
             era_state: EraState::default(),
             next_call: 1,
             claimed_requests: BTreeMap::new(),
-            feeds: scopes_of_layout(settings.learning.feeds)
-                .iter()
-                .map(|scope| first_feed(*scope, settings.learning))
+            feeds: watched_scopes(settings.learning)
+                .into_iter()
+                .map(|scope| first_feed(scope, settings.learning))
                 .collect(),
             routes: RouteTable::default(),
             confirmed_by_peer: None,
@@ -421,12 +421,16 @@
     }
 }
 
-/// The scopes that the feeds of a layout cover, one feed each.
-fn scopes_of_layout(layout: FeedLayout) -> &'static [Scope] {
-    match layout {
-        FeedLayout::Shared => &[Scope::Shared],
-        FeedLayout::Split => &[Scope::Configuration, Scope::Hosts],
+/// The scopes that the feeds cover, one feed each.
+fn watched_scopes(settings: LearningSettings) -> Vec<Scope> {
+    let mut scopes = match settings.feeds {
+        FeedLayout::Shared => vec![Scope::Shared],
+        FeedLayout::Split => vec![Scope::Configuration, Scope::Hosts],
+    };
+    if settings.evacuations {
+        scopes.push(Scope::Evacuations);
     }
+    scopes
 }
 
 /// Creates the feed of a scope. With stale watches, the initial host list may be stale too: the
--- a/shalehinge/src/core/daemon/relays.rs
+++ b/shalehinge/src/core/daemon/relays.rs
@@ -61,10 +61,12 @@
         out.push(Action::Pull { to, pull });
     }
 
-    /// Whether this daemon knows the objects that it needs to serve: a configuration and a host
-    /// list.
+    /// Whether this daemon knows the objects that it needs to serve: a configuration, a host list
+    /// and, where the platform lists them, the evacuations.
     fn has_required_objects(&self) -> bool {
-        self.state.fleet().is_some() && self.state.hosts().is_some()
+        let needs_evacuations = self.settings.learning.evacuations;
+        let knows_evacuations = !needs_evacuations || self.state.knows_evacuations();
+        self.state.fleet().is_some() && self.state.hosts().is_some() && knows_evacuations
     }
 
     fn relay_timeout(&self) -> Duration {
--- a/shalehinge/src/core/fleet_state.rs
+++ b/shalehinge/src/core/fleet_state.rs
@@ -4,11 +4,12 @@
 //! Configurations and assignments carry an order of their own, which decides. Host records have
 //! none, so the records of the previous era are kept for a while ([`super::earlier_hosts`]).
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
 use super::earlier_hosts::{DepartedHosts, EarlierHosts, changes_between};
+use super::evacuations::Evacuations;
 use super::objects::{
     Assignment, FleetConfig, HostChanges, HostList, Object, ObjectKey, Versioned,
 };
@@ -50,6 +51,9 @@
     pub hosts: Version,
     /// Versions of the assignments.
     pub assignments: Vec<(FailureDomain, AssignmentVersion)>,
+    /// Version of the evacuations that the platform lists.
+    #[serde(default)]
+    pub evacuations: Version,
 }
 
 impl VersionDigest {
@@ -99,6 +103,8 @@
     sent_detail: HostDetail,
     host_changes: ChangeLog,
     assignments: BTreeMap<FailureDomain, Versioned<Assignment>>,
+    /// The evacuations that the platform lists, besides those in the configuration.
+    evacuations: Option<Versioned<Evacuations>>,
 }
 
 impl FleetState {
@@ -185,6 +191,29 @@
         }
     }
 
+    /// Whether the evacuations that the platform lists are known.
+    pub fn knows_evacuations(&self) -> bool {
+        self.evacuations.is_some()
+    }
+
+    /// The evacuated failure domains: those in the configuration and those that the platform
+    /// lists.
+    pub fn evacuated(&self) -> BTreeSet<&FailureDomain> {
+        let fleet = self.fleet.iter();
+        let configured = fleet.flat_map(|fleet| &fleet.value.evacuated);
+        let listed = self.evacuations.iter();
+        let listed = listed.flat_map(|listed| &listed.value.domains);
+        configured.chain(listed).collect()
+    }
+
+    /// Whether a failure domain is evacuated.
+    pub fn is_evacuated(&self, domain: &FailureDomain) -> bool {
+        let is_configured = |fleet: &Versioned<FleetConfig>| fleet.value.evacuated.contains(domain);
+        let is_listed = |listed: &Versioned<Evacuations>| listed.value.domains.contains(domain);
+        self.fleet.as_ref().is_some_and(is_configured)
+            || self.evacuations.as_ref().is_some_and(is_listed)
+    }
+
     /// The assignments by failure domain.
     pub fn assignments(&self) -> &BTreeMap<FailureDomain, Versioned<Assignment>> {
         &self.assignments
@@ -203,6 +232,7 @@
                 }
                 self.apply_assignment(domain, Versioned { version, value })
             }
+            (ObjectKey::Evacuations, object) => self.apply_evacuations(version, object),
             _ => false,
         };
         if is_newer {
@@ -234,6 +264,28 @@
         is_newer
     }
 
+    /// Applies a list of evacuations, or changes to a list of the same era.
+    fn apply_evacuations(&mut self, version: Version, object: Object) -> bool {
+        let known = self.evacuations.as_ref();
+        let is_newer = known.is_none_or(|known| version > known.version);
+        if !is_newer {
+            return false;
+        }
+        let value = match (object, &mut self.evacuations) {
+            (Object::Evacuations(value), _) => value,
+            (Object::EvacuationChanges(changes), Some(known))
+                if known.version.era == version.era =>
+            {
+                let mut value = known.value.clone();
+                value.apply(changes);
+                value
+            }
+            _ => return false,
+        };
+        self.evacuations = Some(Versioned { version, value });
+        true
+    }
+
     fn apply_hosts(&mut self, version: Version, object: Object) -> ApplyResult {
         let is_newer = self
             .hosts
@@ -350,6 +402,11 @@
         }
     }
 
+    fn evacuations_version(&self) -> Version {
+        let known = self.evacuations.as_ref();
+        known.map_or(Version::NONE, |known| known.version)
+    }
+
     /// The versions known here, from which a peer sees what is missing.
     pub fn digest(&self) -> VersionDigest {
         VersionDigest {
@@ -360,6 +417,7 @@
                 .iter()
                 .map(|(domain, object)| (domain.clone(), object.assignment_version()))
                 .collect(),
+            evacuations: self.evacuations_version(),
         }
     }
 
@@ -386,6 +444,15 @@
                 object: Object::Hosts(list.value.clone()),
             });
         }
+        if let Some(object) = &self.evacuations
+            && object.version > digest.evacuations
+        {
+            updates.push(ObjectUpdate {
+                key: ObjectKey::Evacuations,
+                version: object.version,
+                object: Object::Evacuations(object.value.clone()),
+            });
+        }
         for (domain, object) in &self.assignments {
             if object.assignment_version() > digest.assignment(domain) {
                 updates.push(ObjectUpdate {
@@ -426,6 +493,7 @@
             .iter()
             .any(|(domain, version)| *version > own.assignment(domain));
         let newer_hosts = self.sent_detail == HostDetail::Full && digest.hosts > own.hosts;
-        digest.fleet > own.fleet || newer_hosts || newer_assignment
+        let newer_evacuations = digest.evacuations > own.evacuations;
+        digest.fleet > own.fleet || newer_hosts || newer_assignment || newer_evacuations
     }
 }
--- a/shalehinge/src/core/mod.rs
+++ b/shalehinge/src/core/mod.rs
@@ -12,6 +12,7 @@
 //! - `feed`: a subset of the platform's objects that is listed and then watched
 //! - `superseded`: newer configurations that peers reported, and since when
 //! - `object_fetch`: which peer a daemon fetches large objects from
+//! - `evacuations`: failure domains that get no requests
 //! - `earlier_hosts`: hosts as reported in an earlier store era
 //! - `routable_hosts`: the subset of the host list that routing needs
 //! - `fingerprint`: content hashes that identify repeated requests
@@ -40,6 +41,7 @@
 pub mod demand;
 pub mod earlier_hosts;
 pub mod engine;
+pub mod evacuations;
 pub mod event;
 pub mod feed;
 pub mod fingerprint;
--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::engine::EngineStatus;
+use super::evacuations::{EvacuationChanges, Evacuations};
 use super::routable_hosts::RoutableChanges;
 pub use super::route_config::{
     CallerLimits, EngineTimes, LoadRate, ModelProfile, RequestKind, RouteConfig, WarmUpLimit,
@@ -35,6 +36,8 @@
     Lease(FailureDomain),
     /// One partition of the claimed idempotency keys.
     Claims(u16),
+    /// The evacuated failure domains; written by operators through the platform only.
+    Evacuations,
 }
 
 impl ObjectKey {
@@ -64,6 +67,10 @@
     Lease(LeaseRecord),
     /// A partition of claims; see [`ClaimPartition`].
     Claims(ClaimPartition),
+    /// All evacuated failure domains; see [`Evacuations`].
+    Evacuations(Evacuations),
+    /// Changes to them; see [`EvacuationChanges`].
+    EvacuationChanges(EvacuationChanges),
 }
 
 /// An object with the version at which it was read or written.
@@ -170,6 +177,9 @@
     /// Hosts that operators are draining.
     #[serde(default)]
     pub draining: BTreeSet<HostId>,
+    /// Failure domains that operators have evacuated.
+    #[serde(default)]
+    pub evacuated: BTreeSet<FailureDomain>,
     /// Weights of the placement objectives.
     #[serde(default)]
     pub weights: PlacementWeights,
--- a/shalehinge/src/core/placement/preview.rs
+++ b/shalehinge/src/core/placement/preview.rs
@@ -51,6 +51,11 @@
         ..Effects::default()
     };
     let held = weights_of_groups(assignment);
+    let max_forming = if fleet.evacuated.contains(domain) {
+        0
+    } else {
+        usize::MAX
+    };
     for _ in 0..MAX_ROUNDS {
         let context = PlacementContext {
             domain,
@@ -61,7 +66,7 @@
             lost: &BTreeMap::new(),
             held: &held,
             choice: HostChoice::default(),
-            max_forming: usize::MAX,
+            max_forming,
             max_loads: usize::MAX,
             keep_surplus: false,
             replica_demand: &UNKNOWN_DEMAND,
--- a/shalehinge/src/core/platform.rs
+++ b/shalehinge/src/core/platform.rs
@@ -68,6 +68,8 @@
     Configuration,
     /// The host list alone.
     Hosts,
+    /// The evacuated failure domains alone.
+    Evacuations,
 }
 
 /// Reply to a call.
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -10,7 +10,7 @@
 use crate::core::fingerprint::Fingerprint;
 use crate::core::permits::LimitReport;
 use crate::core::trials::TrialRequest;
-use crate::core::types::{Address, AttemptId, Incarnation, RequestId, Timestamp};
+use crate::core::types::{Address, AttemptId, FailureDomain, Incarnation, RequestId, Timestamp};
 use crate::settings::router::RouterSettings;
 
 use super::choose::Choice;
@@ -179,6 +179,17 @@
         }
     }
 
+    /// Begins a whole warm-up of the upstreams in a failure domain.
+    pub fn restart_warm_ups(&mut self, now: Timestamp, domain: &FailureDomain) {
+        for state in self.targets.values_mut() {
+            for upstream in &mut state.upstreams {
+                if upstream.spec.failure_domain == *domain {
+                    upstream.restart_warm_up(now);
+                }
+            }
+        }
+    }
+
     /// Number of requests not yet answered.
     pub fn pending(&self) -> usize {
         self.pending.len()
--- a/shalehinge/src/core/router/topology.rs
+++ b/shalehinge/src/core/router/topology.rs
@@ -50,7 +50,8 @@
             group: None,
             failure_domain: upstream.failure_domain.clone(),
             remote: upstream.failure_domain != *domain,
-            accepts_new: !is_leaving(state, &upstream.host),
+            accepts_new: !is_leaving(state, &upstream.host)
+                && !state.is_evacuated(&upstream.failure_domain),
             host: None,
             evidence: Evidence::Listed,
             slots: None,
@@ -84,7 +85,7 @@
             group: None,
             failure_domain: record.failure_domain.clone(),
             remote: record.failure_domain != *domain,
-            accepts_new: record.state == HostState::Live,
+            accepts_new: is_in_service(state, record),
             host: Some(host.clone()),
             evidence: Evidence::Listed,
             slots: record.slots,
@@ -94,6 +95,11 @@
         .collect()
 }
 
+/// Whether requests may be sent to a host.
+fn is_in_service(state: &FleetState, record: &HostRecord) -> bool {
+    record.state == HostState::Live && !state.is_evacuated(&record.failure_domain)
+}
+
 /// The warm-up that a host states, if its service limits requests during it.
 fn warm_up(state: &FleetState, record: &HostRecord) -> Option<WarmUpSpec> {
     let warm_ups = &state.fleet()?.value.warm_ups;
@@ -124,7 +130,7 @@
             group: Some(number),
             failure_domain: record.failure_domain.clone(),
             remote: record.failure_domain != *domain,
-            accepts_new: record.state == HostState::Live,
+            accepts_new: is_in_service(state, record),
             host: Some(host.clone()),
             evidence: Evidence::Listed,
             slots: record.slots,
@@ -157,7 +163,7 @@
                 group: Some(*number),
                 failure_domain: group_domain.clone(),
                 remote: group_domain != domain,
-                accepts_new: accepts_new(state, group),
+                accepts_new: accepts_new(state, group) && !state.is_evacuated(group_domain),
                 host: None,
                 evidence: Evidence::Reports,
                 slots: None,
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -226,6 +226,12 @@
         }
     }
 
+    /// Begins a whole warm-up, if the upstream's service limits requests during it.
+    pub fn restart_warm_up(&mut self, now: Timestamp) {
+        self.warm_up.restart(now);
+        self.limit.reset_permits();
+    }
+
     /// The replica id, if the upstream is a replica of a model.
     pub fn replica(&self) -> Option<&ReplicaId> {
         match &self.spec.id {
--- a/shalehinge/src/object_api/http.rs
+++ b/shalehinge/src/object_api/http.rs
@@ -58,6 +58,7 @@
         ObjectKey::Assignment(domain) => ("assignments", domain.to_string()),
         ObjectKey::Lease(domain) => ("leases", domain.to_string()),
         ObjectKey::Claims(partition) => ("claims", partition.to_string()),
+        ObjectKey::Evacuations => ("evacuations", "all".to_owned()),
     }
 }
 
@@ -69,6 +70,7 @@
         ("assignments", domain) => Some(ObjectKey::Assignment(FailureDomain::new(domain))),
         ("leases", domain) => Some(ObjectKey::Lease(FailureDomain::new(domain))),
         ("claims", partition) => partition.parse().ok().map(ObjectKey::Claims),
+        ("evacuations", "all") => Some(ObjectKey::Evacuations),
         _ => None,
     }
 }
@@ -80,6 +82,7 @@
         ObjectKey::Assignment(_) => Object::Assignment(serde_json::from_value(value)?),
         ObjectKey::Lease(_) => Object::Lease(serde_json::from_value(value)?),
         ObjectKey::Claims(_) => Object::Claims(serde_json::from_value(value)?),
+        ObjectKey::Evacuations => Object::Evacuations(serde_json::from_value(value)?),
     })
 }
 
@@ -92,6 +95,8 @@
         Object::Assignment(value) => serde_json::to_vec(value),
         Object::Lease(value) => serde_json::to_vec(value),
         Object::Claims(value) => serde_json::to_vec(value),
+        Object::Evacuations(value) => serde_json::to_vec(value),
+        Object::EvacuationChanges(value) => serde_json::to_vec(value),
     }
 }
 
@@ -213,6 +218,7 @@
         Scope::Shared => SHARED_KINDS,
         Scope::Configuration => "config",
         Scope::Hosts => "hosts",
+        Scope::Evacuations => "evacuations",
     }
 }
 
--- a/shalehinge/src/operator_api.rs
+++ b/shalehinge/src/operator_api.rs
@@ -46,6 +46,9 @@
     pub shares: BTreeMap<Customer, u32>,
     /// Hosts that the configuration drains.
     pub draining: Vec<HostId>,
+    /// Evacuated failure domains.
+    #[serde(default)]
+    pub evacuated: Vec<FailureDomain>,
 }
 
 /// Status of a live daemon.
@@ -271,6 +274,7 @@
         models: model_statuses(now, core),
         shares: shares.map(|(name, c)| (name.clone(), c.share)).collect(),
         draining: config.draining.iter().cloned().collect(),
+        evacuated: core.state().evacuated().into_iter().cloned().collect(),
     }
 }
 
--- a/shalehinge/src/settings/learning.rs
+++ b/shalehinge/src/settings/learning.rs
@@ -30,6 +30,9 @@
     pub relays: bool,
     /// Time between two pulls of changes from peers, with `relays`.
     pub relay_interval: Duration,
+    /// Whether the platform lists evacuated failure domains besides the configuration. Requires
+    /// `feeds = split`.
+    pub evacuations: bool,
     /// Whether a revoked API key must stop working everywhere within `revoke_within`, including at
     /// daemons that can't reach the platform.
     pub strict_revocation: bool,
@@ -69,6 +72,7 @@
             ask_after: Duration::from_secs(2),
             relays: false,
             relay_interval: Duration::from_millis(400),
+            evacuations: false,
             strict_revocation: false,
             revoke_within: None,
             in_force_within: None,
@@ -93,6 +97,7 @@
             ask_after: section.duration("ask_after", default.ask_after),
             relays: section.flag("relays", default.relays),
             relay_interval: section.duration("relay_interval", default.relay_interval),
+            evacuations: section.flag("evacuations", default.evacuations),
             strict_revocation: section.flag("strict_revocation", default.strict_revocation),
             revoke_within: section.optional_duration("revoke_within"),
             in_force_within: section.optional_duration("in_force_within"),
@@ -102,6 +107,14 @@
             let message = "relays = yes requires feeds = split".to_owned();
             section.report_problem("relays", message, "set feeds = split or relays = no");
         }
+        if settings.evacuations && settings.feeds != FeedLayout::Split {
+            let message = "evacuations = yes requires feeds = split".to_owned();
+            section.report_problem(
+                "evacuations",
+                message,
+                "set feeds = split or evacuations = no",
+            );
+        }
         settings
     }
 
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -36,6 +36,7 @@
             feeds: FeedLayout::Split,
             stale_watches: true,
             relays: true,
+            evacuations: true,
             watch_wait: Duration::from_millis(700),
             host_wait: Duration::from_millis(600),
             host_spacing: Duration::from_millis(400),
@@ -131,19 +132,7 @@
 
     /// A fleet of `daemons` daemons that have just started.
     pub fn start(daemons: u16, is_first_start: bool) -> Self {
-        let address = |port: u16| -> Address { ([10, 0, 0, 1], port).into() };
-        let daemon = |port: u16| {
-            let identity = Identity {
-                daemon: DaemonId::new(&format!("daemon-{port}")),
-                failure_domain: FailureDomain::new(&format!("d{}", port % DOMAINS)),
-                address: address(port),
-                incarnation: Incarnation(1),
-                seeds: (0..3).map(address).collect(),
-                is_first_start,
-                wall_seconds: 0,
-            };
-            Daemon::new(settings(), identity, u64::from(port))
-        };
+        let daemon = |port: u16| new_daemon(port, Incarnation(1), is_first_start);
         Self {
             now: Duration::from_millis(1),
             platform: Platform::new(),
@@ -171,6 +160,16 @@
         }
     }
 
+    /// Restarts daemons, which forget everything.
+    pub fn restart(&mut self, indexes: std::ops::Range<u16>) {
+        for index in indexes {
+            let daemon = usize::from(index);
+            self.calls.retain(|call| call.daemon != daemon);
+            self.events.retain(|_, (to, _)| *to != daemon);
+            self.daemons[daemon] = new_daemon(index, Incarnation(2), false);
+        }
+    }
+
     /// Delivers an event to a daemon after a delay.
     fn schedule(&mut self, after: Duration, daemon: usize, event: Event) {
         self.next_event += 1;
@@ -429,6 +428,20 @@
     }
 }
 
+fn new_daemon(port: u16, incarnation: Incarnation, is_first_start: bool) -> Daemon {
+    let address = |port: u16| -> Address { ([10, 0, 0, 1], port).into() };
+    let identity = Identity {
+        daemon: DaemonId::new(&format!("daemon-{port}")),
+        failure_domain: FailureDomain::new(&format!("d{}", port % DOMAINS)),
+        address: address(port),
+        incarnation,
+        seeds: (0..3).map(address).collect(),
+        is_first_start,
+        wall_seconds: 0,
+    };
+    Daemon::new(settings(), identity, u64::from(port))
+}
+
 /// Time-out of a pull.
 fn peer_timeout(pull: &Pull) -> Duration {
     match pull.topic {
--- a/shalehinge/tests/relay_support/platform.rs
+++ b/shalehinge/tests/relay_support/platform.rs
@@ -5,6 +5,7 @@
 
 use shalehinge::core::daemon::TICK;
 use shalehinge::core::engine::{EngineLoad, EnginePhase, EngineStatus, HeldModel};
+use shalehinge::core::evacuations::{EvacuationChanges, Evacuations};
 use shalehinge::core::fleet_state::ObjectUpdate;
 use shalehinge::core::objects::{
     FleetConfig, HostChanges, HostList, HostRecord, HostState, Object, ObjectKey, Versioned,
@@ -80,6 +81,8 @@
     /// All changes of the host list, each with its revision.
     changes: Vec<(u64, HostId, HostRecord)>,
     configuration: Versioned<FleetConfig>,
+    /// All changes of evacuations, each with its revision and whether the evacuation lasts.
+    evacuations: Vec<(u64, FailureDomain, bool)>,
     objects: BTreeMap<ObjectKey, Versioned<Object>>,
     /// Number of host lists read.
     pub lists: usize,
@@ -111,6 +114,7 @@
                 version: Version::new(StoreEra::new(1), 1),
                 value: fleet_config(0),
             },
+            evacuations: Vec::new(),
             objects: BTreeMap::new(),
             lists: 0,
             calls: 0,
@@ -153,6 +157,27 @@
         self.changes.push((self.revision, host, record));
     }
 
+    /// Begins or ends the evacuation of a failure domain.
+    pub fn set_evacuated(&mut self, domain: &str, is_evacuated: bool) {
+        self.revision += 1;
+        let domain = FailureDomain::new(domain);
+        self.evacuations.push((self.revision, domain, is_evacuated));
+    }
+
+    fn evacuation_changes(&self, after: u64) -> EvacuationChanges {
+        let mut changes = EvacuationChanges::default();
+        for (_, domain, is_evacuated) in self.evacuations.iter().filter(|(at, ..)| *at > after) {
+            let (kept, dropped) = if *is_evacuated {
+                (&mut changes.begun, &mut changes.ended)
+            } else {
+                (&mut changes.ended, &mut changes.begun)
+            };
+            dropped.remove(domain);
+            kept.insert(domain.clone());
+        }
+        changes
+    }
+
     /// Revision of the newest host list.
     pub fn hosts_version(&self) -> u64 {
         self.changes.last().map_or(1, |(revision, _, _)| *revision)
@@ -215,6 +240,11 @@
                 after,
                 ..
             } => after.number < self.hosts_version(),
+            PlatformCall::Watch {
+                scope: Scope::Evacuations,
+                after,
+                ..
+            } => self.evacuations.iter().any(|(at, ..)| *at > after.number),
             PlatformCall::Watch { after, .. } => after.number < self.configuration.version.number,
             _ => false,
         }
@@ -296,6 +326,14 @@
                     Object::Hosts(HostList { hosts }),
                 )]
             }
+            PlatformCall::List {
+                scope: Scope::Evacuations,
+                ..
+            } => {
+                let domains = self.evacuation_changes(0).begun;
+                let object = Object::Evacuations(Evacuations { domains });
+                vec![update(ObjectKey::Evacuations, revision, object)]
+            }
             PlatformCall::List { .. } => vec![self.configuration()],
             PlatformCall::Watch { after, .. } if after.number > self.revision => {
                 return PlatformReply::HistoryGone(StoreEra::new(self.era));
@@ -313,6 +351,19 @@
                 });
                 vec![update(ObjectKey::Hosts, revision, changes)]
             }
+            PlatformCall::Watch {
+                scope: Scope::Evacuations,
+                after,
+                ..
+            } => {
+                let changes = self.evacuation_changes(after.number);
+                if changes == EvacuationChanges::default() {
+                    Vec::new()
+                } else {
+                    let object = Object::EvacuationChanges(changes);
+                    vec![update(ObjectKey::Evacuations, revision, object)]
+                }
+            }
             PlatformCall::Watch { .. } if self.has_news_for(request) => {
                 vec![self.configuration()]
             }
@@ -355,3 +406,16 @@
 pub fn json_bytes(value: &impl serde::Serialize) -> usize {
     serde_json::to_vec(value).expect("encodes").len()
 }
+
+/// The hosts that the platform lists at the start.
+pub fn listed_hosts() -> HostList {
+    let host = |port: u16| {
+        (
+            HostId::new(&format!("h{port}")),
+            record(port, HostState::Live),
+        )
+    };
+    HostList {
+        hosts: (0..HOSTS).map(host).collect(),
+    }
+}
