--- a/shalehinge/src/core/router/limit_state.rs
+++ b/shalehinge/src/core/router/limit_state.rs
@@ -82,7 +82,7 @@
 
 impl LimitState {
     /// The limit that the upstream named, if any.
-    pub fn named_rate(&self) -> Option<RequestRate> {
+    pub fn rate(&self) -> Option<RequestRate> {
         self.rate
     }
 
--- a/shalehinge/src/core/router/limits.rs
+++ b/shalehinge/src/core/router/limits.rs
@@ -21,7 +21,7 @@
     /// Upstreams with a limit in force, and the limit.
     pub fn limited_upstreams(&self) -> impl Iterator<Item = (&UpstreamId, RequestRate)> {
         self.upstreams()
-            .filter_map(|upstream| Some((&upstream.spec.id, upstream.limit.named_rate()?)))
+            .filter_map(|upstream| Some((&upstream.spec.id, upstream.limit.rate()?)))
     }
 
     /// Applies a limit reported by another daemon at `reported_at`.
@@ -88,7 +88,7 @@
     /// The limit on requests from all daemons together that applies now: the one that the upstream
     /// named or that of its warm-up, whichever is lower.
     pub fn limit_rate(&self, now: Timestamp) -> Option<RequestRate> {
-        let named = self.limit.named_rate();
+        let named = self.limit.rate();
         let warm_up = self.warm_up.rate(now);
         match (named, warm_up) {
             (Some(named), Some(warm_up)) if warm_up < named => Some(warm_up),
@@ -160,7 +160,7 @@
         upstream: upstream.spec.id.clone(),
         failure_domain: upstream.spec.failure_domain.clone(),
         started: upstream.spec.started,
-        rate: upstream.limit.named_rate(),
+        rate: upstream.limit.rate(),
         ms_ago: now.millis_since(upstream.limit.as_of()),
         expires_in_ms: None,
     }
--- a/shalehinge/tests/permits.rs
+++ b/shalehinge/tests/permits.rs
@@ -36,6 +36,7 @@
         started: Some(EngineStart(1)),
         rate: rate.and_then(RequestRate::per_second),
         ms_ago: 0,
+        expires_in_ms: None,
     }
 }
 
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -120,7 +120,7 @@
         let specs = (0..replica_count).map(spec).collect();
         harness
             .router
-            .set_topology(self.now, Topology::from([(target(), specs)]));
+            .set_topology(harness.now, Topology::from([(target(), specs)]));
         harness.advance(Duration::from_secs(3));
         harness
     }
