fix(router): retry in large fleets, and what was not sent without a cost

The saved-up retries that all daemons share are divided: 1,040 x 0.7 by 984 daemons is 0.74, and a budget that can't hold a whole retry never grants one: above 728 daemons nothing was ever retried. What could not be connected to was charged too, though nothing arrived. An attempt took a second to find that it could not connect, and each request learned it anew.

Change: a budget below one retry grants it with the probability that it has saved up, so the sum keeps to the shared burst at any size. A retry of what was not sent is free. An attempt connects within 300 ms. Upstreams of another failure domain are passed over for 1 to 4 s once two of them can't be connected to, while others are open.

Next limit: at 2,000 daemons with the same shared burst a failure is retried with probability 0.36.

--- a/shalehinge/src/core/router/choose.rs
+++ b/shalehinge/src/core/router/choose.rs
@@ -7,11 +7,12 @@
 //! permit. Sampling keeps daemons from all selecting the same upstream based on load reports of
 //! the same age.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::seq::{IteratorRandom, SliceRandom};
 
-use crate::core::types::Timestamp;
+use crate::core::types::{FailureDomain, Timestamp};
 use crate::settings::router::{ChoicePolicy, RouterSettings};
 
 use super::request::{PrefixChain, UpstreamId};
@@ -72,6 +73,8 @@
     pub excluded: &'a [UpstreamId],
     /// Number of requests sent to this target so far, used for round-robin.
     pub sent_count: usize,
+    /// Failure domains whose upstreams are used only if no other upstream is open.
+    pub avoided: &'a BTreeSet<FailureDomain>,
 }
 
 /// Result of the selection.
@@ -92,6 +95,13 @@
     let mut open: Vec<usize> = (0..upstreams.len())
         .filter(|index| is_open(&upstreams[*index], context))
         .collect();
+    let is_avoided = |index: &usize| {
+        let spec = &upstreams[*index].spec;
+        context.avoided.contains(&spec.failure_domain)
+    };
+    if !open.iter().all(is_avoided) {
+        open.retain(|index| !is_avoided(index));
+    }
     let may_send = |index: &usize| upstreams[*index].may_be_sent(context.now);
     let first = pick(upstreams, &open, context, rng);
     let wanted = first.as_ref().map(|choice| choice.index);
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -17,6 +17,7 @@
 use super::failing::FailureCause;
 use super::limit_state::PermitUrgency;
 use super::quarantine::Quarantine;
+use super::reachability::DomainReachability;
 use super::refusal::{QueuedContext, queued_refusal, refused, unavailable_refusal};
 use super::request::{
     Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta, Target, UnknownReason, UpstreamId,
@@ -70,6 +71,15 @@
     Log(String),
 }
 
+/// What a retry takes from the retry budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RetryCost {
+    /// Nothing.
+    Free,
+    /// One retry.
+    One,
+}
+
 /// The router of one daemon.
 #[derive(Clone, Debug)]
 pub struct Router {
@@ -97,6 +107,8 @@
     pub(super) pending_checks: BTreeMap<UpstreamId, PendingCheck>,
     /// Upstreams at which suspected requests are or were tried by this daemon.
     pub(super) trial_upstreams: BTreeMap<Fingerprint, UpstreamId>,
+    /// Reachability of the other failure domains.
+    pub(super) reachability: DomainReachability,
     /// Time of the last tick.
     pub(super) ticked_at: Timestamp,
 }
@@ -121,6 +133,7 @@
             quarantine: Quarantine::default(),
             pending_checks: BTreeMap::new(),
             trial_upstreams: BTreeMap::new(),
+            reachability: DomainReachability::default(),
             ticked_at: Timestamp::ZERO,
         }
     }
@@ -279,6 +292,7 @@
         out: &mut Vec<RouterAction>,
     ) {
         let max_wait = self.settings.max_wait;
+        let avoided = self.reachability.avoided(now);
         loop {
             let Some(state) = self.targets.get_mut(target) else {
                 return;
@@ -307,7 +321,7 @@
                 self.answer_next(target, refused(refusal), out);
                 continue;
             }
-            let selection = state.choose_for(now, &self.settings, pending, rng);
+            let selection = state.choose_for(now, &self.settings, &avoided, pending, rng);
             let Some(choice) = selection.choice else {
                 if matches!(pending.trial, TrialState::At(_)) {
                     // The upstream of the trial is gone. Requests queued behind it must not wait
@@ -382,6 +396,8 @@
             upstream.cooldown.on_output(now, sent_at);
             if is_first {
                 upstream.on_first_output();
+                self.reachability
+                    .record_response(&upstream.spec.failure_domain);
             }
         }
     }
@@ -439,6 +455,7 @@
         if !matches!(end, AttemptEnd::NotSent | AttemptEnd::Refused) {
             pending.possible_runs += 1;
         }
+        self.record_reachability(now, &target, &running.upstream, end, out);
         self.record_evidence(now, request, &subject, &running.upstream, end, out);
         match outcome_of(end, || self.retry_after(now, &target)) {
             Outcome::Completed => self.answer(request, Outcome::Completed, out),
@@ -447,11 +464,47 @@
             }
             // A retry would fail too, and take from the budget that all requests share.
             outcome if fails_everywhere => self.answer(request, outcome, out),
-            outcome => self.retry_or_answer(now, request, outcome, out),
+            // Nothing reached an upstream, so the next attempt is the first that does.
+            outcome if end == AttemptEnd::NotSent => {
+                self.retry_or_answer(now, request, outcome, RetryCost::Free, rng, out);
+            }
+            outcome => self.retry_or_answer(now, request, outcome, RetryCost::One, rng, out),
         }
         self.dispatch(now, &target, rng, out);
     }
 
+    /// Records what the end of an attempt shows of the failure domain of its upstream. The own
+    /// domain is never avoided: there, single hosts fail.
+    fn record_reachability(
+        &mut self,
+        now: Timestamp,
+        target: &Target,
+        upstream: &UpstreamId,
+        end: AttemptEnd,
+        out: &mut Vec<RouterAction>,
+    ) {
+        let state = self.targets.get(target);
+        let mut upstreams = state.into_iter().flat_map(|state| &state.upstreams);
+        let known = upstreams.find(|known| known.spec.id == *upstream);
+        let Some(spec) = known.map(|known| &known.spec).filter(|spec| spec.remote) else {
+            return;
+        };
+        let domain = &spec.failure_domain;
+        match end {
+            AttemptEnd::NotSent => {
+                if self.reachability.record_failure(now, domain, upstream) {
+                    let text = format!("upstreams in {domain} can't be reached, avoiding them");
+                    out.push(RouterAction::Log(text));
+                }
+            }
+            AttemptEnd::Lost => {}
+            AttemptEnd::Completed { .. }
+            | AttemptEnd::Refused
+            | AttemptEnd::Failed { .. }
+            | AttemptEnd::WrongAnswer => self.reachability.record_response(domain),
+        }
+    }
+
     /// Answers a request; `last` is the outcome of its last attempt.
     pub(super) fn answer(
         &mut self,
@@ -473,6 +526,8 @@
         now: Timestamp,
         request: RequestId,
         outcome: Outcome,
+        cost: RetryCost,
+        rng: &mut impl rand::Rng,
         out: &mut Vec<RouterAction>,
     ) {
         let Some(pending) = self.pending.get_mut(&request) else {
@@ -496,7 +551,11 @@
             .time_left(now, pending.meta.fingerprint, &self.settings)
             .is_some();
         let may_retry = is_safe && in_time && has_attempts_left && has_runs_left && !is_quarantined;
-        if !may_retry || !self.retries.withdraw() {
+        let is_paid = |retries: &mut RetryBudget, rng: &mut _| match cost {
+            RetryCost::Free => true,
+            RetryCost::One => retries.withdraw(rng),
+        };
+        if !may_retry || !is_paid(&mut self.retries, rng) {
             self.answer(request, outcome, out);
             return;
         }
--- a/shalehinge/src/core/router/expiry.rs
+++ b/shalehinge/src/core/router/expiry.rs
@@ -12,7 +12,7 @@
         self.end_cooldowns(now, out);
         self.expire_waiting(now, out);
         self.expire_running(now, out);
-        self.handle_stalled(now, out);
+        self.handle_stalled(now, rng, out);
         self.update_held(now, out);
         self.record_capacity(now);
         self.dispatch_all(now, rng, out);
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -14,6 +14,7 @@
 //! - `outlier`: ejection of upstreams that fail or are slow
 //! - `failing`: detection of requests that fail on every upstream
 //! - `limit_state`, `limits`: limits that overloaded upstreams name, and permits to send to them
+//! - `reachability`: failure domains whose upstreams can't be connected to
 //! - `warm_up`: limits on requests to upstreams that have just started
 //! - `refusal`: refusal of requests before they are sent
 //! - `retry_budget`: limit on the number of retries
@@ -43,6 +44,7 @@
 pub mod prefix;
 pub mod quarantine;
 pub mod queue;
+pub mod reachability;
 mod refusal;
 mod reports;
 pub mod request;
--- a/shalehinge/src/core/router/retry_budget.rs
+++ b/shalehinge/src/core/router/retry_budget.rs
@@ -2,6 +2,10 @@
 //!
 //! If many upstreams fail together, the budget is exhausted and requests end with their current
 //! outcome, which prevents a retry storm.
+//!
+//! A burst that the daemons of a large fleet share can be less than one retry each. Such a daemon
+//! retries with the probability that it has saved up: all daemons together then keep to the shared
+//! burst, while none is left without retries.
 
 /// The retry budget of one daemon, as a token bucket.
 #[derive(Clone, Debug)]
@@ -47,12 +51,17 @@
         self.tokens = (self.tokens + self.ratio).min(self.burst);
     }
 
-    /// Takes one retry; returns whether one was available.
-    pub fn withdraw(&mut self) -> bool {
-        if self.tokens < 1.0 {
+    /// Takes one retry; returns whether one was available. A fraction of a retry is used up by a
+    /// draw that succeeds with that probability, if the budget can't hold a whole one.
+    pub fn withdraw(&mut self, rng: &mut impl rand::Rng) -> bool {
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return true;
+        }
+        if self.burst >= 1.0 {
             return false;
         }
-        self.tokens -= 1.0;
-        true
+        let probability = std::mem::take(&mut self.tokens);
+        rng.random_bool(probability.clamp(0.0, 1.0))
     }
 }
--- a/shalehinge/src/core/router/stalled.rs
+++ b/shalehinge/src/core/router/stalled.rs
@@ -4,7 +4,7 @@
 
 use crate::core::types::{ReplicaId, RequestId, Timestamp};
 
-use super::dispatch::{Router, RouterAction};
+use super::dispatch::{RetryCost, Router, RouterAction};
 use super::request::{Outcome, UnknownReason, UpstreamId};
 use super::upstream::Evidence;
 
@@ -14,7 +14,12 @@
 
 impl Router {
     /// Retries elsewhere what can be retried of the requests on stalled replicas.
-    pub(super) fn handle_stalled(&mut self, now: Timestamp, out: &mut Vec<RouterAction>) {
+    pub(super) fn handle_stalled(
+        &mut self,
+        now: Timestamp,
+        rng: &mut impl rand::Rng,
+        out: &mut Vec<RouterAction>,
+    ) {
         let was_paused = now.since(self.ticked_at) > MAX_TICK_GAP;
         self.ticked_at = now;
         let settings = self.settings;
@@ -30,7 +35,7 @@
         }
         for id in stalled {
             out.push(RouterAction::Log(format!("{id} is stalled")));
-            self.retry_elsewhere(now, &id, out);
+            self.retry_elsewhere(now, &id, rng, out);
         }
     }
 
@@ -57,11 +62,17 @@
         }
         upstream.mark_lost();
         out.push(RouterAction::Log(format!("{id} lost a member")));
-        self.retry_elsewhere(now, &id, out);
+        self.retry_elsewhere(now, &id, rng, out);
         self.dispatch_all(now, rng, out);
     }
 
-    fn retry_elsewhere(&mut self, now: Timestamp, id: &UpstreamId, out: &mut Vec<RouterAction>) {
+    fn retry_elsewhere(
+        &mut self,
+        now: Timestamp,
+        id: &UpstreamId,
+        rng: &mut impl rand::Rng,
+        out: &mut Vec<RouterAction>,
+    ) {
         let retryable: Vec<RequestId> = self
             .pending
             .iter()
@@ -85,7 +96,8 @@
             }
             out.push(RouterAction::Abandon(running.id));
             let reason = UnknownReason::Lost;
-            self.retry_or_answer(now, request, Outcome::Unknown { reason }, out);
+            let outcome = Outcome::Unknown { reason };
+            self.retry_or_answer(now, request, outcome, RetryCost::One, rng, out);
         }
     }
 }
--- a/shalehinge/src/core/router/suspects.rs
+++ b/shalehinge/src/core/router/suspects.rs
@@ -5,7 +5,7 @@
 use crate::core::fingerprint::Fingerprint;
 use crate::core::types::{RequestId, Timestamp};
 
-use super::dispatch::{Router, RouterAction};
+use super::dispatch::{RetryCost, Router, RouterAction};
 use super::quarantine::{Completion, Evidence, Loss, QuarantineUpdate, Quarantined};
 use super::request::{AttemptEnd, Outcome, Target, UpstreamId};
 
@@ -147,7 +147,7 @@
             self.record_crash(upstream, losses, out);
         }
         for (request, outcome) in waiting {
-            self.retry_or_answer(now, request, outcome, out);
+            self.retry_or_answer(now, request, outcome, RetryCost::One, rng, out);
         }
         self.dispatch_all(now, rng, out);
     }
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -1,8 +1,9 @@
 //! State of one target: its upstreams, its queue and what was learned from its requests.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use crate::core::types::{AttemptId, Customer, RequestId, Timestamp};
+use crate::core::types::{AttemptId, Customer, FailureDomain, RequestId, Timestamp};
 use crate::settings::router::RouterSettings;
 
 use super::capacity::RecentCapacity;
@@ -164,6 +165,7 @@
         &mut self,
         now: Timestamp,
         settings: &RouterSettings,
+        avoided: &BTreeSet<FailureDomain>,
         pending: &Pending,
         rng: &mut impl rand::Rng,
     ) -> Selection {
@@ -177,6 +179,7 @@
             work: self.work_of(&pending.meta, 0),
             excluded: &pending.tried,
             sent_count: self.sent_count,
+            avoided,
         };
         let selection = choose(&self.upstreams, &context, rng);
         if selection.choice.is_some() || pending.tried.is_empty() {
--- a/shalehinge/src/utils/http.rs
+++ b/shalehinge/src/utils/http.rs
@@ -15,11 +15,17 @@
 
 /// Time-out for establishing a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time-out for establishing the connection of an attempt of a caller's request: below the time
+/// after which a lost packet is sent again, as another upstream can take the request at once.
+pub const ATTEMPT_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Connects with a time-out and reports every connection failure by the same error kind, so that
 /// "nothing was sent" can be distinguished from "no response arrived".
-#[derive(Clone, Copy, Debug, Default)]
-pub struct BoundedConnector(ClientConfig);
+#[derive(Clone, Copy, Debug)]
+pub struct BoundedConnector {
+    config: ClientConfig,
+    timeout: Duration,
+}
 
 impl Connector for BoundedConnector {
     type Runtime = SmolRuntime;
@@ -27,7 +33,7 @@
     type Udp = <ClientConfig as Connector>::Udp;
 
     fn runtime(&self) -> Self::Runtime {
-        self.0.runtime()
+        self.config.runtime()
     }
 
     async fn connect(&self, url: &Url) -> std::io::Result<Self::Transport> {
@@ -35,8 +41,8 @@
     }
 
     async fn connect_to(&self, destination: Destination) -> std::io::Result<Self::Transport> {
-        let connect = self.0.with_nodelay(true).connect_to_owned(destination);
-        match with_timeout(CONNECT_TIMEOUT, connect).await {
+        let connect = self.config.with_nodelay(true).connect_to_owned(destination);
+        match with_timeout(self.timeout, connect).await {
             Some(Ok(transport)) => Ok(transport),
             Some(Err(error)) => Err(not_connected(&error.to_string())),
             None => Err(not_connected("timed out")),
@@ -44,7 +50,7 @@
     }
 
     async fn resolve(&self, host: &str, port: u16) -> std::io::Result<Vec<SocketAddr>> {
-        self.0.resolve(host, port).await
+        self.config.resolve(host, port).await
     }
 }
 
@@ -84,13 +90,21 @@
 
 /// Creates a client that reuses connections, for calls whose response is read to its end.
 pub fn pooled_client() -> Client {
-    Client::new(BoundedConnector::default()).with_max_buffered_request_body(NEVER_EXPECT_CONTINUE)
+    client(CONNECT_TIMEOUT)
 }
 
 /// Creates a client that uses each connection once, for attempts of callers' requests: the rest of
 /// an abandoned response can then never be taken for the response to another request.
 pub fn single_use_client() -> Client {
-    pooled_client().without_keepalive()
+    client(ATTEMPT_CONNECT_TIMEOUT).without_keepalive()
+}
+
+fn client(connect_timeout: Duration) -> Client {
+    let connector = BoundedConnector {
+        config: ClientConfig::default(),
+        timeout: connect_timeout,
+    };
+    Client::new(connector).with_max_buffered_request_body(NEVER_EXPECT_CONTINUE)
 }
 
 /// Builds an `http` URL from an address and a path.
--- a/shalehinge/tests/listed_routing.rs
+++ b/shalehinge/tests/listed_routing.rs
@@ -493,3 +493,29 @@
         "{refused:?}"
     );
 }
+
+/// Guards against refusals in a cut of a failure domain: with an empty retry budget, a request
+/// whose upstream could not be reached was refused, though nothing had been sent.
+#[test]
+fn an_attempt_that_was_not_sent_costs_no_retry() {
+    let settings = RouterSettings {
+        retry_burst: 0.0,
+        retry_ratio: 0.0,
+        ..RouterSettings::default()
+    };
+    let mut harness = Harness::with_replicas(8);
+    harness.router = Router::new(settings, Incarnation(2));
+    let specs = (0..8).map(spec).collect();
+    harness
+        .router
+        .set_topology(harness.now, Topology::from([(target(), specs)]));
+    harness.submit(1, stream());
+    harness.end(1, AttemptEnd::NotSent);
+    harness.end(1, AttemptEnd::NotSent);
+    assert!(harness.answers.is_empty(), "{:?}", harness.answers);
+    harness.end(1, AttemptEnd::Completed { output_tokens: 1 });
+    assert_eq!(harness.answers[&1], Outcome::Completed);
+    harness.submit(2, stream());
+    harness.end(2, AttemptEnd::Refused);
+    assert!(matches!(harness.answers[&2], Outcome::NotRun { .. }));
+}
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -108,12 +108,16 @@
     pub refused_attempts: Vec<RefusedAttempt>,
     /// Groups whose upstreams mark each response as coming from a leaving upstream.
     pub leaving: BTreeSet<GroupNumber>,
-    /// Requests that complete and have not been answered yet.
-    completing: BTreeSet<RequestId>,
+    /// Number of the failure domain whose daemons and upstreams are cut off from all others.
+    pub cut_domain: Option<u64>,
+    /// Requests that complete and have not been answered yet, with the time of each.
+    completing: BTreeMap<RequestId, Duration>,
     /// Attempts of requests that complete, in the order in which they reached an upstream.
     pub arrivals: Vec<Arrival>,
     /// Outcomes of requests that complete.
     pub outcomes: Vec<Outcome>,
+    /// Times from these requests to their outcomes.
+    pub answer_times: Vec<Duration>,
     /// Daemons that exchange no messages with the daemons outside this set.
     pub partitioned: BTreeSet<usize>,
     /// Number of notices sent.
@@ -150,7 +154,9 @@
             cooldowns: BTreeMap::new(),
             refused_attempts: Vec::new(),
             leaving: BTreeSet::new(),
-            completing: BTreeSet::new(),
+            cut_domain: None,
+            completing: BTreeMap::new(),
+            answer_times: Vec::new(),
             arrivals: Vec::new(),
             outcomes: Vec::new(),
             partitioned: BTreeSet::new(),
@@ -371,8 +377,11 @@
                     self.schedule(TICK, peer, Event::NoticeReceived(notice));
                 }
             }
-            Action::Answer { request, outcome } if self.completing.remove(&request) => {
-                self.outcomes.push(outcome);
+            Action::Answer { request, outcome } => {
+                if let Some(since) = self.completing.remove(&request) {
+                    self.outcomes.push(outcome);
+                    self.answer_times.push(self.now - since);
+                }
             }
             _ => {}
         }
--- a/shalehinge/tests/relay_support/upstreams.rs
+++ b/shalehinge/tests/relay_support/upstreams.rs
@@ -9,9 +9,10 @@
 use shalehinge::core::router::request::{Attempt, AttemptEnd, RequestMeta, Target};
 use shalehinge::core::signal::{LeavingMark, RequestedCooldown, UpstreamSignal};
 use shalehinge::core::types::{Customer, GroupNumber, RequestId, Timestamp};
+use shalehinge::utils::http::ATTEMPT_CONNECT_TIMEOUT;
 
-use super::Fleet;
 use super::configuration::model;
+use super::{DOMAINS, Fleet};
 
 /// Time from a stream's start to its deadline.
 const STREAM_DEADLINE: Duration = Duration::from_secs(6);
@@ -58,7 +59,7 @@
     pub fn send_completing_stream(&mut self, index: usize) {
         self.next_event += 1;
         let request = RequestId(self.next_event);
-        self.completing.insert(request);
+        self.completing.insert(request, self.now);
         let meta = RequestMeta {
             fingerprint: Fingerprint(self.next_event),
             ..stream(Timestamp::from_duration(self.now + STREAM_DEADLINE))
@@ -70,14 +71,14 @@
     pub fn send_crashing_stream_that_completes(&mut self, index: usize) {
         self.next_event += 1;
         let request = RequestId(self.next_event);
-        self.completing.insert(request);
+        self.completing.insert(request, self.now);
         let meta = stream(Timestamp::from_duration(self.now + STREAM_DEADLINE));
         self.handle(index, Event::Request { request, meta });
     }
 
     /// Runs an attempt on its upstream.
     pub(super) fn run_attempt(&mut self, index: usize, sent: &Attempt) {
-        if self.completing.contains(&sent.request) {
+        if self.completing.contains_key(&sent.request) {
             self.run_completing_attempt(index, sent);
             return;
         }
@@ -96,6 +97,14 @@
         self.schedule(TICK, index, Event::FirstOutput { request, attempt });
     }
 
+    /// Whether a daemon can't connect to the upstream of a group, as one of them is in the failure
+    /// domain that is cut off and the other isn't.
+    fn is_cut_off(&self, index: usize, group: GroupNumber) -> bool {
+        let domains = u64::from(DOMAINS);
+        let is_cut = |number: u64| self.cut_domain == Some(number % domains);
+        is_cut(index as u64) != is_cut(group.0)
+    }
+
     /// Runs an attempt that completes, with the upstream's limit and leaving mark in the head of
     /// the response, unless the group refuses it with a cooldown.
     fn run_completing_attempt(&mut self, index: usize, sent: &Attempt) {
@@ -103,6 +112,16 @@
         let Some(group) = sent.group else {
             return;
         };
+        if self.is_cut_off(index, group) {
+            let end = AttemptEnd::NotSent;
+            let event = Event::AttemptEnded {
+                request,
+                attempt,
+                end,
+            };
+            self.schedule(ATTEMPT_CONNECT_TIMEOUT, index, event);
+            return;
+        }
         let daemon = index;
         let at = self.now;
         self.arrivals.push(Arrival { at, daemon, group });
