--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -321,10 +321,6 @@
                 self.answer_next(target, refused(refusal), out);
                 continue;
             }
-            let is_new = pending.attempts == 0 && pending.trial == TrialState::None;
-            if is_new && !state.has_concurrency() {
-                return;
-            }
             let selection = state.choose_for(now, &self.settings, &avoided, pending, rng);
             let Some(choice) = selection.choice else {
                 if matches!(pending.trial, TrialState::At(_)) {
@@ -394,13 +390,8 @@
         let is_first = running.first_at.replace(now).is_none();
         let sent_at = running.sent_at;
         let (target, upstream) = (pending.meta.target.clone(), running.upstream.clone());
-        let Some(state) = self.targets.get_mut(&target) else {
-            return;
-        };
-        if is_first {
-            state.record_timeliness(now, &pending.meta, sent_at);
-        }
-        if let Some(upstream) = state.upstream_mut(&upstream) {
+        let state = self.targets.get_mut(&target);
+        if let Some(upstream) = state.and_then(|state| state.upstream_mut(&upstream)) {
             upstream.on_progress(now);
             upstream.cooldown.on_output(now, sent_at);
             if is_first {
@@ -452,10 +443,6 @@
         };
         let mut fails_everywhere = false;
         if let Some(state) = self.targets.get_mut(&target) {
-            let is_whole = running.first_at.is_none();
-            if is_whole && matches!(end, AttemptEnd::Completed { .. }) {
-                state.record_timeliness(now, &pending.meta, running.sent_at);
-            }
             let cause = state.on_attempt_ended(now, &self.settings, pending, &running, end);
             if let Some(FailureCause::Request { failed_at }) = cause {
                 fails_everywhere = true;
--- a/shalehinge/src/core/router/expiry.rs
+++ b/shalehinge/src/core/router/expiry.rs
@@ -15,7 +15,6 @@
         self.handle_stalled(now, rng, out);
         self.update_held(now, out);
         self.record_capacity(now);
-        self.log_overloads(out);
         self.dispatch_all(now, rng, out);
     }
 
@@ -35,25 +34,6 @@
         }
     }
 
-    /// Logs the targets whose upstreams became overloaded, or no longer are.
-    fn log_overloads(&mut self, out: &mut Vec<RouterAction>) {
-        for (target, state) in &mut self.targets {
-            let limit = state.concurrency.limit();
-            if limit.is_some() == state.is_overload_logged {
-                continue;
-            }
-            state.is_overload_logged = limit.is_some();
-            let text = match limit {
-                Some(limit) => format!(
-                    "{target} is overloaded: most first outputs are late, {} requests in flight from now on",
-                    limit.floor()
-                ),
-                None => format!("{target} is no longer overloaded"),
-            };
-            out.push(RouterAction::Log(text));
-        }
-    }
-
     fn record_capacity(&mut self, now: Timestamp) {
         for state in self.targets.values_mut() {
             let present = state.present(now);
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -9,7 +9,6 @@
 //! - `prefix`: hints about which prompt prefixes an upstream's cache holds
 //! - `capacity`: detection of missing upstreams
 //! - `availability`: whether and when an upstream can accept a request
-//! - `concurrency`: limit on requests in flight to overloaded upstreams
 //! - `cooldown`, `leaving`, `signals`: what upstreams state about themselves
 //! - `choose`: selection of an upstream for a request
 //! - `outlier`: ejection of upstreams that fail or are slow
@@ -32,7 +31,6 @@
 pub mod availability;
 pub mod capacity;
 pub mod choose;
-pub mod concurrency;
 pub mod cooldown;
 pub mod dispatch;
 pub mod estimate;
--- a/shalehinge/src/core/router/refusal.rs
+++ b/shalehinge/src/core/router/refusal.rs
@@ -150,9 +150,7 @@
         let time_left = meta.deadline.since(now);
         let wait = state.wait_of(&meta.customer, share, state.cost_of(meta));
         let wait = wait.max(state.min_wait(now)).max(unavailable_for);
-        let has_room = state.queue.is_empty()
-            && state.has_concurrency()
-            && state.upstreams.iter().any(|u| u.is_eligible(now));
+        let has_room = state.queue.is_empty() && state.upstreams.iter().any(|u| u.is_eligible(now));
         let service_time = state.service_time(meta);
         if has_room {
             // Accept the request: estimates from a period of overload must not keep out requests
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -8,7 +8,6 @@
 
 use super::capacity::RecentCapacity;
 use super::choose::{Choice, ChoiceContext, Selection, choose, typical_interval};
-use super::concurrency::ConcurrencyLimit;
 use super::estimate::{DrainRate, LowerEnvelope, SmoothedDuration};
 use super::failing::{FailingRequests, FailureCause};
 use super::prefix::BLOCK_TOKENS;
@@ -100,10 +99,6 @@
     pub(super) failing: FailingRequests,
     /// The highest number of upstreams that were present recently.
     pub(super) recent_capacity: RecentCapacity,
-    /// Limit on the requests in flight while the upstreams are overloaded.
-    pub(super) concurrency: ConcurrencyLimit,
-    /// Whether the log says that the upstreams are overloaded.
-    pub(super) is_overload_logged: bool,
 }
 
 impl TargetState {
@@ -269,31 +264,6 @@
         }
     }
 
-    /// Number of requests of this daemon in flight to the target.
-    pub(super) fn in_flight(&self) -> u32 {
-        self.upstreams.iter().map(Upstream::in_flight).sum()
-    }
-
-    /// Whether the limit of an overload allows one more request.
-    pub(super) fn has_concurrency(&self) -> bool {
-        self.concurrency.limit().is_none() || self.concurrency.has_room(self.in_flight())
-    }
-
-    /// Records whether the first output of an attempt, which arrives now, is late.
-    pub(super) fn record_timeliness(
-        &mut self,
-        now: Timestamp,
-        meta: &RequestMeta,
-        sent_at: Timestamp,
-    ) {
-        let Some(target_time) = meta.first_output_within else {
-            return;
-        };
-        let is_late = now.since(sent_at) > target_time;
-        let in_flight = self.in_flight();
-        self.concurrency.record(now, is_late, in_flight);
-    }
-
     /// Finds an upstream by id.
     pub(super) fn upstream_mut(&mut self, id: &UpstreamId) -> Option<&mut Upstream> {
         self.upstreams.iter_mut().find(|u| u.spec.id == *id)
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -108,12 +108,6 @@
     pub refused_attempts: Vec<RefusedAttempt>,
     /// Groups whose upstreams mark each response as coming from a leaving upstream.
     pub leaving: BTreeSet<GroupNumber>,
-    /// Requests per second that each group begins, in the order of arrival; `None` for no limit.
-    pub service_rate: Option<f64>,
-    /// When the last request that waits at a group begins.
-    free_at: BTreeMap<GroupNumber, Duration>,
-    /// Target time of a request's first output.
-    pub target_latency: Option<Duration>,
     /// Number of the failure domain whose daemons and upstreams are cut off from all others.
     pub cut_domain: Option<u64>,
     /// Requests that complete and have not been answered yet, with the time of each.
@@ -160,9 +154,6 @@
             cooldowns: BTreeMap::new(),
             refused_attempts: Vec::new(),
             leaving: BTreeSet::new(),
-            service_rate: None,
-            free_at: BTreeMap::new(),
-            target_latency: None,
             cut_domain: None,
             completing: BTreeMap::new(),
             answer_times: Vec::new(),
--- a/shalehinge/tests/relay_support/upstreams.rs
+++ b/shalehinge/tests/relay_support/upstreams.rs
@@ -41,8 +41,6 @@
     pub cooldown: Duration,
 }
 
-/// Time in a queue above which an upstream refuses a request.
-const MAX_QUEUE_TIME: Duration = Duration::from_secs(4);
 /// Run time of a request that completes.
 const RUN_TIME: Duration = Duration::from_millis(300);
 
@@ -64,7 +62,6 @@
         self.completing.insert(request, self.now);
         let meta = RequestMeta {
             fingerprint: Fingerprint(self.next_event),
-            first_output_within: self.target_latency,
             ..stream(Timestamp::from_duration(self.now + STREAM_DEADLINE))
         };
         self.handle(index, Event::Request { request, meta });
@@ -144,41 +141,15 @@
             attempt,
             signal,
         };
-        let Some(wait) = self.wait_at(group) else {
-            let end = AttemptEnd::Refused;
-            let event = Event::AttemptEnded {
-                request,
-                attempt,
-                end,
-            };
-            self.schedule(TICK, index, event);
-            return;
-        };
-        self.schedule(wait + TICK, index, named);
-        self.schedule(wait + TICK, index, Event::FirstOutput { request, attempt });
+        self.schedule(TICK, index, named);
+        self.schedule(TICK, index, Event::FirstOutput { request, attempt });
         let end = AttemptEnd::Completed { output_tokens: 20 };
         let ended = Event::AttemptEnded {
             request,
             attempt,
             end,
         };
-        self.schedule(wait + RUN_TIME, index, ended);
-    }
-
-    /// Time for which an attempt waits in the queue of a group's upstream; `None` if the queue is
-    /// full. Upstreams without a service rate have no queue.
-    fn wait_at(&mut self, group: GroupNumber) -> Option<Duration> {
-        let Some(rate) = self.service_rate else {
-            return Some(Duration::ZERO);
-        };
-        let free_at = self.free_at.entry(group).or_insert(self.now);
-        let begins_at = (*free_at).max(self.now);
-        let wait = begins_at - self.now;
-        if wait > MAX_QUEUE_TIME {
-            return None;
-        }
-        *free_at = begins_at + Duration::from_secs_f64(1.0 / rate);
-        Some(wait)
+        self.schedule(RUN_TIME, index, ended);
     }
 
     /// The leaving mark in the responses of a group's upstreams.
