fix(settings): refuse parts of a whole above 1

'max_ejected', 'load_share' and 'spare_share' took any number of at least 0: max_ejected = 4 let all upstreams be ejected at once.

--- a/shalehinge/src/settings/control.rs
+++ b/shalehinge/src/settings/control.rs
@@ -100,8 +100,8 @@
             host_heartbeat: section.duration("host_heartbeat", default.host_heartbeat),
             retire_within: section.duration("retire_within", default.retire_within),
             free_loads_within: section.duration("free_loads_within", default.free_loads_within),
-            spare_share: section.fraction("spare_share", default.spare_share),
-            load_share: section.fraction("load_share", default.load_share),
+            spare_share: section.proportion("spare_share", default.spare_share),
+            load_share: section.proportion("load_share", default.load_share),
         }
     }
 }
--- a/shalehinge/src/settings/reader.rs
+++ b/shalehinge/src/settings/reader.rs
@@ -291,6 +291,15 @@
         )
     }
 
+    /// Reads a part of a whole, from 0 to 1.
+    pub fn proportion(&mut self, key: &str, default: f64) -> f64 {
+        let parse = |text: &str| {
+            let value = text.parse::<f64>().ok()?;
+            (0.0..=1.0).contains(&value).then_some(value)
+        };
+        self.parse(key, default, parse, "use a number from 0 to 1, such as 0.5")
+    }
+
     /// Reads a boolean: `yes`, `true`, `no` or `false`.
     pub fn flag(&mut self, key: &str, default: bool) -> bool {
         let parse = |text: &str| match text {
--- a/shalehinge/src/settings/router.rs
+++ b/shalehinge/src/settings/router.rs
@@ -136,7 +136,7 @@
             retry_burst: section.fraction("retry_burst", default.retry_burst),
             eject_after: section.count("eject_after", default.eject_after),
             eject_for: section.duration("eject_for", default.eject_for),
-            max_ejected: section.fraction("max_ejected", default.max_ejected),
+            max_ejected: section.proportion("max_ejected", default.max_ejected),
             slow_factor: section.fraction("slow_factor", default.slow_factor),
             service_concurrency: section.count("service_concurrency", default.service_concurrency),
             engine_backlog: section.fraction("engine_backlog", default.engine_backlog),
--- a/shalehinge/tests/settings.rs
+++ b/shalehinge/tests/settings.rs
@@ -143,3 +143,34 @@
     let settings = Settings::parse("entry.ini", &text).expect("valid settings");
     assert_eq!(settings.core.router.quarantine_after, 0);
 }
+
+// Guards against shares of more than the whole: `max_ejected = 4` ejected all upstreams at once.
+#[test]
+fn parts_of_a_whole_are_from_0_to_1() {
+    for (section, key) in [
+        ("router", "max_ejected"),
+        ("control", "load_share"),
+        ("control", "spare_share"),
+    ] {
+        for value in ["1.01", "-0.1", "nan", "inf"] {
+            let text = format!("{MINIMAL}[{section}]\n{key} = {value}\n");
+            let problems = problems(&text);
+            assert!(
+                problems[0].contains("use a number from 0 to 1"),
+                "{problems:?}"
+            );
+        }
+        for value in ["0", "0.4", "1"] {
+            let text = format!("{MINIMAL}[{section}]\n{key} = {value}\n");
+            assert_eq!(problems(&text), [""; 0]);
+        }
+    }
+}
+
+#[test]
+fn evacuations_without_split_feeds_are_rejected() {
+    let text = format!("{MINIMAL}[learning]\nevacuations = yes\n");
+    assert!(problems(&text)[0].contains("evacuations = yes requires feeds = split"));
+    let text = format!("{MINIMAL}[learning]\nevacuations = yes\nfeeds = split\n");
+    assert_eq!(problems(&text), [""; 0]);
+}
