--- a/shalehinge/src/core/router/quarantine.rs
+++ b/shalehinge/src/core/router/quarantine.rs
@@ -104,7 +104,7 @@
 
 impl Record {
     fn last_at(&self) -> Timestamp {
-        let crashed_at = self.crashes.last().map(|(_, at)| *at);
+        let crashed_at = self.crashes.iter().map(|(_, at)| *at).max();
         let last_lost_at = self.quarantined.map(|known| known.last_lost_at);
         crashed_at
             .max(last_lost_at)
@@ -202,11 +202,14 @@
             return false;
         }
         let first = record.crashes.iter().map(|(_, at)| *at).min();
+        // Peers report crashes out of order.
+        let last = record.crashes.iter().map(|(_, at)| *at).max();
+        let known_last = record.quarantined.map(|known| known.last_lost_at);
         let was_quarantined = record.quarantined.is_some();
         let quarantined = Quarantined {
             fingerprint,
             first_lost_at: first.unwrap_or(at),
-            last_lost_at: at,
+            last_lost_at: last.max(known_last).unwrap_or(at),
             evidence: record
                 .quarantined
                 .map_or(Evidence::Suspected, |known| known.evidence),
--- a/shalehinge/tests/quarantine.rs
+++ b/shalehinge/tests/quarantine.rs
@@ -311,3 +311,17 @@
     // A trial whose result was never reported, and which has expired.
     assert!(owner.try_grant(at(9), &ask(2, &[&upstream])).is_some());
 }
+
+// Guards against a quarantine that ends early: a crash that a peer reports late was taken for the
+// last one.
+#[test]
+fn a_quarantine_counts_from_the_latest_crash_in_whichever_order_crashes_are_reported() {
+    let mut state = DaemonState::default();
+    state.lose(1, 100);
+    state.lose(2, 40);
+    let quarantined = state
+        .quarantine
+        .active(at(101), FINGERPRINT, &state.settings)
+        .expect("two upstreams crashed");
+    assert_eq!(quarantined.last_lost_at, at(100));
+}
