--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -211,10 +211,52 @@
         ".is_some_and(|at| now.since(at) < LEAVING_RETENTION * 60)",
         "signal", "retried_after_a_minute",
     ),
+    "a-warm-up-limits-requests": (
+        CORE + "router/warm_up.rs",
+        "self.spec.filter(|_| now < self.until)?",
+        "self.spec.filter(|_| false)?",
+        "warm_up", "daemons_together",
+    ),
+    "an-evacuated-domain-gets-no-requests": (
+        CORE + "router/topology.rs",
+        "record.state == HostState::Live && !state.is_evacuated(&record.failure_domain)",
+        "record.state == HostState::Live",
+        "evacuation", "until_it_is_restored",
+    ),
+    "a-share-below-one-retries": (
+        CORE + "router/retry_budget.rs",
+        "        rng.random_bool(probability.clamp(0.0, 1.0))",
+        "        rng.random_bool(probability.clamp(0.0, 0.0))",
+        "retry_budget", "mostly_retried",
+    ),
+    "what-was-not-sent-is-retried-free": (
+        CORE + "router/dispatch.rs",
+        "outcome if end == AttemptEnd::NotSent => {",
+        "outcome if end == AttemptEnd::NotSent && self.waiting > 1_000_000 => {",
+        "listed_routing", "costs_no_retry",
+    ),
+    "unreachable-domains-are-avoided": (
+        CORE + "router/reachability.rs",
+        "const MIN_FAILED_UPSTREAMS: usize = 2;",
+        "const MIN_FAILED_UPSTREAMS: usize = 1_000;",
+        "cut_domains", "served_in_time",
+    ),
+    "own-domain-first": (
+        CORE + "router/choose.rs",
+        "if !picked.iter().any(is_local) {",
+        "if picked.is_empty() {",
+        "listed_routing", "its_own_failure_domain",
+    ),
+    "a-release-waits-for-a-renewal": (
+        CORE + "lease.rs",
+        "if self.in_flight && self.pending.is_some() {",
+        "if self.in_flight && self.pending.is_some() && now == Timestamp::ZERO {",
+        "focused", "at_any_moment",
+    ),
     "a-limited-upstream-needs-a-permit": (
-        CORE + "router/limit_state.rs",
-        "self.rate.is_none() || (self.permits.remaining > 0 && now < self.permits.until)",
-        "self.rate.is_none() || now >= Timestamp::ZERO",
+        CORE + "router/limits.rs",
+        "self.limit.has_permit(now) || self.limit_rate(now).is_none()",
+        "now >= Timestamp::ZERO",
         "limited_upstreams", "from_nine_daemons",
     ),
     "one-owner-hands-out-permits": (
@@ -231,7 +273,7 @@
     ),
     "little-is-saved-up": (
         CORE + "permits.rs",
-        ".min(burst_size(rate));",
+        ".min(burst);",
         ".min(1_000.0);",
         "limited_upstreams", "does_not_accumulate",
     ),
@@ -597,7 +639,7 @@
     ),
     "stop-waits": (
         CORE + "daemon/stopping.rs",
-        "let is_done = self.router.pending() == 0 && self.claimed_requests.is_empty();",
+        "let is_done = is_served && !is_releasing;",
         "let is_done = true;",
         "always", "fixed",
     ),
@@ -651,8 +693,8 @@
     ),
     "holder-counts-from-sending": (
         CORE + "lease.rs",
-        "self.record_held(pending.record.epoch, pending.sent_at);\n        let lease",
-        "self.record_held(pending.record.epoch, now + std::time::Duration::from_secs(4));\n        let lease",
+        "            self.record_held(pending.record.epoch, pending.sent_at);\n        }\n        let lease",
+        "            self.record_held(pending.record.epoch, now + std::time::Duration::from_secs(4));\n        }\n        let lease",
         "always", "fixed",
     ),
     "unclear-confirm": (
--- a/shalehinge/tests/retry_budget.rs
+++ b/shalehinge/tests/retry_budget.rs
@@ -7,11 +7,13 @@
 use rand::rngs::SmallRng;
 use shalehinge::core::router::retry_budget::RetryBudget;
 
-/// Retries that the daemons share, besides a fraction of the requests.
-const SHARED_BURST: f64 = 1_040.0;
+/// Retries that the daemons may make together, besides a fraction of the requests.
+const ALLOWED_BURST: f64 = 1_040.0;
+/// The part of them that the daemons share, as a daemon may not know of all others.
+const SHARED_BURST: f64 = ALLOWED_BURST * 0.7;
 /// Fraction of the requests that may be retried.
 const RATIO: f64 = 0.15;
-/// Numbers of daemons; the largest has a share of about a half.
+/// Numbers of daemons; the share of the two largest is less than one retry.
 const SIZES: [usize; 4] = [100, 300, 984, 2_000];
 
 fn fleet(daemons: usize) -> Vec<RetryBudget> {
@@ -55,7 +57,7 @@
                 }
             }
         }
-        let allowed = SHARED_BURST + 0.2 * (daemons * REQUESTS) as f64;
+        let allowed = ALLOWED_BURST + 0.2 * (daemons * REQUESTS) as f64;
         assert!(
             retried as f64 <= allowed,
             "{retried} retries of {daemons} daemons, allowed {allowed}"
