--- a/shalehinge/src/core/router/choose.rs
+++ b/shalehinge/src/core/router/choose.rs
@@ -3,7 +3,8 @@
 //! The score of an upstream is its load (the fraction of its capacity in use) plus a weighted
 //! fraction of the prompt that is not in its cache, multiplied by its slowness relative to the
 //! median upstream, plus a penalty for distance. The upstream with the lowest score wins among a
-//! small random sample with at least one of the own failure domain, the upstream with the longest cached prefix, and limited upstreams with a
+//! small random sample with at least one of the own failure domain, the upstream with the longest
+//! cached prefix, and limited upstreams with a
 //! permit. Sampling keeps daemons from all selecting the same upstream based on load reports of
 //! the same age.
 
--- a/shalehinge/tests/cut_domains.rs
+++ b/shalehinge/tests/cut_domains.rs
@@ -1,7 +1,4 @@
-//! A failure domain that is cut off from the others while requests arrive at all of them.
-//!
-//! Guards against callers of all failure domains waiting for one that is cut off: an attempt took
-//! a second to find out that it could not connect, and was then refused for want of a retry.
+//! Guards against callers of all failure domains waiting for upstreams of one that is cut off.
 
 mod relay_support;
 
--- a/shalehinge/tests/evacuation.rs
+++ b/shalehinge/tests/evacuation.rs
@@ -1,7 +1,4 @@
-//! Evacuated failure domains, whose upstreams must get no requests.
-//!
-//! Guards against evacuations that no daemon reads: 4,108 requests reached an evacuated failure
-//! domain on one day, as no source read the platform's list of them.
+//! Guards against requests to the upstreams of evacuated failure domains.
 
 mod relay_support;
 
--- a/shalehinge/tests/focused.rs
+++ b/shalehinge/tests/focused.rs
@@ -177,8 +177,7 @@
     assert_nothing_violated(&world);
 }
 
-/// The stop meets the holder's calls at different moments: a release that names the version before
-/// a renewal in flight would be refused.
+/// Guards against a release that names the version before a renewal in flight and is refused.
 #[test]
 fn a_planned_stop_at_any_moment_hands_over_control_immediately() {
     let mut slow = Vec::new();
--- a/shalehinge/tests/listed_routing.rs
+++ b/shalehinge/tests/listed_routing.rs
@@ -494,8 +494,7 @@
     );
 }
 
-/// Guards against refusals in a cut of a failure domain: with an empty retry budget, a request
-/// whose upstream could not be reached was refused, though nothing had been sent.
+/// Guards against refusals of requests that were never sent, while the retry budget is empty.
 #[test]
 fn an_attempt_that_was_not_sent_costs_no_retry() {
     let settings = RouterSettings {
@@ -520,8 +519,7 @@
     assert!(matches!(harness.answers[&2], Outcome::NotRun { .. }));
 }
 
-/// Guards against requests that leave their failure domain without need: the share of requests to
-/// other domains grew with the number of domains, from 13 percent at three to 33 at five.
+/// Guards against requests that leave their failure domain without need where there are many.
 #[test]
 fn an_idle_daemon_sends_requests_to_its_own_failure_domain() {
     const DOMAINS: u64 = 5;
--- a/shalehinge/tests/quarantine.rs
+++ b/shalehinge/tests/quarantine.rs
@@ -312,8 +312,7 @@
     assert!(owner.try_grant(at(9), &ask(2, &[&upstream])).is_some());
 }
 
-// Guards against a quarantine that ends early: a crash that a peer reports late was taken for the
-// last one.
+// Guards against a quarantine that ends early after crashes_reported_by_peers_out_of_order.
 #[test]
 fn a_quarantine_counts_from_the_latest_crash_in_whichever_order_crashes_are_reported() {
     let mut state = DaemonState::default();
--- a/shalehinge/tests/retry_budget.rs
+++ b/shalehinge/tests/retry_budget.rs
@@ -1,7 +1,4 @@
-//! The retry budget that the daemons of a fleet share.
-//!
-//! Guards against a share that is less than one retry: 984 daemons with a shared burst of 1,040
-//! never retried anything, and each request whose first attempt failed was failed or refused.
+//! Guards against daemons that never retry, as their share of the fleet's budget is below one retry.
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
--- a/shalehinge/tests/settings.rs
+++ b/shalehinge/tests/settings.rs
@@ -144,7 +144,7 @@
     assert_eq!(settings.core.router.quarantine_after, 0);
 }
 
-// Guards against shares of more than the whole: `max_ejected = 4` ejected all upstreams at once.
+// Guards against settings_accept_shares_above_one, such as `max_ejected = 4`.
 #[test]
 fn parts_of_a_whole_are_from_0_to_1() {
     for (section, key) in [
--- a/shalehinge/tests/warm_up.rs
+++ b/shalehinge/tests/warm_up.rs
@@ -1,7 +1,4 @@
-//! Upstreams that accept few requests while they warm up after a start.
-//!
-//! Guards against a restarted replica that every daemon sends its usual share at once: one that
-//! bears 14 requests per second, and falls over above 26, got 33 in a second from 90 daemons.
+//! Guards against upstreams that warm up and get the usual share of every daemon at once.
 
 mod relay_support;
 
