fix(router): try the own failure domain after an attempt that was not sent

Cause: a daemon inside the cut reaches no other domain; one is passed over only once two of its upstreams failed, so a request could spend its attempts on one cut domain after the other. A test of one request shows it, red before.

Change: after an attempt that could not be sent the next goes to the own domain, if an upstream is open there.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -247,6 +247,12 @@
         "if picked.is_empty() {",
         "listed_routing", "its_own_failure_domain",
     ),
+    "after-an-unsent-attempt-the-own-domain": (
+        CORE + "router/target.rs",
+        "prefers_local: pending.has_unsent_attempt,",
+        "prefers_local: false,",
+        "listed_routing", "goes_to_the_own_failure_domain",
+    ),
     "a-release-waits-for-a-renewal": (
         CORE + "lease.rs",
         "if self.in_flight && self.pending.is_some() {",
--- a/shalehinge/src/core/router/choose.rs
+++ b/shalehinge/src/core/router/choose.rs
@@ -76,6 +76,8 @@
     pub sent_count: usize,
     /// Failure domains whose upstreams are used only if no other upstream is open.
     pub avoided: &'a BTreeSet<FailureDomain>,
+    /// Whether upstreams of other failure domains are used only if no local one is open.
+    pub prefers_local: bool,
 }
 
 /// Result of the selection.
@@ -100,8 +102,9 @@
         let spec = &upstreams[*index].spec;
         context.avoided.contains(&spec.failure_domain)
     };
-    if !open.iter().all(is_avoided) {
-        open.retain(|index| !is_avoided(index));
+    prefer(&mut open, |index| !is_avoided(index));
+    if context.prefers_local {
+        prefer(&mut open, |index| !upstreams[*index].spec.remote);
     }
     let may_send = |index: &usize| upstreams[*index].may_be_sent(context.now);
     let first = pick(upstreams, &open, context, rng);
@@ -119,6 +122,13 @@
     }
 }
 
+/// Keeps only the preferred upstreams, if there are any.
+fn prefer(open: &mut Vec<usize>, is_preferred: impl Fn(&usize) -> bool) {
+    if open.iter().any(&is_preferred) {
+        open.retain(is_preferred);
+    }
+}
+
 fn pick(
     upstreams: &[Upstream],
     open: &[usize],
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -259,6 +259,7 @@
             attempts: 0,
             possible_runs: 0,
             tried: Vec::new(),
+            has_unsent_attempt: false,
             running: None,
             has_output: false,
             earlier_outcome: None,
@@ -455,6 +456,7 @@
         if !matches!(end, AttemptEnd::NotSent | AttemptEnd::Refused) {
             pending.possible_runs += 1;
         }
+        pending.has_unsent_attempt |= end == AttemptEnd::NotSent;
         self.record_reachability(now, &target, &running.upstream, end, out);
         self.record_evidence(now, request, &subject, &running.upstream, end, out);
         match outcome_of(end, || self.retry_after(now, &target)) {
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -35,6 +35,9 @@
     pub(super) possible_runs: u32,
     /// Upstreams to which attempts were sent.
     pub(super) tried: Vec<UpstreamId>,
+    /// Whether an attempt could not be sent. The next one then goes to the own failure domain, as
+    /// the others may be cut off too.
+    pub(super) has_unsent_attempt: bool,
     /// The attempt in flight, if any.
     pub(super) running: Option<Running>,
     /// Whether an attempt has produced output.
@@ -180,6 +183,7 @@
             excluded: &pending.tried,
             sent_count: self.sent_count,
             avoided,
+            prefers_local: pending.has_unsent_attempt,
         };
         let selection = choose(&self.upstreams, &context, rng);
         if selection.choice.is_some() || pending.tried.is_empty() {
--- a/shalehinge/tests/listed_routing.rs
+++ b/shalehinge/tests/listed_routing.rs
@@ -549,3 +549,22 @@
         "{local} of {REQUESTS} sent to the own domain"
     );
 }
+
+/// Guards against requests that spend all attempts on failure domains that can't be reached.
+#[test]
+fn after_an_attempt_that_was_not_sent_the_next_goes_to_the_own_failure_domain() {
+    let mut harness = Harness::with_replicas(1);
+    let remote = |number: u64| UpstreamSpec {
+        remote: true,
+        ..spec(number)
+    };
+    let specs = std::iter::once(spec(0)).chain((1..20).map(remote));
+    harness
+        .router
+        .set_topology(harness.now, Topology::from([(target(), specs.collect())]));
+    harness.submit(1, stream());
+    harness.submit(2, stream());
+    assert_ne!(harness.last(2).group, Some(GroupNumber(0)));
+    harness.end(2, AttemptEnd::NotSent);
+    assert_eq!(harness.last(2).group, Some(GroupNumber(0)));
+}
