test: stand-ins of a store that carries out writes late

The stand-ins in simulated time applied or refused a write when it arrived. A restore can give an object the number that a held write names. Tests that don't ask for it keep their store.

--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -4,6 +4,8 @@
 #![allow(dead_code)] // Each test file uses only some of the items.
 
 pub mod configuration;
+#[path = "../held_writes/mod.rs"]
+pub mod held_writes;
 pub mod load_simulation;
 pub mod platform;
 pub mod upstreams;
@@ -13,7 +15,9 @@
 
 use shalehinge::core::advertised_limit::RequestRate;
 use shalehinge::core::daemon::{Daemon, Identity, TICK};
-use shalehinge::core::event::{Action, Event, Pull, PullId, PullReply, PullTopic, Timeouts};
+use shalehinge::core::event::{
+    Action, Component, Event, LogLine, Pull, PullId, PullReply, PullTopic, Timeouts,
+};
 use shalehinge::core::platform::{CallId, NoAnswer, PlatformCall};
 use shalehinge::core::router::request::Outcome;
 use shalehinge::core::types::{
@@ -26,7 +30,8 @@
 use self::platform::{Platform, platform_bytes};
 pub use self::upstreams::{Arrival, RefusedAttempt};
 
-/// Number of failure domains, over which the daemons are distributed evenly.
+/// Number of failure domains, over which the daemons are distributed evenly unless a test names
+/// another number.
 const DOMAINS: u16 = 3;
 
 /// Settings of all daemons: separate feeds, and host lists relayed between peers.
@@ -126,6 +131,12 @@
     crashing: BTreeSet<RequestId>,
     /// Number of upstream crashes caused by these requests.
     pub crashes: usize,
+    /// Number of failure domains of the daemons.
+    domains: u16,
+    /// Daemons that are paused, with the events that wait for each.
+    paused: BTreeMap<usize, Vec<Event>>,
+    /// Lines that daemons logged on the platform and the lease, while late writes are simulated.
+    pub lines: Vec<String>,
 }
 
 impl Fleet {
@@ -136,7 +147,12 @@
 
     /// A fleet of `daemons` daemons that have just started.
     pub fn start(daemons: u16, is_first_start: bool) -> Self {
-        let daemon = |port: u16| new_daemon(port, Incarnation(1), is_first_start);
+        Self::start_in_domains(daemons, DOMAINS, is_first_start)
+    }
+
+    /// Like [`Self::start`], with this number of failure domains.
+    pub fn start_in_domains(daemons: u16, domains: u16, is_first_start: bool) -> Self {
+        let daemon = |port: u16| new_daemon(port, domains, Incarnation(1), is_first_start);
         Self {
             now: Duration::from_millis(1),
             platform: Platform::new(),
@@ -163,6 +179,21 @@
             notices: 0,
             crashing: BTreeSet::new(),
             crashes: 0,
+            domains,
+            paused: BTreeMap::new(),
+            lines: Vec::new(),
+        }
+    }
+
+    /// Pauses a daemon; its clock advances and its events wait.
+    pub fn pause(&mut self, index: usize) {
+        self.paused.entry(index).or_default();
+    }
+
+    /// Resumes a paused daemon, which then handles the events that wait.
+    pub fn resume(&mut self, index: usize) {
+        for event in self.paused.remove(&index).unwrap_or_default() {
+            self.handle(index, event);
         }
     }
 
@@ -172,7 +203,7 @@
             let daemon = usize::from(index);
             self.calls.retain(|call| call.daemon != daemon);
             self.events.retain(|_, (to, _)| *to != daemon);
-            self.daemons[daemon] = new_daemon(index, Incarnation(2), false);
+            self.daemons[daemon] = new_daemon(index, self.domains, Incarnation(2), false);
         }
     }
 
@@ -197,6 +228,7 @@
             }
             self.now += TICK;
             self.platform.refill(TICK);
+            self.platform.carry_out_late_writes(self.now);
             self.answer_calls();
             self.move_transfers();
             while let Some(entry) = self.events.first_entry() {
@@ -225,6 +257,7 @@
         {
             let gives_up_at = self.now + Timeouts::default().platform;
             let reply = self.platform.answer(&request);
+            self.platform.trace_write(&sender(daemon), &request, &reply);
             let bytes = platform_bytes(&reply);
             let result = Ok(reply);
             let whole = Event::Platform { call, result };
@@ -325,6 +358,12 @@
         if self.dead.contains(&index) {
             return;
         }
+        if let Some(waiting) = self.paused.get_mut(&index) {
+            if event != Event::Tick {
+                waiting.push(event);
+            }
+            return;
+        }
         let now = Timestamp::from_duration(self.now);
         let mut actions = Vec::new();
         self.daemons[index].handle(now, event, &mut actions);
@@ -337,12 +376,22 @@
     fn perform(&mut self, index: usize, now: Timestamp, action: Action) {
         match action {
             Action::Platform { call, request } => {
-                if self.refused.contains(&index) || self.platform.refuses(&request) {
+                let is_unreachable = self.platform.is_away || self.refused.contains(&index);
+                if is_unreachable || self.platform.refuses(&request) {
                     self.platform.calls += 1;
                     let result = Err(NoAnswer);
                     self.schedule(TICK, index, Event::Platform { call, result });
                     return;
                 }
+                if self.platform.holds(&sender(index), &request) {
+                    self.platform.calls += 1;
+                    let event = Event::Platform {
+                        call,
+                        result: Err(NoAnswer),
+                    };
+                    self.schedule(Timeouts::default().platform, index, event);
+                    return;
+                }
                 self.calls.push(Call {
                     daemon: index,
                     until: self.now + self.platform.wait(&request),
@@ -383,23 +432,54 @@
                     self.answer_times.push(self.now - since);
                 }
             }
+            Action::Log(line) => self.record_line(index, &line),
             _ => {}
         }
     }
 
-    /// Makes the platform unavailable for `away`, then restores it from its backup.
-    pub fn restore_platform(&mut self, away: Duration) {
-        for Call { daemon, call, .. } in std::mem::take(&mut self.calls) {
+    fn record_line(&mut self, index: usize, line: &LogLine) {
+        let is_recorded = matches!(line.component, Component::Platform | Component::Lease);
+        if self.platform.late_writes.is_none() || !is_recorded {
+            return;
+        }
+        let line = format!(
+            "{:9.3} {} logs: {}",
+            self.now.as_secs_f64(),
+            sender(index),
+            line.text
+        );
+        self.lines.push(line);
+    }
+
+    /// Makes the platform unavailable; calls that are waiting get no answer.
+    pub fn take_platform_away(&mut self) {
+        for waiting in std::mem::take(&mut self.calls) {
+            let Call {
+                daemon,
+                call,
+                request,
+                ..
+            } = waiting;
+            self.platform.holds(&sender(daemon), &request);
             let result = Err(NoAnswer);
             self.schedule(TICK, daemon, Event::Platform { call, result });
         }
-        let refused = self.refused.clone();
-        self.refused = (0..self.daemons.len()).collect();
-        self.run(away);
-        self.refused = refused;
+        self.platform.is_away = true;
+    }
+
+    /// Makes the platform available again, restored from its backup.
+    pub fn bring_platform_back(&mut self) {
+        self.platform.is_away = false;
         self.platform.restore();
     }
 
+    /// Makes the platform unavailable for `away`, then restores it from its backup.
+    pub fn restore_platform(&mut self, away: Duration) {
+        self.take_platform_away();
+        self.run(away);
+        self.bring_platform_back();
+    }
+
     /// Live daemons that don't know the platform's newest host list.
     pub fn daemons_behind(&self) -> Vec<usize> {
         let newest = self.platform.hosts_version();
@@ -437,11 +517,11 @@
     }
 }
 
-fn new_daemon(port: u16, incarnation: Incarnation, is_first_start: bool) -> Daemon {
+fn new_daemon(port: u16, domains: u16, incarnation: Incarnation, is_first_start: bool) -> Daemon {
     let address = |port: u16| -> Address { ([10, 0, 0, 1], port).into() };
     let identity = Identity {
         daemon: DaemonId::new(&format!("daemon-{port}")),
-        failure_domain: FailureDomain::new(&format!("d{}", port % DOMAINS)),
+        failure_domain: FailureDomain::new(&format!("d{}", port % domains)),
         address: address(port),
         incarnation,
         seeds: (0..3).map(address).collect(),
@@ -451,6 +531,11 @@
     Daemon::new(settings(), identity, u64::from(port))
 }
 
+/// Name of a daemon as the sender of calls.
+fn sender(index: usize) -> String {
+    format!("daemon-{index}")
+}
+
 /// Time-out of a pull.
 fn peer_timeout(pull: &Pull) -> Duration {
     match pull.topic {
--- a/shalehinge/tests/relay_support/platform.rs
+++ b/shalehinge/tests/relay_support/platform.rs
@@ -8,7 +8,8 @@
 use shalehinge::core::evacuations::{EvacuationChanges, Evacuations};
 use shalehinge::core::fleet_state::ObjectUpdate;
 use shalehinge::core::objects::{
-    FleetConfig, HostChanges, HostList, HostRecord, HostState, Object, ObjectKey, Versioned,
+    FleetConfig, HostChanges, HostList, HostRecord, HostState, LeaseRecord, Object, ObjectKey,
+    Versioned,
 };
 use shalehinge::core::platform::{Freshness, PlatformCall, PlatformReply, Scope};
 use shalehinge::core::types::{
@@ -18,6 +19,7 @@
 
 use super::DOMAINS;
 use super::configuration::{fleet_config, model};
+use super::held_writes::{HeldWrites, summary};
 
 /// Number of hosts listed at the start, each an instance of a plain service.
 const HOSTS: u16 = 30;
@@ -62,12 +64,24 @@
     }
 }
 
+/// Name under which the store keeps an object.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct StoredName {
+    key: ObjectKey,
+}
+
+impl StoredName {
+    fn new(key: &ObjectKey) -> Self {
+        Self { key: key.clone() }
+    }
+}
+
 /// A backup of the platform's store.
 struct Backup {
     revision: u64,
     changes: Vec<(u64, HostId, HostRecord)>,
     configuration: Versioned<FleetConfig>,
-    objects: BTreeMap<ObjectKey, Versioned<Object>>,
+    objects: BTreeMap<StoredName, Versioned<Object>>,
 }
 
 /// A simulated platform. Watches wait for a change.
@@ -83,11 +97,13 @@
     configuration: Versioned<FleetConfig>,
     /// All changes of evacuations, each with its revision and whether the evacuation lasts.
     evacuations: Vec<(u64, FailureDomain, bool)>,
-    objects: BTreeMap<ObjectKey, Versioned<Object>>,
+    objects: BTreeMap<StoredName, Versioned<Object>>,
     /// Number of host lists read.
     pub lists: usize,
     /// Number of calls, including those that were refused.
     pub calls: usize,
+    /// Number of writes that were answered.
+    pub writes: usize,
     /// Number of pages of the host list, which are read one after the other.
     pub pages: u32,
     /// Maximum rate of exact reads per second; reads above it are refused. `None` for no limit.
@@ -96,6 +112,11 @@
     reads_left: f64,
     /// Number of exact reads that were refused.
     pub reads_refused: usize,
+    /// Whether the platform answers nobody.
+    pub is_away: bool,
+    /// Writes that are carried out late. `None` applies or refuses each write when it arrives, and
+    /// counts revisions per object.
+    pub late_writes: Option<HeldWrites>,
 }
 
 /// Round-trip time of one page of a list.
@@ -118,10 +139,13 @@
             objects: BTreeMap::new(),
             lists: 0,
             calls: 0,
+            writes: 0,
             pages: 1,
             reads_per_second: None,
             reads_left: 0.0,
             reads_refused: 0,
+            is_away: false,
+            late_writes: None,
         };
         for port in 0..HOSTS {
             platform.change(port, HostState::Live);
@@ -250,22 +274,105 @@
         }
     }
 
+    /// The stored control lease of a failure domain.
+    pub fn lease(&self, domain: &FailureDomain) -> Option<Versioned<LeaseRecord>> {
+        let name = StoredName::new(&ObjectKey::Lease(domain.clone()));
+        self.objects.get(&name).cloned()?.into_lease()
+    }
+
+    /// The store's era.
+    pub fn era(&self) -> StoreEra {
+        StoreEra::new(self.era)
+    }
+
     fn put(&mut self, key: &ObjectKey, expect: Version, object: &Object) -> PlatformReply {
+        self.writes += 1;
         let era = StoreEra::new(self.era);
+        let name = StoredName::new(key);
         let known = self
             .objects
-            .get(key)
+            .get(&name)
             .map_or(0, |known| known.version.number);
         if known != expect.number {
             return PlatformReply::Conflict(era);
         }
-        let version = Version::new(era, known + 1);
+        let version = self.next_version(key, known);
         let value = object.clone();
-        self.objects
-            .insert(key.clone(), Versioned { version, value });
+        self.objects.insert(name, Versioned { version, value });
         PlatformReply::Written(version)
     }
 
+    /// The version of the object that is written now. Late writes need the one counter that the
+    /// users' store has for all objects.
+    fn next_version(&mut self, key: &ObjectKey, known: u64) -> Version {
+        let revision = self.version(self.revision);
+        let Some(late_writes) = &mut self.late_writes else {
+            return self.version(known + 1);
+        };
+        self.revision = late_writes.next_revision(key, revision);
+        self.version(self.revision)
+    }
+
+    /// Whether the platform holds a write that arrives now and leaves it without an answer.
+    pub fn holds(&mut self, sender: &str, request: &PlatformCall) -> bool {
+        let PlatformCall::Put {
+            key,
+            expect,
+            object,
+        } = request
+        else {
+            return false;
+        };
+        let Some(late_writes) = &mut self.late_writes else {
+            return false;
+        };
+        if !late_writes.holds_next() {
+            return false;
+        }
+        late_writes.hold(sender, key, *expect, object);
+        true
+    }
+
+    /// Carries out held writes that are due, unless the platform is away.
+    pub fn carry_out_late_writes(&mut self, now: Duration) {
+        let Some(late_writes) = &mut self.late_writes else {
+            return;
+        };
+        late_writes.set_now(now);
+        if self.is_away {
+            return;
+        }
+        for write in late_writes.take_due() {
+            let reply = self.put(&write.key, write.expect, &write.object);
+            let written = match reply {
+                PlatformReply::Written(version) => Some(version),
+                _ => None,
+            };
+            if let Some(late_writes) = &mut self.late_writes {
+                late_writes.record(&write, written);
+            }
+        }
+    }
+
+    /// Adds a write to the trace of late writes.
+    pub fn trace_write(&mut self, sender: &str, request: &PlatformCall, reply: &PlatformReply) {
+        let (
+            Some(late_writes),
+            PlatformCall::Put {
+                key,
+                object,
+                expect,
+            },
+        ) = (&mut self.late_writes, request)
+        else {
+            return;
+        };
+        let text = summary(object);
+        late_writes.note(&format!(
+            "{sender} writes {key:?} at {expect}: {text}: {reply:?}"
+        ));
+    }
+
     /// Time until the call is answered if nothing changes.
     pub fn wait(&self, request: &PlatformCall) -> Duration {
         match request {
@@ -369,7 +476,7 @@
             }
             PlatformCall::Watch { .. } => Vec::new(),
             PlatformCall::Get { key, .. } => {
-                let Some(object) = self.objects.get(key).cloned() else {
+                let Some(object) = self.objects.get(&StoredName::new(key)).cloned() else {
                     return PlatformReply::Missing(StoreEra::new(self.era));
                 };
                 let version = self.version(object.version.number);
--- a/shalehinge/tests/support/host_messages.rs
+++ b/shalehinge/tests/support/host_messages.rs
@@ -12,7 +12,7 @@
 use standin::engine::model::SequenceSpec;
 use standin::engine::state::Followup;
 
-use super::oracle::group_members;
+use super::oracle::{EVIDENCE_BOUND, group_members};
 use super::world::{CALL_TIMEOUT, Delivery, STEP, World};
 
 /// A message to a host.
@@ -103,6 +103,7 @@
 
     fn handle_order(&mut self, host: usize, order: Order) -> OrderReply {
         self.check_order(host, &order);
+        self.check_release(host, &order);
         let now = self.now;
         let (reply, followup) = self.hosts[host].engine.handle_order(now, order);
         if let Followup::Load { number, warm } = followup {
@@ -113,6 +114,24 @@
         reply
     }
 
+    /// Checks that no host of a complete group is ordered to leave it while that is forbidden.
+    fn check_release(&mut self, host: usize, order: &Order) {
+        let is_release = matches!(order.command, Command::Release { .. });
+        if !is_release || !self.oracle.forbids_releases {
+            return;
+        }
+        let replica = ReplicaId {
+            failure_domain: self.hosts[host].domain.clone(),
+            number: order.group,
+        };
+        let complete_at = self.oracle.last_complete_at.get(&replica);
+        if complete_at.is_some_and(|at| *at + EVIDENCE_BOUND > self.now) {
+            let id = &self.hosts[host].id;
+            let text = format!("host {id} was ordered to leave {replica}, which is complete");
+            self.oracle.report_violation(text);
+        }
+    }
+
     /// Checks that a host is never ordered into a group while it is in another, and that retiring
     /// a group aborts no requests.
     fn check_order(&mut self, host: usize, order: &Order) {
@@ -210,6 +229,15 @@
         }
         if let Some(caller) = self.entries[entry].requests.get(&attempt.request).copied() {
             self.oracle.on_execution(caller);
+            let key = self
+                .oracle
+                .requests
+                .get(&caller)
+                .and_then(|facts| facts.key);
+            let daemon = self.entries[entry].name.clone();
+            self.platform.note(&format!(
+                "request {caller} with key {key:?} of {daemon:?} runs"
+            ));
         }
         let time = STEP * self.rng.random_range(2..60);
         let until = self.now + time;
--- a/shalehinge/tests/support/mod.rs
+++ b/shalehinge/tests/support/mod.rs
@@ -4,6 +4,7 @@
 //! - `world`: simulated time, network and entry hosts
 //! - `entry`: an entry host: a daemon core with its clock and driver state
 //! - `platform`: object API with injected faults
+//! - `held_writes`: writes that the platform carries out late
 //! - `engines`: hosts with the engine state of the stand-in
 //! - `host_messages`: how hosts handle messages
 //! - `apply`: applies operations, and checks the invariants after each step
@@ -15,6 +16,8 @@
 pub mod apply;
 pub mod engines;
 pub mod entry;
+#[path = "../held_writes/mod.rs"]
+pub mod held_writes;
 pub mod host_messages;
 pub mod operations;
 pub mod oracle;
--- a/shalehinge/tests/support/oracle.rs
+++ b/shalehinge/tests/support/oracle.rs
@@ -59,6 +59,8 @@
     pub refused_operations: BTreeSet<OperationId>,
     /// Operations that operators were told were accepted.
     pub accepted_operations: BTreeSet<OperationId>,
+    /// Whether hosts of complete groups must not be ordered to leave them now.
+    pub forbids_releases: bool,
 }
 
 impl Oracle {
--- a/shalehinge/tests/support/platform.rs
+++ b/shalehinge/tests/support/platform.rs
@@ -1,12 +1,15 @@
 //! In-memory fake of the platform's object API, with fault injection and restores from a backup.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use shalehinge::core::fleet_state::ObjectUpdate;
 use shalehinge::core::objects::{Object, ObjectKey, Versioned};
 use shalehinge::core::platform::{NoAnswer, PlatformCall, PlatformReply, PlatformResult};
 use shalehinge::core::types::{OperationId, StoreEra, Version};
 
+use super::held_writes::{HeldWrites, summary};
+
 /// An injected fault of the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -41,6 +44,10 @@
     backup: Option<Backup>,
     /// Operations that changed the configuration, with the generation that each produced.
     applied_generations: BTreeSet<(OperationId, u64)>,
+    /// Writes that are carried out late, as by the users' store: it compares the number alone, and
+    /// counts one revision for all objects. `None` applies or refuses each write when it arrives,
+    /// by era and number, and counts versions per object.
+    pub late_writes: Option<HeldWrites>,
 }
 
 /// Content of a backup.
@@ -64,6 +71,7 @@
             era: 1,
             backup: None,
             applied_generations: BTreeSet::new(),
+            late_writes: None,
         }
     }
 
@@ -119,18 +127,92 @@
         else {
             return Err(NoAnswer);
         };
-        let absent = Version::absent(self.era());
-        let current = self.objects.get(&key).map_or(absent, |o| o.version);
-        if current != expect {
+        if !self.holds_condition(&key, expect) {
+            self.note(&format!(
+                "refused: {key:?} at {expect}: {}",
+                summary(&object)
+            ));
             return Ok(PlatformReply::Conflict(self.era()));
         }
-        Ok(PlatformReply::Written(self.write(key, *object)))
+        let text = format!("{key:?} at {expect}: {}", summary(&object));
+        let version = self.write(key, *object);
+        self.note(&format!("written as {version}: {text}"));
+        Ok(PlatformReply::Written(version))
+    }
+
+    /// Adds a line to the trace of late writes, if they are simulated.
+    pub fn note(&mut self, text: &str) {
+        if let Some(late_writes) = &mut self.late_writes {
+            late_writes.note(text);
+        }
+    }
+
+    fn holds_condition(&self, key: &ObjectKey, expect: Version) -> bool {
+        let absent = Version::absent(self.era());
+        let current = self.objects.get(key).map_or(absent, |o| o.version);
+        // Only the product's own interface takes configurations from daemons, with their era.
+        if self.late_writes.is_some() && key.is_written_by_daemons() {
+            return current.number == expect.number;
+        }
+        current == expect
+    }
+
+    /// Whether the platform holds a write that arrives now and leaves it without an answer.
+    pub fn holds(&mut self, sender: &str, call: &PlatformCall) -> bool {
+        let PlatformCall::Put {
+            key,
+            expect,
+            object,
+        } = call
+        else {
+            return false;
+        };
+        if self.fault != Fault::None || !key.is_written_by_daemons() {
+            return false;
+        }
+        let Some(late_writes) = &mut self.late_writes else {
+            return false;
+        };
+        if !late_writes.holds_next() {
+            return false;
+        }
+        late_writes.hold(sender, key, *expect, object);
+        true
+    }
+
+    /// Carries out held writes that are due, unless the platform is down.
+    pub fn carry_out_late_writes(&mut self, now: Duration) {
+        let Some(late_writes) = &mut self.late_writes else {
+            return;
+        };
+        late_writes.set_now(now);
+        if self.fault == Fault::Down {
+            return;
+        }
+        for write in late_writes.take_due() {
+            let is_done = self.holds_condition(&write.key, write.expect);
+            let written = is_done.then(|| self.write(write.key.clone(), (*write.object).clone()));
+            if let Some(late_writes) = &mut self.late_writes {
+                late_writes.record(&write, written);
+            }
+        }
+    }
+
+    /// The number of the object that is written now, and the store's revision.
+    fn count_write(&mut self, key: &ObjectKey) -> u64 {
+        let revision = Version::new(self.era(), self.revision);
+        let Some(late_writes) = &mut self.late_writes else {
+            self.revision += 1;
+            return self.objects.get(key).map_or(0, |o| o.version.number) + 1;
+        };
+        self.revision = late_writes.next_revision(key, revision);
+        self.revision
     }
 
     /// Writes an object unconditionally and returns its new version.
     pub fn write(&mut self, key: ObjectKey, object: Object) -> Version {
-        let current = self.objects.get(&key).map_or(0, |o| o.version.number);
-        let version = Version::new(self.era(), current + 1);
+        let number = self.count_write(&key);
+        let version = Version::new(self.era(), number);
         // Rewriting a configuration that a restore lost is not a new change.
         if let Object::Fleet(fleet) = &object
             && let Some(last) = fleet.operations.last()
@@ -138,7 +220,6 @@
         {
             self.applied_operations.push(last);
         }
-        self.revision += 1;
         self.revisions.insert(key.clone(), self.revision);
         let value = object;
         self.objects.insert(key, Versioned { version, value });
@@ -164,6 +245,7 @@
         let Some(backup) = self.backup.take() else {
             return false;
         };
+        self.note("restored from a backup");
         self.objects = backup.objects;
         self.revisions = backup.revisions;
         self.revision = backup.revision;
--- a/shalehinge/tests/support/world.rs
+++ b/shalehinge/tests/support/world.rs
@@ -269,6 +269,7 @@
     /// Advances by one step: delivers messages, runs daemons and hosts, and checks the invariants.
     pub fn step(&mut self) {
         self.now += STEP;
+        self.platform.carry_out_late_writes(self.now);
         self.deliver_due();
         self.time_out_pulls();
         self.answer_watches();
@@ -526,7 +527,14 @@
                 ..
             }
         );
-        let result = self.platform.call(request);
+        let result = if self
+            .platform
+            .holds(self.entries[entry].name.as_str(), &request)
+        {
+            Err(NoAnswer)
+        } else {
+            self.platform.call(request)
+        };
         if writes_config {
             self.oracle.config_written_at = self.now;
         }
