test(platform): a late renewal of an earlier era is refused on the product's own interface

A relay between a daemon and the platform holds a renewal back, the platform is restored, and the lease reaches the version that the renewal names. Carried out then, it is refused, as its condition names the era. Without the era in its query the same call gets 200 and the test fails.

--- a/shalehinge/tests/process_support/mod.rs
+++ b/shalehinge/tests/process_support/mod.rs
@@ -6,6 +6,8 @@
 
 #![allow(dead_code)] // Each test file uses a part of it.
 
+pub mod holding_relay;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
--- a/shalehinge/tests/restored_platform_processes.rs
+++ b/shalehinge/tests/restored_platform_processes.rs
@@ -4,6 +4,7 @@
 
 use std::time::{Duration, Instant};
 
+use process_support::holding_relay::HoldingRelay;
 use process_support::{
     API_KEY, DaemonProcess, Fleet, chat_request_body, send_chat, send_request, wait_for,
 };
@@ -143,3 +144,40 @@
         (send_notice(&others[0], "other") == 200).then_some(())
     });
 }
+
+/// Path of the lease of the fleet's failure domain.
+const LEASE_PATH: &str = "/v1/objects/leases/d";
+
+/// The stored version of the lease; `None` if there is none.
+fn lease_version(fleet: &Fleet) -> Option<u64> {
+    let response = send_request(fleet.platform, "GET", LEASE_PATH, &[], "");
+    let lease: serde_json::Value = serde_json::from_str(&response.body).ok()?;
+    lease["version"].as_u64()
+}
+
+#[test]
+fn a_late_renewal_of_an_earlier_era_is_refused_at_the_version_that_it_names() {
+    let mut fleet = Fleet::new("late-renewal", 3);
+    let platform = fleet.platform;
+    let relay = HoldingRelay::start(platform);
+    fleet.platform = relay.address;
+    let _daemon = fleet.start_serving_daemon();
+    let backed_up = wait_for("the lease is written", || lease_version(&fleet));
+    fleet.back_up_platform();
+    // Held back in both eras, so that the new era's lease stays at the version that they name.
+    let version = backed_up + 2;
+    relay.hold_writes(&format!("{LEASE_PATH}?expect={version}&"));
+    let late = wait_for("a renewal is held back", || {
+        relay.held_writes().into_iter().next()
+    });
+    assert!(late.target.ends_with("&era=1"), "{}", late.target);
+    fleet.restore_platform();
+    wait_for("a renewal of the new era is held back", || {
+        let held = relay.held_writes().into_iter();
+        held.rev().find(|call| call.target.ends_with("&era=2"))
+    });
+    assert_eq!(lease_version(&fleet), Some(version));
+    let refusal = late.send(platform);
+    assert_eq!(refusal.status, 409, "{refusal:?}");
+    assert_eq!(lease_version(&fleet), Some(version));
+}
