test: a late assignment that lacks a complete group

An assignment that a lease holder wrote in an earlier era, carried out after a restore, is taken over by the holder of the new era, which orders a host of a complete group to leave it.

Red: late_writes_keys a_complete_group_that_a_late_assignment_lacks_is_not_released.

--- a/shalehinge/tests/late_writes_keys.rs
+++ b/shalehinge/tests/late_writes_keys.rs
@@ -51,6 +51,20 @@
     assert_world_kept_on(Store::WritesLate, run);
 }
 
+// Guards against a late assignment of an earlier era, which lacks a group that is complete.
+#[test]
+fn a_complete_group_that_a_late_assignment_lacks_is_not_released() {
+    const SEED: u64 = 1_132;
+    for store in [
+        Store::ComparesEras,
+        Store::ComparesNumbers,
+        Store::WritesLate,
+    ] {
+        let play = world_play::groups_formed_before_a_restore(SEED, store);
+        assert_eq!(play.violation, None, "{store:?}");
+    }
+}
+
 #[test]
 fn complete_groups_are_not_released_after_a_plain_restore() {
     let run = world_play::groups_formed_before_a_restore;
