--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -19,6 +19,36 @@
 # name: (file, text as it stands, text without the protection, test, filter,
 #        and further edits where two protections stand behind each other)
 PROTECTIONS = {
+    "each-era-has-objects-of-its-own": (
+        CORE + "daemon/era_objects.rs",
+        "            EraScope::Single(era)\n        };",
+        "            EraScope::Shared\n        };",
+        "era_objects", "carried_out_in_a_later_era",
+    ),
+    "the-value-of-an-earlier-era-counts": (
+        CORE + "daemon/era_objects.rs",
+        "        let scope = read.scope.predecessor()?;\n        if matches!",
+        "        let scope = read.scope.predecessor().filter(|_| false)?;\n        if matches!",
+        "era_objects", "taken_over",
+    ),
+    "a-shared-lease-of-this-era-counts": (
+        CORE + "daemon/era_objects.rs",
+        "if is_shared || era == StoreEra::UNREPORTED {",
+        "if is_shared && era == StoreEra::UNREPORTED {",
+        "era_objects", "respected",
+    ),
+    "objects-of-earlier-eras-are-kept-for-a-while": (
+        CORE + "daemon/era_objects.rs",
+        "delete_at.get_or_insert(now + KEEP_SUPERSEDED)",
+        "delete_at.get_or_insert(now)",
+        "era_objects", "deleted_only",
+    ),
+    "an-own-claim-of-an-earlier-era-grants-nothing": (
+        CORE + "claims.rs",
+        "        partition.drop_ungranted_claims();\n",
+        "",
+        "claims", "granted_only_once_written_again",
+    ),
     "a-later-era-is-newer": (
         CORE + "version.rs",
         "pub struct Version {\n    /// The store era in which the version was reported.\n    pub era: StoreEra,\n    /// The store's revision number; 0 for an object that does not exist.\n    pub number: u64,",
--- a/shalehinge/src/core/claims.rs
+++ b/shalehinge/src/core/claims.rs
@@ -44,6 +44,15 @@
     },
 }
 
+impl ClaimStep {
+    /// Number of the partition that the call refers to.
+    pub fn partition(&self) -> u16 {
+        match self {
+            Self::Read(partition) | Self::Write { partition, .. } => *partition,
+        }
+    }
+}
+
 /// Outcome of an attempt to claim a key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ClaimResult {
@@ -219,8 +228,9 @@
         (steps, results)
     }
 
-    /// Handles the answer to a read; `None` means that the partition does not exist yet. Returns
-    /// the claims that it decides.
+    /// Handles the answer to a read; `None` means that the partition does not exist yet. A value
+    /// with the version of an absent object is that of an earlier era. Returns the claims that it
+    /// decides.
     pub fn on_read(
         &mut self,
         number: u16,
@@ -235,6 +245,7 @@
         // The content just read decides the changes of a write whose outcome was unknown.
         let unacknowledged = std::mem::take(&mut partition.unacknowledged);
         partition.queued.splice(0..0, unacknowledged);
+        partition.drop_ungranted_claims();
         partition.resolve_claims()
     }
 
@@ -386,6 +397,28 @@
         })
     }
 
+    /// Removes the queued claims from the value of an earlier era. A write of that era may have
+    /// been carried out after others read the value, so these are granted once they are written
+    /// in the current era.
+    fn drop_ungranted_claims(&mut self) {
+        let is_earlier = |cached: &&mut Versioned<ClaimPartition>| cached.version.is_absent();
+        let Some(cached) = self.cached.as_mut().filter(is_earlier) else {
+            return;
+        };
+        for change in &self.queued {
+            let Change::Claim { key, claimant, .. } = change else {
+                continue;
+            };
+            let claims = &mut cached.value.claims;
+            if claims
+                .get(key)
+                .is_some_and(|claim| claim.claimant == *claimant)
+            {
+                claims.remove(key);
+            }
+        }
+    }
+
     /// Resolves the queued claims whose keys are present in the content just read.
     fn resolve_claims(&mut self) -> Vec<(RequestId, ClaimResult)> {
         let Some(cached) = &self.cached else {
--- a/shalehinge/src/core/daemon/claiming.rs
+++ b/shalehinge/src/core/daemon/claiming.rs
@@ -6,7 +6,7 @@
 use crate::core::claims::{ClaimResult, ClaimStep};
 use crate::core::event::{Action, Component, Notice};
 use crate::core::objects::{ClaimPartition, Object, ObjectKey, Versioned};
-use crate::core::platform::{Freshness, NoAnswer, PlatformCall, PlatformReply, PlatformResult};
+use crate::core::platform::{Freshness, NoAnswer, PlatformReply, PlatformResult};
 use crate::core::router::request::Outcome;
 use crate::core::types::{Address, RequestId, Timestamp, Version};
 
@@ -43,32 +43,26 @@
         let wall_seconds = self.identity.wall_seconds + now.as_duration().as_secs();
         let (steps, results) = self.claims.poll(now, wall_seconds);
         for step in steps {
-            self.run_claim_step(step, out);
+            self.run_claim_step(now, step, out);
         }
         self.handle_claim_results(now, results, out);
         self.tick_pending_grants(now, out);
     }
 
-    pub(super) fn run_claim_step(&mut self, step: ClaimStep, out: &mut Vec<Action>) {
+    fn run_claim_step(&mut self, now: Timestamp, step: ClaimStep, out: &mut Vec<Action>) {
+        let partition = step.partition();
+        let Some(scope) = self.object_scope() else {
+            self.request_object_scope(now, out);
+            self.claims.on_call_failed(partition);
+            return;
+        };
+        let purpose = CallPurpose::Claims(partition);
+        let key = ObjectKey::Claims(partition);
         match step {
-            ClaimStep::Read(partition) => {
-                let request = PlatformCall::Get {
-                    key: ObjectKey::Claims(partition),
-                    freshness: Freshness::Exact,
-                };
-                self.call_platform(CallPurpose::Claims(partition), request, out);
-            }
-            ClaimStep::Write {
-                partition,
-                expect,
-                value,
-            } => {
-                let request = PlatformCall::Put {
-                    key: ObjectKey::Claims(partition),
-                    expect,
-                    object: Box::new(Object::Claims(value)),
-                };
-                self.call_platform(CallPurpose::Claims(partition), request, out);
+            ClaimStep::Read(_) => self.read_object(purpose, key, scope, Freshness::Exact, out),
+            ClaimStep::Write { expect, value, .. } => {
+                let object = Object::Claims(value);
+                self.write_object(purpose, key, scope, expect, object, out);
             }
         }
     }
@@ -91,9 +85,13 @@
                 };
                 self.claims.on_read(partition, Some(absent))
             }
-            Ok(PlatformReply::Written(version)) => self.claims.on_written(partition, version),
+            Ok(PlatformReply::Written(version)) => {
+                self.on_object_written(now, &ObjectKey::Claims(partition));
+                self.claims.on_written(partition, version)
+            }
             Ok(
                 PlatformReply::Conflict(_)
+                | PlatformReply::Deleted(_)
                 | PlatformReply::Foreign(_)
                 | PlatformReply::Objects { .. }
                 | PlatformReply::HistoryGone(_),
--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -11,7 +11,9 @@
 use crate::core::feed::{Confirmation, Feed};
 use crate::core::fleet_state::{ApplyResult, ObjectUpdate};
 use crate::core::objects::{Object, ObjectKey};
-use crate::core::platform::{Freshness, PlatformCall, PlatformReply, PlatformResult, Scope};
+use crate::core::platform::{
+    EraScope, Freshness, PlatformCall, PlatformReply, PlatformResult, Scope,
+};
 use crate::core::router::topology;
 use crate::core::routes::RouteTable;
 use crate::core::types::{Address, FailureDomain, FleetVersion, ReplicaId, Timestamp};
@@ -80,7 +82,7 @@
         match scope {
             _ if !settings.relays => true,
             Scope::Hosts => self.should_read_hosts(now),
-            Scope::Shared | Scope::Configuration | Scope::Evacuations => {
+            Scope::Shared | Scope::Configuration | Scope::Evacuations | Scope::SharedLeases => {
                 // At the start, peers have as much time to confirm as they do later.
                 let confirmed_at = self.confirmed_at().unwrap_or(Timestamp::ZERO);
                 let is_confirmed = now.since(confirmed_at) < self.exact_read_delay(now);
@@ -119,7 +121,7 @@
         }
         let needs_exact = match scope {
             Scope::Hosts => self.is_lease_holder && !self.controller.trusts_absence(),
-            Scope::Shared | Scope::Configuration | Scope::Evacuations => {
+            Scope::Shared | Scope::Configuration | Scope::Evacuations | Scope::SharedLeases => {
                 self.is_watcher(now) || !self.is_confirmed_within(now, settings.ask_after)
             }
         };
@@ -164,7 +166,9 @@
                 let daemons = self.membership.fleet_size(now);
                 host_watch_spacing(self.settings.learning.host_spacing, daemons)
             }
-            Scope::Shared | Scope::Configuration | Scope::Evacuations => Duration::ZERO,
+            Scope::Shared | Scope::Configuration | Scope::Evacuations | Scope::SharedLeases => {
+                Duration::ZERO
+            }
         };
         feed.on_answer(now, result, spacing, pause, self.confirmation);
         let is_list_known = scope != Scope::Hosts || self.state.full_hosts().is_some();
@@ -224,6 +228,7 @@
         let version = fleet.fleet_version();
         let request = PlatformCall::Put {
             key: ObjectKey::Fleet,
+            scope: EraScope::Shared,
             expect: self.state.stored_fleet_version(),
             object: Box::new(Object::Fleet(fleet.value.clone())),
         };
--- a/shalehinge/src/core/daemon/control.rs
+++ b/shalehinge/src/core/daemon/control.rs
@@ -8,7 +8,7 @@
 use crate::core::fleet_state::ObjectUpdate;
 use crate::core::lease::LeaseStep;
 use crate::core::objects::{Assignment, Object, ObjectKey, Versioned};
-use crate::core::platform::{Freshness, NoAnswer, PlatformCall, PlatformReply, PlatformResult};
+use crate::core::platform::{EraScope, Freshness, NoAnswer, PlatformReply, PlatformResult};
 use crate::core::types::{FailureDomain, ReplicaId, Timestamp, Version};
 use crate::settings::learning::FeedLayout;
 
@@ -27,24 +27,38 @@
             && self
                 .membership
                 .is_responsible(now, "lease", LEASE_CANDIDATES);
+        self.step_lease(now, candidate, out);
+        self.update_lease_holder(now, out);
+    }
+
+    /// Makes the next call for the lease, if one is due.
+    fn step_lease(&mut self, now: Timestamp, candidate: bool, out: &mut Vec<Action>) {
+        let Some(scope) = self.object_scope() else {
+            if candidate || self.lease.is_releasing() {
+                self.request_object_scope(now, out);
+            }
+            return;
+        };
         let operation = self.new_operation_id();
         if let Some(step) = self.lease.step(now, candidate, operation) {
-            self.run_lease_step(step, out);
+            self.run_lease_step(scope, step, out);
         }
-        self.update_lease_holder(now, out);
     }
 
-    pub(super) fn run_lease_step(&mut self, step: LeaseStep, out: &mut Vec<Action>) {
-        let key = self.lease_key();
-        let request = match step {
-            LeaseStep::Read(freshness) => PlatformCall::Get { key, freshness },
-            LeaseStep::Write { expect, record } => PlatformCall::Put {
-                key,
-                expect,
-                object: Box::new(Object::Lease(record)),
-            },
-        };
-        self.call_platform(CallPurpose::Lease, request, out);
+    pub(super) fn run_lease_step(
+        &mut self,
+        scope: EraScope,
+        step: LeaseStep,
+        out: &mut Vec<Action>,
+    ) {
+        let (purpose, key) = (CallPurpose::Lease, self.lease_key());
+        match step {
+            LeaseStep::Read(freshness) => self.read_object(purpose, key, scope, freshness, out),
+            LeaseStep::Write { expect, record } => {
+                let object = Object::Lease(record);
+                self.write_object(purpose, key, scope, expect, object, out);
+            }
+        }
     }
 
     pub(super) fn update_lease_holder(&mut self, now: Timestamp, out: &mut Vec<Action>) {
@@ -72,17 +86,21 @@
             Ok(PlatformReply::Object(object)) => self.lease.on_read(now, (*object).into_lease()),
             Ok(PlatformReply::Missing(_)) => self.lease.on_read(now, None),
             Ok(PlatformReply::Foreign(version)) => self.lease.on_foreign(now, version),
-            Ok(PlatformReply::Written(version)) => self.lease.on_written(now, version),
-            Ok(PlatformReply::Conflict(_)) => self.lease.on_conflict(now),
-            Ok(PlatformReply::Objects { .. } | PlatformReply::HistoryGone(_)) | Err(NoAnswer) => {
-                self.lease.on_unknown_outcome();
+            Ok(PlatformReply::Written(version)) => {
+                self.lease.on_written(now, version);
+                let key = self.lease_key();
+                self.on_object_written(now, &key);
             }
+            Ok(PlatformReply::Conflict(_)) => self.lease.on_conflict(now),
+            Ok(
+                PlatformReply::Objects { .. }
+                | PlatformReply::Deleted(_)
+                | PlatformReply::HistoryGone(_),
+            )
+            | Err(NoAnswer) => self.lease.on_unknown_outcome(),
         }
         if self.lease.is_releasing() {
-            let operation = self.new_operation_id();
-            if let Some(step) = self.lease.step(now, false, operation) {
-                self.run_lease_step(step, out);
-            }
+            self.step_lease(now, false, out);
             self.finish_stop(now, out);
         }
         self.update_lease_holder(now, out);
@@ -141,19 +159,19 @@
     ) {
         match action {
             ControllerAction::Read => {
-                let request = PlatformCall::Get {
-                    key: self.assignment_key(),
-                    freshness: Freshness::Exact,
-                };
-                self.call_platform(CallPurpose::Assignment, request, out);
+                let (purpose, key) = (CallPurpose::Assignment, self.assignment_key());
+                match self.object_scope() {
+                    Some(scope) => self.read_object(purpose, key, scope, Freshness::Exact, out),
+                    None => self.controller.on_call_failed(),
+                }
             }
             ControllerAction::Write { expect, value } => {
-                let request = PlatformCall::Put {
-                    key: self.assignment_key(),
-                    expect,
-                    object: Box::new(Object::Assignment(value)),
-                };
-                self.call_platform(CallPurpose::Assignment, request, out);
+                let (purpose, key) = (CallPurpose::Assignment, self.assignment_key());
+                let object = Object::Assignment(value);
+                match self.object_scope() {
+                    Some(scope) => self.write_object(purpose, key, scope, expect, object, out),
+                    None => self.controller.on_call_failed(),
+                }
             }
             ControllerAction::Order {
                 host,
@@ -212,9 +230,12 @@
             Ok(PlatformReply::Written(version)) => {
                 let stored = self.controller.on_written(version).cloned();
                 self.apply_assignment(now, stored, out);
+                let key = self.assignment_key();
+                self.on_object_written(now, &key);
             }
             Ok(
                 PlatformReply::Conflict(_)
+                | PlatformReply::Deleted(_)
                 | PlatformReply::Objects { .. }
                 | PlatformReply::HistoryGone(_),
             )
@@ -234,7 +255,8 @@
         out: &mut Vec<Action>,
     ) {
         let era = stored.version.era;
-        let is_first = stored.version.is_absent() && self.is_in_first_era();
+        let is_new = stored.version.is_absent() && stored.value == Assignment::default();
+        let is_first = is_new && self.is_in_first_era();
         let is_restored = stored.value.epoch.is_before(era) && !is_first;
         let known = self.state.assignments().get(&self.identity.failure_domain);
         let newer_known = known.filter(|known| {
--- /dev/null
+++ b/shalehinge/src/core/daemon/era_objects.rs
@@ -0,0 +1,283 @@
+//! Which objects hold the leases, assignments and claims of the current store era.
+//!
+//! A platform may carry out a write long after it was sent, also in a later era, in which the
+//! number that it expects may stand for another value. Where conditions don't name the era, each
+//! era therefore has objects of its own. What stood before an era is read from the objects of
+//! earlier ones, which are not written any more.
+//!
+//! Daemons of versions without such objects use the shared ones. An era in which one of them holds
+//! a lease keeps to the shared objects, so that both kinds of daemons agree.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::{CallPurpose, Daemon, log};
+use crate::core::event::{Action, Component};
+use crate::core::objects::{Object, ObjectKey, Versioned};
+use crate::core::platform::{
+    EraScope, Freshness, PlatformCall, PlatformReply, PlatformResult, Scope,
+};
+use crate::core::types::{StoreEra, Timestamp, Version};
+
+/// Number of earlier scopes that are searched for an object. One that wasn't written in so many
+/// eras counts as missing.
+const MAX_EARLIER_SCOPES: usize = 16;
+/// Minimum time between two lists of the shared leases.
+const LIST_INTERVAL: Duration = Duration::from_millis(500);
+/// How long the object of an earlier era is kept after its successor was written. By then no
+/// backup lacks the successor, so a late deletion never removes the only copy.
+const KEEP_SUPERSEDED: Duration = Duration::from_secs(60);
+
+/// The scope of the objects in one era.
+#[derive(Clone, Copy, Debug)]
+struct DecidedScope {
+    era: StoreEra,
+    scope: EraScope,
+}
+
+/// A read of one object, which may continue at earlier scopes.
+#[derive(Clone, Debug)]
+pub(super) struct ObjectRead {
+    key: ObjectKey,
+    scope: EraScope,
+    freshness: Freshness,
+    /// Number of scopes that were read before this one.
+    earlier_reads: usize,
+}
+
+/// An object of an earlier era, whose value stands in the current era's object once that is
+/// written.
+#[derive(Clone, Copy, Debug)]
+struct Superseded {
+    scope: EraScope,
+    /// When it is deleted; `None` while its successor has not been written.
+    delete_at: Option<Timestamp>,
+}
+
+/// What a daemon knows of the objects of eras.
+#[derive(Clone, Debug, Default)]
+pub(super) struct EraObjects {
+    decided: Option<DecidedScope>,
+    is_listing: bool,
+    next_list_at: Timestamp,
+    /// The newest earlier object of each key that was read in this era.
+    superseded: BTreeMap<ObjectKey, Superseded>,
+}
+
+impl Daemon {
+    /// The scope of this daemon's objects; `None` if it has not been decided in this era.
+    pub(super) fn object_scope(&self) -> Option<EraScope> {
+        let era = self.known_era();
+        if !self.settings.learning.era_objects || era == StoreEra::UNREPORTED {
+            return Some(EraScope::Shared);
+        }
+        let decided = self.era_objects.decided.filter(|known| known.era == era);
+        decided.map(|known| known.scope)
+    }
+
+    fn known_era(&self) -> StoreEra {
+        self.store_era().unwrap_or(StoreEra::UNREPORTED)
+    }
+
+    /// The era to which a reply to the read of an object must belong; `None` for any. An object
+    /// of one era says nothing about a later one.
+    pub(super) fn era_of_read(&self) -> Option<StoreEra> {
+        let known = self.known_era();
+        self.settings.learning.era_objects.then_some(known)
+    }
+
+    /// Lists the shared leases, unless the scope of this era is known.
+    pub(super) fn request_object_scope(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let objects = &mut self.era_objects;
+        if objects.is_listing || now < objects.next_list_at {
+            return;
+        }
+        objects.is_listing = true;
+        objects.next_list_at = now + LIST_INTERVAL;
+        let request = PlatformCall::List {
+            scope: Scope::SharedLeases,
+            freshness: Freshness::Exact,
+        };
+        self.call_platform(CallPurpose::ObjectScope, request, out);
+    }
+
+    /// Decides the scope of an era by the shared leases.
+    pub(super) fn on_shared_leases(
+        &mut self,
+        now: Timestamp,
+        result: PlatformResult,
+        out: &mut Vec<Action>,
+    ) {
+        self.era_objects.is_listing = false;
+        let Ok(PlatformReply::Objects { revision, updates }) = result else {
+            return;
+        };
+        let era = revision.era;
+        let is_current = |object: &Object| match object {
+            Object::Lease(lease) => !lease.epoch.is_before(era),
+            _ => false,
+        };
+        let is_shared = updates.iter().any(|update| is_current(&update.object));
+        let scope = if is_shared || era == StoreEra::UNREPORTED {
+            EraScope::Shared
+        } else {
+            EraScope::Single(era)
+        };
+        self.era_objects.decided = Some(DecidedScope { era, scope });
+        self.lease.step_now(now);
+        let text = match scope {
+            EraScope::Single(_) => format!("uses the leases, assignments and claims of era {era}"),
+            EraScope::Shared => {
+                format!("uses shared objects in era {era}: a daemon without objects of eras does")
+            }
+        };
+        log(out, Component::Platform, text);
+    }
+
+    /// Reads the object of a scope or, where it is missing, the one that stood before.
+    pub(super) fn read_object(
+        &mut self,
+        purpose: CallPurpose,
+        key: ObjectKey,
+        scope: EraScope,
+        freshness: Freshness,
+        out: &mut Vec<Action>,
+    ) {
+        let read = ObjectRead {
+            key,
+            scope,
+            freshness,
+            earlier_reads: 0,
+        };
+        self.call_read(purpose, read, out);
+    }
+
+    /// Writes the object of a scope if it has the version `expect`.
+    pub(super) fn write_object(
+        &mut self,
+        purpose: CallPurpose,
+        key: ObjectKey,
+        scope: EraScope,
+        expect: Version,
+        object: Object,
+        out: &mut Vec<Action>,
+    ) {
+        let request = PlatformCall::Put {
+            key,
+            scope,
+            expect,
+            object: Box::new(object),
+        };
+        self.call_platform(purpose, request, out);
+    }
+
+    /// Continues a read that found nothing at the scope before. Returns the result of the read if
+    /// it has ended: an object of an earlier era counts as absent in this one, with the value that
+    /// stood before.
+    pub(super) fn continue_read(
+        &mut self,
+        purpose: &CallPurpose,
+        read: Option<ObjectRead>,
+        result: PlatformResult,
+        out: &mut Vec<Action>,
+    ) -> Option<PlatformResult> {
+        let Some(read) = read else {
+            return Some(result);
+        };
+        let is_earlier = read.earlier_reads > 0;
+        match result {
+            Ok(PlatformReply::Missing(era)) => match self.earlier_read(purpose, &read) {
+                Some(earlier) => {
+                    self.call_read(purpose.clone(), earlier, out);
+                    None
+                }
+                None => Some(Ok(PlatformReply::Missing(era))),
+            },
+            Ok(PlatformReply::Object(object)) if is_earlier => {
+                let version = Version::absent(object.version.era);
+                let value = object.value;
+                self.era_objects.record_superseded(read.key, read.scope);
+                let object = Box::new(Versioned { version, value });
+                Some(Ok(PlatformReply::Object(object)))
+            }
+            Ok(PlatformReply::Foreign(version)) if is_earlier => {
+                let absent = Version::absent(version.era);
+                Some(Ok(PlatformReply::Foreign(absent)))
+            }
+            result => Some(result),
+        }
+    }
+
+    /// The read at the scope before that of `read`, if there is one. A lease of an earlier era is
+    /// not read: its holder has stopped before anyone takes the lease of the new era.
+    fn earlier_read(&mut self, purpose: &CallPurpose, read: &ObjectRead) -> Option<ObjectRead> {
+        let scope = read.scope.predecessor()?;
+        if matches!(purpose, CallPurpose::Lease) {
+            self.era_objects.record_superseded(read.key.clone(), scope);
+            return None;
+        }
+        let earlier_reads = read.earlier_reads + 1;
+        // The shared objects are those of versions without objects of eras.
+        let scope = if earlier_reads < MAX_EARLIER_SCOPES {
+            scope
+        } else {
+            EraScope::Shared
+        };
+        Some(ObjectRead {
+            key: read.key.clone(),
+            scope,
+            freshness: read.freshness,
+            earlier_reads,
+        })
+    }
+
+    fn call_read(&mut self, purpose: CallPurpose, read: ObjectRead, out: &mut Vec<Action>) {
+        let request = PlatformCall::Get {
+            key: read.key.clone(),
+            scope: read.scope,
+            freshness: read.freshness,
+        };
+        let named_era = self.era_of_read();
+        let call = self.call_platform(purpose, request, out);
+        if let Some(open) = self.calls.get_mut(&call) {
+            open.read = Some(read);
+            open.named_era = named_era;
+        }
+    }
+
+    /// Notes that an object of the current era was written, so that its predecessor can be deleted.
+    pub(super) fn on_object_written(&mut self, now: Timestamp, key: &ObjectKey) {
+        if let Some(superseded) = self.era_objects.superseded.get_mut(key) {
+            superseded.delete_at.get_or_insert(now + KEEP_SUPERSEDED);
+        }
+    }
+
+    /// Deletes superseded objects that are due.
+    pub(super) fn delete_superseded(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let is_due = |superseded: &Superseded| superseded.delete_at.is_some_and(|at| now >= at);
+        let superseded = &mut self.era_objects.superseded;
+        let due = superseded.extract_if(.., |_, superseded| is_due(superseded));
+        for (key, Superseded { scope, .. }) in due.collect::<Vec<_>>() {
+            let request = PlatformCall::Delete { key, scope };
+            self.call_platform(CallPurpose::DeleteSuperseded, request, out);
+        }
+    }
+
+    /// Forgets what belongs to the previous era.
+    pub(super) fn begin_era_of_objects(&mut self, now: Timestamp) {
+        self.era_objects.superseded.clear();
+        self.era_objects.next_list_at = now;
+    }
+}
+
+impl EraObjects {
+    /// Records the object from which that of the current era takes its value. Shared objects are
+    /// never deleted, as daemons without objects of eras may use them.
+    fn record_superseded(&mut self, key: ObjectKey, scope: EraScope) {
+        if scope == EraScope::Shared {
+            return;
+        }
+        let delete_at = None;
+        self.superseded.insert(key, Superseded { scope, delete_at });
+    }
+}
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -15,11 +15,13 @@
 //! - `requests`: requests of callers, and the router's actions
 //! - `claiming`: claims idempotency keys before requests run and settles them afterwards
 //! - `stopping`: planned shutdown
+//! - `era_objects`: which objects hold the leases, assignments and claims of a store era
 //! - `store_era`: detects that the platform's store was restored, and rejects outdated replies
 
 mod claiming;
 mod configuration;
 mod control;
+mod era_objects;
 mod limits;
 mod operators;
 mod peers;
@@ -62,6 +64,7 @@
 use crate::settings::core::CoreSettings;
 use crate::settings::learning::{FeedLayout, LearningSettings};
 
+use self::era_objects::EraObjects;
 use self::store_era::{EraState, OpenCall};
 
 /// Interval at which the caller must deliver [`Event::Tick`].
@@ -119,6 +122,10 @@
     Assignment,
     /// Reads or writes this partition of the claims.
     Claims(u16),
+    /// Lists the shared leases to decide the scope of the objects of this era.
+    ObjectScope,
+    /// Deletes an object of an earlier era whose successor was written.
+    DeleteSuperseded,
     /// Part of a plan or confirm call.
     Operator(OperatorCallId),
     /// Rewrites a configuration that the store lost.
@@ -163,6 +170,7 @@
     next_demand_update_at: Timestamp,
     calls: BTreeMap<CallId, OpenCall>,
     era_state: EraState,
+    era_objects: EraObjects,
     next_call: u64,
     claimed_requests: BTreeMap<RequestId, ClaimedRequest>,
     feeds: Vec<Feed>,
@@ -239,6 +247,7 @@
             next_demand_update_at: Timestamp::ZERO,
             calls: BTreeMap::new(),
             era_state: EraState::default(),
+            era_objects: EraObjects::default(),
             next_call: 1,
             claimed_requests: BTreeMap::new(),
             feeds: watched_scopes(settings.learning)
@@ -416,6 +425,7 @@
         self.tick_lease(now, out);
         self.tick_controller(now, out);
         self.tick_claims(now, out);
+        self.delete_superseded(now, out);
         self.tick_router(now, out);
         self.report_suspects(now, out);
         self.send_quarantine_update(now, out);
--- a/shalehinge/src/core/daemon/platform_calls.rs
+++ b/shalehinge/src/core/daemon/platform_calls.rs
@@ -14,12 +14,17 @@
         purpose: CallPurpose,
         request: PlatformCall,
         out: &mut Vec<Action>,
-    ) {
+    ) -> CallId {
         let call = CallId(self.next_call);
         self.next_call += 1;
-        let named_era = request.base_era();
-        self.calls.insert(call, OpenCall { purpose, named_era });
+        let open = OpenCall {
+            purpose,
+            named_era: request.base_era(),
+            read: None,
+        };
+        self.calls.insert(call, open);
         out.push(Action::Platform { call, request });
+        call
     }
 
     /// Forgets the open calls of a feed, so that replies still to come are ignored.
@@ -40,10 +45,14 @@
         result: PlatformResult,
         out: &mut Vec<Action>,
     ) {
-        let Some(OpenCall { purpose, named_era }) = self.calls.remove(&call) else {
+        let Some(open) = self.calls.remove(&call) else {
+            return;
+        };
+        let purpose = open.purpose;
+        let result = self.check_reply_era(now, open.named_era, result, out);
+        let Some(result) = self.continue_read(&purpose, open.read, result, out) else {
             return;
         };
-        let result = self.check_reply_era(now, named_era, result, out);
         if let Ok(PlatformReply::Objects { updates, .. }) = &result {
             self.apply(now, updates.clone(), out);
         }
@@ -52,7 +61,8 @@
             CallPurpose::Lease => self.on_lease_reply(now, result, out),
             CallPurpose::Assignment => self.on_assignment_reply(now, result, out),
             CallPurpose::Claims(partition) => self.on_claims_reply(now, partition, result, out),
-            CallPurpose::RewriteFleet => {}
+            CallPurpose::ObjectScope => self.on_shared_leases(now, result, out),
+            CallPurpose::RewriteFleet | CallPurpose::DeleteSuperseded => {}
             CallPurpose::Operator(id) => {
                 let step = self.operators.on_platform(now, id, &result, &self.state);
                 self.handle_operator_step(now, id, step, result, out);
--- a/shalehinge/src/core/daemon/stopping.rs
+++ b/shalehinge/src/core/daemon/stopping.rs
@@ -40,8 +40,11 @@
             "leaving the fleet; no longer ready".into(),
         );
         let operation = self.new_operation_id();
-        if let Some(step) = self.lease.release(now, operation) {
-            self.run_lease_step(step, out);
+        let scope = self.object_scope();
+        if let Some(step) = self.lease.release(now, operation)
+            && let Some(scope) = scope
+        {
+            self.run_lease_step(scope, step, out);
         }
         self.send_gossip_pull(now, out);
     }
--- a/shalehinge/src/core/daemon/store_era.rs
+++ b/shalehinge/src/core/daemon/store_era.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use super::era_objects::ObjectRead;
 use super::{CallPurpose, Daemon, log};
 use crate::core::event::{Action, Component};
 use crate::core::platform::{NoAnswer, PlatformReply, PlatformResult};
@@ -24,8 +25,10 @@
 pub(super) struct OpenCall {
     /// What the call was made for.
     pub(super) purpose: CallPurpose,
-    /// The era of the versions named in the call, if it names any.
+    /// The era of the versions or the object named in the call, if it names any.
     pub(super) named_era: Option<StoreEra>,
+    /// The read of an object of an era, if the call is one.
+    pub(super) read: Option<ObjectRead>,
 }
 
 /// What a daemon knows of the store's era.
@@ -85,6 +88,10 @@
             PlatformReply::Objects { .. } => Ok(PlatformReply::HistoryGone(era)),
             // The write's condition may have matched a different value with the same number.
             PlatformReply::Written(_) => Err(NoAnswer),
+            // The object of an earlier era says nothing about the one of this era.
+            PlatformReply::Object(_) | PlatformReply::Missing(_) | PlatformReply::Foreign(_) => {
+                Err(NoAnswer)
+            }
             reply => Ok(reply),
         }
     }
@@ -125,6 +132,7 @@
         self.era_state.has_logged_ignored_reply = false;
         self.era_state.has_changed = true;
         self.claims.on_new_era(now);
+        self.begin_era_of_objects(now);
         for feed in &mut self.feeds {
             feed.begin_era(now);
         }
--- a/shalehinge/src/core/lease.rs
+++ b/shalehinge/src/core/lease.rs
@@ -188,6 +188,11 @@
         Some(self.choose_step(now, operation))
     }
 
+    /// Makes the next call due.
+    pub fn step_now(&mut self, now: Timestamp) {
+        self.next_step_at = now;
+    }
+
     fn choose_step(&mut self, now: Timestamp, operation: OperationId) -> LeaseStep {
         let Some(observation) = &self.observation else {
             return LeaseStep::Read(self.next_read_freshness);
--- a/shalehinge/src/core/operator.rs
+++ b/shalehinge/src/core/operator.rs
@@ -16,7 +16,7 @@
 use super::fleet_state::FleetState;
 use super::objects::{Assignment, FleetConfig, HostList, Object, ObjectKey};
 use super::placement::{Effects, preview};
-use super::platform::{Freshness, PlatformCall, PlatformReply, PlatformResult, Scope};
+use super::platform::{EraScope, Freshness, PlatformCall, PlatformReply, PlatformResult, Scope};
 use super::types::{FailureDomain, OperationId, Timestamp, Version};
 
 /// How long a call tries to find out whether its write took effect, from the start of the call.
@@ -241,6 +241,7 @@
         self.stage = Stage::Writing(fleet.clone());
         OperatorStep::Platform(PlatformCall::Put {
             key: ObjectKey::Fleet,
+            scope: EraScope::Shared,
             expect: base,
             object: Box::new(Object::Fleet(*fleet)),
         })
--- a/shalehinge/src/core/platform.rs
+++ b/shalehinge/src/core/platform.rs
@@ -17,6 +17,8 @@
     Get {
         /// Key of the object.
         key: ObjectKey,
+        /// Which of the objects with this key to read.
+        scope: EraScope,
         /// How recent the reply must be.
         freshness: Freshness,
     },
@@ -24,11 +26,20 @@
     Put {
         /// Key of the object.
         key: ObjectKey,
+        /// Which of the objects with this key to write.
+        scope: EraScope,
         /// Version that the stored object must have.
         expect: Version,
         /// The new value.
         object: Box<Object>,
     },
+    /// Deletes one object, whatever its version.
+    Delete {
+        /// Key of the object.
+        key: ObjectKey,
+        /// Which of the objects with this key to delete.
+        scope: EraScope,
+    },
     /// Reads all objects of a scope.
     List {
         /// The objects to read.
@@ -49,6 +60,29 @@
     },
 }
 
+/// Which of the objects with the same key a call refers to.
+///
+/// A conditional write of an earlier era may still be carried out in a later one, where the number
+/// that it expects may stand for another value. It can't reach an object of a later era's scope.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum EraScope {
+    /// The one object that all eras share.
+    Shared,
+    /// The object of this era alone.
+    Single(StoreEra),
+}
+
+impl EraScope {
+    /// The scope that was in use before this one, if there may be one: that of the previous era,
+    /// and before the first era the shared one.
+    pub fn predecessor(self) -> Option<Self> {
+        let Self::Single(era) = self else {
+            return None;
+        };
+        Some(era.previous().map_or(Self::Shared, Self::Single))
+    }
+}
+
 /// How recent a reply must be. Platforms may charge less for stale reads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
@@ -70,6 +104,8 @@
     Hosts,
     /// The evacuated failure domains alone.
     Evacuations,
+    /// The control leases that all eras share; see [`EraScope::Shared`].
+    SharedLeases,
 }
 
 /// Reply to a call.
@@ -85,6 +121,8 @@
     Written(Version),
     /// The write was rejected, as the object had another version.
     Conflict(StoreEra),
+    /// The object does not exist any more.
+    Deleted(StoreEra),
     /// Objects as of a revision; for a watch, only those that changed.
     Objects {
         /// The revision.
@@ -103,7 +141,10 @@
             Self::Object(object) => object.version.era,
             Self::Foreign(version) | Self::Written(version) => version.era,
             Self::Objects { revision, .. } => revision.era,
-            Self::Missing(era) | Self::Conflict(era) | Self::HistoryGone(era) => *era,
+            Self::Missing(era)
+            | Self::Conflict(era)
+            | Self::Deleted(era)
+            | Self::HistoryGone(era) => *era,
         }
     }
 }
@@ -115,7 +156,7 @@
         match self {
             Self::Put { expect, .. } => Some(expect.era),
             Self::Watch { after, .. } => Some(after.era),
-            Self::Get { .. } | Self::List { .. } => None,
+            Self::Get { .. } | Self::List { .. } | Self::Delete { .. } => None,
         }
     }
 }
--- a/shalehinge/src/core/version.rs
+++ b/shalehinge/src/core/version.rs
@@ -34,6 +34,12 @@
         self.0
     }
 
+    /// The era before this one; `None` for the first one and for a store that reports none.
+    pub fn previous(self) -> Option<Self> {
+        let number = self.0?.checked_sub(1)?;
+        Some(Self::new(number))
+    }
+
     /// The highest number of eras that can precede this one.
     pub const fn max_predecessors(self) -> u64 {
         match self.0 {
--- a/shalehinge/src/object_api/http.rs
+++ b/shalehinge/src/object_api/http.rs
@@ -12,7 +12,9 @@
 use super::store_era::exchange_with_era;
 use crate::core::fleet_state::ObjectUpdate;
 use crate::core::objects::{Object, ObjectKey, Versioned};
-use crate::core::platform::{NoAnswer, PlatformCall, PlatformReply, PlatformResult, Scope};
+use crate::core::platform::{
+    EraScope, NoAnswer, PlatformCall, PlatformReply, PlatformResult, Scope,
+};
 use crate::core::types::{FailureDomain, StoreEra, Version};
 use crate::utils::http::{ResponseTimeouts, pooled_client, url};
 
@@ -189,12 +191,24 @@
 
     async fn execute(self, request: PlatformCall) -> PlatformResult {
         match request {
-            PlatformCall::Get { key, .. } => self.get(key).await,
+            PlatformCall::Get {
+                key,
+                scope: EraScope::Shared,
+                ..
+            } => self.get(key).await,
             PlatformCall::Put {
                 key,
+                scope: EraScope::Shared,
                 expect,
                 object,
             } => self.put(key, expect, *object).await,
+            // Conditions of this API name the era, so its objects are shared by all eras.
+            PlatformCall::Get { .. } | PlatformCall::Put { .. } | PlatformCall::Delete { .. } => {
+                log::error!(
+                    "platform: objects of a single era are unsupported; set era_objects = no in [learning]"
+                );
+                Err(NoAnswer)
+            }
             PlatformCall::List { scope, .. } => {
                 let path = format!("/v1/objects?kinds={}", kinds_in_scope(scope));
                 self.list_objects(path, self.timeout).await
@@ -219,6 +233,7 @@
         Scope::Configuration => "config",
         Scope::Hosts => "hosts",
         Scope::Evacuations => "evacuations",
+        Scope::SharedLeases => "leases",
     }
 }
 
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -227,7 +227,7 @@
     fn call_platform(self: &Arc<Self>, call: CallId, request: PlatformCall) {
         self.metrics.count(match &request {
             PlatformCall::Get { .. } | PlatformCall::List { .. } => Counter::PlatformReads,
-            PlatformCall::Put { .. } => Counter::PlatformWrites,
+            PlatformCall::Put { .. } | PlatformCall::Delete { .. } => Counter::PlatformWrites,
             PlatformCall::Watch { .. } => Counter::PlatformWatches,
         });
         self.spawn(|driver| async move {
--- a/shalehinge/src/settings/learning.rs
+++ b/shalehinge/src/settings/learning.rs
@@ -33,6 +33,9 @@
     /// Whether the platform lists evacuated failure domains besides the configuration. Requires
     /// `feeds = split`.
     pub evacuations: bool,
+    /// Whether daemons keep leases, assignments and claims in objects of their own for each store
+    /// era; for platforms whose conditional writes don't name the era. Requires `feeds = split`.
+    pub era_objects: bool,
     /// Whether a revoked API key must stop working everywhere within `revoke_within`, including at
     /// daemons that can't reach the platform.
     pub strict_revocation: bool,
@@ -73,6 +76,7 @@
             relays: false,
             relay_interval: Duration::from_millis(400),
             evacuations: false,
+            era_objects: false,
             strict_revocation: false,
             revoke_within: None,
             in_force_within: None,
@@ -98,22 +102,24 @@
             relays: section.flag("relays", default.relays),
             relay_interval: section.duration("relay_interval", default.relay_interval),
             evacuations: section.flag("evacuations", default.evacuations),
+            era_objects: section.flag("era_objects", default.era_objects),
             strict_revocation: section.flag("strict_revocation", default.strict_revocation),
             revoke_within: section.optional_duration("revoke_within"),
             in_force_within: section.optional_duration("in_force_within"),
             refuse_within: section.optional_duration("refuse_within"),
         };
-        if settings.relays && settings.feeds != FeedLayout::Split {
-            let message = "relays = yes requires feeds = split".to_owned();
-            section.report_problem("relays", message, "set feeds = split or relays = no");
-        }
-        if settings.evacuations && settings.feeds != FeedLayout::Split {
-            let message = "evacuations = yes requires feeds = split".to_owned();
-            section.report_problem(
-                "evacuations",
-                message,
-                "set feeds = split or evacuations = no",
-            );
+        if settings.feeds != FeedLayout::Split {
+            for (key, is_set) in [
+                ("relays", settings.relays),
+                ("evacuations", settings.evacuations),
+                ("era_objects", settings.era_objects),
+            ] {
+                if is_set {
+                    let message = format!("{key} = yes requires feeds = split");
+                    let help = format!("set feeds = split or {key} = no");
+                    section.report_problem(key, message, &help);
+                }
+            }
         }
         settings
     }
--- a/shalehinge/tests/claims.rs
+++ b/shalehinge/tests/claims.rs
@@ -152,3 +152,31 @@
     assert!(!written.claims.contains_key(&other));
     assert!(written.claims.contains_key(&KEY));
 }
+
+// Guards against two grants of one key: a write of an earlier era that is carried out after another
+// daemon has read what stood in that era.
+#[test]
+fn an_own_claim_in_the_value_of_an_earlier_era_is_granted_only_once_written_again() {
+    let mut fixture = Fixture::new();
+    fixture.claim(7);
+    fixture.expect_read();
+    assert_eq!(fixture.tracker.on_read(0, None), []);
+    fixture.next_write();
+    fixture.tracker.on_call_failed(0);
+    fixture.expect_read();
+    let of_earlier_era = partition(0, &[(7, ClaimState::Claimed)]);
+    assert_eq!(fixture.tracker.on_read(0, of_earlier_era), []);
+    assert_eq!(fixture.next_write().claims[&KEY].claimant, OperationId(7));
+    let results = fixture.tracker.on_written(0, Version::without_era(1));
+    assert_eq!(results, [(RequestId(7), ClaimResult::Granted)]);
+}
+
+#[test]
+fn a_key_claimed_in_an_earlier_era_is_refused() {
+    let mut fixture = Fixture::new();
+    fixture.claim(8);
+    fixture.expect_read();
+    let of_earlier_era = partition(0, &[(7, ClaimState::Completed)]);
+    let results = fixture.tracker.on_read(0, of_earlier_era);
+    assert_eq!(results, [(RequestId(8), ClaimResult::Completed)]);
+}
--- a/shalehinge/tests/held_writes/mod.rs
+++ b/shalehinge/tests/held_writes/mod.rs
@@ -9,6 +9,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use shalehinge::core::objects::{Object, ObjectKey};
+use shalehinge::core::platform::EraScope;
 use shalehinge::core::types::Version;
 
 /// Time from the receipt of a write until it is carried out, in milliseconds.
@@ -17,13 +18,22 @@
 /// in milliseconds.
 const DELAY_AFTER_MEETING_MS: Range<u64> = 20..1_500;
 
+/// Name under which the store keeps an object.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StoredName {
+    /// Key of the object.
+    pub key: ObjectKey,
+    /// Which of the objects with this key.
+    pub scope: EraScope,
+}
+
 /// A write that the store has received and not answered.
 #[derive(Clone, Debug)]
 pub struct HeldWrite {
     /// Name of the sender.
     pub sender: String,
     /// The object.
-    pub key: ObjectKey,
+    pub name: StoredName,
     /// The version that the sender expects; its number alone is compared.
     pub expect: Version,
     /// The new value.
@@ -99,16 +109,16 @@
     }
 
     /// Holds a write.
-    pub fn hold(&mut self, sender: &str, key: &ObjectKey, expect: Version, object: &Object) {
+    pub fn hold(&mut self, sender: &str, name: &StoredName, expect: Version, object: &Object) {
         let delay = self.rng.random_range(DELAY_MS);
         self.counts.held += 1;
         self.note(&format!(
-            "held: {sender} writes {key:?} at {expect}: {}",
+            "held: {sender} writes {name:?} at {expect}: {}",
             summary(object)
         ));
         self.held.push(HeldWrite {
             sender: sender.to_owned(),
-            key: key.clone(),
+            name: name.clone(),
             expect,
             object: Box::new(object.clone()),
             due: self.now + Duration::from_millis(delay),
@@ -123,7 +133,7 @@
         let share = self.meeting_share;
         let is_candidate = |write: &&mut HeldWrite| {
             let is_earlier = write.expect.era < revision.era;
-            is_earlier && !write.has_met && write.key == *key && write.expect.number >= next
+            is_earlier && !write.has_met && write.name.key == *key && write.expect.number >= next
         };
         let Some(write) = self.held.iter_mut().find(is_candidate) else {
             return next;
@@ -153,18 +163,18 @@
     pub fn record(&mut self, write: &HeldWrite, written: Option<Version>) {
         let HeldWrite {
             sender,
-            key,
+            name,
             expect,
             object,
             ..
         } = write;
         let Some(version) = written else {
             self.counts.refused += 1;
-            self.note(&format!("late, refused: {sender} {key:?} at {expect}"));
+            self.note(&format!("late, refused: {sender} {name:?} at {expect}"));
             return;
         };
         self.note(&format!(
-            "late, carried out as {version}: {sender} {key:?} at {expect}: {}",
+            "late, carried out as {version}: {sender} {name:?} at {expect}: {}",
             summary(object)
         ));
         if version.era == expect.era {
@@ -172,7 +182,7 @@
             return;
         }
         self.counts.across_eras += 1;
-        match key {
+        match name.key {
             ObjectKey::Lease(_) => self.counts.leases_across_eras += 1,
             ObjectKey::Assignment(_) => self.counts.assignments_across_eras += 1,
             _ => {}
--- a/shalehinge/tests/late_claims.rs
+++ b/shalehinge/tests/late_claims.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use shalehinge::core::objects::{ClaimPartition, Object, ObjectKey, Versioned};
-use shalehinge::core::platform::PlatformCall;
+use shalehinge::core::platform::{EraScope, PlatformCall};
 use shalehinge::core::types::Version;
 use support::held_writes::HeldWrites;
 use support::operations::Operation;
@@ -52,10 +52,16 @@
 /// Overwrites the claim of the new era by a write that removed the claim of another key of the
 /// same partition in the old one, and sends the key to all daemons again.
 fn run(seed: u64, conditions: Conditions) {
-    let mut world = World::serving(seed);
+    let mut world = World::empty(seed);
+    let mut late_scope = EraScope::Shared;
     if conditions == Conditions::NumberAlone {
         world.platform.late_writes = Some(HeldWrites::new(seed));
+        late_scope = EraScope::Single(world.platform.era());
+        for entry in &mut world.entries {
+            entry.settings.learning.era_objects = true;
+        }
     }
+    let mut world = world.start_serving();
     world.run_for(SETTLE_TIME);
     world.platform.take_backup();
     let old_era = world.platform.objects[&ObjectKey::Fleet].version.era;
@@ -66,6 +72,7 @@
     let (partition, version) = stored_claim(&world).expect("the key is claimed");
     world.platform.delayed_writes.push(PlatformCall::Put {
         key: partition,
+        scope: late_scope,
         expect: Version::new(old_era, version.number),
         object: Box::new(Object::Claims(ClaimPartition::default())),
     });
--- a/shalehinge/tests/late_writes_support/world_play.rs
+++ b/shalehinge/tests/late_writes_support/world_play.rs
@@ -57,11 +57,14 @@
 }
 
 fn world_on(store: Store, seed: u64) -> World {
-    let mut world = World::serving(seed);
+    let mut world = World::empty(seed);
     if store != Store::ComparesEras {
         world.platform.late_writes = Some(HeldWrites::new(seed));
+        for entry in &mut world.entries {
+            entry.settings.learning.era_objects = true;
+        }
     }
-    world
+    world.start_serving()
 }
 
 /// Share of writes that are held from a backup until its restore.
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -42,6 +42,7 @@
             stale_watches: true,
             relays: true,
             evacuations: true,
+            era_objects: true,
             watch_wait: Duration::from_millis(700),
             host_wait: Duration::from_millis(600),
             host_spacing: Duration::from_millis(400),
--- a/shalehinge/tests/relay_support/platform.rs
+++ b/shalehinge/tests/relay_support/platform.rs
@@ -11,7 +11,7 @@
     FleetConfig, HostChanges, HostList, HostRecord, HostState, LeaseRecord, Object, ObjectKey,
     Versioned,
 };
-use shalehinge::core::platform::{Freshness, PlatformCall, PlatformReply, Scope};
+use shalehinge::core::platform::{EraScope, Freshness, PlatformCall, PlatformReply, Scope};
 use shalehinge::core::types::{
     FabricDomain, FailureDomain, FleetVersion, GroupNumber, HostId, ModelVersion, ServiceName,
     StoreEra, Version,
@@ -19,7 +19,7 @@
 
 use super::DOMAINS;
 use super::configuration::{fleet_config, model};
-use super::held_writes::{HeldWrites, summary};
+use super::held_writes::{HeldWrites, StoredName, summary};
 
 /// Number of hosts listed at the start, each an instance of a plain service.
 const HOSTS: u16 = 30;
@@ -64,18 +64,6 @@
     }
 }
 
-/// Name under which the store keeps an object.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct StoredName {
-    key: ObjectKey,
-}
-
-impl StoredName {
-    fn new(key: &ObjectKey) -> Self {
-        Self { key: key.clone() }
-    }
-}
-
 /// A backup of the platform's store.
 struct Backup {
     revision: u64,
@@ -274,10 +262,29 @@
         }
     }
 
-    /// The stored control lease of a failure domain.
+    /// The control lease of a failure domain that daemons go by: that of the store's era, if there
+    /// is one.
     pub fn lease(&self, domain: &FailureDomain) -> Option<Versioned<LeaseRecord>> {
-        let name = StoredName::new(&ObjectKey::Lease(domain.clone()));
-        self.objects.get(&name).cloned()?.into_lease()
+        let key = ObjectKey::Lease(domain.clone());
+        let scopes = [EraScope::Single(self.era()), EraScope::Shared];
+        let mut names = scopes.into_iter().map(|scope| StoredName {
+            key: key.clone(),
+            scope,
+        });
+        let object = names.find_map(|name| self.objects.get(&name));
+        object.cloned()?.into_lease()
+    }
+
+    /// The leases that all eras share.
+    fn shared_leases(&self) -> Vec<ObjectUpdate> {
+        let is_shared_lease = |name: &StoredName| {
+            matches!(name.key, ObjectKey::Lease(_)) && name.scope == EraScope::Shared
+        };
+        let leases = self.objects.iter();
+        let leases = leases.filter(|(name, _)| is_shared_lease(name));
+        leases
+            .map(|(name, lease)| update(name.key.clone(), lease.version, lease.value.clone()))
+            .collect()
     }
 
     /// The store's era.
@@ -285,10 +292,9 @@
         StoreEra::new(self.era)
     }
 
-    fn put(&mut self, key: &ObjectKey, expect: Version, object: &Object) -> PlatformReply {
+    fn put(&mut self, name: StoredName, expect: Version, object: &Object) -> PlatformReply {
         self.writes += 1;
         let era = StoreEra::new(self.era);
-        let name = StoredName::new(key);
         let known = self
             .objects
             .get(&name)
@@ -296,7 +302,7 @@
         if known != expect.number {
             return PlatformReply::Conflict(era);
         }
-        let version = self.next_version(key, known);
+        let version = self.next_version(&name.key, known);
         let value = object.clone();
         self.objects.insert(name, Versioned { version, value });
         PlatformReply::Written(version)
@@ -317,6 +323,7 @@
     pub fn holds(&mut self, sender: &str, request: &PlatformCall) -> bool {
         let PlatformCall::Put {
             key,
+            scope,
             expect,
             object,
         } = request
@@ -329,7 +336,11 @@
         if !late_writes.holds_next() {
             return false;
         }
-        late_writes.hold(sender, key, *expect, object);
+        let name = StoredName {
+            key: key.clone(),
+            scope: *scope,
+        };
+        late_writes.hold(sender, &name, *expect, object);
         true
     }
 
@@ -343,7 +354,7 @@
             return;
         }
         for write in late_writes.take_due() {
-            let reply = self.put(&write.key, write.expect, &write.object);
+            let reply = self.put(write.name.clone(), write.expect, &write.object);
             let written = match reply {
                 PlatformReply::Written(version) => Some(version),
                 _ => None,
@@ -362,6 +373,7 @@
                 key,
                 object,
                 expect,
+                ..
             },
         ) = (&mut self.late_writes, request)
         else {
@@ -404,7 +416,7 @@
             PlatformCall::List { freshness, .. }
             | PlatformCall::Get { freshness, .. }
             | PlatformCall::Watch { freshness, .. } => (*freshness, 1),
-            PlatformCall::Put { .. } => return false,
+            PlatformCall::Put { .. } | PlatformCall::Delete { .. } => return false,
         };
         if self.reads_per_second.is_none() || freshness == Freshness::MayBeStale {
             return false;
@@ -441,6 +453,10 @@
                 let object = Object::Evacuations(Evacuations { domains });
                 vec![update(ObjectKey::Evacuations, revision, object)]
             }
+            PlatformCall::List {
+                scope: Scope::SharedLeases,
+                ..
+            } => self.shared_leases(),
             PlatformCall::List { .. } => vec![self.configuration()],
             PlatformCall::Watch { after, .. } if after.number > self.revision => {
                 return PlatformReply::HistoryGone(StoreEra::new(self.era));
@@ -475,8 +491,12 @@
                 vec![self.configuration()]
             }
             PlatformCall::Watch { .. } => Vec::new(),
-            PlatformCall::Get { key, .. } => {
-                let Some(object) = self.objects.get(&StoredName::new(key)).cloned() else {
+            PlatformCall::Get { key, scope, .. } => {
+                let name = StoredName {
+                    key: key.clone(),
+                    scope: *scope,
+                };
+                let Some(object) = self.objects.get(&name).cloned() else {
                     return PlatformReply::Missing(StoreEra::new(self.era));
                 };
                 let version = self.version(object.version.number);
@@ -484,9 +504,24 @@
             }
             PlatformCall::Put {
                 key,
+                scope,
                 expect,
                 object,
-            } => return self.put(key, *expect, object),
+            } => {
+                let name = StoredName {
+                    key: key.clone(),
+                    scope: *scope,
+                };
+                return self.put(name, *expect, object);
+            }
+            PlatformCall::Delete { key, scope } => {
+                let name = StoredName {
+                    key: key.clone(),
+                    scope: *scope,
+                };
+                self.objects.remove(&name);
+                return PlatformReply::Deleted(StoreEra::new(self.era));
+            }
         };
         PlatformReply::Objects { revision, updates }
     }
--- a/shalehinge/tests/support/entry.rs
+++ b/shalehinge/tests/support/entry.rs
@@ -40,6 +40,8 @@
     /// Attempts in progress.
     pub open_attempts: BTreeMap<AttemptId, RequestId>,
     pub next_request: u64,
+    /// Settings of its daemon, from its next start on.
+    pub settings: CoreSettings,
 }
 
 impl Entry {
@@ -60,6 +62,7 @@
             requests: BTreeMap::new(),
             open_attempts: BTreeMap::new(),
             next_request: 1,
+            settings: CoreSettings::default(),
         }
     }
 
@@ -81,7 +84,7 @@
             wall_seconds: 1_000_000 + now.as_secs(),
         };
         let seed = self.run << 32 | u64::from(self.address.port());
-        self.core = Some(Daemon::new(CoreSettings::default(), identity, seed));
+        self.core = Some(Daemon::new(self.settings, identity, seed));
     }
 
     /// Kills the daemon; state and connections are lost. Returns the requests that were in
--- a/shalehinge/tests/support/platform.rs
+++ b/shalehinge/tests/support/platform.rs
@@ -5,10 +5,10 @@
 
 use shalehinge::core::fleet_state::ObjectUpdate;
 use shalehinge::core::objects::{Object, ObjectKey, Versioned};
-use shalehinge::core::platform::{NoAnswer, PlatformCall, PlatformReply, PlatformResult};
+use shalehinge::core::platform::{EraScope, NoAnswer, PlatformCall, PlatformReply, PlatformResult};
 use shalehinge::core::types::{OperationId, StoreEra, Version};
 
-use super::held_writes::{HeldWrites, summary};
+use super::held_writes::{HeldWrites, StoredName, summary};
 
 /// An injected fault of the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,6 +44,9 @@
     backup: Option<Backup>,
     /// Operations that changed the configuration, with the generation that each produced.
     applied_generations: BTreeSet<(OperationId, u64)>,
+    /// Objects of earlier eras, which no daemon writes any more. Those of the current era are in
+    /// `objects`.
+    earlier_objects: BTreeMap<StoredName, Versioned<Object>>,
     /// Writes that are carried out late, as by the users' store: it compares the number alone, and
     /// counts one revision for all objects. `None` applies or refuses each write when it arrives,
     /// by era and number, and counts versions per object.
@@ -53,6 +56,8 @@
 /// Content of a backup.
 struct Backup {
     objects: BTreeMap<ObjectKey, Versioned<Object>>,
+    earlier_objects: BTreeMap<StoredName, Versioned<Object>>,
+    era: StoreEra,
     revisions: BTreeMap<ObjectKey, u64>,
     revision: u64,
 }
@@ -71,6 +76,7 @@
             era: 1,
             backup: None,
             applied_generations: BTreeSet::new(),
+            earlier_objects: BTreeMap::new(),
             late_writes: None,
         }
     }
@@ -81,10 +87,13 @@
             return Err(NoAnswer);
         }
         match call {
-            PlatformCall::Get { key, .. } => {
+            PlatformCall::Get { key, scope, .. } => {
                 self.reads += 1;
-                Ok(match self.objects.get(&key) {
-                    Some(object) => PlatformReply::Object(Box::new(object.clone())),
+                Ok(match self.object(&key, scope).cloned() {
+                    Some(mut object) => {
+                        object.version.era = self.era();
+                        PlatformReply::Object(Box::new(object))
+                    }
                     None => PlatformReply::Missing(self.era()),
                 })
             }
@@ -93,6 +102,10 @@
                 Ok(self.changes_since(Version::NONE))
             }
             PlatformCall::Watch { after, .. } => Ok(self.changes_since(after)),
+            PlatformCall::Delete { key, scope } => {
+                self.earlier_objects.remove(&StoredName { key, scope });
+                Ok(PlatformReply::Deleted(self.era()))
+            }
             PlatformCall::Put { .. } => {
                 self.writes += 1;
                 match self.fault {
@@ -121,21 +134,23 @@
     fn put(&mut self, call: PlatformCall) -> PlatformResult {
         let PlatformCall::Put {
             key,
+            scope,
             expect,
             object,
         } = call
         else {
             return Err(NoAnswer);
         };
-        if !self.holds_condition(&key, expect) {
+        let name = StoredName { key, scope };
+        if !self.holds_condition(&name, expect) {
             self.note(&format!(
-                "refused: {key:?} at {expect}: {}",
+                "refused: {name:?} at {expect}: {}",
                 summary(&object)
             ));
             return Ok(PlatformReply::Conflict(self.era()));
         }
-        let text = format!("{key:?} at {expect}: {}", summary(&object));
-        let version = self.write(key, *object);
+        let text = format!("{name:?} at {expect}: {}", summary(&object));
+        let version = self.write_object(name, *object);
         self.note(&format!("written as {version}: {text}"));
         Ok(PlatformReply::Written(version))
     }
@@ -147,9 +162,10 @@
         }
     }
 
-    fn holds_condition(&self, key: &ObjectKey, expect: Version) -> bool {
+    fn holds_condition(&self, name: &StoredName, expect: Version) -> bool {
+        let StoredName { key, scope } = name;
         let absent = Version::absent(self.era());
-        let current = self.objects.get(key).map_or(absent, |o| o.version);
+        let current = self.object(key, *scope).map_or(absent, |o| o.version);
         // Only the product's own interface takes configurations from daemons, with their era.
         if self.late_writes.is_some() && key.is_written_by_daemons() {
             return current.number == expect.number;
@@ -161,6 +177,7 @@
     pub fn holds(&mut self, sender: &str, call: &PlatformCall) -> bool {
         let PlatformCall::Put {
             key,
+            scope,
             expect,
             object,
         } = call
@@ -176,7 +193,11 @@
         if !late_writes.holds_next() {
             return false;
         }
-        late_writes.hold(sender, key, *expect, object);
+        let name = StoredName {
+            key: key.clone(),
+            scope: *scope,
+        };
+        late_writes.hold(sender, &name, *expect, object);
         true
     }
 
@@ -190,8 +211,9 @@
             return;
         }
         for write in late_writes.take_due() {
-            let is_done = self.holds_condition(&write.key, write.expect);
-            let written = is_done.then(|| self.write(write.key.clone(), (*write.object).clone()));
+            let is_done = self.holds_condition(&write.name, write.expect);
+            let object = (*write.object).clone();
+            let written = is_done.then(|| self.write_object(write.name.clone(), object));
             if let Some(late_writes) = &mut self.late_writes {
                 late_writes.record(&write, written);
             }
@@ -209,6 +231,18 @@
         self.revision
     }
 
+    /// Writes the object of a scope and returns its new version.
+    fn write_object(&mut self, name: StoredName, value: Object) -> Version {
+        if !self.is_earlier(name.scope) {
+            return self.write(name.key, value);
+        }
+        let number = self.count_write(&name.key);
+        let version = Version::new(self.era(), number);
+        self.earlier_objects
+            .insert(name, Versioned { version, value });
+        version
+    }
+
     /// Writes an object unconditionally and returns its new version.
     pub fn write(&mut self, key: ObjectKey, object: Object) -> Version {
         let number = self.count_write(&key);
@@ -226,7 +260,8 @@
         version
     }
 
-    fn era(&self) -> StoreEra {
+    /// The store's era.
+    pub fn era(&self) -> StoreEra {
         StoreEra::new(self.era)
     }
 
@@ -234,6 +269,8 @@
     pub fn take_backup(&mut self) {
         self.backup = Some(Backup {
             objects: self.objects.clone(),
+            earlier_objects: self.earlier_objects.clone(),
+            era: self.era(),
             revisions: self.revisions.clone(),
             revision: self.revision,
         });
@@ -247,9 +284,13 @@
         };
         self.note("restored from a backup");
         self.objects = backup.objects;
+        self.earlier_objects = backup.earlier_objects;
         self.revisions = backup.revisions;
         self.revision = backup.revision;
         self.era += 1;
+        if self.late_writes.is_some() {
+            self.set_aside_objects_of(backup.era);
+        }
         let era = self.era();
         for object in self.objects.values_mut() {
             object.version.era = era;
@@ -257,6 +298,32 @@
         true
     }
 
+    /// Moves the objects that daemons wrote in an era that has ended.
+    fn set_aside_objects_of(&mut self, era: StoreEra) {
+        let is_of_era = |key: &ObjectKey| key.is_written_by_daemons();
+        let ended = self.objects.extract_if(.., |key, _| is_of_era(key));
+        for (key, object) in ended {
+            let scope = EraScope::Single(era);
+            self.earlier_objects
+                .insert(StoredName { key, scope }, object);
+        }
+    }
+
+    /// The object of a scope.
+    fn object(&self, key: &ObjectKey, scope: EraScope) -> Option<&Versioned<Object>> {
+        if self.is_earlier(scope) {
+            let key = key.clone();
+            self.earlier_objects.get(&StoredName { key, scope })
+        } else {
+            self.objects.get(key)
+        }
+    }
+
+    /// Whether the scope is that of an era that has ended.
+    fn is_earlier(&self, scope: EraScope) -> bool {
+        matches!(scope, EraScope::Single(era) if era != self.era())
+    }
+
     pub fn has_backup(&self) -> bool {
         self.backup.is_some()
     }
--- a/shalehinge/tests/support/world.rs
+++ b/shalehinge/tests/support/world.rs
@@ -168,7 +168,12 @@
     /// Creates the same fleet with a customer and a model of two replicas per failure domain, and
     /// steps until all replicas serve.
     pub fn serving(seed: u64) -> Self {
-        let mut world = Self::empty(seed);
+        Self::empty(seed).start_serving()
+    }
+
+    /// Configures and starts an empty fleet, and steps until all replicas serve.
+    pub fn start_serving(self) -> Self {
+        let mut world = self;
         world.configure();
         for index in 0..world.entries.len() {
             world.start(index);
