fix(controller): adopt serving groups while members are missing from the host list

Callers of a replica lose their streams after a restore of the store from a backup that lacks its group: the hosts are ordered to leave it while they serve. It takes the end of every daemon that knew the assignment, and a member that is cut off from the store but reaches the others. The same after another program overwrote the assignment.

Cause: a group was adopted only if the host list showed as many hosts as a replica has. Elsewhere in control a member that is not listed is no loss, as it may only be cut off from the platform.

Fix: a group whose rank 0 is shown open is adopted with the members that are shown. `unknown_members` counts the others, so that placement knows the size of the group, and later lease holders that hosts which show it are its members. These are added to it instead of being ordered to leave. A stored group that lists the missing member is kept as it is. This works because group numbers are not reused: a host that shows the group can only be a member of it. A member that was lost instead makes rank 0 report the group as broken.

Changed test: a_group_that_lost_a_member_while_the_assignment_was_overwritten_ is_replaced only waited for two open groups, which the kept group would meet. The member now crashes, so that rank 0 reports the group as broken, and the test asks that the group is gone as well.

Left: the group of a member that died before the adoption is formed anew when rank 0 reports it as broken, not at once. A rank 0 that is not listed ends its group, as before.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -427,6 +427,36 @@
         "self.on_read(Versioned { version, value }, Origin::Current);",
         "adoption", "another_writer_overwrote",
     ),
+    "a-group-with-an-unlisted-member-is-adopted": (
+        CORE + "controller/adoption.rs",
+        "hosts_per_replica_of(&model, state)?.checked_sub(shown.len())?;",
+        "hosts_per_replica_of(&model, state)?.checked_sub(shown.len())?;\n    if unknown_members > 0 {\n        return None;\n    }",
+        "adoption", "while_a_member_is_unlisted",
+    ),
+    "a-listed-member-completes-its-group": (
+        CORE + "controller/ordered_plan.rs",
+        "        self.complete_adopted_groups(value, log);\n",
+        "",
+        "adoption", "while_a_member_is_unlisted",
+    ),
+    "a-listed-member-is-not-released": (
+        CORE + "controller/departures.rs",
+        "hosts.retain(|_, number| !is_incomplete(number));",
+        "hosts.retain(|_, number| !is_incomplete(number) || number.0 > 0);",
+        "adoption", "while_a_member_is_unlisted",
+    ),
+    "unknown-members-count-in-the-size": (
+        CORE + "placement/planner.rs",
+        "|| group.size() != self.intent.hosts_per_replica as usize",
+        "|| group.members.len() != self.intent.hosts_per_replica as usize",
+        "adoption", "while_a_member_is_unlisted",
+    ),
+    "a-stored-group-keeps-unlisted-members": (
+        CORE + "controller/adoption.rs",
+        "other.size() == group.size() && members",
+        "other.members.len() == group.members.len() && members",
+        "adoption", "keeps_a_member",
+    ),
     "a-list-newer-than-what-is-foreign": (
         CORE + "controller/mod.rs",
         "            if !self.knows_running_groups() {\n                return (None, log);\n            }\n",
--- a/shalehinge/src/core/controller/adoption.rs
+++ b/shalehinge/src/core/controller/adoption.rs
@@ -2,8 +2,12 @@
 //! backup that the store was restored from.
 //!
 //! Where engines join by order, the host list shows which hosts belong to which group, and which
-//! host takes requests for it. Other engines are asked. A group that is shown completely is adopted
-//! as it is; hosts of any other group are ordered to leave it.
+//! host takes requests for it. Other engines are asked. A group that serves is adopted as it is;
+//! hosts of any other group are ordered to leave it.
+//!
+//! A member of a group that serves may be missing from the host list because it cannot reach the
+//! platform. Its group is adopted without it, and completed once the list shows the host. If it
+//! was lost, rank 0 reports the group as broken.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -85,12 +89,10 @@
         let mut value = stored;
         let is_shown = |host: &HostId| shown.groups.values().any(|group| group.contains(host));
         value.groups.retain(|number, group| {
+            // The stored group may list members that are missing from the host list.
             let is_same = shown.groups.get(number).is_some_and(|other| {
-                other.members.len() == group.members.len()
-                    && other
-                        .members
-                        .iter()
-                        .all(|member| group.contains(&member.host))
+                let mut members = other.members.iter();
+                other.size() == group.size() && members.all(|member| group.contains(&member.host))
             });
             let is_replaced = group.members.iter().any(|member| is_shown(&member.host));
             is_same || !is_replaced && !self.has_moved_member(*number, group)
@@ -103,6 +105,29 @@
         value
     }
 
+    /// Adds hosts that the list shows in a group that was adopted without them.
+    pub(super) fn complete_adopted_groups(&self, value: &mut Assignment, log: &mut Vec<String>) {
+        for (host, number) in self.hosts_missing_from_groups(value) {
+            let Some(group) = value.groups.get_mut(&number) else {
+                continue;
+            };
+            if group.unknown_members == 0 {
+                continue;
+            }
+            log.push(format!("{host} is a member of group {}", number.0));
+            let address = self.listed[&host].record.address;
+            group.unknown_members -= 1;
+            group.members.push(Member { host, address });
+        }
+    }
+
+    /// Hosts that the list shows in a group of the assignment that does not contain them.
+    fn hosts_missing_from_groups(&self, value: &Assignment) -> BTreeMap<HostId, GroupNumber> {
+        let mut hosts = self.shown_in_a_group(value);
+        hosts.retain(|_, number| value.groups.contains_key(number));
+        hosts
+    }
+
     /// The hosts whose engines are known to be in a group.
     fn shown_hosts(&self) -> Vec<ShownHost<'_>> {
         if self.settings.assembly == Assembly::Engines {
@@ -134,27 +159,28 @@
         }
         let highest = by_group.keys().next_back().map_or(0, |number| number.0);
         let is_reported = self.settings.assembly == Assembly::Engines;
-        let complete = by_group
+        let serving = by_group
             .into_iter()
             .filter(|(number, _)| *number != GroupNumber::PRIMING)
             .filter_map(|(number, shown)| {
                 let group = if is_reported {
                     complete_reported_group(number, shown)
                 } else {
-                    complete_listed_group(number, shown, state)
+                    serving_listed_group(number, shown, state)
                 };
                 Some((number, group?))
             });
         Assignment {
             next_group: GroupNumber(highest + GROUP_NUMBER_MARGIN),
-            groups: complete.collect(),
+            groups: serving.collect(),
             ..Assignment::default()
         }
     }
 }
 
-/// The group that these listed hosts form, if its rank 0 takes requests and no member is missing.
-fn complete_listed_group(
+/// The group that these listed hosts belong to, if its rank 0 takes requests. Further members may
+/// be missing from the list.
+fn serving_listed_group(
     number: GroupNumber,
     mut shown: Vec<ShownHost<'_>>,
     state: &FleetState,
@@ -162,11 +188,14 @@
     shown.sort_by_key(|shown| (!shown.status.shows_open(number), shown.host));
     let rank_zero = shown.first()?;
     let model = rank_zero.status.held.as_ref()?.model.clone();
-    let is_complete = shown.len() == hosts_per_replica_of(&model, state)?;
+    let unknown_members = hosts_per_replica_of(&model, state)?.checked_sub(shown.len())?;
     let serves = rank_zero.status.shows_open(number)
         && shown.iter().all(|shown| shown.status.shows_ready(number));
     let version = ModelVersion::new(ONLY_VERSION);
-    (is_complete && serves).then(|| serving_group(model, version, &shown))
+    serves.then(|| Group {
+        unknown_members: unknown_members as u32,
+        ..serving_group(model, version, &shown)
+    })
 }
 
 /// The group that these engines report, if its rank 0 sees all members and all of them answered.
@@ -188,6 +217,7 @@
         model,
         version,
         members: members.collect(),
+        unknown_members: 0,
         phase: GroupPhase::Serving,
     }
 }
--- a/shalehinge/src/core/controller/departures.rs
+++ b/shalehinge/src/core/controller/departures.rs
@@ -61,13 +61,19 @@
     }
 
     /// Hosts without a group in the assignment that the list shows in one, if the list is recent
-    /// enough to be sure that the group no longer exists. They are ordered to leave it.
+    /// enough to be sure that the group no longer exists. They are ordered to leave it. Members of
+    /// an adopted group that is not complete yet are added to it instead.
     fn hosts_in_removed_groups(&self, value: &Assignment) -> BTreeMap<HostId, GroupNumber> {
-        if self.trusts_absence() {
-            self.shown_in_a_group(value)
-        } else {
-            BTreeMap::new()
+        if !self.trusts_absence() {
+            return BTreeMap::new();
         }
+        let is_incomplete = |number: &GroupNumber| {
+            let group = value.groups.get(number);
+            group.is_some_and(|group| group.unknown_members > 0)
+        };
+        let mut hosts = self.shown_in_a_group(value);
+        hosts.retain(|_, number| !is_incomplete(number));
+        hosts
     }
 
     /// Hosts without a group in the assignment that the list shows in one. They must not be used
--- a/shalehinge/src/core/controller/ordered_plan.rs
+++ b/shalehinge/src/core/controller/ordered_plan.rs
@@ -36,6 +36,7 @@
     ) {
         self.free_departed_hosts(now, value);
         self.departed.retain(|host| value.is_in_use(host));
+        self.complete_adopted_groups(value, log);
         self.remove_retired(value, log);
         self.promote_open(value, log);
         self.mark_listed_losses(now, value);
--- a/shalehinge/src/core/controller/staging.rs
+++ b/shalehinge/src/core/controller/staging.rs
@@ -230,7 +230,7 @@
             };
             if !listed.record.staged.contains(model) {
                 requests.push(StageRequest {
-                    group_size: group.map_or(0, |group| group.members.len()),
+                    group_size: group.map_or(0, |group| group.size()),
                     host: host.clone(),
                     model: model.clone(),
                 });
--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -406,10 +406,19 @@
     pub version: ModelVersion,
     /// Members in order of rank; rank 0 takes the requests.
     pub members: Vec<Member>,
+    /// Number of further members whose hosts are not known, as the group was adopted while they
+    /// were missing from the host list.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub unknown_members: u32,
     /// Current phase.
     pub phase: GroupPhase,
 }
 
+#[allow(clippy::trivially_copy_pass_by_ref)] // Signature required by serde.
+fn is_zero(count: &u32) -> bool {
+    *count == 0
+}
+
 /// A member of a group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -510,6 +519,7 @@
             model,
             version,
             members,
+            unknown_members: 0,
             phase: GroupPhase::Forming,
         };
         self.groups.insert(number, group);
@@ -531,7 +541,12 @@
 }
 
 impl Group {
-    /// Whether the host is a member of the group.
+    /// Number of hosts of the group, including those that are not known.
+    pub fn size(&self) -> usize {
+        self.members.len() + self.unknown_members as usize
+    }
+
+    /// Whether the host is a known member of the group.
     pub fn contains(&self, host: &HostId) -> bool {
         self.members.iter().any(|member| member.host == *host)
     }
--- a/shalehinge/src/core/placement/make_room.rs
+++ b/shalehinge/src/core/placement/make_room.rs
@@ -49,7 +49,7 @@
     size: usize,
 ) -> Option<(GroupNumber, FabricDomain)> {
     let candidates = assignment.groups.iter().filter(|(_, group)| {
-        let is_smaller = group.members.len() < size;
+        let is_smaller = group.size() < size;
         group.phase == GroupPhase::Serving
             && is_smaller
             && would_free_enough(group, hosts, free, size)
@@ -59,9 +59,9 @@
             let origin = fabric_of(group, hosts)?;
             let destination = free
                 .iter()
-                .filter(|(fabric, count)| *fabric != origin && **count >= group.members.len())
+                .filter(|(fabric, count)| *fabric != origin && **count >= group.size())
                 .min_by_key(|(_, count)| **count)?;
-            Some((group.members.len(), *number, destination.0.clone()))
+            Some((group.size(), *number, destination.0.clone()))
         })
         .min()
         .map(|(_, number, fabric)| (number, fabric))
--- a/shalehinge/src/core/placement/planner.rs
+++ b/shalehinge/src/core/placement/planner.rs
@@ -279,7 +279,7 @@
             if let Some(host) = self.context.leaving_member(group) {
                 existing.leaving.push((*number, host));
             } else if group.version != self.intent.version
-                || group.members.len() != self.intent.hosts_per_replica as usize
+                || group.size() != self.intent.hosts_per_replica as usize
             {
                 existing.outdated.push(*number);
             } else {
@@ -439,7 +439,7 @@
         };
         let wanted = (group.model.clone(), group.version.clone());
         let others = self.forming.take_except(&fabric);
-        self.form_group(wanted, group.members.len(), context.max_loads, reason);
+        self.form_group(wanted, group.size(), context.max_loads, reason);
         self.forming.free.extend(others);
         self.forming.hosts_pending = true;
     }
--- a/shalehinge/src/core/placement/preemption.rs
+++ b/shalehinge/src/core/placement/preemption.rs
@@ -42,7 +42,7 @@
     let may_preempt = |group: &Group| {
         group.phase == GroupPhase::Serving
             && group.model != *model
-            && group.members.len() < size
+            && group.size() < size
             && supplied_fraction(context, &group.model, -1) > own_fraction
             && group
                 .members
@@ -53,7 +53,7 @@
     let groups = context.assignment.groups.iter();
     let mut candidates = groups
         .filter(|(number, group)| !context.lost.contains_key(number) && may_preempt(group))
-        .map(|(number, group)| (group.members.len(), *number))
+        .map(|(number, group)| (group.size(), *number))
         .collect::<Vec<_>>();
     candidates.sort_unstable();
     candidates.first().map(|(_, number)| *number)
--- a/shalehinge/src/core/placement/yielding.rs
+++ b/shalehinge/src/core/placement/yielding.rs
@@ -32,7 +32,7 @@
             continue;
         };
         if group.phase != GroupPhase::Retiring {
-            usage.entry(model.owner.clone()).or_default().used += group.members.len();
+            usage.entry(model.owner.clone()).or_default().used += group.size();
         }
     }
     let share_of = |customer: &Customer| {
@@ -67,7 +67,7 @@
         let owner = &fleet.models.get(&group.model)?.owner;
         let owner_usage = usage.get(owner)?;
         let size_fits = group.members.len() >= size;
-        let remaining = owner_usage.used.checked_sub(group.members.len())?;
+        let remaining = owner_usage.used.checked_sub(group.size())?;
         let keeps_share = remaining as f64 >= owner_usage.entitled;
         let may_yield = group.phase == GroupPhase::Serving && *owner != intent.owner;
         (may_yield && size_fits && keeps_share)
--- a/shalehinge/tests/adoption.rs
+++ b/shalehinge/tests/adoption.rs
@@ -1,10 +1,13 @@
-//! Tests of running groups whose assignment is overwritten by another program.
+//! Tests of running groups whose assignment is overwritten by another program, or lost in a
+//! restore.
 
 mod ordered_support;
 
 use std::time::Duration;
 
 use ordered_support::{Domain, LARGE, SMALL};
+use shalehinge::core::objects::Assignment;
+use shalehinge::core::types::{GroupNumber, HostId};
 
 fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
@@ -17,6 +20,113 @@
     domain.change_holder();
 }
 
+/// Restores the store from a backup that lacks all groups, and hands the lease over to a daemon
+/// that does not know them either.
+fn restore_without_groups(domain: &mut Domain) {
+    domain.stored.value = Assignment::default();
+    domain.is_restored = true;
+    domain.change_holder();
+}
+
+const WAYS_TO_LOSE_THE_ASSIGNMENT: [fn(&mut Domain); 2] =
+    [overwrite_assignment, restore_without_groups];
+
+/// Loses the assignment while a member of a serving group is missing from the host list, but goes
+/// on serving. Returns the group and its members.
+fn lose_assignment_with_an_unlisted_member(
+    domain: &mut Domain,
+    lose_assignment: fn(&mut Domain),
+) -> (GroupNumber, Vec<HostId>) {
+    let (number, mut members) = domain.group_of(LARGE);
+    domain.engine(&members[1]).is_listed = false;
+    lose_assignment(domain);
+    domain.run_for(seconds(10));
+    members.sort();
+    (number, members)
+}
+
+/// Lists all hosts again, and checks that the group is known whole and keeps its members.
+fn assert_group_is_complete_again(domain: &mut Domain, number: GroupNumber, members: &[HostId]) {
+    for host in members {
+        domain.engine(host).is_listed = true;
+    }
+    domain.run_for(seconds(10));
+    assert_eq!(domain.stored_members(number), members);
+    assert!(domain.are_members(number, members));
+    assert_eq!(
+        (domain.open_groups(LARGE), domain.open_groups(SMALL)),
+        (2, 4)
+    );
+}
+
+#[test]
+fn a_serving_group_is_adopted_while_a_member_is_unlisted() {
+    for lose_assignment in WAYS_TO_LOSE_THE_ASSIGNMENT {
+        let mut domain = Domain::serving(&[8, 8]);
+        let (number, members) =
+            lose_assignment_with_an_unlisted_member(&mut domain, lose_assignment);
+        assert!(
+            domain.are_members(number, &members),
+            "hosts of a group that serves were ordered to leave it"
+        );
+        assert_group_is_complete_again(&mut domain, number, &members);
+    }
+}
+
+#[test]
+fn a_serving_group_is_adopted_while_no_spare_host_is_listed() {
+    for lose_assignment in WAYS_TO_LOSE_THE_ASSIGNMENT {
+        let mut domain = Domain::serving(&[6]);
+        let (small, small_members) = domain.group_of(SMALL);
+        let (number, members) =
+            lose_assignment_with_an_unlisted_member(&mut domain, lose_assignment);
+        assert!(domain.are_members(number, &members));
+        assert!(domain.are_members(small, &small_members));
+    }
+}
+
+#[test]
+fn a_later_holder_keeps_a_group_that_was_adopted_without_a_member() {
+    for lose_assignment in WAYS_TO_LOSE_THE_ASSIGNMENT {
+        let mut domain = Domain::serving(&[8, 8]);
+        let (number, members) =
+            lose_assignment_with_an_unlisted_member(&mut domain, lose_assignment);
+        domain.change_holder();
+        domain.run_for(seconds(10));
+        assert_group_is_complete_again(&mut domain, number, &members);
+    }
+}
+
+#[test]
+fn a_group_adopted_without_a_member_is_replaced_once_it_is_broken() {
+    for lose_assignment in WAYS_TO_LOSE_THE_ASSIGNMENT {
+        let mut domain = Domain::serving(&[8, 8]);
+        let (number, members) =
+            lose_assignment_with_an_unlisted_member(&mut domain, lose_assignment);
+        assert!(domain.are_members(number, &members));
+        for host in &members {
+            domain.engine(host).is_listed = true;
+        }
+        domain.crash(&members[1]);
+        domain.run_until("group formed again", |domain| {
+            domain.stored_members(number).is_empty() && domain.open_groups(LARGE) == 2
+        });
+    }
+}
+
+#[test]
+fn a_restored_group_keeps_a_member_that_is_unlisted() {
+    let mut domain = Domain::serving(&[8, 8]);
+    let (number, mut members) = domain.group_of(LARGE);
+    members.sort();
+    domain.engine(&members[1]).is_listed = false;
+    domain.is_restored = true;
+    domain.change_holder();
+    domain.run_for(seconds(10));
+    assert!(!domain.is_restored, "the assignment was written again");
+    assert_eq!(domain.stored_members(number), members);
+}
+
 #[test]
 fn running_groups_are_adopted_after_another_writer_overwrote_the_assignment() {
     let mut domain = Domain::serving(&[8, 8]);
@@ -38,12 +148,12 @@
 #[test]
 fn a_group_that_lost_a_member_while_the_assignment_was_overwritten_is_replaced() {
     let mut domain = Domain::serving(&[8, 8]);
-    let (_, members) = domain.group_of(LARGE);
-    domain.engine(&members[1]).is_listed = false;
-    domain.engine(&members[1]).is_reachable = false;
+    let (number, members) = domain.group_of(LARGE);
+    domain.crash(&members[1]);
     overwrite_assignment(&mut domain);
     domain.run_until("group formed again", |domain| {
-        !domain.is_foreign && domain.open_groups(LARGE) == 2
+        let is_replaced = !domain.is_foreign && domain.stored_members(number).is_empty();
+        is_replaced && domain.open_groups(LARGE) == 2
     });
 }
 
--- a/shalehinge/tests/ordered_support/mod.rs
+++ b/shalehinge/tests/ordered_support/mod.rs
@@ -34,6 +34,9 @@
 /// Time in which an engine that must load the weights first joins a group.
 const COLD_JOIN_TIME: Duration = Duration::from_secs(15);
 
+/// Time after the crash of a member until rank 0 reports its group as broken.
+pub const STALL_TIME: Duration = Duration::from_secs(5);
+
 /// Model with four hosts per replica.
 pub const LARGE: &str = "s/large";
 /// Model with two hosts per replica.
@@ -56,6 +59,8 @@
     pub is_reachable: bool,
     /// Whether the host list shows its host as leaving.
     pub is_leaving: bool,
+    /// Time at which it crashed, if it did.
+    pub crashed_at: Option<Timestamp>,
     /// Index of its host's fabric domain.
     fabric: usize,
     /// Members of the last group that it joined, rank 0 first.
@@ -98,6 +103,8 @@
     pub reported_lost: Vec<GroupNumber>,
     /// Whether the stored assignment cannot be decoded.
     pub is_foreign: bool,
+    /// Whether the stored assignment comes from a backup.
+    pub is_restored: bool,
     /// Model whose loading crashes the engine, which then restarts.
     pub crashing_model: Option<ModelName>,
     /// Engines that crashed during a load, and when.
@@ -186,6 +193,7 @@
             producing_output: Vec::new(),
             reported_lost: Vec::new(),
             is_foreign: false,
+            is_restored: false,
             crashing_model: None,
             crashes: Vec::new(),
             state,
@@ -301,6 +309,7 @@
                 engine.phase = EnginePhase::Ready;
             }
         }
+        self.break_stalled_groups();
         self.update_list();
         let listing = HostListState {
             as_of: Some(self.as_of),
@@ -316,6 +325,25 @@
         }
     }
 
+    /// Lets rank 0 of each open group report it as broken some time after a member crashed.
+    fn break_stalled_groups(&mut self) {
+        let has_stalled = |host: &HostId| {
+            let crashed_at = self.engines[host].crashed_at;
+            crashed_at.is_some_and(|at| self.now.since(at) >= STALL_TIME)
+        };
+        let open = self
+            .engines
+            .iter()
+            .filter(|(_, engine)| engine.phase == EnginePhase::Serving);
+        let stalled: Vec<HostId> = open
+            .filter(|(_, engine)| engine.members.iter().any(has_stalled))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in stalled {
+            self.engine(&id).phase = EnginePhase::Broken;
+        }
+    }
+
     fn update_list(&mut self) {
         if !self.list_updates {
             return;
@@ -340,11 +368,17 @@
             }
             ControllerAction::Read => {
                 let stored = self.stored.clone();
-                self.controller.on_read(stored, Origin::Current);
+                let origin = if self.is_restored {
+                    Origin::Restored
+                } else {
+                    Origin::Current
+                };
+                self.controller.on_read(stored, origin);
             }
             ControllerAction::Write { expect, value } => {
                 assert_eq!(expect, self.stored.version);
                 self.is_foreign = false;
+                self.is_restored = false;
                 value.check().expect("no host is used twice");
                 let version = Version::without_era(expect.number + 1);
                 self.stored = Versioned { version, value };
@@ -537,6 +571,30 @@
         engine.started = EngineStart(started);
     }
 
+    /// Crashes the host: it answers no requests, and its entry in the host list has expired.
+    pub fn crash(&mut self, host: &HostId) {
+        let now = self.now;
+        self.cut_off(host);
+        let engine = self.engine(host);
+        engine.is_listed = false;
+        engine.crashed_at = Some(now);
+    }
+
+    /// Whether all these hosts are members of the group according to their engines.
+    pub fn are_members(&self, number: GroupNumber, hosts: &[HostId]) -> bool {
+        let mut hosts = hosts.iter();
+        hosts.all(|host| self.engines[host].group == Some(number))
+    }
+
+    /// Members of a group according to the stored assignment, sorted.
+    pub fn stored_members(&self, number: GroupNumber) -> Vec<HostId> {
+        let group = self.stored.value.groups.get(&number);
+        let members = group.into_iter().flat_map(|group| &group.members);
+        let mut hosts: Vec<HostId> = members.map(|member| member.host.clone()).collect();
+        hosts.sort();
+        hosts
+    }
+
     /// Cuts off the host: it answers no requests, but stays in the host list.
     pub fn cut_off(&mut self, host: &HostId) {
         self.engine(host).is_reachable = false;
@@ -552,6 +610,7 @@
             is_listed: true,
             is_reachable: true,
             is_leaving: false,
+            crashed_at: None,
             fabric,
             members: Vec::new(),
             model: None,
