--- a/shalehinge/tests/lost_assignment.rs
+++ b/shalehinge/tests/lost_assignment.rs
@@ -66,6 +66,39 @@
     }
 }
 
+/// A member, not rank 0, of the group that was formed last.
+fn newest_member(world: &World) -> usize {
+    let groups = world.hosts.iter().enumerate().filter_map(|(index, host)| {
+        let membership = host.engine.membership.as_ref()?;
+        (membership.load.rank > 0).then_some((membership.group, index))
+    });
+    let (_, index) = groups.max().expect("a member of a group");
+    index
+}
+
+// Guards against a group that serves being released because a member answers no probe.
+#[test]
+fn a_group_that_no_daemon_knows_stays_while_a_member_answers_no_daemon() {
+    for seed in 0..RUNS {
+        let mut world = lose_assignment(seed);
+        let before = engine_groups(&world);
+        let silent_host = newest_member(&world);
+        world.unreachable_hosts.insert(silent_host);
+        world.run_for(SETTLED);
+        assert_eq!(
+            engine_groups(&world),
+            before,
+            "seed {seed}: while it is silent"
+        );
+        world.unreachable_hosts.clear();
+        world.run_for(SETTLED);
+        let violations = &world.oracle.violations;
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+        assert_eq!(engine_groups(&world), before, "seed {seed}: afterwards");
+        assert_eq!(world.serving_groups(), GROUPS, "seed {seed}: still known");
+    }
+}
+
 // Guards against a host that was down during the survey and stays unused for ever.
 #[test]
 fn a_host_that_starts_after_the_survey_is_used_again() {
--- a/shalehinge/tests/support/host_messages.rs
+++ b/shalehinge/tests/support/host_messages.rs
@@ -63,7 +63,8 @@
 
     /// Handles a message that arrives at a host.
     pub fn handle_at_host(&mut self, entry: usize, run: u64, host: usize, message: HostMessage) {
-        let is_reached = self.hosts[host].is_alive && {
+        let is_cut_off = self.unreachable_hosts.contains(&host);
+        let is_reached = self.hosts[host].is_alive && !is_cut_off && {
             let domain = self.hosts[host].domain.clone();
             self.can_reach(entry, &domain)
         };
--- a/shalehinge/tests/support/world.rs
+++ b/shalehinge/tests/support/world.rs
@@ -92,6 +92,8 @@
     pub partitioned_domains: BTreeSet<FailureDomain>,
     /// Failure domains that are partitioned from the platform.
     pub platform_partitioned_domains: BTreeSet<FailureDomain>,
+    /// Hosts that answer no daemon, but reach other hosts and the platform.
+    pub unreachable_hosts: BTreeSet<usize>,
     pub oracle: Oracle,
     /// All plans that daemons returned, oldest first.
     pub plans: Vec<Plan>,
@@ -146,6 +148,7 @@
             domains,
             partitioned_domains: BTreeSet::new(),
             platform_partitioned_domains: BTreeSet::new(),
+            unreachable_hosts: BTreeSet::new(),
             oracle: Oracle::default(),
             plans: Vec::new(),
             operator_answers: Vec::new(),
