fix(limits): let a standby grant permits while the owner of a limit is dead

Where the one upstream of a model names a limit and the daemon that owns the limit is killed, callers at all other daemons waited for permits that nobody granted and were refused, until the membership took the owner for dead (10 s by default).

Cause: permit requests went to the owner alone, and its silence says nothing, as an owner without permits to grant is silent too.

A daemon that got no permits asks the owner's standby too, which probes the owner and grants half of the limit while no probe is answered: where the standby alone can't reach a living owner, both together stay within what users allow. The time without permits no longer lowers the measured rate of sending.

Other ways: answers to all requests (a message more for each), votes of three (a domain of one daemon has no majority), the whole limit at once (twice the limit in a partial cut).

Left: demand above half of the limit until the owner is known to be dead; owner and standby dead together; limits of warm-ups; daemons that don't know the owner (KNOWN-RED.txt). Not run over sockets, the new rows of the red runs were not run.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -301,6 +301,24 @@
         "            if self.owner_of(now, &request.known) != self.owner_of(now, &request.known) || true {",
         "limited_upstreams", "from_340_daemons",
     ),
+    "a-standby-grants-for-a-silent-owner": (
+        CORE + "daemon/limits.rs",
+        "let Some(silent_since) = step.unreachable_since else {",
+        "let Some(silent_since) = step.unreachable_since.filter(|at| *at > now) else {",
+        "limited_upstreams", "while_its_owner_is_dead",
+    ),
+    "a-standby-grants-part-of-the-limit": (
+        CORE + "permits.rs",
+        "const STANDBY_FRACTION: f64 = 0.5;",
+        "const STANDBY_FRACTION: f64 = 1.0;",
+        "limited_upstreams", "cannot_reach_its_owner",
+    ),
+    "a-suspended-owner-begins-with-nothing": (
+        CORE + "permits.rs",
+        "now.since(at) >= SUSPENSION",
+        "now.since(at) >= SUSPENSION * 1_000",
+        "permits", "was_suspended",
+    ),
     "an-owner-begins-with-nothing": (
         CORE + "permits.rs",
         "            tokens: 0.0,",
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -50,6 +50,8 @@
 use crate::core::object_fetch::ObjectFetch;
 use crate::core::objects::KeyHash;
 use crate::core::operator::{OperatorCallId, OperatorCalls};
+use crate::core::owner_watch::OwnerWatch;
+use crate::core::permit_recipients::PermitRecipients;
 use crate::core::permits::PermitOwner;
 use crate::core::platform::{CallId, Scope};
 use crate::core::router::Router;
@@ -158,6 +160,10 @@
     pending_grants: PendingGrants,
     /// The request limits that this daemon owns, and their permits.
     permits: PermitOwner,
+    /// The owners of limits for which this daemon is the standby.
+    owner_watch: OwnerWatch,
+    /// The recipients of this daemon's permit requests.
+    permit_recipients: PermitRecipients,
     /// The trials that this daemon owns and grants.
     trials: TrialOwner,
     /// Trials that this daemon granted to itself and has not started yet.
@@ -238,6 +244,8 @@
             claims: ClaimTracker::new(settings.claims),
             pending_grants: PendingGrants::default(),
             permits: PermitOwner::default(),
+            owner_watch: OwnerWatch::default(),
+            permit_recipients: PermitRecipients::default(),
             trials: TrialOwner::default(),
             own_trial_grants: Vec::new(),
             own_limit_notices: Vec::new(),
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -219,6 +219,7 @@
         pull: Pull,
         out: &mut Vec<Action>,
     ) {
+        self.on_heard_from(pull.gossip.sender.address, out);
         let gossip = self.gossip_for_topic(now, pull.topic, Some(&pull.gossip));
         let moving = match pull.topic {
             PullTopic::Moving => self.last_outputs(now, &pull.gossip.sender.failure_domain),
@@ -348,6 +349,7 @@
         out: &mut Vec<Action>,
     ) {
         let from = reply.gossip.sender.address;
+        self.on_heard_from(from, out);
         self.record_peer_era(now, &reply.digest, out);
         self.merge_work_reports(now, reply.work);
         self.record_last_outputs(asked_at, reply.moving);
@@ -401,6 +403,7 @@
     }
 
     pub(super) fn on_notice(&mut self, now: Timestamp, notice: Notice, out: &mut Vec<Action>) {
+        self.on_heard_from(notice.from, out);
         for replica in &notice.lost {
             self.mark_replica_lost(now, replica, out);
         }
--- a/shalehinge/src/core/daemon/requests.rs
+++ b/shalehinge/src/core/daemon/requests.rs
@@ -182,7 +182,12 @@
                 }
                 RouterAction::ReportLimit(report) => self.report_limit(now, report, out),
                 RouterAction::RequestPermits { known, wanted } => {
-                    self.request_permits(now, PermitRequest { known, wanted }, out);
+                    let request = PermitRequest {
+                        known,
+                        wanted,
+                        in_place_of: None,
+                    };
+                    self.request_permits(now, request, out);
                 }
                 RouterAction::RequestTrial(request) => self.request_trial(now, request, out),
                 RouterAction::Log(text) => log(out, Component::Route, text),
--- a/shalehinge/src/core/membership.rs
+++ b/shalehinge/src/core/membership.rs
@@ -388,15 +388,43 @@
     /// The live member that decides on a subject in a failure domain. If no member of the domain
     /// is known, it is chosen among all members.
     pub fn owner(&self, now: Timestamp, domain: &FailureDomain, subject: &impl Hash) -> Owner {
-        let of_domain = hash::highest_weighted(subject, self.duty_members(now, domain), 1);
-        let owner = of_domain.into_iter().next().or_else(|| {
+        let owner = self.ranked_owners(now, domain, subject, 1).first().copied();
+        owner.unwrap_or(Owner::ThisDaemon)
+    }
+
+    /// The live member that becomes the owner of a subject when its owner dies, if there is any.
+    pub fn standby_owner(
+        &self,
+        now: Timestamp,
+        domain: &FailureDomain,
+        subject: &impl Hash,
+    ) -> Option<Owner> {
+        self.ranked_owners(now, domain, subject, 2).get(1).copied()
+    }
+
+    /// The owner of a subject, followed by those that would own it without the ones before:
+    /// members of the failure domain first, then all others.
+    fn ranked_owners(
+        &self,
+        now: Timestamp,
+        domain: &FailureDomain,
+        subject: &impl Hash,
+        count: usize,
+    ) -> Vec<Owner> {
+        let mut ranked = hash::highest_weighted(subject, self.duty_members(now, domain), count);
+        if ranked.len() < count {
             let all = self.live_peers(now).filter(|peer| !peer.leaving);
             let all = all.chain([&self.own_heartbeat]).map(|peer| &peer.daemon);
-            hash::highest_weighted(subject, all, 1).into_iter().next()
-        });
-        owner
-            .and_then(|daemon| self.address_of(now, daemon))
-            .map_or(Owner::ThisDaemon, Owner::Peer)
+            let others: Vec<&DaemonId> = all.filter(|daemon| !ranked.contains(daemon)).collect();
+            let missing = count - ranked.len();
+            ranked.extend(hash::highest_weighted(subject, others.into_iter(), missing));
+        }
+        let addresses = ranked
+            .into_iter()
+            .map(|daemon| self.address_of(now, daemon));
+        addresses
+            .map(|address| address.map_or(Owner::ThisDaemon, Owner::Peer))
+            .collect()
     }
 
     /// The live member of the fleet that decides on a subject. The subject selects a failure
--- a/shalehinge/src/core/mod.rs
+++ b/shalehinge/src/core/mod.rs
@@ -52,6 +52,8 @@
 pub mod object_fetch;
 pub mod objects;
 pub mod operator;
+pub mod owner_watch;
+pub mod permit_recipients;
 pub mod permits;
 pub mod placement;
 pub mod platform;
--- a/shalehinge/src/core/permits.rs
+++ b/shalehinge/src/core/permits.rs
@@ -22,6 +22,11 @@
 pub const PERMIT_LIFETIME: Duration = Duration::from_secs(1);
 /// Unused permits that may accumulate beyond the first one, in seconds of the rate.
 const BURST_SECONDS: f64 = 0.5;
+/// An owner that granted nothing for this time was suspended, as it grants at every tick.
+const SUSPENSION: Duration = Duration::from_secs(1);
+/// Fraction of a limit that a standby grants while the owner does not answer. The owner may be
+/// alive and unreachable for the standby alone, and both then grant permits.
+const STANDBY_FRACTION: f64 = 0.5;
 /// Lowest effective rate in requests per second: without any request, no answer could end a limit
 /// of 0.
 const MIN_RATE: f64 = 0.25;
@@ -76,6 +81,9 @@
     pub known: LimitReport,
     /// Number of permits that it can use within [`PERMIT_LIFETIME`].
     pub wanted: u32,
+    /// The owner that did not answer, in requests to its standby.
+    #[serde(default)]
+    pub in_place_of: Option<Address>,
 }
 
 /// Permits that an owner grants.
@@ -132,9 +140,10 @@
         }
     }
 
-    fn fill(&mut self, now: Timestamp, rate: RequestRate, burst: f64) {
+    /// Adds the tokens since the last time at `rate` tokens per second.
+    fn fill(&mut self, now: Timestamp, rate: f64, burst: f64) {
         let elapsed = now.since(self.filled_at).as_secs_f64();
-        self.tokens = (self.tokens + elapsed * effective_rate(rate)).min(burst);
+        self.tokens = (self.tokens + elapsed * rate).min(burst);
         self.filled_at = self.filled_at.max(now);
     }
 
@@ -154,10 +163,31 @@
     asked_at: Timestamp,
 }
 
-/// A limit owned by this daemon.
+/// In which role a daemon grants permits of a limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum GrantRole {
+    /// As the owner of the limit.
+    #[default]
+    Owner,
+    /// In place of the owner at this address, which does not answer.
+    Standby(Address),
+}
+
+impl GrantRole {
+    /// The fraction of a limit that is granted in this role.
+    fn fraction(self) -> f64 {
+        match self {
+            Self::Owner => 1.0,
+            Self::Standby(_) => STANDBY_FRACTION,
+        }
+    }
+}
+
+/// A limit whose permits this daemon grants.
 #[derive(Clone, Debug)]
 struct OwnedLimit {
     failure_domain: FailureDomain,
+    role: GrantRole,
     known: LimitState,
     bucket: TokenBucket,
     /// Waiting daemons in the order of their first request.
@@ -179,10 +209,12 @@
     pub grant: PermitGrant,
 }
 
-/// The limits owned by one daemon.
+/// The limits whose permits one daemon grants, as their owner or in its place.
 #[derive(Clone, Debug, Default)]
 pub struct PermitOwner {
     limits: BTreeMap<UpstreamId, OwnedLimit>,
+    /// When permits were last granted, or would have been.
+    granted_at: Option<Timestamp>,
 }
 
 impl PermitOwner {
@@ -212,12 +244,59 @@
         let is_same_start = !EngineStart::differ(known.started, owned.known.started);
         match owned.known.rate.filter(|_| is_same_start) {
             // The time until now counts at the previous rate.
-            Some(rate) => owned.bucket.fill(now, rate, owned.known.burst(rate)),
+            Some(rate) => owned.fill_bucket(now, rate),
             None => owned.bucket = TokenBucket::empty(now),
         }
         owned.known = known;
     }
 
+    /// Sets the role in which permits of an upstream are granted. Those of a standby accumulate
+    /// from `silent_since`, as the owner has not answered since. Returns whether the role changed.
+    pub fn set_role(
+        &mut self,
+        now: Timestamp,
+        silent_since: Timestamp,
+        upstream: &UpstreamId,
+        role: GrantRole,
+    ) -> bool {
+        let Some(owned) = self.limits.get_mut(upstream) else {
+            return false;
+        };
+        if owned.role == role {
+            return false;
+        }
+        match (role, owned.known.rate) {
+            // The time until now counts at the rate of the previous role.
+            (GrantRole::Owner, Some(rate)) => owned.fill_bucket(now, rate),
+            _ => owned.bucket = TokenBucket::empty(silent_since),
+        }
+        owned.role = role;
+        true
+    }
+
+    /// Whether this daemon grants permits of an upstream in place of the owner.
+    pub fn is_standby(&self, upstream: &UpstreamId) -> bool {
+        let role = self.limits.get(upstream).map(|owned| owned.role);
+        matches!(role, Some(GrantRole::Standby(_)))
+    }
+
+    /// Removes a limit that this daemon granted as its owner and that another daemon owns by now.
+    /// Requests that are still queued would be granted by both.
+    pub fn relinquish(&mut self, upstream: &UpstreamId) {
+        let role = self.limits.get(upstream).map(|owned| owned.role);
+        if role == Some(GrantRole::Owner) {
+            self.limits.remove(upstream);
+        }
+    }
+
+    /// Removes the limits that were granted in place of an owner. Returns whether there were any.
+    pub fn end_standby(&mut self, owner: Address) -> bool {
+        let before = self.limits.len();
+        let role = GrantRole::Standby(owner);
+        self.limits.retain(|_, owned| owned.role != role);
+        self.limits.len() < before
+    }
+
     /// Queues a daemon's request for permits. A later request of the same daemon replaces the
     /// earlier one and keeps its place.
     pub fn queue_request(
@@ -249,6 +328,10 @@
     pub fn grant(&mut self, now: Timestamp) -> Vec<DaemonGrant> {
         self.limits
             .retain(|_, owned| now.since(owned.last_report_at) < IDLE_EXPIRY);
+        let last_granted_at = self.granted_at.replace(now);
+        if last_granted_at.is_some_and(|at| now.since(at) >= SUSPENSION) {
+            self.discard_tokens(now);
+        }
         let mut granted = Vec::new();
         for (upstream, owned) in &mut self.limits {
             owned.grant(now, upstream, &mut granted);
@@ -256,6 +339,13 @@
         granted
     }
 
+    /// Discards all available permits, as another daemon may have granted them meanwhile.
+    fn discard_tokens(&mut self, now: Timestamp) {
+        for owned in self.limits.values_mut() {
+            owned.bucket = TokenBucket::empty(now);
+        }
+    }
+
     /// The known state of an upstream's limit, for a daemon that asks for permits of a limit that
     /// has ended.
     pub fn report(&self, now: Timestamp, upstream: &UpstreamId) -> Option<LimitReport> {
@@ -286,6 +376,7 @@
     fn new(now: Timestamp, failure_domain: FailureDomain, known: LimitState) -> Self {
         Self {
             failure_domain,
+            role: GrantRole::default(),
             known,
             bucket: TokenBucket::empty(now),
             waiters: Vec::new(),
@@ -295,6 +386,11 @@
         }
     }
 
+    fn fill_bucket(&mut self, now: Timestamp, rate: RequestRate) {
+        let granted_rate = effective_rate(rate) * self.role.fraction();
+        self.bucket.fill(now, granted_rate, self.known.burst(rate));
+    }
+
     fn report(&self, now: Timestamp, upstream: &UpstreamId) -> LimitReport {
         LimitReport {
             upstream: upstream.clone(),
@@ -316,7 +412,7 @@
         if self.known.is_warm_up() && now.as_duration() < WARM_UP_OWNER_DELAY {
             return;
         }
-        self.bucket.fill(now, rate, self.known.burst(rate));
+        self.fill_bucket(now, rate);
         while let Some(first) = self.waiters.first() {
             let count = self.bucket.take(first.wanted);
             if count == 0 {
--- a/shalehinge/src/core/router/limits.rs
+++ b/shalehinge/src/core/router/limits.rs
@@ -47,6 +47,15 @@
         self.dispatch(now, &target, rng, out);
     }
 
+    /// Restarts the measurement of how fast requests are sent to an upstream's target, after a
+    /// time without permits that says nothing about the rate.
+    pub fn restart_drain_rate(&mut self, now: Timestamp, upstream: &UpstreamId) {
+        let target = self.find(upstream).map(|(target, _)| target);
+        if let Some(state) = target.and_then(|target| self.targets.get_mut(&target)) {
+            state.drain.restart(now);
+        }
+    }
+
     /// Handles permits granted by a limit's owner.
     pub fn on_permits(
         &mut self,
--- a/shalehinge/tests/limited_upstreams.rs
+++ b/shalehinge/tests/limited_upstreams.rs
@@ -13,7 +13,9 @@
 
 use relay_support::load_simulation::{LoadSimulation, group};
 use shalehinge::core::advertised_limit::RequestRate;
-use shalehinge::core::router::request::Outcome;
+use shalehinge::core::membership::Owner;
+use shalehinge::core::router::request::{Outcome, UpstreamId};
+use shalehinge::core::types::{FailureDomain, ReplicaId, Timestamp};
 
 /// Length of the window in which the requests to a limited upstream are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -32,6 +34,8 @@
 trait LoadSimulationExt {
     fn limit(&mut self, index: u64, value: f64);
     fn max_in_window(&self, index: u64, since: Duration) -> usize;
+    fn owner_of(&self, index: u64) -> usize;
+    fn serve_one_caller_at_a_time(&mut self, seconds: u64);
 }
 
 impl LoadSimulationExt for LoadSimulation {
@@ -51,8 +55,45 @@
         };
         times.iter().map(from).max().unwrap_or(0)
     }
+
+    /// Index of the daemon that owns the limit of a group's upstream, as the first live daemon
+    /// sees it.
+    fn owner_of(&self, index: u64) -> usize {
+        let number = group(index);
+        let failure_domain = FailureDomain::new(&format!("d{}", number.0 % 3));
+        let upstream = UpstreamId::Replica(ReplicaId {
+            failure_domain: failure_domain.clone(),
+            number,
+        });
+        let now = Timestamp::from_duration(self.fleet.now);
+        let mut indexes = 0..self.fleet.daemons.len();
+        let first = indexes
+            .find(|index| !self.fleet.dead.contains(index))
+            .expect("a live daemon");
+        let membership = self.fleet.daemons[first].membership();
+        match membership.owner(now, &failure_domain, &upstream) {
+            Owner::ThisDaemon => first,
+            Owner::Peer(address) => usize::from(address.port()),
+        }
+    }
+
+    /// Submits [`STEADY_RATE`] requests a second, each at the next live daemon.
+    fn serve_one_caller_at_a_time(&mut self, seconds: u64) {
+        for _ in 0..seconds * STEADY_RATE {
+            let count = self.fleet.daemons.len();
+            self.round += 1;
+            while self.fleet.dead.contains(&(self.round % count)) {
+                self.round += 1;
+            }
+            self.fleet.send_completing_stream(self.round % count);
+            self.fleet.run(Duration::from_millis(1_000 / STEADY_RATE));
+        }
+    }
 }
 
+/// Requests a second in [`LoadSimulationExt::serve_one_caller_at_a_time`].
+const STEADY_RATE: u64 = 4;
+
 /// Asserts that the requests of all daemons to a limited upstream stay within what users
 /// tolerate.
 fn assert_limit_holds(simulation: &LoadSimulation, index: u64, value: f64, since: Duration) {
@@ -300,6 +341,108 @@
     assert_limit_holds(&simulation, 0, 5.0, since);
 }
 
+/// Guards against callers that get no permits until the members see that the limit's owner died.
+#[test]
+fn callers_are_served_while_the_owner_of_their_only_limit_is_dead() {
+    let mut refused = Vec::new();
+    for daemons in [3, 9, 90] {
+        let mut simulation = LoadSimulation::new(daemons, 1, usize::MAX);
+        simulation.limit(0, 10.0);
+        let since = simulation.fleet.now + LIMIT_DELAY;
+        // All daemons know each other by then.
+        simulation.fleet.run(Duration::from_secs(20));
+        simulation.serve_one_caller_at_a_time(8);
+        let owner = simulation.owner_of(0);
+        simulation.fleet.dead.insert(owner);
+        simulation.serve_one_caller_at_a_time(15);
+        simulation.fleet.run(Duration::from_secs(6));
+        assert_limit_holds(&simulation, 0, 10.0, since);
+        let (completed, ended) = simulation.served();
+        // Requests that the owner had accepted end with it.
+        let lost_with_owner = 23 * STEADY_RATE as usize - ended;
+        assert!(lost_with_owner <= 2, "{lost_with_owner} requests not ended");
+        if completed < ended {
+            refused.push((daemons, ended - completed, ended));
+        }
+    }
+    assert!(
+        refused.is_empty(),
+        "daemons, callers refused, of all callers: {refused:?}"
+    );
+}
+
+/// Guards against a limit that is unused until the members see that its owner died.
+#[test]
+fn a_limit_holds_and_is_used_while_its_owner_is_dead() {
+    let mut unused = Vec::new();
+    for daemons in [3, 9, 90] {
+        for value in [1.0, 5.0, 50.0] {
+            let mut simulation = LoadSimulation::new(daemons, 1, 4);
+            simulation.limit(0, value);
+            let since = simulation.fleet.now + LIMIT_DELAY;
+            simulation.serve_seconds(8);
+            simulation.fleet.dead.insert(simulation.owner_of(0));
+            simulation.serve_seconds(3);
+            let found_by = simulation.fleet.now;
+            simulation.serve_seconds(6);
+            let used = simulation.rate_since(0, found_by);
+            if used < value.min(1.0) / 4.0 {
+                unused.push((daemons, value, used));
+            }
+            simulation.serve_seconds(8);
+            assert_limit_holds(&simulation, 0, value, since);
+        }
+    }
+    assert!(unused.is_empty(), "daemons, limit, used: {unused:?}");
+}
+
+/// Guards against permits of an owner that was suspended, in addition to those of the daemon that
+/// granted them in its place.
+#[test]
+fn a_limit_holds_when_its_suspended_owner_returns() {
+    for daemons in [3, 9, 90] {
+        for value in [1.0, 5.0, 50.0] {
+            for suspended_for in [4, 14] {
+                let mut simulation = LoadSimulation::new(daemons, 1, 4);
+                simulation.limit(0, value);
+                let since = simulation.fleet.now + LIMIT_DELAY;
+                simulation.serve_seconds(6);
+                let owner = simulation.owner_of(0);
+                simulation.fleet.dead.insert(owner);
+                simulation.serve_seconds(suspended_for);
+                simulation.fleet.dead.remove(&owner);
+                simulation.serve_seconds(6);
+                assert_limit_holds(&simulation, 0, value, since);
+            }
+        }
+    }
+}
+
+/// Guards against two daemons that grant all permits of a limit each, where one can't reach the
+/// other and the askers reach both.
+#[test]
+fn a_limit_holds_while_one_daemon_cannot_reach_its_owner() {
+    for daemons in [3, 9] {
+        for value in [1.0, 5.0, 50.0] {
+            for other in 0..daemons {
+                let mut simulation = LoadSimulation::new(daemons, 1, 1);
+                simulation.limit(0, value);
+                let since = simulation.fleet.now + LIMIT_DELAY;
+                simulation.serve_seconds(4);
+                let owner = simulation.owner_of(0);
+                let other = usize::from(other);
+                if other == owner {
+                    continue;
+                }
+                let pair = (owner.min(other), owner.max(other));
+                simulation.fleet.cut_pairs.insert(pair);
+                simulation.serve_seconds(8);
+                assert_limit_holds(&simulation, 0, value, since);
+            }
+        }
+    }
+}
+
 #[test]
 #[ignore = "prints a table; run by hand with --nocapture"]
 fn table_of_rates_and_sizes() {
--- a/shalehinge/tests/permits.rs
+++ b/shalehinge/tests/permits.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use shalehinge::core::advertised_limit::RequestRate;
-use shalehinge::core::permits::{DaemonGrant, LimitReport, PermitOwner};
+use shalehinge::core::permits::{DaemonGrant, GrantRole, LimitReport, PermitOwner};
 use shalehinge::core::router::request::UpstreamId;
 use shalehinge::core::types::{
     Address, EngineStart, FailureDomain, GroupNumber, ReplicaId, Timestamp,
@@ -89,6 +89,38 @@
     assert_eq!(permit_count(&request_and_grant(&mut owner, 40.0, 1, 64)), 6);
 }
 
+/// Guards against permits saved up by a suspended owner while another daemon granted them.
+#[test]
+fn an_owner_that_was_suspended_starts_without_permits() {
+    let mut owner = owner(10.0);
+    owner.grant(at(12.0));
+    assert_eq!(permit_count(&request_and_grant(&mut owner, 20.0, 1, 64)), 0);
+    assert_eq!(permit_count(&request_and_grant(&mut owner, 20.5, 1, 64)), 5);
+}
+
+#[test]
+fn a_standby_grants_half_of_the_limit() {
+    let mut owner = owner(10.0);
+    let role = GrantRole::Standby(daemon(9));
+    assert!(owner.set_role(at(10.0), at(10.0), &upstream(), role));
+    let mut granted = 0;
+    for tenth in 1..=100 {
+        let now = 10.0 + f64::from(tenth) / 10.0;
+        granted += permit_count(&request_and_grant(&mut owner, now, 1, 64));
+    }
+    assert!((49..=51).contains(&granted), "{granted} permits in 10 s");
+}
+
+#[test]
+fn a_standby_grants_nothing_more_once_the_owner_answers() {
+    let mut owner = owner(10.0);
+    let role = GrantRole::Standby(daemon(9));
+    owner.set_role(at(10.0), at(10.0), &upstream(), role);
+    assert!(owner.end_standby(daemon(9)));
+    assert!(!owner.end_standby(daemon(9)));
+    assert_eq!(permit_count(&request_and_grant(&mut owner, 11.0, 1, 64)), 0);
+}
+
 #[test]
 fn older_reports_are_ignored_and_the_end_of_a_limit_ends_its_permits() {
     let mut owner = owner(100.0);
--- a/shalehinge/tests/relay_support/load_simulation.rs
+++ b/shalehinge/tests/relay_support/load_simulation.rs
@@ -25,7 +25,8 @@
     pub fleet: Fleet,
     /// Number of rounds from one request of a daemon to its next.
     pub every: usize,
-    round: usize,
+    /// Number of rounds, or requests, so far.
+    pub round: usize,
 }
 
 impl LoadSimulation {
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -126,6 +126,8 @@
     pub answer_times: Vec<Duration>,
     /// Daemons that exchange no messages with the daemons outside this set.
     pub partitioned: BTreeSet<usize>,
+    /// Pairs of daemons that exchange no messages with each other, the lower index first.
+    pub cut_pairs: BTreeSet<(usize, usize)>,
     /// Number of notices sent.
     pub notices: usize,
     /// Requests that crash the upstream that runs them.
@@ -177,6 +179,7 @@
             arrivals: Vec::new(),
             outcomes: Vec::new(),
             partitioned: BTreeSet::new(),
+            cut_pairs: BTreeSet::new(),
             notices: 0,
             crashing: BTreeSet::new(),
             crashes: 0,
@@ -352,7 +355,9 @@
 
     /// Whether two daemons can't exchange messages.
     fn is_partitioned(&self, one: usize, other: usize) -> bool {
+        let pair = (one.min(other), one.max(other));
         self.partitioned.contains(&one) != self.partitioned.contains(&other)
+            || self.cut_pairs.contains(&pair)
     }
 
     fn handle(&mut self, index: usize, event: Event) {
