fix(gateway): forward all values of headers, and none beyond its connection

What callers saw: of a plain service's response Set-Cookie, Location and all headers but Content-Type were lost; a request header that came twice reached no plain service, and a relayed upstream got its last value only; headers that Connection names were forwarded to plain services, and from relayed upstreams.

Cause: three places selected headers by two lists and passed on pairs, one of them only single values; both places that build a request set each pair anew.

Evidence: the test of a plain service, red on the unchanged code: of two X-Tag none arrived.

Change: one selection (utils/headers.rs) for both kinds and directions, as a header map. Weighed against completing the second list: the two would part again.

Left: the order of headers of different names; responses of plain services are still read whole.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -929,6 +929,17 @@
         "shalehinge/src/gateway/relay.rs", '["authorization", ', '["x-nothing", ',
         "relay", "goes_through_unchanged",
     ),
+    "headers-named-by-connection-stay": (
+        "shalehinge/src/utils/headers.rs",
+        "            && !connection_headers.iter().any(|other| other == name)\n", "",
+        "gateway", "headers_of_a_plain_service",
+    ),
+    "repeated-headers-are-forwarded": (
+        "shalehinge/src/utils/headers.rs",
+        ".map(|(name, values)| (name.to_owned(), values.clone()))",
+        ".filter_map(|(name, values)| Some((name.to_owned(), values.one()?.clone())))",
+        "gateway", "headers_of_a_plain_service",
+    ),
     "no-expect": (
         "shalehinge/src/utils/http.rs",
         ".with_max_buffered_request_body(NEVER_EXPECT_CONTINUE)", "",
--- a/shalehinge/src/gateway/chat.rs
+++ b/shalehinge/src/gateway/chat.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use serde::Deserialize;
-use trillium::Conn;
+use trillium::{Conn, Headers, KnownHeaderName};
 use trillium_client::Method;
 
 use super::response::{ErrorResponse, submit_and_respond};
@@ -59,7 +59,8 @@
     let outgoing = OutgoingRequest {
         method: Method::Post,
         path: CHAT_COMPLETIONS_PATH.to_owned(),
-        headers: vec![("content-type".into(), "application/json".into())],
+        headers: Headers::new()
+            .with_inserted_header(KnownHeaderName::ContentType, "application/json"),
         body: body.into(),
         response_mode: if chat.stream {
             ResponseMode::Stream
--- a/shalehinge/src/gateway/relay.rs
+++ b/shalehinge/src/gateway/relay.rs
@@ -7,7 +7,7 @@
 use futures_util::TryStreamExt;
 use futures_util::stream;
 use sha2::{Digest, Sha256};
-use trillium::{Body, Conn, KnownHeaderName, Status};
+use trillium::{Body, Conn, Headers, KnownHeaderName, Status};
 
 use super::response::DisconnectGuard;
 use super::{GatewayContext, request_input};
@@ -21,10 +21,9 @@
 use crate::core::types::Customer;
 use crate::process::pending_requests::CallerMessage;
 use crate::upstream::attempt::{OutgoingRequest, ResponseMode, ResponsePart, WholeResponse};
-use crate::upstream::relay::{
-    HOP_BY_HOP_HEADERS, RelayContext, RelayHeaderNames, ResponseHead, StreamPosition,
-};
+use crate::upstream::relay::{RelayContext, RelayHeaderNames, ResponseHead, StreamPosition};
 use crate::utils::caller_connection::{CallerConnection, caller_left};
+use crate::utils::headers::forwarded_headers;
 
 /// Customer that requests without a key are counted under.
 const ANONYMOUS: &str = "anonymous";
@@ -174,7 +173,7 @@
         .and_then(|text| text.trim().parse().ok())
         .map_or(timeout, Duration::from_millis);
     let (prompt_tokens, max_output_tokens) = token_counts(headers.get_str(names.tokens));
-    let forwarded = forwarded_headers(names, conn);
+    let forwarded = request_headers(names, conn);
     let host_and_path = format!("{host}{}", conn.path_and_query());
     let max_body_bytes = limits.map_or(context.limits.max_body_bytes, |limits| {
         limits.max_body_bytes
@@ -285,34 +284,13 @@
         })
 }
 
-/// Request headers that are forwarded to the upstream: all but those of the connection and those
-/// that the daemon sets or evaluates itself.
-fn forwarded_headers(names: RelayHeaderNames, conn: &Conn) -> Vec<(String, String)> {
-    let headers = conn.request_headers();
-    let connection_headers: Vec<String> = headers
-        .get_str(KnownHeaderName::Connection)
-        .unwrap_or_default()
-        .split(',')
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
+/// Request headers that are forwarded to the upstream, without those that the daemon sets or
+/// evaluates itself.
+fn request_headers(names: RelayHeaderNames, conn: &Conn) -> Headers {
     let consumed_headers = ["authorization", names.customer, names.host, names.deadline];
-    let mut forwarded = Vec::new();
-    for (name, values) in headers {
-        let name = name.to_string();
-        let lower = name.to_ascii_lowercase();
-        let is_dropped = HOP_BY_HOP_HEADERS.contains(&lower.as_str())
-            || consumed_headers.contains(&lower.as_str())
-            || connection_headers.contains(&lower);
-        if is_dropped {
-            continue;
-        }
-        for value in values {
-            if let Some(value) = value.as_str() {
-                forwarded.push((name.clone(), value.to_owned()));
-            }
-        }
-    }
-    forwarded
+    forwarded_headers(conn.request_headers(), |name| {
+        consumed_headers.contains(&name)
+    })
 }
 
 /// What the wait for the first part of a response ended with.
@@ -358,12 +336,10 @@
     conn.with_body(whole.body).halt()
 }
 
-fn write_head(mut conn: Conn, status: u16, headers: Vec<(String, String)>) -> Conn {
+fn write_head(mut conn: Conn, status: u16, headers: Headers) -> Conn {
     let status = Status::try_from(status).unwrap_or(Status::BadGateway);
     conn.response_headers_mut().remove(KnownHeaderName::Server);
-    for (name, value) in headers {
-        conn.response_headers_mut().append(name, value);
-    }
+    conn.response_headers_mut().insert_all(headers);
     conn.with_status(status)
 }
 
--- a/shalehinge/src/gateway/response.rs
+++ b/shalehinge/src/gateway/response.rs
@@ -390,7 +390,7 @@
     }
 }
 
-fn write_whole(conn: Conn, whole: Option<WholeResponse>, outcome: Outcome) -> Conn {
+fn write_whole(mut conn: Conn, whole: Option<WholeResponse>, outcome: Outcome) -> Conn {
     let forwards_body = matches!(outcome, Outcome::Completed | Outcome::Failed { .. });
     let Some(whole) = whole.filter(|_| forwards_body) else {
         let error = ErrorResponse::from_outcome(outcome);
@@ -405,6 +405,7 @@
         .content_type
         .unwrap_or_else(|| "application/octet-stream".into());
     let status = Status::try_from(whole.status).unwrap_or(Status::BadGateway);
+    conn.response_headers_mut().insert_all(whole.headers);
     conn.with_status(status)
         .with_response_header(KnownHeaderName::ContentType, content_type)
         .with_response_header(OUTCOME_HEADER, outcome_name)
--- a/shalehinge/src/gateway/service.rs
+++ b/shalehinge/src/gateway/service.rs
@@ -10,21 +10,11 @@
 use crate::core::objects::ServiceConfig;
 use crate::core::router::request::{NotRunReason, Outcome, RequestMeta, Target};
 use crate::core::types::ServiceName;
-use crate::upstream::attempt::{OutgoingRequest, ResponseMode};
+use crate::upstream::attempt::{OWN_HEADER_PREFIX, OutgoingRequest, ResponseMode};
+use crate::utils::headers::forwarded_headers;
 
-/// Request headers that are not forwarded to the service.
-const NOT_FORWARDED_HEADERS: [&str; 10] = [
-    "authorization",
-    "connection",
-    "content-length",
-    "expect",
-    "host",
-    "keep-alive",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
+/// Request headers that are meant for the daemon and not forwarded to the service.
+const CONSUMED_HEADERS: [&str; 2] = ["authorization", "host"];
 
 /// Handles a call of the plain service that the path belongs to; responds with 404 if there is
 /// none.
@@ -65,7 +55,7 @@
     let outgoing = OutgoingRequest {
         method: conn.method(),
         path: conn.path_and_query().to_owned(),
-        headers: forwarded_headers(conn),
+        headers: forwarded_headers(conn.request_headers(), is_consumed),
         body: body.into(),
         response_mode: ResponseMode::Service,
         relay: None,
@@ -101,14 +91,6 @@
     })
 }
 
-/// Request headers that are forwarded to the service.
-fn forwarded_headers(conn: &Conn) -> Vec<(String, String)> {
-    conn.request_headers()
-        .iter()
-        .filter_map(|(name, values)| {
-            let name = name.to_string().to_ascii_lowercase();
-            let value = values.as_str()?.to_owned();
-            (!NOT_FORWARDED_HEADERS.contains(&name.as_str())).then_some((name, value))
-        })
-        .collect()
+fn is_consumed(name: &str) -> bool {
+    CONSUMED_HEADERS.contains(&name) || name.starts_with(OWN_HEADER_PREFIX)
 }
--- a/shalehinge/src/upstream/attempt.rs
+++ b/shalehinge/src/upstream/attempt.rs
@@ -7,13 +7,17 @@
 
 use futures_lite::AsyncReadExt;
 use trillium_client::{Client, Conn, Method, ResponseBody};
+use trillium_http::Headers;
 
 use super::relay::{self, RelayContext, ResponseHead};
 use super::signal::{self, SIGNAL_HEADER_NAMES};
 use crate::core::router::request::{Attempt, AttemptEnd};
 use crate::core::signal::UpstreamSignal;
+use crate::utils::headers::forwarded_headers;
 use crate::utils::http::{is_not_connected, url};
 
+/// Start of the names of headers between daemons and upstreams, which are never forwarded.
+pub const OWN_HEADER_PREFIX: &str = "x-shalehinge-";
 /// Header with the attempt's id, sent to upstreams and echoed by them.
 pub const ATTEMPT_HEADER: &str = "x-shalehinge-attempt";
 /// Request header with the id of the replica group that must respond.
@@ -40,7 +44,7 @@
     /// Path with query.
     pub path: String,
     /// Headers to forward.
-    pub headers: Vec<(String, String)>,
+    pub headers: Headers,
     /// Body, shared by all attempts of the request.
     pub body: Arc<[u8]>,
     /// How the response is read.
@@ -80,8 +84,8 @@
     pub status: u16,
     /// Content type, if one was given.
     pub content_type: Option<String>,
-    /// Headers to forward to the caller; used only if the response is relayed.
-    pub headers: Vec<(String, String)>,
+    /// Headers to forward to the caller; none of a model's response.
+    pub headers: Headers,
     /// Body.
     pub body: Vec<u8>,
 }
@@ -142,9 +146,8 @@
     let mut conn = client
         .build_conn(request.method, url(attempt.address, &request.path))
         .with_body(request.body.to_vec());
-    for (name, value) in &request.headers {
-        conn = conn.with_request_header(name.clone(), value.clone());
-    }
+    conn.request_headers_mut()
+        .insert_all(request.headers.clone());
     let time_left = attempt.time_left.as_millis().to_string();
     conn = conn
         .with_request_header(ATTEMPT_HEADER, attempt.id.to_string())
@@ -166,6 +169,11 @@
         .response_headers()
         .get_str("content-type")
         .map(str::to_owned);
+    let headers = if is_engine {
+        Headers::new()
+    } else {
+        service_headers(&conn)
+    };
     let body = conn.response_body().with_max_len(MAX_RESPONSE_BYTES);
     let Ok(body) = body.read_bytes().await else {
         return AttemptEnd::Lost;
@@ -181,7 +189,7 @@
     let response = WholeResponse {
         status,
         content_type,
-        headers: Vec::new(),
+        headers,
         body,
     };
     sink.pass(ResponsePart::Whole(response)).await;
@@ -192,6 +200,13 @@
     }
 }
 
+/// Headers of a plain service's response that are forwarded to the caller.
+fn service_headers(conn: &Conn) -> Headers {
+    forwarded_headers(conn.response_headers(), |name| {
+        name.starts_with(OWN_HEADER_PREFIX)
+    })
+}
+
 /// Number of output tokens of a whole response, or `None` if the body is not a model's response.
 fn completion_tokens(body: &[u8]) -> Option<u32> {
     let value: serde_json::Value = serde_json::from_slice(body).ok()?;
--- a/shalehinge/src/upstream/relay.rs
+++ b/shalehinge/src/upstream/relay.rs
@@ -10,10 +10,12 @@
 
 use futures_lite::AsyncReadExt;
 use trillium_client::{Client, Conn, ResponseBody};
+use trillium_http::Headers;
 
 use super::attempt::{OutgoingRequest, ResponsePart, ResponseSink, WholeResponse};
 use super::signal::{self, SignalHeaderNames};
 use crate::core::router::request::{Attempt, AttemptEnd};
+use crate::utils::headers::forwarded_headers;
 use crate::utils::http::{is_not_connected, url};
 
 /// Maximum size of the body of a whole response, in bytes.
@@ -28,19 +30,6 @@
 /// only by its `not_run` header (or by 421), so these statuses are never forwarded.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
-/// Headers that concern a single connection and are never forwarded.
-pub const HOP_BY_HOP_HEADERS: [&str; 9] = [
-    "connection",
-    "content-length",
-    "expect",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// Names of the headers that the relay reads or writes, in lower case.
 #[derive(Clone, Copy, Debug)]
 pub struct RelayHeaderNames {
@@ -107,7 +96,7 @@
     /// HTTP status.
     pub status: u16,
     /// Headers, without those that concern a single connection.
-    pub headers: Vec<(String, String)>,
+    pub headers: Headers,
 }
 
 /// Sends the request to the upstream of the attempt and passes its response to the sink.
@@ -184,9 +173,8 @@
     if !request.body.is_empty() {
         conn = conn.with_body(request.body.to_vec());
     }
-    for (name, value) in &request.headers {
-        conn = conn.with_request_header(name.clone(), value.clone());
-    }
+    conn.request_headers_mut()
+        .insert_all(request.headers.clone());
     let time_left = attempt.time_left.as_millis().max(1).to_string();
     conn = conn.with_request_header(names.deadline, time_left);
     if let Some(host) = &attempt.host {
@@ -203,19 +191,7 @@
 
 /// Status and headers that are forwarded to the caller.
 fn response_head(conn: &Conn, status: u16) -> ResponseHead {
-    let mut headers = Vec::new();
-    for (name, values) in conn.response_headers() {
-        let name = name.to_string();
-        let lower = name.to_ascii_lowercase();
-        if HOP_BY_HOP_HEADERS.contains(&lower.as_str()) {
-            continue;
-        }
-        for value in values {
-            if let Some(value) = value.as_str() {
-                headers.push((name.clone(), value.to_owned()));
-            }
-        }
-    }
+    let headers = forwarded_headers(conn.response_headers(), |_| false);
     ResponseHead { status, headers }
 }
 
--- a/shalehinge/src/utils/mod.rs
+++ b/shalehinge/src/utils/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! - `caller_connection`: notices that a caller disconnects during its response
 //! - `clock`: the clock for lease terms and ages
+//! - `headers`: selection of the headers that are forwarded
 //! - `http`: common configuration of HTTP clients and listeners
 //! - `task`: task executor with several threads
 //! - `time`: time-outs and wall clock
 
 pub mod caller_connection;
 pub mod clock;
+pub mod headers;
 pub mod http;
 pub mod task;
 pub mod time;
--- a/shalehinge/tests/gateway.rs
+++ b/shalehinge/tests/gateway.rs
@@ -7,7 +7,8 @@
 use std::net::TcpStream;
 
 use process_support::{
-    API_KEY, Fleet, chat_request_body, send_chat, send_raw_request, send_request, wait_for,
+    API_KEY, FixedService, Fleet, chat_request_body, send_chat, send_raw_request, send_request,
+    wait_for,
 };
 use standin::engine::faults::EngineFault;
 
@@ -202,6 +203,38 @@
     assert_eq!(response.body, format!("PUT {path}\nmedidor \u{1} 77"));
 }
 
+#[test]
+fn headers_of_a_plain_service_are_neither_lost_nor_forwarded_beyond_their_connection() {
+    let service = FixedService::start(
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\n\
+         Location: /rutas/2\r\nX-Hop: upstream\r\nConnection: x-hop\r\nConnection: close\r\n\r\nok",
+    );
+    let mut fleet = Fleet::new("service-headers", 2);
+    fleet.service = service.address;
+    let daemon = fleet.start_serving_daemon();
+    let authorization = format!("Bearer {API_KEY}");
+    let headers = [
+        ("Authorization", authorization.as_str()),
+        ("X-Tag", "first"),
+        ("X-Tag", "second"),
+        ("Connection", "x-hop"),
+        ("X-Hop", "caller"),
+        ("Proxy-Connection", "keep-alive"),
+    ];
+    let response = send_request(daemon.callers, "GET", "/rutas/1", &headers, "");
+    assert_eq!(response.status, 200, "{response:?}");
+    assert_eq!(response.body, "ok");
+
+    assert_eq!(service.received_values("x-tag"), ["first", "second"]);
+    for name in ["x-hop", "proxy-connection", "authorization"] {
+        assert!(service.received_values(name).is_empty(), "{name}");
+    }
+    assert_eq!(response.header_values("set-cookie"), ["a=1", "b=2"]);
+    assert_eq!(response.header("location"), Some("/rutas/2"));
+    assert_eq!(response.header("x-hop"), None);
+    assert_eq!(response.header_values("content-length"), ["2"]);
+}
+
 #[test]
 fn a_planned_stop_finishes_a_stream_and_refuses_new_requests_as_not_run() {
     let mut fleet = Fleet::new("planned-stop", 2);
--- a/shalehinge/tests/process_support/mod.rs
+++ b/shalehinge/tests/process_support/mod.rs
@@ -8,10 +8,11 @@
 
 pub mod holding_relay;
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use shalehinge::core::change::{Change, Configuration};
@@ -83,6 +84,11 @@
             key.eq_ignore_ascii_case(name).then_some(value.trim())
         })
     }
+
+    /// Values of all headers with this name, ignoring case.
+    pub fn header_values(&self, name: &str) -> Vec<String> {
+        header_values(&self.head, name)
+    }
 }
 
 /// Sends raw bytes and reads the response.
@@ -124,6 +130,56 @@
     send_raw_request(to, request.as_bytes())
 }
 
+/// A plain service that gives every request without a body the same response.
+pub struct FixedService {
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    request_heads: Arc<Mutex<Vec<String>>>,
+}
+
+impl FixedService {
+    /// Starts a service that responds with these bytes.
+    pub fn start(response: &'static str) -> Self {
+        let listener = TcpListener::bind(loopback_any_port()).expect("can listen");
+        let address = listener.local_addr().expect("has an address");
+        let request_heads: Arc<Mutex<Vec<String>>> = Arc::default();
+        let heads = Arc::clone(&request_heads);
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let head = read_request_head(&stream);
+                heads.lock().expect("not poisoned").push(head);
+                let _ = stream.write_all(response.as_bytes());
+            }
+        });
+        Self {
+            address,
+            request_heads,
+        }
+    }
+
+    /// Values of a header of the last request, one for each line, ignoring the case of names.
+    pub fn received_values(&self, name: &str) -> Vec<String> {
+        let heads = self.request_heads.lock().expect("not poisoned");
+        header_values(heads.last().map_or("", String::as_str), name)
+    }
+}
+
+/// Reads up to the empty line after the headers.
+fn read_request_head(stream: &TcpStream) -> String {
+    let lines = BufReader::new(stream).lines().map_while(Result::ok);
+    let lines: Vec<String> = lines.take_while(|line| !line.is_empty()).collect();
+    lines.join("\r\n")
+}
+
+/// Values of all header lines with this name in a head, ignoring case.
+fn header_values(head: &str, name: &str) -> Vec<String> {
+    let fields = head.lines().filter_map(|line| line.split_once(':'));
+    fields
+        .filter(|(key, _)| key.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value.trim().to_owned())
+        .collect()
+}
+
 /// Body of a chat completion request for the model `m`.
 pub fn chat_request_body(max_tokens: u32, stream: bool) -> String {
     format!(
