fix(process): bound a stop by stop_within in all

What operators saw: a stop with open connections at several listeners took several times stop_within; a supervisor that allows for the setting kills it.

Cause: the wait for requests in progress and the shutdown of each server, one after another, each began with the whole time.

Change: one deadline bounds the wait for requests and the shutdown of all servers, which begins at once. One server after another under that deadline would leave the last ones accepting connections that it then cuts.

Left: linger comes before stop_within; operators' and peers' listeners set no time for a body, so an incomplete request there uses up stop_within.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -940,6 +940,12 @@
         ".filter_map(|(name, values)| Some((name.to_owned(), values.one()?.clone())))",
         "gateway", "headers_of_a_plain_service",
     ),
+    "all-listeners-share-one-deadline": (
+        "shalehinge/src/process/run.rs",
+        "let time_left = deadline.saturating_duration_since(Instant::now());",
+        "let time_left = Duration::from_secs(6);",
+        "gateway", "stop_within_once",
+    ),
     "no-expect": (
         "shalehinge/src/utils/http.rs",
         ".with_max_buffered_request_body(NEVER_EXPECT_CONTINUE)", "",
--- a/shalehinge/src/process/run.rs
+++ b/shalehinge/src/process/run.rs
@@ -105,10 +105,11 @@
     }
     driver.dispatch(Event::Stop);
     let limit = settings.daemon.limits.stop_within;
+    let stop_deadline = Instant::now() + limit;
     if with_timeout(limit, stop_receiver.recv()).await.is_none() {
         log::warn!("daemon: requests still in progress after {limit:?}, stopping anyway");
     }
-    shut_down_servers(servers, limit).await;
+    shut_down_servers(&servers, stop_deadline).await;
     drop(ticks);
     log::info!("daemon: stopped");
     Ok(())
@@ -253,11 +254,14 @@
     }
 }
 
-/// Shuts the servers down one after another, with `limit` for each to finish its connections.
-async fn shut_down_servers(servers: Vec<ServerHandle>, limit: Duration) {
-    for server in servers {
-        if with_timeout(limit, server.shut_down()).await.is_none() {
-            log::warn!("daemon: connections still open after {limit:?}");
+/// Shuts all servers down at once. They share the time until `deadline` to finish their
+/// connections.
+async fn shut_down_servers(servers: &[ServerHandle], deadline: Instant) {
+    let completions: Vec<_> = servers.iter().map(ServerHandle::shut_down).collect();
+    for completion in completions {
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        if with_timeout(time_left, completion).await.is_none() {
+            log::warn!("daemon: connections still open at the end of stop_within");
         }
     }
 }
--- a/shalehinge/tests/gateway.rs
+++ b/shalehinge/tests/gateway.rs
@@ -4,7 +4,8 @@
 mod process_support;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
 
 use process_support::{
     API_KEY, FixedService, Fleet, chat_request_body, send_chat, send_raw_request, send_request,
@@ -235,6 +236,39 @@
     assert_eq!(response.header_values("content-length"), ["2"]);
 }
 
+/// Starts a request and never sends the end of its body.
+fn start_incomplete_request(to: SocketAddr, path: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(to).expect("can connect");
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nHost: t\r\nAuthorization: Bearer token\r\nContent-Length: 500\r\n\r\n{{"
+    );
+    stream
+        .write_all(request.as_bytes())
+        .expect("can send the request");
+    stream
+}
+
+#[test]
+fn a_stop_with_open_connections_at_all_listeners_takes_stop_within_once() {
+    const STOP_WITHIN: Duration = Duration::from_secs(6);
+    let mut fleet = Fleet::new("stop-once", 2);
+    fleet.limits = format!("stop_within = {}s", STOP_WITHIN.as_secs());
+    let mut daemon = fleet.start_serving_daemon();
+    let to = daemon.callers;
+    std::thread::spawn(move || send_chat(to, &[], &chat_request_body(100_000, true)));
+    wait_for("the stream runs", || {
+        daemon.log_text().contains("attempt 1").then_some(())
+    });
+    let _operator = start_incomplete_request(daemon.operators, "/v1/plan");
+    let _peer = start_incomplete_request(daemon.peers, "/peer/pull");
+    daemon.send_signal("-TERM");
+    let stopped_at = Instant::now();
+    assert!(daemon.wait().success());
+    // Each further wait for a listener would take another `stop_within`.
+    let elapsed = stopped_at.elapsed();
+    assert!(elapsed < 2 * STOP_WITHIN, "the stop took {elapsed:?}");
+}
+
 #[test]
 fn a_planned_stop_finishes_a_stream_and_refuses_new_requests_as_not_run() {
     let mut fleet = Fleet::new("planned-stop", 2);
--- a/shalehinge/tests/process_support/mod.rs
+++ b/shalehinge/tests/process_support/mod.rs
@@ -296,6 +296,8 @@
     pub engines: Vec<RunningEngine>,
     /// Address of the stand-in for a plain service.
     pub service: SocketAddr,
+    /// Further lines of section `[limits]` in the settings of daemons.
+    pub limits: String,
     directory: PathBuf,
     next_daemon: u32,
 }
@@ -332,6 +334,7 @@
             platform,
             engines: engines.expect("can start the engines"),
             service,
+            limits: String::new(),
             directory,
             next_daemon: 0,
         }
@@ -347,10 +350,11 @@
             "[daemon]\nname = entry-{number}\nfailure_domain = d\nseeds = {}\n\
              [listen]\ncallers = 127.0.0.1:0\noperators = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
              [platform]\naddress = {}\n[operators]\ntoken_sha256 = {}\n\
-             [limits]\nmax_body_bytes = 20000\nbody_timeout = 1s\n[log]\nfile = {}\n",
+             [limits]\nmax_body_bytes = 20000\nbody_timeout = 1s\n{}\n[log]\nfile = {}\n",
             seeds.join(", "),
             self.platform,
             sha256(OPERATOR_TOKEN),
+            self.limits,
             log.display()
         );
         let path = self.directory.join(format!("entry-{number}.ini"));
