fix(lease): resume control after a second restore within the former term

What callers saw: no lease holder for 6.05 s where the store was restored twice before control was resumed (era_objects_courses::control_is_resumed_after_two_restores_in_a_row, red, with either kind of objects).

Cause: the second new era overwrote the end of the former term of a daemon that didn't hold the lease at that moment, so that it waited a whole term like any other.

Fix: the end of the former term stays until it has passed. Nobody else can have taken the lease between the two eras, as others wait a term after they first saw the first of them. Test unchanged, green.

--- a/shalehinge/src/core/lease.rs
+++ b/shalehinge/src/core/lease.rs
@@ -137,11 +137,16 @@
             era,
             seen_at: (!is_settled).then_some(now),
         });
-        if is_first {
-            return;
+        if !is_first {
+            self.begin_era(now);
+        }
+    }
+
+    /// Stops using the lease of the previous era, and reads that of the new one.
+    pub fn begin_era(&mut self, now: Timestamp) {
+        if self.held(now).is_some() {
+            self.former_valid_until = self.valid_until;
         }
-        let is_held = self.held(now).is_some();
-        self.former_valid_until = if is_held { self.valid_until } else { now };
         self.held_epoch = None;
         self.observation = None;
         self.pending = None;
