fix(core): respect the lease of before in a first start and as eras begin

What callers saw: two lease holders at once in a fleet's first start, where the holder is cut off from a store that is restored and another daemon starts; or where a store begins to report eras. In the latter case also no holder for 4.05 s. Three tests of era_objects_courses, red since leases are objects of an era; green with shared ones.

Cause: a daemon of a first start takes a missing lease at once. Before, the lease in the backup showed it a holder; with objects of eras it looked at that of the new era alone. And the begin of reported eras was no change of era to the lease, whose version then named another object.

Fix: where a missing lease would be taken without a wait, the leases of earlier eras and the shared one are looked for; if there is one, a term passes first. Daemons that have run before wait anyway and make no further call. The first reported era begins like any other where eras have objects of their own. Tests unchanged, green.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -31,6 +31,12 @@
         "        let scope = read.scope.predecessor().filter(|_| false)?;\n        if matches!",
         "era_objects", "taken_over",
     ),
+    "a-first-start-looks-for-the-lease-of-an-earlier-era": (
+        CORE + "daemon/era_objects.rs",
+        " && !self.lease.assumes_no_earlier_holder()",
+        "",
+        "era_objects_courses", "one_that_is_cut_off",
+    ),
     "a-shared-lease-of-this-era-counts": (
         CORE + "daemon/era_objects.rs",
         "if is_shared || era == StoreEra::UNREPORTED {",
--- a/shalehinge/src/core/daemon/era_objects.rs
+++ b/shalehinge/src/core/daemon/era_objects.rs
@@ -176,6 +176,7 @@
     /// stood before.
     pub(super) fn continue_read(
         &mut self,
+        now: Timestamp,
         purpose: &CallPurpose,
         read: Option<ObjectRead>,
         result: PlatformResult,
@@ -184,35 +185,54 @@
         let Some(read) = read else {
             return Some(result);
         };
-        let is_earlier = read.earlier_reads > 0;
+        if let Ok(PlatformReply::Missing(era)) = result {
+            let Some(earlier) = self.earlier_read(purpose, &read) else {
+                return Some(Ok(PlatformReply::Missing(era)));
+            };
+            self.call_read(purpose.clone(), earlier, out);
+            return None;
+        }
+        if read.earlier_reads == 0 {
+            return Some(result);
+        }
+        if matches!(purpose, CallPurpose::Lease) {
+            return Some(self.end_lease_search(now, result));
+        }
+        Some(self.end_search(read, result))
+    }
+
+    /// Ends the search for the lease of an earlier era. Its holder may still act, so the lease of
+    /// this era is not free yet.
+    fn end_lease_search(&mut self, now: Timestamp, result: PlatformResult) -> PlatformResult {
+        let era = result?.era();
+        self.lease.on_earlier_lease(now);
+        Ok(PlatformReply::Missing(era))
+    }
+
+    /// Ends the search for an object of an earlier era.
+    fn end_search(&mut self, read: ObjectRead, result: PlatformResult) -> PlatformResult {
         match result {
-            Ok(PlatformReply::Missing(era)) => match self.earlier_read(purpose, &read) {
-                Some(earlier) => {
-                    self.call_read(purpose.clone(), earlier, out);
-                    None
-                }
-                None => Some(Ok(PlatformReply::Missing(era))),
-            },
-            Ok(PlatformReply::Object(object)) if is_earlier => {
+            Ok(PlatformReply::Object(object)) => {
                 let version = Version::absent(object.version.era);
                 let value = object.value;
                 self.era_objects.record_superseded(read.key, read.scope);
-                let object = Box::new(Versioned { version, value });
-                Some(Ok(PlatformReply::Object(object)))
+                Ok(PlatformReply::Object(Box::new(Versioned {
+                    version,
+                    value,
+                })))
             }
-            Ok(PlatformReply::Foreign(version)) if is_earlier => {
-                let absent = Version::absent(version.era);
-                Some(Ok(PlatformReply::Foreign(absent)))
+            Ok(PlatformReply::Foreign(version)) => {
+                Ok(PlatformReply::Foreign(Version::absent(version.era)))
             }
-            result => Some(result),
+            result => result,
         }
     }
 
     /// The read at the scope before that of `read`, if there is one. A lease of an earlier era is
-    /// not read: its holder has stopped before anyone takes the lease of the new era.
+    /// looked for only where nobody would wait for its holder to stop.
     fn earlier_read(&mut self, purpose: &CallPurpose, read: &ObjectRead) -> Option<ObjectRead> {
         let scope = read.scope.predecessor()?;
-        if matches!(purpose, CallPurpose::Lease) {
+        if matches!(purpose, CallPurpose::Lease) && !self.lease.assumes_no_earlier_holder() {
             self.era_objects.record_superseded(read.key.clone(), scope);
             return None;
         }
@@ -263,10 +283,11 @@
         }
     }
 
-    /// Forgets what belongs to the previous era.
+    /// Begins an era, and forgets what belongs to the previous one.
     pub(super) fn begin_era_of_objects(&mut self, now: Timestamp) {
-        self.era_objects.superseded.clear();
-        self.era_objects.next_list_at = now;
+        let objects = &mut self.era_objects;
+        objects.superseded.clear();
+        objects.next_list_at = now;
     }
 }
 
--- a/shalehinge/src/core/daemon/platform_calls.rs
+++ b/shalehinge/src/core/daemon/platform_calls.rs
@@ -50,7 +50,7 @@
         };
         let purpose = open.purpose;
         let result = self.check_reply_era(now, open.named_era, result, out);
-        let Some(result) = self.continue_read(&purpose, open.read, result, out) else {
+        let Some(result) = self.continue_read(now, &purpose, open.read, result, out) else {
             return;
         };
         if let Ok(PlatformReply::Objects { updates, .. }) = &result {
--- a/shalehinge/src/core/daemon/store_era.rs
+++ b/shalehinge/src/core/daemon/store_era.rs
@@ -126,6 +126,9 @@
         let from = self.era_state.current.replace(era);
         let was_lease_holder = self.lease.held(now).is_some();
         self.lease.note_era(now, era, self.identity.is_first_start);
+        if from == Some(StoreEra::UNREPORTED) && self.settings.learning.era_objects {
+            self.lease.begin_era(now);
+        }
         let Some(from) = from.filter(|from| *from != StoreEra::UNREPORTED) else {
             return;
         };
--- a/shalehinge/src/core/lease.rs
+++ b/shalehinge/src/core/lease.rs
@@ -158,6 +158,18 @@
         self.era.map_or(StoreEra::UNREPORTED, |known| known.era)
     }
 
+    /// Whether a missing lease is taken without a wait as the fleet starts for the first time.
+    pub fn assumes_no_earlier_holder(&self) -> bool {
+        self.era.is_some_and(|known| known.seen_at.is_none())
+    }
+
+    /// Handles a lease of an earlier era: a missing one is not taken until its holder has stopped.
+    pub fn on_earlier_lease(&mut self, now: Timestamp) {
+        if let Some(known) = &mut self.era {
+            known.seen_at.get_or_insert(now);
+        }
+    }
+
     /// Whether a lease that is missing or released may be taken without a wait, as no daemon can
     /// still hold one from a previous era.
     fn is_certainly_unheld(&self, now: Timestamp) -> bool {
