fix(core): go on with the search of earlier eras where it got no answer

What callers saw: with half of the reads unanswered, the assignment of twelve eras ago was not found in 60 s and 2,384 reads (era 6: 33 reads), so that control did nothing; keys that wait for their partition would be refused.

Cause: each search began anew at the current era. The bound of 16 counted one scope too many.

Fix: a search that got no answer goes on at the scope that it asked. What was missing there before stays missing, as no object of an ended era counts that is made late; should one of the current era have been made, the conditional write is refused and the search begins anew.

the_assignment_of_an_earlier_era_is_taken_over was too weak: the margin of 1,000 group numbers alone met it. Its assignment now lies above the margin, and the row of the red runs names a test that falls.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -29,7 +29,13 @@
         CORE + "daemon/era_objects.rs",
         "        let scope = read.scope.predecessor()?;\n        if matches!",
         "        let scope = read.scope.predecessor().filter(|_| false)?;\n        if matches!",
-        "era_objects", "taken_over",
+        "claims_of_earlier_eras", "long_before",
+    ),
+    "a-search-goes-on-where-it-was": (
+        CORE + "daemon/era_objects.rs",
+        "                self.era_objects.searches.insert(read.key.clone(), read);\n",
+        "",
+        "era_objects_courses", "few_reads",
     ),
     "a-first-start-looks-for-the-lease-of-an-earlier-era": (
         CORE + "daemon/era_objects.rs",
--- a/shalehinge/src/core/daemon/era_objects.rs
+++ b/shalehinge/src/core/daemon/era_objects.rs
@@ -15,7 +15,7 @@
 use crate::core::event::{Action, Component};
 use crate::core::objects::{Object, ObjectKey, Versioned};
 use crate::core::platform::{
-    EraScope, Freshness, PlatformCall, PlatformReply, PlatformResult, Scope,
+    EraScope, Freshness, NoAnswer, PlatformCall, PlatformReply, PlatformResult, Scope,
 };
 use crate::core::types::{StoreEra, Timestamp, Version};
 
@@ -60,6 +60,8 @@
     decided: Option<DecidedScope>,
     is_listing: bool,
     next_list_at: Timestamp,
+    /// Searches at earlier scopes that got no answer.
+    searches: BTreeMap<ObjectKey, ObjectRead>,
     /// The newest earlier object of each key that was read in this era.
     superseded: BTreeMap<ObjectKey, Superseded>,
 }
@@ -143,12 +145,13 @@
         freshness: Freshness,
         out: &mut Vec<Action>,
     ) {
-        let read = ObjectRead {
+        let unfinished = self.era_objects.searches.remove(&key);
+        let read = unfinished.unwrap_or(ObjectRead {
             key,
             scope,
             freshness,
             earlier_reads: 0,
-        };
+        });
         self.call_read(purpose, read, out);
     }
 
@@ -209,7 +212,8 @@
         Ok(PlatformReply::Missing(era))
     }
 
-    /// Ends the search for an object of an earlier era.
+    /// Ends the search for an object of an earlier era. One that got no answer goes on where it
+    /// was, as no object of an ended era is made any more.
     fn end_search(&mut self, read: ObjectRead, result: PlatformResult) -> PlatformResult {
         match result {
             Ok(PlatformReply::Object(object)) => {
@@ -224,6 +228,10 @@
             Ok(PlatformReply::Foreign(version)) => {
                 Ok(PlatformReply::Foreign(Version::absent(version.era)))
             }
+            Err(NoAnswer) => {
+                self.era_objects.searches.insert(read.key.clone(), read);
+                Err(NoAnswer)
+            }
             result => result,
         }
     }
@@ -238,7 +246,7 @@
         }
         let earlier_reads = read.earlier_reads + 1;
         // The shared objects are those of versions without objects of eras.
-        let scope = if earlier_reads < MAX_EARLIER_SCOPES {
+        let scope = if earlier_reads <= MAX_EARLIER_SCOPES {
             scope
         } else {
             EraScope::Shared
@@ -287,6 +295,7 @@
     pub(super) fn begin_era_of_objects(&mut self, now: Timestamp) {
         let objects = &mut self.era_objects;
         objects.superseded.clear();
+        objects.searches.clear();
         objects.next_list_at = now;
     }
 }
--- a/shalehinge/tests/era_objects.rs
+++ b/shalehinge/tests/era_objects.rs
@@ -397,11 +397,14 @@
     assert_eq!(harness.store.lease(), lease);
 }
 
+/// Next group number of the first era, above the margin that is skipped after a restore.
+const FIRST_ERA_GROUPS: u64 = 5_000_000;
+
 /// An assignment written in the first era.
 fn assignment_of_first_era() -> Assignment {
     Assignment {
         epoch: Epoch::first_of(StoreEra::new(1)),
-        next_group: GroupNumber(7),
+        next_group: GroupNumber(FIRST_ERA_GROUPS),
         ..Assignment::default()
     }
 }
@@ -417,7 +420,10 @@
         let mut harness = Harness::new(store);
         harness.run(LEASE_TIME * 2);
         let assignment = harness.store.assignment().expect("written again");
-        assert!(assignment.next_group > GroupNumber(7), "{assignment:?}");
+        assert!(
+            assignment.next_group > GroupNumber(FIRST_ERA_GROUPS),
+            "{assignment:?}"
+        );
         assert!(!assignment.epoch.is_before(StoreEra::new(4)));
     }
 }
