perf(core): list shared leases once, and delete earlier objects once

A new era cost each candidate a list of the shared leases before control was resumed. A daemon that has left the shared objects doesn't return to them, so it needs no list any more. The object of an earlier era was deleted by each daemon that had read it (by review, 45 deletions for 36 objects of 4 daemons); now only the daemon whose write made the successor deletes it.

--- a/shalehinge/src/core/daemon/era_objects.rs
+++ b/shalehinge/src/core/daemon/era_objects.rs
@@ -196,6 +196,7 @@
             return None;
         }
         if read.earlier_reads == 0 {
+            self.era_objects.superseded.remove(&read.key);
             return Some(result);
         }
         if matches!(purpose, CallPurpose::Lease) {
@@ -291,12 +292,18 @@
         }
     }
 
-    /// Begins an era, and forgets what belongs to the previous one.
-    pub(super) fn begin_era_of_objects(&mut self, now: Timestamp) {
+    /// Begins an era, and forgets what belongs to the previous one. A fleet that has left the
+    /// shared objects does not return to them.
+    pub(super) fn begin_era_of_objects(&mut self, now: Timestamp, era: StoreEra) {
         let objects = &mut self.era_objects;
         objects.superseded.clear();
         objects.searches.clear();
         objects.next_list_at = now;
+        let decided = objects.decided.as_mut();
+        if let Some(decided) = decided.filter(|decided| decided.scope != EraScope::Shared) {
+            let scope = EraScope::Single(era);
+            *decided = DecidedScope { era, scope };
+        }
     }
 }
 
--- a/shalehinge/src/core/daemon/store_era.rs
+++ b/shalehinge/src/core/daemon/store_era.rs
@@ -135,7 +135,7 @@
         self.era_state.has_logged_ignored_reply = false;
         self.era_state.has_changed = true;
         self.claims.on_new_era(now);
-        self.begin_era_of_objects(now);
+        self.begin_era_of_objects(now, era);
         for feed in &mut self.feeds {
             feed.begin_era(now);
         }
--- a/shalehinge/tests/era_objects.rs
+++ b/shalehinge/tests/era_objects.rs
@@ -47,6 +47,8 @@
     holds_writes: bool,
     held: Vec<PlatformCall>,
     deleted: Vec<Name>,
+    /// Number of lists of the shared leases.
+    lease_lists: usize,
 }
 
 impl Store {
@@ -58,6 +60,7 @@
             holds_writes: false,
             held: Vec::new(),
             deleted: Vec::new(),
+            lease_lists: 0,
         }
     }
 
@@ -122,10 +125,13 @@
                 self.deleted.push(name);
                 PlatformReply::Deleted(self.era)
             }
-            PlatformCall::List { scope, .. } => PlatformReply::Objects {
-                revision: Version::new(self.era, self.content.revision),
-                updates: self.list(scope),
-            },
+            PlatformCall::List { scope, .. } => {
+                self.lease_lists += usize::from(scope == Scope::SharedLeases);
+                PlatformReply::Objects {
+                    revision: Version::new(self.era, self.content.revision),
+                    updates: self.list(scope),
+                }
+            }
             PlatformCall::Watch { .. } => return None,
         })
     }
@@ -503,6 +509,17 @@
     assert_eq!(deleted, expected);
 }
 
+#[test]
+fn a_restore_costs_no_list_of_shared_leases_where_these_were_left() {
+    let mut harness = holder_whose_lease_the_backup_lacks();
+    let lists = harness.store.lease_lists;
+    assert_eq!(lists, 1, "listed at the start");
+    harness.restore();
+    harness.run(RESUME_TIME);
+    assert!(harness.held_epoch().is_some());
+    assert_eq!(harness.store.lease_lists, lists);
+}
+
 #[test]
 fn a_store_without_eras_has_shared_objects_alone() {
     let mut harness = Harness::new(Store::new(StoreEra::UNREPORTED));
