fix(core): end a search of earlier eras with the era it was made in

A search for the object of an earlier era that got no answer goes on where it was. If the answer was lost to a restore, it went on in the new era below the objects of the era just ended, and missed what was written there: an assignment's group numbers given out again, or used keys.

A search now names its era and is dropped with it.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -31,9 +31,15 @@
         "        let scope = read.scope.predecessor().filter(|_| false)?;\n        if matches!",
         "claims_of_earlier_eras", "long_before",
     ),
+    "a-search-ends-with-its-era": (
+        CORE + "daemon/era_objects.rs",
+        "                if read.era == self.known_era() {",
+        "                if read.earlier_reads > 0 {",
+        "era_objects", "interrupts_begins_anew",
+    ),
     "a-search-goes-on-where-it-was": (
         CORE + "daemon/era_objects.rs",
-        "                self.era_objects.searches.insert(read.key.clone(), read);\n",
+        "                    self.era_objects.searches.insert(read.key.clone(), read);\n",
         "",
         "era_objects_courses", "few_reads",
     ),
--- a/shalehinge/src/core/daemon/era_objects.rs
+++ b/shalehinge/src/core/daemon/era_objects.rs
@@ -39,6 +39,9 @@
 #[derive(Clone, Debug)]
 pub(super) struct ObjectRead {
     key: ObjectKey,
+    /// The era for which the object is read.
+    era: StoreEra,
+    /// The scope that is read now.
     scope: EraScope,
     freshness: Freshness,
     /// Number of scopes that were read before this one.
@@ -148,6 +151,7 @@
         let unfinished = self.era_objects.searches.remove(&key);
         let read = unfinished.unwrap_or(ObjectRead {
             key,
+            era: self.known_era(),
             scope,
             freshness,
             earlier_reads: 0,
@@ -230,7 +234,10 @@
                 Ok(PlatformReply::Foreign(Version::absent(version.era)))
             }
             Err(NoAnswer) => {
-                self.era_objects.searches.insert(read.key.clone(), read);
+                // A new era has objects that this search has not asked for.
+                if read.era == self.known_era() {
+                    self.era_objects.searches.insert(read.key.clone(), read);
+                }
                 Err(NoAnswer)
             }
             result => result,
@@ -254,6 +261,7 @@
         };
         Some(ObjectRead {
             key: read.key.clone(),
+            era: read.era,
             scope,
             freshness: read.freshness,
             earlier_reads,
--- a/shalehinge/tests/era_objects.rs
+++ b/shalehinge/tests/era_objects.rs
@@ -47,6 +47,8 @@
     holds_writes: bool,
     held: Vec<PlatformCall>,
     deleted: Vec<Name>,
+    /// When this object is read, the store is restored from the backup first.
+    restore_at_read: Option<Name>,
     /// Number of lists of the shared leases.
     lease_lists: usize,
 }
@@ -60,6 +62,7 @@
             holds_writes: false,
             held: Vec::new(),
             deleted: Vec::new(),
+            restore_at_read: None,
             lease_lists: 0,
         }
     }
@@ -111,6 +114,10 @@
                 object,
             } => self.put((key, scope), expect, *object),
             PlatformCall::Get { key, scope, .. } => {
+                let name = (key.clone(), scope);
+                if self.restore_at_read.take_if(|at| *at == name).is_some() {
+                    self.restore();
+                }
                 match self.content.objects.get(&(key, scope)).cloned() {
                     Some(object) => {
                         let version = Version::new(self.era, object.version.number);
@@ -434,6 +441,36 @@
     }
 }
 
+// Guards against a search for the object of an earlier era that goes on in a later era where it was,
+// and misses what was written meanwhile.
+#[test]
+fn a_search_that_a_restore_interrupts_begins_anew() {
+    let third = EraScope::Single(StoreEra::new(3));
+    let mut store = Store::new(StoreEra::new(3));
+    let oldest = Object::Assignment(assignment_of_first_era());
+    store.write((assignment_key(), EraScope::Shared), oldest);
+    let newer = Assignment {
+        epoch: Epoch::first_of(StoreEra::new(3)),
+        next_group: GroupNumber(FIRST_ERA_GROUPS * 2),
+        ..Assignment::default()
+    };
+    store.take_backup();
+    let object = Versioned {
+        version: Version::new(StoreEra::new(3), BACKUP_REVISION),
+        value: Object::Assignment(newer),
+    };
+    let name = (assignment_key(), third);
+    store.backup.objects.insert(name, object);
+    store.restore_at_read = Some((assignment_key(), FIRST));
+    let mut harness = Harness::new(store);
+    harness.run(LEASE_TIME * 4);
+    let assignment = harness.store.assignment().expect("written again");
+    assert!(
+        assignment.next_group > GroupNumber(FIRST_ERA_GROUPS * 2),
+        "{assignment:?}"
+    );
+}
+
 // Guards against two lease holders while daemons of a version without objects of eras run.
 #[test]
 fn a_lease_that_an_earlier_version_holds_in_this_era_is_respected() {
