fix(core): delete a superseded object though its successor is read again

The daemon that wrote the successor forgot the object of the earlier era when it read the successor within the minute before the deletion, so that it stayed for good: one object a key and restore. Shown by the_object_of_an_earlier_era_is_deleted_though_its_successor_is_read_again (red before). Only an entry whose successor another daemon wrote is dropped at a read.

--- a/shalehinge/src/core/daemon/era_objects.rs
+++ b/shalehinge/src/core/daemon/era_objects.rs
@@ -200,7 +200,9 @@
             return None;
         }
         if read.earlier_reads == 0 {
-            self.era_objects.superseded.remove(&read.key);
+            if matches!(result, Ok(PlatformReply::Object(_))) {
+                self.era_objects.on_successor_read(&read.key);
+            }
             return Some(result);
         }
         if matches!(purpose, CallPurpose::Lease) {
@@ -316,6 +318,14 @@
 }
 
 impl EraObjects {
+    /// Leaves the deletion of an earlier object to the daemon that wrote its successor.
+    fn on_successor_read(&mut self, key: &ObjectKey) {
+        let superseded = self.superseded.get(key);
+        if superseded.is_some_and(|superseded| superseded.delete_at.is_none()) {
+            self.superseded.remove(key);
+        }
+    }
+
     /// Records the object from which that of the current era takes its value. Shared objects are
     /// never deleted, as daemons without objects of eras may use them.
     fn record_superseded(&mut self, key: ObjectKey, scope: EraScope) {
--- a/shalehinge/tests/era_objects.rs
+++ b/shalehinge/tests/era_objects.rs
@@ -471,6 +471,31 @@
     );
 }
 
+#[test]
+fn the_object_of_an_earlier_era_is_deleted_though_its_successor_is_read_again() {
+    let mut store = Store::new(StoreEra::new(2));
+    let assignment = Object::Assignment(assignment_of_first_era());
+    store.write((assignment_key(), FIRST), assignment);
+    let mut harness = Harness::new(store);
+    harness.run(LEASE_TIME * 2);
+    // Another daemon overwrites the lease for a moment, so that the assignment is read again.
+    let stolen = LeaseRecord {
+        operation: OperationId(1),
+        holder: DaemonId::new("another"),
+        incarnation: Incarnation(1),
+        epoch: Epoch(harness.held_epoch().expect("held").0 + 1),
+        term_ms: 1_000,
+        released: false,
+    };
+    harness
+        .store
+        .write((lease_key(), SECOND), Object::Lease(stolen));
+    harness.run(LEASE_TIME);
+    assert!(harness.held_epoch().is_some(), "taken again");
+    harness.run(Duration::from_secs(120));
+    assert!(harness.store.deleted.contains(&(assignment_key(), FIRST)));
+}
+
 // Guards against two lease holders while daemons of a version without objects of eras run.
 #[test]
 fn a_lease_that_an_earlier_version_holds_in_this_era_is_respected() {
