--- a/shalehinge/tests/claims.rs
+++ b/shalehinge/tests/claims.rs
@@ -153,8 +153,7 @@
     assert!(written.claims.contains_key(&KEY));
 }
 
-// Guards against two grants of one key: a write of an earlier era that is carried out after another
-// daemon has read what stood in that era.
+// Guards against two grants of one key, as a write of an earlier era is carried out late.
 #[test]
 fn an_own_claim_in_the_value_of_an_earlier_era_is_granted_only_once_written_again() {
     let mut fixture = Fixture::new();
--- a/shalehinge/tests/era_objects.rs
+++ b/shalehinge/tests/era_objects.rs
@@ -422,8 +422,7 @@
     }
 }
 
-// Guards against group numbers that are assigned again as the assignment is looked for in the
-// current era alone.
+// Guards against group numbers that are assigned again in a new era.
 #[test]
 fn the_assignment_of_an_earlier_era_is_taken_over() {
     for scope in [FIRST, EraScope::Shared] {
@@ -441,8 +440,7 @@
     }
 }
 
-// Guards against a search for the object of an earlier era that goes on in a later era where it was,
-// and misses what was written meanwhile.
+// Guards against a search that goes on in a later era and misses what was written meanwhile.
 #[test]
 fn a_search_that_a_restore_interrupts_begins_anew() {
     let third = EraScope::Single(StoreEra::new(3));
