fix(core): send all fields of a group to peers

What callers saw: a daemon that starts while the platform is away serves no model, as it can't decode the assignment that its peers send; `platform` was never asked.

Cause: `unknown_members` was left out where it is zero. Peers exchange fields by position, so that `phase`, which follows, was read in its place.

Fix: the field is always sent, and stands last, so that groups stored by earlier versions are read with none. Test unchanged, green; no other field is left out in what peers exchange by position.

--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -406,17 +406,12 @@
     pub version: ModelVersion,
     /// Members in order of rank; rank 0 takes the requests.
     pub members: Vec<Member>,
+    /// Current phase.
+    pub phase: GroupPhase,
     /// Number of further members whose hosts are not known, as the group was adopted while they
     /// were missing from the host list.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default)]
     pub unknown_members: u32,
-    /// Current phase.
-    pub phase: GroupPhase,
-}
-
-#[allow(clippy::trivially_copy_pass_by_ref)] // Signature required by serde.
-fn is_zero(count: &u32) -> bool {
-    *count == 0
 }
 
 /// A member of a group.
