test(relays): bound the age of the host list by the platform's last reply

The test asked that no daemon takes its host list for younger than the moment at which the platform began to refuse calls, plus a tick. In the simulation calls that were made before are still answered: `refused` applies to new calls, and watches that wait are answered by `answer_calls` at their end. So the platform did reply after 8 s, and the daemon's age was right.

The fleet now records when the platform last replied to a list or a watch of the host list, and the bound is exactly that time, with no tick added. So that the check is not emptied by replies that go on, the test also asks that no such reply came in the last 2 s of the 3 s; that bound is new.

--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -18,7 +18,7 @@
 use shalehinge::core::event::{
     Action, Component, Event, LogLine, Pull, PullId, PullReply, PullTopic, Timeouts,
 };
-use shalehinge::core::platform::{CallId, NoAnswer, PlatformCall};
+use shalehinge::core::platform::{CallId, NoAnswer, PlatformCall, Scope};
 use shalehinge::core::router::request::Outcome;
 use shalehinge::core::types::{
     Address, DaemonId, FailureDomain, FleetVersion, GroupNumber, Incarnation, RequestId, Timestamp,
@@ -134,6 +134,8 @@
     crashing: BTreeSet<RequestId>,
     /// Number of upstream crashes caused by these requests.
     pub crashes: usize,
+    /// When the platform last replied to a call for the host list.
+    pub last_host_reply_at: Duration,
     /// Number of failure domains of the daemons.
     domains: u16,
     /// Daemons that are paused, with the events that wait for each.
@@ -183,6 +185,7 @@
             notices: 0,
             crashing: BTreeSet::new(),
             crashes: 0,
+            last_host_reply_at: Duration::ZERO,
             domains,
             paused: BTreeMap::new(),
             lines: Vec::new(),
@@ -261,6 +264,9 @@
         {
             let gives_up_at = self.now + Timeouts::default().platform;
             let reply = self.platform.answer(&request);
+            if asks_for_hosts(&request) {
+                self.last_host_reply_at = self.now;
+            }
             self.platform.trace_write(&sender(daemon), &request, &reply);
             let bytes = platform_bytes(&reply);
             let result = Ok(reply);
@@ -537,6 +543,15 @@
     Daemon::new(settings(), identity, u64::from(port))
 }
 
+/// Whether a call lists or watches the host list.
+fn asks_for_hosts(request: &PlatformCall) -> bool {
+    let scope = match request {
+        PlatformCall::List { scope, .. } | PlatformCall::Watch { scope, .. } => *scope,
+        _ => return false,
+    };
+    scope == Scope::Hosts
+}
+
 /// Name of a daemon as the sender of calls.
 fn sender(index: usize) -> String {
     format!("daemon-{index}")
--- a/shalehinge/tests/relays.rs
+++ b/shalehinge/tests/relays.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use relay_support::Fleet;
-use shalehinge::core::daemon::TICK;
 use shalehinge::core::objects::HostState;
 use shalehinge::core::types::{HostId, Timestamp};
 
@@ -85,13 +84,15 @@
     let mut fleet = Fleet::new(60);
     fleet.run(Duration::from_secs(8));
     fleet.refused = (0..60).collect();
-    let last = fleet.now;
     fleet.run(Duration::from_secs(3));
+    // Watches that waited when the platform began to refuse calls are still answered.
+    let last = Timestamp::from_duration(fleet.last_host_reply_at);
     let now = Timestamp::from_duration(fleet.now);
+    assert!(now > last + Duration::from_secs(2), "refused for a while");
     for daemon in &fleet.daemons {
         let answered_at = daemon.host_list_answered_at().expect("host list known");
         assert!(
-            answered_at <= Timestamp::from_duration(last + TICK),
+            answered_at <= last,
             "{answered_at:?} is later than the last reply, at {now:?}"
         );
     }
