fix(core): give each store era group numbers of its own

What callers saw: nothing yet, found by reading. A late join or leave of one era fits a group of another that has the same number.

Cause: after a restore a fixed number, 1,000, was skipped above the backup's next one. Two eras that begin with the same backup, where no host shows a group of the first, gave out the same numbers.

Evidence: group_numbers_of_two_eras_from_one_backup_differ on the unchanged code: 5,001,000 in both eras, with shared objects and those of eras.

Change: a restored assignment goes on at (era + 1) x 2^24 at least, as epochs do at (era + 1) x 2^20. Numbers rise over eras, so hosts refuse none; group 0, first starts and stores without eras are as before.

Elsewhere: after another program overwrote the assignment, numbers began at 1,000 above those listed, which is far below a block where none is listed; they begin above the first number of the era. group_numbers_of_an_era_go_on_after_a_foreign_write: 1,000 after 5,001,000 on the unchanged code.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -49,6 +49,18 @@
         "",
         "era_objects_courses", "one_that_is_cut_off",
     ),
+    "each-era-has-group-numbers-of-its-own": (
+        CORE + "controller/mod.rs",
+        "next_group.max(first_of_era)",
+        "next_group",
+        "era_objects_courses", "one_backup_differ",
+    ),
+    "group-numbers-go-on-after-a-foreign-write": (
+        CORE + "controller/mod.rs",
+        "GroupNumber(first_of_era.0 + GROUP_NUMBER_MARGIN)",
+        "GroupNumber::FIRST",
+        "era_objects_courses", "after_a_foreign_write",
+    ),
     "a-shared-lease-of-this-era-counts": (
         CORE + "daemon/era_objects.rs",
         "if is_shared || era == StoreEra::UNREPORTED {",
--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -384,8 +384,11 @@
     /// Handles a successful read of the assignment.
     pub fn on_read(&mut self, mut stored: Versioned<Assignment>, origin: Origin) {
         if origin == Origin::Restored {
-            // Group numbers that were assigned after the backup was taken must not be used again.
-            stored.value.next_group.0 += GROUP_NUMBER_MARGIN;
+            // Group numbers that were assigned after the backup was taken must not be used again,
+            // also those of an era that began with the same backup.
+            let next_group = GroupNumber(stored.value.next_group.0 + GROUP_NUMBER_MARGIN);
+            let first_of_era = GroupNumber::first_of(stored.version.era);
+            stored.value.next_group = next_group.max(first_of_era);
         }
         self.in_flight = false;
         self.pending = None;
@@ -401,7 +404,12 @@
     /// Handles a read of an assignment that cannot be decoded because another program overwrote
     /// it.
     pub fn on_foreign(&mut self, version: Version) {
-        let value = Assignment::default();
+        // Groups of this era that no host shows may have had numbers above its first one.
+        let first_of_era = GroupNumber::first_of(version.era);
+        let value = Assignment {
+            next_group: GroupNumber(first_of_era.0 + GROUP_NUMBER_MARGIN),
+            ..Assignment::default()
+        };
         self.on_read(Versioned { version, value }, Origin::Foreign);
     }
 
--- a/shalehinge/src/core/types.rs
+++ b/shalehinge/src/core/types.rs
@@ -118,11 +118,21 @@
 pub struct GroupNumber(pub u64);
 
 impl GroupNumber {
+    /// Number of group numbers reserved for each era. With a new group every ten seconds they last
+    /// five years.
+    const PER_ERA: u64 = 1 << 24;
+
     /// A pseudo-group that a free host joins on its own to preload a model's weights into memory.
     /// It never takes requests, and every group of an assignment counts as newer.
     pub const PRIMING: Self = Self(0);
     /// The lowest number of a group in an assignment.
     pub const FIRST: Self = Self(1);
+
+    /// The first number of an era; it is higher than all numbers of earlier eras. A fleet that
+    /// starts for the first time begins below it.
+    pub const fn first_of(era: StoreEra) -> Self {
+        Self(era.max_predecessors() * Self::PER_ERA)
+    }
 }
 
 /// Identifies a host group fleet-wide, and thereby the replica that it forms.
--- a/shalehinge/tests/era_objects_courses.rs
+++ b/shalehinge/tests/era_objects_courses.rs
@@ -49,6 +49,8 @@
     gets: u64,
     /// Whether half of the reads of single objects get no answer, chosen by `rng`.
     loses_gets: bool,
+    /// An object that another program overwrote, until it is written again.
+    foreign: Option<Name>,
     rng: SmallRng,
 }
 
@@ -60,6 +62,7 @@
             objects: BTreeMap::new(),
             gets: 0,
             loses_gets: false,
+            foreign: None,
             rng: SmallRng::seed_from_u64(1),
         }
     }
@@ -73,6 +76,7 @@
     fn write(&mut self, name: Name, value: Object) -> Version {
         self.revision += 1;
         let version = Version::new(self.era, self.revision);
+        self.foreign.take_if(|foreign| *foreign == name);
         self.objects.insert(name, Versioned { version, value });
         version
     }
@@ -117,6 +121,9 @@
             return Ok(PlatformReply::Missing(self.era));
         };
         object.version.era = self.era;
+        if self.foreign.as_ref() == Some(name) {
+            return Ok(PlatformReply::Foreign(object.version));
+        }
         Ok(PlatformReply::Object(Box::new(object)))
     }
 
@@ -488,6 +495,22 @@
     assert!(rise, "{numbers:?}, with shared objects and those of eras");
 }
 
+// Guards against group numbers of an era that are assigned again after another program overwrote its
+// assignment.
+#[test]
+fn group_numbers_of_an_era_go_on_after_a_foreign_write() {
+    let [_, of_third] = next_groups_of_two_eras(true);
+    let mut store = Store::new(StoreEra::new(3));
+    let name = (assignment_key(), EraScope::Single(StoreEra::new(3)));
+    store.write(name.clone(), Object::Assignment(assignment_of_first_era()));
+    store.foreign = Some(name);
+    let mut fleet = Fleet::new(store, true, false, 1);
+    fleet.run(LEASE_TIME * 2);
+    assert_eq!(fleet.store.foreign, None, "written again");
+    let next_group = fleet.assignment(true).expect("written again").next_group;
+    assert!(next_group > of_third, "{next_group:?}, {of_third:?}");
+}
+
 /// Whether the daemon of a fleet in this era takes over the assignment of the first one.
 fn takes_over_the_first_assignment(era: u32) -> bool {
     let mut store = Store::new(StoreEra::new(era));
