--- a/shalehinge/src/core/controller/reachability.rs
+++ b/shalehinge/src/core/controller/reachability.rs
@@ -30,7 +30,11 @@
 
     /// Records that a host left a probe unanswered.
     pub(super) fn record_silence(&mut self, now: Timestamp, host: &HostId) {
-        self.unreachable.entry(host.clone()).or_insert(now);
+        if !self.unreachable.contains_key(host) {
+            self.unreachable.insert(host.clone(), now);
+            let line = format!("{host} answers no probe, it joins no new group until it does");
+            self.log_lines.push(line);
+        }
         let mut groups = self.stored.iter().flat_map(|s| s.value.groups.values());
         let is_member = groups.any(|group| group.contains(host));
         let interval = if is_member {
@@ -43,7 +47,9 @@
 
     /// Records that a host answered an order or a probe.
     pub(super) fn record_answer(&mut self, now: Timestamp, host: &HostId) {
-        self.unreachable.remove(host);
+        if self.unreachable.remove(host).is_some() {
+            self.log_lines.push(format!("{host} answers again"));
+        }
         self.next_probe_at.remove(host);
         self.answered_at.insert(host.clone(), now);
     }
--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -509,6 +509,27 @@
     });
 }
 
+// Guards against groups that are never formed without a word of the hosts that are kept out.
+#[test]
+fn the_log_names_hosts_that_join_no_group_as_they_answer_no_probe() {
+    let mut domain = Domain::new(&[8]);
+    for number in 0..8 {
+        domain.cut_off(&host(number));
+    }
+    domain.run_for(seconds(10));
+    let lines_of = |domain: &Domain, text: &str| {
+        let lines = domain.log.iter();
+        lines.filter(|line| line.contains(text)).count()
+    };
+    assert_eq!(lines_of(&domain, "host-03 answers no probe"), 1);
+    assert_eq!(lines_of(&domain, "host-03 answers again"), 0);
+    for number in 0..8 {
+        domain.engine(&host(number)).is_reachable = true;
+    }
+    domain.run_for(seconds(10));
+    assert_eq!(lines_of(&domain, "host-03 answers again"), 1);
+}
+
 /// Stops updates of the host list for 5 s; the next list lacks this host.
 fn restore_list_without(domain: &mut Domain, host: &HostId) {
     domain.list_updates = false;
--- a/shalehinge/tests/ordered_support/mod.rs
+++ b/shalehinge/tests/ordered_support/mod.rs
@@ -99,6 +99,8 @@
     pub drops_answers: bool,
     /// Groups that produce output according to some router.
     pub producing_output: Vec<GroupNumber>,
+    /// Lines of the decision log.
+    pub log: Vec<String>,
     /// Groups that were reported to routers as lost.
     pub reported_lost: Vec<GroupNumber>,
     /// Whether the stored assignment cannot be decoded.
@@ -191,6 +193,7 @@
             late_orders: Vec::new(),
             drops_answers: false,
             producing_output: Vec::new(),
+            log: Vec::new(),
             reported_lost: Vec::new(),
             is_foreign: false,
             is_restored: false,
@@ -400,7 +403,7 @@
                 }
             }
             ControllerAction::NotifyLost(number) => self.reported_lost.push(number),
-            ControllerAction::Log(_) => {}
+            ControllerAction::Log(line) => self.log.push(line),
         }
     }
 
