fix(controller): let a closing group finish before its hosts leave

What callers would see: streams of a replica that is retired break off, as its hosts are ordered to leave while its rank 0 finishes them. Found by reading.

Cause: rank 0 counted as serving only while the list shows it open. It is shown as closing once it has taken the order to finish, and the hosts were ordered to leave at once.

Evidence: ordered::a_closing_group_finishes_its_requests_before_its_hosts_leave, red before: "a host left before the requests ended". The simulated engines closed in no time, so that no test could meet it; they now take until their last request ends, which is at once unless a test says otherwise.

Fix: a rank 0 that is shown as closing holds its hosts like an open one, within retire_within, and is not told to close again. a_closing_group_whose_requests_do_not_end_is_released guards the bound (green before and after).

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -181,6 +181,12 @@
         "        if self.may_lack_groups() && self.addresses.len() > 1_000_000 {\n",
         "lost_assignment", "groups_that_no_daemon_knows",
     ),
+    "closing-groups-finish-their-requests": (
+        CORE + "controller/ordered.rs",
+        "if (is_open || is_closing) && may_finish {",
+        "if (is_open || is_closing && now < since) && may_finish {",
+        "ordered", "closing_group_finishes",
+    ),
     "groups-with-silent-members-are-adopted": (
         CORE + "controller/adoption.rs",
         "let is_complete = rank_zero.status.shows_complete(number);",
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -400,12 +400,13 @@
             return;
         };
         let status = self.status(&rank_zero.host);
-        let may_serve = status.is_some_and(|status| status.shows_open(number));
+        let is_open = status.is_some_and(|status| status.shows_open(number));
+        let is_closing = status.is_some_and(|status| status.shows_closing(number));
         let elapsed = now.since(since);
-        let is_draining = may_serve && elapsed < self.settings.retire_within;
+        let may_finish = elapsed < self.settings.retire_within;
         let purpose = CallPurpose::Release(number);
-        if is_draining {
-            if self.is_call_due(now, &rank_zero.host, purpose) {
+        if (is_open || is_closing) && may_finish {
+            if is_open && self.is_call_due(now, &rank_zero.host, purpose) {
                 self.record_call(now, &rank_zero.host, purpose);
                 let command = Command::Release { drain: true };
                 actions.push(self.order(epoch, number, rank_zero, command));
--- a/shalehinge/src/core/engine.rs
+++ b/shalehinge/src/core/engine.rs
@@ -200,6 +200,12 @@
         self.group == Some(group) && self.phase == EnginePhase::Serving
     }
 
+    /// Whether the report shows that the host finishes its requests as rank 0 of the group and
+    /// accepts no further ones.
+    pub fn shows_closing(&self, group: GroupNumber) -> bool {
+        self.group == Some(group) && self.phase == EnginePhase::Draining
+    }
+
     /// Whether the report shows that the host is not, or no longer, a member of the group.
     pub fn shows_released(&self, group: GroupNumber) -> bool {
         self.group != Some(group)
--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -400,6 +400,42 @@
     assert_eq!(domain.engines[&members[0]].phase, EnginePhase::Idle);
 }
 
+// Guards against hosts that are ordered to leave while rank 0 finishes its requests.
+#[test]
+fn a_closing_group_finishes_its_requests_before_its_hosts_leave() {
+    let mut domain = Domain::serving(&[8]);
+    let (number, members) = domain.group_of(SMALL);
+    let requests_end_at = domain.now + seconds(5);
+    domain.engine(&members[0]).requests_end_at = requests_end_at;
+    domain.engine(&members[1]).is_leaving = true;
+    domain.run_until("rank 0 finishes its requests", |domain| {
+        domain.engines[&members[0]].phase == EnginePhase::Draining
+    });
+    domain.run_until("a host leaves", |domain| {
+        !domain.are_members(number, &members)
+    });
+    assert!(
+        domain.now >= requests_end_at,
+        "a host left before the requests ended"
+    );
+    domain.run_until("group removed", |domain| {
+        !domain.stored.value.groups.contains_key(&number)
+    });
+    assert_eq!(domain.engines[&members[0]].phase, EnginePhase::Idle);
+}
+
+// Guards against a closing group that holds its hosts for good.
+#[test]
+fn a_closing_group_whose_requests_do_not_end_is_released() {
+    let mut domain = Domain::serving(&[8]);
+    let (number, members) = domain.group_of(SMALL);
+    domain.engine(&members[0]).requests_end_at = domain.now + seconds(600);
+    domain.engine(&members[1]).is_leaving = true;
+    domain.run_until("group removed", |domain| {
+        !domain.stored.value.groups.contains_key(&number)
+    });
+}
+
 #[test]
 fn a_host_of_a_dissolved_group_leaves_it_before_it_is_reused() {
     let mut domain = Domain::serving(&[8]);
--- a/shalehinge/tests/ordered_support/mod.rs
+++ b/shalehinge/tests/ordered_support/mod.rs
@@ -61,6 +61,8 @@
     pub is_leaving: bool,
     /// Time at which it crashed, if it did.
     pub crashed_at: Option<Timestamp>,
+    /// Time at which its last request ends. An order to finish takes that long.
+    pub requests_end_at: Timestamp,
     /// Index of its host's fabric domain.
     fabric: usize,
     /// Members of the last group that it joined, rank 0 first.
@@ -308,7 +310,12 @@
     fn step(&mut self) {
         self.now = self.now + STEP;
         for engine in self.engines.values_mut() {
-            if engine.phase == EnginePhase::Loading && self.now >= engine.ready_at {
+            let is_finished = match engine.phase {
+                EnginePhase::Loading => self.now >= engine.ready_at,
+                EnginePhase::Draining => self.now >= engine.requests_end_at,
+                _ => false,
+            };
+            if is_finished {
                 engine.phase = EnginePhase::Ready;
             }
         }
@@ -499,7 +506,9 @@
             Command::Release { drain } => {
                 let engine = self.engines.get_mut(host).expect("known");
                 if engine.group == Some(order.group) {
-                    if *drain {
+                    if *drain && now < engine.requests_end_at {
+                        engine.phase = EnginePhase::Draining;
+                    } else if *drain {
                         engine.phase = EnginePhase::Ready;
                     } else {
                         engine.group = None;
@@ -614,6 +623,7 @@
             is_reachable: true,
             is_leaving: false,
             crashed_at: None,
+            requests_end_at: Timestamp::ZERO,
             fabric,
             members: Vec::new(),
             model: None,
