fix(router): use the permit of a diverted request for the next one

What users saw: an upstream that names a limit of some tenths of a request a second got none for ten seconds, so that no answer could end its limit.

Cause: a permit is asked for a request that goes elsewhere meanwhile. Once it came, the upstream was one candidate of several with equal scores, and the permit expired unused where the draw went to others.

A daemon now counts the requests that it diverted for lack of a permit, and the next requests take their place while it holds permits.

Changed test support: fleets take a seed, with 0 as before.

--- a/shalehinge/src/core/router/choose.rs
+++ b/shalehinge/src/core/router/choose.rs
@@ -4,9 +4,11 @@
 //! fraction of the prompt that is not in its cache, multiplied by its slowness relative to the
 //! median upstream, plus a penalty for distance. The upstream with the lowest score wins among a
 //! small random sample with at least one of the own failure domain, the upstream with the longest
-//! cached prefix, and limited upstreams with a
-//! permit. Sampling keeps daemons from all selecting the same upstream based on load reports of
-//! the same age.
+//! cached prefix, and limited upstreams with a permit. Sampling keeps daemons from all selecting
+//! the same upstream based on load reports of the same age.
+//!
+//! A request for which a limited upstream lacked a permit is sent to another one. Once the permit
+//! has arrived, the next request takes its place.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -87,6 +89,8 @@
     pub choice: Option<Choice>,
     /// Index of the upstream that would have been selected if this daemon had a permit for it.
     pub wanted: Option<usize>,
+    /// Whether the request makes up for one that was sent elsewhere for lack of a permit.
+    pub makes_up: bool,
 }
 
 /// Selects an eligible upstream with room for the request.
@@ -109,17 +113,41 @@
     let may_send = |index: &usize| upstreams[*index].may_be_sent(context.now);
     let first = pick(upstreams, &open, context, rng);
     let wanted = first.as_ref().map(|choice| choice.index);
-    if wanted.is_none_or(|index| may_send(&index)) {
+    let wanted = wanted.filter(|index| !may_send(index));
+    open.retain(may_send);
+    if let Some(choice) = pick_owed(upstreams, &open, first.as_ref(), context, rng) {
         return Selection {
-            choice: first,
-            wanted: None,
+            choice: Some(choice),
+            wanted,
+            makes_up: true,
         };
     }
-    open.retain(may_send);
+    let choice = match wanted {
+        Some(_) => pick(upstreams, &open, context, rng),
+        None => first,
+    };
     Selection {
-        choice: pick(upstreams, &open, context, rng),
+        choice,
         wanted,
+        makes_up: false,
+    }
+}
+
+/// Selects an upstream whose permit arrived after the request that it was for had been sent
+/// elsewhere, unless such an upstream is the first choice anyway.
+fn pick_owed(
+    upstreams: &[Upstream],
+    open: &[usize],
+    first: Option<&Choice>,
+    context: &ChoiceContext<'_>,
+    rng: &mut impl rand::Rng,
+) -> Option<Choice> {
+    let is_owed = |index: &usize| upstreams[*index].owes_request(context.now);
+    if first.is_some_and(|choice| is_owed(&choice.index)) {
+        return None;
     }
+    let owed: Vec<usize> = open.iter().copied().filter(is_owed).collect();
+    pick(upstreams, &owed, context, rng)
 }
 
 /// Keeps only the preferred upstreams, if there are any.
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -343,8 +343,12 @@
                 return;
             };
             if let Some(wanted) = selection.wanted {
+                state.upstreams[wanted].limit.on_diverted();
                 out.extend(state.ask_permits(now, wanted, PermitUrgency::Prefetch));
             }
+            if selection.makes_up {
+                state.upstreams[choice.index].limit.on_made_up();
+            }
             state.queue.pop();
             self.waiting -= 1;
             let id = AttemptId {
--- a/shalehinge/src/core/router/limit_state.rs
+++ b/shalehinge/src/core/router/limit_state.rs
@@ -50,6 +50,9 @@
     interval: Duration,
     /// Number of permits to request: increased when all were used, reduced when some expired.
     request_size: u32,
+    /// Number of requests that were sent elsewhere for lack of a permit and have not been made up
+    /// for.
+    diverted: u32,
 }
 
 impl Default for Permits {
@@ -60,6 +63,7 @@
             asked_at: None,
             interval: PERMIT_LIFETIME,
             request_size: 1,
+            diverted: 0,
         }
     }
 }
@@ -144,6 +148,22 @@
         self.permits.remaining > 0 && now < self.permits.until
     }
 
+    /// Whether a permit is held and a request was sent elsewhere for lack of one.
+    pub fn has_permit_for_diverted(&self, now: Timestamp) -> bool {
+        self.permits.diverted > 0 && self.has_permit(now)
+    }
+
+    /// Records that a request was sent elsewhere for lack of a permit.
+    pub fn on_diverted(&mut self) {
+        let diverted = self.permits.diverted + 1;
+        self.permits.diverted = diverted.min(MAX_PERMITS_REQUESTED);
+    }
+
+    /// Records that a request is sent in place of one that was sent elsewhere.
+    pub fn on_made_up(&mut self) {
+        self.permits.diverted = self.permits.diverted.saturating_sub(1);
+    }
+
     /// Discards permits and the state of requests for more, when a limit begins.
     pub fn reset_permits(&mut self) {
         self.permits = Permits::default();
@@ -174,10 +194,12 @@
         if permits.remaining > 0 {
             permits.remaining = 0;
             permits.request_size = (permits.request_size / 2).max(1);
+            permits.diverted = permits.diverted.min(1);
         }
         if permits.asked_at.is_some() {
             // The last request was not granted: demand exceeds the limit.
             permits.interval = (permits.interval * 2).min(MAX_REQUEST_INTERVAL);
+            permits.diverted = permits.diverted.min(1);
         }
         permits.asked_at = Some(now);
         Some(permits.request_size)
--- a/shalehinge/src/core/router/limits.rs
+++ b/shalehinge/src/core/router/limits.rs
@@ -109,6 +109,13 @@
     pub fn is_within_limit(&self, now: Timestamp) -> bool {
         self.limit.has_permit(now) || self.limit_rate(now).is_none()
     }
+
+    /// Whether a permit is held for a request that was sent elsewhere before the permit arrived.
+    /// The next request then uses it: otherwise it might expire, and no answer would show that the
+    /// limit has ended.
+    pub(super) fn owes_request(&self, now: Timestamp) -> bool {
+        self.limit_rate(now).is_some() && self.limit.has_permit_for_diverted(now)
+    }
 }
 
 impl TargetState {
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -212,7 +212,7 @@
         let index = self.upstreams.iter().position(is_trial_upstream);
         Selection {
             choice: index.map(Choice::without_figures),
-            wanted: None,
+            ..Selection::default()
         }
     }
 
--- a/shalehinge/tests/limited_upstreams.rs
+++ b/shalehinge/tests/limited_upstreams.rs
@@ -168,6 +168,30 @@
     }
 }
 
+/// Number of courses of random draws in which a property is checked.
+const SEEDS: u64 = 8;
+
+/// Guards against permits that expire unused at daemons that asked for them: without any request,
+/// no answer shows that the limit has ended.
+#[test]
+fn a_slow_limit_is_used_in_each_course_of_random_draws() {
+    let mut unused = Vec::new();
+    for (daemons, groups, every) in SIZES {
+        for seed in 0..SEEDS {
+            let mut simulation = LoadSimulation::with_seed(daemons, groups, every, seed);
+            simulation.limit(0, 0.2);
+            let since = simulation.fleet.now + LIMIT_DELAY;
+            simulation.serve_seconds(13);
+            assert_limit_holds(&simulation, 0, 0.2, since);
+            let used = simulation.rate_since(0, since);
+            if used < 0.2 / 4.0 {
+                unused.push((daemons, seed, used));
+            }
+        }
+    }
+    assert!(unused.is_empty(), "daemons, seed, used: {unused:?}");
+}
+
 #[test]
 fn a_changed_limit_takes_effect() {
     let mut simulation = LoadSimulation::small();
--- a/shalehinge/tests/relay_support/load_simulation.rs
+++ b/shalehinge/tests/relay_support/load_simulation.rs
@@ -6,7 +6,7 @@
 use shalehinge::core::router::request::Outcome;
 use shalehinge::core::types::GroupNumber;
 
-use super::{Arrival, Fleet};
+use super::{Arrival, DOMAINS, Fleet};
 
 /// Number of the first group that the simulated platform lists.
 const FIRST_GROUP: u64 = 100;
@@ -33,7 +33,12 @@
     /// Starts `daemons` daemons and `groups` groups and runs them for 10 s, in which all daemons
     /// learn of the groups. Each daemon receives a request every `every` rounds.
     pub fn new(daemons: u16, groups: u16, every: usize) -> Self {
-        let mut fleet = Fleet::start(daemons, false);
+        Self::with_seed(daemons, groups, every, 0)
+    }
+
+    /// Like [`Self::new`], with other random draws for each seed.
+    pub fn with_seed(daemons: u16, groups: u16, every: usize, seed: u64) -> Self {
+        let mut fleet = Fleet::start_with_seed(daemons, DOMAINS, false, seed);
         fleet.platform.open_groups(groups);
         fleet.run(Duration::from_secs(10));
         Self {
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -138,6 +138,8 @@
     pub last_host_reply_at: Duration,
     /// Number of failure domains of the daemons.
     domains: u16,
+    /// Seed of the daemons' random draws.
+    seed: u64,
     /// Daemons that are paused, with the events that wait for each.
     paused: BTreeMap<usize, Vec<Event>>,
     /// Lines that daemons logged on the platform and the lease, while late writes are simulated.
@@ -157,7 +159,12 @@
 
     /// Like [`Self::start`], with this number of failure domains.
     pub fn start_in_domains(daemons: u16, domains: u16, is_first_start: bool) -> Self {
-        let daemon = |port: u16| new_daemon(port, domains, Incarnation(1), is_first_start);
+        Self::start_with_seed(daemons, domains, is_first_start, 0)
+    }
+
+    /// Like [`Self::start_in_domains`], with other random draws for each seed.
+    pub fn start_with_seed(daemons: u16, domains: u16, is_first_start: bool, seed: u64) -> Self {
+        let daemon = |port: u16| new_daemon(port, domains, Incarnation(1), is_first_start, seed);
         Self {
             now: Duration::from_millis(1),
             platform: Platform::new(),
@@ -187,6 +194,7 @@
             crashes: 0,
             last_host_reply_at: Duration::ZERO,
             domains,
+            seed,
             paused: BTreeMap::new(),
             lines: Vec::new(),
         }
@@ -210,7 +218,8 @@
             let daemon = usize::from(index);
             self.calls.retain(|call| call.daemon != daemon);
             self.events.retain(|_, (to, _)| *to != daemon);
-            self.daemons[daemon] = new_daemon(index, self.domains, Incarnation(2), false);
+            self.daemons[daemon] =
+                new_daemon(index, self.domains, Incarnation(2), false, self.seed);
         }
     }
 
@@ -529,7 +538,16 @@
     }
 }
 
-fn new_daemon(port: u16, domains: u16, incarnation: Incarnation, is_first_start: bool) -> Daemon {
+/// Distance between the seeds of a daemon in two fleets; more than the number of daemons.
+const SEED_STRIDE: u64 = 1 << 16;
+
+fn new_daemon(
+    port: u16,
+    domains: u16,
+    incarnation: Incarnation,
+    is_first_start: bool,
+    seed: u64,
+) -> Daemon {
     let address = |port: u16| -> Address { ([10, 0, 0, 1], port).into() };
     let identity = Identity {
         daemon: DaemonId::new(&format!("daemon-{port}")),
@@ -540,7 +558,8 @@
         is_first_start,
         wall_seconds: 0,
     };
-    Daemon::new(settings(), identity, u64::from(port))
+    let seed = u64::from(port) + seed * SEED_STRIDE;
+    Daemon::new(settings(), identity, seed)
 }
 
 /// Whether a call lists or watches the host list.
