fix(limits): name the owner of a limit to daemons that ask another one

What callers saw: where the one upstream of a model names a limit, callers at a daemon that does not know the owner wait until it does, and are refused if that takes longer than they may wait.

Cause: members of other failure domains are known from samples. A daemon that lacks the owner takes the next in line for it; that one is not the owner by its own view, and said nothing.

A member of the upstream's failure domain that is asked or told in the owner's place now answers with the owner's heartbeat. The asker learns it and, if the owner is another by its own view then, reports the limit and asks again. An answer that changes nothing is followed by nothing.

--- a/shalehinge/src/core/daemon/limits.rs
+++ b/shalehinge/src/core/daemon/limits.rs
@@ -7,10 +7,11 @@
 
 use super::configuration::send_notice;
 use super::{Daemon, log};
-use crate::core::event::{Action, Component, LimitsNotice, Notice, PullTopic};
+use crate::core::event::{Action, Component, LimitOwner, LimitsNotice, Notice, PullTopic};
 use crate::core::membership::Owner;
 use crate::core::permit_recipients::LimitRecipients;
 use crate::core::permits::{DaemonGrant, GrantRole, LimitReport, PermitRequest};
+use crate::core::router::dispatch::RouterAction;
 use crate::core::types::{Address, Timestamp};
 
 impl Daemon {
@@ -251,6 +252,7 @@
         limits: LimitsNotice,
         out: &mut Vec<Action>,
     ) {
+        self.name_owners(now, from, &limits, out);
         for report in limits.told {
             let is_granting = self.owner_of(now, &report) == Owner::ThisDaemon
                 || self.permits.is_standby(&report.upstream);
@@ -289,9 +291,85 @@
             self.router
                 .on_permits(now, grant, &mut self.rng, &mut actions);
         }
+        for named in limits.owners {
+            self.on_owner_named(now, named, &mut actions);
+        }
         self.handle_router_actions(now, actions, out);
     }
 
+    /// Names the owners of limits to a daemon that takes another one for their owner. The members
+    /// of a failure domain know each other, and others know only some of them.
+    fn name_owners(
+        &self,
+        now: Timestamp,
+        to: Address,
+        limits: &LimitsNotice,
+        out: &mut Vec<Action>,
+    ) {
+        let told = limits.told.iter().map(|report| (report, None));
+        let asked = limits.asked.iter();
+        let asked = asked.map(|request| (&request.known, request.in_place_of));
+        let owners: Vec<LimitOwner> = told
+            .chain(asked)
+            .filter_map(|(report, in_place_of)| self.misjudged_owner(now, report, in_place_of))
+            .collect();
+        if owners.is_empty() || to == self.identity.address {
+            return;
+        }
+        let limits = LimitsNotice {
+            owners,
+            ..LimitsNotice::default()
+        };
+        let notice = Notice {
+            limits,
+            ..self.notice()
+        };
+        send_notice(vec![to], &notice, out);
+    }
+
+    /// The owner of a limit, if it is not the daemon that the sender of a message takes for it:
+    /// this one, or the one in whose place this one was asked.
+    fn misjudged_owner(
+        &self,
+        now: Timestamp,
+        report: &LimitReport,
+        in_place_of: Option<Address>,
+    ) -> Option<LimitOwner> {
+        let Owner::Peer(address) = self.owner_of(now, report) else {
+            return None;
+        };
+        let knows_domain = report.failure_domain == self.identity.failure_domain;
+        if !knows_domain || in_place_of == Some(address) {
+            return None;
+        }
+        let owner = self.membership.heartbeat_of(now, address)?;
+        Some(LimitOwner {
+            upstream: report.upstream.clone(),
+            failure_domain: report.failure_domain.clone(),
+            owner: owner.clone(),
+        })
+    }
+
+    /// Learns of the owner of a limit, and repeats what was sent to another daemon in vain.
+    fn on_owner_named(
+        &mut self,
+        now: Timestamp,
+        named: LimitOwner,
+        actions: &mut Vec<RouterAction>,
+    ) {
+        let owner = |daemon: &Self| {
+            let membership = &daemon.membership;
+            membership.owner(now, &named.failure_domain, &named.upstream)
+        };
+        let before = owner(self);
+        self.membership.merge_member(now, named.owner.clone());
+        if owner(self) == before {
+            return;
+        }
+        self.router
+            .on_owner_changed(now, &named.upstream, &mut self.rng, actions);
+    }
+
     /// Notes that the standby of a limit acts for the owner, so that permit requests go to it too.
     fn note_active_standby(&mut self, now: Timestamp, from: Address, report: &LimitReport) {
         let owner = self.address_of(self.owner_of(now, report));
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -9,7 +9,7 @@
 use super::engine::{EngineStatus, Order, OrderReply};
 use super::fingerprint::Fingerprint;
 use super::fleet_state::{ObjectUpdate, VersionDigest};
-use super::membership::Gossip;
+use super::membership::{Gossip, Heartbeat};
 use super::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
 use super::permits::{LimitReport, PermitGrant, PermitRequest};
 use super::platform::{CallId, PlatformCall, PlatformResult};
@@ -17,7 +17,8 @@
 use super::signal::UpstreamSignal;
 use super::trials::{TrialGrant, TrialRequest};
 use super::types::{
-    Address, AttemptId, GroupNumber, HostId, ReplicaId, RequestId, Timestamp, Version,
+    Address, AttemptId, FailureDomain, GroupNumber, HostId, ReplicaId, RequestId, Timestamp,
+    Version,
 };
 
 /// Identifies a peer's pull request that has not been answered yet.
@@ -188,6 +189,20 @@
     pub in_force: Vec<LimitReport>,
     /// From a limit's owner: granted permits.
     pub granted: Vec<PermitGrant>,
+    /// To a daemon that takes another one for a limit's owner: the owner.
+    #[serde(default)]
+    pub owners: Vec<LimitOwner>,
+}
+
+/// The owner of the limit of an upstream, as a member of the upstream's failure domain knows it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitOwner {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Failure domain of the upstream.
+    pub failure_domain: FailureDomain,
+    /// Heartbeat of the owner.
+    pub owner: Heartbeat,
 }
 
 /// Which module requested an engine's status, and for what.
--- a/shalehinge/src/core/membership.rs
+++ b/shalehinge/src/core/membership.rs
@@ -272,9 +272,7 @@
     /// newer revision is applied even if its counter is older.
     pub fn merge(&mut self, now: Timestamp, gossip: Gossip) {
         for heartbeat in gossip.members.into_iter().chain([gossip.sender]) {
-            if heartbeat.daemon != self.own_heartbeat.daemon {
-                self.merge_heartbeat(now, heartbeat);
-            }
+            self.merge_member(now, heartbeat);
         }
         for brief in gossip.brief {
             self.merge_brief(now, brief);
@@ -317,6 +315,13 @@
         self.members.insert(daemon, state);
     }
 
+    /// Merges the heartbeat of one member, of which a peer told outside of gossip.
+    pub fn merge_member(&mut self, now: Timestamp, heartbeat: Heartbeat) {
+        if heartbeat.daemon != self.own_heartbeat.daemon {
+            self.merge_heartbeat(now, heartbeat);
+        }
+    }
+
     /// Short heartbeats of unknown runs are ignored; the full heartbeat follows in a reply.
     fn merge_brief(&mut self, now: Timestamp, brief: BriefHeartbeat) {
         let known = self.runs.get(&brief.run);
@@ -462,6 +467,11 @@
             .map(|peer| peer.address)
     }
 
+    /// Heartbeat of the live peer at an address.
+    pub fn heartbeat_of(&self, now: Timestamp, address: Address) -> Option<&Heartbeat> {
+        self.live_peers(now).find(|peer| peer.address == address)
+    }
+
     /// Failure domain of the peer at an address, if the peer is known.
     pub fn domain_of(&self, address: Address) -> Option<&FailureDomain> {
         let mut members = self.members.values().map(|member| &member.heartbeat);
--- a/shalehinge/src/core/router/limit_state.rs
+++ b/shalehinge/src/core/router/limit_state.rs
@@ -215,6 +215,12 @@
         permits.interval = PERMIT_LIFETIME;
     }
 
+    /// Forgets the last permit request, which reached no owner of the limit.
+    pub fn forget_request(&mut self) {
+        self.permits.asked_at = None;
+        self.permits.interval = PERMIT_LIFETIME;
+    }
+
     /// Whether a recent permit request is still unanswered.
     pub fn awaits_permits(&self, now: Timestamp) -> bool {
         let asked_at = self.permits.asked_at;
--- a/shalehinge/src/core/router/limits.rs
+++ b/shalehinge/src/core/router/limits.rs
@@ -56,6 +56,25 @@
         }
     }
 
+    /// Reports an upstream's limit to an owner that this daemon did not know, and requests permits
+    /// again if requests wait for them.
+    pub fn on_owner_changed(
+        &mut self,
+        now: Timestamp,
+        upstream: &UpstreamId,
+        rng: &mut impl rand::Rng,
+        out: &mut Vec<RouterAction>,
+    ) {
+        let Some((target, upstream)) = self.find(upstream) else {
+            return;
+        };
+        if upstream.limit.rate().is_some() {
+            out.push(RouterAction::ReportLimit(named_limit_report(now, upstream)));
+        }
+        upstream.limit.forget_request();
+        self.dispatch(now, &target, rng, out);
+    }
+
     /// Handles permits granted by a limit's owner.
     pub fn on_permits(
         &mut self,
--- a/shalehinge/tests/limited_upstreams.rs
+++ b/shalehinge/tests/limited_upstreams.rs
@@ -11,6 +11,7 @@
 
 use std::time::Duration;
 
+use relay_support::Fleet;
 use relay_support::load_simulation::{LoadSimulation, group};
 use shalehinge::core::advertised_limit::RequestRate;
 use shalehinge::core::membership::Owner;
@@ -35,6 +36,7 @@
     fn limit(&mut self, index: u64, value: f64);
     fn max_in_window(&self, index: u64, since: Duration) -> usize;
     fn owner_of(&self, index: u64) -> usize;
+    fn daemons_that_do_not_know_the_owner(&self, index: u64) -> Vec<usize>;
     fn serve_one_caller_at_a_time(&mut self, seconds: u64);
 }
 
@@ -59,22 +61,21 @@
     /// Index of the daemon that owns the limit of a group's upstream, as the first live daemon
     /// sees it.
     fn owner_of(&self, index: u64) -> usize {
-        let number = group(index);
-        let failure_domain = FailureDomain::new(&format!("d{}", number.0 % 3));
-        let upstream = UpstreamId::Replica(ReplicaId {
-            failure_domain: failure_domain.clone(),
-            number,
-        });
-        let now = Timestamp::from_duration(self.fleet.now);
         let mut indexes = 0..self.fleet.daemons.len();
         let first = indexes
             .find(|index| !self.fleet.dead.contains(index))
             .expect("a live daemon");
-        let membership = self.fleet.daemons[first].membership();
-        match membership.owner(now, &failure_domain, &upstream) {
-            Owner::ThisDaemon => first,
-            Owner::Peer(address) => usize::from(address.port()),
-        }
+        owner_in_view_of(&self.fleet, first, index)
+    }
+
+    /// Indexes of the daemons that see another owner than the members of the upstream's failure
+    /// domain, who know each other.
+    fn daemons_that_do_not_know_the_owner(&self, index: u64) -> Vec<usize> {
+        let in_domain = (group(index).0 % 3) as usize;
+        let owner = owner_in_view_of(&self.fleet, in_domain, index);
+        (0..self.fleet.daemons.len())
+            .filter(|daemon| owner_in_view_of(&self.fleet, *daemon, index) != owner)
+            .collect()
     }
 
     /// Submits [`STEADY_RATE`] requests a second, each at the next live daemon.
@@ -91,6 +92,23 @@
     }
 }
 
+/// Index of the daemon that owns the limit of a group's upstream, as the daemon at `viewer` sees
+/// it.
+fn owner_in_view_of(fleet: &Fleet, viewer: usize, index: u64) -> usize {
+    let number = group(index);
+    let failure_domain = FailureDomain::new(&format!("d{}", number.0 % 3));
+    let upstream = UpstreamId::Replica(ReplicaId {
+        failure_domain: failure_domain.clone(),
+        number,
+    });
+    let now = Timestamp::from_duration(fleet.now);
+    let membership = fleet.daemons[viewer].membership();
+    match membership.owner(now, &failure_domain, &upstream) {
+        Owner::ThisDaemon => viewer,
+        Owner::Peer(address) => usize::from(address.port()),
+    }
+}
+
 /// Requests a second in [`LoadSimulationExt::serve_one_caller_at_a_time`].
 const STEADY_RATE: u64 = 4;
 
@@ -395,6 +413,41 @@
     );
 }
 
+/// Guards against daemons that ask another one than the owner for permits, as members of other
+/// failure domains are known from samples alone.
+#[test]
+fn callers_are_served_by_daemons_that_do_not_know_the_owner_of_their_only_limit() {
+    let mut asked = 0;
+    let mut refused = Vec::new();
+    for seed in 0..SEEDS {
+        let mut simulation = LoadSimulation::with_seed(90, 1, usize::MAX, seed);
+        simulation.limit(0, 10.0);
+        let unaware = simulation.daemons_that_do_not_know_the_owner(0);
+        for daemon in 0..90 {
+            simulation.fleet.send_completing_stream(daemon);
+        }
+        simulation.fleet.run(Duration::from_secs(2));
+        let before = simulation.served();
+        for daemon in &unaware {
+            simulation.fleet.send_completing_stream(*daemon);
+            simulation.fleet.run(Duration::from_millis(200));
+        }
+        simulation.fleet.run(Duration::from_secs(7));
+        let after = simulation.served();
+        assert_eq!(after.1 - before.1, unaware.len());
+        let not_served = unaware.len() - (after.0 - before.0);
+        asked += unaware.len();
+        if not_served > 0 {
+            refused.push((seed, not_served, unaware.len()));
+        }
+    }
+    assert!(asked > 0, "all daemons know the owner, nothing was tested");
+    assert!(
+        refused.is_empty(),
+        "seed, callers refused, of all callers: {refused:?}"
+    );
+}
+
 /// Guards against a limit that is unused until the members see that its owner died.
 #[test]
 fn a_limit_holds_and_is_used_while_its_owner_is_dead() {
