fix(core): read the successor before its predecessor is deleted

With objects of each era, a daemon that was suspended over a restore deleted the object of an earlier era whose successor the backup lacked: an assignment's group numbers began anew, and a partition of claims would have been forgotten, so that requests with its keys could run again.

The deletion was due 60 s after the successor was written, by the daemon's clock alone. That covers a deletion that is carried out late, not one that is sent late: monotonic time counts while a process is suspended, and the first tick deletes before any reply tells the new era. The successor is read first now; only a reply of the era in which it was written deletes the predecessor.

--- a/shalehinge/src/core/daemon/era_objects.rs
+++ b/shalehinge/src/core/daemon/era_objects.rs
@@ -53,10 +53,20 @@
 #[derive(Clone, Copy, Debug)]
 struct Superseded {
     scope: EraScope,
-    /// When it is deleted; `None` while its successor has not been written.
+    /// When it is deleted if its successor is read then; `None` while its successor has not been written.
     delete_at: Option<Timestamp>,
 }
 
+/// A read of the object that replaced one of an earlier era.
+#[derive(Clone, Debug)]
+pub(super) struct SuccessorCheck {
+    key: ObjectKey,
+    /// The era of the successor.
+    era: StoreEra,
+    /// The scope of the object to delete.
+    scope: EraScope,
+}
+
 /// What a daemon knows of the objects of eras.
 #[derive(Clone, Debug, Default)]
 pub(super) struct EraObjects {
@@ -332,14 +342,50 @@
         }
     }
 
-    /// Deletes superseded objects that are due.
-    pub(super) fn delete_superseded(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+    /// Reads the successors of superseded objects that are due. Time alone does not show that they
+    /// still exist: this daemon may have been suspended while the store was restored.
+    pub(super) fn check_successors(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let Some(current) = self.object_scope() else {
+            return;
+        };
+        let era = self.known_era();
         let is_due = |superseded: &Superseded| superseded.delete_at.is_some_and(|at| now >= at);
         let superseded = &mut self.era_objects.superseded;
         let due = superseded.extract_if(.., |_, superseded| is_due(superseded));
         for (key, Superseded { scope, .. }) in due.collect::<Vec<_>>() {
-            let request = PlatformCall::Delete { key, scope };
-            self.call_platform(CallPurpose::DeleteSuperseded, request, out);
+            let request = PlatformCall::Get {
+                key: key.clone(),
+                scope: current,
+                freshness: Freshness::Exact,
+            };
+            let purpose = CallPurpose::Successor(SuccessorCheck { key, era, scope });
+            let call = self.call_platform(purpose, request, out);
+            if let Some(open) = self.calls.get_mut(&call) {
+                open.named_era = Some(era);
+            }
+        }
+    }
+
+    /// Deletes a superseded object if its successor was read in the same era.
+    pub(super) fn on_successor_checked(
+        &mut self,
+        now: Timestamp,
+        check: SuccessorCheck,
+        result: PlatformResult,
+        out: &mut Vec<Action>,
+    ) {
+        let SuccessorCheck { key, era, scope } = check;
+        match result {
+            Ok(PlatformReply::Object(_)) => {
+                let request = PlatformCall::Delete { key, scope };
+                self.call_platform(CallPurpose::DeleteSuperseded, request, out);
+            }
+            Err(NoAnswer) if era == self.known_era() => {
+                let delete_at = Some(now + KEEP_SUPERSEDED);
+                let superseded = Superseded { scope, delete_at };
+                self.era_objects.superseded.insert(key, superseded);
+            }
+            _ => {}
         }
     }
 
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -66,7 +66,7 @@
 use crate::settings::core::CoreSettings;
 use crate::settings::learning::{FeedLayout, LearningSettings};
 
-use self::era_objects::EraObjects;
+use self::era_objects::{EraObjects, SuccessorCheck};
 use self::store_era::{EraState, OpenCall};
 
 /// Interval at which the caller must deliver [`Event::Tick`].
@@ -126,6 +126,8 @@
     Claims(u16),
     /// Lists the shared leases to decide the scope of the objects of this era.
     ObjectScope,
+    /// Reads the successor of an object of an earlier era before that is deleted.
+    Successor(SuccessorCheck),
     /// Deletes an object of an earlier era whose successor was written.
     DeleteSuperseded,
     /// Part of a plan or confirm call.
@@ -433,7 +435,7 @@
         self.tick_lease(now, out);
         self.tick_controller(now, out);
         self.tick_claims(now, out);
-        self.delete_superseded(now, out);
+        self.check_successors(now, out);
         self.tick_router(now, out);
         self.report_suspects(now, out);
         self.send_quarantine_update(now, out);
--- a/shalehinge/src/core/daemon/platform_calls.rs
+++ b/shalehinge/src/core/daemon/platform_calls.rs
@@ -62,6 +62,7 @@
             CallPurpose::Assignment => self.on_assignment_reply(now, result, out),
             CallPurpose::Claims(partition) => self.on_claims_reply(now, partition, result, out),
             CallPurpose::ObjectScope => self.on_shared_leases(now, result, out),
+            CallPurpose::Successor(check) => self.on_successor_checked(now, check, result, out),
             CallPurpose::RewriteFleet | CallPurpose::DeleteSuperseded => {}
             CallPurpose::Operator(id) => {
                 let step = self.operators.on_platform(now, id, &result, &self.state);
--- a/shalehinge/tests/era_objects.rs
+++ b/shalehinge/tests/era_objects.rs
@@ -569,6 +569,27 @@
     assert_eq!(deleted, expected);
 }
 
+// Guards against a daemon that was suspended and deletes, in an era that it does not know yet, an
+// object whose successor the backup lacks.
+#[test]
+fn a_daemon_that_was_suspended_over_a_restore_deletes_no_only_copy() {
+    let mut store = Store::new(StoreEra::new(2));
+    let assignment = Object::Assignment(assignment_of_first_era());
+    store.write((assignment_key(), FIRST), assignment);
+    store.take_backup();
+    let mut harness = Harness::new(store);
+    harness.run(LEASE_TIME * 2);
+    assert!(harness.store.assignment().is_some(), "written again");
+    harness.store.restore();
+    harness.now = harness.now + Duration::from_secs(70);
+    harness.run(LEASE_TIME * 2);
+    let assignment = harness.store.assignment().expect("written once more");
+    assert!(
+        assignment.next_group > GroupNumber(FIRST_ERA_GROUPS),
+        "{assignment:?}"
+    );
+}
+
 #[test]
 fn a_restore_costs_no_list_of_shared_leases_where_these_were_left() {
     let mut harness = holder_whose_lease_the_backup_lacks();
