fix(core): look at the current object before a search of earlier eras goes on

A search of earlier eras that got no answer went on where it was, without a look at the object of the current era, also when this daemon lost control meanwhile and took it again later. By then another daemon may have written that object, and deleted the one that the search was at. The write that followed was refused, so nothing was stored; in a fleet's first start a missing assignment counts as empty at once, so that hosts of serving groups may have been told to leave (by reading).

--- a/shalehinge/src/core/daemon/era_objects.rs
+++ b/shalehinge/src/core/daemon/era_objects.rs
@@ -76,7 +76,8 @@
     /// Whether daemons of earlier versions may hold the shared lease of this failure domain while
     /// this era has a lease of its own.
     watches_shared_lease: bool,
-    /// Searches at earlier scopes that got no answer.
+    /// Searches at earlier scopes that got no answer. They go on once the object of the current
+    /// era was found to be still missing.
     searches: BTreeMap<ObjectKey, ObjectRead>,
     /// The newest earlier object of each key that was read in this era.
     superseded: BTreeMap<ObjectKey, Superseded>,
@@ -164,14 +165,13 @@
         freshness: Freshness,
         out: &mut Vec<Action>,
     ) {
-        let unfinished = self.era_objects.searches.remove(&key);
-        let read = unfinished.unwrap_or(ObjectRead {
+        let read = ObjectRead {
             key,
             era: self.known_era(),
             scope,
             freshness,
             earlier_reads: 0,
-        });
+        };
         self.call_read(purpose, read, out);
     }
 
@@ -209,7 +209,9 @@
             return Some(result);
         };
         if let Ok(PlatformReply::Missing(era)) = result {
-            let Some(earlier) = self.earlier_read(now, purpose, &read) else {
+            let unfinished = self.era_objects.searches.remove(&read.key);
+            let earlier = unfinished.or_else(|| self.earlier_read(now, purpose, &read));
+            let Some(earlier) = earlier else {
                 if matches!(purpose, CallPurpose::Lease) && read.scope == EraScope::Shared {
                     self.leave_shared_lease();
                 }
@@ -220,6 +222,7 @@
         }
         if read.earlier_reads == 0 {
             if matches!(result, Ok(PlatformReply::Object(_))) {
+                self.era_objects.searches.remove(&read.key);
                 self.era_objects.on_successor_read(&read.key);
                 if matches!(purpose, CallPurpose::Lease) {
                     self.leave_shared_lease();
--- a/shalehinge/tests/era_objects.rs
+++ b/shalehinge/tests/era_objects.rs
@@ -49,6 +49,12 @@
     deleted: Vec<Name>,
     /// When this object is read, the store is restored from the backup first.
     restore_at_read: Option<Name>,
+    /// Reads of this object get no answer.
+    lost_read: Option<Name>,
+    /// Number of reads that got no answer.
+    lost_reads: usize,
+    /// Objects whose writes were refused.
+    refused: Vec<Name>,
     /// Number of lists of the shared leases.
     lease_lists: usize,
 }
@@ -63,6 +69,9 @@
             held: Vec::new(),
             deleted: Vec::new(),
             restore_at_read: None,
+            lost_read: None,
+            lost_reads: 0,
+            refused: Vec::new(),
             lease_lists: 0,
         }
     }
@@ -89,6 +98,7 @@
         let current = self.content.objects.get(&name);
         let current = current.map_or(0, |object| object.version.number);
         if current != expect.number {
+            self.refused.push(name);
             return PlatformReply::Conflict(self.era);
         }
         PlatformReply::Written(self.write(name, object))
@@ -100,7 +110,7 @@
         held.filter_map(|call| self.answer(call)).collect()
     }
 
-    /// Replies to a call; `None` for a watch, and for a write that is held back.
+    /// Replies to a call; `None` for a watch, for a write that is held back and for a lost read.
     fn answer(&mut self, call: PlatformCall) -> Option<PlatformReply> {
         Some(match call {
             PlatformCall::Put { .. } if self.holds_writes => {
@@ -118,6 +128,10 @@
                 if self.restore_at_read.take_if(|at| *at == name).is_some() {
                     self.restore();
                 }
+                if self.lost_read.as_ref() == Some(&name) {
+                    self.lost_reads += 1;
+                    return None;
+                }
                 match self.content.objects.get(&(key, scope)).cloned() {
                     Some(object) => {
                         let version = Version::new(self.era, object.version.number);
@@ -494,6 +508,48 @@
     assert!(harness.store.deleted.contains(&(assignment_key(), FIRST)));
 }
 
+// Guards against decisions on what stood before an era, while another daemon has written the
+// assignment of that era meanwhile.
+#[test]
+fn an_interrupted_search_does_not_hide_what_another_daemon_wrote_since() {
+    let mut store = Store::new(StoreEra::new(2));
+    let assignment = Object::Assignment(assignment_of_first_era());
+    store.write((assignment_key(), FIRST), assignment);
+    store.lost_read = Some((assignment_key(), FIRST));
+    let mut harness = Harness::new(store);
+    while harness.store.lost_reads == 0 {
+        harness.run(TICK);
+    }
+    let epoch = Epoch(harness.held_epoch().expect("held").0 + 1);
+    let another = LeaseRecord {
+        operation: OperationId(1),
+        holder: DaemonId::new("another"),
+        incarnation: Incarnation(1),
+        epoch,
+        term_ms: 1_000,
+        released: false,
+    };
+    let written = Assignment {
+        epoch,
+        next_group: GroupNumber(FIRST_ERA_GROUPS * 2),
+        ..Assignment::default()
+    };
+    let store = &mut harness.store;
+    store.write((lease_key(), SECOND), Object::Lease(another));
+    store.write((assignment_key(), SECOND), Object::Assignment(written));
+    while harness.held_epoch().is_some() {
+        harness.run(TICK);
+    }
+    harness.store.lost_read = None;
+    harness.run(LEASE_TIME * 2);
+    assert!(harness.held_epoch() > Some(epoch), "taken again");
+    let refused = harness.store.refused.iter();
+    let refused: Vec<&Name> = refused
+        .filter(|(key, _)| *key == assignment_key())
+        .collect();
+    assert!(refused.is_empty(), "{refused:?}");
+}
+
 // Guards against two lease holders while daemons of a version without objects of eras run.
 #[test]
 fn a_lease_that_an_earlier_version_holds_in_this_era_is_respected() {
