fix(core): witness no claim while keys are not granted after a restore

A request whose key had been used before a restore ran again at a daemon that started just after it, while the daemons that remembered its claim could not reach the store for 2 s: a daemon that starts knows no earlier era and doesn't wait, and its peers witnessed the claim though they were waiting themselves. They remember it now and don't confirm it. The era of a notice is taken over before its claims are looked at, and a lost claim that is written again replaces one that is not completed: that one is withdrawn when its key isn't granted, and took the lost one with it.

--- a/shalehinge/src/core/claims.rs
+++ b/shalehinge/src/core/claims.rs
@@ -7,8 +7,8 @@
 //! when it is older than the retention period.
 //!
 //! A store that is restored from a backup may have lost the most recent claims. Each daemon
-//! writes the recent claims that it made or witnessed again, and grants no key until the other
-//! daemons have had time to do the same.
+//! writes the recent claims that it made or witnessed again, and neither grants a key nor witnesses a
+//! claim until the other daemons have had time to do the same.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -164,6 +164,13 @@
         self.recent_claims = recent_claims;
     }
 
+    /// Whether this daemon may confirm that it remembers a claim. After a restore, the key may have
+    /// been used under a lost claim that has not been written again yet; a daemon that started
+    /// since does not know that.
+    pub fn may_witness(&self, now: Timestamp) -> bool {
+        now >= self.no_grants_before
+    }
+
     /// Remembers a stored claim, so that it can be written again after a restore.
     pub fn remember(&mut self, now: Timestamp, witnessed: WitnessedClaim) {
         self.recent_claims.push_back((now, witnessed));
@@ -492,7 +499,12 @@
             ApplyOutcome::Changed
         }
         Change::Rewrite { key, claim } => {
-            if value.claims.contains_key(&key) {
+            // A claim that was made since the restore is withdrawn if its key is not granted, and
+            // must not take the lost one with it.
+            let is_kept = |stored: &Claim| {
+                stored.claimant == claim.claimant || stored.state == ClaimState::Completed
+            };
+            if value.claims.get(&key).is_some_and(is_kept) {
                 return ApplyOutcome::Unchanged;
             }
             value.claims.insert(key, claim);
--- a/shalehinge/src/core/daemon/claiming.rs
+++ b/shalehinge/src/core/daemon/claiming.rs
@@ -222,6 +222,9 @@
             self.claims.remember(now, witnessed);
             remembered.push(witnessed.claim.claimant);
         }
+        if !self.claims.may_witness(now) {
+            return;
+        }
         let claims = ClaimsNotice {
             remembered,
             ..ClaimsNotice::default()
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -404,13 +404,13 @@
 
     pub(super) fn on_notice(&mut self, now: Timestamp, notice: Notice, out: &mut Vec<Action>) {
         self.on_heard_from(notice.from, out);
+        self.record_peer_era(now, &notice.digest, out);
         for replica in &notice.lost {
             self.mark_replica_lost(now, replica, out);
         }
         self.on_quarantine_notice(now, notice.from, notice.quarantine, out);
         self.on_limits_notice(now, notice.from, notice.limits, out);
         self.on_claims_notice(now, notice.from, notice.claims, out);
-        self.record_peer_era(now, &notice.digest, out);
         self.record_peer_versions(now, notice.from, &notice.digest);
         self.fetch_whole_objects(now, out);
     }
--- a/shalehinge/tests/claims_of_earlier_eras.rs
+++ b/shalehinge/tests/claims_of_earlier_eras.rs
@@ -111,3 +111,49 @@
         assert!(violations.is_empty(), "seed {seed}: {violations:?}");
     }
 }
+
+/// Number of the daemon that is started as the platform is restored, and of the one that made the
+/// claims, in another failure domain.
+const STARTED: u8 = 0;
+const CLAIMANT: u8 = 2;
+/// Time in which only one failure domain reaches the restored platform, less than the pause in
+/// which daemons that know of the restore grant no key.
+const CUT_TIME: Duration = Duration::from_secs(2);
+
+// Guards against a daemon that knows no earlier era, and grants keys before those that do have
+// written their claims again.
+#[test]
+fn a_daemon_that_starts_as_the_platform_is_restored_grants_no_key_again() {
+    for seed in 0..RUNS {
+        let mut world = world_with_era_objects(seed);
+        world.run_for(Duration::from_secs(5));
+        world.platform.take_backup();
+        world.apply(Operation::KillDaemon(STARTED));
+        world.apply(Operation::KillDaemon(STARTED + 1));
+        world.run_for(STEP * 20);
+        let kind = KIND_WITH_KEY;
+        for key in 0..KEYS {
+            let daemon = CLAIMANT;
+            world.apply(Operation::Request { daemon, kind, key });
+        }
+        world.run_for(Duration::from_secs(1));
+        let domain = world.entries[usize::from(CLAIMANT)].domain.clone();
+        world.platform_partitioned_domains.insert(domain);
+        world.restore_platform();
+        world.apply(Operation::StartDaemon(STARTED));
+        let cut_until = world.now + CUT_TIME;
+        let end = world.now + END_TIME;
+        while world.now < end {
+            if world.now >= cut_until {
+                world.platform_partitioned_domains.clear();
+            }
+            for key in 0..KEYS {
+                let daemon = STARTED;
+                world.apply(Operation::Request { daemon, kind, key });
+            }
+            world.run_for(STEP * 4);
+        }
+        let violations = &world.oracle.violations;
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+    }
+}
