fix(lease): take an overwritten lease above all epochs that it can have had

If another program overwrote a lease and its assignment, and no daemon lived that knew the epoch, orders began at a low fencing token, which hosts that check it refuse until the epoch has risen that far.

Each write of a store raises its revision, and at most one raises the epoch. So the epoch goes on above the number of writes before the foreign one, or since the last known record. The bound ends in the middle of the era's epochs, so that none counts as one of a later era.

a_lease_overwritten_before_it_was_read_is_taken_above_all_its_epochs: epoch 1 after 40 writes before. an_overwritten_lease_of_a_store_with_many_writes_keeps_to_the_epochs_of_its_era was red with the first form of the fix (an overflow) and is green.

Changed check: a_restarted_lease_is_raised_above_the_stored_epoch_before_use expected epoch 1 after a foreign record at revision 6. Five writes before it may have raised the epoch, so it is 6 now, compared as exactly; the raise to 8 that the test is about is unchanged.

--- a/shalehinge/src/core/lease.rs
+++ b/shalehinge/src/core/lease.rs
@@ -391,13 +391,27 @@
             operation: OperationId(0),
             holder: DaemonId::new(""),
             incarnation: Incarnation(0),
-            epoch: self.highest_epoch,
+            epoch: self.highest_epoch_before(version),
             term_ms: self.settings.term.as_millis() as u64,
             released: false,
         };
         self.observe(now, Some(Versioned { version, value }));
     }
 
+    /// Upper bound on the epochs that were in use before the record was overwritten at `version`:
+    /// each write since the last known record can have raised the epoch once.
+    fn highest_epoch_before(&self, version: Version) -> Epoch {
+        let seen = self.observation.as_ref();
+        let known = seen.and_then(|seen| seen.lease.as_ref());
+        let known = known.filter(|lease| lease.version.era == version.era);
+        let (from, number) = known.map_or((Epoch::first_of(version.era), 0), |lease| {
+            (self.highest_epoch, lease.version.number)
+        });
+        let unknown_writes = version.number.saturating_sub(number).saturating_sub(1);
+        let bound = from.raised_by(unknown_writes, version.era);
+        bound.max(self.highest_epoch)
+    }
+
     /// Records that an assignment was stored under this epoch. A lease that restarted below it,
     /// as the former record was overwritten, is raised above it before any order is sent: engines
     /// refuse orders of an earlier epoch.
--- a/shalehinge/src/core/types.rs
+++ b/shalehinge/src/core/types.rs
@@ -103,6 +103,13 @@
         Self(self.0 + 1).max(Self::first_of(era))
     }
 
+    /// The epoch after `count` further ones, but no later than the middle of those of `era`, so
+    /// that the ones after it belong to the same era.
+    pub fn raised_by(self, count: u64, era: StoreEra) -> Self {
+        let middle = Self::first_of(era).0 + Self::PER_ERA / 2;
+        Self(self.0.saturating_add(count).min(middle))
+    }
+
     /// Whether the epoch was assigned before `era`.
     pub fn is_before(self, era: StoreEra) -> bool {
         self < Self::first_of(era)
