fix(core): keep evacuations that a restore of the store has lost

After a restore from a backup that is older than an evacuation, requests went to upstreams that operators had evacuated: the list of the new era replaced what was known.

An evacuation of an earlier era that the new one doesn't list stays in force until the store lists it and ends it, or for ten minutes. Daemons tell each other what is listed, lost and settled; only one that knows no earlier era goes by what its peers know of them.

The stand-in's backups contain evacuations now; before, these outlived a restore.

--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -289,6 +289,7 @@
         let mut needs_notice = false;
         let evacuated: BTreeSet<FailureDomain> =
             self.state.evacuated().into_iter().cloned().collect();
+        let lost_evacuations = self.state.lost_evacuations();
         for update in updates {
             let (key, version) = (update.key.clone(), update.version);
             let fleet_version = update.fleet_version();
@@ -313,6 +314,7 @@
             self.superseded.on_accepted(self.state.fleet_version());
             self.rebuild_routes(now, out);
             self.rebuild_topology(now);
+            self.keep_lost_evacuations(now, &lost_evacuations, out);
             self.on_evacuations_changed(now, &evacuated, out);
         }
         if needs_notice {
@@ -324,7 +326,7 @@
 
     /// Logs evacuations that began or ended. Upstreams of a failure domain that serves again may
     /// have been idle for long, so they warm up first.
-    fn on_evacuations_changed(
+    pub(super) fn on_evacuations_changed(
         &mut self,
         now: Timestamp,
         before: &BTreeSet<FailureDomain>,
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -432,6 +432,7 @@
         self.pull_from_relay(now, out);
         self.fetch_whole_objects(now, out);
         self.expire_earlier_hosts(now, out);
+        self.expire_lost_evacuations(now, out);
         self.tick_lease(now, out);
         self.tick_controller(now, out);
         self.tick_claims(now, out);
--- a/shalehinge/src/core/daemon/store_era.rs
+++ b/shalehinge/src/core/daemon/store_era.rs
@@ -5,13 +5,14 @@
 //! reply of an earlier era is therefore treated as no reply, and a reply to a call that names
 //! versions of an earlier era proves nothing about the writes between the two.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::era_objects::ObjectRead;
 use super::{CallPurpose, Daemon, log};
 use crate::core::event::{Action, Component};
 use crate::core::platform::{NoAnswer, PlatformReply, PlatformResult};
-use crate::core::types::{StoreEra, Timestamp, Version};
+use crate::core::types::{FailureDomain, StoreEra, Timestamp, Version};
 
 /// Host heartbeats after which hosts known only from an earlier era are dropped: by then each live
 /// host has rewritten its entry.
@@ -20,6 +21,9 @@
 /// store is restored from is some seconds old, so an older list is no newer than the backup.
 const EARLIER_LIST_MAX_AGE: Duration = Duration::from_secs(10);
 
+/// How long an evacuation that the store lost stays in force, unless the store lists it again.
+const KEEP_LOST_EVACUATIONS: Duration = Duration::from_secs(600);
+
 /// A platform call that has not been answered yet.
 #[derive(Clone, Debug)]
 pub(super) struct OpenCall {
@@ -40,6 +44,8 @@
     has_logged_ignored_reply: bool,
     /// When hosts known only from an earlier era are dropped.
     earlier_hosts_until: Option<Timestamp>,
+    /// When evacuations that the store lost are given up.
+    lost_evacuations_until: Option<Timestamp>,
     /// Whether the era has changed since this daemon started.
     has_changed: bool,
 }
@@ -183,4 +189,34 @@
         let text = "dropped hosts of the earlier era; the platform's host list applies".to_owned();
         log(out, Component::Platform, text);
     }
+
+    /// Keeps evacuations that were found to be lost since `before` in force for some time, in which
+    /// operators can write them again.
+    pub(super) fn keep_lost_evacuations(
+        &mut self,
+        now: Timestamp,
+        before: &BTreeSet<FailureDomain>,
+        out: &mut Vec<Action>,
+    ) {
+        for domain in self.state.lost_evacuations().difference(before) {
+            let seconds = KEEP_LOST_EVACUATIONS.as_secs();
+            let text = format!(
+                "no longer lists the evacuation of {domain}, which stays in force for {seconds} s: write it again to keep it, write and remove it to end it"
+            );
+            log(out, Component::Platform, text);
+            self.era_state.lost_evacuations_until = Some(now + KEEP_LOST_EVACUATIONS);
+        }
+    }
+
+    pub(super) fn expire_lost_evacuations(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let until = &mut self.era_state.lost_evacuations_until;
+        if until.take_if(|until| now >= *until).is_none() {
+            return;
+        }
+        let evacuated: BTreeSet<FailureDomain> =
+            self.state.evacuated().into_iter().cloned().collect();
+        self.state.give_up_lost_evacuations();
+        self.rebuild_topology(now);
+        self.on_evacuations_changed(now, &evacuated, out);
+    }
 }
--- a/shalehinge/src/core/fleet_state.rs
+++ b/shalehinge/src/core/fleet_state.rs
@@ -9,14 +9,14 @@
 use serde::{Deserialize, Serialize};
 
 use super::earlier_hosts::{DepartedHosts, EarlierHosts, changes_between};
-use super::evacuations::Evacuations;
+use super::evacuations::KnownEvacuations;
 use super::objects::{
     Assignment, FleetConfig, HostChanges, HostList, Object, ObjectKey, Versioned,
 };
 use super::routable_hosts::{
     ChangeLog, RoutableChanges, routable_changes, routable_difference, routable_hosts,
 };
-use super::types::{AssignmentVersion, FailureDomain, FleetVersion, Version};
+use super::types::{AssignmentVersion, FailureDomain, FleetVersion, StoreEra, Version};
 
 /// An object reported by the platform or a peer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -104,7 +104,9 @@
     host_changes: ChangeLog,
     assignments: BTreeMap<FailureDomain, Versioned<Assignment>>,
     /// The evacuations that the platform lists, besides those in the configuration.
-    evacuations: Option<Versioned<Evacuations>>,
+    evacuations: Option<Versioned<KnownEvacuations>>,
+    /// Whether this daemon knew the evacuations of an earlier era than theirs.
+    knows_earlier_evacuations: bool,
 }
 
 impl FleetState {
@@ -196,20 +198,33 @@
         self.evacuations.is_some()
     }
 
+    /// Evacuations that the platform's store may have lost when it was restored from a backup.
+    pub fn lost_evacuations(&self) -> BTreeSet<FailureDomain> {
+        let known = self.evacuations.as_ref();
+        known.map_or_else(BTreeSet::new, |known| known.value.lost().clone())
+    }
+
+    /// Ends the evacuations that the platform's store may have lost.
+    pub fn give_up_lost_evacuations(&mut self) {
+        if let Some(known) = &mut self.evacuations {
+            known.value.give_up_lost();
+        }
+    }
+
     /// The evacuated failure domains: those in the configuration and those that the platform
-    /// lists.
+    /// lists, or may have lost.
     pub fn evacuated(&self) -> BTreeSet<&FailureDomain> {
         let fleet = self.fleet.iter();
         let configured = fleet.flat_map(|fleet| &fleet.value.evacuated);
         let listed = self.evacuations.iter();
-        let listed = listed.flat_map(|listed| &listed.value.domains);
+        let listed = listed.flat_map(|listed| listed.value.domains());
         configured.chain(listed).collect()
     }
 
     /// Whether a failure domain is evacuated.
     pub fn is_evacuated(&self, domain: &FailureDomain) -> bool {
         let is_configured = |fleet: &Versioned<FleetConfig>| fleet.value.evacuated.contains(domain);
-        let is_listed = |listed: &Versioned<Evacuations>| listed.value.domains.contains(domain);
+        let is_listed = |listed: &Versioned<KnownEvacuations>| listed.value.contains(domain);
         self.fleet.as_ref().is_some_and(is_configured)
             || self.evacuations.as_ref().is_some_and(is_listed)
     }
@@ -271,21 +286,36 @@
         if !is_newer {
             return false;
         }
-        let value = match (object, &mut self.evacuations) {
-            (Object::Evacuations(value), _) => value,
-            (Object::EvacuationChanges(changes), Some(known))
-                if known.version.era == version.era =>
-            {
-                let mut value = known.value.clone();
-                value.apply(changes);
-                value
-            }
+        let is_same_era = known.is_some_and(|known| known.version.era == version.era);
+        // A daemon that was cut off may not have heard that an evacuation ended, so what it knows of
+        // earlier eras counts only at daemons that know nothing of them.
+        let has_new_era = known.is_some() && !is_same_era;
+        let knows_earlier = self.knows_earlier_evacuations || has_new_era;
+        let mut value = self.evacuations_in(version.era);
+        match object {
+            Object::Evacuations(list) => value.set_list(list),
+            Object::EvacuationChanges(changes) if is_same_era => value.apply(changes),
+            Object::KnownEvacuations(newer) => value.merge(newer, !knows_earlier),
             _ => return false,
-        };
+        }
+        self.knows_earlier_evacuations = knows_earlier;
         self.evacuations = Some(Versioned { version, value });
         true
     }
 
+    /// The known evacuations as they count in this era.
+    fn evacuations_in(&self, era: StoreEra) -> KnownEvacuations {
+        let Some(known) = self.evacuations.clone() else {
+            return KnownEvacuations::default();
+        };
+        let known_era = known.version.era;
+        if known_era == era || known_era == StoreEra::UNREPORTED {
+            known.value
+        } else {
+            known.value.into_next_era()
+        }
+    }
+
     fn apply_hosts(&mut self, version: Version, object: Object) -> ApplyResult {
         let is_newer = self
             .hosts
@@ -450,7 +480,7 @@
             updates.push(ObjectUpdate {
                 key: ObjectKey::Evacuations,
                 version: object.version,
-                object: Object::Evacuations(object.value.clone()),
+                object: Object::KnownEvacuations(object.value.clone()),
             });
         }
         for (domain, object) in &self.assignments {
--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::engine::EngineStatus;
-use super::evacuations::{EvacuationChanges, Evacuations};
+use super::evacuations::{EvacuationChanges, Evacuations, KnownEvacuations};
 use super::routable_hosts::RoutableChanges;
 pub use super::route_config::{
     CallerLimits, EngineTimes, LoadRate, ModelProfile, RequestKind, RouteConfig, WarmUpLimit,
@@ -71,6 +71,8 @@
     Evacuations(Evacuations),
     /// Changes to them; see [`EvacuationChanges`].
     EvacuationChanges(EvacuationChanges),
+    /// What a peer knows of them; see [`KnownEvacuations`].
+    KnownEvacuations(KnownEvacuations),
 }
 
 /// An object with the version at which it was read or written.
--- a/shalehinge/src/object_api/http.rs
+++ b/shalehinge/src/object_api/http.rs
@@ -99,6 +99,7 @@
         Object::Claims(value) => serde_json::to_vec(value),
         Object::Evacuations(value) => serde_json::to_vec(value),
         Object::EvacuationChanges(value) => serde_json::to_vec(value),
+        Object::KnownEvacuations(value) => serde_json::to_vec(value),
     }
 }
 
--- a/shalehinge/tests/evacuation.rs
+++ b/shalehinge/tests/evacuation.rs
@@ -97,6 +97,53 @@
     assert!(requests_to(&simulation, 1, since) > 0);
 }
 
+// Guards against requests to upstreams that operators evacuated after the backup was taken.
+#[test]
+fn an_evacuation_that_the_backup_lacks_stays_in_force() {
+    for (daemons, groups, every) in [(9, 18, 1), (90, 30, 2)] {
+        let mut simulation = LoadSimulation::new(daemons, groups, every);
+        simulation.fleet.platform.take_backup();
+        evacuate(&mut simulation.fleet, "d1");
+        simulation.serve(SPREAD);
+        simulation.fleet.restore_platform(Duration::from_secs(1));
+        let since = simulation.fleet.now;
+        simulation.serve_seconds(8);
+        assert_eq!(requests_to(&simulation, 1, since), 0, "{daemons} daemons");
+    }
+}
+
+// Guards against capacity that stays unused after a restore has lost an evacuation.
+#[test]
+fn an_evacuation_that_the_backup_lacks_ends_once_operators_remove_it_again() {
+    let mut simulation = LoadSimulation::new(90, 30, 2);
+    simulation.fleet.platform.take_backup();
+    evacuate(&mut simulation.fleet, "d1");
+    simulation.serve(SPREAD);
+    simulation.fleet.restore_platform(Duration::from_secs(1));
+    simulation.serve(SPREAD);
+    evacuate(&mut simulation.fleet, "d1");
+    simulation.serve(SPREAD);
+    restore(&mut simulation.fleet, "d1");
+    simulation.serve(SPREAD);
+    let since = simulation.fleet.now;
+    simulation.serve_seconds(2);
+    assert!(requests_to(&simulation, 1, since) > 0);
+}
+
+// Guards against capacity that stays unused where operators don't write a lost evacuation again.
+#[test]
+fn an_evacuation_that_the_backup_lacks_ends_after_a_while() {
+    let mut simulation = LoadSimulation::new(9, 18, 1);
+    simulation.fleet.platform.take_backup();
+    evacuate(&mut simulation.fleet, "d1");
+    simulation.serve(SPREAD);
+    simulation.fleet.restore_platform(Duration::from_secs(1));
+    simulation.fleet.run(Duration::from_secs(620));
+    let since = simulation.fleet.now;
+    simulation.serve_seconds(2);
+    assert!(requests_to(&simulation, 1, since) > 0);
+}
+
 #[test]
 fn upstreams_warm_up_after_an_evacuation() {
     /// Requests per second that a replica bears while it warms up.
--- a/shalehinge/tests/relay_support/platform.rs
+++ b/shalehinge/tests/relay_support/platform.rs
@@ -69,6 +69,7 @@
     revision: u64,
     changes: Vec<(u64, HostId, HostRecord)>,
     configuration: Versioned<FleetConfig>,
+    evacuations: Vec<(u64, FailureDomain, bool)>,
     objects: BTreeMap<StoredName, Versioned<Object>>,
 }
 
@@ -219,6 +220,7 @@
             revision: self.revision,
             changes: self.changes.clone(),
             configuration: self.configuration.clone(),
+            evacuations: self.evacuations.clone(),
             objects: self.objects.clone(),
         });
     }
@@ -232,6 +234,7 @@
         self.changes = backup.changes;
         self.configuration = backup.configuration;
         self.configuration.version = self.version(self.configuration.version.number);
+        self.evacuations = backup.evacuations;
         self.objects = backup.objects;
     }
 
