test(core): keep tests of earlier assignments as strict as before

Four tests show by a group number that the assignment of an earlier era was read: above 5,000,000 or 10,000,000. Since each era has numbers of its own a fleet that read none exceeds that too, so they proved nothing more. Their numbers are now above the first ones of all eras.

--- a/shalehinge/tests/era_objects.rs
+++ b/shalehinge/tests/era_objects.rs
@@ -424,8 +424,9 @@
     assert_eq!(harness.store.lease(), lease);
 }
 
-/// Next group number of the first era, above the margin that is skipped after a restore.
-const FIRST_ERA_GROUPS: u64 = 5_000_000;
+/// Next group number of the first era, above the margin that is skipped after a restore and above
+/// the first numbers of the eras that follow.
+const FIRST_ERA_GROUPS: u64 = 5_000_000_000_000;
 
 /// An assignment written in the first era.
 fn assignment_of_first_era() -> Assignment {
--- a/shalehinge/tests/era_objects_courses.rs
+++ b/shalehinge/tests/era_objects_courses.rs
@@ -34,6 +34,8 @@
 const READS_PER_ERA: u64 = 6;
 /// Group number of the first era; no number is assigned again.
 const LAST_GROUP: GroupNumber = GroupNumber(5_000_000);
+/// Group number above the first ones of all eras here, so that it shows which assignment was read.
+const ABOVE_ALL_ERAS: GroupNumber = GroupNumber(5_000_000_000_000);
 /// Time between the starts of two daemons.
 const START_INTERVAL: Duration = Duration::from_millis(700);
 
@@ -515,11 +517,15 @@
 fn takes_over_the_first_assignment(era: u32) -> bool {
     let mut store = Store::new(StoreEra::new(era));
     let name = (assignment_key(), EraScope::Single(StoreEra::new(1)));
-    store.write(name, Object::Assignment(assignment_of_first_era()));
+    let assignment = Assignment {
+        next_group: ABOVE_ALL_ERAS,
+        ..assignment_of_first_era()
+    };
+    store.write(name, Object::Assignment(assignment));
     let mut fleet = Fleet::new(store, true, false, 1);
     fleet.run(LEASE_TIME * 2);
     let assignment = fleet.assignment(true).expect("written again");
-    assignment.next_group > LAST_GROUP
+    assignment.next_group > ABOVE_ALL_ERAS
 }
 
 // Guards against group numbers that are assigned again as the assignment is looked for in the
