fix(daemon): bound the time of bodies of operators and peers

What operators saw: a client of the operator or peer listener that doesn't send the whole body of its request gets no answer, holds one of 1,000 connections for good, and makes a stop last for all of stop_within.

Cause: body_timeout was applied in the gateway alone; the two other listeners read bodies by other code, with a limit of size and none of time.

All three read bodies by utils/body.rs now: 408 if late, 413 if too long, 400 if broken off, and the connection is closed. The three copies of that logic are one. Operators' bodies that are too long got 400 before.

Changed test: a_stop_with_open_connections_at_all_listeners_takes_stop_within_once keeps connections open by incomplete requests, which now end after the 1 s that the test fleet sets. It sets 60 s, so that they stay open for the whole stop as before; its check is the same.

Also two rows of red-runs.py follow the text of lease.rs (a shared lease ends with its era; the epoch of a foreign record).

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -117,8 +117,8 @@
     ),
     "a-holder-stops-in-a-new-era": (
         CORE + "lease.rs",
-        "        self.held_epoch = None;\n        self.observation = None;\n        self.pending = None;\n        self.next_read_freshness",
-        "        self.observation = None;\n        self.pending = None;\n        self.next_read_freshness",
+        "        self.held_epoch = None;\n        self.observation = None;\n        self.pending = None;\n        self.shared_lease = None;",
+        "        self.observation = None;\n        self.pending = None;\n        self.shared_lease = None;",
         "store_era", "stops",
     ),
     "a-lease-given-back-in-a-copy-waits": (
@@ -531,8 +531,8 @@
     ),
     "a-foreign-lease-waits-a-term": (
         CORE + "lease.rs",
-        "            epoch: self.highest_epoch,\n            term_ms: self.settings.term.as_millis() as u64,",
-        "            epoch: self.highest_epoch,\n            term_ms: 0,",
+        "            epoch: self.highest_epoch_before(version),\n            term_ms: self.settings.term.as_millis() as u64,",
+        "            epoch: self.highest_epoch_before(version),\n            term_ms: 0,",
         "lease", "overwritten_lease",
     ),
     "raised-above-what-is-stored": (
@@ -994,6 +994,12 @@
         "let time_left = Duration::from_secs(6);",
         "gateway", "stop_within_once",
     ),
+    "bodies-have-a-time-limit": (
+        "shalehinge/src/utils/body.rs",
+        "match with_timeout(timeout, body.read_bytes()).await {",
+        "match Some(body.read_bytes().await) {",
+        "gateway", "an_incomplete_request_of_an_operator_or_a_peer",
+    ),
     "no-expect": (
         "shalehinge/src/utils/http.rs",
         ".with_max_buffered_request_body(NEVER_EXPECT_CONTINUE)", "",
--- a/shalehinge/src/gateway/relay.rs
+++ b/shalehinge/src/gateway/relay.rs
@@ -9,8 +9,9 @@
 use sha2::{Digest, Sha256};
 use trillium::{Body, Conn, Headers, KnownHeaderName, Status};
 
+use super::GatewayContext;
+use super::request_input::body_limits;
 use super::response::DisconnectGuard;
-use super::{GatewayContext, request_input};
 use crate::core::fingerprint::Fingerprint;
 use crate::core::objects::RequestKind;
 use crate::core::operator::hex;
@@ -22,6 +23,7 @@
 use crate::process::pending_requests::CallerMessage;
 use crate::upstream::attempt::{OutgoingRequest, ResponseMode, ResponsePart, WholeResponse};
 use crate::upstream::relay::{RelayContext, RelayHeaderNames, ResponseHead, StreamPosition};
+use crate::utils::body::{BodyLimits, read_body};
 use crate::utils::caller_connection::{CallerConnection, caller_left};
 use crate::utils::headers::forwarded_headers;
 
@@ -272,15 +274,15 @@
     conn: &mut Conn,
     max_body_bytes: u64,
 ) -> Result<Vec<u8>, DaemonResponse> {
-    let limits = crate::settings::daemon::LimitSettings {
-        max_body_bytes,
-        ..context.limits
+    let limits = BodyLimits {
+        max_bytes: max_body_bytes,
+        ..body_limits(&context.limits)
     };
-    request_input::read_body(&limits, conn)
+    read_body(conn, limits)
         .await
         .map_err(|error| DaemonResponse {
             closes_connection: true,
-            ..DaemonResponse::new(error.status, "the body can't be read\n")
+            ..DaemonResponse::new(error.status(), "the body can't be read\n")
         })
 }
 
--- a/shalehinge/src/gateway/request_input.rs
+++ b/shalehinge/src/gateway/request_input.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use siphasher::sip128::{Hasher128, SipHasher13};
-use trillium::{Conn, Status};
+use trillium::Conn;
 
 use super::GatewayContext;
 use super::response::ErrorResponse;
 use crate::core::objects::KeyHash;
 use crate::core::types::Customer;
 use crate::settings::daemon::LimitSettings;
-use crate::utils::time::with_timeout;
+use crate::utils::body::{BodyError, BodyLimits, read_body};
 
 /// Request header with the time until the caller's deadline, in milliseconds.
 pub const DEADLINE_HEADER: &str = "x-deadline-ms";
@@ -117,42 +117,30 @@
 ///
 /// # Errors
 ///
-/// See [`read_body`].
+/// Returns an error response that closes the connection if the body is too large, does not
+/// arrive in time or is cut off.
 pub async fn body(context: &GatewayContext, conn: &mut Conn) -> Result<Vec<u8>, ErrorResponse> {
-    read_body(&context.limits, conn).await
+    let limits = body_limits(&context.limits);
+    read_body(conn, limits).await.map_err(body_error_response)
 }
 
-/// Reads the whole body within the given limits of size and time.
-///
-/// # Errors
-///
-/// Returns an error response that closes the connection if the body is too large, does not
-/// arrive in time or is cut off.
-pub async fn read_body(limits: &LimitSettings, conn: &mut Conn) -> Result<Vec<u8>, ErrorResponse> {
-    let body = conn.request_body().with_max_len(limits.max_body_bytes);
-    let error = match with_timeout(limits.body_timeout, body.read_bytes()).await {
-        Some(Ok(bytes)) => return Ok(bytes),
-        Some(Err(trillium_http::Error::ReceivedBodyTooLong(_))) => {
-            let message = format!("the body may have {} bytes", limits.max_body_bytes);
-            ErrorResponse {
-                status: Status::PayloadTooLarge,
-                ..ErrorResponse::bad_request("body_too_large", message)
-            }
-        }
-        Some(Err(_)) => {
-            ErrorResponse::bad_request("body_broken", "the body broke off; send it whole")
-        }
-        None => {
-            let seconds = limits.body_timeout.as_secs();
-            let message = format!("the body did not come within {seconds} s; send it faster");
-            ErrorResponse {
-                status: Status::RequestTimeout,
-                ..ErrorResponse::bad_request("body_too_slow", message)
-            }
-        }
+/// The limits for callers' request bodies.
+pub fn body_limits(limits: &LimitSettings) -> BodyLimits {
+    BodyLimits {
+        max_bytes: limits.max_body_bytes,
+        timeout: limits.body_timeout,
+    }
+}
+
+fn body_error_response(error: BodyError) -> ErrorResponse {
+    let code = match error {
+        BodyError::TooLong { .. } => "body_too_large",
+        BodyError::Incomplete => "body_broken",
+        BodyError::TooSlow { .. } => "body_too_slow",
     };
-    Err(ErrorResponse {
+    ErrorResponse {
+        status: error.status(),
         closes_connection: true,
-        ..error
-    })
+        ..ErrorResponse::bad_request(code, error.to_string())
+    }
 }
--- a/shalehinge/src/operator_api.rs
+++ b/shalehinge/src/operator_api.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use trillium::{Conn, Handler, KnownHeaderName, Status};
@@ -19,6 +20,7 @@
 };
 use crate::gateway::auth::bearer_sha256;
 use crate::process::Driver;
+use crate::utils::body::{BodyLimits, read_body};
 
 /// Path of the call that plans a change.
 pub const PLAN_PATH: &str = "/v1/plan";
@@ -115,11 +117,13 @@
 }
 
 /// Builds the handler of the operator API. Plan, confirm and status require the bearer token whose
-/// SHA-256, in hexadecimal, is `token_sha256`; metrics are public.
-pub fn handler(driver: Arc<Driver>, token_sha256: String) -> impl Handler {
+/// SHA-256, in hexadecimal, is `token_sha256`; metrics are public. Request bodies must arrive
+/// within `body_timeout`.
+pub fn handler(driver: Arc<Driver>, token_sha256: String, body_timeout: Duration) -> impl Handler {
     let plans = Context {
         driver,
         token_sha256,
+        body_timeout,
     };
     let confirms = plans.clone();
     let statuses = plans.clone();
@@ -186,6 +190,7 @@
 struct Context {
     driver: Arc<Driver>,
     token_sha256: String,
+    body_timeout: Duration,
 }
 
 impl Context {
@@ -215,9 +220,16 @@
         if !self.is_authorized(&conn) {
             return unauthorized(conn);
         }
-        let body = conn.request_body().with_max_len(MAX_BODY_BYTES);
-        let Ok(body) = body.read_bytes().await else {
-            return respond_with_error(conn, Status::BadRequest, "the body can't be read");
+        let limits = BodyLimits {
+            max_bytes: MAX_BODY_BYTES,
+            timeout: self.body_timeout,
+        };
+        let body = match read_body(&mut conn, limits).await {
+            Ok(body) => body,
+            Err(error) => {
+                let conn = conn.with_response_header(KnownHeaderName::Connection, "close");
+                return respond_with_error(conn, error.status(), &error.to_string());
+            }
         };
         let call = match parse(&body) {
             Ok(call) => call,
--- a/shalehinge/src/peer/server.rs
+++ b/shalehinge/src/peer/server.rs
@@ -1,35 +1,42 @@
 //! Handles pulls and notices from peers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use trillium::{Conn, Handler, Status};
+use trillium::{Conn, Handler, KnownHeaderName, Status};
 use trillium_router::Router;
 
 use super::{NOTICE_PATH, PULL_PATH};
 use crate::core::event::{Event, Notice, Pull};
 use crate::process::Driver;
+use crate::utils::body::{BodyError, BodyLimits, read_body};
 
 /// Maximum size of a peer's message, in bytes. This leaves room for an object of 1 MB from each
 /// failure domain.
 const MAX_MESSAGE_BYTES: u64 = 16 * 1024 * 1024;
 
-/// Handler for the listener for peers.
-pub fn handler(driver: Arc<Driver>) -> impl Handler {
+/// Handler for the listener for peers. Messages must arrive within `body_timeout`.
+pub fn handler(driver: Arc<Driver>, body_timeout: Duration) -> impl Handler {
+    let limits = BodyLimits {
+        max_bytes: MAX_MESSAGE_BYTES,
+        timeout: body_timeout,
+    };
     let pull_driver = driver.clone();
     Router::new()
         .post(PULL_PATH, move |conn: Conn| {
             let driver = pull_driver.clone();
-            async move { handle_pull(driver, conn).await }
+            async move { handle_pull(driver, limits, conn).await }
         })
         .post(NOTICE_PATH, move |conn: Conn| {
             let driver = driver.clone();
-            async move { handle_notice(driver, conn).await }
+            async move { handle_notice(driver, limits, conn).await }
         })
 }
 
-async fn handle_pull(driver: Arc<Driver>, mut conn: Conn) -> Conn {
-    let Some(pull) = read_message::<Pull>(&mut conn).await else {
-        return conn.with_status(Status::BadRequest).halt();
+async fn handle_pull(driver: Arc<Driver>, limits: BodyLimits, mut conn: Conn) -> Conn {
+    let pull = match read_message::<Pull>(&mut conn, limits).await {
+        Ok(pull) => pull,
+        Err(error) => return refuse(conn, &error),
     };
     let Some(reply) = driver.answer_pull(pull).await else {
         return conn.with_status(Status::ServiceUnavailable).halt();
@@ -40,17 +47,40 @@
     }
 }
 
-async fn handle_notice(driver: Arc<Driver>, mut conn: Conn) -> Conn {
-    let Some(notice) = read_message::<Notice>(&mut conn).await else {
-        return conn.with_status(Status::BadRequest).halt();
+async fn handle_notice(driver: Arc<Driver>, limits: BodyLimits, mut conn: Conn) -> Conn {
+    let notice = match read_message::<Notice>(&mut conn, limits).await {
+        Ok(notice) => notice,
+        Err(error) => return refuse(conn, &error),
     };
     driver.dispatch(Event::NoticeReceived(notice));
     conn.with_status(Status::NoContent).halt()
 }
 
-/// Reads and decodes a message; `None` if it is invalid or too large.
-async fn read_message<T: serde::de::DeserializeOwned>(conn: &mut Conn) -> Option<T> {
-    let body = conn.request_body().with_max_len(MAX_MESSAGE_BYTES);
-    let bytes = body.read_bytes().await.ok()?;
-    rmp_serde::from_slice(&bytes).ok()
+/// Why a peer's message can't be read.
+#[derive(Debug, thiserror::Error)]
+enum MessageError {
+    #[error(transparent)]
+    Body(#[from] BodyError),
+    /// The sender runs another version, or is no daemon.
+    #[error("not a message of this version: {0}")]
+    Format(#[from] rmp_serde::decode::Error),
+}
+
+async fn read_message<T: serde::de::DeserializeOwned>(
+    conn: &mut Conn,
+    limits: BodyLimits,
+) -> Result<T, MessageError> {
+    let bytes = read_body(conn, limits).await?;
+    Ok(rmp_serde::from_slice(&bytes)?)
+}
+
+fn refuse(conn: Conn, error: &MessageError) -> Conn {
+    log::debug!("peers: refused a message: {error}");
+    match error {
+        MessageError::Body(error) => conn
+            .with_status(error.status())
+            .with_response_header(KnownHeaderName::Connection, "close")
+            .halt(),
+        MessageError::Format(_) => conn.with_status(Status::BadRequest).halt(),
+    }
 }
--- a/shalehinge/src/process/run.rs
+++ b/shalehinge/src/process/run.rs
@@ -199,13 +199,13 @@
             listeners.operators,
             control_config,
             MAX_CONTROL_CONNECTIONS,
-            operator_api::handler(driver.clone(), token),
+            operator_api::handler(driver.clone(), token, limits.body_timeout),
         ),
         spawn_server(
             listeners.peers,
             control_config,
             MAX_CONTROL_CONNECTIONS,
-            peer::server::handler(driver.clone()),
+            peer::server::handler(driver.clone(), limits.body_timeout),
         ),
     ]);
     servers
--- a/shalehinge/src/settings/daemon.rs
+++ b/shalehinge/src/settings/daemon.rs
@@ -53,7 +53,7 @@
     pub max_head_bytes: usize,
     /// Maximum number of concurrent connections of callers.
     pub max_connections: usize,
-    /// How long a caller may take to send the complete request body.
+    /// How long callers, operators and peers may take to send the complete request body.
     pub body_timeout: Duration,
     /// Time to the deadline of a request that doesn't specify one.
     pub default_deadline: Duration,
--- a/shalehinge/src/utils/mod.rs
+++ b/shalehinge/src/utils/mod.rs
@@ -1,5 +1,6 @@
 //! Helpers shared by several modules.
 //!
+//! - `body`: request bodies within limits of size and time
 //! - `caller_connection`: notices that a caller disconnects during its response
 //! - `clock`: the clock for lease terms and ages
 //! - `headers`: selection of the headers that are forwarded
@@ -7,6 +8,7 @@
 //! - `task`: task executor with several threads
 //! - `time`: time-outs and wall clock
 
+pub mod body;
 pub mod caller_connection;
 pub mod clock;
 pub mod headers;
--- a/shalehinge/tests/gateway.rs
+++ b/shalehinge/tests/gateway.rs
@@ -236,12 +236,17 @@
     assert_eq!(response.header_values("content-length"), ["2"]);
 }
 
+/// A request of an operator or a peer without the end of its body.
+fn incomplete_request(path: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: t\r\nAuthorization: Bearer token\r\nContent-Length: 500\r\n\r\n{{"
+    )
+}
+
 /// Starts a request and never sends the end of its body.
 fn start_incomplete_request(to: SocketAddr, path: &str) -> TcpStream {
     let mut stream = TcpStream::connect(to).expect("can connect");
-    let request = format!(
-        "POST {path} HTTP/1.1\r\nHost: t\r\nAuthorization: Bearer token\r\nContent-Length: 500\r\n\r\n{{"
-    );
+    let request = incomplete_request(path);
     stream
         .write_all(request.as_bytes())
         .expect("can send the request");
@@ -253,6 +258,8 @@
     const STOP_WITHIN: Duration = Duration::from_secs(6);
     let mut fleet = Fleet::new("stop-once", 2);
     fleet.limits = format!("stop_within = {}s", STOP_WITHIN.as_secs());
+    // Incomplete requests stay open for the whole stop.
+    fleet.body_timeout = 10 * STOP_WITHIN;
     let mut daemon = fleet.start_serving_daemon();
     let to = daemon.callers;
     std::thread::spawn(move || send_chat(to, &[], &chat_request_body(100_000, true)));
@@ -269,6 +276,23 @@
     assert!(elapsed < 2 * STOP_WITHIN, "the stop took {elapsed:?}");
 }
 
+// Guards against connections, and stops, that wait for a body that never arrives.
+#[test]
+fn an_incomplete_request_of_an_operator_or_a_peer_is_refused_after_body_timeout() {
+    let mut fleet = Fleet::new("incomplete-control", 2);
+    let daemon = fleet.start_daemon(&[]);
+    for (to, path) in [
+        (daemon.operators, "/v1/plan"),
+        (daemon.operators, "/v1/confirm"),
+        (daemon.peers, "/peer/pull"),
+        (daemon.peers, "/peer/notice"),
+    ] {
+        let response = send_raw_request(to, incomplete_request(path).as_bytes());
+        assert_eq!(response.status, 408, "{path}: {response:?}");
+        assert_eq!(response.header("connection"), Some("close"), "{path}");
+    }
+}
+
 #[test]
 fn a_planned_stop_finishes_a_stream_and_refuses_new_requests_as_not_run() {
     let mut fleet = Fleet::new("planned-stop", 2);
--- a/shalehinge/tests/process_support/mod.rs
+++ b/shalehinge/tests/process_support/mod.rs
@@ -296,6 +296,8 @@
     pub engines: Vec<RunningEngine>,
     /// Address of the stand-in for a plain service.
     pub service: SocketAddr,
+    /// How long daemons wait for a request's body.
+    pub body_timeout: Duration,
     /// Further lines of section `[limits]` in the settings of daemons.
     pub limits: String,
     directory: PathBuf,
@@ -334,6 +336,7 @@
             platform,
             engines: engines.expect("can start the engines"),
             service,
+            body_timeout: Duration::from_secs(1),
             limits: String::new(),
             directory,
             next_daemon: 0,
@@ -350,10 +353,11 @@
             "[daemon]\nname = entry-{number}\nfailure_domain = d\nseeds = {}\n\
              [listen]\ncallers = 127.0.0.1:0\noperators = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
              [platform]\naddress = {}\n[operators]\ntoken_sha256 = {}\n\
-             [limits]\nmax_body_bytes = 20000\nbody_timeout = 1s\n{}\n[log]\nfile = {}\n",
+             [limits]\nmax_body_bytes = 20000\nbody_timeout = {}s\n{}\n[log]\nfile = {}\n",
             seeds.join(", "),
             self.platform,
             sha256(OPERATOR_TOKEN),
+            self.body_timeout.as_secs(),
             self.limits,
             log.display()
         );
