--- a/shalehinge/src/core/daemon/limits.rs
+++ b/shalehinge/src/core/daemon/limits.rs
@@ -306,11 +306,11 @@
         limits: &LimitsNotice,
         out: &mut Vec<Action>,
     ) {
-        let told = limits.told.iter().map(|report| (report, None));
-        let asked = limits.asked.iter();
-        let asked = asked.map(|request| (&request.known, request.in_place_of));
-        let owners: Vec<LimitOwner> = told
-            .chain(asked)
+        let reports = limits.told.iter().map(|report| (report, None));
+        let requests = limits.asked.iter();
+        let requests = requests.map(|request| (&request.known, request.in_place_of));
+        let owners: Vec<LimitOwner> = reports
+            .chain(requests)
             .filter_map(|(report, in_place_of)| self.misjudged_owner(now, report, in_place_of))
             .collect();
         if owners.is_empty() || to == self.identity.address {
@@ -350,7 +350,8 @@
         })
     }
 
-    /// Learns of the owner of a limit, and repeats what was sent to another daemon in vain.
+    /// Records the owner of a limit, and repeats reports and requests that another daemon received
+    /// in its place.
     fn on_owner_named(
         &mut self,
         now: Timestamp,
--- a/shalehinge/src/core/membership.rs
+++ b/shalehinge/src/core/membership.rs
@@ -315,7 +315,7 @@
         self.members.insert(daemon, state);
     }
 
-    /// Merges the heartbeat of one member, of which a peer told outside of gossip.
+    /// Merges the heartbeat of one member that a peer sent outside of gossip.
     pub fn merge_member(&mut self, now: Timestamp, heartbeat: Heartbeat) {
         if heartbeat.daemon != self.own_heartbeat.daemon {
             self.merge_heartbeat(now, heartbeat);
--- a/shalehinge/src/core/types.rs
+++ b/shalehinge/src/core/types.rs
@@ -125,8 +125,7 @@
 pub struct GroupNumber(pub u64);
 
 impl GroupNumber {
-    /// Number of group numbers reserved for each era. With a new group every ten seconds they last
-    /// five years.
+    /// Number of group numbers reserved for each era.
     const PER_ERA: u64 = 1 << 24;
 
     /// A pseudo-group that a free host joins on its own to preload a model's weights into memory.
--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -545,7 +545,7 @@
     });
 }
 
-// Guards against groups that are never formed without a word of the hosts that are kept out.
+// Guards against groups that are never formed while no log line names the hosts that are excluded.
 #[test]
 fn the_log_names_hosts_that_join_no_group_as_they_answer_no_probe() {
     let mut domain = Domain::new(&[8]);
