--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -994,6 +994,18 @@
         "let time_left = Duration::from_secs(6);",
         "gateway", "stop_within_once",
     ),
+    "owners-of-limits-are-named": (
+        CORE + "daemon/limits.rs",
+        "        self.membership.merge_member(now, named.owner.clone());\n",
+        "",
+        "limited_upstreams", "do_not_know_the_owner",
+    ),
+    "diverted-requests-are-made-up-for": (
+        CORE + "router/choose.rs",
+        "open.iter().copied().filter(is_owed).collect();",
+        "open.iter().copied().filter(is_owed).filter(|_| false).collect();",
+        "limited_upstreams", "a_slow_limit_is_used",
+    ),
     "bodies-have-a-time-limit": (
         "shalehinge/src/utils/body.rs",
         "match with_timeout(timeout, body.read_bytes()).await {",
--- a/shalehinge/tests/limited_upstreams.rs
+++ b/shalehinge/tests/limited_upstreams.rs
@@ -413,13 +413,16 @@
     );
 }
 
+/// Courses of random draws in which a caller is refused if nobody names the owner.
+const SEEDS_OF_UNKNOWN_OWNERS: [u64; 3] = [11, 22, 50];
+
 /// Guards against daemons that ask another one than the owner for permits, as members of other
 /// failure domains are known from samples alone.
 #[test]
 fn callers_are_served_by_daemons_that_do_not_know_the_owner_of_their_only_limit() {
     let mut asked = 0;
     let mut refused = Vec::new();
-    for seed in 0..SEEDS {
+    for seed in (0..SEEDS).chain(SEEDS_OF_UNKNOWN_OWNERS) {
         let mut simulation = LoadSimulation::with_seed(90, 1, usize::MAX, seed);
         simulation.limit(0, 10.0);
         let unaware = simulation.daemons_that_do_not_know_the_owner(0);
