--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -28,7 +28,7 @@
 use shalehinge::utils::http::LARGE_RESPONSE_TIMEOUT;
 
 use self::platform::{Platform, platform_bytes};
-pub use self::upstreams::{Arrival, RefusedAttempt};
+pub use self::upstreams::{Arrival, RefusedAttempt, UpstreamCut};
 
 /// Number of failure domains, over which the daemons are distributed evenly unless a test names
 /// another number.
@@ -124,6 +124,10 @@
     pub outcomes: Vec<Outcome>,
     /// Times from these requests to their outcomes.
     pub answer_times: Vec<Duration>,
+    /// Indexes of the daemons that received these requests.
+    pub answered_by: Vec<usize>,
+    /// Daemons that reach no upstream, and how their connections fail.
+    pub cut_from_upstreams: BTreeMap<usize, UpstreamCut>,
     /// Daemons that exchange no messages with the daemons outside this set.
     pub partitioned: BTreeSet<usize>,
     /// Pairs of daemons that exchange no messages with each other, the lower index first.
@@ -185,6 +189,8 @@
             cut_domain: None,
             completing: BTreeMap::new(),
             answer_times: Vec::new(),
+            answered_by: Vec::new(),
+            cut_from_upstreams: BTreeMap::new(),
             arrivals: Vec::new(),
             outcomes: Vec::new(),
             partitioned: BTreeSet::new(),
@@ -436,7 +442,8 @@
             Action::AnswerPull { pull_id, reply } => self.answer_pull(index, pull_id, reply),
             Action::Send(attempt) => self.run_attempt(index, &attempt),
             Action::CheckUpstream { upstream, .. } => {
-                let is_gone = true;
+                let cut = self.cut_from_upstreams.get(&index);
+                let is_gone = cut.is_none_or(|cut| cut.refuses_connections());
                 let event = Event::UpstreamChecked { upstream, is_gone };
                 self.schedule(Duration::ZERO, index, event);
             }
@@ -451,6 +458,7 @@
                 if let Some(since) = self.completing.remove(&request) {
                     self.outcomes.push(outcome);
                     self.answer_times.push(self.now - since);
+                    self.answered_by.push(index);
                 }
             }
             Action::Log(line) => self.record_line(index, &line),
--- a/shalehinge/tests/relay_support/upstreams.rs
+++ b/shalehinge/tests/relay_support/upstreams.rs
@@ -41,6 +41,24 @@
     pub cooldown: Duration,
 }
 
+/// How the connections of a daemon that reaches no upstream fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpstreamCut {
+    /// Open connections and new ones get no reply.
+    Silent,
+    /// Open connections live on, new ones are refused.
+    Refused,
+    /// Open connections are reset, new ones are refused.
+    Reset,
+}
+
+impl UpstreamCut {
+    /// Whether a new connection is refused, rather than left without a reply.
+    pub fn refuses_connections(self) -> bool {
+        self != Self::Silent
+    }
+}
+
 /// Run time of a request that completes.
 const RUN_TIME: Duration = Duration::from_millis(300);
 
@@ -97,6 +115,28 @@
         self.schedule(TICK, index, Event::FirstOutput { request, attempt });
     }
 
+    /// Cuts daemons off from all upstreams, while peers and the platform still reach them.
+    pub fn cut_from_upstreams(&mut self, daemons: &[usize], cut: UpstreamCut) {
+        self.cut_from_upstreams
+            .extend(daemons.iter().map(|index| (*index, cut)));
+        let events = std::mem::take(&mut self.events);
+        for ((at, number), (index, event)) in events {
+            let event = if daemons.contains(&index) {
+                event_after_cut(event, cut)
+            } else {
+                Some(event)
+            };
+            if let Some(event) = event {
+                self.events.insert((at, number), (index, event));
+            }
+        }
+    }
+
+    /// Lets all daemons reach the upstreams again.
+    pub fn restore_upstreams(&mut self) {
+        self.cut_from_upstreams.clear();
+    }
+
     /// Whether a daemon can't connect to the upstream of a group, as one of them is in the failure
     /// domain that is cut off and the other isn't.
     fn is_cut_off(&self, index: usize, group: GroupNumber) -> bool {
@@ -112,14 +152,21 @@
         let Some(group) = sent.group else {
             return;
         };
-        if self.is_cut_off(index, group) {
+        let cut = self.cut_from_upstreams.get(&index).copied();
+        if cut.is_some() || self.is_cut_off(index, group) {
+            let is_refused = cut.is_some_and(UpstreamCut::refuses_connections);
+            let fails_after = if is_refused {
+                TICK
+            } else {
+                ATTEMPT_CONNECT_TIMEOUT
+            };
             let end = AttemptEnd::NotSent;
             let event = Event::AttemptEnded {
                 request,
                 attempt,
                 end,
             };
-            self.schedule(ATTEMPT_CONNECT_TIMEOUT, index, event);
+            self.schedule(fails_after, index, event);
             return;
         }
         let daemon = index;
@@ -205,6 +252,30 @@
     }
 }
 
+/// What becomes of an event of an open connection to an upstream when the connection is cut.
+fn event_after_cut(event: Event, cut: UpstreamCut) -> Option<Event> {
+    match (event, cut) {
+        (
+            Event::AttemptEnded {
+                request, attempt, ..
+            },
+            UpstreamCut::Reset,
+        ) => Some(Event::AttemptEnded {
+            request,
+            attempt,
+            end: AttemptEnd::Lost,
+        }),
+        (
+            Event::AttemptEnded { .. }
+            | Event::FirstOutput { .. }
+            | Event::Progress { .. }
+            | Event::Signal { .. },
+            UpstreamCut::Silent | UpstreamCut::Reset,
+        ) => None,
+        (event, _) => Some(event),
+    }
+}
+
 /// A request for a stream that must not be repeated.
 fn stream(deadline: Timestamp) -> RequestMeta {
     RequestMeta {
--- /dev/null
+++ b/shalehinge/tests/unreachable_upstreams.rs
@@ -0,0 +1,105 @@
+//! Guards against daemons that reach no upstream refusing their callers while peers could serve
+//! them.
+
+mod relay_support;
+
+use std::ops::Range;
+use std::time::Duration;
+
+use relay_support::load_simulation::LoadSimulation;
+use relay_support::{Fleet, UpstreamCut};
+use shalehinge::core::router::request::Outcome;
+
+/// Time after the start of a cut from which the callers of cut daemons must be served.
+const NOTICED_WITHIN: Duration = Duration::from_secs(3);
+/// Time for which callers are observed after that.
+const OBSERVED: Duration = Duration::from_secs(6);
+/// One request in this many may fail in the whole fleet.
+const FAILURES_ALLOWED_IN: usize = 50;
+
+/// Numbers of daemons and groups, and rounds between two requests of a daemon.
+const SIZES: [(u16, u16, usize); 3] = [(9, 18, 1), (90, 30, 4), (340, 60, 20)];
+const CUTS: [UpstreamCut; 3] = [
+    UpstreamCut::Silent,
+    UpstreamCut::Refused,
+    UpstreamCut::Reset,
+];
+
+/// Numbers of requests that completed, and of all that were answered.
+#[derive(Clone, Copy, Debug, Default)]
+struct Served {
+    completed: usize,
+    all: usize,
+}
+
+impl Served {
+    fn record(&mut self, outcome: &Outcome) {
+        self.completed += usize::from(*outcome == Outcome::Completed);
+        self.all += 1;
+    }
+
+    /// Whether requests completed at least as often as these.
+    fn is_as_often_as(self, other: Self) -> bool {
+        self.completed * other.all >= other.completed * self.all
+    }
+}
+
+/// The answers in a range of outcomes, at the daemons that are cut and at the others.
+fn served(fleet: &Fleet, cut: &[usize], answers: Range<usize>) -> (Served, Served) {
+    let (mut at_cut, mut at_others) = (Served::default(), Served::default());
+    for index in answers {
+        let is_cut = cut.contains(&fleet.answered_by[index]);
+        let side = if is_cut { &mut at_cut } else { &mut at_others };
+        side.record(&fleet.outcomes[index]);
+    }
+    (at_cut, at_others)
+}
+
+/// Cuts some daemons of a fleet under load, and checks that their callers are served like others.
+fn check_cut(size: (u16, u16, usize), cut: UpstreamCut, is_cut: impl Fn(usize) -> bool) {
+    let (daemons, groups, every) = size;
+    let mut simulation = LoadSimulation::new(daemons, groups, every);
+    simulation.serve_seconds(2);
+    let cut_daemons: Vec<usize> = (0..usize::from(daemons)).filter(|i| is_cut(*i)).collect();
+    simulation.fleet.cut_from_upstreams(&cut_daemons, cut);
+    simulation.serve(NOTICED_WITHIN);
+    let first = simulation.fleet.outcomes.len();
+    simulation.serve(OBSERVED);
+    let answers = first..simulation.fleet.outcomes.len();
+    let (at_cut, at_others) = served(&simulation.fleet, &cut_daemons, answers);
+    println!("{daemons} daemons, {cut:?}: {at_cut:?} at cut daemons, {at_others:?} at others");
+    assert!(at_cut.is_as_often_as(at_others), "{daemons}, {cut:?}");
+    let failed = at_cut.all + at_others.all - at_cut.completed - at_others.completed;
+    let all = at_cut.all + at_others.all;
+    assert!(
+        failed * FAILURES_ALLOWED_IN <= all,
+        "{failed} of {all} failed, {daemons} daemons, {cut:?}"
+    );
+}
+
+#[test]
+fn callers_of_daemons_that_reach_no_upstream_are_served_by_peers() {
+    for size in SIZES {
+        for cut in CUTS {
+            check_cut(size, cut, |index| index % 9 < 3);
+        }
+    }
+}
+
+#[test]
+fn callers_are_served_while_two_of_three_daemons_reach_no_upstream() {
+    for size in SIZES {
+        for cut in CUTS {
+            check_cut(size, cut, |index| index % 9 < 6);
+        }
+    }
+}
+
+#[test]
+fn callers_of_a_failure_domain_are_served_while_none_of_its_daemons_reaches_an_upstream() {
+    for size in SIZES {
+        for cut in CUTS {
+            check_cut(size, cut, |index| index % 3 == 0);
+        }
+    }
+}
