--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -12,6 +12,7 @@
 //! - `control`: the control lease of a failure domain, and the work of the lease holder
 //! - `limits`: enforces, over all daemons, the request rates that overloaded upstreams ask for
 //! - `operators`: plan and confirm calls of operators
+//! - `forwarding`: requests that are handed between daemons
 //! - `requests`: requests of callers, and the router's actions
 //! - `claiming`: claims idempotency keys before requests run and settles them afterwards
 //! - `stopping`: planned shutdown
@@ -22,6 +23,7 @@
 mod configuration;
 mod control;
 mod era_objects;
+mod forwarding;
 mod limits;
 mod operators;
 mod peers;
@@ -225,6 +227,7 @@
             counter: 0,
             revision: 0,
             leaving: false,
+            isolated: false,
             fleet: FleetVersion::NONE,
             holds_control: false,
         };
@@ -401,7 +404,17 @@
                 None => self.controller.on_order_unanswered(now, asked_at, &host),
             },
             Event::Request { request, meta } => self.on_request(now, request, meta, out),
-            Event::FirstOutput { request, attempt } => self.router.on_output(now, request, attempt),
+            Event::ForwardReceived { request, meta } => {
+                self.on_forward_received(now, request, meta, out);
+            }
+            Event::ForwardEnded {
+                request,
+                attempt,
+                end,
+            } => self.on_forward_ended(now, request, attempt, end, out),
+            Event::FirstOutput { request, attempt } => {
+                self.on_first_output(now, request, attempt, out);
+            }
             Event::Progress { request, attempt } => {
                 self.router.on_progress(now, request, attempt);
             }
@@ -418,6 +431,10 @@
             Event::UpstreamChecked { upstream, is_gone } => {
                 self.on_upstream_checked(now, &upstream, is_gone, out);
             }
+            Event::UpstreamProbed {
+                upstream,
+                is_reachable,
+            } => self.on_upstream_probed(now, &upstream, is_reachable, out),
             Event::CallerLeft(request) => self.on_caller_left(now, request, out),
             Event::Operator { call_id, call } => self.on_operator(now, call_id, call, out),
             Event::Leave => self.on_leave(now, out),
@@ -437,6 +454,7 @@
         self.tick_controller(now, out);
         self.tick_claims(now, out);
         self.check_successors(now, out);
+        self.update_forward_peers(now, out);
         self.tick_router(now, out);
         self.report_suspects(now, out);
         self.send_quarantine_update(now, out);
--- a/shalehinge/src/core/daemon/requests.rs
+++ b/shalehinge/src/core/daemon/requests.rs
@@ -77,6 +77,18 @@
         self.handle_router_actions(now, actions, out);
     }
 
+    pub(super) fn on_first_output(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        attempt: AttemptId,
+        out: &mut Vec<Action>,
+    ) {
+        let mut actions = Vec::new();
+        self.router.on_output(now, request, attempt, &mut actions);
+        self.handle_router_actions(now, actions, out);
+    }
+
     pub(super) fn on_signal(
         &mut self,
         now: Timestamp,
@@ -152,7 +164,7 @@
     }
 
     pub(super) fn tick_router(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        let sharers = self.membership.fleet_size(now);
+        let sharers = self.membership.serving_fleet_size(now);
         self.router.set_daemon_count(sharers);
         self.router.set_keys_valid_until(self.keys_valid_until());
         for spec in self.router.reports_wanted(now) {
@@ -176,6 +188,10 @@
         for action in actions {
             match action {
                 RouterAction::Send(attempt) => out.push(Action::Send(attempt)),
+                RouterAction::Forward(forward) => out.push(Action::Forward(forward)),
+                RouterAction::ProbeUpstream { upstream, address } => {
+                    out.push(Action::ProbeUpstream { upstream, address });
+                }
                 RouterAction::Abandon(attempt) => out.push(Action::CancelAttempt(attempt)),
                 RouterAction::CheckUpstream { upstream, address } => {
                     out.push(Action::CheckUpstream { upstream, address });
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -9,6 +9,7 @@
 use super::engine::{EngineStatus, Order, OrderReply};
 use super::fingerprint::Fingerprint;
 use super::fleet_state::{ObjectUpdate, VersionDigest};
+use super::forward::{Forward, ForwardEnd, ForwardedMeta};
 use super::membership::{Gossip, Heartbeat};
 use super::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
 use super::permits::{LimitReport, PermitGrant, PermitRequest};
@@ -273,6 +274,22 @@
         /// The request's properties that the core needs.
         meta: RequestMeta,
     },
+    /// A peer handed a request to this daemon.
+    ForwardReceived {
+        /// Id assigned by the process that drives the core.
+        request: RequestId,
+        /// The request's properties that the core needs.
+        meta: ForwardedMeta,
+    },
+    /// An attempt to have a peer run a request ended.
+    ForwardEnded {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+        /// How the attempt ended.
+        end: ForwardEnd,
+    },
     /// The first output of an attempt was passed to the caller.
     FirstOutput {
         /// The request.
@@ -314,6 +331,13 @@
         /// request crashed it.
         is_gone: bool,
     },
+    /// The probe of an upstream that could not be connected to completed.
+    UpstreamProbed {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Whether it accepted a connection.
+        is_reachable: bool,
+    },
     /// A caller disconnected before it received its answer.
     CallerLeft(RequestId),
     /// An operator's call arrived.
@@ -382,8 +406,18 @@
     },
     /// Send a request to an upstream.
     Send(Attempt),
-    /// Cancel a running attempt.
+    /// Hand a request to a peer; always answered by [`Event::ForwardEnded`], unless it is cancelled.
+    Forward(Forward),
+    /// Cancel a running attempt, at an upstream or by a peer.
     CancelAttempt(AttemptId),
+    /// Check whether an upstream can be connected to; always answered by
+    /// [`Event::UpstreamProbed`].
+    ProbeUpstream {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Address at which it listens.
+        address: Address,
+    },
     /// Check whether an upstream still accepts connections; always answered by
     /// [`Event::UpstreamChecked`].
     CheckUpstream {
--- a/shalehinge/src/core/membership.rs
+++ b/shalehinge/src/core/membership.rs
@@ -45,6 +45,8 @@
     pub revision: u64,
     /// Whether the daemon is stopping and takes no more duties.
     pub leaving: bool,
+    /// Whether the daemon reaches no upstream.
+    pub isolated: bool,
     /// Version of the configuration in force at the daemon.
     pub fleet: FleetVersion,
     /// Whether the daemon is the lease holder of its failure domain.
@@ -170,6 +172,17 @@
             .collect()
     }
 
+    /// Sets whether peers see this daemon as reaching no upstream. Returns whether that is a
+    /// change.
+    pub fn set_isolated(&mut self, isolated: bool) -> bool {
+        if self.own_heartbeat.isolated == isolated {
+            return false;
+        }
+        self.own_heartbeat.isolated = isolated;
+        self.own_heartbeat.revision += 1;
+        true
+    }
+
     /// Marks this daemon as stopping.
     pub fn mark_leaving(&mut self) {
         self.own_heartbeat.leaving = true;
@@ -351,6 +364,16 @@
         by_domain.max(self.live_peers(now).count() + 1)
     }
 
+    /// Like [`Self::fleet_size`], without the proportion of daemons that are known to reach no
+    /// upstream; at least 1.
+    pub fn serving_fleet_size(&self, now: Timestamp) -> usize {
+        let live = self.live_peers(now).count() + 1;
+        let isolated = self.live_peers(now).filter(|peer| peer.isolated).count();
+        let isolated = isolated + usize::from(self.own_heartbeat.isolated);
+        let serving = self.fleet_size(now) * (live - isolated);
+        serving.div_ceil(live).max(1)
+    }
+
     /// Live members other than this daemon.
     pub fn live_peers(&self, now: Timestamp) -> impl Iterator<Item = &Heartbeat> {
         let dead_after = self.settings.dead_after;
--- a/shalehinge/src/core/mod.rs
+++ b/shalehinge/src/core/mod.rs
@@ -27,6 +27,7 @@
 //! - `advertised_limit`: rate limits that overloaded upstreams state in their responses
 //! - `permits`: how daemons share the rate of such an upstream
 //! - `signal`: everything that an upstream states about itself in a response
+//! - `forward`: requests that a daemon hands to a peer
 //! - `trials`: isolated test runs of requests suspected of crashing upstreams
 //! - `router`: which upstream each request is sent to
 //! - `route_config`: configuration of routes and model profiles
@@ -46,6 +47,7 @@
 pub mod feed;
 pub mod fingerprint;
 pub mod fleet_state;
+pub mod forward;
 pub mod hash;
 pub mod lease;
 pub mod membership;
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -8,13 +8,16 @@
 use std::time::Duration;
 
 use crate::core::fingerprint::Fingerprint;
+use crate::core::forward::Forward;
 use crate::core::permits::LimitReport;
 use crate::core::trials::TrialRequest;
 use crate::core::types::{Address, AttemptId, FailureDomain, Incarnation, RequestId, Timestamp};
 use crate::settings::router::RouterSettings;
 
 use super::choose::Choice;
+use super::connectivity::Connectivity;
 use super::failing::FailureCause;
+use super::forwarding::{ForwardPeers, choose_peer};
 use super::limit_state::PermitUrgency;
 use super::quarantine::Quarantine;
 use super::reachability::DomainReachability;
@@ -56,6 +59,15 @@
         /// The address it last listened on.
         address: Address,
     },
+    /// Hand a request to a peer.
+    Forward(Forward),
+    /// Check whether an upstream of a cut-off target can be connected to.
+    ProbeUpstream {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// The address it last listened on.
+        address: Address,
+    },
     /// Report a limit named by an upstream's answer to the limit's owner.
     ReportLimit(LimitReport),
     /// Request permits from a limit's owner.
@@ -109,6 +121,10 @@
     pub(super) trial_upstreams: BTreeMap<Fingerprint, UpstreamId>,
     /// Reachability of the other failure domains.
     pub(super) reachability: DomainReachability,
+    /// Whether this daemon can connect to the upstreams of each target.
+    pub(super) connectivity: Connectivity,
+    /// The peers that may run requests for this daemon.
+    pub(super) forward_peers: ForwardPeers,
     /// Time of the last tick.
     pub(super) ticked_at: Timestamp,
 }
@@ -134,6 +150,8 @@
             pending_checks: BTreeMap::new(),
             trial_upstreams: BTreeMap::new(),
             reachability: DomainReachability::default(),
+            connectivity: Connectivity::default(),
+            forward_peers: ForwardPeers::default(),
             ticked_at: Timestamp::ZERO,
         }
     }
@@ -232,8 +250,8 @@
         Some(&self.pending.get(&request)?.meta.target)
     }
 
-    /// Accepts a request of a customer with this share. It is sent, queued, held for a trial or
-    /// refused.
+    /// Accepts a request of a customer with this share. It is sent, queued, handed to a peer, held
+    /// for a trial or refused.
     pub fn submit(
         &mut self,
         now: Timestamp,
@@ -243,7 +261,43 @@
         rng: &mut impl rand::Rng,
         out: &mut Vec<RouterAction>,
     ) {
-        if let Some(refusal) = self.refusal(now, &meta, share) {
+        self.accept(now, request, Pending::new(now, meta, share), rng, out);
+    }
+
+    /// Like [`Self::submit`], for a request that a peer handed to this daemon. It is never handed
+    /// on.
+    pub fn submit_forwarded(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        meta: RequestMeta,
+        share: u32,
+        rng: &mut impl rand::Rng,
+        out: &mut Vec<RouterAction>,
+    ) {
+        if self.connectivity.is_doubtful(&meta.target) {
+            let outcome = self.not_run(NotRunReason::Unreachable);
+            out.push(RouterAction::Answer { request, outcome });
+            return;
+        }
+        let pending = Pending {
+            is_forwarded: true,
+            ..Pending::new(now, meta, share)
+        };
+        self.accept(now, request, pending, rng, out);
+    }
+
+    fn accept(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        mut pending: Pending,
+        rng: &mut impl rand::Rng,
+        out: &mut Vec<RouterAction>,
+    ) {
+        let meta = &pending.meta;
+        let share = pending.share;
+        if let Some(refusal) = self.refusal(now, meta, share) {
             let outcome = refused(refusal);
             out.push(RouterAction::Answer { request, outcome });
             return;
@@ -252,25 +306,9 @@
         let Some(state) = self.targets.get_mut(&target) else {
             return;
         };
-        let cost = state.cost_of(&meta);
-        let pending = Pending {
-            meta,
-            arrived_at: now,
-            attempts: 0,
-            possible_runs: 0,
-            tried: Vec::new(),
-            has_unsent_attempt: false,
-            running: None,
-            has_output: false,
-            earlier_outcome: None,
-            cost,
-            share,
-            trial: TrialState::None,
-        };
-        if self
-            .quarantined_for(now, pending.meta.fingerprint)
-            .is_some()
-        {
+        pending.cost = state.cost_of(meta);
+        let is_quarantined = self.quarantined_for(now, meta.fingerprint).is_some();
+        if is_quarantined && !self.can_forward(now, &target) {
             self.hold_for_trial(now, request, pending, rng, out);
             return;
         }
@@ -322,6 +360,18 @@
                 self.answer_next(target, refused(refusal), out);
                 continue;
             }
+            if pending.is_forwarded && self.connectivity.is_doubtful(target) {
+                let outcome = self.not_run(NotRunReason::Unreachable);
+                self.answer_next(target, outcome, out);
+                continue;
+            }
+            let peer = choose_peer(&self.connectivity, &self.forward_peers, now, pending, rng);
+            if let Some(peer) = peer {
+                state.queue.pop();
+                self.waiting -= 1;
+                self.forward(now, request, peer, out);
+                continue;
+            }
             let selection = state.choose_for(now, &self.settings, &avoided, pending, rng);
             let Some(choice) = selection.choice else {
                 if matches!(pending.trial, TrialState::At(_)) {
@@ -374,6 +424,16 @@
         }
     }
 
+    /// The id of a new attempt.
+    pub(super) fn next_attempt_id(&mut self) -> AttemptId {
+        let sequence = self.next_attempt;
+        self.next_attempt += 1;
+        AttemptId {
+            incarnation: self.incarnation,
+            sequence,
+        }
+    }
+
     /// Removes the next request from a target's queue and answers it.
     fn answer_next(&mut self, target: &Target, outcome: Outcome, out: &mut Vec<RouterAction>) {
         let state = self.targets.get_mut(target);
@@ -384,10 +444,20 @@
     }
 
     /// Handles the first output of an attempt that reaches the caller.
-    pub fn on_output(&mut self, now: Timestamp, request: RequestId, attempt: AttemptId) {
+    pub fn on_output(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        attempt: AttemptId,
+        out: &mut Vec<RouterAction>,
+    ) {
         let Some(pending) = self.pending.get_mut(&request) else {
             return;
         };
+        if pending.forwarded.is_some_and(|known| known.id == attempt) {
+            pending.has_output = true;
+            return;
+        }
         let Some(running) = pending.running.as_mut().filter(|r| r.id == attempt) else {
             return;
         };
@@ -403,6 +473,7 @@
                 upstream.on_first_output();
                 self.reachability
                     .record_response(&upstream.spec.failure_domain);
+                self.record_contact(now, &target, sent_at, out);
             }
         }
     }
@@ -462,6 +533,17 @@
         }
         pending.has_unsent_attempt |= end == AttemptEnd::NotSent;
         self.record_reachability(now, &target, &running.upstream, end, out);
+        match end {
+            AttemptEnd::NotSent => {
+                let upstream = &running.upstream;
+                self.record_not_connected(now, &target, upstream, running.sent_at, out);
+            }
+            AttemptEnd::Lost => {}
+            AttemptEnd::Completed { .. }
+            | AttemptEnd::Refused
+            | AttemptEnd::Failed { .. }
+            | AttemptEnd::WrongAnswer => self.record_contact(now, &target, running.sent_at, out),
+        }
         self.record_evidence(now, request, &subject, &running.upstream, end, out);
         match outcome_of(end, || self.retry_after(now, &target)) {
             Outcome::Completed => self.answer(request, Outcome::Completed, out),
@@ -588,15 +670,20 @@
         let Some(state) = self.targets.get_mut(&pending.meta.target) else {
             return;
         };
-        let outcome = match &pending.running {
-            Some(running) => {
+        let left = Outcome::Unknown {
+            reason: UnknownReason::CallerLeft,
+        };
+        let outcome = match (&pending.running, &pending.forwarded) {
+            (Some(running), _) => {
                 state.release(running);
                 out.push(RouterAction::Abandon(running.id));
-                Outcome::Unknown {
-                    reason: UnknownReason::CallerLeft,
-                }
+                left
+            }
+            (None, Some(forwarded)) => {
+                out.push(RouterAction::Abandon(forwarded.id));
+                left
             }
-            None => {
+            (None, None) => {
                 if state
                     .queue
                     .remove(&pending.meta.customer, request)
--- a/shalehinge/src/core/router/expiry.rs
+++ b/shalehinge/src/core/router/expiry.rs
@@ -15,6 +15,7 @@
         self.handle_stalled(now, rng, out);
         self.update_held(now, out);
         self.record_capacity(now);
+        self.probe_cut_off(now, rng, out);
         self.dispatch_all(now, rng, out);
     }
 
@@ -43,10 +44,12 @@
 
     fn expire_waiting(&mut self, now: Timestamp, out: &mut Vec<RouterAction>) {
         let mut expired = Vec::new();
-        for state in self.targets.values_mut() {
+        for (target, state) in &mut self.targets {
             let late = state.queue.expire(now).into_iter();
             expired.extend(late.map(|request| (request, NotRunReason::WouldBeLate)));
-            if state.unavailable_for(now).is_none() {
+            let can_forward =
+                self.connectivity.is_cut_off(target) && self.forward_peers.has_usable(now);
+            if state.unavailable_for(now).is_none() && !can_forward {
                 let all = std::iter::from_fn(|| state.queue.pop());
                 expired.extend(all.map(|waiting| (waiting.request, NotRunReason::NoUpstream)));
             }
@@ -61,7 +64,7 @@
         let expired: Vec<RequestId> = self
             .pending
             .iter()
-            .filter(|(_, pending)| pending.running.is_some() && pending.meta.deadline <= now)
+            .filter(|(_, pending)| pending.is_running() && pending.meta.deadline <= now)
             .map(|(request, _)| *request)
             .collect();
         for request in expired {
@@ -74,6 +77,9 @@
                 state.record_upstream_failure(now, &self.settings, &running.upstream);
                 out.push(RouterAction::Abandon(running.id));
             }
+            if let Some(forwarded) = &pending.forwarded {
+                out.push(RouterAction::Abandon(forwarded.id));
+            }
             let reason = UnknownReason::DeadlinePassed;
             let outcome = Outcome::Unknown { reason };
             out.push(RouterAction::Answer { request, outcome });
--- a/shalehinge/src/core/router/keys.rs
+++ b/shalehinge/src/core/router/keys.rs
@@ -21,7 +21,7 @@
         let revoked: Vec<RequestId> = self
             .pending
             .iter()
-            .filter(|(_, pending)| pending.running.is_none())
+            .filter(|(_, pending)| !pending.is_running())
             .filter(|(_, pending)| {
                 pending
                     .meta
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -14,6 +14,8 @@
 //! - `outlier`: ejection of upstreams that fail or are slow
 //! - `failing`: detection of requests that fail on every upstream
 //! - `limit_state`, `limits`: limits that overloaded upstreams name, and permits to send to them
+//! - `connectivity`: whether this daemon can connect to the upstreams of a target
+//! - `forwarding`: hands requests to peers while it can't
 //! - `reachability`: failure domains whose upstreams can't be connected to
 //! - `warm_up`: limits on requests to upstreams that have just started
 //! - `refusal`: refusal of requests before they are sent
@@ -31,11 +33,13 @@
 pub mod availability;
 pub mod capacity;
 pub mod choose;
+pub mod connectivity;
 pub mod cooldown;
 pub mod dispatch;
 pub mod estimate;
 mod expiry;
 pub mod failing;
+pub mod forwarding;
 mod keys;
 pub mod leaving;
 pub mod limit_state;
--- a/shalehinge/src/core/router/refusal.rs
+++ b/shalehinge/src/core/router/refusal.rs
@@ -141,6 +141,9 @@
         if is_out_of_date && meta.credential.is_some() {
             return Some((NotRunReason::OutOfDate, retry_after));
         }
+        if self.can_forward(now, &meta.target) {
+            return None;
+        }
         let Some(unavailable_for) = state.unavailable_for(now) else {
             return Some((NotRunReason::NoUpstream, retry_after));
         };
--- a/shalehinge/src/core/router/reports.rs
+++ b/shalehinge/src/core/router/reports.rs
@@ -23,8 +23,14 @@
             return;
         };
         match status {
-            Some(status) => known.on_report(asked_at, status, daemon_count, &settings),
-            None => known.on_report_failed(now),
+            Some(status) => {
+                known.on_report(asked_at, status, daemon_count, &settings);
+                self.record_contact(now, &target, asked_at, out);
+            }
+            None => {
+                known.on_report_failed(now);
+                self.record_not_connected(now, &target, upstream, asked_at, out);
+            }
         }
         self.dispatch(now, &target, rng, out);
     }
--- a/shalehinge/src/core/router/request.rs
+++ b/shalehinge/src/core/router/request.rs
@@ -138,7 +138,7 @@
 }
 
 /// The final outcome of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// The caller has received the complete answer.
     Completed,
@@ -162,7 +162,7 @@
 }
 
 /// Why a request was not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NotRunReason {
     /// No replica or instance can take it.
     NoUpstream,
@@ -188,10 +188,12 @@
     OutOfDate,
     /// The same request crashed, or may have crashed, the upstreams that ran it.
     Quarantined,
+    /// The daemon was handed the request by a peer and can't connect to the upstreams either.
+    Unreachable,
 }
 
 /// Why it is unknown whether a request ran.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UnknownReason {
     /// The upstream stopped answering, or its connection broke.
     Lost,
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -3,13 +3,14 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use crate::core::types::{AttemptId, Customer, FailureDomain, RequestId, Timestamp};
+use crate::core::types::{Address, AttemptId, Customer, FailureDomain, RequestId, Timestamp};
 use crate::settings::router::RouterSettings;
 
 use super::capacity::RecentCapacity;
 use super::choose::{Choice, ChoiceContext, Selection, choose, typical_interval};
 use super::estimate::{DrainRate, LowerEnvelope, SmoothedDuration};
 use super::failing::{FailingRequests, FailureCause};
+use super::forwarding::RunningForward;
 use super::prefix::BLOCK_TOKENS;
 use super::queue::QueuedRequest;
 use super::request::{Attempt, AttemptEnd, Outcome, RequestMeta, UpstreamId};
@@ -50,9 +51,47 @@
     pub(super) share: u32,
     /// Trial state of the request.
     pub(super) trial: TrialState,
+    /// Whether a peer handed the request to this daemon.
+    pub(super) is_forwarded: bool,
+    /// The peer that runs the request, if any.
+    pub(super) forwarded: Option<RunningForward>,
+    /// Peers to which the request was handed.
+    pub(super) peers_tried: Vec<Address>,
 }
 
 impl Pending {
+    /// A request of a customer with this share that has just been submitted.
+    pub(super) fn new(now: Timestamp, meta: RequestMeta, share: u32) -> Self {
+        Self {
+            meta,
+            arrived_at: now,
+            attempts: 0,
+            possible_runs: 0,
+            tried: Vec::new(),
+            has_unsent_attempt: false,
+            running: None,
+            has_output: false,
+            earlier_outcome: None,
+            cost: 0.0,
+            share,
+            trial: TrialState::None,
+            is_forwarded: false,
+            forwarded: None,
+            peers_tried: Vec::new(),
+        }
+    }
+
+    /// Whether an upstream or a peer runs the request.
+    pub(super) fn is_running(&self) -> bool {
+        self.running.is_some() || self.forwarded.is_some()
+    }
+
+    /// Number of attempts that may still run.
+    pub(super) fn runs_left(&self) -> Option<u32> {
+        let limit = self.meta.max_attempts?;
+        Some(limit.saturating_sub(self.possible_runs))
+    }
+
     /// The request's outcome if its last attempt ended in this way. A request that may have run
     /// in an earlier attempt cannot be reported as not run.
     pub(super) fn outcome(&self, last: Outcome) -> Outcome {
--- a/shalehinge/src/gateway/relay.rs
+++ b/shalehinge/src/gateway/relay.rs
@@ -11,7 +11,6 @@
 
 use super::GatewayContext;
 use super::request_input::body_limits;
-use super::response::DisconnectGuard;
 use crate::core::fingerprint::Fingerprint;
 use crate::core::objects::RequestKind;
 use crate::core::operator::hex;
@@ -20,6 +19,7 @@
 };
 use crate::core::routes::{RouteMatch, RouteQuery, RouteRefusal, model_of_service};
 use crate::core::types::Customer;
+use crate::process::disconnect_guard::DisconnectGuard;
 use crate::process::pending_requests::CallerMessage;
 use crate::upstream::attempt::{OutgoingRequest, ResponseMode, ResponsePart, WholeResponse};
 use crate::upstream::relay::{RelayContext, RelayHeaderNames, ResponseHead, StreamPosition};
--- a/shalehinge/src/gateway/response.rs
+++ b/shalehinge/src/gateway/response.rs
@@ -10,10 +10,10 @@
 use trillium::{Body, Conn, KnownHeaderName, Status};
 
 use super::GatewayContext;
-use crate::core::event::Event;
 use crate::core::router::request::{NotRunReason, Outcome, RequestMeta, UnknownReason};
 use crate::core::types::RequestId;
 use crate::process::Driver;
+use crate::process::disconnect_guard::DisconnectGuard;
 use crate::process::pending_requests::CallerMessage;
 use crate::upstream::attempt::{OutgoingRequest, ResponsePart, WholeResponse};
 use crate::utils::caller_connection::{CallerConnection, caller_left};
@@ -166,6 +166,11 @@
                 "quarantined",
                 "upstreams crashed when they ran this request; it did not run this time, so change it or ask the operators",
             ),
+            NotRunReason::Unreachable => (
+                Status::ServiceUnavailable,
+                "unreachable",
+                "no upstream can be reached from here; it did not run, so send it elsewhere or later",
+            ),
             NotRunReason::OutOfDate => (
                 Status::ServiceUnavailable,
                 "out_of_date",
@@ -305,38 +310,6 @@
     pending.write(conn).await
 }
 
-/// When dropped, reports to the core that the caller disconnected, unless it was disarmed
-/// because the response was complete.
-pub(super) struct DisconnectGuard {
-    driver: Arc<Driver>,
-    request: RequestId,
-    is_armed: bool,
-}
-
-impl DisconnectGuard {
-    /// Creates an armed guard for a request that is to be cancelled when its caller disconnects.
-    pub(super) fn new(driver: Arc<Driver>, request: RequestId) -> Self {
-        Self {
-            driver,
-            request,
-            is_armed: true,
-        }
-    }
-
-    /// Disarms the guard, as the request has its response.
-    pub(super) fn disarm(mut self) {
-        self.is_armed = false;
-    }
-}
-
-impl Drop for DisconnectGuard {
-    fn drop(&mut self) {
-        if self.is_armed {
-            self.driver.dispatch(Event::CallerLeft(self.request));
-        }
-    }
-}
-
 /// What the wait for the first part of a response ended with.
 enum FirstPart {
     Stream,
@@ -346,10 +319,10 @@
 impl PendingResponse {
     /// Waits for the response and writes it to the connection.
     async fn write(self, mut conn: Conn) -> Conn {
-        let mut guard = DisconnectGuard {
-            driver: self.driver.clone(),
-            request: self.request,
-            is_armed: self.cancels_on_disconnect,
+        let guard = if self.cancels_on_disconnect {
+            DisconnectGuard::new(self.driver.clone(), self.request)
+        } else {
+            DisconnectGuard::disarmed(self.driver.clone(), self.request)
         };
         let parts = self.parts.clone();
         let first = conn.cancel_on_disconnect(wait_for_first(parts)).await;
@@ -364,7 +337,7 @@
                 write_stream(conn, self.parts, guard)
             }
             Some(FirstPart::Whole(whole, outcome)) => {
-                guard.is_armed = false;
+                guard.disarm();
                 self.driver
                     .metrics
                     .record_first_output(self.received_at.elapsed());
@@ -416,7 +389,7 @@
 fn write_stream(conn: Conn, parts: Receiver<CallerMessage>, guard: DisconnectGuard) -> Conn {
     let connection = CallerConnection::new(&conn);
     let chunks = stream::unfold(Some((parts, guard, connection)), |state| async move {
-        let (parts, mut guard, connection) = state?;
+        let (parts, guard, connection) = state?;
         loop {
             // Dropping the guard reports that the caller has disconnected, if it is armed.
             let Some(part) = connection.unless_closed(parts.recv()).await else {
@@ -428,7 +401,7 @@
                 }
                 Ok(CallerMessage::Part(_)) => {}
                 Ok(CallerMessage::Ended(outcome)) => {
-                    guard.is_armed = false;
+                    guard.disarm();
                     let error = ErrorResponse::from_outcome(outcome)?;
                     return Some((Ok(error.event()), None));
                 }
--- a/shalehinge/src/peer/client.rs
+++ b/shalehinge/src/peer/client.rs
@@ -4,10 +4,14 @@
 
 use trillium_client::Client;
 
-use super::{NOTICE_PATH, PULL_PATH};
+use super::{NOTICE_PATH, PULL_PATH, forward_client};
 use crate::core::event::{Notice, Pull, PullReply, PullTopic};
+use crate::core::forward::{Forward, ForwardEnd};
 use crate::core::types::Address;
-use crate::utils::http::{ResponseTimeouts, exchange, exchange_with_timeouts, pooled_client, url};
+use crate::upstream::attempt::{OutgoingRequest, ResponseSink};
+use crate::utils::http::{
+    ResponseTimeouts, exchange, exchange_with_timeouts, pooled_client, single_use_client, url,
+};
 
 /// A peer's reply to a pull.
 #[derive(Clone, Debug)]
@@ -22,6 +26,7 @@
 #[derive(Clone, Debug)]
 pub struct PeerClient {
     client: Client,
+    forward_client: Client,
     timeout: Duration,
 }
 
@@ -30,6 +35,7 @@
     pub fn new(timeout: Duration) -> Self {
         Self {
             client: pooled_client(),
+            forward_client: single_use_client(),
             timeout,
         }
     }
@@ -61,6 +67,16 @@
         }
     }
 
+    /// Hands a request to a peer and passes its answer to the sink. Returns how the attempt ended.
+    pub async fn forward(
+        &self,
+        forward: &Forward,
+        outgoing: &OutgoingRequest,
+        sink: &impl ResponseSink,
+    ) -> ForwardEnd {
+        forward_client::run(&self.forward_client, forward, outgoing, sink).await
+    }
+
     /// Notifies a peer of updates. Errors are ignored, as a lost notice does no harm.
     pub async fn notify(&self, to: Address, notice: &Notice) {
         let Ok(body) = rmp_serde::to_vec(notice) else {
--- /dev/null
+++ b/shalehinge/src/peer/forward_client.rs
@@ -0,0 +1,86 @@
+//! Hands a request to a peer and passes the peer's answer on.
+
+use std::time::Duration;
+
+use futures_lite::AsyncReadExt;
+use trillium_client::{Client, ResponseBody};
+
+use super::FORWARD_PATH;
+use super::forward_message::{
+    FRAME_LENGTH_BYTES, ForwardFrame, ForwardMessage, ForwardedRequest, MAX_FRAME_BYTES,
+};
+use crate::core::forward::{Forward, ForwardEnd};
+use crate::upstream::attempt::{OutgoingRequest, ResponsePart, ResponseSink};
+use crate::utils::http::{is_not_connected, url};
+use crate::utils::time::with_timeout;
+
+/// Time without any frame after which a peer is taken for unreachable: three times the interval of
+/// its signs of life.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// HTTP status of an answer that consists of frames.
+const OK: u16 = 200;
+
+/// Hands the request to the peer and passes the peer's answer to the sink. Returns how the attempt
+/// ended.
+pub(super) async fn run(
+    client: &Client,
+    forward: &Forward,
+    outgoing: &OutgoingRequest,
+    sink: &impl ResponseSink,
+) -> ForwardEnd {
+    let message = ForwardMessage {
+        meta: forward.meta.clone(),
+        request: ForwardedRequest::new(outgoing),
+    };
+    let body = match rmp_serde::to_vec(&message) {
+        Ok(body) => body,
+        Err(error) => {
+            log::error!(target: "shalehinge", "peers: can't encode a request: {error}");
+            return ForwardEnd::NotSent;
+        }
+    };
+    let conn = client.post(url(forward.peer, FORWARD_PATH)).with_body(body);
+    let mut conn = match with_timeout(SILENCE_TIMEOUT, conn.into_future()).await {
+        Some(Ok(conn)) => conn,
+        Some(Err(error)) if is_not_connected(&error) => return ForwardEnd::NotSent,
+        Some(Err(_)) | None => return ForwardEnd::Lost,
+    };
+    // A peer that answers otherwise has not taken the request.
+    if conn.status().map(u16::from) != Some(OK) {
+        return ForwardEnd::NotSent;
+    }
+    let Some(mut body) = conn.take_response_body() else {
+        return ForwardEnd::Lost;
+    };
+    loop {
+        let frame = with_timeout(SILENCE_TIMEOUT, read_frame(&mut body)).await;
+        let Some(Some(frame)) = frame else {
+            return ForwardEnd::Lost;
+        };
+        let part = match frame {
+            ForwardFrame::Alive => continue,
+            ForwardFrame::Ended(outcome) => return ForwardEnd::Answered(outcome),
+            ForwardFrame::StreamStart => ResponsePart::StreamStart,
+            ForwardFrame::Head(head) => ResponsePart::Head(head.into()),
+            ForwardFrame::Chunk(chunk) => ResponsePart::Chunk(chunk.into()),
+            ForwardFrame::Whole(whole) => ResponsePart::Whole(whole.into()),
+        };
+        if let Some(relay) = &outgoing.relay {
+            relay.position.record(&part);
+        }
+        sink.pass(part).await;
+    }
+}
+
+/// Reads the next frame; `None` if the answer ended or is not valid.
+async fn read_frame(body: &mut ResponseBody<'static>) -> Option<ForwardFrame> {
+    let mut length = [0; FRAME_LENGTH_BYTES];
+    body.read_exact(&mut length).await.ok()?;
+    let length = u32::from_be_bytes(length) as usize;
+    if length > MAX_FRAME_BYTES {
+        return None;
+    }
+    let mut content = vec![0; length];
+    body.read_exact(&mut content).await.ok()?;
+    rmp_serde::from_slice(&content).ok()
+}
--- /dev/null
+++ b/shalehinge/src/peer/forward_message.rs
@@ -0,0 +1,233 @@
+//! Messages by which a daemon hands a request to a peer, and the frames of the peer's answer.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use trillium_http::{Headers, Method};
+
+use crate::core::forward::ForwardedMeta;
+use crate::core::router::request::Outcome;
+use crate::upstream::attempt::{OutgoingRequest, ResponseMode, ResponsePart, WholeResponse};
+use crate::upstream::relay::{Position, RelayContext, RelayHeaderNames, ResponseHead};
+
+/// Number of bytes before each frame that hold its length, in big-endian order.
+pub const FRAME_LENGTH_BYTES: usize = size_of::<u32>();
+/// Maximum length of a frame, in bytes: a whole response of the maximum size with its headers.
+pub const MAX_FRAME_BYTES: usize = 17 * 1024 * 1024;
+
+/// A request that a peer is to run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ForwardMessage {
+    /// What the peer's core needs to know.
+    pub meta: ForwardedMeta,
+    /// The request as it is sent to upstreams.
+    pub request: ForwardedRequest,
+}
+
+/// An [`OutgoingRequest`] in transfer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ForwardedRequest {
+    method: String,
+    path: String,
+    headers: Vec<ForwardedHeader>,
+    body: Bytes,
+    response_mode: ResponseMode,
+    relay: Option<ForwardedRelay>,
+}
+
+/// One value of a header.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct ForwardedHeader {
+    name: String,
+    value: Bytes,
+}
+
+/// A [`RelayContext`] in transfer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct ForwardedRelay {
+    request_id: Option<String>,
+    customer: Option<String>,
+    position: Position,
+}
+
+/// A part of a peer's answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ForwardFrame {
+    /// The peer is alive and has nothing to pass on.
+    Alive,
+    /// The start of a stream.
+    StreamStart,
+    /// The start of a relayed stream.
+    Head(ForwardedHead),
+    /// A chunk of a stream.
+    Chunk(Bytes),
+    /// A whole response.
+    Whole(ForwardedWhole),
+    /// The outcome; no frame follows it.
+    Ended(Outcome),
+}
+
+/// A [`ResponseHead`] in transfer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ForwardedHead {
+    status: u16,
+    headers: Vec<ForwardedHeader>,
+}
+
+/// A [`WholeResponse`] in transfer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ForwardedWhole {
+    status: u16,
+    content_type: Option<String>,
+    headers: Vec<ForwardedHeader>,
+    body: Bytes,
+}
+
+/// Why a peer can't run a forwarded request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ForwardedRequestError {
+    /// The method is not an HTTP method.
+    #[error("unknown method")]
+    Method,
+    /// The peer relays requests and this daemon doesn't.
+    #[error("the request is to be relayed, which this daemon doesn't do")]
+    Relay,
+}
+
+impl ForwardedRequest {
+    /// Takes over a request, with the position in its stream.
+    pub fn new(outgoing: &OutgoingRequest) -> Self {
+        Self {
+            method: outgoing.method.to_string(),
+            path: outgoing.path.clone(),
+            headers: to_transfer(&outgoing.headers),
+            body: Bytes::copy_from_slice(&outgoing.body),
+            response_mode: outgoing.response_mode,
+            relay: outgoing.relay.as_ref().map(|relay| ForwardedRelay {
+                request_id: relay.request_id.clone(),
+                customer: relay.customer.clone(),
+                position: relay.position.get(),
+            }),
+        }
+    }
+
+    /// Id that the caller gave the request, if any.
+    pub fn request_id(&self) -> Option<&str> {
+        self.relay.as_ref()?.request_id.as_deref()
+    }
+
+    /// Returns the request as this daemon sends it to upstreams.
+    ///
+    /// # Errors
+    ///
+    /// The method is unknown, or the request is to be relayed and this daemon has no names of
+    /// headers for that.
+    pub fn into_outgoing(
+        self,
+        names: Option<RelayHeaderNames>,
+    ) -> Result<OutgoingRequest, ForwardedRequestError> {
+        let method = Method::try_from(self.method.as_str());
+        let relay = match (self.relay, names) {
+            (None, _) => None,
+            (Some(_), None) => return Err(ForwardedRequestError::Relay),
+            (Some(relay), Some(names)) => Some(RelayContext {
+                names,
+                request_id: relay.request_id,
+                customer: relay.customer,
+                position: relay.position.into(),
+            }),
+        };
+        Ok(OutgoingRequest {
+            method: method.map_err(|_| ForwardedRequestError::Method)?,
+            path: self.path,
+            headers: from_transfer(self.headers),
+            body: self.body.as_ref().into(),
+            response_mode: self.response_mode,
+            relay,
+        })
+    }
+}
+
+impl From<ResponsePart> for ForwardFrame {
+    fn from(part: ResponsePart) -> Self {
+        match part {
+            ResponsePart::StreamStart => Self::StreamStart,
+            ResponsePart::Head(head) => Self::Head(ForwardedHead {
+                status: head.status,
+                headers: to_transfer(&head.headers),
+            }),
+            ResponsePart::Chunk(chunk) => Self::Chunk(chunk.into()),
+            ResponsePart::Whole(whole) => Self::Whole(ForwardedWhole {
+                status: whole.status,
+                content_type: whole.content_type,
+                headers: to_transfer(&whole.headers),
+                body: whole.body.into(),
+            }),
+        }
+    }
+}
+
+impl From<ForwardedHead> for ResponseHead {
+    fn from(head: ForwardedHead) -> Self {
+        Self {
+            status: head.status,
+            headers: from_transfer(head.headers),
+        }
+    }
+}
+
+impl From<ForwardedWhole> for WholeResponse {
+    fn from(whole: ForwardedWhole) -> Self {
+        Self {
+            status: whole.status,
+            content_type: whole.content_type,
+            headers: from_transfer(whole.headers),
+            body: whole.body.into(),
+        }
+    }
+}
+
+fn to_transfer(headers: &Headers) -> Vec<ForwardedHeader> {
+    let values = headers.iter().flat_map(|(name, values)| {
+        values.iter().map(move |value| ForwardedHeader {
+            name: name.to_string(),
+            value: Bytes::copy_from_slice(value.as_ref()),
+        })
+    });
+    values.collect()
+}
+
+fn from_transfer(transferred: Vec<ForwardedHeader>) -> Headers {
+    let mut headers = Headers::new();
+    for ForwardedHeader { name, value } in transferred {
+        headers.append(name, value.to_vec());
+    }
+    headers
+}
+
+/// Encodes a frame with its length.
+///
+/// # Errors
+///
+/// The frame can't be encoded, or is longer than [`MAX_FRAME_BYTES`].
+pub fn encode_frame(frame: &ForwardFrame) -> Result<Vec<u8>, FrameError> {
+    let content = rmp_serde::to_vec(frame)?;
+    let length = u32::try_from(content.len()).map_err(|_| FrameError::Length)?;
+    if content.len() > MAX_FRAME_BYTES {
+        return Err(FrameError::Length);
+    }
+    let mut bytes = Vec::with_capacity(FRAME_LENGTH_BYTES + content.len());
+    bytes.extend_from_slice(&length.to_be_bytes());
+    bytes.extend_from_slice(&content);
+    Ok(bytes)
+}
+
+/// Why a frame can't be encoded.
+#[derive(Debug, thiserror::Error)]
+pub enum FrameError {
+    /// It is too long.
+    #[error("the frame is too long")]
+    Length,
+    /// Its content can't be encoded.
+    #[error(transparent)]
+    Encoding(#[from] rmp_serde::encode::Error),
+}
--- a/shalehinge/src/peer/server.rs
+++ b/shalehinge/src/peer/server.rs
@@ -6,27 +6,40 @@
 use trillium::{Conn, Handler, KnownHeaderName, Status};
 use trillium_router::Router;
 
-use super::{NOTICE_PATH, PULL_PATH};
+use super::forward_message::ForwardMessage;
+use super::forward_server::ForwardServer;
+use super::{FORWARD_PATH, NOTICE_PATH, PULL_PATH};
 use crate::core::event::{Event, Notice, Pull};
 use crate::process::Driver;
+use crate::upstream::relay::RelayHeaderNames;
 use crate::utils::body::{BodyError, BodyLimits, read_body};
 
 /// Maximum size of a peer's message, in bytes. This leaves room for an object of 1 MB from each
 /// failure domain.
 const MAX_MESSAGE_BYTES: u64 = 16 * 1024 * 1024;
 
-/// Handler for the listener for peers. Messages must arrive within `body_timeout`.
-pub fn handler(driver: Arc<Driver>, body_timeout: Duration) -> impl Handler {
+/// Handler for the listener for peers. Messages must arrive within `body_timeout`. `names` are the
+/// names of headers of relayed requests, if this daemon relays requests.
+pub fn handler(
+    driver: Arc<Driver>,
+    body_timeout: Duration,
+    names: Option<RelayHeaderNames>,
+) -> impl Handler {
     let limits = BodyLimits {
         max_bytes: MAX_MESSAGE_BYTES,
         timeout: body_timeout,
     };
     let pull_driver = driver.clone();
+    let forwards = ForwardServer::new(driver.clone(), names);
     Router::new()
         .post(PULL_PATH, move |conn: Conn| {
             let driver = pull_driver.clone();
             async move { handle_pull(driver, limits, conn).await }
         })
+        .post(FORWARD_PATH, move |conn: Conn| {
+            let forwards = forwards.clone();
+            async move { handle_forward(forwards, limits, conn).await }
+        })
         .post(NOTICE_PATH, move |conn: Conn| {
             let driver = driver.clone();
             async move { handle_notice(driver, limits, conn).await }
@@ -47,6 +60,13 @@
     }
 }
 
+async fn handle_forward(forwards: ForwardServer, limits: BodyLimits, mut conn: Conn) -> Conn {
+    match read_message::<ForwardMessage>(&mut conn, limits).await {
+        Ok(message) => forwards.handle(conn, message),
+        Err(error) => refuse(conn, &error),
+    }
+}
+
 async fn handle_notice(driver: Arc<Driver>, limits: BodyLimits, mut conn: Conn) -> Conn {
     let notice = match read_message::<Notice>(&mut conn, limits).await {
         Ok(notice) => notice,
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -17,6 +17,7 @@
 use super::pending_requests::{CallerMessage, PendingRequests};
 use crate::core::daemon::Daemon;
 use crate::core::event::{Action, Event, Pull, PullId, PullReply, StatusPurpose};
+use crate::core::forward::{Forward, ForwardedMeta};
 use crate::core::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
 use crate::core::platform::{CallId, NoAnswer, PlatformCall, PlatformReply};
 use crate::core::router::request::{Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta};
@@ -154,6 +155,20 @@
         (request, parts)
     }
 
+    /// Submits a request that a peer handed to this daemon, and returns its id and the channel that
+    /// delivers its response.
+    pub fn submit_forwarded(
+        self: &Arc<Self>,
+        meta: ForwardedMeta,
+        outgoing: OutgoingRequest,
+    ) -> (RequestId, Receiver<CallerMessage>) {
+        let request = RequestId(self.next_id());
+        let parts = self.pending_requests.add(request, outgoing);
+        self.metrics.count(Counter::ForwardsReceived);
+        self.dispatch(Event::ForwardReceived { request, meta });
+        (request, parts)
+    }
+
     /// Executes an operator call. Returns `None` if the call was dropped without an answer.
     pub async fn execute_operator_call(
         self: &Arc<Self>,
@@ -196,6 +211,7 @@
                 valid_until,
             } => self.send_order(host, address, order, valid_until),
             Action::Send(attempt) => self.start_attempt(attempt),
+            Action::Forward(forward) => self.start_forward(forward),
             Action::CancelAttempt(attempt) => {
                 // Dropping the task closes the connection.
                 lock(&self.attempts).remove(&attempt);
@@ -206,6 +222,15 @@
                     driver.dispatch(Event::UpstreamChecked { upstream, is_gone });
                 });
             }
+            Action::ProbeUpstream { upstream, address } => {
+                self.spawn(|driver| async move {
+                    let is_reachable = connection_check::accepts_connections(address).await;
+                    driver.dispatch(Event::UpstreamProbed {
+                        upstream,
+                        is_reachable,
+                    });
+                });
+            }
             Action::Answer { request, outcome } => self.finish_request(request, outcome),
             Action::AnswerOperator { call_id, answer } => {
                 self.operator_calls.resolve(&call_id, answer);
@@ -315,12 +340,7 @@
         // find its own entry.
         let mut attempts = lock(&self.attempts);
         let task = spawn(async move {
-            let sink = CallerSink {
-                driver: driver.clone(),
-                attempt: attempt.clone(),
-                parts: pending.parts,
-                reported_at_ms: AtomicU64::new(0),
-            };
+            let sink = CallerSink::new(&driver, attempt.request, attempt.id, pending.parts);
             // Last check of the upstream's validity before the request is sent.
             let end = if driver.now() < attempt.valid_until {
                 attempt::run(&driver.upstream_client, &attempt, &pending.outgoing, &sink).await
@@ -339,6 +359,34 @@
         attempts.insert(id, task);
     }
 
+    fn start_forward(self: &Arc<Self>, forward: Forward) {
+        let Some(pending) = self.pending_requests.get(forward.request) else {
+            return;
+        };
+        self.metrics.count(Counter::Forwards);
+        let id = forward.attempt;
+        let driver = self.clone();
+        // Held until the task is registered, as in `start_attempt`.
+        let mut attempts = lock(&self.attempts);
+        let task = spawn(async move {
+            let Forward {
+                request, attempt, ..
+            } = forward;
+            let sink = CallerSink::new(&driver, request, attempt, pending.parts);
+            let peers = &driver.clients.peers;
+            let end = peers.forward(&forward, &pending.outgoing, &sink).await;
+            if let Some(task) = lock(&driver.attempts).remove(&attempt) {
+                task.detach();
+            }
+            driver.dispatch(Event::ForwardEnded {
+                request,
+                attempt,
+                end,
+            });
+        });
+        attempts.insert(id, task);
+    }
+
     fn finish_request(&self, request: RequestId, outcome: Outcome) {
         if let Outcome::NotRun {
             reason: NotRunReason::Quarantined,
@@ -360,7 +408,8 @@
 /// Passes response parts of one attempt to the caller's task and reports output to the core.
 struct CallerSink {
     driver: Arc<Driver>,
-    attempt: Attempt,
+    request: RequestId,
+    attempt: AttemptId,
     parts: Sender<CallerMessage>,
     /// Time of the last report of output to the core, in milliseconds of the core's time;
     /// 0 before the first report.
@@ -371,11 +420,26 @@
 const PROGRESS_INTERVAL_MS: u64 = 100;
 
 impl CallerSink {
+    fn new(
+        driver: &Arc<Driver>,
+        request: RequestId,
+        attempt: AttemptId,
+        parts: Sender<CallerMessage>,
+    ) -> Self {
+        Self {
+            driver: driver.clone(),
+            request,
+            attempt,
+            parts,
+            reported_at_ms: AtomicU64::new(0),
+        }
+    }
+
     /// Reports to the core that output arrived.
     fn report_output(&self) {
         let now = self.driver.now().as_duration().as_millis() as u64;
         let reported_at_ms = self.reported_at_ms.load(Ordering::Relaxed);
-        let (request, attempt) = (self.attempt.request, self.attempt.id);
+        let (request, attempt) = (self.request, self.attempt);
         if reported_at_ms == 0 {
             self.driver
                 .dispatch(Event::FirstOutput { request, attempt });
@@ -406,8 +470,8 @@
             return;
         }
         self.driver.dispatch(Event::Signal {
-            request: self.attempt.request,
-            attempt: self.attempt.id,
+            request: self.request,
+            attempt: self.attempt,
             signal,
         });
     }
--- a/shalehinge/src/process/run.rs
+++ b/shalehinge/src/process/run.rs
@@ -205,7 +205,7 @@
             listeners.peers,
             control_config,
             MAX_CONTROL_CONNECTIONS,
-            peer::server::handler(driver.clone(), limits.body_timeout),
+            peer::server::handler(driver.clone(), limits.body_timeout, relay),
         ),
     ]);
     servers
--- a/shalehinge/src/telemetry/metrics.rs
+++ b/shalehinge/src/telemetry/metrics.rs
@@ -31,6 +31,10 @@
     Unknown,
     /// Attempts sent to upstreams.
     Attempts,
+    /// Requests handed to peers.
+    Forwards,
+    /// Requests that peers handed to this daemon.
+    ForwardsReceived,
     /// Reads from the platform.
     PlatformReads,
     /// Writes to the platform.
@@ -66,6 +70,8 @@
             Self::Quarantined => "requests.quarantined",
             Self::Unknown => "requests.unknown",
             Self::Attempts => "attempts",
+            Self::Forwards => "forwards",
+            Self::ForwardsReceived => "forwards.received",
             Self::PlatformReads => "platform.reads",
             Self::PlatformWrites => "platform.writes",
             Self::PlatformWatches => "platform.watches",
--- a/shalehinge/src/upstream/attempt.rs
+++ b/shalehinge/src/upstream/attempt.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use futures_lite::AsyncReadExt;
+use serde::{Deserialize, Serialize};
 use trillium_client::{Client, Conn, Method, ResponseBody};
 use trillium_http::Headers;
 
@@ -54,7 +55,7 @@
 }
 
 /// How the response to an attempt is read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ResponseMode {
     /// A model's response in one piece.
     Whole,
--- a/shalehinge/src/upstream/relay.rs
+++ b/shalehinge/src/upstream/relay.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use futures_lite::AsyncReadExt;
+use serde::{Deserialize, Serialize};
 use trillium_client::{Client, Conn, ResponseBody};
 use trillium_http::Headers;
 
@@ -74,17 +75,45 @@
 #[derive(Debug, Default)]
 pub struct StreamPosition(Mutex<Position>);
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Position {
+/// How much of a stream has been passed on to the caller.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Position {
+    /// Whether status and headers have been passed on.
     has_head: bool,
+    /// Id of the last event that has been passed on.
     last_event: Option<u64>,
 }
 
+impl From<Position> for Arc<StreamPosition> {
+    fn from(position: Position) -> Self {
+        Self::new(StreamPosition(Mutex::new(position)))
+    }
+}
+
 impl StreamPosition {
-    fn get(&self) -> Position {
+    /// The current position.
+    pub fn get(&self) -> Position {
         *self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records a part that is passed on, whose chunks hold whole events.
+    pub fn record(&self, part: &ResponsePart) {
+        let mut position = self.get();
+        match part {
+            ResponsePart::Head(_) => position.has_head = true,
+            ResponsePart::Chunk(events) => {
+                let mut splitter = EventSplitter {
+                    last_event: position.last_event,
+                    ..EventSplitter::default()
+                };
+                splitter.feed(events);
+                position.last_event = splitter.last_event;
+            }
+            ResponsePart::StreamStart | ResponsePart::Whole(_) => return,
+        }
+        self.set(position);
+    }
+
     fn set(&self, position: Position) {
         *self.0.lock().unwrap_or_else(PoisonError::into_inner) = position;
     }
--- a/shalehinge/tests/membership.rs
+++ b/shalehinge/tests/membership.rs
@@ -23,6 +23,7 @@
         counter,
         revision: counter,
         leaving: false,
+        isolated: false,
         fleet: FleetVersion::NONE,
         holds_control,
     }
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)] // Each test file uses only some of the items.
 
 pub mod configuration;
+mod forwards;
 #[path = "../held_writes/mod.rs"]
 pub mod held_writes;
 pub mod load_simulation;
@@ -27,6 +28,7 @@
 use shalehinge::settings::learning::{FeedLayout, LearningSettings};
 use shalehinge::utils::http::LARGE_RESPONSE_TIMEOUT;
 
+use self::forwards::RunningForward;
 use self::platform::{Platform, platform_bytes};
 pub use self::upstreams::{Arrival, RefusedAttempt, UpstreamCut};
 
@@ -118,12 +120,18 @@
     pub cut_domain: Option<u64>,
     /// Requests that complete and have not been answered yet, with the time of each.
     completing: BTreeMap<RequestId, Duration>,
+    /// Requests that daemons handed to peers, by their id at the peer.
+    forwards: BTreeMap<RequestId, RunningForward>,
+    /// Number of requests that daemons handed to peers.
+    pub forwarded: usize,
     /// Attempts of requests that complete, in the order in which they reached an upstream.
     pub arrivals: Vec<Arrival>,
     /// Outcomes of requests that complete.
     pub outcomes: Vec<Outcome>,
     /// Times from these requests to their outcomes.
     pub answer_times: Vec<Duration>,
+    /// When these requests were sent.
+    pub sent_at: Vec<Duration>,
     /// Indexes of the daemons that received these requests.
     pub answered_by: Vec<usize>,
     /// Daemons that reach no upstream, and how their connections fail.
@@ -189,8 +197,11 @@
             cut_domain: None,
             completing: BTreeMap::new(),
             answer_times: Vec::new(),
+            sent_at: Vec::new(),
             answered_by: Vec::new(),
             cut_from_upstreams: BTreeMap::new(),
+            forwards: BTreeMap::new(),
+            forwarded: 0,
             arrivals: Vec::new(),
             outcomes: Vec::new(),
             partitioned: BTreeSet::new(),
@@ -454,10 +465,15 @@
                     self.schedule(TICK, peer, Event::NoticeReceived(notice));
                 }
             }
+            Action::Forward(forward) => self.forward(index, forward),
+            Action::CancelAttempt(attempt) => self.cancel_forward(attempt),
+            Action::ProbeUpstream { upstream, .. } => self.probe(index, upstream),
             Action::Answer { request, outcome } => {
+                self.answer_forward(request, outcome);
                 if let Some(since) = self.completing.remove(&request) {
                     self.outcomes.push(outcome);
                     self.answer_times.push(self.now - since);
+                    self.sent_at.push(since);
                     self.answered_by.push(index);
                 }
             }
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -313,6 +313,8 @@
                     self.handle(out);
                 }
                 RouterAction::Abandon(_)
+                | RouterAction::Forward(_)
+                | RouterAction::ProbeUpstream { .. }
                 | RouterAction::RequestTrial(_)
                 | RouterAction::ReportLimit(_)
                 | RouterAction::RequestPermits { .. }
--- a/shalehinge/tests/superseded.rs
+++ b/shalehinge/tests/superseded.rs
@@ -69,6 +69,7 @@
             counter: 1,
             revision: 0,
             leaving: false,
+            isolated: false,
             fleet: FleetVersion::NONE,
             holds_control: false,
         },
--- a/shalehinge/tests/support/entry.rs
+++ b/shalehinge/tests/support/entry.rs
@@ -98,6 +98,13 @@
         std::mem::take(&mut self.requests).into_values().collect()
     }
 
+    /// The id of a new request.
+    pub fn take_request_id(&mut self) -> RequestId {
+        let id = RequestId(self.next_request);
+        self.next_request += 1;
+        id
+    }
+
     /// Whether the daemon is neither down nor frozen.
     pub fn is_running(&self) -> bool {
         self.core.is_some() && !self.is_frozen
--- a/shalehinge/tests/support/host_messages.rs
+++ b/shalehinge/tests/support/host_messages.rs
@@ -26,6 +26,8 @@
     Order { order: Order, asked_at: Timestamp },
     /// Runs a request.
     Attempt(Attempt),
+    /// Checks whether the upstream accepts connections.
+    Probe(UpstreamId),
 }
 
 /// An attempt that is running at a host.
@@ -95,6 +97,14 @@
             HostMessage::Attempt(attempt) => {
                 self.handle_attempt(entry, run, host, attempt, is_reached, answers);
             }
+            HostMessage::Probe(upstream) => {
+                let event = Event::UpstreamProbed {
+                    upstream,
+                    is_reachable: is_reached,
+                };
+                let delay = self.reply_delay(is_reached);
+                self.send_to_entry(delay, entry, run, event);
+            }
         }
     }
 
--- a/standin/src/experiment/fleet.rs
+++ b/standin/src/experiment/fleet.rs
@@ -323,7 +323,9 @@
                 self.apply_actions(index, actions);
             }
             Event::OutputArrives(index, request, attempt) => {
-                self.routers[index].on_output(now, request, attempt);
+                let router = &mut self.routers[index];
+                router.on_output(now, request, attempt, &mut actions);
+                self.apply_actions(index, actions);
             }
             Event::AttemptEndArrives(index, request, attempt, end) => {
                 let router = &mut self.routers[index];
@@ -439,8 +441,11 @@
                     );
                     self.apply_actions(router, new_actions);
                 }
-                // Simulated engines neither announce limits nor crash on a request.
+                // Simulated engines neither announce limits nor crash on a request, and can always be
+                // connected to.
                 RouterAction::RequestTrial(_)
+                | RouterAction::Forward(_)
+                | RouterAction::ProbeUpstream { .. }
                 | RouterAction::ReportLimit(_)
                 | RouterAction::RequestPermits { .. }
                 | RouterAction::Log(_) => {}
