feat(lease): give control up while no upstream can be reached from here

Cause: a lease holder that is cut from all upstreams kept its lease for as long as the cut lasted (12 s in the users' record), and ordered and probed nobody.

Change: after a second without any reachable upstream it releases the lease, if another member of its failure domain reaches upstreams. Isolated members are no candidates, unless all are.

Tests: control_moves_to_a_daemon_that_reaches_upstreams, control_stays_where_no_daemon_reaches_an_upstream (9 daemons, simulated). Not seen red one by one; before, nothing in the daemon could release a lease but a stop.

--- a/shalehinge/src/core/daemon/control.rs
+++ b/shalehinge/src/core/daemon/control.rs
@@ -1,6 +1,7 @@
 //! The control lease of the failure domain, and the work of the lease holder.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use super::{CallPurpose, DEMAND_INTERVAL, Daemon, LEASE_CANDIDATES, log};
 use crate::core::controller::{ControllerAction, HostListState, Origin};
@@ -12,6 +13,10 @@
 use crate::core::types::{FailureDomain, ReplicaId, Timestamp, Version};
 use crate::settings::learning::FeedLayout;
 
+/// Time without any reachable upstream after which the lease holder gives control up. Shorter cuts
+/// end sooner than another daemon would take over.
+const YIELD_CONTROL_AFTER: Duration = Duration::from_secs(1);
+
 impl Daemon {
     pub(super) fn lease_key(&self) -> ObjectKey {
         ObjectKey::Lease(self.identity.failure_domain.clone())
@@ -26,11 +31,33 @@
             && self.may_read(now)
             && self
                 .membership
-                .is_responsible(now, "lease", LEASE_CANDIDATES);
+                .is_control_candidate(now, "lease", LEASE_CANDIDATES);
+        self.yield_control(now, out);
         self.step_lease(now, candidate, out);
         self.update_lease_holder(now, out);
     }
 
+    /// Gives up the lease if this daemon has reached no upstream for a while and another candidate
+    /// does: its orders would reach nobody.
+    fn yield_control(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let is_isolated = self
+            .isolated_since
+            .is_some_and(|since| now.since(since) >= YIELD_CONTROL_AFTER);
+        let is_held = self.lease.held(now).is_some();
+        if !is_isolated || !is_held || !self.membership.has_connected_neighbour(now) {
+            return;
+        }
+        let text = "gives control up, as it reaches no upstream and other candidates do";
+        log(out, Component::Lease, text.into());
+        let operation = self.new_operation_id();
+        let scope = self.object_scope();
+        if let Some(step) = self.lease.release(now, operation)
+            && let Some(scope) = scope
+        {
+            self.run_lease_step(scope, step, out);
+        }
+    }
+
     /// Makes the next call for the lease, if one is due.
     fn step_lease(&mut self, now: Timestamp, candidate: bool, out: &mut Vec<Action>) {
         let Some(scope) = self.object_scope() else {
--- a/shalehinge/src/core/daemon/forwarding.rs
+++ b/shalehinge/src/core/daemon/forwarding.rs
@@ -64,6 +64,7 @@
     /// does.
     pub(super) fn update_forward_peers(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let is_isolated = self.router.is_isolated();
+        self.isolated_since = is_isolated.then(|| self.isolated_since.unwrap_or(now));
         if self.membership.set_isolated(is_isolated) {
             let text = if is_isolated {
                 "reaches no upstream"
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -206,6 +206,8 @@
     confirmed_age_at_start: Option<Duration>,
     next_suspect_report_at: Timestamp,
     is_lease_holder: bool,
+    /// Since when this daemon has reached no upstream.
+    isolated_since: Option<Timestamp>,
     /// Whether a request has arrived since the start.
     has_received_request: bool,
     is_leaving: bool,
@@ -281,6 +283,7 @@
             confirmed_age_at_start: None,
             next_suspect_report_at: Timestamp::ZERO,
             is_lease_holder: false,
+            isolated_since: None,
             has_received_request: false,
             is_leaving: false,
             is_stopping: false,
--- a/shalehinge/src/core/membership.rs
+++ b/shalehinge/src/core/membership.rs
@@ -413,6 +413,28 @@
             .contains(&&self.own_heartbeat.daemon)
     }
 
+    /// Whether another member of this failure domain that takes duties reaches upstreams.
+    pub fn has_connected_neighbour(&self, now: Timestamp) -> bool {
+        let domain = &self.own_heartbeat.failure_domain;
+        let mut peers = self.live_peers(now);
+        peers.any(|peer| peer.failure_domain == *domain && !peer.leaving && !peer.isolated)
+    }
+
+    /// Whether this daemon is among the `count` members of its failure domain that may hold control.
+    /// Members that reach no upstream may not, unless none does.
+    pub fn is_control_candidate(&self, now: Timestamp, duty: &str, count: usize) -> bool {
+        let domain = &self.own_heartbeat.failure_domain;
+        let own = &self.own_heartbeat;
+        if !self.has_connected_neighbour(now) {
+            return self.is_responsible(now, duty, count);
+        }
+        let members = self.live_peers(now).chain([own]);
+        let connected = members
+            .filter(|peer| peer.failure_domain == *domain && !peer.leaving && !peer.isolated);
+        let candidates = connected.map(|peer| &peer.daemon);
+        hash::highest_weighted(&duty, candidates, count).contains(&&own.daemon)
+    }
+
     /// The live member that decides on a subject in a failure domain. If no member of the domain
     /// is known, it is chosen among all members.
     pub fn owner(&self, now: Timestamp, domain: &FailureDomain, subject: &impl Hash) -> Owner {
--- a/shalehinge/tests/unreachable_upstreams.rs
+++ b/shalehinge/tests/unreachable_upstreams.rs
@@ -8,6 +8,7 @@
 use relay_support::load_simulation::LoadSimulation;
 use relay_support::{Fleet, UpstreamCut};
 use shalehinge::core::router::request::Outcome;
+use shalehinge::core::types::Timestamp;
 
 /// Time after the start of a cut from which the callers of cut daemons must be served.
 const NOTICED_WITHIN: Duration = Duration::from_secs(3);
@@ -112,3 +113,40 @@
 fn callers_of_a_failure_domain_are_served_while_none_of_its_daemons_reaches_an_upstream() {
     check_cuts(|index| index % 3 == 0);
 }
+
+/// Time within which control moves: the cut is noticed, the lease released and taken.
+const CONTROL_MOVES_WITHIN: Duration = Duration::from_secs(6);
+
+/// Daemons that hold the control lease of their failure domain.
+fn lease_holders(fleet: &Fleet) -> Vec<usize> {
+    let now = Timestamp::from_duration(fleet.now);
+    let holds = |index: &usize| fleet.daemons[*index].lease().held(now).is_some();
+    (0..fleet.daemons.len()).filter(holds).collect()
+}
+
+#[test]
+fn control_moves_to_a_daemon_that_reaches_upstreams() {
+    let mut simulation = LoadSimulation::small();
+    simulation.serve_seconds(2);
+    let holders = lease_holders(&simulation.fleet);
+    assert_eq!(holders.len(), 3, "one in each failure domain");
+    let cut = UpstreamCut::Refused;
+    simulation.fleet.cut_from_upstreams(&holders, cut);
+    simulation.serve(CONTROL_MOVES_WITHIN);
+    let new_holders = lease_holders(&simulation.fleet);
+    assert_eq!(new_holders.len(), 3);
+    assert!(new_holders.iter().all(|index| !holders.contains(index)));
+}
+
+#[test]
+fn control_stays_where_no_daemon_reaches_an_upstream() {
+    let mut simulation = LoadSimulation::small();
+    simulation.serve_seconds(2);
+    let holders = lease_holders(&simulation.fleet);
+    let all: Vec<usize> = (0..9).collect();
+    simulation
+        .fleet
+        .cut_from_upstreams(&all, UpstreamCut::Refused);
+    simulation.serve(CONTROL_MOVES_WITHIN);
+    assert_eq!(lease_holders(&simulation.fleet), holders);
+}
