--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -19,6 +19,24 @@
 # name: (file, text as it stands, text without the protection, test, filter,
 #        and further edits where two protections stand behind each other)
 PROTECTIONS = {
+    "a-cut-off-target-goes-to-peers": (
+        CORE + "router/connectivity.rs",
+        "Some(State::CutOff { .. }) => 0.0,",
+        "Some(State::CutOff { .. }) => 1.0,",
+        "unreachable_upstreams", "reach_no_upstream_are_served",
+    ),
+    "a-failure-counts-from-its-start": (
+        CORE + "router/connectivity.rs",
+        "if begun_at < known.last_contact_at {",
+        "if false && begun_at < known.last_contact_at {",
+        "cut_domains", "one_is_cut_off",
+    ),
+    "isolated-daemons-yield-control": (
+        CORE + "daemon/control.rs",
+        "        self.yield_control(now, out);\n",
+        "",
+        "unreachable_upstreams", "control_moves",
+    ),
     "each-era-has-objects-of-its-own": (
         CORE + "daemon/era_objects.rs",
         "            EraScope::Single(era)\n        };",
