feat(quarantine): count crashes by the parts that prompts share

Cause: crashes were counted by the fingerprint of whole requests, which never met twice.

Change: what is counted, suspected, tried and proven is a request or a part of prompts, by a fingerprint of target and part (core/fingerprint.rs), through the reports, owners of trials and objections that were there. A part is cleared by a whole answer alone, which also holds for crashes of the next 1.5 s: common parts are answered all the time, so that sound requests go on while a part beside theirs is suspected. A proven part ends the suspicions of the same crashes. Parts come from a header of the relay, and from the beginnings of prompts on the product's own interface.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -567,7 +567,7 @@
     ),
     "an-answer-ends-a-quarantine": (
         CORE + "router/quarantine.rs",
-        "record.crashes.retain(|(_, at)| *at > completion.at);",
+        "record.crashes.retain(|(_, at)| !is_refuted(*at));",
         "",
         "quarantine", "resets_the_count",
     ),
@@ -579,8 +579,8 @@
     ),
     "quarantine-is-told-again": (
         CORE + "daemon/quarantine.rs",
-        "quarantined: quarantined\n                .map(|entry| quarantined_report(now, entry))\n                .collect(),\n            ..Q",
-        "quarantined: quarantined.map(|entry| quarantined_report(now, entry)).take(0).collect(),\n            ..Q",
+        "quarantined.truncate(MAX_REPORTED);",
+        "quarantined.clear();",
         "quarantine", "missed_the_update",
     ),
     "shown-in-a-group-is-not-used": (
--- a/shalehinge/src/core/daemon/quarantine.rs
+++ b/shalehinge/src/core/daemon/quarantine.rs
@@ -236,9 +236,13 @@
 
     /// The quarantined requests to include in a pull reply.
     pub(super) fn quarantine_report(&self, now: Timestamp) -> QuarantineReport {
-        let quarantined = self.router.quarantined(now).take(MAX_REPORTED);
+        let mut quarantined: Vec<Quarantined> = self.router.quarantined(now).collect();
+        // What is proven matters most.
+        quarantined.sort_by_key(|entry| std::cmp::Reverse(entry.evidence));
+        quarantined.truncate(MAX_REPORTED);
         QuarantineReport {
             quarantined: quarantined
+                .into_iter()
                 .map(|entry| quarantined_report(now, entry))
                 .collect(),
             ..QuarantineReport::default()
--- a/shalehinge/src/core/fingerprint.rs
+++ b/shalehinge/src/core/fingerprint.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use super::router::request::Target;
 use super::types::Customer;
 
 /// Number of bytes hashed at each end of a body, in addition to its length. Hashing both ends
@@ -15,7 +16,10 @@
 /// all other requests of the daemon.
 const HASHED_BYTES_PER_END: usize = 32 * 1024;
 
-/// Identifies the content of a request: customer, method, path and body. It is a truncated
+/// Set in the fingerprints of parts of prompts, and not in those of requests.
+const PROMPT_PART_BIT: u64 = 1 << 63;
+
+/// Identifies the content of a request, or of a part of prompts. That of a request covers customer, method, path and body. It is a truncated
 /// SHA-256, as a weaker hash would let a customer forge requests that collide with those of
 /// another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -37,12 +41,23 @@
             hasher.update(&body[..HASHED_BYTES_PER_END]);
             hasher.update(&body[body.len() - HASHED_BYTES_PER_END..]);
         }
-        let digest = hasher.finalize();
-        let (prefix, _) = digest.split_at(size_of::<u64>());
-        let value = prefix
-            .iter()
-            .fold(0, |sum, byte| sum << 8 | u64::from(*byte));
-        Self(value)
+        Self(truncated(hasher) & !PROMPT_PART_BIT)
+    }
+
+    /// The fingerprint of a part of prompts for a target, by the part's id. It covers no customer,
+    /// as a part may be shared by the prompts of several.
+    pub fn of_prompt_part(target: &Target, part: &[u8]) -> Self {
+        let mut hasher = Sha256::new();
+        let target = target.to_string();
+        hasher.update((target.len() as u64).to_be_bytes());
+        hasher.update(target);
+        hasher.update(part);
+        Self(truncated(hasher) | PROMPT_PART_BIT)
+    }
+
+    /// Whether it identifies a part of prompts.
+    pub fn is_prompt_part(self) -> bool {
+        self.0 & PROMPT_PART_BIT != 0
     }
 }
 
@@ -51,3 +66,11 @@
         write!(f, "{:016x}", self.0)
     }
 }
+
+/// The first 64 bits of a digest.
+fn truncated(hasher: Sha256) -> u64 {
+    let digest = hasher.finalize();
+    let (prefix, _) = digest.split_at(size_of::<u64>());
+    let bytes = prefix.iter();
+    bytes.fold(0, |sum, byte| sum << 8 | u64::from(*byte))
+}
--- a/shalehinge/src/core/forward.rs
+++ b/shalehinge/src/core/forward.rs
@@ -36,6 +36,8 @@
     pub repeatable: bool,
     /// Hashes of the prompt's prefixes.
     pub prefix: PrefixChain,
+    /// Fingerprints of the parts of its prompt that other requests may share.
+    pub prompt_parts: Vec<Fingerprint>,
     /// Maximum number of attempts that may run at upstreams; `None` means as many as the settings
     /// allow.
     pub max_attempts: Option<u32>,
@@ -59,6 +61,7 @@
             priority: meta.priority,
             repeatable: meta.repeatable,
             prefix: meta.prefix.clone(),
+            prompt_parts: meta.prompt_parts.clone(),
             max_attempts,
             is_resumable: meta.is_resumable,
             credential: meta.credential.clone(),
@@ -80,6 +83,7 @@
             key: None,
             repeatable: self.repeatable,
             prefix: self.prefix,
+            prompt_parts: self.prompt_parts,
             max_attempts: self.max_attempts,
             is_resumable: self.is_resumable,
             credential: self.credential,
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -307,7 +307,7 @@
             return;
         };
         pending.cost = state.cost_of(meta);
-        let is_quarantined = self.quarantined_for(now, meta.fingerprint).is_some();
+        let is_quarantined = self.is_quarantined(now, &pending.meta);
         if is_quarantined && !self.can_forward(now, &target) {
             self.hold_for_trial(now, request, pending, rng, out);
             return;
@@ -374,7 +374,7 @@
             }
             let selection = state.choose_for(now, &self.settings, &avoided, pending, rng);
             let Some(choice) = selection.choice else {
-                if matches!(pending.trial, TrialState::At(_)) {
+                if matches!(pending.trial, TrialState::At { .. }) {
                     // The upstream of the trial is gone. Requests queued behind it must not wait
                     // for it.
                     self.answer_next(target, NO_TRIAL, out);
@@ -413,9 +413,9 @@
                 request, pending, state, &choice,
             )));
             let mut attempt = state.send(now, request, pending, id, choice.index);
-            if matches!(pending.trial, TrialState::At(_)) {
+            if let TrialState::At { subject, .. } = &pending.trial {
                 self.trial_upstreams
-                    .insert(pending.meta.fingerprint, attempt.upstream.clone());
+                    .insert(*subject, attempt.upstream.clone());
             }
             if let (Some(until), Some(_)) = (self.keys_valid_until, &pending.meta.credential) {
                 attempt.valid_until = attempt.valid_until.min(until);
@@ -514,7 +514,7 @@
         };
         let target = pending.meta.target.clone();
         let subject = RequestSubject {
-            fingerprint: pending.meta.fingerprint,
+            subjects: pending.meta.subjects().collect(),
             target: target.clone(),
         };
         let mut fails_everywhere = false;
@@ -636,7 +636,7 @@
         let has_attempts_left = pending.attempts < self.settings.max_attempts;
         let is_quarantined = self
             .quarantine
-            .time_left(now, pending.meta.fingerprint, &self.settings)
+            .active_for(now, &pending.meta, &self.settings)
             .is_some();
         let may_retry = is_safe && in_time && has_attempts_left && has_runs_left && !is_quarantined;
         let is_paid = |retries: &mut RetryBudget, rng: &mut _| match cost {
--- a/shalehinge/src/core/router/quarantine.rs
+++ b/shalehinge/src/core/router/quarantine.rs
@@ -15,7 +15,7 @@
 use crate::core::types::Timestamp;
 use crate::settings::router::RouterSettings;
 
-use super::request::UpstreamId;
+use super::request::{RequestMeta, UpstreamId};
 
 /// How long a lost attempt counts. Less frequent requests do little harm, and the longer the
 /// period, the more likely it is that two losses are unrelated.
@@ -24,6 +24,12 @@
 /// several daemons. It is well above the time within which all daemons notice a crash (under
 /// 100 ms) and below the time that a crashed upstream takes to return (seconds).
 const SAME_CRASH_WINDOW: Duration = Duration::from_secs(1);
+/// Time by which a whole answer outlasts its end as evidence for the parts of its prompt. Parts that
+/// most prompts share are answered all the time; without it, crashes in close succession would
+/// make suspects of them.
+const PART_ANSWER_VALIDITY: Duration = Duration::from_millis(1_500);
+/// Maximum number of prompt parts in each of the two generations of whole answers.
+const MAX_PART_ANSWERS: usize = 2_048;
 /// Maximum number of requests with losses to remember; a crash adds every request that was
 /// running there.
 const MAX_RECORDS: usize = 4_096;
@@ -113,6 +119,38 @@
     }
 }
 
+/// When prompt parts were last in a prompt that got a complete answer. When the newer generation is
+/// full, it replaces the older one.
+#[derive(Clone, Debug, Default)]
+struct PartAnswers {
+    newer: BTreeMap<Fingerprint, Timestamp>,
+    older: BTreeMap<Fingerprint, Timestamp>,
+}
+
+impl PartAnswers {
+    fn record(&mut self, completion: Completion) {
+        self.newer.insert(completion.fingerprint, completion.at);
+        if self.newer.len() >= MAX_PART_ANSWERS {
+            self.older = std::mem::take(&mut self.newer);
+        }
+    }
+
+    fn last(&self, part: Fingerprint) -> Option<Timestamp> {
+        let known = self.newer.get(&part).or_else(|| self.older.get(&part));
+        known.copied()
+    }
+}
+
+/// Whether an answer that was complete at `completed_at` shows that a crash at `crashed_at` had
+/// another cause.
+fn refutes(fingerprint: Fingerprint, completed_at: Timestamp, crashed_at: Timestamp) -> bool {
+    if fingerprint.is_prompt_part() {
+        completed_at + PART_ANSWER_VALIDITY >= crashed_at
+    } else {
+        completed_at >= crashed_at
+    }
+}
+
 /// Lost attempts by request fingerprint, and the quarantines that result from them.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
@@ -120,6 +158,8 @@
     records: BTreeMap<Fingerprint, Record>,
     /// Complete answers received by this daemon, oldest first.
     completions: VecDeque<Completion>,
+    /// When this daemon last received a complete answer, by prompt part.
+    part_answers: PartAnswers,
     /// Changes that have not been sent to other daemons yet.
     update: QuarantineUpdate,
 }
@@ -159,7 +199,9 @@
 
     /// Records a lost attempt of this daemon. Returns whether it newly quarantines the request.
     pub fn record_loss(&mut self, loss: Loss, settings: &RouterSettings) -> bool {
-        if settings.quarantine_after == 0 {
+        let is_refuted = loss.fingerprint.is_prompt_part()
+            && self.completion_since(loss.fingerprint, loss.at).is_some();
+        if settings.quarantine_after == 0 || is_refuted {
             return false;
         }
         self.update.losses.push(loss.clone());
@@ -184,7 +226,8 @@
         } = loss;
         self.evict_if_full();
         let record = self.records.entry(fingerprint).or_default();
-        if record.completed_at.is_some_and(|completed| completed >= at) {
+        let completed_at = record.completed_at;
+        if completed_at.is_some_and(|completed_at| refutes(fingerprint, completed_at, at)) {
             return false;
         }
         record
@@ -233,6 +276,29 @@
         };
         record.quarantined = Some(quarantined);
         self.update.quarantined.push(quarantined);
+        self.drop_explained(quarantined);
+    }
+
+    /// Drops suspicions that rest on crashes which a part of prompts, now proven to crash upstreams,
+    /// explains. A second cause among them is suspected again after further crashes.
+    fn drop_explained(&mut self, proven: Quarantined) {
+        if !proven.fingerprint.is_prompt_part() {
+            return;
+        }
+        let from = proven.first_lost_at.minus(SAME_CRASH_WINDOW);
+        let until = proven.last_lost_at + SAME_CRASH_WINDOW;
+        for (fingerprint, record) in &mut self.records {
+            let is_suspected = record
+                .quarantined
+                .is_some_and(|known| known.evidence == Evidence::Suspected);
+            if *fingerprint == proven.fingerprint {
+                continue;
+            }
+            record.crashes.retain(|(_, at)| *at < from || *at > until);
+            if is_suspected && record.crashes.is_empty() {
+                record.quarantined = None;
+            }
+        }
     }
 
     /// The quarantine of a request, if it is in force now.
@@ -246,12 +312,29 @@
         self.records.get(&fingerprint)?.quarantined
     }
 
+    /// The quarantine that applies to a request: of its content as a whole, or of a part of its
+    /// prompt. What is proven takes precedence, then a part, which explains more crashes.
+    pub fn active_for(
+        &self,
+        now: Timestamp,
+        meta: &RequestMeta,
+        settings: &RouterSettings,
+    ) -> Option<Quarantined> {
+        let subjects = meta.subjects();
+        let active = subjects.filter_map(|subject| self.active(now, subject, settings));
+        active.max_by_key(|known| (known.evidence, known.fingerprint.is_prompt_part()))
+    }
+
     /// Records a complete answer received by this daemon. Returns whether it ends a quarantine.
     pub fn record_completion(&mut self, completion: Completion) -> bool {
-        if self.completions.len() >= MAX_COMPLETIONS {
-            self.completions.pop_front();
+        if completion.fingerprint.is_prompt_part() {
+            self.part_answers.record(completion);
+        } else {
+            if self.completions.len() >= MAX_COMPLETIONS {
+                self.completions.pop_front();
+            }
+            self.completions.push_back(completion);
         }
-        self.completions.push_back(completion);
         let ends = self.apply_completion(completion);
         if ends {
             self.update.completions.push(completion);
@@ -270,10 +353,11 @@
             return false;
         };
         record.completed_at = record.completed_at.max(Some(completion.at));
-        record.crashes.retain(|(_, at)| *at > completion.at);
+        let is_refuted = |at: Timestamp| refutes(completion.fingerprint, completion.at, at);
+        record.crashes.retain(|(_, at)| !is_refuted(*at));
         let ends = record
             .quarantined
-            .is_some_and(|quarantined| quarantined.first_lost_at <= completion.at);
+            .is_some_and(|quarantined| is_refuted(quarantined.first_lost_at));
         if ends {
             record.quarantined = None;
         }
@@ -298,6 +382,9 @@
         if is_new || (is_later && !is_weaker) {
             record.quarantined = Some(quarantined);
         }
+        if is_new && quarantined.evidence == Evidence::Proven {
+            self.drop_explained(quarantined);
+        }
         is_new
     }
 
@@ -305,14 +392,15 @@
     fn completion_since(&self, fingerprint: Fingerprint, since: Timestamp) -> Option<Completion> {
         let record = self.records.get(&fingerprint);
         let known_at = record.and_then(|record| record.completed_at);
-        let own = self
-            .completions
-            .iter()
-            .rev()
-            .find(|completion| completion.fingerprint == fingerprint)
-            .map(|completion| completion.at);
+        let own = if fingerprint.is_prompt_part() {
+            self.part_answers.last(fingerprint)
+        } else {
+            let mut completions = self.completions.iter().rev();
+            let known = completions.find(|completion| completion.fingerprint == fingerprint);
+            known.map(|completion| completion.at)
+        };
         let at = known_at.max(own)?;
-        (at >= since).then_some(Completion { fingerprint, at })
+        refutes(fingerprint, at, since).then_some(Completion { fingerprint, at })
     }
 
     /// Discards the record with the oldest activity if the maximum number is reached.
--- a/shalehinge/src/core/router/refusal.rs
+++ b/shalehinge/src/core/router/refusal.rs
@@ -50,8 +50,8 @@
         ..
     } = context;
     let meta = &pending.meta;
-    let quarantined = context.quarantine.active(now, meta.fingerprint, settings);
-    let is_tried = matches!(pending.trial, TrialState::At(_));
+    let quarantined = context.quarantine.active_for(now, meta, settings);
+    let is_tried = matches!(pending.trial, TrialState::At { .. });
     if let Some(quarantined) =
         quarantined.filter(|quarantined| !is_tried || quarantined.evidence == Evidence::Proven)
     {
@@ -122,9 +122,7 @@
         let Some(state) = self.targets.get(&meta.target) else {
             return Some((NotRunReason::UnknownTarget, MAX_RETRY_AFTER));
         };
-        let quarantined = self
-            .quarantine
-            .active(now, meta.fingerprint, &self.settings);
+        let quarantined = self.quarantine.active_for(now, meta, &self.settings);
         if let Some(quarantined) = quarantined {
             if let Some(left) = retry_after_of(now, &quarantined, &self.settings) {
                 return Some((NotRunReason::Quarantined, left));
--- a/shalehinge/src/core/router/request.rs
+++ b/shalehinge/src/core/router/request.rs
@@ -58,6 +58,8 @@
     pub repeatable: bool,
     /// Hashes of the prompt's prefixes.
     pub prefix: PrefixChain,
+    /// Fingerprints of the parts of its prompt that other requests may share.
+    pub prompt_parts: Vec<Fingerprint>,
     /// Maximum number of attempts that may have run; `None` means as many as the settings allow.
     pub max_attempts: Option<u32>,
     /// Whether another upstream can continue its stream.
@@ -66,6 +68,15 @@
     pub credential: Option<Credential>,
 }
 
+impl RequestMeta {
+    /// Everything about the request that may crash upstreams: its content as a whole, and the parts
+    /// of its prompt.
+    pub fn subjects(&self) -> impl Iterator<Item = Fingerprint> {
+        let parts = self.prompt_parts.iter().copied();
+        std::iter::once(self.fingerprint).chain(parts)
+    }
+}
+
 /// SHA-256 of an API key, in hexadecimal.
 pub type Credential = std::sync::Arc<str>;
 
--- a/shalehinge/src/core/router/suspects.rs
+++ b/shalehinge/src/core/router/suspects.rs
@@ -7,7 +7,7 @@
 
 use super::dispatch::{RetryCost, Router, RouterAction};
 use super::quarantine::{Completion, Evidence, Loss, QuarantineUpdate, Quarantined};
-use super::request::{AttemptEnd, Outcome, Target, UpstreamId};
+use super::request::{AttemptEnd, Outcome, RequestMeta, Target, UpstreamId};
 
 /// Attempts that were lost at an upstream, until it is known whether the upstream crashed.
 #[derive(Clone, Debug, Default)]
@@ -21,18 +21,32 @@
 /// The content and target of a request.
 #[derive(Clone, Debug)]
 pub(super) struct RequestSubject {
-    /// Fingerprint of the content.
-    pub(super) fingerprint: Fingerprint,
+    /// Fingerprints of the content as a whole and of the parts of the prompt.
+    pub(super) subjects: Vec<Fingerprint>,
     /// The model or service that should run it.
     pub(super) target: Target,
 }
 
+impl RequestSubject {
+    /// The fingerprints as text, the whole content first.
+    fn listed(&self) -> String {
+        let texts: Vec<String> = self.subjects.iter().map(Fingerprint::to_string).collect();
+        texts.join(" ")
+    }
+}
+
 impl Router {
-    /// How long a request remains quarantined; `None` if it is not.
+    /// How long a request, or a part of prompts, remains quarantined; `None` if it is not.
     pub fn quarantined_for(&self, now: Timestamp, fingerprint: Fingerprint) -> Option<Duration> {
         self.quarantine.time_left(now, fingerprint, &self.settings)
     }
 
+    /// Whether a request is quarantined, as a whole or for a part of its prompt.
+    pub(super) fn is_quarantined(&self, now: Timestamp, meta: &RequestMeta) -> bool {
+        let quarantined = self.quarantine.active_for(now, meta, &self.settings);
+        quarantined.is_some()
+    }
+
     /// All requests that are quarantined now.
     pub fn quarantined(&self, now: Timestamp) -> impl Iterator<Item = Quarantined> {
         self.quarantine.all(now, &self.settings)
@@ -49,57 +63,81 @@
         end: AttemptEnd,
         out: &mut Vec<RouterAction>,
     ) {
-        let fingerprint = subject.fingerprint;
         match end {
             AttemptEnd::Lost => {
                 out.push(RouterAction::Log(format!(
-                    "request {} was lost at {upstream}, asks {fingerprint}",
-                    request.0
+                    "request {} was lost at {upstream}, asks {}",
+                    request.0,
+                    subject.listed()
                 )));
-                let loss = Loss {
-                    fingerprint,
+                let losses = subject.subjects.iter().map(|fingerprint| Loss {
+                    fingerprint: *fingerprint,
                     upstream: upstream.clone(),
                     at: now,
-                };
-                self.check_after_loss(&subject.target, loss, out);
+                });
+                self.check_after_loss(&subject.target, upstream, losses.collect(), out);
             }
-            AttemptEnd::Completed { .. } | AttemptEnd::Failed { .. } => {
-                let completion = Completion {
-                    fingerprint,
-                    at: now,
-                };
-                if self.quarantine.record_completion(completion) {
-                    out.push(no_longer_quarantined(fingerprint));
-                }
+            AttemptEnd::Completed { .. } => {
+                self.record_completions(now, subject.subjects.iter(), out);
+            }
+            // A failure may come before the upstream has used the prompt.
+            AttemptEnd::Failed { .. } => {
+                let subjects = subject.subjects.iter();
+                let whole = subjects.filter(|fingerprint| !fingerprint.is_prompt_part());
+                self.record_completions(now, whole, out);
             }
             AttemptEnd::NotSent | AttemptEnd::Refused | AttemptEnd::WrongAnswer => {}
         }
     }
 
+    fn record_completions<'a>(
+        &mut self,
+        now: Timestamp,
+        subjects: impl Iterator<Item = &'a Fingerprint>,
+        out: &mut Vec<RouterAction>,
+    ) {
+        for fingerprint in subjects.copied() {
+            let completion = Completion {
+                fingerprint,
+                at: now,
+            };
+            if self.quarantine.record_completion(completion) {
+                out.push(no_longer_quarantined(fingerprint));
+            }
+        }
+    }
+
     /// Requests a check of the upstream after a loss. A broken connection alone does not show a
     /// crash: an upstream that is still running may have cut one answer short, and a request
     /// repeated to such an upstream crashes none.
-    fn check_after_loss(&mut self, target: &Target, loss: Loss, out: &mut Vec<RouterAction>) {
+    fn check_after_loss(
+        &mut self,
+        target: &Target,
+        upstream: &UpstreamId,
+        losses: Vec<Loss>,
+        out: &mut Vec<RouterAction>,
+    ) {
         if self.settings.quarantine_after == 0 {
             return;
         }
-        let upstream = loss.upstream.clone();
-        let check = self.pending_checks.entry(upstream.clone()).or_default();
-        check.losses.push(loss);
-        if check.losses.len() > 1 {
+        if let Some(check) = self.pending_checks.get_mut(upstream) {
             // The check already under way covers all attempts lost in the meantime.
+            check.losses.extend(losses);
             return;
         }
         let state = self.targets.get_mut(target);
-        match state.and_then(|state| state.upstream_mut(&upstream)) {
-            Some(known) => {
-                let address = known.spec.address;
-                out.push(RouterAction::CheckUpstream { upstream, address });
-            }
-            None => {
-                self.pending_checks.remove(&upstream);
-            }
-        }
+        let Some(known) = state.and_then(|state| state.upstream_mut(upstream)) else {
+            return;
+        };
+        out.push(RouterAction::CheckUpstream {
+            upstream: upstream.clone(),
+            address: known.spec.address,
+        });
+        let check = PendingCheck {
+            losses,
+            waiting: Vec::new(),
+        };
+        self.pending_checks.insert(upstream.clone(), check);
     }
 
     /// Whether the request would be quarantined if the check of the upstream shows a crash.
@@ -107,12 +145,15 @@
         let Some(check) = self.pending_checks.get(upstream) else {
             return false;
         };
-        let is_of_request = |loss: &&Loss| loss.fingerprint == subject.fingerprint;
-        let is_lost_at_upstream = check.losses.iter().any(|loss| is_of_request(&loss));
-        let all_losses = self.pending_checks.values().flat_map(|known| &known.losses);
-        let crashes =
-            self.quarantine.crashes(subject.fingerprint) + all_losses.filter(is_of_request).count();
-        is_lost_at_upstream && crashes >= self.settings.quarantine_after as usize
+        subject.subjects.iter().any(|fingerprint| {
+            let is_of_subject = |loss: &&Loss| loss.fingerprint == *fingerprint;
+            let is_lost_at_upstream = check.losses.iter().any(|loss| is_of_subject(&loss));
+            let checks = self.pending_checks.values();
+            let possible_crashes =
+                checks.filter(|check| check.losses.iter().any(|loss| is_of_subject(&loss)));
+            let crashes = self.quarantine.crashes(*fingerprint) + possible_crashes.count();
+            is_lost_at_upstream && crashes >= self.settings.quarantine_after as usize
+        })
     }
 
     /// Holds back the outcome of a request until the upstream has been checked.
@@ -158,9 +199,11 @@
         losses: Vec<Loss>,
         out: &mut Vec<RouterAction>,
     ) {
+        let requests = losses.iter();
+        let requests = requests.filter(|loss| !loss.fingerprint.is_prompt_part());
         out.push(RouterAction::Log(format!(
             "{upstream} crashed while running {} requests of this daemon",
-            losses.len()
+            requests.count()
         )));
         let on_trial = losses.iter().find(|loss| self.was_on_trial(loss)).cloned();
         if let Some(loss) = on_trial {
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -211,7 +211,7 @@
         pending: &Pending,
         rng: &mut impl rand::Rng,
     ) -> Selection {
-        if let TrialState::At(upstream) = &pending.trial {
+        if let TrialState::At { upstream, .. } = &pending.trial {
             return self.trial_choice(now, upstream);
         }
         let context = ChoiceContext {
--- a/shalehinge/src/core/router/trial.rs
+++ b/shalehinge/src/core/router/trial.rs
@@ -36,7 +36,12 @@
         until: Timestamp,
     },
     /// The request is tried at this upstream only.
-    At(UpstreamId),
+    At {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// What the trial decides on: the request as a whole, or a part of its prompt.
+        subject: Fingerprint,
+    },
 }
 
 impl Router {
@@ -52,10 +57,14 @@
         let Some(state) = self.targets.get(&pending.meta.target) else {
             return;
         };
+        let quarantined = self
+            .quarantine
+            .active_for(now, &pending.meta, &self.settings);
+        let subject = quarantined.map_or(pending.meta.fingerprint, |known| known.fingerprint);
         let eligible = state.upstreams.iter().filter(|u| u.may_be_sent(now));
         let candidates = eligible.choose_multiple(rng, MAX_CANDIDATES);
         let trial_request = TrialRequest {
-            fingerprint: pending.meta.fingerprint,
+            fingerprint: subject,
             target: pending.meta.target.clone(),
             candidates: candidates.iter().map(|u| u.spec.id.clone()).collect(),
         };
@@ -80,7 +89,8 @@
     ) {
         let is_held = |pending: &Pending| {
             let is_requested = matches!(pending.trial, TrialState::Requested { .. });
-            is_requested && pending.meta.fingerprint == grant.fingerprint
+            let mut subjects = pending.meta.subjects();
+            is_requested && subjects.any(|subject| subject == grant.fingerprint)
         };
         let held = self
             .pending
@@ -93,7 +103,10 @@
             "request {} is run alone at {} in a trial",
             request.0, grant.upstream
         )));
-        pending.trial = TrialState::At(grant.upstream.clone());
+        pending.trial = TrialState::At {
+            upstream: grant.upstream.clone(),
+            subject: grant.fingerprint,
+        };
         let (request, target) = (*request, pending.meta.target.clone());
         if let Some(state) = self.targets.get_mut(&target) {
             state.enqueue(request, pending, self.settings.timely_first);
@@ -107,18 +120,18 @@
         let (quarantine, settings) = (&self.quarantine, &self.settings);
         self.trial_upstreams
             .retain(|fingerprint, _| quarantine.active(now, *fingerprint, settings).is_some());
-        let held: Vec<(RequestId, Timestamp, Fingerprint)> = self
+        let held: Vec<(RequestId, Timestamp, bool)> = self
             .pending
             .iter()
             .filter_map(|(request, pending)| match pending.trial {
                 TrialState::Requested { until } => {
-                    Some((*request, until, pending.meta.fingerprint))
+                    let is_cleared = !self.is_quarantined(now, &pending.meta);
+                    Some((*request, until, is_cleared))
                 }
-                TrialState::None | TrialState::At(_) => None,
+                TrialState::None | TrialState::At { .. } => None,
             })
             .collect();
-        for (request, until, fingerprint) in held {
-            let is_cleared = self.quarantined_for(now, fingerprint).is_none();
+        for (request, until, is_cleared) in held {
             if is_cleared {
                 self.enqueue_cleared(request);
             } else if now >= until {
--- a/shalehinge/src/gateway/chat.rs
+++ b/shalehinge/src/gateway/chat.rs
@@ -91,6 +91,8 @@
     body: &[u8],
 ) -> RequestMeta {
     let prompt = concatenated_messages(chat);
+    let prefix = prefix::chain_of(prompt.as_bytes());
+    let target = Target::Model(ModelName::new(&chat.model));
     let max_tokens = chat.max_completion_tokens.or(chat.max_tokens);
     RequestMeta {
         fingerprint: Fingerprint::of(
@@ -100,7 +102,6 @@
             body,
         ),
         customer,
-        target: Target::Model(ModelName::new(&chat.model)),
         prompt_tokens: (prompt.len() / BYTES_PER_TOKEN) as u32,
         max_output_tokens: max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).max(1),
         deadline: context.driver.now() + options.time_limit,
@@ -108,7 +109,9 @@
         priority: options.priority,
         key: options.key,
         repeatable: options.repeatable,
-        prefix: prefix::chain_of(prompt.as_bytes()),
+        prompt_parts: prefix::shared_parts(&target, &prefix),
+        prefix,
+        target,
         max_attempts: None,
         is_resumable: false,
         credential: None,
--- a/shalehinge/src/gateway/relay.rs
+++ b/shalehinge/src/gateway/relay.rs
@@ -35,6 +35,9 @@
 /// priority 9.
 const MAX_RANK: u8 = 9;
 
+/// Maximum number of parts of a prompt that are told apart.
+const MAX_PROMPT_PARTS: usize = 16;
+
 /// A response that the daemon itself generates, with a plain text body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct DaemonResponse {
@@ -174,6 +177,7 @@
         .get_str(names.deadline)
         .and_then(|text| text.trim().parse().ok())
         .map_or(timeout, Duration::from_millis);
+    let prompt_parts = shared_parts(&target, headers.get_str(names.prompt_parts));
     let (prompt_tokens, max_output_tokens) = token_counts(headers.get_str(names.tokens));
     let forwarded = request_headers(names, conn);
     let host_and_path = format!("{host}{}", conn.path_and_query());
@@ -199,6 +203,7 @@
         key: None,
         repeatable: routed.is_repeatable(),
         prefix: Vec::new(),
+        prompt_parts,
         max_attempts: Some(routed.route.max_attempts),
         is_resumable: routed.route.kind == RequestKind::Stream && routed.route.is_resumable,
         credential: credential.filter(|_| !routed.route.is_anonymous),
@@ -268,6 +273,23 @@
     (prompt, numbers.next().unwrap_or(0))
 }
 
+/// Fingerprints of the parts of the prompt that other requests may share, which are all but the last
+/// one.
+fn shared_parts(target: &Target, header: Option<&str>) -> Vec<Fingerprint> {
+    let ids = header.unwrap_or_default().split(',');
+    let mut ids: Vec<&str> = ids
+        .filter_map(|part| part.split(':').next())
+        .map(str::trim)
+        .filter(|id| !id.is_empty())
+        .collect();
+    ids.pop();
+    ids.truncate(MAX_PROMPT_PARTS);
+    let parts = ids.into_iter();
+    parts
+        .map(|id| Fingerprint::of_prompt_part(target, id.as_bytes()))
+        .collect()
+}
+
 /// Reads the request body of at most `most` bytes.
 async fn body(
     context: &GatewayContext,
--- a/shalehinge/src/gateway/service.rs
+++ b/shalehinge/src/gateway/service.rs
@@ -48,6 +48,7 @@
         key: options.key,
         repeatable: options.repeatable,
         prefix: Vec::new(),
+        prompt_parts: Vec::new(),
         max_attempts: None,
         is_resumable: false,
         credential: None,
--- a/shalehinge/src/upstream/relay.rs
+++ b/shalehinge/src/upstream/relay.rs
@@ -48,6 +48,9 @@
     pub model: &'static str,
     /// Number of prompt tokens and maximum number of output tokens, separated by a comma.
     pub tokens: &'static str,
+    /// Parts of the prompt, in order, as `ID:TOKENS` separated by commas. The last one is the
+    /// request's own.
+    pub prompt_parts: &'static str,
     /// Signature of an upstream; a successful response without it is rejected.
     pub signature: &'static str,
     /// Id of the last event that the caller has received.
--- /dev/null
+++ b/shalehinge/tests/crashing_prompt_parts.rs
@@ -0,0 +1,110 @@
+//! Guards against requests that share a part of their prompts crashing one upstream after the other,
+//! and against refusing sound requests that share other parts with them.
+
+mod router_support;
+
+use std::time::Duration;
+
+use router_support::{RouterHarness, request};
+use shalehinge::core::router::prefix;
+use shalehinge::core::router::request::{AttemptEnd, NotRunReason, Outcome, Target};
+use shalehinge::core::types::ModelName;
+
+/// Time after which a trial no longer waits for upstreams to return.
+const TRIAL_IS_DUE: Duration = Duration::from_secs(7);
+/// Time after which an answer is no evidence for the parts of its prompt any more.
+const ANSWER_IS_OLD: Duration = Duration::from_secs(2);
+const COMPLETED: AttemptEnd = AttemptEnd::Completed { output_tokens: 8 };
+
+fn harness() -> RouterHarness {
+    let mut harness = RouterHarness::with_replicas(8);
+    harness.upstreams_crash = true;
+    harness
+}
+
+/// Lets an upstream crash while it runs a request with these parts.
+fn crash(harness: &mut RouterHarness, number: u64, parts: &[&str]) {
+    harness.submit(number, request().with_parts(parts));
+    harness.end_attempt(number, AttemptEnd::Lost);
+}
+
+/// Whether a request with these parts is sent to an upstream; if so, it is completed.
+fn is_served(harness: &mut RouterHarness, number: u64, parts: &[&str]) -> bool {
+    harness.submit(number, request().with_parts(parts));
+    let is_sent = harness.attempts(number) > 0;
+    harness.end_attempt(number, COMPLETED);
+    is_sent
+}
+
+#[test]
+fn requests_with_a_part_that_crashed_two_upstreams_are_refused_though_no_two_are_alike() {
+    let mut harness = harness();
+    assert!(is_served(&mut harness, 1, &["common"]));
+    crash(&mut harness, 2, &["common", "bad"]);
+    crash(&mut harness, 3, &["common", "bad"]);
+    assert!(!is_served(&mut harness, 4, &["common", "bad"]));
+    let reason = match harness.answer(4) {
+        Some(Outcome::NotRun { reason, .. }) => Some(reason),
+        _ => None,
+    };
+    assert_eq!(reason, Some(NotRunReason::Quarantined));
+    assert!(is_served(&mut harness, 5, &["common"]));
+}
+
+#[test]
+fn a_part_that_is_answered_all_the_time_is_not_suspected() {
+    let mut harness = harness();
+    assert!(is_served(&mut harness, 1, &["common"]));
+    for number in 2..6 {
+        crash(&mut harness, number, &["common"]);
+    }
+    assert!(is_served(&mut harness, 6, &["common"]));
+}
+
+#[test]
+fn a_part_that_is_not_answered_any_more_is_suspected() {
+    let mut harness = harness();
+    assert!(is_served(&mut harness, 1, &["once-good"]));
+    harness.advance(ANSWER_IS_OLD);
+    crash(&mut harness, 2, &["once-good"]);
+    crash(&mut harness, 3, &["once-good"]);
+    assert!(!is_served(&mut harness, 4, &["once-good"]));
+}
+
+#[test]
+fn a_trial_proves_the_part_and_clears_those_that_crashed_with_it() {
+    let mut harness = harness();
+    crash(&mut harness, 1, &["rare", "bad"]);
+    crash(&mut harness, 2, &["rare", "bad"]);
+    assert!(!is_served(&mut harness, 3, &["rare"]));
+    harness.advance(TRIAL_IS_DUE);
+    crash(&mut harness, 4, &["bad"]);
+    assert_eq!(harness.attempts(4), 1, "it is tried");
+    assert!(!is_served(&mut harness, 5, &["bad"]));
+    assert!(is_served(&mut harness, 6, &["rare"]));
+}
+
+#[test]
+fn an_answer_clears_a_suspected_part_everywhere() {
+    let mut harness = harness();
+    crash(&mut harness, 1, &["suspect"]);
+    crash(&mut harness, 2, &["suspect"]);
+    harness.advance(TRIAL_IS_DUE);
+    assert!(is_served(&mut harness, 3, &["suspect"]), "it is tried");
+    assert!(is_served(&mut harness, 4, &["suspect"]));
+    let update = harness.router.take_quarantine_update(harness.now());
+    assert!(!update.completions.is_empty(), "other daemons are told");
+}
+
+#[test]
+fn prompts_of_the_own_interface_share_parts_up_to_the_last_block() {
+    let target = Target::Model(ModelName::new("m"));
+    let prompt = |end: u8| {
+        let mut bytes = vec![b'x'; 4 * prefix::BLOCK_BYTES];
+        bytes.extend(vec![end; prefix::BLOCK_BYTES]);
+        prefix::shared_parts(&target, &prefix::chain_of(&bytes))
+    };
+    assert_eq!(prompt(b'a').len(), 3, "of 1, 2 and 4 blocks");
+    assert_eq!(prompt(b'a'), prompt(b'b'));
+    assert!(prompt(b'a').iter().all(|part| part.is_prompt_part()));
+}
--- a/shalehinge/tests/listed_routing.rs
+++ b/shalehinge/tests/listed_routing.rs
@@ -64,6 +64,7 @@
         key: None,
         repeatable: true,
         prefix: Vec::new(),
+        prompt_parts: Vec::new(),
         max_attempts: Some(2),
         is_resumable: true,
         credential: None,
--- a/shalehinge/tests/relay_support/upstreams.rs
+++ b/shalehinge/tests/relay_support/upstreams.rs
@@ -290,6 +290,7 @@
         key: None,
         repeatable: false,
         prefix: Vec::new(),
+        prompt_parts: Vec::new(),
         max_attempts: Some(1),
         is_resumable: false,
         credential: None,
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -45,6 +45,7 @@
             key: None,
             repeatable: false,
             prefix: Vec::new(),
+            prompt_parts: Vec::new(),
             max_attempts: None,
             is_resumable: false,
             credential: None,
@@ -72,6 +73,14 @@
         self
     }
 
+    /// Sets the parts of the prompt that other requests may share, by their ids.
+    pub fn with_parts(mut self, ids: &[&str]) -> Self {
+        let parts = ids.iter();
+        let parts = parts.map(|id| Fingerprint::of_prompt_part(&target(), id.as_bytes()));
+        self.0.prompt_parts = parts.collect();
+        self
+    }
+
     /// Sets the customer that the request belongs to.
     pub fn with_customer(mut self, customer: &str) -> Self {
         self.0.customer = Customer::new(customer);
@@ -267,6 +276,11 @@
         self.sent.get(&number).map_or(0, Vec::len)
     }
 
+    /// The simulated time.
+    pub fn now(&self) -> Timestamp {
+        self.now
+    }
+
     /// Upstream of the first attempt of a request.
     pub fn upstream_of(&self, number: u64) -> Option<UpstreamId> {
         let sent = self.sent.get(&number)?;
--- a/shalehinge/tests/signal_fuzz.rs
+++ b/shalehinge/tests/signal_fuzz.rs
@@ -124,6 +124,7 @@
             key: None,
             repeatable: kind.is_multiple_of(2),
             prefix: Vec::new(),
+            prompt_parts: Vec::new(),
             max_attempts: None,
             is_resumable: kind.is_multiple_of(3),
             credential: None,
--- a/shalehinge/tests/superseded.rs
+++ b/shalehinge/tests/superseded.rs
@@ -294,6 +294,7 @@
         key: None,
         repeatable: true,
         prefix: Vec::new(),
+        prompt_parts: Vec::new(),
         max_attempts: Some(1),
         is_resumable: false,
         credential: Some("a-hash".into()),
--- a/shalehinge/tests/support/apply.rs
+++ b/shalehinge/tests/support/apply.rs
@@ -154,6 +154,7 @@
             key,
             repeatable,
             prefix: Vec::new(),
+            prompt_parts: Vec::new(),
             max_attempts: None,
             is_resumable: false,
             credential: None,
--- a/standin/benches/decisions.rs
+++ b/standin/benches/decisions.rs
@@ -106,6 +106,7 @@
             prefix: (0..8)
                 .map(|block| request_number % 100 * 100 + block)
                 .collect(),
+            prompt_parts: Vec::new(),
             max_attempts: None,
             is_resumable: false,
             credential: None,
--- a/standin/src/experiment/fleet.rs
+++ b/standin/src/experiment/fleet.rs
@@ -351,6 +351,7 @@
             key: None,
             repeatable: true,
             prefix: arrival.prefix.clone(),
+            prompt_parts: Vec::new(),
             max_attempts: None,
             is_resumable: false,
             credential: None,
