--- a/shalehinge/src/core/daemon/quarantine.rs
+++ b/shalehinge/src/core/daemon/quarantine.rs
@@ -237,7 +237,7 @@
     /// The quarantined requests to include in a pull reply.
     pub(super) fn quarantine_report(&self, now: Timestamp) -> QuarantineReport {
         let mut quarantined: Vec<Quarantined> = self.router.quarantined(now).collect();
-        // What is proven matters most.
+        // The limit must not keep back a proven entry for a suspected one.
         quarantined.sort_by_key(|entry| std::cmp::Reverse(entry.evidence));
         quarantined.truncate(MAX_REPORTED);
         QuarantineReport {
--- a/shalehinge/src/core/fingerprint.rs
+++ b/shalehinge/src/core/fingerprint.rs
@@ -19,9 +19,9 @@
 /// Set in the fingerprints of parts of prompts, and not in those of requests.
 const PROMPT_PART_BIT: u64 = 1 << 63;
 
-/// Identifies the content of a request, or of a part of prompts. That of a request covers customer, method, path and body. It is a truncated
-/// SHA-256, as a weaker hash would let a customer forge requests that collide with those of
-/// another one.
+/// Identifies the content of a request (customer, method, path and body), or a part that prompts
+/// share. It is a truncated SHA-256, as a weaker hash would let a customer forge requests that
+/// collide with those of another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Fingerprint(pub u64);
--- a/shalehinge/src/core/router/forwarding.rs
+++ b/shalehinge/src/core/router/forwarding.rs
@@ -83,7 +83,7 @@
         }
     }
 
-    /// Records that a peer could not run a request. Returns whether that is news.
+    /// Records that a peer could not run a request. Returns whether it was usable before.
     fn record_unable(&mut self, now: Timestamp, peer: Address) -> bool {
         if self.is_local(peer) {
             self.local_failures += 1;
--- a/shalehinge/src/gateway/relay.rs
+++ b/shalehinge/src/gateway/relay.rs
@@ -35,7 +35,7 @@
 /// priority 9.
 const MAX_RANK: u8 = 9;
 
-/// Maximum number of parts of a prompt that are told apart.
+/// Maximum number of parts of a prompt that get a fingerprint; later ones are ignored.
 const MAX_PROMPT_PARTS: usize = 16;
 
 /// A response that the daemon itself generates, with a plain text body.
--- a/shalehinge/tests/crashing_prompt_parts.rs
+++ b/shalehinge/tests/crashing_prompt_parts.rs
@@ -1,5 +1,4 @@
-//! Guards against requests that share a part of their prompts crashing one upstream after the other,
-//! and against refusing sound requests that share other parts with them.
+//! Guards against parts of prompts that crash one upstream after the other.
 
 mod router_support;
 
@@ -93,7 +92,7 @@
     assert!(is_served(&mut harness, 3, &["suspect"]), "it is tried");
     assert!(is_served(&mut harness, 4, &["suspect"]));
     let update = harness.router.take_quarantine_update(harness.now());
-    assert!(!update.completions.is_empty(), "other daemons are told");
+    assert!(!update.completions.is_empty(), "other daemons are notified");
 }
 
 #[test]
--- a/shalehinge/tests/support/forwards.rs
+++ b/shalehinge/tests/support/forwards.rs
@@ -98,8 +98,7 @@
         true
     }
 
-    /// Lets the daemon that handed a request over see that the peer's answer broke off. The peer
-    /// still answers the request, to nobody.
+    /// Reports to the origin that the peer's answer broke off; the peer's own answer is dropped.
     fn lose_forward(&mut self, running: RunningForward) {
         let ids = (running.request, running.attempt);
         let end = ForwardEnd::Lost;
--- a/shalehinge/tests/unreachable_upstreams.rs
+++ b/shalehinge/tests/unreachable_upstreams.rs
@@ -1,5 +1,4 @@
-//! Guards against daemons that reach no upstream refusing their callers while peers could serve
-//! them.
+//! Guards against daemons that reach no upstream refusing requests that peers could run.
 
 mod relay_support;
 
