--- a/shalehinge/tests/relay_support/load_simulation.rs
+++ b/shalehinge/tests/relay_support/load_simulation.rs
@@ -27,6 +27,8 @@
     pub every: usize,
     /// Number of rounds, or requests, so far.
     pub round: usize,
+    /// Number of requests sent by [`Self::serve_with`].
+    sent: usize,
 }
 
 impl LoadSimulation {
@@ -45,6 +47,7 @@
             fleet,
             every,
             round: 0,
+            sent: 0,
         }
     }
 
@@ -56,6 +59,7 @@
             fleet,
             every,
             round: 0,
+            sent: 0,
         }
     }
 
@@ -105,3 +109,60 @@
         (whole.count(), outcomes.len())
     }
 }
+
+/// How a load balancer spreads new requests over the daemons.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Balancing {
+    /// Evenly.
+    Even,
+    /// Nine of ten requests of the whole fleet go to these daemons in turn.
+    ToDaemons(Vec<usize>),
+    /// Nine of ten requests that come to the failure domain of this daemon go to it.
+    ToDaemonOfDomain(usize),
+}
+
+impl Balancing {
+    /// One request in this many goes where an even balancer would send it.
+    const EVEN_ONE_IN: usize = 10;
+
+    /// The daemon that receives request `number` of the fleet, which an even balancer would send to
+    /// the daemon at `index`.
+    fn receiver(&self, number: usize, index: usize) -> usize {
+        let is_even = number.is_multiple_of(Self::EVEN_ONE_IN);
+        match self {
+            Self::ToDaemons(targets) if !is_even => targets[number % targets.len()],
+            Self::ToDaemonOfDomain(target) if !is_even && is_same_domain(*target, index) => *target,
+            Self::Even | Self::ToDaemons(_) | Self::ToDaemonOfDomain(_) => index,
+        }
+    }
+}
+
+/// Whether two daemons are in the same failure domain.
+fn is_same_domain(one: usize, other: usize) -> bool {
+    let domains = usize::from(DOMAINS);
+    one % domains == other % domains
+}
+
+impl LoadSimulation {
+    /// Like [`Self::serve`], with requests spread by `balancing`. Requests that it sends to a dead
+    /// daemon go where an even balancer would send them.
+    pub fn serve_with(&mut self, balancing: &Balancing, time: Duration) {
+        let end = self.fleet.now + time;
+        while self.fleet.now < end {
+            self.round += 1;
+            for index in 0..self.fleet.daemons.len() {
+                if !(self.round + index).is_multiple_of(self.every) {
+                    continue;
+                }
+                self.sent += 1;
+                let receiver = balancing.receiver(self.sent, index);
+                let receivers = [receiver, index].into_iter();
+                let live = receivers.filter(|index| !self.fleet.dead.contains(index));
+                if let Some(receiver) = live.min_by_key(|index| *index != receiver) {
+                    self.fleet.send_completing_stream(receiver);
+                }
+            }
+            self.fleet.run(ROUND_INTERVAL);
+        }
+    }
+}
--- a/shalehinge/tests/relay_support/upstreams.rs
+++ b/shalehinge/tests/relay_support/upstreams.rs
@@ -60,7 +60,7 @@
 }
 
 /// Run time of a request that completes.
-const RUN_TIME: Duration = Duration::from_millis(300);
+pub const RUN_TIME: Duration = Duration::from_millis(300);
 
 impl Fleet {
     /// Sends a daemon `count` streams, each of which stalls after its first output.
