feat(router): log and show requests that wait for this daemon's share

A queue that this daemon's own limit causes looked like one of busy upstreams: loads in decision lines are parts of the limit, and nothing named it. No decision changes.

--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -341,6 +341,7 @@
                 .peek(now, max_wait)
                 .map(|waiting| waiting.request)
             else {
+                self.end_saturation(now, target, out);
                 return;
             };
             let Some(pending) = self.pending.get_mut(&request) else {
@@ -390,6 +391,7 @@
                 if !wait.is_zero() {
                     state.drain.restart(now);
                 }
+                self.record_saturation(now, target, out);
                 return;
             };
             if let Some(wanted) = selection.wanted {
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -24,6 +24,7 @@
 //! - `quarantine`: quarantine of requests that crash upstreams
 //! - `suspects`: evidence of such requests, and its exchange with other daemons
 //! - `trial`: trials of suspected requests
+//! - `saturation`: requests that wait for this daemon's own share of the capacity
 //! - `reports`: load reports from upstreams
 //! - `expiry`: expired deadlines and other periodic work
 //! - `stalled`: detection of stalled replicas
@@ -53,6 +54,7 @@
 mod reports;
 pub mod request;
 pub mod retry_budget;
+pub mod saturation;
 mod signals;
 mod stalled;
 mod suspects;
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -14,6 +14,7 @@
 use super::prefix::BLOCK_TOKENS;
 use super::queue::QueuedRequest;
 use super::request::{Attempt, AttemptEnd, Outcome, RequestMeta, UpstreamId};
+use super::saturation::Saturation;
 use super::trial::TrialState;
 use super::upstream::{Upstream, Work};
 use super::wait_queue::WaitQueue;
@@ -141,6 +142,8 @@
     pub(super) failing: FailingRequests,
     /// The highest number of upstreams that were present recently.
     pub(super) recent_capacity: RecentCapacity,
+    /// Whether requests wait for this daemon's own share of the capacity.
+    pub(super) saturation: Saturation,
 }
 
 impl TargetState {
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -34,6 +34,11 @@
 /// requests may be queued at a busy upstream, and moving them would add to the load.
 const NO_OUTPUT_STALL_FACTOR: f64 = 4.0;
 
+/// Number of requests that all daemons together may send to an upstream with this many slots.
+fn capacity_of(slots: u32, settings: &RouterSettings) -> f64 {
+    f64::from(slots) * (1.0 + settings.engine_backlog)
+}
+
 /// Smoothing weight of a report's figures, by their age.
 fn smoothing(age_ms: Option<u64>) -> f64 {
     /// Figures up to this age, in ms, are used unsmoothed.
@@ -347,7 +352,7 @@
         let own = f64::from(self.in_flight);
         let others_in_flight = f64::from(load.running + load.waiting) - own;
         self.smooth_others(others_in_flight, smoothing(load.age_ms));
-        let limit = f64::from(load.slots) * (1.0 + settings.engine_backlog);
+        let limit = capacity_of(load.slots, settings);
         let outstanding = own + self.others_in_flight.unwrap_or_default();
         let free = limit - outstanding;
         self.ramp = (self.ramp * 2.0).min(limit);
@@ -424,11 +429,37 @@
         let Some(slots) = self.spec.slots else {
             return settings.service_concurrency;
         };
-        let capacity = f64::from(slots) * (1.0 + settings.engine_backlog);
+        let capacity = capacity_of(slots, settings);
         let share = capacity * settings.uneven_share / self.daemon_count.max(1) as f64;
         share.ceil().clamp(1.0, capacity.ceil()) as u32
     }
 
+    /// Whether this daemon has as many requests there as it may.
+    pub fn uses_up_share(&self, settings: &RouterSettings) -> bool {
+        match self.spec.evidence {
+            Evidence::Listed => self.in_flight >= self.concurrency_limit(settings),
+            Evidence::Reports => f64::from(self.in_flight) >= self.allowance,
+        }
+    }
+
+    /// Maximum number of this daemon's concurrent requests there, and of all daemons' together.
+    pub fn places(&self, settings: &RouterSettings) -> (u32, u32) {
+        match self.spec.evidence {
+            Evidence::Listed => {
+                let own = self.concurrency_limit(settings);
+                let slots = self.spec.slots.map(|slots| capacity_of(slots, settings));
+                (own, slots.map_or(own, |slots| slots.ceil() as u32))
+            }
+            Evidence::Reports => {
+                let slots = self.report.map_or(0, |report| report.load.slots);
+                (
+                    self.allowance as u32,
+                    capacity_of(slots, settings).ceil() as u32,
+                )
+            }
+        }
+    }
+
     /// Sets the number of daemons that send to this upstream.
     pub fn set_daemon_count(&mut self, daemon_count: usize) {
         self.daemon_count = daemon_count;
--- a/shalehinge/src/operator_api.rs
+++ b/shalehinge/src/operator_api.rs
@@ -145,6 +145,7 @@
             let mut page = metrics.driver.metrics.render();
             page.push_str(&store_gauges(&metrics.driver));
             page.push_str(&upstream_gauges(&metrics.driver));
+            page.push_str(&queue_gauges(&metrics.driver));
             async move { conn.ok(page) }
         })
 }
@@ -186,6 +187,22 @@
     })
 }
 
+/// Renders gauges of each target's queue: waiting requests, the places at upstreams that this daemon
+/// may use, and the places of all daemons together.
+fn queue_gauges(driver: &Driver) -> String {
+    driver.read(|now, core| {
+        let queues = core.router().queues(now);
+        let lines = queues.map(|queue| {
+            let (target, waiting) = (queue.target, queue.waiting);
+            let (places, all_places) = (queue.places, queue.all_places);
+            format!(
+                "shalehinge.queue.waiting.{target} {waiting}\nshalehinge.queue.places.{target} {places}\nshalehinge.queue.all_places.{target} {all_places}\n"
+            )
+        });
+        lines.collect()
+    })
+}
+
 #[derive(Clone)]
 struct Context {
     driver: Arc<Driver>,
