--- a/shalehinge/tests/uneven_connections.rs
+++ b/shalehinge/tests/uneven_connections.rs
@@ -220,3 +220,72 @@
         assert_served(all, &format!("{size:?}, killed"));
     }
 }
+
+/// The proportion of the requests of a period that reached a group which ran twice as many as it has
+/// slots for, and the most that any group ran.
+fn peak(fleet: &Fleet, groups: u16, since: Duration, until: Duration) -> (f64, usize) {
+    let (mut doubly_full, mut all, mut most) = (0_u32, 0_u32, 0);
+    for index in 0..u64::from(groups) {
+        let of_group = |arrival: &&Arrival| arrival.group == group(index);
+        let arrivals = fleet.arrivals.iter().filter(of_group);
+        let times: Vec<Duration> = arrivals.map(|arrival| arrival.at).collect();
+        for (position, at) in times.iter().enumerate() {
+            if !(since..until).contains(at) {
+                continue;
+            }
+            let earlier = times[..position].iter().rev();
+            let running = earlier.take_while(|earlier| **earlier + RUN_TIME > *at);
+            let running = running.count() + 1;
+            doubly_full += u32::from(running > 2 * SLOTS);
+            most = most.max(running);
+            all += 1;
+        }
+    }
+    (f64::from(doubly_full) / f64::from(all.max(1)), most)
+}
+
+#[test]
+#[ignore = "prints a table for the design note"]
+fn table_of_shares() {
+    let even = Balancing::Even;
+    let herd = Balancing::ToDaemons(vec![0]);
+    let loads: [(&str, Size, Vec<&Balancing>); 4] = [
+        ("one herd, 0.8", (58, 27, 4), vec![&herd]),
+        ("overload, even", (58, 12, 4), vec![&even]),
+        ("overload, herd", (58, 12, 4), vec![&herd]),
+        ("after overload", (58, 12, 4), vec![&herd, &even]),
+    ];
+    for (name, size, balancings) in loads {
+        for seed in 0..2 {
+            let mut simulation = simulation_with_seed(size, seed);
+            let begun = simulation.fleet.now;
+            for balancing in &balancings {
+                simulation.serve_with(balancing, OBSERVED);
+            }
+            let ended = simulation.fleet.now;
+            simulation.fleet.run(ANSWERED_WITHIN);
+            let fleet = &simulation.fleet;
+            let Served { in_time, all } = served(fleet, begun, ended);
+            let (doubly_full, most) = peak(fleet, size.1, begun, ended);
+            println!(
+                "{name}, seed {seed}: {in_time} of {all} in time, {doubly_full:.3} met twice the slots, {most} at most"
+            );
+        }
+    }
+    for seed in 0..2 {
+        let mut simulation = simulation_with_seed((58, 27, 4), seed);
+        let begun = simulation.fleet.now;
+        for daemon in [0, 4, 8, 1] {
+            let balancing = Balancing::ToDaemons(vec![daemon]);
+            simulation.serve_with(&balancing, Duration::from_secs(2));
+        }
+        let ended = simulation.fleet.now;
+        simulation.fleet.run(ANSWERED_WITHIN);
+        let fleet = &simulation.fleet;
+        let Served { in_time, all } = served(fleet, begun, ended);
+        let (doubly_full, most) = peak(fleet, 27, begun, ended);
+        println!(
+            "moving herd, seed {seed}: {in_time} of {all} in time, {doubly_full:.3} met twice the slots, {most} at most"
+        );
+    }
+}
