refactor(router): part dispatch.rs by what happens to a request

dispatch.rs had 735 lines: attempts.rs takes what happens while an attempt runs and when it ends, retries.rs whether a request is sent again, decision_log.rs the line of a decision; 478 are left. The release of the lease, six lines that stood twice, is one function. Code moved as it was, rows of red-runs.py name the new files.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -200,7 +200,7 @@
         "relay", "from_a_stalled_stream",
     ),
     "what-fails-everywhere-is-not-retried": (
-        CORE + "router/dispatch.rs",
+        CORE + "router/attempts.rs",
         "outcome if fails_everywhere => self",
         "outcome if fails_everywhere && outcome == Outcome::Completed => self",
         "failing_requests", "leaves_retries_to_others",
@@ -338,7 +338,7 @@
         "retry_budget", "mostly_retried",
     ),
     "what-was-not-sent-is-retried-free": (
-        CORE + "router/dispatch.rs",
+        CORE + "router/attempts.rs",
         "outcome if end == AttemptEnd::NotSent => {",
         "outcome if end == AttemptEnd::NotSent && self.waiting > 1_000_000 => {",
         "listed_routing", "costs_no_retry",
@@ -482,7 +482,7 @@
         "router", "upstreams_that_keep_running",
     ),
     "waits-for-the-check": (
-        CORE + "router/dispatch.rs",
+        CORE + "router/attempts.rs",
         "outcome if self.awaits_check(&subject, &running.upstream) => {",
         "outcome if self.awaits_check(&subject, &running.upstream) && false => {",
         "router", "lost_twice",
@@ -758,7 +758,7 @@
         "always", "fixed",
     ),
     "attempt-id": (
-        CORE + "router/dispatch.rs",
+        CORE + "router/attempts.rs",
         "pending.running.as_ref().is_none_or(|r| r.id != attempt)",
         "pending.running.is_none()",
         "always", "fixed",
@@ -770,13 +770,13 @@
         "always", "fixed",
     ),
     "lost-is-unknown": (
-        CORE + "router/dispatch.rs",
+        CORE + "router/attempts.rs",
         "AttemptEnd::NotSent | AttemptEnd::Refused => Outcome::NotRun {",
         "AttemptEnd::NotSent | AttemptEnd::Refused | AttemptEnd::Lost => Outcome::NotRun {",
         "always", "fixed",
     ),
     "not-repeatable": (
-        CORE + "router/dispatch.rs",
+        CORE + "router/retries.rs",
         "pending.meta.repeatable && is_restartable",
         "is_restartable",
         "always", "fixed",
@@ -962,7 +962,7 @@
         "ordered", "no_faster",
     ),
     "route-attempts": (
-        CORE + "router/dispatch.rs",
+        CORE + "router/retries.rs",
         "max_runs.is_none_or(|limit| pending.possible_runs < limit)", "{ let _ = max_runs; true }",
         "listed_routing", "no_more_upstreams",
     ),
--- a/shalehinge/src/core/daemon/control.rs
+++ b/shalehinge/src/core/daemon/control.rs
@@ -49,6 +49,11 @@
         }
         let text = "gives control up, as it reaches no upstream and other candidates do";
         log(out, Component::Lease, text.into());
+        self.release_lease(now, out);
+    }
+
+    /// Releases the lease, if this daemon holds it.
+    pub(super) fn release_lease(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let operation = self.new_operation_id();
         let scope = self.object_scope();
         if let Some(step) = self.lease.release(now, operation)
--- a/shalehinge/src/core/daemon/stopping.rs
+++ b/shalehinge/src/core/daemon/stopping.rs
@@ -39,13 +39,7 @@
             Component::Daemon,
             "leaving the fleet; no longer ready".into(),
         );
-        let operation = self.new_operation_id();
-        let scope = self.object_scope();
-        if let Some(step) = self.lease.release(now, operation)
-            && let Some(scope) = scope
-        {
-            self.run_lease_step(scope, step, out);
-        }
+        self.release_lease(now, out);
         self.send_gossip_pull(now, out);
     }
 
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -14,27 +14,23 @@
 use crate::core::types::{Address, AttemptId, FailureDomain, Incarnation, RequestId, Timestamp};
 use crate::settings::router::RouterSettings;
 
-use super::choose::Choice;
 use super::connectivity::Connectivity;
-use super::failing::FailureCause;
+use super::decision_log::decision_line;
 use super::forwarding::{ForwardPeers, choose_peer};
 use super::limit_state::PermitUrgency;
 use super::quarantine::Quarantine;
 use super::reachability::DomainReachability;
 use super::refusal::{QueuedContext, queued_refusal, refused, unavailable_refusal};
 use super::request::{
-    Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta, Target, UnknownReason, UpstreamId,
+    Attempt, NotRunReason, Outcome, RequestMeta, Target, UnknownReason, UpstreamId,
 };
 use super::retry_budget::RetryBudget;
-use super::suspects::{PendingCheck, RequestSubject};
-use super::target::{FIRST_SERVER_ERROR, Pending, TargetState};
+use super::suspects::PendingCheck;
+use super::target::{Pending, TargetState};
 use super::topology::Topology;
 use super::trial::{NO_TRIAL, TrialState};
 use super::upstream::Upstream;
 
-/// Maximum number of candidates included in a log line.
-const MAX_LOGGED_CANDIDATES: usize = 4;
-
 /// An action for the caller of the router to perform.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RouterAction {
@@ -80,15 +76,6 @@
     Log(String),
 }
 
-/// What a retry takes from the retry budget.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum RetryCost {
-    /// Nothing.
-    Free,
-    /// One retry.
-    One,
-}
-
 /// The router of one daemon.
 #[derive(Clone, Debug)]
 pub struct Router {
@@ -436,156 +423,6 @@
         }
     }
 
-    /// Handles the first output of an attempt that reaches the caller.
-    pub fn on_output(
-        &mut self,
-        now: Timestamp,
-        request: RequestId,
-        attempt: AttemptId,
-        out: &mut Vec<RouterAction>,
-    ) {
-        let Some(pending) = self.pending.get_mut(&request) else {
-            return;
-        };
-        if pending.forwarded.is_some_and(|known| known.id == attempt) {
-            pending.has_output = true;
-            return;
-        }
-        let Some(running) = pending.running.as_mut().filter(|r| r.id == attempt) else {
-            return;
-        };
-        pending.has_output = true;
-        let is_first = running.first_at.replace(now).is_none();
-        let sent_at = running.sent_at;
-        let (target, upstream) = (pending.meta.target.clone(), running.upstream.clone());
-        let state = self.targets.get_mut(&target);
-        if let Some(upstream) = state.and_then(|state| state.upstream_mut(&upstream)) {
-            upstream.on_progress(now);
-            upstream.cooldown.on_output(now, sent_at);
-            if is_first {
-                upstream.on_first_output();
-                self.reachability
-                    .record_response(&upstream.spec.failure_domain);
-                self.record_contact(now, &target, sent_at, out);
-            }
-        }
-    }
-
-    /// Handles further output of an attempt.
-    pub fn on_progress(&mut self, now: Timestamp, request: RequestId, attempt: AttemptId) {
-        let Some(pending) = self.pending.get(&request) else {
-            return;
-        };
-        let Some(running) = pending.running.as_ref().filter(|r| r.id == attempt) else {
-            return;
-        };
-        let state = self.targets.get_mut(&pending.meta.target);
-        if let Some(upstream) = state.and_then(|state| state.upstream_mut(&running.upstream)) {
-            upstream.on_progress(now);
-        }
-    }
-
-    /// Handles the end of an attempt: the request is answered, retried, or held until its
-    /// upstream has been checked.
-    pub fn on_ended(
-        &mut self,
-        now: Timestamp,
-        request: RequestId,
-        attempt: AttemptId,
-        end: AttemptEnd,
-        rng: &mut impl rand::Rng,
-        out: &mut Vec<RouterAction>,
-    ) {
-        let Some(pending) = self.pending.get_mut(&request) else {
-            return;
-        };
-        if pending.running.as_ref().is_none_or(|r| r.id != attempt) {
-            return;
-        }
-        let Some(running) = pending.running.take() else {
-            return;
-        };
-        let target = pending.meta.target.clone();
-        let subject = RequestSubject {
-            subjects: pending.meta.subjects().collect(),
-            target: target.clone(),
-        };
-        let mut fails_everywhere = false;
-        if let Some(state) = self.targets.get_mut(&target) {
-            let cause = state.on_attempt_ended(now, &self.settings, pending, &running, end);
-            if let Some(FailureCause::Request { failed_at }) = cause {
-                fails_everywhere = true;
-                out.push(RouterAction::Log(format!(
-                    "request {} failed at {} as it did at {failed_at}; it is not retried, and this failure is not counted against the upstream",
-                    request.0, running.upstream
-                )));
-            }
-        }
-        if !matches!(end, AttemptEnd::NotSent | AttemptEnd::Refused) {
-            pending.possible_runs += 1;
-        }
-        pending.has_unsent_attempt |= end == AttemptEnd::NotSent;
-        self.record_reachability(now, &target, &running.upstream, end, out);
-        match end {
-            AttemptEnd::NotSent => {
-                let upstream = &running.upstream;
-                self.record_not_connected(now, &target, upstream, running.sent_at, out);
-            }
-            AttemptEnd::Lost => {}
-            AttemptEnd::Completed { .. }
-            | AttemptEnd::Refused
-            | AttemptEnd::Failed { .. }
-            | AttemptEnd::WrongAnswer => self.record_contact(now, &target, running.sent_at, out),
-        }
-        self.record_evidence(now, request, &subject, &running.upstream, end, out);
-        match outcome_of(end, || self.retry_after(now, &target)) {
-            Outcome::Completed => self.answer(request, Outcome::Completed, out),
-            outcome if self.awaits_check(&subject, &running.upstream) => {
-                self.hold_until_checked(&running.upstream, request, outcome);
-            }
-            // A retry would fail too, and take from the budget that all requests share.
-            outcome if fails_everywhere => self.answer(request, outcome, out),
-            // Nothing reached an upstream, so the next attempt is the first that does.
-            outcome if end == AttemptEnd::NotSent => {
-                self.retry_or_answer(now, request, outcome, RetryCost::Free, rng, out);
-            }
-            outcome => self.retry_or_answer(now, request, outcome, RetryCost::One, rng, out),
-        }
-        self.dispatch(now, &target, rng, out);
-    }
-
-    /// Records what the end of an attempt shows of the failure domain of its upstream. The own
-    /// domain is never avoided: there, single hosts fail.
-    fn record_reachability(
-        &mut self,
-        now: Timestamp,
-        target: &Target,
-        upstream: &UpstreamId,
-        end: AttemptEnd,
-        out: &mut Vec<RouterAction>,
-    ) {
-        let state = self.targets.get(target);
-        let mut upstreams = state.into_iter().flat_map(|state| &state.upstreams);
-        let known = upstreams.find(|known| known.spec.id == *upstream);
-        let Some(spec) = known.map(|known| &known.spec).filter(|spec| spec.remote) else {
-            return;
-        };
-        let domain = &spec.failure_domain;
-        match end {
-            AttemptEnd::NotSent => {
-                if self.reachability.record_failure(now, domain, upstream) {
-                    let text = format!("upstreams in {domain} can't be reached, avoiding them");
-                    out.push(RouterAction::Log(text));
-                }
-            }
-            AttemptEnd::Lost => {}
-            AttemptEnd::Completed { .. }
-            | AttemptEnd::Refused
-            | AttemptEnd::Failed { .. }
-            | AttemptEnd::WrongAnswer => self.reachability.record_response(domain),
-        }
-    }
-
     /// Answers a request; `last` is the outcome of its last attempt.
     pub(super) fn answer(
         &mut self,
@@ -600,60 +437,6 @@
         out.push(RouterAction::Answer { request, outcome });
     }
 
-    /// Retries a request if that is safe, useful and within the retry budget, and answers it
-    /// otherwise.
-    pub(super) fn retry_or_answer(
-        &mut self,
-        now: Timestamp,
-        request: RequestId,
-        outcome: Outcome,
-        cost: RetryCost,
-        rng: &mut impl rand::Rng,
-        out: &mut Vec<RouterAction>,
-    ) {
-        let Some(pending) = self.pending.get_mut(&request) else {
-            return;
-        };
-        let is_safe = match outcome {
-            Outcome::NotRun { .. } => true,
-            Outcome::Failed { status } if status < FIRST_SERVER_ERROR => false,
-            Outcome::Failed { .. } | Outcome::Unknown { .. } => {
-                let is_restartable = !pending.has_output || pending.meta.is_resumable;
-                pending.meta.repeatable && is_restartable
-            }
-            Outcome::Completed => false,
-        };
-        let in_time = now < pending.meta.deadline;
-        let max_runs = pending.meta.max_attempts;
-        let has_runs_left = max_runs.is_none_or(|limit| pending.possible_runs < limit);
-        let has_attempts_left = pending.attempts < self.settings.max_attempts;
-        let is_quarantined = self
-            .quarantine
-            .active_for(now, &pending.meta, &self.settings)
-            .is_some();
-        let may_retry = is_safe && in_time && has_attempts_left && has_runs_left && !is_quarantined;
-        let is_paid = |retries: &mut RetryBudget, rng: &mut _| match cost {
-            RetryCost::Free => true,
-            RetryCost::One => retries.withdraw(rng),
-        };
-        if !may_retry || !is_paid(&mut self.retries, rng) {
-            self.answer(request, outcome, out);
-            return;
-        }
-        let line = format!(
-            "request {} is retried after {outcome:?}, attempt {}",
-            request.0, pending.attempts
-        );
-        out.push(RouterAction::Log(line));
-        if !matches!(outcome, Outcome::NotRun { .. }) {
-            pending.earlier_outcome = Some(outcome);
-        }
-        if let Some(state) = self.targets.get_mut(&pending.meta.target) {
-            state.enqueue(request, pending, self.settings.timely_first);
-            self.waiting += 1;
-        }
-    }
-
     /// Cancels a request whose caller left: a waiting request is dropped, a running attempt is
     /// cancelled.
     pub fn cancel(&mut self, request: RequestId, out: &mut Vec<RouterAction>) {
@@ -693,46 +476,3 @@
         out.push(RouterAction::Answer { request, outcome });
     }
 }
-
-/// The outcome of a request whose only attempt ended in this way.
-fn outcome_of(end: AttemptEnd, retry_after: impl FnOnce() -> Duration) -> Outcome {
-    match end {
-        AttemptEnd::Completed { .. } => Outcome::Completed,
-        AttemptEnd::NotSent | AttemptEnd::Refused => Outcome::NotRun {
-            reason: NotRunReason::Refused,
-            retry_after: retry_after(),
-        },
-        AttemptEnd::Failed { status } => Outcome::Failed { status },
-        AttemptEnd::Lost => Outcome::Unknown {
-            reason: UnknownReason::Lost,
-        },
-        AttemptEnd::WrongAnswer => Outcome::Unknown {
-            reason: UnknownReason::WrongAnswer,
-        },
-    }
-}
-
-/// Formats the log line of a routing decision.
-fn decision_line(
-    request: RequestId,
-    pending: &Pending,
-    state: &TargetState,
-    choice: &Choice,
-) -> String {
-    let chosen = &state.upstreams[choice.index].spec.id;
-    let mut line = format!(
-        "request {} of {} to {chosen} for {}, attempt {}, {} queued;",
-        request.0,
-        pending.meta.customer,
-        pending.meta.target,
-        pending.attempts + 1,
-        state.queue.len(),
-    );
-    for candidate in choice.compared.iter().take(MAX_LOGGED_CANDIDATES) {
-        line.push_str(&format!(
-            " {} load {:.2} prefix {} score {:.2}",
-            candidate.upstream, candidate.load, candidate.prefix_blocks, candidate.score
-        ));
-    }
-    line
-}
--- a/shalehinge/src/core/router/forwarding.rs
+++ b/shalehinge/src/core/router/forwarding.rs
@@ -9,8 +9,9 @@
 use crate::core::types::{Address, AttemptId, RequestId, Timestamp};
 
 use super::connectivity::{Connectivity, ConnectivityChange};
-use super::dispatch::{RetryCost, Router, RouterAction};
+use super::dispatch::{Router, RouterAction};
 use super::request::{NotRunReason, Outcome, Target, UnknownReason, UpstreamId};
+use super::retries::RetryCost;
 use super::target::Pending;
 
 /// Maximum number of peers to which a request is handed, one after the other.
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -31,14 +31,19 @@
 //! - `expiry`: expired deadlines and other periodic work
 //! - `stalled`: detection of stalled replicas
 //! - `target`: state of one model or service: its upstreams and its queue
+//! - `attempts`: what happens to a request while an attempt runs, and when it ends
+//! - `retries`: whether a request is sent again after an attempt
+//! - `decision_log`: the log line of a routing decision
 //! - `dispatch`: the state machine that combines all of these
 
+mod attempts;
 pub mod availability;
 mod candidates;
 pub mod capacity;
 pub mod choose;
 pub mod connectivity;
 pub mod cooldown;
+mod decision_log;
 pub mod dispatch;
 pub mod estimate;
 mod expiry;
@@ -56,6 +61,7 @@
 mod refusal;
 mod reports;
 pub mod request;
+mod retries;
 pub mod retry_budget;
 pub mod saturation;
 mod signals;
--- a/shalehinge/src/core/router/stalled.rs
+++ b/shalehinge/src/core/router/stalled.rs
@@ -4,8 +4,9 @@
 
 use crate::core::types::{ReplicaId, RequestId, Timestamp};
 
-use super::dispatch::{RetryCost, Router, RouterAction};
+use super::dispatch::{Router, RouterAction};
 use super::request::{Outcome, UnknownReason, UpstreamId};
+use super::retries::RetryCost;
 use super::upstream::Evidence;
 
 /// Longest interval between ticks after which stalls are still detected. A daemon that was paused
--- a/shalehinge/src/core/router/suspects.rs
+++ b/shalehinge/src/core/router/suspects.rs
@@ -5,9 +5,10 @@
 use crate::core::fingerprint::Fingerprint;
 use crate::core::types::{RequestId, Timestamp};
 
-use super::dispatch::{RetryCost, Router, RouterAction};
+use super::dispatch::{Router, RouterAction};
 use super::quarantine::{Completion, Evidence, Loss, QuarantineUpdate, Quarantined};
 use super::request::{AttemptEnd, Outcome, RequestMeta, Target, UpstreamId};
+use super::retries::RetryCost;
 
 /// Attempts that were lost at an upstream, until it is known whether the upstream crashed.
 #[derive(Clone, Debug, Default)]
