--- a/shalehinge/src/settings/router.rs
+++ b/shalehinge/src/settings/router.rs
@@ -53,8 +53,8 @@
     pub remote_penalty: Duration,
     /// How an upstream is chosen for a request.
     pub policy: ChoicePolicy,
-    /// Maximum use of a listed upstream's capacity by one daemon, as a multiple of its equal
-    /// share.
+    /// Maximum use of a listed upstream's capacity by one daemon, as a multiple of its share, which
+    /// follows its requests in progress.
     pub uneven_share: f64,
     /// A listed replica with requests running is considered to have lost a member if none of them
     /// makes progress for this long.
--- a/shalehinge/tests/uneven_connections.rs
+++ b/shalehinge/tests/uneven_connections.rs
@@ -221,6 +221,22 @@
     }
 }
 
+#[test]
+fn callers_are_served_while_the_daemon_with_most_connections_has_just_started() {
+    for size in EIGHT_TENTHS {
+        let mut simulation = simulation(size);
+        let herd = Balancing::ToDaemons(vec![0]);
+        simulation.serve_with(&herd, Duration::from_secs(2));
+        simulation.fleet.restart(0..1);
+        let begun = simulation.fleet.now;
+        simulation.serve_with(&herd, NOTICED_WITHIN + OBSERVED);
+        let ended = simulation.fleet.now;
+        simulation.fleet.run(ANSWERED_WITHIN);
+        let all = served(&simulation.fleet, begun + NOTICED_WITHIN, ended);
+        assert_served(all, &format!("{size:?}, restarted"));
+    }
+}
+
 /// The proportion of the requests of a period that reached a group which ran twice as many as it has
 /// slots for, and the most that any group ran.
 fn peak(fleet: &Fleet, groups: u16, since: Duration, until: Duration) -> (f64, usize) {
