--- a/shalehinge/src/core/router/candidates.rs
+++ b/shalehinge/src/core/router/candidates.rs
@@ -10,7 +10,6 @@
 
 use super::dispatch::Router;
 use super::request::Target;
-use super::target::TargetState;
 
 /// How long a higher number of candidates is kept after it was last needed.
 const RETENTION: Duration = Duration::from_secs(10);
@@ -63,24 +62,6 @@
     }
 }
 
-impl TargetState {
-    /// Proportion of the requests that go to the own failure domain while more candidates than
-    /// configured are considered. Other daemons mostly send to their own failure domains. This one
-    /// does so too, as far as it has requests for the part that its failure domain has of all
-    /// upstreams; `None` if that is unknown.
-    pub(super) fn local_share(&self, now: Timestamp) -> Option<f64> {
-        if self.candidates.factor == 1 {
-            return None;
-        }
-        let own = self.load() as f64;
-        let all = own + self.peer_load?;
-        let present = || self.upstreams.iter().filter(|u| u.is_present(now));
-        let local = present().filter(|u| !u.spec.remote).count() as f64;
-        let local_part = all * local / present().count().max(1) as f64;
-        Some((local_part / own.max(1.0)).min(1.0))
-    }
-}
-
 impl Router {
     /// Adapts the numbers of candidates to the requests in progress. Returns whether any changed, so
     /// that the topology is to be built again.
--- a/shalehinge/src/core/router/choose.rs
+++ b/shalehinge/src/core/router/choose.rs
@@ -80,8 +80,6 @@
     pub avoided: &'a BTreeSet<FailureDomain>,
     /// Whether upstreams of other failure domains are used only if no local one is open.
     pub prefers_local: bool,
-    /// Proportion of the requests that go to upstreams of the own failure domain, if it is fixed.
-    pub local_share: Option<f64>,
 }
 
 /// Result of the selection.
@@ -112,10 +110,6 @@
     if context.prefers_local {
         prefer(&mut open, |index| !upstreams[*index].spec.remote);
     }
-    if let Some(share) = context.local_share {
-        let is_local = rng.random_bool(share);
-        prefer(&mut open, |index| upstreams[*index].spec.remote != is_local);
-    }
     let may_send = |index: &usize| upstreams[*index].may_be_sent(context.now);
     let first = pick(upstreams, &open, context, rng);
     let wanted = first.as_ref().map(|choice| choice.index);
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -231,7 +231,6 @@
             sent_count: self.sent_count,
             avoided,
             prefers_local: pending.has_unsent_attempt,
-            local_share: self.local_share(now),
         };
         let selection = choose(&self.upstreams, &context, rng);
         if selection.choice.is_some() || pending.tried.is_empty() {
--- a/shalehinge/tests/uneven_connections.rs
+++ b/shalehinge/tests/uneven_connections.rs
@@ -164,6 +164,16 @@
     }
 }
 
+#[test]
+fn callers_of_a_failure_domain_are_served_in_time_while_most_come_to_one_daemon() {
+    let herd = Balancing::ToDaemonOfDomain(0);
+    for size in HALF.into_iter().chain(EIGHT_TENTHS) {
+        let (simulation, begun, ended) = serve(size, &herd, 0);
+        let all = served(&simulation.fleet, begun + NOTICED_WITHIN, ended);
+        assert_served(all, &format!("{size:?}, {herd:?}"));
+    }
+}
+
 #[test]
 fn callers_are_served_while_most_connections_come_to_two_daemons() {
     for size in EIGHT_TENTHS {
