--- a/shalehinge/src/core/load.rs
+++ b/shalehinge/src/core/load.rs
@@ -38,7 +38,7 @@
 /// The load of one daemon.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DaemonLoad {
-    /// Heartbeat counter of the daemon when it was measured.
+    /// Heartbeat counter of the daemon at the time of this load.
     pub counter: u64,
     /// Targets with requests in progress.
     pub targets: Vec<TargetLoad>,
--- a/shalehinge/src/core/membership.rs
+++ b/shalehinge/src/core/membership.rs
@@ -196,7 +196,7 @@
         self.own_heartbeat.load = DaemonLoad { counter, targets };
     }
 
-    /// The load of the live peers whose load was measured in their last heartbeats.
+    /// The load of the live peers, as far as it is from one of their last heartbeats.
     pub fn peer_load(&self, now: Timestamp) -> PeerLoad {
         let mut sample = PeerLoad::default();
         for peer in self.live_peers(now) {
@@ -564,7 +564,7 @@
     }
 }
 
-/// The load that was measured last.
+/// The newer load of two heartbeats of a daemon.
 fn newer_load<'a>(known: &'a Heartbeat, other: &'a Heartbeat) -> &'a DaemonLoad {
     if other.load.counter > known.load.counter {
         &other.load
--- a/shalehinge/src/core/router/saturation.rs
+++ b/shalehinge/src/core/router/saturation.rs
@@ -20,9 +20,9 @@
     /// They don't.
     #[default]
     None,
-    /// They do, and no line says so yet.
+    /// They do since this time, which has not been logged.
     Since(Timestamp),
-    /// They do, and a line says so.
+    /// They do since this time, which has been logged.
     Logged(Timestamp),
 }
 
--- a/shalehinge/tests/relay_support/load_simulation.rs
+++ b/shalehinge/tests/relay_support/load_simulation.rs
@@ -125,8 +125,7 @@
     /// One request in this many goes where an even balancer would send it.
     const EVEN_ONE_IN: usize = 10;
 
-    /// The daemon that receives request `number` of the fleet, which an even balancer would send to
-    /// the daemon at `index`.
+    /// The daemon that receives request `number`, which an even balancer would send to `index`.
     fn receiver(&self, number: usize, index: usize) -> usize {
         let is_even = number.is_multiple_of(Self::EVEN_ONE_IN);
         match self {
@@ -144,8 +143,7 @@
 }
 
 impl LoadSimulation {
-    /// Like [`Self::serve`], with requests spread by `balancing`. Requests that it sends to a dead
-    /// daemon go where an even balancer would send them.
+    /// Like [`Self::serve`], spread by `balancing`, or evenly where that names a dead daemon.
     pub fn serve_with(&mut self, balancing: &Balancing, time: Duration) {
         let end = self.fleet.now + time;
         while self.fleet.now < end {
--- a/shalehinge/tests/saturation.rs
+++ b/shalehinge/tests/saturation.rs
@@ -1,5 +1,4 @@
-//! Log lines that tell requests which wait for this daemon's own share of the capacity from those that
-//! wait because no upstream can be sent to.
+//! Log lines on requests that wait for this daemon's own share of the capacity.
 
 use std::time::Duration;
 
--- a/shalehinge/tests/uneven_connections.rs
+++ b/shalehinge/tests/uneven_connections.rs
@@ -1,5 +1,4 @@
-//! Guards against callers that a load balancer sends to one daemon getting only a fixed part of the
-//! upstreams' capacity.
+//! Guards against callers of one daemon getting only a fixed part of the upstreams' capacity.
 
 mod relay_support;
 
@@ -19,8 +18,7 @@
 const ANSWERED_WITHIN: Duration = Duration::from_secs(7);
 /// Latest time of an answer that callers notice no delay of.
 const TARGET: Duration = Duration::from_millis(1_000);
-/// One request in this many may fail or be late, or meet a full group that it would not under an even
-/// load.
+/// One request in this many may fail, be late, or meet a full group only under an uneven load.
 const FAILURES_ALLOWED_IN: usize = 33;
 /// Number of requests that a group runs concurrently.
 const SLOTS: usize = 4;
@@ -75,8 +73,7 @@
     }
 }
 
-/// The proportion of the requests of a period that reached a group which ran as many as it has
-/// slots for.
+/// The proportion of the requests of a period that reached a group with all slots in use.
 fn overcommitted(fleet: &Fleet, groups: u16, since: Duration, until: Duration) -> f64 {
     let (mut overcommitted, mut all) = (0, 0);
     for index in 0..u64::from(groups) {
@@ -118,8 +115,7 @@
     simulation
 }
 
-/// Serves a load for as long as callers are observed. Returns the simulation, and when it began and
-/// ended.
+/// Serves a load while callers are observed. Returns the simulation, its begin and its end.
 fn serve(size: Size, balancing: &Balancing, seed: u64) -> (LoadSimulation, Duration, Duration) {
     let mut simulation = simulation_with_seed(size, seed);
     let begun = simulation.fleet.now;
@@ -129,8 +125,7 @@
     (simulation, begun, ended)
 }
 
-/// Checks that callers are served in time under an uneven load, and that it overcommits upstreams
-/// no more than an even load with the same seeds.
+/// Checks that callers are served, and upstreams as little overcommitted as by an even load.
 fn check(size: Size, balancing: &Balancing, seeds: Range<u64>) {
     let what = format!("{size:?}, {balancing:?}");
     let runs = seeds.end - seeds.start;
@@ -247,8 +242,7 @@
     }
 }
 
-/// The proportion of the requests of a period that reached a group which ran twice as many as it has
-/// slots for, and the most that any group ran.
+/// The proportion of requests that met a group with twice its slots in use, and the highest use.
 fn peak(fleet: &Fleet, groups: u16, since: Duration, until: Duration) -> (f64, usize) {
     let (mut doubly_full, mut all, mut most) = (0_u32, 0_u32, 0);
     for index in 0..u64::from(groups) {
