feat(router): log why an attempt is taken from an upstream, count broken connections

Requests that ended as Unknown { Lost } looked alike whether the upstream broke the connection or the daemon closed it. A line names request, upstream and cause; 'is stalled' says for how long and how many requests; the counter attempts.lost counts connections that upstreams ended early. No decision changes.

--- a/shalehinge/src/core/router/stalled.rs
+++ b/shalehinge/src/core/router/stalled.rs
@@ -30,13 +30,17 @@
                 if was_paused {
                     upstream.restart_stall_clock(now);
                 } else if upstream.check_stall(now, &settings) {
-                    stalled.push(upstream.spec.id.clone());
+                    let silent_for = upstream.silent_for(now);
+                    stalled.push((upstream.spec.id.clone(), silent_for, upstream.in_flight()));
                 }
             }
         }
-        for id in stalled {
-            out.push(RouterAction::Log(format!("{id} is stalled")));
-            self.retry_elsewhere(now, &id, rng, out);
+        for (id, silent_for, requests) in stalled {
+            let ms = silent_for.as_millis();
+            out.push(RouterAction::Log(format!(
+                "{id} is stalled: no output for {ms} ms, {requests} requests run there"
+            )));
+            self.retry_elsewhere(now, &id, "is stalled", rng, out);
         }
     }
 
@@ -63,7 +67,7 @@
         }
         upstream.mark_lost();
         out.push(RouterAction::Log(format!("{id} lost a member")));
-        self.retry_elsewhere(now, &id, rng, out);
+        self.retry_elsewhere(now, &id, "lost a member", rng, out);
         self.dispatch_all(now, rng, out);
     }
 
@@ -71,6 +75,7 @@
         &mut self,
         now: Timestamp,
         id: &UpstreamId,
+        cause: &str,
         rng: &mut impl rand::Rng,
         out: &mut Vec<RouterAction>,
     ) {
@@ -95,6 +100,10 @@
             if let Some(state) = self.targets.get_mut(&pending.meta.target) {
                 state.release(&running);
             }
+            out.push(RouterAction::Log(format!(
+                "request {} is taken from {id}, which {cause}",
+                request.0
+            )));
             out.push(RouterAction::Abandon(running.id));
             let reason = UnknownReason::Lost;
             let outcome = Outcome::Unknown { reason };
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -487,6 +487,11 @@
         }
     }
 
+    /// Time without progress of any request there, if requests are running.
+    pub fn silent_for(&self, now: Timestamp) -> Duration {
+        now.since(self.last_progress_at)
+    }
+
     /// Checks whether requests are running without progress; returns true when a stall is first
     /// detected. The upstream becomes suspect, which is reported to the lease holder, before its
     /// requests are moved.
@@ -501,7 +506,7 @@
         } else {
             (NO_OUTPUT_SUSPECT_FACTOR, NO_OUTPUT_STALL_FACTOR)
         };
-        let stalled_for = now.since(self.last_progress_at);
+        let stalled_for = self.silent_for(now);
         if stalled_for >= settings.suspect_after.mul_f64(suspect_factor) {
             self.suspect_since = Some(now);
         }
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -350,6 +350,9 @@
             if let Some(task) = lock(&driver.attempts).remove(&attempt.id) {
                 task.detach();
             }
+            if end == AttemptEnd::Lost {
+                driver.metrics.count(Counter::AttemptsLost);
+            }
             driver.dispatch(Event::AttemptEnded {
                 request: attempt.request,
                 attempt: attempt.id,
--- a/shalehinge/src/telemetry/metrics.rs
+++ b/shalehinge/src/telemetry/metrics.rs
@@ -31,6 +31,8 @@
     Unknown,
     /// Attempts sent to upstreams.
     Attempts,
+    /// Attempts whose connection ended before a complete answer.
+    AttemptsLost,
     /// Requests handed to peers.
     Forwards,
     /// Requests that peers handed to this daemon.
@@ -70,6 +72,7 @@
             Self::Quarantined => "requests.quarantined",
             Self::Unknown => "requests.unknown",
             Self::Attempts => "attempts",
+            Self::AttemptsLost => "attempts.lost",
             Self::Forwards => "forwards",
             Self::ForwardsReceived => "forwards.received",
             Self::PlatformReads => "platform.reads",
--- a/shalehinge/tests/listed_routing.rs
+++ b/shalehinge/tests/listed_routing.rs
@@ -27,6 +27,7 @@
     sent: BTreeMap<u64, Vec<Attempt>>,
     answers: BTreeMap<u64, Outcome>,
     abandoned: usize,
+    log: Vec<String>,
 }
 
 fn target() -> Target {
@@ -103,6 +104,7 @@
             sent: BTreeMap::new(),
             answers: BTreeMap::new(),
             abandoned: 0,
+            log: Vec::new(),
         };
         harness.advance(Duration::from_millis(200));
         harness
@@ -184,6 +186,7 @@
                     assert_eq!(earlier, None, "a request is answered once");
                 }
                 RouterAction::Abandon(_) => self.abandoned += 1,
+                RouterAction::Log(line) => self.log.push(line),
                 RouterAction::CheckUpstream { upstream, .. } => {
                     let mut out = Vec::new();
                     let (now, is_gone) = (self.now, false);
@@ -200,8 +203,7 @@
                 | RouterAction::Forward(_)
                 | RouterAction::ProbeUpstream { .. }
                 | RouterAction::ReportLimit(_)
-                | RouterAction::RequestPermits { .. }
-                | RouterAction::Log(_) => {}
+                | RouterAction::RequestPermits { .. } => {}
             }
         }
     }
@@ -270,6 +272,17 @@
     assert_eq!(harness.router.suspects(harness.now).len(), 0);
 }
 
+#[test]
+fn the_log_says_how_long_a_stalled_replica_was_silent() {
+    let mut harness = Harness::with_replicas(2);
+    harness.submit(1, stream());
+    harness.output(1);
+    harness.advance(Duration::from_secs(1));
+    let id = &harness.sent[&1][0].upstream;
+    let line = format!("{id} is stalled: no output for 800 ms, 1 requests run there");
+    assert!(harness.log.contains(&line), "{:?}", harness.log);
+}
+
 #[test]
 fn a_replica_that_lost_a_member_gets_no_more_requests_and_its_streams_move_at_once() {
     let mut harness = Harness::with_replicas(2);
