fix(router): silence of an upstream ends no request

Callers saw streams cut in the middle of the answer, seconds before their deadline, while sound upstreams were silent for a second. Cause: a stalled upstream's requests were taken from it and their connections closed before it was known whether another attempt could be made; without an attempt of the route, a retry of the budget or another upstream, the caller's connection was closed. Class: suspicion treated as loss.

An attempt is now ended by its upstream, the deadline (which includes the route's timeout) or the caller alone. A request at a stalled or dissolved replica gets a second attempt beside the first one, at an upstream that is not silent or at a peer, within the route's attempts and the retry budget; the one that has output first is kept, the other cancelled. Two attempts may receive events at once: they take turns in passing them on, and pass on only what follows the stream's position (upstream/stream_position.rs). That also closes a gap: an attempt that was closed while its caller read slowly had moved the position past events that the caller never got.

Two tests of listed_routing.rs asserted the fault (a stalled or lost replica's connection is closed at once). They now assert that it is kept until the second attempt has output and closed then.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -758,11 +758,31 @@
         "always", "fixed",
     ),
     "attempt-id": (
-        CORE + "router/attempts.rs",
-        "pending.running.as_ref().is_none_or(|r| r.id != attempt)",
-        "pending.running.is_none()",
+        CORE + "router/target.rs",
+        "self.running.take_if(|running| running.id == id)?;",
+        "self.running.take_if(|_| id.sequence > 0)?;",
         "always", "fixed",
     ),
+    "an-attempt-is-kept-until-another-has-gone-on": (
+        CORE + "router/hedging.rs",
+        "            None => self.send(now, request, selection, out),\n",
+        "            None => {\n"
+        "                let first = self.pending.get_mut(&request).and_then(|known| known.running.take());\n"
+        "                if let Some(first) = first { out.push(RouterAction::Abandon(first.id)); }\n"
+        "                self.send(now, request, selection, out)\n"
+        "            }\n",
+        "silent_upstreams", "kept_there_until_another_one_has_gone_on",
+    ),
+    "no-hedge-where-most-upstreams-are-silent": (
+        CORE + "router/hedging.rs",
+        "silent >= MIN_SILENT_TOGETHER && silent * 2 > busy().count()", "{ let _ = silent; false }",
+        "hedging", "most_upstreams_are_silent",
+    ),
+    "events-are-passed-on-once": (
+        "shalehinge/src/upstream/stream_position.rs",
+        "let is_duplicate = id.is_some() && id <= self.last_event;", "let is_duplicate = false && id.is_some();",
+        "stream_position", "not_passed_on_again",
+    ),
     "earlier-attempt": (
         CORE + "router/target.rs",
         "Outcome::NotRun { .. } => self.earlier_outcome.unwrap_or(last),",
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -421,7 +421,7 @@
                 self.on_first_output(now, request, attempt, out);
             }
             Event::Progress { request, attempt } => {
-                self.router.on_progress(now, request, attempt);
+                self.on_progress(now, request, attempt, out);
             }
             Event::Signal {
                 request,
--- a/shalehinge/src/core/daemon/requests.rs
+++ b/shalehinge/src/core/daemon/requests.rs
@@ -89,6 +89,25 @@
         self.handle_router_actions(now, actions, out);
     }
 
+    pub(super) fn on_progress(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        attempt: AttemptId,
+        out: &mut Vec<Action>,
+    ) {
+        let mut actions = Vec::new();
+        self.router.on_progress(now, request, attempt, &mut actions);
+        if !actions.is_empty() {
+            self.handle_router_actions(now, actions, out);
+        }
+    }
+
+    /// Whether this attempt of a request is in flight.
+    pub fn is_in_flight(&self, request: RequestId, attempt: AttemptId) -> bool {
+        self.router.is_in_flight(request, attempt)
+    }
+
     pub(super) fn on_signal(
         &mut self,
         now: Timestamp,
--- a/shalehinge/src/core/router/attempts.rs
+++ b/shalehinge/src/core/router/attempts.rs
@@ -11,7 +11,8 @@
 use super::suspects::RequestSubject;
 
 impl Router {
-    /// Handles the first output of an attempt that reaches the caller.
+    /// Handles the first output of an attempt that reaches the caller. An attempt beside it is
+    /// cancelled.
     pub fn on_output(
         &mut self,
         now: Timestamp,
@@ -19,17 +20,16 @@
         attempt: AttemptId,
         out: &mut Vec<RouterAction>,
     ) {
+        if !self.keep_attempt(request, attempt, out) {
+            return;
+        }
         let Some(pending) = self.pending.get_mut(&request) else {
             return;
         };
-        if pending.forwarded.is_some_and(|known| known.id == attempt) {
-            pending.has_output = true;
-            return;
-        }
+        pending.has_output = true;
         let Some(running) = pending.running.as_mut().filter(|r| r.id == attempt) else {
             return;
         };
-        pending.has_output = true;
         let is_first = running.first_at.replace(now).is_none();
         let sent_at = running.sent_at;
         let (target, upstream) = (pending.meta.target.clone(), running.upstream.clone());
@@ -46,8 +46,17 @@
         }
     }
 
-    /// Handles further output of an attempt.
-    pub fn on_progress(&mut self, now: Timestamp, request: RequestId, attempt: AttemptId) {
+    /// Handles further output of an attempt. An attempt beside it is cancelled.
+    pub fn on_progress(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        attempt: AttemptId,
+        out: &mut Vec<RouterAction>,
+    ) {
+        if !self.keep_attempt(request, attempt, out) {
+            return;
+        }
         let Some(pending) = self.pending.get(&request) else {
             return;
         };
@@ -60,8 +69,8 @@
         }
     }
 
-    /// Handles the end of an attempt: the request is answered, retried, or held until its
-    /// upstream has been checked.
+    /// Handles the end of an attempt: the request is answered, retried, held until its upstream has
+    /// been checked, or goes on at the upstream of the attempt beside it.
     pub fn on_ended(
         &mut self,
         now: Timestamp,
@@ -74,12 +83,10 @@
         let Some(pending) = self.pending.get_mut(&request) else {
             return;
         };
-        if pending.running.as_ref().is_none_or(|r| r.id != attempt) {
-            return;
-        }
-        let Some(running) = pending.running.take() else {
+        let Some(running) = pending.take_running(attempt) else {
             return;
         };
+        let goes_on = pending.is_running();
         let target = pending.meta.target.clone();
         let subject = RequestSubject {
             subjects: pending.meta.subjects().collect(),
@@ -115,6 +122,7 @@
         self.record_evidence(now, request, &subject, &running.upstream, end, out);
         match outcome_of(end, || self.retry_after(now, &target)) {
             Outcome::Completed => self.answer(request, Outcome::Completed, out),
+            outcome if goes_on => self.go_on(request, &running.upstream, outcome, out),
             outcome if self.awaits_check(&subject, &running.upstream) => {
                 self.hold_until_checked(&running.upstream, request, outcome);
             }
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::core::types::{Address, AttemptId, FailureDomain, Incarnation, RequestId, Timestamp};
 use crate::settings::router::RouterSettings;
 
+use super::choose::Selection;
 use super::connectivity::Connectivity;
 use super::decision_log::decision_line;
 use super::forwarding::{ForwardPeers, choose_peer};
@@ -26,7 +27,7 @@
 };
 use super::retry_budget::RetryBudget;
 use super::suspects::PendingCheck;
-use super::target::{Pending, TargetState};
+use super::target::{ActiveAttempt, Pending, TargetState};
 use super::topology::Topology;
 use super::trial::{NO_TRIAL, TrialState};
 use super::upstream::Upstream;
@@ -352,7 +353,7 @@
                 continue;
             }
             let selection = state.choose_for(now, &self.settings, &avoided, pending, rng);
-            let Some(choice) = selection.choice else {
+            if selection.choice.is_none() {
                 if matches!(pending.trial, TrialState::At { .. }) {
                     // The upstream of the trial is gone. Requests queued behind it must not wait
                     // for it.
@@ -371,39 +372,55 @@
                 }
                 self.record_saturation(now, target, out);
                 return;
-            };
-            if let Some(wanted) = selection.wanted {
-                state.upstreams[wanted].limit.on_diverted();
-                out.extend(state.ask_permits(now, wanted, PermitUrgency::Prefetch));
-            }
-            if selection.makes_up {
-                state.upstreams[choice.index].limit.on_made_up();
             }
             state.queue.pop();
             self.waiting -= 1;
-            let id = AttemptId {
-                incarnation: self.incarnation,
-                sequence: self.next_attempt,
-            };
-            self.next_attempt += 1;
             if pending.attempts == 0 {
                 self.retries.deposit();
             }
-            out.push(RouterAction::Log(decision_line(
-                request, pending, state, &choice,
-            )));
-            let mut attempt = state.send(now, request, pending, id, choice.index);
-            if let TrialState::At { subject, .. } = &pending.trial {
-                self.trial_upstreams
-                    .insert(*subject, attempt.upstream.clone());
-            }
-            if let (Some(until), Some(_)) = (self.keys_valid_until, &pending.meta.credential) {
-                attempt.valid_until = attempt.valid_until.min(until);
-            }
-            out.push(RouterAction::Send(attempt));
+            self.send(now, request, selection, out);
         }
     }
 
+    /// Sends a request to the selected upstream, if there is one.
+    pub(super) fn send(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        selection: Selection,
+        out: &mut Vec<RouterAction>,
+    ) {
+        let Some(choice) = selection.choice else {
+            return;
+        };
+        let id = self.next_attempt_id();
+        let Some(pending) = self.pending.get_mut(&request) else {
+            return;
+        };
+        let Some(state) = self.targets.get_mut(&pending.meta.target) else {
+            return;
+        };
+        if let Some(wanted) = selection.wanted {
+            state.upstreams[wanted].limit.on_diverted();
+            out.extend(state.ask_permits(now, wanted, PermitUrgency::Prefetch));
+        }
+        if selection.makes_up {
+            state.upstreams[choice.index].limit.on_made_up();
+        }
+        out.push(RouterAction::Log(decision_line(
+            request, pending, state, &choice,
+        )));
+        let mut attempt = state.send(now, request, pending, id, choice.index);
+        if let TrialState::At { subject, .. } = &pending.trial {
+            self.trial_upstreams
+                .insert(*subject, attempt.upstream.clone());
+        }
+        if let (Some(until), Some(_)) = (self.keys_valid_until, &pending.meta.credential) {
+            attempt.valid_until = attempt.valid_until.min(until);
+        }
+        out.push(RouterAction::Send(attempt));
+    }
+
     /// The id of a new attempt.
     pub(super) fn next_attempt_id(&mut self) -> AttemptId {
         let sequence = self.next_attempt;
@@ -430,49 +447,51 @@
         last: Outcome,
         out: &mut Vec<RouterAction>,
     ) {
-        let Some(pending) = self.pending.remove(&request) else {
+        let Some(mut pending) = self.pending.remove(&request) else {
             return;
         };
+        for attempt in pending.take_attempts() {
+            self.cancel_attempt(&pending.meta.target, &attempt, out);
+        }
         let outcome = pending.outcome(last);
         out.push(RouterAction::Answer { request, outcome });
     }
 
+    /// Cancels an attempt that is in flight.
+    pub(super) fn cancel_attempt(
+        &mut self,
+        target: &Target,
+        attempt: &ActiveAttempt,
+        out: &mut Vec<RouterAction>,
+    ) {
+        if let ActiveAttempt::AtUpstream(running) = attempt
+            && let Some(state) = self.targets.get_mut(target)
+        {
+            state.release(running);
+        }
+        out.push(RouterAction::Abandon(attempt.id()));
+    }
+
     /// Cancels a request whose caller left: a waiting request is dropped, a running attempt is
     /// cancelled.
     pub fn cancel(&mut self, request: RequestId, out: &mut Vec<RouterAction>) {
-        let Some(pending) = self.pending.remove(&request) else {
+        let Some(pending) = self.pending.get(&request) else {
             return;
         };
-        let Some(state) = self.targets.get_mut(&pending.meta.target) else {
+        if pending.is_running() {
+            let reason = UnknownReason::CallerLeft;
+            self.answer(request, Outcome::Unknown { reason }, out);
             return;
+        }
+        let (target, customer) = (&pending.meta.target, &pending.meta.customer);
+        let state = self.targets.get_mut(target);
+        if state.is_some_and(|state| state.queue.remove(customer, request).is_some()) {
+            self.waiting -= 1;
+        }
+        let outcome = Outcome::NotRun {
+            reason: NotRunReason::CallerLeft,
+            retry_after: Duration::ZERO,
         };
-        let left = Outcome::Unknown {
-            reason: UnknownReason::CallerLeft,
-        };
-        let outcome = match (&pending.running, &pending.forwarded) {
-            (Some(running), _) => {
-                state.release(running);
-                out.push(RouterAction::Abandon(running.id));
-                left
-            }
-            (None, Some(forwarded)) => {
-                out.push(RouterAction::Abandon(forwarded.id));
-                left
-            }
-            (None, None) => {
-                if state
-                    .queue
-                    .remove(&pending.meta.customer, request)
-                    .is_some()
-                {
-                    self.waiting -= 1;
-                }
-                pending.outcome(Outcome::NotRun {
-                    reason: NotRunReason::CallerLeft,
-                    retry_after: Duration::ZERO,
-                })
-            }
-        };
-        out.push(RouterAction::Answer { request, outcome });
+        self.answer(request, outcome, out);
     }
 }
--- a/shalehinge/src/core/router/expiry.rs
+++ b/shalehinge/src/core/router/expiry.rs
@@ -12,7 +12,8 @@
         self.end_cooldowns(now, out);
         self.expire_waiting(now, out);
         self.expire_running(now, out);
-        self.handle_stalled(now, rng, out);
+        self.detect_stalled(now, out);
+        self.hedge_silent(now, rng, out);
         self.update_held(now, out);
         self.record_capacity(now);
         self.probe_cut_off(now, rng, out);
@@ -68,21 +69,15 @@
             .map(|(request, _)| *request)
             .collect();
         for request in expired {
-            let Some(pending) = self.pending.remove(&request) else {
+            let Some(pending) = self.pending.get(&request) else {
                 continue;
             };
             let state = self.targets.get_mut(&pending.meta.target);
             if let (Some(state), Some(running)) = (state, &pending.running) {
-                state.release(running);
                 state.record_upstream_failure(now, &self.settings, &running.upstream);
-                out.push(RouterAction::Abandon(running.id));
-            }
-            if let Some(forwarded) = &pending.forwarded {
-                out.push(RouterAction::Abandon(forwarded.id));
             }
             let reason = UnknownReason::DeadlinePassed;
-            let outcome = Outcome::Unknown { reason };
-            out.push(RouterAction::Answer { request, outcome });
+            self.answer(request, Outcome::Unknown { reason }, out);
         }
     }
 }
--- a/shalehinge/src/core/router/forwarding.rs
+++ b/shalehinge/src/core/router/forwarding.rs
@@ -203,6 +203,7 @@
             return;
         };
         let target = pending.meta.target.clone();
+        let goes_on = pending.is_running();
         match end {
             ForwardEnd::Answered(Outcome::NotRun { reason, .. }) if is_unable(reason) => {
                 self.mark_unable(now, forwarded.peer, &format!("{reason:?}"), out);
@@ -212,6 +213,9 @@
                 self.mark_unable(now, forwarded.peer, "it can't be reached", out);
                 self.forward_again(request);
             }
+            ForwardEnd::Answered(outcome) if goes_on && outcome != Outcome::Completed => {
+                self.forward_peers.record_able(forwarded.peer);
+            }
             ForwardEnd::Answered(outcome) => {
                 self.forward_peers.record_able(forwarded.peer);
                 self.answer(request, outcome, out);
@@ -221,7 +225,9 @@
                 self.mark_unable(now, forwarded.peer, "its answer broke off", out);
                 let reason = UnknownReason::Lost;
                 let outcome = Outcome::Unknown { reason };
-                self.retry_or_answer(now, request, outcome, RetryCost::One, rng, out);
+                if !goes_on {
+                    self.retry_or_answer(now, request, outcome, RetryCost::One, rng, out);
+                }
             }
         }
         self.dispatch(now, &target, rng, out);
@@ -241,11 +247,14 @@
         }
     }
 
-    /// Queues a request that no peer has run so far.
+    /// Queues a request that no peer has run so far, unless it runs at an upstream.
     fn forward_again(&mut self, request: RequestId) {
         let Some(pending) = self.pending.get(&request) else {
             return;
         };
+        if pending.is_running() {
+            return;
+        }
         if let Some(state) = self.targets.get_mut(&pending.meta.target) {
             state.enqueue(request, pending, self.settings.timely_first);
             self.waiting += 1;
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -30,6 +30,7 @@
 //! - `reports`: load reports from upstreams
 //! - `expiry`: expired deadlines and other periodic work
 //! - `stalled`: detection of stalled replicas
+//! - `hedging`: second attempts beside those at silent upstreams
 //! - `target`: state of one model or service: its upstreams and its queue
 //! - `attempts`: what happens to a request while an attempt runs, and when it ends
 //! - `retries`: whether a request is sent again after an attempt
@@ -49,6 +50,7 @@
 mod expiry;
 pub mod failing;
 pub mod forwarding;
+mod hedging;
 mod keys;
 pub mod leaving;
 pub mod limit_state;
--- a/shalehinge/src/core/router/request.rs
+++ b/shalehinge/src/core/router/request.rs
@@ -123,6 +123,8 @@
     pub time_left: Duration,
     /// Priority passed on to the engine.
     pub priority: u8,
+    /// Whether another attempt of the request runs, whose upstream is silent.
+    pub is_hedge: bool,
 }
 
 /// How an attempt ended.
--- a/shalehinge/src/core/router/signals.rs
+++ b/shalehinge/src/core/router/signals.rs
@@ -22,7 +22,7 @@
         let Some(pending) = self.pending.get(&request) else {
             return;
         };
-        let Some(running) = pending.running.as_ref().filter(|r| r.id == attempt) else {
+        let Some(running) = pending.running_attempt(attempt) else {
             return;
         };
         let state = self.targets.get_mut(&pending.meta.target);
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -41,8 +41,10 @@
     /// Whether an attempt could not be sent. The next one then goes to the own failure domain, as
     /// the others may be cut off too.
     pub(super) has_unsent_attempt: bool,
-    /// The attempt in flight, if any.
+    /// The attempt in flight at an upstream, if any.
     pub(super) running: Option<Running>,
+    /// A second attempt beside `running`, whose upstream is silent.
+    pub(super) hedge: Option<Running>,
     /// Whether an attempt has produced output.
     pub(super) has_output: bool,
     /// Outcome of an earlier attempt that may have run.
@@ -72,6 +74,7 @@
             tried: Vec::new(),
             has_unsent_attempt: false,
             running: None,
+            hedge: None,
             has_output: false,
             earlier_outcome: None,
             cost: 0.0,
@@ -88,10 +91,52 @@
         self.running.is_some() || self.forwarded.is_some()
     }
 
-    /// Number of attempts that may still run.
+    /// Number of further attempts that may run.
     pub(super) fn runs_left(&self) -> Option<u32> {
         let limit = self.meta.max_attempts?;
-        Some(limit.saturating_sub(self.possible_runs))
+        let in_flight = u32::from(self.running.is_some()) + u32::from(self.hedge.is_some());
+        Some(limit.saturating_sub(self.possible_runs + in_flight))
+    }
+
+    /// The attempt in flight at an upstream with this id.
+    pub(super) fn running_attempt(&self, id: AttemptId) -> Option<&Running> {
+        let mut attempts = self.running.iter().chain(&self.hedge);
+        attempts.find(|attempt| attempt.id == id)
+    }
+
+    /// Removes the attempt in flight at an upstream with this id. A hedge takes the place of the
+    /// first attempt.
+    pub(super) fn take_running(&mut self, id: AttemptId) -> Option<Running> {
+        if let Some(hedge) = self.hedge.take_if(|hedge| hedge.id == id) {
+            return Some(hedge);
+        }
+        let running = self.running.take_if(|running| running.id == id)?;
+        self.running = self.hedge.take();
+        Some(running)
+    }
+
+    /// Removes all attempts in flight.
+    pub(super) fn take_attempts(&mut self) -> Vec<ActiveAttempt> {
+        let upstreams = [self.running.take(), self.hedge.take()];
+        let upstreams = upstreams.into_iter().flatten();
+        let peer = self.forwarded.take().map(ActiveAttempt::AtPeer);
+        upstreams
+            .map(ActiveAttempt::AtUpstream)
+            .chain(peer)
+            .collect()
+    }
+
+    /// Makes the attempt with this id the only one. Returns the one beside it, if there is any.
+    pub(super) fn keep_only(&mut self, id: AttemptId) -> Option<ActiveAttempt> {
+        let is_forward = self.forwarded.is_some_and(|forwarded| forwarded.id == id);
+        if is_forward {
+            return self.running.take().map(ActiveAttempt::AtUpstream);
+        }
+        if let Some(hedge) = self.hedge.take_if(|hedge| hedge.id == id) {
+            return self.running.replace(hedge).map(ActiveAttempt::AtUpstream);
+        }
+        let hedge = self.hedge.take().map(ActiveAttempt::AtUpstream);
+        hedge.or_else(|| self.forwarded.take().map(ActiveAttempt::AtPeer))
     }
 
     /// The request's outcome if its last attempt ended in this way. A request that may have run
@@ -119,6 +164,33 @@
     pub(super) work: Work,
 }
 
+/// An attempt in flight, wherever it runs.
+#[derive(Clone, Debug)]
+pub(super) enum ActiveAttempt {
+    /// At an upstream.
+    AtUpstream(Running),
+    /// At a peer.
+    AtPeer(RunningForward),
+}
+
+impl ActiveAttempt {
+    /// Id of the attempt.
+    pub(super) fn id(&self) -> AttemptId {
+        match self {
+            Self::AtUpstream(running) => running.id,
+            Self::AtPeer(forwarded) => forwarded.id,
+        }
+    }
+
+    /// Number of attempts at upstreams that it may have caused.
+    pub(super) fn max_runs(&self) -> u32 {
+        match self {
+            Self::AtUpstream(_) => 1,
+            Self::AtPeer(forwarded) => forwarded.max_runs,
+        }
+    }
+}
+
 /// State of one target.
 #[derive(Clone, Debug, Default)]
 pub(super) struct TargetState {
@@ -222,17 +294,7 @@
         if let TrialState::At { upstream, .. } = &pending.trial {
             return self.trial_choice(now, upstream);
         }
-        let context = ChoiceContext {
-            now,
-            settings,
-            prefix: &pending.meta.prefix,
-            work: self.work_of(&pending.meta, 0),
-            excluded: &pending.tried,
-            sent_count: self.sent_count,
-            avoided,
-            prefers_local: pending.has_unsent_attempt,
-        };
-        let selection = choose(&self.upstreams, &context, rng);
+        let selection = self.choose_untried(now, settings, avoided, &pending.tried, pending, rng);
         if selection.choice.is_some() || pending.tried.is_empty() {
             return selection;
         }
@@ -242,15 +304,30 @@
             return selection;
         }
         // All available upstreams have been tried, so allow trying one again.
-        let excluded = &[];
-        choose(
-            &self.upstreams,
-            &ChoiceContext {
-                excluded,
-                ..context
-            },
-            rng,
-        )
+        self.choose_untried(now, settings, avoided, &[], pending, rng)
+    }
+
+    /// Selects an upstream that is not among the `excluded` ones.
+    pub(super) fn choose_untried(
+        &self,
+        now: Timestamp,
+        settings: &RouterSettings,
+        avoided: &BTreeSet<FailureDomain>,
+        excluded: &[UpstreamId],
+        pending: &Pending,
+        rng: &mut impl rand::Rng,
+    ) -> Selection {
+        let context = ChoiceContext {
+            now,
+            settings,
+            prefix: &pending.meta.prefix,
+            work: self.work_of(&pending.meta, 0),
+            excluded,
+            sent_count: self.sent_count,
+            avoided,
+            prefers_local: pending.has_unsent_attempt,
+        };
+        choose(&self.upstreams, &context, rng)
     }
 
     /// A trial runs on its assigned upstream only: elsewhere it might run beside another trial.
@@ -275,7 +352,8 @@
         }
     }
 
-    /// Records that a request is sent to the upstream at `index`, and returns the attempt.
+    /// Records that a request is sent to the upstream at `index`, and returns the attempt. It is a
+    /// hedge if another attempt runs.
     pub(super) fn send(
         &mut self,
         now: Timestamp,
@@ -295,13 +373,20 @@
         upstream.prefixes.record(&pending.meta.prefix);
         pending.attempts += 1;
         pending.tried.push(upstream.spec.id.clone());
-        pending.running = Some(Running {
+        let running = Running {
             id,
             upstream: upstream.spec.id.clone(),
             sent_at: now,
             first_at: None,
             work,
-        });
+        };
+        let is_hedge = pending.running.is_some();
+        let place = if is_hedge {
+            &mut pending.hedge
+        } else {
+            &mut pending.running
+        };
+        *place = Some(running);
         Attempt {
             request,
             id,
@@ -312,6 +397,7 @@
             valid_until: upstream.valid_until(pending.meta.deadline),
             time_left: pending.meta.deadline.since(now),
             priority: pending.meta.priority,
+            is_hedge,
         }
     }
 
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -27,11 +27,13 @@
 const BACKOFF: Duration = Duration::from_millis(250);
 /// How long an upstream that stalled gets no new requests after its last progress.
 const STALL_BACKOFF: Duration = Duration::from_secs(3);
+/// How long an upstream that was reported to be silent gets no new requests, if it runs none.
+const REPORTED_SILENCE_BACKOFF: Duration = Duration::from_secs(1);
 
 /// Factor applied to `suspect_after` while no request on the upstream has produced output.
 const NO_OUTPUT_SUSPECT_FACTOR: f64 = 2.5;
 /// Factor applied to `stall_after` while no request on the upstream has produced output: the
-/// requests may be queued at a busy upstream, and moving them would add to the load.
+/// requests may be queued at a busy upstream, and hedging them would add to the load.
 const NO_OUTPUT_STALL_FACTOR: f64 = 4.0;
 
 /// Number of requests that all daemons together may send to an upstream with this many slots.
@@ -494,26 +496,50 @@
 
     /// Checks whether requests are running without progress; returns true when a stall is first
     /// detected. The upstream becomes suspect, which is reported to the lease holder, before its
-    /// requests are moved.
+    /// requests are hedged.
     pub fn check_stall(&mut self, now: Timestamp, settings: &RouterSettings) -> bool {
         let is_watched = self.spec.evidence == Evidence::Listed && self.spec.group.is_some();
         if !is_watched || self.in_flight == 0 || self.stalled || self.lost {
             return false;
         }
+        if self.is_silent(now, settings) {
+            self.suspect_since = Some(now);
+        }
         // Requests without output may still be queued at the upstream.
-        let (suspect_factor, stall_factor) = if self.streaming > 0 {
-            (1.0, 1.0)
+        let factor = if self.streaming > 0 {
+            1.0
         } else {
-            (NO_OUTPUT_SUSPECT_FACTOR, NO_OUTPUT_STALL_FACTOR)
+            NO_OUTPUT_STALL_FACTOR
         };
-        let stalled_for = self.silent_for(now);
-        if stalled_for >= settings.suspect_after.mul_f64(suspect_factor) {
-            self.suspect_since = Some(now);
-        }
-        self.stalled = stalled_for >= settings.stall_after.mul_f64(stall_factor);
+        self.stalled = self.silent_for(now) >= settings.stall_after.mul_f64(factor);
         self.stalled
     }
 
+    /// Whether requests are running there and none has made progress for so long that the upstream
+    /// is suspected.
+    pub fn is_silent(&self, now: Timestamp, settings: &RouterSettings) -> bool {
+        let factor = if self.streaming > 0 {
+            1.0
+        } else {
+            NO_OUTPUT_SUSPECT_FACTOR
+        };
+        let is_watched = self.spec.evidence == Evidence::Listed && self.spec.group.is_some();
+        let is_long = self.silent_for(now) >= settings.suspect_after.mul_f64(factor);
+        is_watched && self.in_flight > 0 && is_long
+    }
+
+    /// Handles a report that the upstream is silent. Returns whether it is now stalled and was not
+    /// before.
+    pub fn on_reported_silent(&mut self, now: Timestamp, settings: &RouterSettings) -> bool {
+        if self.in_flight == 0 {
+            self.backoff_until = self.backoff_until.max(now + REPORTED_SILENCE_BACKOFF);
+            return false;
+        }
+        let was_stalled = self.stalled;
+        self.stalled |= self.is_silent(now, settings);
+        self.stalled && !was_stalled
+    }
+
     /// Whether the peak KV use of this work fits beside running requests and those sent since the
     /// last report.
     fn has_kv_room(&self, work: Work) -> bool {
--- a/shalehinge/src/peer/forward_client.rs
+++ b/shalehinge/src/peer/forward_client.rs
@@ -65,10 +65,12 @@
             ForwardFrame::Chunk(chunk) => ResponsePart::Chunk(chunk.into()),
             ForwardFrame::Whole(whole) => ResponsePart::Whole(whole.into()),
         };
-        if let Some(relay) = &outgoing.relay {
-            relay.position.record(&part);
+        match &outgoing.relay {
+            Some(relay) => relay.position.pass_part(part, sink).await,
+            None => {
+                sink.pass(part).await;
+            }
         }
-        sink.pass(part).await;
     }
 }
 
--- a/shalehinge/src/peer/forward_message.rs
+++ b/shalehinge/src/peer/forward_message.rs
@@ -1,5 +1,7 @@
 //! Messages by which a daemon hands a request to a peer, and the frames of the peer's answer.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use trillium_http::{Headers, Method};
@@ -7,7 +9,8 @@
 use crate::core::forward::ForwardedMeta;
 use crate::core::router::request::Outcome;
 use crate::upstream::attempt::{OutgoingRequest, ResponseMode, ResponsePart, WholeResponse};
-use crate::upstream::relay::{Position, RelayContext, RelayHeaderNames, ResponseHead};
+use crate::upstream::relay::{RelayContext, RelayHeaderNames, ResponseHead};
+use crate::upstream::stream_position::{Position, StreamPosition};
 
 /// Number of bytes before each frame that hold its length, in big-endian order.
 pub const FRAME_LENGTH_BYTES: usize = size_of::<u32>();
@@ -133,7 +136,7 @@
                 names,
                 request_id: relay.request_id,
                 customer: relay.customer,
-                position: relay.position.into(),
+                position: Arc::new(StreamPosition::from(relay.position)),
             }),
         };
         Ok(OutgoingRequest {
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -124,13 +124,23 @@
 
     /// Passes an event to the core and starts the actions that it returns.
     pub fn dispatch(self: &Arc<Self>, event: Event) {
+        self.dispatch_and_read(event, |_| ());
+    }
+
+    /// Like [`Self::dispatch`], and then calls a function with the core before other events are
+    /// handled.
+    fn dispatch_and_read<T>(
+        self: &Arc<Self>,
+        event: Event,
+        inspect: impl FnOnce(&Daemon) -> T,
+    ) -> T {
         let mut actions = Vec::new();
         let mut core = lock(&self.core);
         core.handle(self.now(), event, &mut actions);
         for action in actions {
             self.execute(action);
         }
-        drop(core);
+        inspect(&core)
     }
 
     /// Passes a tick to the core. `late_by` is the time since the tick was due.
@@ -334,6 +344,9 @@
             return;
         };
         self.metrics.count(Counter::Attempts);
+        if attempt.is_hedge {
+            self.metrics.count(Counter::Hedges);
+        }
         let id = attempt.id;
         let driver = self.clone();
         // Held until the task is registered, because a task that finishes immediately must
@@ -438,34 +451,38 @@
         }
     }
 
-    /// Reports to the core that output arrived.
-    fn report_output(&self) {
+    /// Reports to the core that output arrived. Returns whether the attempt is still in flight, as
+    /// another one may have taken its place.
+    fn report_output(&self) -> bool {
         let now = self.driver.now().as_duration().as_millis() as u64;
         let reported_at_ms = self.reported_at_ms.load(Ordering::Relaxed);
         let (request, attempt) = (self.request, self.attempt);
-        if reported_at_ms == 0 {
-            self.driver
-                .dispatch(Event::FirstOutput { request, attempt });
+        let event = if reported_at_ms == 0 {
+            Event::FirstOutput { request, attempt }
         } else if now >= reported_at_ms + PROGRESS_INTERVAL_MS {
-            self.driver.dispatch(Event::Progress { request, attempt });
+            Event::Progress { request, attempt }
         } else {
-            return;
-        }
+            // No attempt is made beside one that has just reported output.
+            return true;
+        };
         self.reported_at_ms.store(now.max(1), Ordering::Relaxed);
+        self.driver
+            .dispatch_and_read(event, |core| core.is_in_flight(request, attempt))
     }
 }
 
 impl ResponseSink for CallerSink {
-    async fn pass(&self, part: ResponsePart) {
+    async fn pass(&self, part: ResponsePart) -> bool {
         // A failed attempt may be retried, so its response does not count as output yet.
         let is_failure = matches!(&part, ResponsePart::Whole(whole) if whole.status >= 500);
-        if !is_failure {
-            self.report_output();
+        if !is_failure && !self.report_output() {
+            return false;
         }
         // A send error means that the caller has disconnected, which the caller's own task
         // reports. The attempt goes on until the core cancels it, or to its end if the request
         // must not be repeated.
         let _ = self.parts.send(CallerMessage::Part(part)).await;
+        true
     }
 
     fn on_signal(&self, signal: UpstreamSignal) {
--- a/shalehinge/src/settings/router.rs
+++ b/shalehinge/src/settings/router.rs
@@ -56,8 +56,8 @@
     /// Maximum use of a listed upstream's capacity by one daemon, as a multiple of its share, which
     /// follows its requests in progress.
     pub uneven_share: f64,
-    /// A listed replica with requests running is considered to have lost a member if none of them
-    /// makes progress for this long.
+    /// A listed replica with requests running gets no new ones, and its requests get second attempts
+    /// elsewhere, if none of them makes progress for this long.
     pub stall_after: Duration,
     /// As `stall_after`, but until the lease holder is notified, which then probes the members.
     pub suspect_after: Duration,
--- a/shalehinge/src/telemetry/metrics.rs
+++ b/shalehinge/src/telemetry/metrics.rs
@@ -33,6 +33,8 @@
     Attempts,
     /// Attempts whose connection ended before a complete answer.
     AttemptsLost,
+    /// Attempts sent beside one at a silent upstream.
+    Hedges,
     /// Requests handed to peers.
     Forwards,
     /// Requests that peers handed to this daemon.
@@ -73,6 +75,7 @@
             Self::Unknown => "requests.unknown",
             Self::Attempts => "attempts",
             Self::AttemptsLost => "attempts.lost",
+            Self::Hedges => "attempts.hedges",
             Self::Forwards => "forwards",
             Self::ForwardsReceived => "forwards.received",
             Self::PlatformReads => "platform.reads",
--- a/shalehinge/src/upstream/attempt.rs
+++ b/shalehinge/src/upstream/attempt.rs
@@ -93,8 +93,9 @@
 
 /// Receives the response parts and signals of an attempt.
 pub trait ResponseSink {
-    /// Passes on a part; waits while the caller reads slowly.
-    fn pass(&self, part: ResponsePart) -> impl Future<Output = ()> + Send;
+    /// Passes on a part; waits while the caller reads slowly. Returns whether it was passed on: not
+    /// if another attempt of the request has taken the place of this one.
+    fn pass(&self, part: ResponsePart) -> impl Future<Output = bool> + Send;
 
     /// Reports what the upstream states about itself in its response headers.
     fn on_signal(&self, signal: UpstreamSignal);
--- a/shalehinge/src/upstream/mod.rs
+++ b/shalehinge/src/upstream/mod.rs
@@ -11,6 +11,7 @@
 pub mod engine;
 pub mod relay;
 pub mod signal;
+pub mod stream_position;
 
 use futures_lite::future::Boxed;
 
--- a/shalehinge/src/upstream/relay.rs
+++ b/shalehinge/src/upstream/relay.rs
@@ -6,15 +6,15 @@
 //! incomplete event is dropped, so that another upstream can resume the stream after the last
 //! complete one.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 
 use futures_lite::AsyncReadExt;
-use serde::{Deserialize, Serialize};
 use trillium_client::{Client, Conn, ResponseBody};
 use trillium_http::Headers;
 
 use super::attempt::{OutgoingRequest, ResponsePart, ResponseSink, WholeResponse};
 use super::signal::{self, SignalHeaderNames};
+use super::stream_position::{EventSplitter, StreamPosition};
 use crate::core::router::request::{Attempt, AttemptEnd};
 use crate::utils::headers::forwarded_headers;
 use crate::utils::http::{is_not_connected, url};
@@ -74,54 +74,6 @@
     pub position: Arc<StreamPosition>,
 }
 
-/// Position in the response stream of a request, across all of its attempts.
-#[derive(Debug, Default)]
-pub struct StreamPosition(Mutex<Position>);
-
-/// How much of a stream has been passed on to the caller.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Position {
-    /// Whether status and headers have been passed on.
-    has_head: bool,
-    /// Id of the last event that has been passed on.
-    last_event: Option<u64>,
-}
-
-impl From<Position> for Arc<StreamPosition> {
-    fn from(position: Position) -> Self {
-        Self::new(StreamPosition(Mutex::new(position)))
-    }
-}
-
-impl StreamPosition {
-    /// The current position.
-    pub fn get(&self) -> Position {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Records a part that is passed on, whose chunks hold whole events.
-    pub fn record(&self, part: &ResponsePart) {
-        let mut position = self.get();
-        match part {
-            ResponsePart::Head(_) => position.has_head = true,
-            ResponsePart::Chunk(events) => {
-                let mut splitter = EventSplitter {
-                    last_event: position.last_event,
-                    ..EventSplitter::default()
-                };
-                splitter.feed(events);
-                position.last_event = splitter.last_event;
-            }
-            ResponsePart::StreamStart | ResponsePart::Whole(_) => return,
-        }
-        self.set(position);
-    }
-
-    fn set(&self, position: Position) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = position;
-    }
-}
-
 /// Status and headers of a response, as they are forwarded to the caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResponseHead {
@@ -159,7 +111,7 @@
     }
     let content_type = conn.response_headers().get_str("content-type");
     let is_stream = content_type.is_some_and(|kind| kind.starts_with("text/event-stream"));
-    let has_started = relay.position.get().has_head;
+    let has_started = relay.position.get().has_head();
     if is_success && is_stream {
         return read_stream(conn, status, relay, sink).await;
     }
@@ -215,7 +167,7 @@
     if let Some(customer) = &relay.customer {
         conn = conn.with_request_header(names.customer, customer.clone());
     }
-    match relay.position.get().last_event {
+    match relay.position.get().last_event() {
         Some(event) => conn.with_request_header(names.last_event_id, event.to_string()),
         None => conn,
     }
@@ -258,11 +210,8 @@
     let Some(mut body) = conn.take_response_body() else {
         return AttemptEnd::Lost;
     };
-    let mut position = relay.position.get();
-    let mut splitter = EventSplitter {
-        last_event: position.last_event,
-        ..EventSplitter::default()
-    };
+    let mut splitter = EventSplitter::default();
+    let mut count = 0;
     let mut chunk = vec![0; READ_SIZE];
     loop {
         let Some(length) = read_chunk(&mut body, &mut chunk).await else {
@@ -272,31 +221,18 @@
             break;
         }
         let events = splitter.feed(&chunk[..length]);
-        if splitter.buffer.len() > MAX_EVENT_BYTES {
+        if splitter.has_excess(MAX_EVENT_BYTES) {
             return AttemptEnd::WrongAnswer;
         }
-        if events.is_empty() {
-            continue;
-        }
-        if !position.has_head {
-            position.has_head = true;
-            sink.pass(ResponsePart::Head(head.clone())).await;
-        }
-        position.last_event = splitter.last_event;
-        relay.position.set(position);
-        sink.pass(ResponsePart::Chunk(events)).await;
+        count += relay.position.pass_events(&head, &events, sink).await;
     }
-    if !splitter.buffer.is_empty() {
+    if splitter.has_excess(0) {
         return AttemptEnd::Lost;
     }
-    if !position.has_head {
-        // A stream without any event is complete as well.
-        position.has_head = true;
-        relay.position.set(position);
-        sink.pass(ResponsePart::Head(head)).await;
-    }
+    // A stream without any event is complete as well.
+    relay.position.pass_head(&head, sink).await;
     AttemptEnd::Completed {
-        output_tokens: splitter.count,
+        output_tokens: count,
     }
 }
 
@@ -304,54 +240,3 @@
 async fn read_chunk(body: &mut ResponseBody<'static>, chunk: &mut [u8]) -> Option<usize> {
     body.read(chunk).await.ok()
 }
-
-/// Splits a stream into complete events and drops those that the caller already has.
-#[derive(Debug, Default)]
-struct EventSplitter {
-    /// Start of an event that is not complete yet.
-    buffer: Vec<u8>,
-    last_event: Option<u64>,
-    count: u32,
-}
-
-impl EventSplitter {
-    /// Adds bytes and returns the events that they complete.
-    fn feed(&mut self, bytes: &[u8]) -> Vec<u8> {
-        const EVENT_END: &[u8] = b"\n\n";
-        let search_start = self.buffer.len().saturating_sub(EVENT_END.len());
-        self.buffer.extend_from_slice(bytes);
-        let mut events = Vec::new();
-        let mut start = 0;
-        let mut from = search_start;
-        while let Some(at) = find(&self.buffer[from..], EVENT_END) {
-            let end = from + at + EVENT_END.len();
-            let event = &self.buffer[start..end];
-            let id = event_id(event);
-            let is_duplicate = id.is_some() && id <= self.last_event;
-            if !is_duplicate {
-                events.extend_from_slice(event);
-                self.last_event = id.or(self.last_event);
-                self.count += 1;
-            }
-            start = end;
-            from = end;
-        }
-        self.buffer.drain(..start);
-        events
-    }
-}
-
-fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes
-        .windows(pattern.len())
-        .position(|window| window == pattern)
-}
-
-/// Parses the number in an event's `id` line.
-fn event_id(event: &[u8]) -> Option<u64> {
-    let line = event
-        .split(|byte| *byte == b'\n')
-        .find(|line| line.starts_with(b"id:"))?;
-    let text = std::str::from_utf8(&line[3..]).ok()?;
-    text.trim().parse().ok()
-}
--- a/shalehinge/tests/listed_routing.rs
+++ b/shalehinge/tests/listed_routing.rs
@@ -161,8 +161,10 @@
 
     fn progress(&mut self, request: u64) {
         let attempt = self.last(request).id;
+        let mut actions = Vec::new();
         self.router
-            .on_progress(self.now, RequestId(request), attempt);
+            .on_progress(self.now, RequestId(request), attempt, &mut actions);
+        self.handle_actions(actions);
     }
 
     fn end(&mut self, request: u64, end: AttemptEnd) {
@@ -219,8 +221,10 @@
     assert_eq!(harness.attempts(1), 1, "a short pause is not a stall");
     harness.advance(Duration::from_millis(200));
     assert_eq!(harness.attempts(1), 2);
-    assert_eq!(harness.abandoned, 1, "the first connection is closed");
     assert_ne!(harness.last(1).upstream, first);
+    assert_eq!(harness.abandoned, 0, "the first connection is kept");
+    harness.output(1);
+    assert_eq!(harness.abandoned, 1, "the first connection is closed");
 }
 
 #[test]
@@ -292,6 +296,8 @@
     harness.lose(&lost);
     assert_eq!(harness.attempts(1), 2);
     assert_ne!(harness.last(1).upstream, lost);
+    assert_eq!(harness.abandoned, 0, "the first connection is kept");
+    harness.output(1);
     for request in 2..6 {
         harness.submit(request, stream());
         assert_ne!(harness.last(request).upstream, lost);
--- a/shalehinge/tests/silence_support/mod.rs
+++ b/shalehinge/tests/silence_support/mod.rs
@@ -143,6 +143,11 @@
             retry_burst: 50.0,
             ..settings
         };
+        Self::with_router_settings(count, seed, settings)
+    }
+
+    /// Like `with_settings`, with the given number of attempts and of retries.
+    pub fn with_router_settings(count: u64, seed: u64, settings: RouterSettings) -> Self {
         let mut router = Router::new(settings, Incarnation(1));
         let specs = (0..count).map(listed).collect();
         router.set_topology(START, Topology::from([(target(), specs)]));
@@ -252,7 +257,7 @@
         if is_first {
             self.router.on_output(now, known, id, &mut out);
         } else {
-            self.router.on_progress(now, known, id);
+            self.router.on_progress(now, known, id, &mut out);
         }
         self.handle(out);
         if is_last {
@@ -261,13 +266,18 @@
     }
 
     fn complete(&mut self, request: u64, index: usize) {
+        let output_tokens = self.streams[&request].attempts[index].position;
+        self.end(request, index, AttemptEnd::Completed { output_tokens });
+    }
+
+    /// The replica ends an attempt, if it runs.
+    pub fn end(&mut self, request: u64, index: usize, end: AttemptEnd) {
         let attempts = &mut self.streams.get_mut(&request).expect("known").attempts;
         if !attempts[index].is_running {
             return;
         }
         attempts[index].is_running = false;
-        let (id, output_tokens) = (attempts[index].id, attempts[index].position);
-        let end = AttemptEnd::Completed { output_tokens };
+        let id = attempts[index].id;
         let mut out = Vec::new();
         let known = RequestId(request);
         self.router
@@ -275,6 +285,13 @@
         self.handle(out);
     }
 
+    /// The caller of a stream leaves.
+    pub fn cancel(&mut self, request: u64) {
+        let mut out = Vec::new();
+        self.router.cancel(RequestId(request), &mut out);
+        self.handle(out);
+    }
+
     fn handle(&mut self, actions: Vec<RouterAction>) {
         for action in actions {
             match action {
