--- a/shalehinge/tests/silent_upstreams.rs
+++ b/shalehinge/tests/silent_upstreams.rs
@@ -119,7 +119,7 @@
 fn a_stream_is_whole_when_its_replica_is_silent_before_the_last_event() {
     let mut simulation = running_streams(1);
     simulation.step_until(ms(3_000), |simulation| {
-        simulation.streams[&0].received() == EVENTS - 1
+        simulation.streams[&0].received == EVENTS - 1
     });
     simulation.silence(&replica(0), ms(0), ms(1_300));
     simulation.advance(ms(10_000));
@@ -134,7 +134,7 @@
     let dark = simulation.first_replica(0);
     simulation.silence(&dark, ms(0), FAR);
     simulation.advance(ms(10_000));
-    println!("{}", simulation.summary());
+    println!("{}", simulation.figures());
     let at_dark = simulation
         .streams
         .values()
@@ -163,7 +163,7 @@
             for seed in 1..=2 {
                 let simulation = simulation_with_silences(seed, share, ms(length));
                 if !simulation.is_as_required() {
-                    let summary = simulation.summary();
+                    let summary = simulation.figures();
                     failures.push(format!(
                         "{length} ms, {share} of 10, seed {seed}: {summary}"
                     ));
