--- a/shalehinge/tests/hedging.rs
+++ b/shalehinge/tests/hedging.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use shalehinge::core::router::request::{AttemptEnd, Outcome, UnknownReason};
+use shalehinge::core::types::AttemptId;
 use shalehinge::settings::router::RouterSettings;
-use silence_support::{FAR, SilenceSimulation, SimulatedStream, replica};
+use silence_support::stream::SimulatedStream;
+use silence_support::{FAR, SilenceSimulation, replica};
 
 const EVENTS: u32 = 100;
 
@@ -35,6 +37,10 @@
     simulation
 }
 
+fn attempt(simulation: &SilenceSimulation, index: usize) -> AttemptId {
+    stream(simulation).attempts[index].id
+}
+
 fn stream(simulation: &SilenceSimulation) -> &SimulatedStream {
     &simulation.streams[&0]
 }
@@ -42,7 +48,7 @@
 #[test]
 fn a_stream_goes_on_by_its_first_attempt_if_the_second_one_ends() {
     let mut simulation = stream_with_two_silent_attempts();
-    simulation.end(0, 1, AttemptEnd::Lost);
+    simulation.end(0, attempt(&simulation, 1), AttemptEnd::Lost);
     simulation.advance(ms(100));
     assert_eq!(stream(&simulation).outcome, None);
     assert_eq!(stream(&simulation).abandoned, 0);
@@ -51,7 +57,7 @@
 #[test]
 fn a_stream_goes_on_by_its_second_attempt_if_the_first_one_ends() {
     let mut simulation = stream_with_two_silent_attempts();
-    simulation.end(0, 0, AttemptEnd::Lost);
+    simulation.end(0, attempt(&simulation, 0), AttemptEnd::Lost);
     simulation.advance(ms(100));
     assert_eq!(stream(&simulation).outcome, None);
     assert_eq!(stream(&simulation).abandoned, 0);
@@ -60,8 +66,8 @@
 #[test]
 fn a_stream_ends_when_both_attempts_have_ended() {
     let mut simulation = stream_with_two_silent_attempts();
-    simulation.end(0, 0, AttemptEnd::Lost);
-    simulation.end(0, 1, AttemptEnd::Lost);
+    simulation.end(0, attempt(&simulation, 0), AttemptEnd::Lost);
+    simulation.end(0, attempt(&simulation, 1), AttemptEnd::Lost);
     let reason = UnknownReason::Lost;
     let expected = Some(Outcome::Unknown { reason });
     assert_eq!(stream(&simulation).outcome, expected);
