test(router): streams of a fleet whose shared upstreams are silent

The fleet simulation fits: its streams now may produce an event a tick, keep a position per attempt, and pause with their group. 9, 58, 90 and 340 daemons at about half of their capacity; a third or all of the groups silent for 1.3 s once, or each third in turn and again.

A first form had streams of one second, silent once, and each daemon two or three streams at a time: none was lost there, as the second attempt was alone at its replica and not yet counted as stalled when the silence ended.

--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -9,6 +9,9 @@
 pub mod held_writes;
 pub mod load_simulation;
 pub mod platform;
+pub mod silences;
+#[path = "../silence_support/stream.rs"]
+pub mod stream;
 pub mod upstreams;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -30,6 +33,7 @@
 
 use self::forwards::RunningForward;
 use self::platform::{Platform, platform_bytes};
+use self::silences::CallerStreams;
 pub use self::upstreams::{Arrival, RefusedAttempt, UpstreamCut};
 
 /// Number of failure domains, over which the daemons are distributed evenly unless a test names
@@ -154,6 +158,8 @@
     seed: u64,
     /// Daemons that are paused, with the events that wait for each.
     paused: BTreeMap<usize, Vec<Event>>,
+    /// Streams at groups that may be silent.
+    pub streams: CallerStreams,
     /// Lines that daemons logged on the platform and the lease, while late writes are simulated.
     pub lines: Vec<String>,
 }
@@ -213,6 +219,7 @@
             domains,
             seed,
             paused: BTreeMap::new(),
+            streams: CallerStreams::default(),
             lines: Vec::new(),
         }
     }
@@ -271,6 +278,7 @@
                 let (index, event) = entry.remove();
                 self.handle(index, event);
             }
+            self.produce_events();
         }
     }
 
@@ -466,10 +474,14 @@
                 }
             }
             Action::Forward(forward) => self.forward(index, forward),
-            Action::CancelAttempt(attempt) => self.cancel_forward(attempt),
+            Action::CancelAttempt(attempt) => {
+                self.cancel_forward(attempt);
+                self.abandon_stream_attempt(index, attempt);
+            }
             Action::ProbeUpstream { upstream, .. } => self.probe(index, upstream),
             Action::Answer { request, outcome } => {
                 self.answer_forward(request, outcome);
+                self.answer_stream(request, outcome);
                 if let Some(since) = self.completing.remove(&request) {
                     self.outcomes.push(outcome);
                     self.answer_times.push(self.now - since);
--- a/shalehinge/tests/relay_support/upstreams.rs
+++ b/shalehinge/tests/relay_support/upstreams.rs
@@ -96,6 +96,9 @@
 
     /// Runs an attempt on its upstream.
     pub(super) fn run_attempt(&mut self, index: usize, sent: &Attempt) {
+        if self.run_stream_attempt(sent) {
+            return;
+        }
         if self.completing.contains_key(&sent.request) || self.is_forward(sent.request) {
             self.run_completing_attempt(index, sent);
             return;
