test(router): random sequences with silent replicas

Requests, ends, silences, notices of lost replicas, cancels and configuration changes. Checked at every moment: a request is answered once; at most two attempts of it run, at different upstreams, and no more than its route allows; an upstream counts exactly the attempts that run there; none runs on after the answer; a deadline ends nothing before it. At the end all requests are answered and no upstream has one in flight. Apart from that: silence and notices end nothing, and an attempt is abandoned only once another one has gone on or with an answer that is final.

--- a/shalehinge/tests/silence_support/stream.rs
+++ b/shalehinge/tests/silence_support/stream.rs
@@ -2,13 +2,17 @@
 
 use std::time::Duration;
 
-use shalehinge::core::router::request::{Attempt, NotRunReason, Outcome, UpstreamId};
+use shalehinge::core::router::request::{
+    Attempt, NotRunReason, Outcome, UnknownReason, UpstreamId,
+};
 use shalehinge::core::types::{AttemptId, Timestamp};
 
 /// Ticks until a replica produces the first event of an attempt.
 const TICKS_TO_FIRST_EVENT: u32 = 2;
 /// Maximum number of attempts of a stream, as its route sets it.
 pub const MAX_ATTEMPTS: usize = 2;
+/// Maximum number of attempts of a stream at any moment.
+const MAX_RUNNING: usize = 2;
 
 /// One attempt at a replica.
 #[derive(Clone, Debug)]
@@ -18,6 +22,8 @@
     pub sent_at: Timestamp,
     pub output_at: Option<Timestamp>,
     pub is_running: bool,
+    /// Whether its replica stated that it did not run it.
+    is_refused: bool,
     preparing: u32,
     position: u32,
 }
@@ -39,8 +45,10 @@
     pub received: u32,
     pub longest_pause: Duration,
     pub abandoned: usize,
-    /// Attempts abandoned although no other one had gone on.
+    /// Attempts abandoned although no other one had gone on and the request was not over.
     pub abandoned_too_early: usize,
+    /// When the last of these was abandoned, and how many were then.
+    abandoned_last: (Timestamp, usize),
     events: u32,
     received_at: Timestamp,
     deadline: Timestamp,
@@ -57,6 +65,7 @@
             longest_pause: Duration::ZERO,
             abandoned: 0,
             abandoned_too_early: 0,
+            abandoned_last: (now, 0),
             events,
             received_at: now,
             deadline,
@@ -90,12 +99,14 @@
 
     /// Begins an attempt, which continues after what the caller has received.
     pub fn send(&mut self, now: Timestamp, attempt: &Attempt) {
+        assert_eq!(self.outcome, None, "an answered request is not sent");
         self.attempts.push(SimulatedAttempt {
             id: attempt.id,
             upstream: attempt.upstream.clone(),
             sent_at: now,
             output_at: None,
             is_running: true,
+            is_refused: false,
             preparing: TICKS_TO_FIRST_EVENT,
             position: self.received,
         });
@@ -105,7 +116,7 @@
     /// Produces the next event of a running attempt, if it has one in this tick.
     pub fn produce(&mut self, now: Timestamp, index: usize) -> Option<Produced> {
         let attempt = &mut self.attempts[index];
-        if !attempt.is_running {
+        if !attempt.is_running || self.outcome.is_some() {
             return None;
         }
         if attempt.preparing > 0 {
@@ -134,31 +145,51 @@
         attempt.is_some_and(|attempt| std::mem::take(&mut attempt.is_running))
     }
 
+    /// Ends an attempt that its replica did not run.
+    pub fn refuse(&mut self, id: AttemptId) {
+        self.end(id);
+        let mut attempts = self.attempts.iter_mut();
+        if let Some(attempt) = attempts.find(|attempt| attempt.id == id) {
+            attempt.is_refused = true;
+        }
+    }
+
     /// Records the answer to the caller.
     pub fn answer(&mut self, now: Timestamp, outcome: Outcome) {
         assert_eq!(self.outcome, None, "a request is answered once");
         self.outcome = Some(outcome);
         self.answered_at = Some(now);
-        for attempt in &mut self.attempts {
-            attempt.is_running = false;
+        let (at, count) = self.abandoned_last;
+        if at == now && ends_attempts(outcome) {
+            self.abandoned_too_early -= count;
         }
     }
 
+    /// Whether an attempt runs although the request is answered.
+    pub fn has_leaked(&self) -> bool {
+        let mut attempts = self.attempts.iter();
+        self.outcome.is_some() && attempts.any(|attempt| attempt.is_running)
+    }
+
     /// Records that the daemon cancelled an attempt.
     pub fn abandon(&mut self, now: Timestamp, id: AttemptId) {
         let Some(sent_at) = self.attempt(id).map(|attempt| attempt.sent_at) else {
             return;
         };
+        self.abandoned += 1;
+        self.end(id);
         let mut others = self.attempts.iter().filter(|attempt| attempt.id != id);
         let another_went_on = others.any(|other| {
             let both_ran_at = other.sent_at.max(sent_at);
             other.output_at.is_some_and(|at| at >= both_ran_at)
         });
-        let is_due = now >= self.deadline;
-        let is_over = self.outcome == Some(Outcome::Completed) || is_due;
-        self.abandoned += 1;
-        self.abandoned_too_early += usize::from(!another_went_on && !is_over);
-        self.end(id);
+        if another_went_on || self.outcome.is_some_and(ends_attempts) {
+            return;
+        }
+        self.abandoned_too_early += 1;
+        let (at, count) = self.abandoned_last;
+        let earlier = if at == now { count } else { 0 };
+        self.abandoned_last = (now, earlier + 1);
     }
 
     fn attempt(&self, id: AttemptId) -> Option<&SimulatedAttempt> {
@@ -167,14 +198,27 @@
 
     fn check_limits(&self) {
         let attempts = &self.attempts;
-        assert!(attempts.len() <= MAX_ATTEMPTS, "{attempts:?}");
-        let mut running = attempts.iter().filter(|attempt| attempt.is_running);
-        if let (Some(first), Some(second)) = (running.next(), running.next()) {
-            assert_ne!(first.upstream, second.upstream);
+        let counted = attempts.iter().filter(|attempt| !attempt.is_refused);
+        assert!(counted.count() <= MAX_ATTEMPTS, "{attempts:?}");
+        let running = attempts.iter().filter(|attempt| attempt.is_running);
+        let upstreams: Vec<&UpstreamId> = running.map(|attempt| &attempt.upstream).collect();
+        assert!(upstreams.len() <= MAX_RUNNING, "{attempts:?}");
+        if let [first, second] = upstreams[..] {
+            assert_ne!(first, second);
         }
     }
 }
 
+/// Whether a daemon that answers so may cancel attempts. One that answers that the request was lost
+/// or did not run may not, as the attempt would show it.
+fn ends_attempts(outcome: Outcome) -> bool {
+    match outcome {
+        Outcome::Completed | Outcome::Failed { .. } => true,
+        Outcome::Unknown { reason } => reason != UnknownReason::Lost,
+        Outcome::NotRun { .. } => false,
+    }
+}
+
 /// The figures of some streams.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StreamFigures {
