--- a/shalehinge/tests/silence_support/mod.rs
+++ b/shalehinge/tests/silence_support/mod.rs
@@ -90,15 +90,19 @@
 
 impl SilenceSimulation {
     pub fn with_replicas(count: u64) -> Self {
-        Self::with_settings(count, 1, RouterSettings::default())
+        Self::with_settings(count, 1, Self::settings())
     }
 
-    pub fn with_settings(count: u64, seed: u64, settings: RouterSettings) -> Self {
-        let settings = RouterSettings {
+    /// Settings with a retry budget that the tests don't use up.
+    pub fn settings() -> RouterSettings {
+        RouterSettings {
             max_attempts: 5,
             retry_burst: 50.0,
-            ..settings
-        };
+            ..RouterSettings::default()
+        }
+    }
+
+    pub fn with_settings(count: u64, seed: u64, settings: RouterSettings) -> Self {
         let mut router = Router::new(settings, Incarnation(1));
         let specs = (0..count).map(listed).collect();
         router.set_topology(START, Topology::from([(target(), specs)]));
@@ -120,10 +124,15 @@
 
     /// Submits a stream of `events` events that is due `due_in` from now.
     pub fn submit(&mut self, request: u64, events: u32, due_in: Duration) {
-        let deadline = self.now + due_in;
-        let stream = SimulatedStream::new(self.now, events, deadline);
+        let meta = resumable_stream(request, self.now + due_in);
+        self.submit_as(request, events, meta);
+    }
+
+    /// Submits a stream of `events` events.
+    pub fn submit_as(&mut self, request: u64, events: u32, meta: RequestMeta) {
+        let stream = SimulatedStream::new(self.now, events, meta.deadline);
         self.streams.insert(request, stream);
-        let (id, meta) = (RequestId(request), resumable_stream(request, deadline));
+        let id = RequestId(request);
         let mut out = Vec::new();
         self.router
             .submit(self.now, id, meta, 1, &mut self.rng, &mut out);
--- a/shalehinge/tests/silent_upstreams.rs
+++ b/shalehinge/tests/silent_upstreams.rs
@@ -7,8 +7,9 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use shalehinge::core::router::request::{RequestMeta, UpstreamId};
 use shalehinge::settings::router::RouterSettings;
-use silence_support::{FAR, SilenceSimulation, TICK, replica};
+use silence_support::{FAR, SilenceSimulation, TICK, replica, resumable_stream};
 
 /// Events of a stream, one a tick: two seconds.
 const EVENTS: u32 = 40;
@@ -155,6 +156,83 @@
     simulation.assert_all_whole();
 }
 
+#[test]
+fn streams_are_whole_when_a_replica_is_silent_and_no_retries_are_left() {
+    let settings = RouterSettings {
+        retry_ratio: 0.0,
+        retry_burst: 0.0,
+        ..SilenceSimulation::settings()
+    };
+    let mut simulation = SilenceSimulation::with_settings(4, 1, settings);
+    for request in 0..16 {
+        simulation.submit(request, EVENTS, FAR);
+    }
+    simulation.advance(ms(500));
+    simulation.silence(&simulation.first_replica(0), ms(0), ms(1_300));
+    simulation.advance(ms(10_000));
+    simulation.assert_all_whole();
+    assert_eq!(simulation.figures().attempts, 16);
+}
+
+#[test]
+fn streams_that_may_not_be_sent_again_are_whole_when_their_replica_is_silent() {
+    let mut simulation = SilenceSimulation::with_replicas(4);
+    let deadline = simulation.now + FAR;
+    for request in 0..16 {
+        let meta = RequestMeta {
+            max_attempts: Some(1),
+            ..resumable_stream(request, deadline)
+        };
+        simulation.submit_as(request, EVENTS, meta);
+    }
+    simulation.advance(ms(500));
+    for number in 0..4 {
+        simulation.silence(&replica(number), ms(0), ms(1_300));
+    }
+    simulation.advance(ms(10_000));
+    simulation.assert_all_whole();
+    assert_eq!(simulation.figures().attempts, 16);
+}
+
+#[test]
+fn new_streams_do_not_go_to_a_replica_that_is_silent() {
+    let mut simulation = running_streams(4);
+    let silent = simulation.first_replica(0);
+    simulation.silence(&silent, ms(0), ms(3_000));
+    simulation.advance(stall_after() + 2 * TICK);
+    for request in 100..110 {
+        simulation.submit(request, EVENTS, FAR);
+        assert_ne!(simulation.first_replica(request), silent);
+    }
+}
+
+#[test]
+fn second_attempts_do_not_go_to_replicas_that_are_silent() {
+    let mut simulation = running_streams(10);
+    let silent: Vec<UpstreamId> = (0..4).map(replica).collect();
+    for upstream in &silent {
+        simulation.silence(upstream, ms(0), ms(3_000));
+    }
+    simulation.advance(ms(10_000));
+    println!("{}", simulation.figures());
+    assert!(simulation.figures().moved > 0);
+    for stream in simulation.streams.values() {
+        let second = stream.attempts.get(1);
+        assert!(second.is_none_or(|second| !silent.contains(&second.upstream)));
+    }
+}
+
+#[test]
+fn streams_are_not_sent_twice_when_most_replicas_are_silent_at_once() {
+    let mut simulation = running_streams(10);
+    for number in 0..6 {
+        simulation.silence(&replica(number), ms(0), ms(1_300));
+    }
+    simulation.advance(ms(10_000));
+    println!("{}", simulation.figures());
+    assert_eq!(simulation.figures().attempts, 40);
+}
+
 #[test]
 fn streams_are_whole_for_silences_of_any_length_at_any_share_of_replicas() {
     let mut failures = Vec::new();
@@ -181,7 +259,7 @@
 /// Forty streams at ten replicas, of which `share` are silent for `length` from about a second on.
 fn simulation_with_silences(seed: u64, share: u64, length: Duration) -> SilenceSimulation {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let settings = RouterSettings::default();
+    let settings = SilenceSimulation::settings();
     let mut simulation = SilenceSimulation::with_settings(10, seed, settings);
     for number in 0..share {
         let begin = ms(1_000 + rng.random_range(0..300));
