--- a/shalehinge/tests/hedging.rs
+++ b/shalehinge/tests/hedging.rs
@@ -106,7 +106,7 @@
         retry_ratio: 0.0,
         ..RouterSettings::default()
     };
-    let mut simulation = SilenceSimulation::with_router_settings(2, 1, settings);
+    let mut simulation = SilenceSimulation::with_settings(2, 1, settings);
     simulation.submit(0, EVENTS, FAR);
     simulation.advance(ms(500));
     simulation.silence(&simulation.first_replica(0), ms(0), ms(5_000));
