--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -112,6 +112,16 @@
 }
 
 impl RouterHarness {
+    /// Lets the daemon do nothing for a while, as if its process were paused.
+    pub fn pause(&mut self, time: Duration) {
+        self.now = self.now + time;
+    }
+
+    /// Replaces the topology by one without any target.
+    pub fn remove_all_targets(&mut self) {
+        self.router.set_topology(self.now, Topology::new());
+    }
+
     /// Creates a router that has received reports of all its replicas as complete and idle.
     pub fn with_replicas(replica_count: u64) -> Self {
         let settings = RouterSettings::default();
@@ -271,6 +281,11 @@
             .collect()
     }
 
+    /// The last attempt of a request.
+    pub fn last_attempt(&self, number: u64) -> Option<&Attempt> {
+        self.sent.get(&number)?.last()
+    }
+
     /// Number of attempts that were sent for a request.
     pub fn attempts(&self, number: u64) -> usize {
         self.sent.get(&number).map_or(0, Vec::len)
