fix(control): silence suspects a group, only better evidence dissolves it

Cause: 300 ms of silence, two probes and a majority of other hosts that answer dissolved a serving group, which a host that is paused for a second gives too.

Change: the same evidence now only suspects the group: routers are notified (Notice::silent, repeated every 500 ms while it lasts), nothing is dissolved. Lost is a member whose connection two probes in a row find refused, one that restarted, one that the list or the engine shows gone, and one that is silent for silence_confirm (2.5 s). A status request now returns why there is no status. An answer without a group ends the suspicion too. The product's own interface has the same two stages. Router::on_replica_silent is a stub here.

Existing tests: a failed fabric domain is detected in 0.6 s (bound unchanged) where its processes ended; the end of a cut is followed by the notice within the former bound of 1 s, and by the loss within silence_confirm more. Both bounds on silence alone contradicted the users' rule.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -604,8 +604,8 @@
     ),
     "a-restarted-member-is-a-loss": (
         CORE + "controller/ordered.rs",
-        "} else if status.group.is_some() || has_restarted {",
-        "} else if status.group.is_some() {",
+        "if shows_other && (status.group.is_some() || has_restarted) {",
+        "if shows_other && status.group.is_some() {",
         "ordered", "by_its_answer",
     ),
     "silence-only-while-others-answer": (
@@ -614,6 +614,24 @@
         "if false && !self.own_connectivity.trusts_silence(asked_at) {",
         "ordered", "a_holder_with",
     ),
+    "silence-alone-is-no-loss": (
+        CORE + "controller/silence.rs",
+        ".silence_confirm\n            .max(self.settings.loss_confirm)",
+        ".loss_confirm",
+        "silent_hosts", "silent_for_a_second",
+    ),
+    "silence-counts-from-the-suspicion": (
+        CORE + "controller/ordered.rs",
+        "let from = suspected_from.max(last_output_at).max(reachable_since);",
+        "let from = last_output_at.max(reachable_since);",
+        "silent_hosts", "unreachable_for_long",
+    ),
+    "refused-connections-are-a-loss": (
+        CORE + "controller/ordered.rs",
+        "self.silences.has_ended(host)\n            ||",
+        "false\n            ||",
+        "silent_hosts", "whose_process_ended",
+    ),
     "most-must-answer": (
         CORE + "controller/own_connectivity.rs",
         "self.answered * 4 >= self.probed * 3",
--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -10,6 +10,7 @@
 //! - `ordered_plan`: the next assignment for these engines
 //! - `reported`: the next assignment for engines that report their progress
 //! - `reachability`: hosts that this daemon cannot reach, for engines that join by order
+//! - `silence`: how long hosts have answered nothing, and when that proves a loss
 //! - `own_connectivity`: whether a missing answer is evidence against the host or against this daemon
 //! - `service_plan`: replica counts derived from the models' work shares
 //! - `departures`: hosts that leave groups, and when other groups may use them
@@ -30,6 +31,7 @@
 mod reachability;
 mod reported;
 mod service_plan;
+mod silence;
 mod staging;
 mod survey;
 
@@ -40,7 +42,7 @@
 use std::time::Duration;
 
 use crate::core::demand::FleetWork;
-use crate::core::engine::{Command, EngineStatus, Order, OrderReply};
+use crate::core::engine::{Command, EngineStatus, NoStatus, Order, OrderReply};
 use crate::core::fleet_state::FleetState;
 use crate::core::objects::{Assignment, GroupPhase, Member, Versioned};
 use crate::core::placement::replica_demand::{
@@ -58,6 +60,7 @@
 use ordered::ListedHost;
 use own_connectivity::OwnConnectivity;
 use service_plan::ServicePlans;
+use silence::Silences;
 use survey::Survey;
 
 /// Action that the controller requests from the daemon.
@@ -93,6 +96,9 @@
     AskRecentOutput,
     /// Notifies all routers that a group has lost a member and is stalled.
     NotifyLost(GroupNumber),
+    /// Notifies all routers that a member of a group currently answers nothing. Repeated while
+    /// the silence lasts.
+    NotifySilent(GroupNumber),
     /// Writes a line to the decision log.
     Log(String),
 }
@@ -139,6 +145,10 @@
     last_output_at: Option<Timestamp>,
     /// The first member that left a probe unanswered.
     silent_member: Option<HostId>,
+    /// Latest time at which evidence showed that a member is silent or missing.
+    silent_at: Option<Timestamp>,
+    /// When routers were last notified that the group is silent.
+    silence_notified_at: Option<Timestamp>,
     /// Number of consecutive refusals of orders for the group.
     refusals: u32,
 }
@@ -187,6 +197,8 @@
     unreachable: BTreeMap<HostId, Timestamp>,
     /// Hosts that left an order or a probe unanswered, with the time of their next probe.
     next_probe_at: BTreeMap<HostId, Timestamp>,
+    /// Hosts that currently answer no probe.
+    silences: Silences,
     /// Whether missing answers are evidence against hosts or against this daemon.
     own_connectivity: OwnConnectivity,
     /// Log lines for decisions made between two ticks.
@@ -261,6 +273,7 @@
             health: BTreeMap::new(),
             unreachable: BTreeMap::new(),
             next_probe_at: BTreeMap::new(),
+            silences: Silences::default(),
             own_connectivity: OwnConnectivity::default(),
             log_lines: Vec::new(),
             answered_at: BTreeMap::new(),
@@ -317,6 +330,7 @@
         }
         self.update_hosts(now, state, list_state);
         let mut actions = self.notify_lost();
+        actions.extend(self.notify_silent(now));
         let log_lines = std::mem::take(&mut self.log_lines);
         actions.extend(log_lines.into_iter().map(ControllerAction::Log));
         if std::mem::take(&mut self.asks_recent_output) {
@@ -512,6 +526,7 @@
             return;
         }
         self.unreachable.remove(&status.host);
+        self.silences.end(&status.host);
         self.record_answered_call(asked_at, &status.host);
         self.record_surveyed(&status.host, Some(&status));
         self.update_group_health(now, asked_at, &status);
@@ -523,21 +538,27 @@
         if self.settings.assembly == Assembly::Orders {
             self.schedule_probe(now, host);
         } else {
-            self.on_no_status(now, asked_at, host);
+            self.on_no_status(now, asked_at, host, NoStatus::Unanswered);
         }
     }
 
     /// Handles a probe, sent at `asked_at`, that was not answered.
-    pub fn on_no_status(&mut self, now: Timestamp, asked_at: Timestamp, host: &HostId) {
+    pub fn on_no_status(
+        &mut self,
+        now: Timestamp,
+        asked_at: Timestamp,
+        host: &HostId,
+        cause: NoStatus,
+    ) {
         if self.settings.assembly == Assembly::Orders {
-            self.on_probe_unanswered(now, asked_at, host);
+            self.on_probe_unanswered(now, asked_at, host, cause);
             return;
         }
         if self.has_answered_since(asked_at, host) {
             return;
         }
         self.record_surveyed(host, None);
-        self.on_no_report(now, asked_at, host);
+        self.on_no_report(now, asked_at, host, cause);
     }
 
     /// Computes the next value of the assignment, if it should change, and the log lines that
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -10,7 +10,7 @@
 
 use super::reachability::SUSPECT_PROBE_INTERVAL;
 use super::{CallPurpose, Controller, ControllerAction};
-use crate::core::engine::{Command, EngineStatus, LoadCommand, Order};
+use crate::core::engine::{Command, EngineStatus, LoadCommand, NoStatus, Order};
 use crate::core::fleet_state::FleetState;
 use crate::core::objects::{Assignment, Group, GroupPhase, HostRecord};
 use crate::core::types::{
@@ -106,6 +106,7 @@
             self.record_load_crash(now, host, number);
         }
         self.unreachable.remove(host);
+        self.silences.end(host);
         self.departed.remove(host);
         let stored = self.stored.as_ref();
         let groups = stored.iter().flat_map(|stored| &stored.value.groups);
@@ -489,43 +490,51 @@
         let purpose = CallPurpose::Probe(*number);
         self.next_call_at
             .insert(status.host.clone(), (purpose, next));
+        let members = group.members.iter().map(|member| &member.host);
+        let still_silent = members
+            .filter(|host| self.silences.contains(now, host))
+            .min()
+            .cloned();
         let health = self.health.entry(*number).or_default();
-        if status.shows_member(*number) || is_joining {
-            if health.silent_member.as_ref() == Some(&status.host) {
-                health.silent_member = None;
-                health.incomplete_since = None;
-            }
-        } else if status.group.is_some() || has_restarted {
+        let shows_other = !status.shows_member(*number) && !is_joining;
+        if shows_other && (status.group.is_some() || has_restarted) {
             health.mark_lost(&status.host);
+        } else if health.silent_member.as_ref() == Some(&status.host) {
+            match still_silent {
+                None => health.clear_silence(),
+                other => health.silent_member = other,
+            }
         }
     }
 
     /// Handles a probe, sent at `asked_at`, that was not answered. A single probe may be lost on
-    /// the network, so a loss requires two. A probe that ended long after its timeout shows that
-    /// this daemon was paused, and is ignored.
+    /// the network, so a suspicion requires two. A probe that ended long after its timeout shows
+    /// that this daemon was paused, and is ignored.
     pub(super) fn on_probe_unanswered(
         &mut self,
         now: Timestamp,
         asked_at: Timestamp,
         host: &HostId,
+        cause: NoStatus,
     ) {
         if now.since(asked_at) >= self.settings.loss_confirm * 2 {
             return;
         }
         self.record_silence(now, host);
+        self.silences.record(now, asked_at, host, cause);
         self.record_probe(now, host, false);
         let Some(stored) = &self.stored else {
             return;
         };
         let groups = stored.value.groups.iter();
         let mut groups_of_host = groups.filter(|(_, group)| group.contains(host));
-        let Some((number, group)) = groups_of_host.next() else {
+        let Some((number, phase)) = groups_of_host.next().map(|(n, group)| (*n, group.phase))
+        else {
             return;
         };
-        let is_live = self.is_live(host);
-        let health = self.health.entry(*number).or_default();
-        let is_suspect = health.is_suspect(now);
-        if group.phase == GroupPhase::Serving && !is_suspect {
+        let health = self.health.entry(number).or_default();
+        let is_suspect = health.is_suspect(now) || health.is_silent(now);
+        if phase == GroupPhase::Serving && !is_suspect {
             // The host may be unreachable for this daemon alone. A real loss stalls requests
             // immediately, and no router reported that. In replays of such a cut, five of eleven
             // dissolved groups were serving.
@@ -534,7 +543,7 @@
         if health.last_output_at > health.incomplete_since {
             // The group produced output after the member was first found silent, so the member is
             // not lost.
-            health.incomplete_since = None;
+            health.clear_silence();
         }
         if health.incomplete_since.is_none() {
             self.asks_recent_output = true;
@@ -543,31 +552,76 @@
         health.silent_member.get_or_insert_with(|| host.clone());
         let is_second = asked_at > since;
         if is_second && now.since(since) >= self.settings.loss_confirm {
-            // Guards against a daemon that gets no answers at all: while its link was saturated
-            // by a large configuration, one dissolved nine groups that had lost no member.
-            if !self.own_connectivity.trusts_silence(asked_at) {
-                let line = self.own_connectivity.distrust_message();
-                self.log_lines.extend(line);
-                return;
-            }
-            if !health.is_lost {
-                let counts = self.own_connectivity.total();
-                self.log_lines.push(format!(
-                    "group {} lost {host}: silent for {} ms, {} of {} recently probed hosts answered",
-                    number.0,
-                    now.since(since).as_millis(),
-                    counts.answered,
-                    counts.probed
-                ));
-            }
-            if !is_live && group.phase != GroupPhase::Forming {
-                self.departed.insert(host.clone());
-                return;
+            self.on_member_silent(now, asked_at, number, phase, host);
+        }
+    }
+
+    /// Handles a member that left several probes unanswered: its group is suspected, and lost once
+    /// the evidence is such that a short pause of the host cannot have caused it.
+    fn on_member_silent(
+        &mut self,
+        now: Timestamp,
+        asked_at: Timestamp,
+        number: GroupNumber,
+        phase: GroupPhase,
+        host: &HostId,
+    ) {
+        self.probe_control_hosts(now);
+        // Guards against a daemon that gets no answers at all: while its link was saturated by a
+        // large configuration, one dissolved nine groups that had lost no member.
+        if !self.own_connectivity.trusts_silence(asked_at) {
+            let line = self.own_connectivity.distrust_message();
+            self.log_lines.extend(line);
+            return;
+        }
+        let is_leaving = !self.is_live(host) && phase != GroupPhase::Forming;
+        if is_leaving {
+            if self.departed.insert(host.clone()) {
+                self.log_silence(now, number, "lost", host);
             }
-            health.mark_lost(host);
+            return;
+        }
+        let health = self.health.entry(number).or_default();
+        if health.is_lost {
+            return;
+        }
+        let was_silent = health.is_silent(now);
+        health.silent_at = Some(now);
+        // No requests run in a forming group, and it cannot open without the member.
+        if phase == GroupPhase::Forming || self.is_proven_lost(now, number, host) {
+            self.log_silence(now, number, "lost", host);
+            self.health.entry(number).or_default().mark_lost(host);
+        } else if !was_silent {
+            self.log_silence(now, number, "suspects", host);
         }
     }
 
+    /// Whether a silent host is lost, rather than paused for a moment. Time in which this daemon
+    /// reached no hosts does not count, nor does time before the suspicion or the last output.
+    fn is_proven_lost(&self, now: Timestamp, number: GroupNumber, host: &HostId) -> bool {
+        let health = self.health.get(&number);
+        let suspected_from = health.and_then(|health| health.incomplete_since);
+        let last_output_at = health.and_then(|health| health.last_output_at);
+        let reachable_since = self.own_connectivity.reachable_since();
+        let from = suspected_from.max(last_output_at).max(reachable_since);
+        self.silences.has_ended(host)
+            || self.silences.length(now, host, from) >= self.silence_confirm()
+    }
+
+    fn log_silence(&mut self, now: Timestamp, number: GroupNumber, verb: &str, host: &HostId) {
+        let counts = self.own_connectivity.total();
+        let ms = self.silences.length(now, host, None).as_millis();
+        let evidence = if self.silences.has_ended(host) {
+            "refuses connections,"
+        } else {
+            "answers nothing,"
+        };
+        self.log_lines.push(format!(
+            "group {} {verb} {host}: {evidence} silent for {ms} ms, {} of {} recently probed hosts answered",
+            number.0, counts.answered, counts.probed
+        ));
+    }
+
     /// Whether a host may be called now for this purpose.
     pub(super) fn is_call_due(&self, now: Timestamp, host: &HostId, purpose: CallPurpose) -> bool {
         self.next_call_at
--- a/shalehinge/src/core/controller/own_connectivity.rs
+++ b/shalehinge/src/core/controller/own_connectivity.rs
@@ -16,6 +16,8 @@
 /// How long a probe result is considered. Two probes of a silent host, which prove its loss, take
 /// 300 to 500 ms.
 const RESULT_LIFETIME: Duration = Duration::from_millis(600);
+/// Age from which a result is refreshed, so that a long silence is always judged by recent ones.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(300);
 /// Number of additional hosts that are probed in each fabric domain. One in four may be lost
 /// without casting doubt on the others.
 const CONTROL_PROBES: usize = 4;
@@ -103,6 +105,11 @@
         self.reachable_since.is_some_and(|since| asked_at >= since)
     }
 
+    /// Time since which recent probes show that this daemon reaches hosts.
+    pub(super) fn reachable_since(&self) -> Option<Timestamp> {
+        self.reachable_since
+    }
+
     /// Log line for a missing answer that is not trusted. Returned once, until hosts answer
     /// again.
     pub(super) fn distrust_message(&mut self) -> Option<String> {
@@ -117,7 +124,7 @@
 
     fn was_recently_probed(&self, now: Timestamp, host: &HostId) -> bool {
         let result = self.results.get(host);
-        result.is_some_and(|result| now.since(result.ended_at) < RESULT_LIFETIME)
+        result.is_some_and(|result| now.since(result.ended_at) < REFRESH_INTERVAL)
     }
 }
 
--- a/shalehinge/src/core/controller/reachability.rs
+++ b/shalehinge/src/core/controller/reachability.rs
@@ -51,6 +51,7 @@
             self.log_lines.push(format!("{host} answers again"));
         }
         self.next_probe_at.remove(host);
+        self.silences.end(host);
         self.answered_at.insert(host.clone(), now);
     }
 
--- a/shalehinge/src/core/controller/reported.rs
+++ b/shalehinge/src/core/controller/reported.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::Controller;
-use crate::core::engine::EngineStatus;
+use crate::core::engine::{EngineStatus, NoStatus};
 use crate::core::fleet_state::FleetState;
 use crate::core::objects::{Assignment, GroupPhase};
 use crate::core::placement::planner::HeldWeights;
@@ -75,9 +75,10 @@
         let Some((number, _)) = serving else {
             return;
         };
+        let silence_confirm = self.silence_confirm();
         let health = self.health.entry(*number).or_default();
         if status.shows_complete(*number) {
-            health.incomplete_since = None;
+            health.clear_silence();
             return;
         }
         if status.shows_released(*number) {
@@ -87,7 +88,11 @@
             return;
         }
         let since = *health.incomplete_since.get_or_insert(asked_at);
-        health.is_lost |= now.since(since) >= self.settings.loss_confirm;
+        let incomplete_for = now.since(since);
+        if incomplete_for >= self.settings.loss_confirm {
+            health.silent_at = Some(now);
+        }
+        health.is_lost |= incomplete_for >= silence_confirm;
     }
 
     /// Records that a host answered a call that was sent at `asked_at`.
@@ -106,8 +111,15 @@
     /// Handles a call, sent at `asked_at`, that was not answered. The loss of a member of a group
     /// that serves is reported by its rank 0, which the other members need not answer this daemon
     /// for.
-    pub(super) fn on_no_report(&mut self, now: Timestamp, asked_at: Timestamp, host: &HostId) {
+    pub(super) fn on_no_report(
+        &mut self,
+        now: Timestamp,
+        asked_at: Timestamp,
+        host: &HostId,
+        cause: NoStatus,
+    ) {
         self.unreachable.insert(host.clone(), now);
+        self.silences.record(now, asked_at, host, cause);
         let Some(stored) = &self.stored else {
             return;
         };
@@ -124,9 +136,16 @@
         if group.phase == GroupPhase::Serving && !is_rank_zero {
             return;
         }
+        let is_proven = self.silences.has_ended(host)
+            || self.silences.length(now, host, None) >= self.silence_confirm();
         let health = self.health.entry(*number).or_default();
         let since = *health.incomplete_since.get_or_insert(asked_at);
-        if now.since(since) >= self.settings.loss_confirm {
+        if now.since(since) < self.settings.loss_confirm {
+            return;
+        }
+        health.silent_at = Some(now);
+        // No requests run in a group that does not serve.
+        if group.phase != GroupPhase::Serving || is_proven {
             health.is_lost = true;
             health.lost_member = Some(host.clone());
         }
--- a/shalehinge/src/core/daemon/configuration.rs
+++ b/shalehinge/src/core/daemon/configuration.rs
@@ -415,6 +415,7 @@
             quarantine: QuarantineReport::default(),
             limits: LimitsNotice::default(),
             claims: ClaimsNotice::default(),
+            silent: Vec::new(),
         }
     }
 }
--- a/shalehinge/src/core/daemon/control.rs
+++ b/shalehinge/src/core/daemon/control.rs
@@ -236,6 +236,14 @@
                 };
                 self.broadcast_lost_replica(now, replica, out);
             }
+            ControllerAction::NotifySilent(number) => {
+                let failure_domain = self.identity.failure_domain.clone();
+                let replica = ReplicaId {
+                    failure_domain,
+                    number,
+                };
+                self.broadcast_silent_replica(now, replica, out);
+            }
             ControllerAction::Log(text) => log(out, Component::Place, text),
         }
     }
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -388,12 +388,14 @@
                 status,
             } => match purpose {
                 StatusPurpose::Report(upstream) => {
-                    self.on_report(now, asked_at, &upstream, status, out);
+                    self.on_report(now, asked_at, &upstream, status.ok(), out);
                 }
                 StatusPurpose::Probe(_) => match (status, host) {
-                    (Some(status), _) => self.controller.on_status(now, asked_at, status),
-                    (None, Some(host)) => self.controller.on_no_status(now, asked_at, &host),
-                    (None, None) => {}
+                    (Ok(status), _) => self.controller.on_status(now, asked_at, status),
+                    (Err(cause), Some(host)) => {
+                        self.controller.on_no_status(now, asked_at, &host, cause);
+                    }
+                    (Err(_), None) => {}
                 },
             },
             Event::OrderAnswered {
--- a/shalehinge/src/core/daemon/peers.rs
+++ b/shalehinge/src/core/daemon/peers.rs
@@ -5,6 +5,7 @@
 
 use rand::seq::IndexedRandom;
 
+use super::configuration::send_notice;
 use super::{
     CONFIRM_PULL_INTERVAL, Daemon, LAST_OUTPUT_MAX_AGE, LAST_OUTPUT_PEERS, LEASE_CANDIDATES,
     SUSPECT_REPORT_INTERVAL, WATCH_DUTY,
@@ -395,6 +396,34 @@
         self.mark_replica_lost(now, &replica, out);
     }
 
+    /// Notifies all peers of a replica with a member that currently answers nothing. It may go on,
+    /// so it is not lost, but new requests are better sent elsewhere.
+    pub(super) fn broadcast_silent_replica(
+        &mut self,
+        now: Timestamp,
+        replica: ReplicaId,
+        out: &mut Vec<Action>,
+    ) {
+        let peers = self
+            .membership
+            .live_peers(now)
+            .map(|peer| peer.address)
+            .collect();
+        let notice = Notice {
+            silent: vec![replica.clone()],
+            ..self.notice()
+        };
+        send_notice(peers, &notice, out);
+        self.mark_replica_silent(now, &replica, out);
+    }
+
+    fn mark_replica_silent(&mut self, now: Timestamp, replica: &ReplicaId, out: &mut Vec<Action>) {
+        let mut actions = Vec::new();
+        self.router
+            .on_replica_silent(now, replica, &mut self.rng, &mut actions);
+        self.handle_router_actions(now, actions, out);
+    }
+
     fn mark_replica_lost(&mut self, now: Timestamp, replica: &ReplicaId, out: &mut Vec<Action>) {
         let mut actions = Vec::new();
         self.router
@@ -408,6 +437,9 @@
         for replica in &notice.lost {
             self.mark_replica_lost(now, replica, out);
         }
+        for replica in &notice.silent {
+            self.mark_replica_silent(now, replica, out);
+        }
         self.on_quarantine_notice(now, notice.from, notice.quarantine, out);
         self.on_limits_notice(now, notice.from, notice.limits, out);
         self.on_claims_notice(now, notice.from, notice.claims, out);
--- a/shalehinge/src/core/engine.rs
+++ b/shalehinge/src/core/engine.rs
@@ -11,6 +11,16 @@
     Address, EngineStart, Epoch, FailureDomain, GroupNumber, HostId, ModelName, ModelVersion,
 };
 
+/// Why a status request brought no valid status.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoStatus {
+    /// The host refused the connection: no process listens at the address. A paused process keeps
+    /// its socket, whose connections the kernel still accepts.
+    Refused,
+    /// No valid status arrived in time. The process may have ended, be paused or be cut off.
+    Unanswered,
+}
+
 /// An order to the engine on one host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -6,7 +6,7 @@
 
 use super::claim_witnesses::ClaimsNotice;
 use super::demand::WorkReport;
-use super::engine::{EngineStatus, Order, OrderReply};
+use super::engine::{EngineStatus, NoStatus, Order, OrderReply};
 use super::fingerprint::Fingerprint;
 use super::fleet_state::{ObjectUpdate, VersionDigest};
 use super::forward::{Forward, ForwardEnd, ForwardedMeta};
@@ -176,6 +176,10 @@
     /// Messages about claims that peers remember.
     #[serde(default)]
     pub claims: ClaimsNotice,
+    /// Replicas with a member that currently answers nothing, as established by the lease holder
+    /// of their failure domain. Repeated while the silence lasts.
+    #[serde(default)]
+    pub silent: Vec<ReplicaId>,
 }
 
 /// Messages between daemons about rate limits that upstreams advertise. Each limit is owned by
@@ -253,8 +257,8 @@
         asked_at: Timestamp,
         /// The engine's host, where it is known.
         host: Option<HostId>,
-        /// The status; `None` if the engine did not answer.
-        status: Option<EngineStatus>,
+        /// The status, or why there is none.
+        status: Result<EngineStatus, NoStatus>,
     },
     /// An order to an engine completed or failed.
     OrderAnswered {
--- a/shalehinge/src/core/router/stalled.rs
+++ b/shalehinge/src/core/router/stalled.rs
@@ -71,6 +71,16 @@
         self.dispatch_all(now, rng, out);
     }
 
+    /// Handles a notice that a replica's member currently answers nothing.
+    pub fn on_replica_silent(
+        &mut self,
+        _now: Timestamp,
+        _replica: &ReplicaId,
+        _rng: &mut impl rand::Rng,
+        _out: &mut Vec<RouterAction>,
+    ) {
+    }
+
     fn retry_elsewhere(
         &mut self,
         now: Timestamp,
--- a/shalehinge/src/settings/control.rs
+++ b/shalehinge/src/settings/control.rs
@@ -26,8 +26,12 @@
     pub order_interval: Duration,
     /// Time between two probes of a group that appears complete.
     pub probe_interval: Duration,
-    /// How long a serving group must appear incomplete before it is dissolved.
+    /// How long a group must appear incomplete before it is suspected: a forming group is then
+    /// dissolved, a serving one gets no new requests.
     pub loss_confirm: Duration,
+    /// How long a serving group must appear incomplete before it is dissolved, where nothing but
+    /// silence shows the loss. Shorter pauses of its hosts dissolve no group.
+    pub silence_confirm: Duration,
     /// How long a forming group may go without progress before it is dissolved.
     pub forming_timeout: Duration,
     /// Time between marking a group as retiring and ordering its engine to release it.
@@ -65,6 +69,7 @@
             order_interval: Duration::from_millis(250),
             probe_interval: Duration::from_secs(10),
             loss_confirm: Duration::from_secs(1),
+            silence_confirm: Duration::from_millis(2_500),
             forming_timeout: Duration::from_secs(600),
             retire_grace: Duration::from_secs(2),
             avoid_unreachable: Duration::from_secs(30),
@@ -90,6 +95,7 @@
             order_interval: section.duration("order_interval", default.order_interval),
             probe_interval: section.duration("probe_interval", default.probe_interval),
             loss_confirm: section.duration("loss_confirm", default.loss_confirm),
+            silence_confirm: section.duration("silence_confirm", default.silence_confirm),
             forming_timeout: section.duration("forming_timeout", default.forming_timeout),
             retire_grace: section.duration("retire_grace", default.retire_grace),
             avoid_unreachable: section.duration("avoid_unreachable", default.avoid_unreachable),
--- a/shalehinge/src/upstream/connection_check.rs
+++ b/shalehinge/src/upstream/connection_check.rs
@@ -1,10 +1,14 @@
 //! Checks whether anything listens at an upstream's address.
 
+use std::future::{Future, pending};
 use std::io::ErrorKind;
 use std::time::Duration;
 
+use futures_lite::future::or;
+use smol::Timer;
 use smol::net::TcpStream;
 
+use crate::core::engine::{EngineStatus, NoStatus};
 use crate::core::types::Address;
 use crate::utils::time::with_timeout;
 
@@ -24,3 +28,30 @@
     let connection = with_timeout(REPLY_TIMEOUT, TcpStream::connect(address)).await;
     matches!(connection, Some(Ok(_)))
 }
+
+/// Completes a status request. If it is not answered within a quarter of `timeout`, which healthy
+/// engines are far below, checks in parallel whether the address refuses connections.
+pub async fn status_or_cause(
+    request: impl Future<Output = Option<EngineStatus>>,
+    address: Address,
+    timeout: Duration,
+) -> Result<EngineStatus, NoStatus> {
+    let answered = async {
+        match request.await {
+            Some(status) => Ok(status),
+            None => pending().await,
+        }
+    };
+    let refused = async {
+        Timer::after(timeout / 4).await;
+        if !refuses_connections(address).await {
+            pending::<()>().await;
+        }
+        Err(NoStatus::Refused)
+    };
+    let unanswered = async {
+        Timer::after(timeout).await;
+        Err(NoStatus::Unanswered)
+    };
+    or(answered, or(refused, unanswered)).await
+}
--- a/shalehinge/src/upstream/engine.rs
+++ b/shalehinge/src/upstream/engine.rs
@@ -8,7 +8,8 @@
 use trillium_client::{Client, Conn};
 
 use super::EngineClient;
-use crate::core::engine::{EngineStatus, Order, OrderReply};
+use super::connection_check::status_or_cause;
+use crate::core::engine::{EngineStatus, NoStatus, Order, OrderReply};
 use crate::core::types::{Address, HostId};
 use crate::utils::http::{exchange, pooled_client, url};
 
@@ -45,9 +46,14 @@
 }
 
 impl EngineClient for HttpEngineClient {
-    fn status(&self, _host: Option<HostId>, address: Address) -> Boxed<Option<EngineStatus>> {
+    fn status(
+        &self,
+        _host: Option<HostId>,
+        address: Address,
+    ) -> Boxed<Result<EngineStatus, NoStatus>> {
         let conn = self.client.get(url(address, STATUS_PATH));
-        Box::pin(read_json(conn, self.timeout))
+        let request = read_json(conn, self.timeout);
+        Box::pin(status_or_cause(request, address, self.timeout))
     }
 
     fn order(&self, _host: HostId, address: Address, order: Order) -> Boxed<Option<OrderReply>> {
--- a/shalehinge/src/upstream/mod.rs
+++ b/shalehinge/src/upstream/mod.rs
@@ -14,15 +14,18 @@
 
 use futures_lite::future::Boxed;
 
-use crate::core::engine::{EngineStatus, Order, OrderReply};
+use crate::core::engine::{EngineStatus, NoStatus, Order, OrderReply};
 use crate::core::types::{Address, HostId};
 
-/// Requests statuses from engines and sends them orders. Both calls yield `None` if no valid
-/// response arrived.
+/// Requests statuses from engines and sends them orders.
 pub trait EngineClient: Send + Sync {
     /// Requests the status of the engine at an address. `host` is `None` if the host is not known.
-    fn status(&self, host: Option<HostId>, address: Address) -> Boxed<Option<EngineStatus>>;
+    fn status(
+        &self,
+        host: Option<HostId>,
+        address: Address,
+    ) -> Boxed<Result<EngineStatus, NoStatus>>;
 
-    /// Sends an order to the engine at an address.
+    /// Sends an order to the engine at an address; `None` if no valid response arrived.
     fn order(&self, host: HostId, address: Address, order: Order) -> Boxed<Option<OrderReply>>;
 }
--- a/shalehinge/tests/silent_hosts.rs
+++ b/shalehinge/tests/silent_hosts.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use ordered_support::{Domain, LARGE, host};
-use shalehinge::core::types::{GroupNumber, HostId};
+use ordered_support::{Domain, LARGE, SILENCE_CONFIRM, host};
+use shalehinge::core::types::{GroupNumber, HostId, Timestamp};
 
 /// Interval at which routers report suspected groups.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
@@ -100,3 +100,124 @@
     }
     assert_eq!(domain.stored.value.groups, groups);
 }
+
+/// Longest time from the first report of a router until routers are notified of a silent group.
+const NOTICE_BOUND: Duration = Duration::from_millis(600);
+
+/// Times since `from` at which routers were notified that the group is silent.
+fn notices(domain: &Domain, group: GroupNumber, from: Timestamp) -> Vec<Duration> {
+    let notices = domain.reported_silent.iter();
+    let of_group = notices.filter(|(_, number)| *number == group);
+    of_group.map(|(at, _)| at.since(from)).collect()
+}
+
+#[test]
+fn routers_are_notified_of_a_silent_group_until_its_host_answers() {
+    let mut domain = Domain::serving(&[9]);
+    let (number, members) = domain.group_of(LARGE);
+    let began = domain.now;
+    pause(&mut domain, &members[1..2], Duration::from_secs(2));
+    let notices = notices(&domain, number, began);
+    assert!(notices[0] <= NOTICE_BOUND, "{notices:?}");
+    let gaps = notices.windows(2).map(|pair| pair[1] - pair[0]);
+    let longest = gaps.max().expect("repeated");
+    assert!(longest <= Duration::from_millis(600), "{notices:?}");
+    let last = notices[notices.len() - 1];
+    assert!(last <= Duration::from_millis(2_300), "{notices:?}");
+}
+
+/// Guards against a dark host that is noticed late because routers stop reporting it.
+#[test]
+fn a_dark_host_is_notified_at_once_and_replaced_after_the_silence() {
+    for rank in [0, 2] {
+        let mut domain = Domain::serving(&[9]);
+        let (number, members) = domain.group_of(LARGE);
+        domain.cut_off(&members[rank]);
+        let began = domain.now;
+        run_suspected(&mut domain, &[number], Duration::from_millis(500));
+        domain.run_until("group dissolved", |domain| {
+            !domain.stored.value.groups.contains_key(&number)
+        });
+        let took = domain.now.since(began);
+        assert!(took <= SILENCE_CONFIRM + NOTICE_BOUND, "{took:?}");
+        let notices = notices(&domain, number, began);
+        assert!(notices[0] <= NOTICE_BOUND, "{notices:?}");
+        assert_eq!(domain.reported_lost, [number]);
+    }
+}
+
+#[test]
+fn a_host_whose_process_ended_is_lost_at_once() {
+    for rank in [0, 2] {
+        let mut domain = Domain::serving(&[9]);
+        let (number, members) = domain.group_of(LARGE);
+        domain.end_process(&members[rank]);
+        let now = domain.now;
+        domain.controller.suspect(now, number);
+        let took = domain.run_until("group dissolved", |domain| {
+            !domain.stored.value.groups.contains_key(&number)
+        });
+        assert!(took <= NOTICE_BOUND, "{took:?}");
+        assert_eq!(domain.reported_lost, [number]);
+    }
+}
+
+/// Guards against connections that a network refuses on behalf of hosts that it cuts off.
+#[test]
+fn a_holder_whose_connections_are_all_refused_dissolves_nothing() {
+    let mut domain = Domain::serving(&[9, 9]);
+    let groups = domain.stored.value.groups.clone();
+    let hosts: Vec<HostId> = domain.engines.keys().cloned().collect();
+    for id in &hosts {
+        domain.end_process(id);
+    }
+    let suspects = groups_with(&domain, &hosts);
+    run_suspected(&mut domain, &suspects, Duration::from_secs(5));
+    assert_eq!(domain.stored.value.groups, groups);
+}
+
+/// Ends the process of a member of a group in which another one is silent.
+/// Returns the silent host once the group is dissolved.
+fn lose_second_member(domain: &mut Domain) -> HostId {
+    let (number, members) = domain.group_of(LARGE);
+    domain.cut_off(&members[1]);
+    run_suspected(domain, &[number], Duration::from_secs(1));
+    domain.end_process(&members[2]);
+    domain.run_until("group dissolved", |domain| {
+        !domain.stored.value.groups.contains_key(&number)
+    });
+    members[1].clone()
+}
+
+#[test]
+fn a_silent_host_joins_no_new_group() {
+    let mut domain = Domain::serving(&[9, 9]);
+    let silent = lose_second_member(&mut domain);
+    domain.run_for(Duration::from_secs(5));
+    let mut groups = domain.stored.value.groups.values();
+    assert!(!groups.any(|group| group.contains(&silent)));
+}
+
+/// Guards against other hosts that are not probed because the lost ones stand for them.
+#[test]
+fn two_lost_members_of_a_group_are_noticed_in_a_single_fabric_domain() {
+    let mut domain = Domain::serving(&[9]);
+    lose_second_member(&mut domain);
+}
+
+/// Guards against silence that is counted from before the group was suspected.
+#[test]
+fn a_member_unreachable_for_long_is_no_loss_when_another_pauses() {
+    let mut domain = Domain::serving(&[9]);
+    let (number, members) = domain.group_of(LARGE);
+    domain.cut_off(&members[1]);
+    let now = domain.now;
+    domain.controller.on_order_unanswered(now, now, &members[1]);
+    domain.run_for(Duration::from_secs(5));
+    domain.cut_off(&members[2]);
+    run_suspected(&mut domain, &[number], Duration::from_secs(1));
+    domain.engine(&members[2]).is_reachable = true;
+    domain.producing_output = vec![number];
+    domain.run_for(Duration::from_secs(5));
+    assert!(domain.stored.value.groups.contains_key(&number));
+}
--- a/shalehinge/tests/superseded.rs
+++ b/shalehinge/tests/superseded.rs
@@ -166,6 +166,7 @@
         quarantine: QuarantineReport::default(),
         limits: LimitsNotice::default(),
         claims: ClaimsNotice::default(),
+        silent: Vec::new(),
     })
 }
 
