fix(peer): silence of a peer ends no forwarded request

Callers of a daemon that hands its requests to a peer got 502, or a stream that broke off, when that peer's process was paused for 2.5 s, though the peer went on with the requests afterwards.

Cause: the hop ended the attempt as lost after 1.5 s without a frame. All runs that the route allows then counted as used, so the request was not repeated either: ending it gained nothing.

The hop now logs the silence once per wait and reads on. The attempt ends with the peer's answer, the end of its connection (a peer whose process ends is noticed as before) or the deadline, at which the router cancels it.

--- a/shalehinge/src/peer/forward_client.rs
+++ b/shalehinge/src/peer/forward_client.rs
@@ -1,5 +1,10 @@
 //! Hands a request to a peer and passes the peer's answer on.
+//!
+//! A peer that sends nothing may only be paused, and goes on with the request afterwards. Its silence
+//! is logged and ends nothing: the attempt ends with the answer, the connection, or the request's
+//! deadline, at which the router cancels it.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use futures_lite::AsyncReadExt;
@@ -14,9 +19,9 @@
 use crate::utils::http::{is_not_connected, url};
 use crate::utils::time::with_timeout;
 
-/// Time without any frame after which a peer is taken for unreachable: three times the interval of
-/// its signs of life.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without any frame after which a peer counts as silent: three times the interval of its signs
+/// of life.
+const SILENT_AFTER: Duration = Duration::from_millis(1_500);
 /// HTTP status of an answer that consists of frames.
 const OK: u16 = 200;
 
@@ -40,10 +45,10 @@
         }
     };
     let conn = client.post(url(forward.peer, FORWARD_PATH)).with_body(body);
-    let mut conn = match with_timeout(SILENCE_TIMEOUT, conn.into_future()).await {
-        Some(Ok(conn)) => conn,
-        Some(Err(error)) if is_not_connected(&error) => return ForwardEnd::NotSent,
-        Some(Err(_)) | None => return ForwardEnd::Lost,
+    let mut conn = match log_silence(forward, conn.into_future()).await {
+        Ok(conn) => conn,
+        Err(error) if is_not_connected(&error) => return ForwardEnd::NotSent,
+        Err(_) => return ForwardEnd::Lost,
     };
     // A peer that answers otherwise has not taken the request.
     if conn.status().map(u16::from) != Some(OK) {
@@ -53,8 +58,7 @@
         return ForwardEnd::Lost;
     };
     loop {
-        let frame = with_timeout(SILENCE_TIMEOUT, read_frame(&mut body)).await;
-        let Some(Some(frame)) = frame else {
+        let Some(frame) = log_silence(forward, read_frame(&mut body)).await else {
             return ForwardEnd::Lost;
         };
         let part = match frame {
@@ -72,6 +76,17 @@
     }
 }
 
+/// Waits for what the peer sends next, and logs if it is silent before.
+async fn log_silence<T>(forward: &Forward, next: impl Future<Output = T>) -> T {
+    let mut next = pin!(next);
+    if let Some(received) = with_timeout(SILENT_AFTER, &mut next).await {
+        return received;
+    }
+    let (request, peer, ms) = (forward.request.0, forward.peer, SILENT_AFTER.as_millis());
+    log::warn!(target: "shalehinge", "route: request {request} waits for the peer at {peer}, which has been silent for {ms} ms");
+    next.await
+}
+
 /// Reads the next frame; `None` if the answer ended or is not valid.
 async fn read_frame(body: &mut ResponseBody<'static>) -> Option<ForwardFrame> {
     let mut length = [0; FRAME_LENGTH_BYTES];
