--- a/shalehinge/tests/taken_requests.rs
+++ b/shalehinge/tests/taken_requests.rs
@@ -12,7 +12,7 @@
 const COMPLETED: AttemptEnd = AttemptEnd::Completed { output_tokens: 8 };
 /// How long the daemon is paused: longer than reports of upstreams count.
 const PAUSE: Duration = Duration::from_secs(3);
-/// How long keys are valid after the platform was last heard.
+/// How long keys are valid after the last answer of the platform.
 const KEYS_VALID_FOR: Duration = Duration::from_secs(1);
 
 #[test]
