fix(control): notice ended processes without a stall, compare with more hosts

And the four hosts probed for comparison could be the lost group's own members, so two lost members of one group were never noticed in a single fabric domain.

Change: two refused connections in a row count without a router's suspicion, under the same guard (most other hosts answer). Three more hosts are probed for each silent one, and silent hosts don't stand for others.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -632,6 +632,17 @@
         "false\n            ||",
         "silent_hosts", "whose_process_ended",
     ),
+    "ended-processes-need-no-stall": (
+        CORE + "controller/ordered.rs",
+        "!is_suspect && !has_ended {", "!is_suspect {",
+        "silent_hosts", "lost_without_a_stall",
+    ),
+    "comparison-grows-with-the-silent": (
+        CORE + "controller/own_connectivity.rs",
+        "const PROBES_PER_SILENT_HOST: usize = 3;",
+        "const PROBES_PER_SILENT_HOST: usize = 0;",
+        "silent_hosts", "in_a_single_fabric_domain",
+    ),
     "most-must-answer": (
         CORE + "controller/own_connectivity.rs",
         "self.answered * 4 >= self.probed * 3",
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -534,10 +534,11 @@
         };
         let health = self.health.entry(number).or_default();
         let is_suspect = health.is_suspect(now) || health.is_silent(now);
-        if phase == GroupPhase::Serving && !is_suspect {
+        let has_ended = self.silences.has_ended(host);
+        if phase == GroupPhase::Serving && !is_suspect && !has_ended {
             // The host may be unreachable for this daemon alone. A real loss stalls requests
-            // immediately, and no router reported that. In replays of such a cut, five of eleven
-            // dissolved groups were serving.
+            // immediately, unless the process ended, and no router reported that. In replays of
+            // such a cut, five of eleven dissolved groups were serving.
             return;
         }
         if health.last_output_at > health.incomplete_since {
--- a/shalehinge/src/core/controller/own_connectivity.rs
+++ b/shalehinge/src/core/controller/own_connectivity.rs
@@ -21,6 +21,8 @@
 /// Number of additional hosts that are probed in each fabric domain. One in four may be lost
 /// without casting doubt on the others.
 const CONTROL_PROBES: usize = 4;
+/// Number of further hosts that are probed for each silent one, as three of four must answer.
+const PROBES_PER_SILENT_HOST: usize = 3;
 
 /// Result of the last probe of a host.
 #[derive(Clone, Debug)]
@@ -138,17 +140,31 @@
         }
     }
 
-    /// Probes some hosts of each fabric domain in addition to those of suspected groups.
+    /// Number of additional hosts to probe in each fabric domain.
+    fn control_probes(&self, now: Timestamp) -> BTreeMap<&FabricDomain, usize> {
+        let mut wanted: BTreeMap<&FabricDomain, usize> = BTreeMap::new();
+        for (host, listed) in &self.listed {
+            let fabric_domain = &listed.record.fabric_domain;
+            let wanted = wanted.entry(fabric_domain).or_insert(CONTROL_PROBES);
+            if self.silences.contains(now, host) {
+                *wanted += PROBES_PER_SILENT_HOST;
+            }
+        }
+        wanted
+    }
+
+    /// Probes some hosts of each fabric domain in addition to those of suspected groups. Silent
+    /// hosts are probed anyway.
     pub(super) fn probe_control_hosts(&mut self, now: Timestamp) {
-        let mut probed: BTreeMap<&FabricDomain, usize> = BTreeMap::new();
+        let mut wanted = self.control_probes(now);
         let mut hosts = Vec::new();
         for (host, listed) in &self.listed {
-            if !self.is_live(host) {
+            if !self.is_live(host) || self.silences.contains(now, host) {
                 continue;
             }
-            let probed = probed.entry(&listed.record.fabric_domain).or_default();
-            if *probed < CONTROL_PROBES {
-                *probed += 1;
+            let wanted = wanted.entry(&listed.record.fabric_domain).or_default();
+            if *wanted > 0 {
+                *wanted -= 1;
                 if !self.own_connectivity.was_recently_probed(now, host) {
                     hosts.push(host.clone());
                 }
--- a/shalehinge/tests/silent_hosts.rs
+++ b/shalehinge/tests/silent_hosts.rs
@@ -162,6 +162,20 @@
     }
 }
 
+/// Guards against an ended process whose requests fail at once, so that no router sees a stall.
+#[test]
+fn a_host_whose_process_ended_is_lost_without_a_stall() {
+    let mut domain = Domain::serving(&[9]);
+    let (number, members) = domain.group_of(LARGE);
+    domain.end_process(&members[0]);
+    let now = domain.now;
+    domain.controller.on_order_unanswered(now, now, &members[0]);
+    let took = domain.run_until("group dissolved", |domain| {
+        !domain.stored.value.groups.contains_key(&number)
+    });
+    assert!(took <= Duration::from_secs(1), "{took:?}");
+}
+
 /// Guards against connections that a network refuses on behalf of hosts that it cuts off.
 #[test]
 fn a_holder_whose_connections_are_all_refused_dissolves_nothing() {
