fix(router): parts of a replaced attempt are never passed on

A rejected report is no longer noted, and a failure's body is checked too. The end of a request's peer beside a running attempt counts its runs and is remembered. No test of its own: the window lies in the driver, between two polls of a task.

A dark fabric domain is suspected as fast as one host, a test beside the one of ended processes.

--- a/shalehinge/src/core/router/forwarding.rs
+++ b/shalehinge/src/core/router/forwarding.rs
@@ -214,6 +214,10 @@
                 self.forward_again(request);
             }
             ForwardEnd::Answered(outcome) if goes_on && outcome != Outcome::Completed => {
+                if !matches!(outcome, Outcome::NotRun { .. }) {
+                    pending.possible_runs += forwarded.max_runs;
+                    pending.earlier_outcome = Some(outcome);
+                }
                 self.forward_peers.record_able(forwarded.peer);
             }
             ForwardEnd::Answered(outcome) => {
@@ -221,10 +225,11 @@
                 self.answer(request, outcome, out);
             }
             ForwardEnd::Lost => {
-                pending.possible_runs += forwarded.max_runs;
-                self.mark_unable(now, forwarded.peer, "its answer broke off", out);
                 let reason = UnknownReason::Lost;
                 let outcome = Outcome::Unknown { reason };
+                pending.possible_runs += forwarded.max_runs;
+                pending.earlier_outcome = Some(outcome);
+                self.mark_unable(now, forwarded.peer, "its answer broke off", out);
                 if !goes_on {
                     self.retry_or_answer(now, request, outcome, RetryCost::One, rng, out);
                 }
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -465,9 +465,19 @@
             // No attempt is made beside one that has just reported output.
             return true;
         };
-        self.reported_at_ms.store(now.max(1), Ordering::Relaxed);
+        let is_in_flight = self
+            .driver
+            .dispatch_and_read(event, |core| core.is_in_flight(request, attempt));
+        if is_in_flight {
+            self.reported_at_ms.store(now.max(1), Ordering::Relaxed);
+        }
+        is_in_flight
+    }
+
+    fn is_in_flight(&self) -> bool {
+        let (request, attempt) = (self.request, self.attempt);
         self.driver
-            .dispatch_and_read(event, |core| core.is_in_flight(request, attempt))
+            .read(|_, core| core.is_in_flight(request, attempt))
     }
 }
 
@@ -475,7 +485,12 @@
     async fn pass(&self, part: ResponsePart) -> bool {
         // A failed attempt may be retried, so its response does not count as output yet.
         let is_failure = matches!(&part, ResponsePart::Whole(whole) if whole.status >= 500);
-        if !is_failure && !self.report_output() {
+        let may_pass = if is_failure {
+            self.is_in_flight()
+        } else {
+            self.report_output()
+        };
+        if !may_pass {
             return false;
         }
         // A send error means that the caller has disconnected, which the caller's own task
--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -11,7 +11,7 @@
 use shalehinge::core::demand::{FleetWork, ModelWork};
 use shalehinge::core::engine::EnginePhase;
 use shalehinge::core::objects::GroupPhase;
-use shalehinge::core::types::{HostId, ModelName};
+use shalehinge::core::types::{GroupNumber, HostId, ModelName};
 
 fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
@@ -678,17 +678,15 @@
     assert_eq!(domain.reported_lost, [number]);
 }
 
-#[test]
-fn a_failed_fabric_domain_is_detected_as_fast_as_one_host() {
+/// A fabric domain of which all hosts are cut off or have ended, and its groups, which are suspected.
+fn failed_fabric_domain(fail: fn(&mut Domain, &HostId)) -> (Domain, Vec<GroupNumber>) {
     let mut domain = Domain::serving(&[9, 9]);
     let failed: Vec<HostId> = (0..9).map(host).collect();
     for id in &failed {
-        domain.end_process(id);
+        fail(&mut domain, id);
     }
-    let value = &domain.stored.value;
-    let lost: Vec<_> = value
-        .groups
-        .iter()
+    let groups = domain.stored.value.groups.iter();
+    let lost: Vec<GroupNumber> = groups
         .filter(|(_, group)| failed.contains(&group.members[0].host))
         .map(|(number, _)| *number)
         .collect();
@@ -697,13 +695,42 @@
     for number in &lost {
         domain.controller.suspect(now, *number);
     }
-    let took = domain.run_until("all groups dissolved", |domain| {
+    (domain, lost)
+}
+
+fn time_until_all_dissolved(domain: &mut Domain, lost: &[GroupNumber]) -> Duration {
+    domain.run_until("all groups dissolved", |domain| {
         let groups = &domain.stored.value.groups;
         lost.iter().all(|number| !groups.contains_key(number))
-    });
+    })
+}
+
+#[test]
+fn a_failed_fabric_domain_is_detected_as_fast_as_one_host() {
+    let (mut domain, lost) = failed_fabric_domain(Domain::end_process);
+    let took = time_until_all_dissolved(&mut domain, &lost);
     assert!(took <= Duration::from_millis(600), "{took:?}");
 }
 
+#[test]
+fn a_dark_fabric_domain_is_suspected_as_fast_as_one_host() {
+    let (mut domain, lost) = failed_fabric_domain(Domain::cut_off);
+    let suspected_in = domain.run_until("all groups suspected", |domain| {
+        let silent = || domain.reported_silent.iter().map(|(_, number)| number);
+        lost.iter()
+            .all(|number| silent().any(|known| known == number))
+    });
+    assert!(
+        suspected_in <= Duration::from_millis(600),
+        "{suspected_in:?}"
+    );
+    let dissolved_in = suspected_in + time_until_all_dissolved(&mut domain, &lost);
+    assert!(
+        dissolved_in <= SILENCE_CONFIRM + Duration::from_millis(600),
+        "{dissolved_in:?}"
+    );
+}
+
 /// Restarts a member of a serving group. Returns how long the group was kept after that, and
 /// waits until a complete group serves again.
 fn time_until_dissolved(domain: &mut Domain, rank: usize, started: u64) -> Duration {
