--- a/review/1/case.py
+++ b/review/1/case.py
@@ -111,6 +111,17 @@
             store.put("servers", "x-stray", foreign_entry())
             record.line("another writer has written the entry x-stray")
         time.sleep(2)
+        store.put("servers", replicas[0].name, {**replicas[0].entry(), "state": "draining"})
+        drained = time.monotonic()
+        record.line(f"the replica {replicas[0].name} drains, and serves on for some seconds")
+        time.sleep(6)
+        limit = drained + world.BOUNDS["drain_ms"] / 1000
+        late_runs = sum(at > limit for at in replicas[0].run_times)
+        record.line(f"requests that reached {replicas[0].name} more than drain_ms after the store "
+                    f"had taken that: {late_runs}, DRAIN " + ("is broken" if late_runs else "holds"))
+        replicas[0].end()
+        store.remove("servers", replicas[0].name)
+        time.sleep(2)
         with_entry = time.monotonic()
         for daemon in daemons:
             daemon.send_signal(signal.SIGKILL)
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -171,13 +171,17 @@
 
 
 class Replica:
-    """A plain replica. `serve` decides on the answer; the default runs the request."""
+    """A plain replica: runs `slots` requests at once, queues a few more and rejects the rest."""
 
-    def __init__(self, ip, service, name, zone, record, slots=6, work_s=0.03):
+    def __init__(self, ip, service, name, zone, record, slots=6, work_s=0.03,
+                 keeps_bodies=True):
         self.service, self.name, self.zone, self.record = service, name, zone, record
-        self.slots, self.work_s = slots, work_s
+        self.slots, self.work_s, self.keeps_bodies = slots, work_s, keeps_bodies
         self.runs = []
+        self.run_times = []
         self.lock = threading.Lock()
+        self.places = threading.Semaphore(slots)
+        self.queue = threading.Semaphore(slots * 5)
         replica = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -209,6 +213,10 @@
             "seq": 0,
         }
 
+    def end(self):
+        self.server.shutdown()
+        self.server.server_close()
+
     def handle(self, request):
         length = int(request.headers.get("content-length") or 0)
         if "chunked" in (request.headers.get("transfer-encoding") or ""):
@@ -227,8 +235,19 @@
         request_id = request.headers.get("request-id")
         if expected and expected != self.name:
             return self.reply(request, 421, b"", {"Replica-Id": self.name})
+        if not self.queue.acquire(blocking=False):
+            return self.reply(request, 503, b"", {"Not-Executed": "1", "Request-Id": request_id or ""})
+        try:
+            with self.places:
+                self.run(request, request_id, body)
+        finally:
+            self.queue.release()
+
+    def run(self, request, request_id, body):
+        kept = body if self.keeps_bodies else None
         with self.lock:
-            self.runs.append((request.command, request.path, body, dict(request.headers.items())))
+            self.runs.append((request.command, request.path, kept, dict(request.headers.items())))
+            self.run_times.append(time.monotonic())
         self.record.line(f"replica {self.name} runs {request_id}: {request.command} {request.path}"
                          f" ({len(body)} bytes) Tenant-Id={request.headers.get('tenant-id')}")
         time.sleep(self.work_s)
