--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,7 +2,7 @@
 
 import os
 import random
-import signal
+import shutil
 import sys
 import tempfile
 import threading
@@ -136,8 +136,8 @@
             traffic.stopped.set()
         for daemon in daemons:
             daemon.end()
+        shutil.rmtree(folder, ignore_errors=True)
 
 
 if __name__ == "__main__":
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    os._exit(main())
+    world.run_case(main)
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -9,9 +9,10 @@
 import signal
 import socket
 import subprocess
-import tempfile
+import sys
 import threading
 import time
+import traceback
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
@@ -386,3 +387,15 @@
             return answer.status, dict(answer.headers.items()), answer.read()
     except (OSError, http.client.HTTPException) as error:
         return 0, {}, str(error).encode()
+
+
+def run_case(main):
+    """Ends the script with the result of the case; with 2 where it couldn't run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    try:
+        status = main()
+    except BaseException:  # also SystemExit of the handler
+        traceback.print_exc()
+        status = 2
+    sys.stdout.flush()
+    os._exit(status)
