fix(routes): an empty list of customers admits nobody

Cause: whether a key is needed followed from the number of customers, so that a configuration with an empty list could not be told apart from one without a list. After the last customer was removed, requests with the removed key, with other keys and without a key were all served.

Change: the configuration keeps whether the list is present and empty. The field is written only then, as daemons of earlier versions reject a message with a field more; all other messages keep their form. A list that is null is an error of the configuration, as before.

--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -200,6 +200,10 @@
     /// Limits on requests to upstreams that have just started, by service.
     #[serde(default)]
     pub warm_ups: BTreeMap<ServiceName, WarmUpLimit>,
+    /// Whether relayed requests need an API key although no customer is listed. It is only written
+    /// where it is set: daemons of earlier versions reject messages with a field more.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub admits_no_customer: bool,
 }
 
 /// A customer's API keys, share and priority.
--- a/shalehinge/src/core/routes.rs
+++ b/shalehinge/src/core/routes.rs
@@ -111,7 +111,7 @@
             version,
             routes_by_host,
             holders_by_key,
-            requires_keys: !fleet.customers.is_empty(),
+            requires_keys: fleet.admits_no_customer || !fleet.customers.is_empty(),
             limits: fleet.caller_limits,
         }
     }
--- a/shalehinge/tests/learning.rs
+++ b/shalehinge/tests/learning.rs
@@ -283,6 +283,38 @@
     assert_eq!(service("/b/"), Err(RouteRefusal::UnknownRoute));
 }
 
+#[test]
+fn an_empty_list_of_customers_admits_anonymous_requests_only() {
+    let mut open = route("h", "/open/", "s");
+    open.is_anonymous = true;
+    let config = FleetConfig {
+        customers: BTreeMap::new(),
+        admits_no_customer: true,
+        ..fleet(vec![route("h", "/a/", "s"), open])
+    };
+    let message = rmp_serde::to_vec(&config).expect("encodes");
+    let received: FleetConfig = rmp_serde::from_slice(&message).expect("decodes");
+    assert_eq!(received, config);
+    for config in [config, received] {
+        let table = RouteTable::new(FleetVersion::NONE, &config);
+        let refused = Err(RouteRefusal::UnknownKey);
+        assert_eq!(table.find(query("h", "/a/x", None)), refused);
+        assert_eq!(table.find(query("h", "/a/x", Some("good"))), refused);
+        assert!(table.find(query("h", "/open/x", None)).is_ok());
+    }
+}
+
+#[test]
+fn messages_with_customers_have_the_form_of_earlier_versions() {
+    let config = fleet(vec![route("h", "/a/", "s")]);
+    let with_marker = FleetConfig {
+        admits_no_customer: true,
+        ..config.clone()
+    };
+    let length = |config: &FleetConfig| rmp_serde::to_vec(config).expect("encodes").len();
+    assert_eq!(length(&with_marker), length(&config) + 1);
+}
+
 #[test]
 fn a_key_is_required_unless_the_route_is_anonymous_and_its_rank_takes_precedence() {
     let mut open = route("h", "/open/", "s");
