feat(admission): urgency of requests and control of the deprioritized fraction

Queues form at the upstreams, which serve first come, first served: during an overload nearly all first outputs are late. The new directory holds the pure part of an order among requests: the urgency by standing and rank, one latency sample for each request, and a controller for the fraction of new requests that is deprioritized. Nothing calls it yet.

--- a/shalehinge/src/core/mod.rs
+++ b/shalehinge/src/core/mod.rs
@@ -3,6 +3,7 @@
 //! It uses no sockets, files, clocks, threads or async code. It takes typed events and returns
 //! typed actions; time and randomness are passed in. [`daemon::Daemon`] is the only entry point.
 //!
+//! - `admission`: the order of requests at overloaded upstreams
 //! - `types`: identifiers and monotonic time
 //! - `version`: object versions, and the store eras in which they were assigned
 //! - `objects`: the objects stored in the platform
@@ -34,6 +35,7 @@
 //! - `route_config`: configuration of routes and model profiles
 //! - `routes`: matching of relayed requests to routes
 
+pub mod admission;
 pub mod advertised_limit;
 pub mod change;
 pub mod claim_witnesses;
