feat(router): send an urgency with requests, by shortage at the target

Setting [router] overload_order, default no: then no urgency is determined and nothing changes on the wire. With it the router asks core/admission for the urgency of each attempt, samples first outputs at their arrival and overdue ones at the next tick, and logs the begin, changes and end of a shortage. Relayed requests carry 9 minus the urgency under the relay's header name for it, and a header of that name from the caller is not forwarded; the product's own engines get the urgency in place of the priority. A request that was refused keeps the urgency of its first attempt, so that a refusal does not move it ahead.

The setting also takes a condition WORD in LIST, so that a settings template can make it depend on a list of words.

tests/overload_order.rs and the new test in tests/settings.rs do not compile without the change; they pass with it.

--- a/shalehinge/src/core/admission/latency_sample.rs
+++ b/shalehinge/src/core/admission/latency_sample.rs
@@ -33,6 +33,11 @@
         Self { preference, due_at }
     }
 
+    /// How the request was sent first.
+    pub fn preference(&self) -> Preference {
+        self.preference
+    }
+
     /// Takes the sample of a request whose first output has arrived.
     pub fn on_output(&mut self, now: Timestamp) -> Option<LatencySample> {
         let due_at = self.due_at.take()?;
--- a/shalehinge/src/core/admission/urgency.rs
+++ b/shalehinge/src/core/admission/urgency.rs
@@ -1,6 +1,7 @@
 //! The urgency with which a request is sent to an upstream: 9 is served first.
 
-/// Highest rank, and highest urgency.
+/// Highest rank and highest urgency. Priorities in the core run in the opposite direction of ranks:
+/// rank 0 is priority 9.
 pub const MAX_RANK: u8 = 9;
 /// Urgency of a request of which an upstream may have run a part.
 const ADMITTED: u8 = 9;
--- a/shalehinge/src/core/router/attempts.rs
+++ b/shalehinge/src/core/router/attempts.rs
@@ -27,6 +27,12 @@
             return;
         };
         pending.has_output = true;
+        let sampled = pending.sampled.as_mut();
+        let sample = sampled.and_then(|sampled| sampled.on_output(now));
+        let state = self.targets.get_mut(&pending.meta.target);
+        if let (Some(sample), Some(state)) = (sample, state) {
+            state.shortage.record(now, sample);
+        }
         let Some(running) = pending.running.as_mut().filter(|r| r.id == attempt) else {
             return;
         };
--- a/shalehinge/src/core/router/decision_log.rs
+++ b/shalehinge/src/core/router/decision_log.rs
@@ -14,6 +14,7 @@
     pending: &Pending,
     state: &TargetState,
     choice: &Choice,
+    urgency: Option<u8>,
 ) -> String {
     let chosen = &state.upstreams[choice.index].spec.id;
     let mut line = format!(
@@ -24,6 +25,9 @@
         pending.attempts + 1,
         state.queue.len(),
     );
+    if let Some(urgency) = urgency {
+        line.push_str(&format!(" urgency {urgency};"));
+    }
     for candidate in choice.compared.iter().take(MAX_LOGGED_CANDIDATES) {
         line.push_str(&format!(
             " {} load {:.2} prefix {} score {:.2}",
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -407,10 +407,12 @@
         if selection.makes_up {
             state.upstreams[choice.index].limit.on_made_up();
         }
+        let orders = self.settings.overload_order;
+        let urgency = orders.then(|| state.urgency_of(now, request, pending));
         out.push(RouterAction::Log(decision_line(
-            request, pending, state, &choice,
+            request, pending, state, &choice, urgency,
         )));
-        let mut attempt = state.send(now, request, pending, id, choice.index);
+        let mut attempt = state.send(now, request, pending, id, choice.index, urgency);
         if let TrialState::At { subject, .. } = &pending.trial {
             self.trial_upstreams
                 .insert(*subject, attempt.upstream.clone());
--- a/shalehinge/src/core/router/expiry.rs
+++ b/shalehinge/src/core/router/expiry.rs
@@ -10,6 +10,7 @@
     /// that now have room. To be called periodically.
     pub fn tick(&mut self, now: Timestamp, rng: &mut impl rand::Rng, out: &mut Vec<RouterAction>) {
         self.end_cooldowns(now, out);
+        self.update_shortages(now, out);
         self.expire_waiting(now, out);
         self.expire_running(now, out);
         self.detect_stalled(now, out);
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -31,6 +31,7 @@
 //! - `expiry`: expired deadlines and other periodic work
 //! - `stalled`: detection of stalled replicas
 //! - `hedging`: second attempts beside those at silent upstreams
+//! - `overload_order`: the urgency with which requests are sent to overloaded upstreams
 //! - `target`: state of one model or service: its upstreams and its queue
 //! - `attempts`: what happens to a request while an attempt runs, and when it ends
 //! - `retries`: whether a request is sent again after an attempt
@@ -56,6 +57,7 @@
 pub mod limit_state;
 mod limits;
 pub mod outlier;
+mod overload_order;
 pub mod prefix;
 pub mod quarantine;
 pub mod queue;
--- a/shalehinge/src/core/router/request.rs
+++ b/shalehinge/src/core/router/request.rs
@@ -123,6 +123,9 @@
     pub time_left: Duration,
     /// Priority passed on to the engine.
     pub priority: u8,
+    /// Urgency passed on to the upstream in place of the priority; 9 is served first. `None` if
+    /// requests are sent without one.
+    pub urgency: Option<u8>,
     /// Whether another attempt of the request runs, whose upstream is silent.
     pub is_hedge: bool,
 }
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use crate::core::admission::latency_sample::SampledRequest;
+use crate::core::admission::shortage::Shortage;
 use crate::core::types::{Address, AttemptId, Customer, FailureDomain, RequestId, Timestamp};
 use crate::settings::router::RouterSettings;
 
@@ -61,6 +63,9 @@
     pub(super) forwarded: Option<RunningForward>,
     /// Peers to which the request was handed.
     pub(super) peers_tried: Vec<Address>,
+    /// How it was first sent, and whether its first output is still to be sampled; `None` before,
+    /// and if requests are sent without an urgency.
+    pub(super) sampled: Option<SampledRequest>,
 }
 
 impl Pending {
@@ -83,6 +88,7 @@
             is_forwarded: false,
             forwarded: None,
             peers_tried: Vec::new(),
+            sampled: None,
         }
     }
 
@@ -221,6 +227,8 @@
     pub(super) candidates: CandidateFactor,
     /// Estimated number of requests to the target in progress at other daemons, if known.
     pub(super) peer_load: Option<f64>,
+    /// Which fraction of the new requests is deprioritized.
+    pub(super) shortage: Shortage,
 }
 
 impl TargetState {
@@ -246,7 +254,7 @@
 
     /// Latest time to send a request so that it meets its target time. A request that was sent
     /// before has none and is not demoted, as part of it may have run.
-    fn start_by(&self, pending: &Pending) -> Option<Timestamp> {
+    pub(super) fn start_by(&self, pending: &Pending) -> Option<Timestamp> {
         let target_time = pending.meta.first_output_within?;
         let fastest = self.fastest_first.get()?;
         let is_new = pending.attempts == 0;
@@ -361,6 +369,7 @@
         pending: &mut Pending,
         id: AttemptId,
         index: usize,
+        urgency: Option<u8>,
     ) -> Attempt {
         let cached_blocks = self.upstreams[index]
             .prefixes
@@ -397,6 +406,7 @@
             valid_until: upstream.valid_until(pending.meta.deadline),
             time_left: pending.meta.deadline.since(now),
             priority: pending.meta.priority,
+            urgency,
             is_hedge,
         }
     }
--- a/shalehinge/src/gateway/relay.rs
+++ b/shalehinge/src/gateway/relay.rs
@@ -11,6 +11,7 @@
 
 use super::GatewayContext;
 use super::request_input::body_limits;
+use crate::core::admission::urgency::MAX_RANK;
 use crate::core::fingerprint::Fingerprint;
 use crate::core::objects::RequestKind;
 use crate::core::operator::hex;
@@ -32,9 +33,6 @@
 const ANONYMOUS: &str = "anonymous";
 /// Retry delay for callers that arrive before the daemon has routes in force.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Highest rank of a request. Priorities in the core run in the opposite direction: rank 0 is
-/// priority 9.
-const MAX_RANK: u8 = 9;
 
 /// Maximum number of parts of a prompt that get a fingerprint; later ones are ignored.
 const MAX_PROMPT_PARTS: usize = 16;
@@ -163,12 +161,13 @@
         key_sha256: credential.as_deref(),
         split_key: spread,
     };
-    let (routed, target, limits) = context
+    let (routed, target, limits, sets_priority) = context
         .driver
         .read(|now, core| {
             let routed = core.route(now, query)?;
             let target = target_of(core, &routed, headers.get_str(names.model));
-            Ok((routed, target, core.routes().limits()))
+            let sets_priority = core.router().has_overload_order();
+            Ok((routed, target, core.routes().limits(), sets_priority))
         })
         .map_err(DaemonResponse::from_refusal)?;
     let holder = routed.holder.as_ref();
@@ -180,7 +179,7 @@
         .map_or(timeout, Duration::from_millis);
     let prompt_parts = shared_parts(&target, headers.get_str(names.prompt_parts));
     let (prompt_tokens, max_output_tokens) = token_counts(headers.get_str(names.tokens));
-    let forwarded = request_headers(names, conn);
+    let forwarded = request_headers(names, sets_priority, conn);
     let host_and_path = format!("{host}{}", conn.path_and_query());
     let max_body_bytes = limits.map_or(context.limits.max_body_bytes, |limits| {
         limits.max_body_bytes
@@ -311,10 +310,10 @@
 
 /// Request headers that are forwarded to the upstream, without those that the daemon sets or
 /// evaluates itself.
-fn request_headers(names: RelayHeaderNames, conn: &Conn) -> Headers {
+fn request_headers(names: RelayHeaderNames, sets_priority: bool, conn: &Conn) -> Headers {
     let consumed_headers = ["authorization", names.customer, names.host, names.deadline];
     forwarded_headers(conn.request_headers(), |name| {
-        consumed_headers.contains(&name)
+        consumed_headers.contains(&name) || sets_priority && name == names.priority
     })
 }
 
--- a/shalehinge/src/settings/reader.rs
+++ b/shalehinge/src/settings/reader.rs
@@ -310,6 +310,28 @@
         self.parse(key, default, parse, "use yes or no")
     }
 
+    /// Reads yes or no, or a condition `WORD in LIST`, which holds if the comma-separated list
+    /// contains the word. With it, a settings template can depend on a list of words.
+    pub fn condition(&mut self, key: &str, default: bool) -> bool {
+        let parse = |text: &str| match text {
+            "yes" | "true" => Some(true),
+            "no" | "false" => Some(false),
+            _ => {
+                let (word, rest) = text.split_once(char::is_whitespace)?;
+                let list = rest.trim_start().strip_prefix("in")?;
+                let is_separated = list.is_empty() || list.starts_with(char::is_whitespace);
+                let contains_word = || list.split(',').any(|known| known.trim() == word);
+                is_separated.then(contains_word)
+            }
+        };
+        self.parse(
+            key,
+            default,
+            parse,
+            "use yes, no, or a condition such as a in a,b",
+        )
+    }
+
     /// Reads the policy for choosing an upstream.
     pub fn policy(&mut self, key: &str, default: ChoicePolicy) -> ChoicePolicy {
         let parse = |text: &str| match text {
--- a/shalehinge/src/settings/router.rs
+++ b/shalehinge/src/settings/router.rs
@@ -49,6 +49,9 @@
     /// Whether to send requests that can still meet their deadline before those that are already
     /// late.
     pub timely_first: bool,
+    /// Whether requests are sent with an urgency, so that overloaded upstreams serve first what can
+    /// be on time.
+    pub overload_order: bool,
     /// Time by which a replica in another failure domain must be better to be preferred.
     pub remote_penalty: Duration,
     /// How an upstream is chosen for a request.
@@ -107,6 +110,7 @@
             early_refusal: true,
             max_wait: Duration::from_secs(2),
             timely_first: true,
+            overload_order: false,
             remote_penalty: Duration::from_millis(5),
             policy: ChoicePolicy::Score,
             uneven_share: 3.0,
@@ -147,6 +151,7 @@
             early_refusal: section.flag("early_refusal", default.early_refusal),
             max_wait: section.duration("max_wait", default.max_wait),
             timely_first: section.flag("timely_first", default.timely_first),
+            overload_order: section.condition("overload_order", default.overload_order),
             remote_penalty: section.duration("remote_penalty", default.remote_penalty),
             policy: section.policy("policy", default.policy),
             uneven_share: section.fraction("uneven_share", default.uneven_share),
--- a/shalehinge/src/upstream/attempt.rs
+++ b/shalehinge/src/upstream/attempt.rs
@@ -151,10 +151,11 @@
     conn.request_headers_mut()
         .insert_all(request.headers.clone());
     let time_left = attempt.time_left.as_millis().to_string();
+    let priority = attempt.urgency.unwrap_or(attempt.priority);
     conn = conn
         .with_request_header(ATTEMPT_HEADER, attempt.id.to_string())
         .with_request_header(TIME_LEFT_HEADER, time_left)
-        .with_request_header(PRIORITY_HEADER, attempt.priority.to_string());
+        .with_request_header(PRIORITY_HEADER, priority.to_string());
     match attempt.group {
         Some(group) => conn.with_request_header(GROUP_HEADER, group.0.to_string()),
         None => conn,
--- a/shalehinge/src/upstream/relay.rs
+++ b/shalehinge/src/upstream/relay.rs
@@ -15,6 +15,7 @@
 use super::attempt::{OutgoingRequest, ResponsePart, ResponseSink, WholeResponse};
 use super::signal::{self, SignalHeaderNames};
 use super::stream_position::{EventSplitter, StreamPosition};
+use crate::core::admission::urgency::MAX_RANK;
 use crate::core::router::request::{Attempt, AttemptEnd};
 use crate::utils::headers::forwarded_headers;
 use crate::utils::http::{is_not_connected, url};
@@ -55,6 +56,8 @@
     pub signature: &'static str,
     /// Id of the last event that the caller has received.
     pub last_event_id: &'static str,
+    /// Urgency of the request, 0 first; sent to upstreams only, if requests are sent with one.
+    pub priority: &'static str,
     /// Headers by which an upstream reports its own state.
     pub signals: SignalHeaderNames,
     /// Scheme before the key in `Authorization`, with the blank that follows it.
@@ -167,6 +170,10 @@
     if let Some(customer) = &relay.customer {
         conn = conn.with_request_header(names.customer, customer.clone());
     }
+    if let Some(urgency) = attempt.urgency {
+        let priority = MAX_RANK.saturating_sub(urgency).to_string();
+        conn = conn.with_request_header(names.priority, priority);
+    }
     match relay.position.get().last_event() {
         Some(event) => conn.with_request_header(names.last_event_id, event.to_string()),
         None => conn,
--- /dev/null
+++ b/shalehinge/tests/overload_order.rs
@@ -0,0 +1,103 @@
+//! The order among requests at overloaded upstreams, as a router determines it.
+
+mod router_support;
+
+use std::time::Duration;
+
+use router_support::{RouterHarness, request};
+use shalehinge::core::router::request::{Attempt, AttemptEnd, Target};
+use shalehinge::core::types::ModelName;
+use shalehinge::settings::router::RouterSettings;
+
+const TARGET_TIME: Duration = Duration::from_millis(300);
+
+fn harness(overload_order: bool) -> RouterHarness {
+    let settings = RouterSettings {
+        overload_order,
+        ..RouterSettings::default()
+    };
+    RouterHarness::with_settings(2, settings)
+}
+
+fn fraction(harness: &RouterHarness) -> f64 {
+    let target = Target::Model(ModelName::new("m"));
+    harness.router.deprioritized_fraction(&target)
+}
+
+fn urgency(harness: &RouterHarness, number: u64) -> Option<u8> {
+    harness
+        .last_attempt(number)
+        .and_then(|attempt: &Attempt| attempt.urgency)
+}
+
+/// Submits requests of the first rank, each with its first output after this time. Returns their
+/// urgencies.
+fn serve(harness: &mut RouterHarness, numbers: std::ops::Range<u64>, first: Duration) -> Vec<u8> {
+    let mut urgencies = Vec::new();
+    for number in numbers {
+        harness.submit(number, request().with_priority(9).due_within(TARGET_TIME));
+        harness.advance(first);
+        harness.output(number);
+        harness.end_attempt(number, AttemptEnd::Completed { output_tokens: 8 });
+        urgencies.extend(urgency(harness, number));
+    }
+    urgencies
+}
+
+/// Guards against any change on the wire, and any state, while the setting is off.
+#[test]
+fn without_the_setting_requests_have_no_urgency() {
+    let mut harness = harness(false);
+    let urgencies = serve(&mut harness, 0..30, Duration::from_millis(400));
+    assert_eq!(urgencies, Vec::<u8>::new());
+    assert_eq!(fraction(&harness), 0.0);
+}
+
+/// Guards against an order without an overload, and against one that stays after it.
+#[test]
+fn late_first_outputs_deprioritize_requests_until_they_are_on_time_again() {
+    let mut harness = harness(true);
+    let urgencies = serve(&mut harness, 0..30, Duration::from_millis(100));
+    assert!(urgencies.iter().all(|urgency| *urgency == 8));
+    let urgencies = serve(&mut harness, 30..60, Duration::from_millis(400));
+    assert!(fraction(&harness) > 0.3, "{}", fraction(&harness));
+    assert!(
+        urgencies.contains(&3) && urgencies.contains(&8),
+        "{urgencies:?}"
+    );
+    serve(&mut harness, 60..110, Duration::from_millis(100));
+    let urgencies = serve(&mut harness, 110..120, Duration::from_millis(100));
+    assert!(urgencies.iter().all(|urgency| *urgency == 8));
+    assert_eq!(fraction(&harness), 0.0);
+}
+
+/// Guards against a shortage that is noticed only when overdue requests end.
+#[test]
+fn overdue_requests_count_before_they_have_output() {
+    let mut harness = harness(true);
+    for number in 0..2 {
+        harness.submit(number, request().with_priority(9).due_within(TARGET_TIME));
+    }
+    harness.advance(Duration::from_millis(250));
+    assert_eq!(fraction(&harness), 0.0);
+    harness.advance(Duration::from_millis(100));
+    let overdue = fraction(&harness);
+    assert!(overdue > 0.0);
+    harness.output(0);
+    harness.output(1);
+    assert_eq!(fraction(&harness), overdue, "counted once");
+}
+
+/// Guards against a retry that waits behind new requests although a part of it may have run, and
+/// against a refused request that gets ahead by its refusal.
+#[test]
+fn only_retries_of_requests_that_may_have_run_are_most_urgent() {
+    let mut harness = harness(true);
+    harness.submit(1, request().with_priority(7).repeatable());
+    assert_eq!(urgency(&harness, 1), Some(6));
+    harness.end_attempt(1, AttemptEnd::Refused);
+    assert_eq!((harness.attempts(1), urgency(&harness, 1)), (2, Some(6)));
+    harness.submit(2, request().with_priority(7).repeatable());
+    harness.end_attempt(2, AttemptEnd::WrongAnswer);
+    assert_eq!((harness.attempts(2), urgency(&harness, 2)), (2, Some(9)));
+}
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -81,6 +81,18 @@
         self
     }
 
+    /// Sets the time from arrival within which the first output is due.
+    pub fn due_within(mut self, time: Duration) -> Self {
+        self.0.first_output_within = Some(time);
+        self
+    }
+
+    /// Sets the priority.
+    pub fn with_priority(mut self, priority: u8) -> Self {
+        self.0.priority = priority;
+        self
+    }
+
     /// Sets the customer that the request belongs to.
     pub fn with_customer(mut self, customer: &str) -> Self {
         self.0.customer = Customer::new(customer);
@@ -124,7 +136,11 @@
 
     /// Creates a router that has received reports of all its replicas as complete and idle.
     pub fn with_replicas(replica_count: u64) -> Self {
-        let settings = RouterSettings::default();
+        Self::with_settings(replica_count, RouterSettings::default())
+    }
+
+    /// Like [`Self::with_replicas`], with these settings.
+    pub fn with_settings(replica_count: u64, settings: RouterSettings) -> Self {
         let mut harness = Self {
             router: Router::new(settings, Incarnation(1)),
             now: Timestamp::from_millis(1_000),
@@ -226,6 +242,17 @@
         }
     }
 
+    /// Reports output of the last attempt of a request, if there is one.
+    pub fn output(&mut self, number: u64) {
+        let Some(attempt) = self.last_attempt(number).map(|attempt| attempt.id) else {
+            return;
+        };
+        let mut out = Vec::new();
+        self.router
+            .on_output(self.now, RequestId(number), attempt, &mut out);
+        self.handle(out);
+    }
+
     /// Ends the last attempt of a request, if there is one.
     pub fn end_attempt(&mut self, number: u64, end: AttemptEnd) {
         self.end_with_attempt_of(number, number, end);
--- a/shalehinge/tests/settings.rs
+++ b/shalehinge/tests/settings.rs
@@ -174,3 +174,22 @@
     let text = format!("{MINIMAL}[learning]\nevacuations = yes\nfeeds = split\n");
     assert_eq!(problems(&text), [""; 0]);
 }
+
+/// Guards against a settings template that cannot depend on a list of words: the list may be empty,
+/// and may end with a comma.
+#[test]
+fn a_condition_holds_if_the_list_contains_the_word() {
+    let has_order = |value: &str| {
+        let text = format!("{MINIMAL}[router]\noverload_order = {value}\n");
+        Settings::parse("entry.ini", &text).map(|settings| settings.core.router.overload_order)
+    };
+    for value in ["yes", "b in a,b", "b in b, a", "b in b,"] {
+        assert!(has_order(value).expect("valid settings"), "{value}");
+    }
+    for value in ["no", "b in a,c,", "b in ab", "b in", "b in "] {
+        assert!(!has_order(value).expect("valid settings"), "{value}");
+    }
+    for value in ["maybe", "b inside a", "in a,b,c"] {
+        assert!(has_order(value).is_err(), "{value}");
+    }
+}
