feat(admission): spread requests over bands of urgency during an overload

Change: a daemon decides only whether there is an overload (three late requests that no others on time outweigh). Its new requests then take one of eight bands by rank and by a hash, which the upstreams serve in order, so that as many are on time as the capacity serves without an estimate of it. Without an overload all requests have the urgency that upstreams assume for requests without one, so that nothing changes.

--- a/shalehinge/src/core/admission/mod.rs
+++ b/shalehinge/src/core/admission/mod.rs
@@ -1,10 +1,10 @@
 //! The order in which upstreams serve requests while they are overloaded.
 //!
-//! Nothing is refused here: a late answer is still of use to its caller. Requests that are expected
-//! to be late are served last, so that the others are on time.
+//! Nothing is refused here: a late answer is still of use to its caller. The new requests are spread
+//! over bands that the upstreams serve in order, so that as many are on time as the capacity serves.
 //!
 //! - `urgency`: the urgency with which a request is sent
-//! - `shortage`: which fraction of the new requests is deprioritized
+//! - `shortage`: whether a target is overloaded, and the order of its new requests
 //! - `latency_sample`: whether the first output of a request was on time
 
 pub mod latency_sample;
--- a/shalehinge/src/core/admission/shortage.rs
+++ b/shalehinge/src/core/admission/shortage.rs
@@ -1,79 +1,70 @@
-//! Which fraction of the new requests to a target is deprioritized.
+//! Whether a target is overloaded, and the order of its new requests while it is.
 //!
-//! A controller follows the first outputs that callers observe: late ones raise the fraction, those
-//! on time lower it. A daemon sees only a few of them a second, so that each one moves the fraction
-//! by a fixed step; the fractions of many daemons average out.
+//! A daemon sees only a few first outputs a second, so it decides only whether there is an overload.
+//! How many requests can be on time is not estimated: the new requests are spread over bands, which
+//! the upstreams serve in order.
 
 use std::time::Duration;
 
 use crate::core::types::Timestamp;
 
 use super::latency_sample::LatencySample;
-use super::urgency::{Preference, RANK_CLASSES, rank_class};
+use super::urgency::{Band, RANK_CLASSES, Standing, rank_class};
 
-/// Highest fraction that is deprioritized, of all requests and of those of one rank.
-pub const MAX_FRACTION: f64 = 0.9;
-/// Added for a late preferred request. If all are late, 4 requests a second raise the fraction to
-/// 0.4 in two seconds.
-const STEP_LATE: f64 = 0.06;
-/// Subtracted for a preferred request on time. The fraction is stable if one preferred request in
-/// eleven is late.
-const STEP_ON_TIME: f64 = 0.006;
-/// Subtracted for a deprioritized request on time, which shows that capacity is available.
-const STEP_DEPRIORITIZED_ON_TIME: f64 = 0.05;
-/// Subtracted for any request on time once none was late for `QUIET_TIME`. At 4 requests a second,
-/// the fraction then reaches zero within 5 s of the end of an overload.
-const STEP_QUIET: f64 = 0.05;
-/// Time without any late request after which an overload has probably ended: while it goes on, at
-/// least the deprioritized requests are late.
+/// Added for a late request.
+const STEP_LATE: f64 = 1.0;
+/// Subtracted for a request on time while no overload is detected.
+const STEP_ON_TIME: f64 = 0.3;
+/// Subtracted for a request on time during an overload, once none was late for `QUIET_TIME`. At 4
+/// requests a second, an overload then ends within 5 s of its last late request.
+const STEP_QUIET: f64 = 1.0;
+/// Time without any late request after which an overload has probably ended: while it goes on, the
+/// requests of the last bands are late.
 const QUIET_TIME: Duration = Duration::from_secs(2);
-/// Level from which on a shortage is assumed. One late request alone is not a shortage.
-const BEGIN_LEVEL: f64 = 0.1;
-/// Level below which the shortage has ended.
-const END_LEVEL: f64 = 0.05;
+/// Level from which on an overload is assumed. One or two late requests occur without one.
+const BEGIN_LEVEL: f64 = 2.5;
+/// Highest level, so that an overload ends soon however long it lasted.
+const MAX_LEVEL: f64 = 6.0;
 /// Evidence older than this is discarded.
 const EVIDENCE_TTL: Duration = Duration::from_secs(5);
 /// Time constant of the counts of requests by rank.
 const RANK_DECAY: Duration = Duration::from_secs(10);
-/// Minimum time between two reports of a changed fraction.
-const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-/// Minimum change of the fraction that is reported.
-const REPORTED_CHANGE: f64 = 0.1;
+/// Fraction of the requests of each rank that is placed without regard to the rank, so that no rank
+/// is left without any answer in time during a long overload.
+const UNRANKED_FRACTION: f64 = 0.1;
 
-/// A change of the fraction that is worth a log line.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// A change that is worth a log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ShortageChange {
-    /// Requests are deprioritized from now on.
-    Begins(f64),
-    /// The fraction has changed.
-    Changes(f64),
-    /// No requests are deprioritized any more.
+    /// Requests are spread over bands from now on.
+    Begins,
+    /// They no longer are.
     Ends,
 }
 
-/// The controller of one target.
+/// The state of one target.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Shortage {
-    /// The fraction as the samples move it, whether or not a shortage is assumed.
+    /// Rises with late requests and falls with those on time.
     level: f64,
-    /// Whether a shortage is assumed.
+    /// Whether an overload is assumed.
     is_detected: bool,
     /// Time of the last sample.
     sampled_at: Option<Timestamp>,
-    /// Time of the last late sample, of any preference.
+    /// Time of the last late sample.
     late_at: Option<Timestamp>,
     /// Decayed number of new requests of each rank class.
     requests: [f64; RANK_CLASSES],
     /// Time as of which `requests` are.
     counted_at: Timestamp,
-    /// The fraction reported last, and when; `None` if the end was reported.
-    reported: Option<(Timestamp, f64)>,
+    /// Whether the begin of the overload was reported.
+    is_reported: bool,
 }
 
 impl Shortage {
-    /// The fraction of new requests that is deprioritized.
-    pub fn fraction(&self) -> f64 {
-        if self.is_detected { self.level } else { 0.0 }
+    /// Whether an overload is assumed.
+    pub fn is_detected(&self) -> bool {
+        self.is_detected
     }
 
     /// Applies the sample of a request.
@@ -83,18 +74,17 @@
         if !sample.is_on_time {
             self.late_at = Some(now);
         }
-        let is_late = |late_at: Timestamp| now.since(late_at) < QUIET_TIME;
-        let is_quiet = !self.late_at.is_some_and(is_late);
-        let step = match (sample.preference, sample.is_on_time) {
-            (_, true) if is_quiet => -STEP_QUIET,
-            (Preference::Preferred, false) => STEP_LATE,
-            (Preference::Preferred, true) => -STEP_ON_TIME,
-            (Preference::Deprioritized, true) => -STEP_DEPRIORITIZED_ON_TIME,
-            // It gave way to others, so that its lateness does not show a lack of capacity for them.
-            (Preference::Deprioritized, false) => 0.0,
+        let is_quiet = self
+            .late_at
+            .is_none_or(|late_at| now.since(late_at) >= QUIET_TIME);
+        let step = match (sample.is_on_time, self.is_detected) {
+            (false, _) => STEP_LATE,
+            (true, false) => -STEP_ON_TIME,
+            (true, true) if is_quiet => -STEP_QUIET,
+            (true, true) => 0.0,
         };
-        self.level = (self.level + step).clamp(0.0, MAX_FRACTION);
-        self.is_detected = self.level >= BEGIN_LEVEL || self.is_detected && self.level >= END_LEVEL;
+        self.level = (self.level + step).clamp(0.0, MAX_LEVEL);
+        self.is_detected = self.level >= BEGIN_LEVEL || self.is_detected && self.level > 0.0;
     }
 
     /// Decides on a new request. `hash` is a hash of the request, and `can_be_on_time` whether its
@@ -105,15 +95,16 @@
         priority: u8,
         hash: u64,
         can_be_on_time: bool,
-    ) -> Preference {
+    ) -> Standing {
         self.discard_old(now);
         let class = rank_class(priority);
         self.count(now, class);
-        let is_selected = unit_interval(hash) < self.fraction_of(class);
-        if self.is_detected && (is_selected || !can_be_on_time) {
-            Preference::Deprioritized
+        if !self.is_detected {
+            Standing::Ordinary
+        } else if can_be_on_time {
+            Standing::InBand(Band::at(self.position(class, unit_interval(hash))))
         } else {
-            Preference::Preferred
+            Standing::InBand(Band::LAST)
         }
     }
 
@@ -121,37 +112,31 @@
     /// periodically.
     pub fn on_tick(&mut self, now: Timestamp) -> Option<ShortageChange> {
         self.discard_old(now);
-        let fraction = self.fraction();
-        let Some((reported_at, reported)) = self.reported else {
-            if !self.is_detected {
-                return None;
-            }
-            self.reported = Some((now, fraction));
-            return Some(ShortageChange::Begins(fraction));
-        };
-        if !self.is_detected {
-            self.reported = None;
-            return Some(ShortageChange::Ends);
-        }
-        let is_due = now.since(reported_at) >= REPORT_INTERVAL;
-        if !is_due || (fraction - reported).abs() <= REPORTED_CHANGE {
+        if self.is_detected == self.is_reported {
             return None;
         }
-        self.reported = Some((now, fraction));
-        Some(ShortageChange::Changes(fraction))
+        self.is_reported = self.is_detected;
+        Some(if self.is_detected {
+            ShortageChange::Begins
+        } else {
+            ShortageChange::Ends
+        })
     }
 
-    /// The fraction of the requests of a rank class that is deprioritized: the lowest class gives
-    /// way first, but keeps a part that is served in time.
-    fn fraction_of(&self, class: usize) -> f64 {
+    /// The position of a request in the order of service, from 0 to 1: requests of higher ranks
+    /// come before it, those of its own rank are in the order of their hashes.
+    fn position(&self, class: usize, hash: f64) -> f64 {
+        if hash < UNRANKED_FRACTION {
+            return hash / UNRANKED_FRACTION;
+        }
+        let hash = (hash - UNRANKED_FRACTION) / (1.0 - UNRANKED_FRACTION);
         let total: f64 = self.requests.iter().sum();
-        let lower: f64 = self.requests.iter().skip(class + 1).sum();
+        let higher: f64 = self.requests.iter().take(class).sum();
         let own = self.requests.get(class).copied().unwrap_or(0.0);
-        let remaining = self.fraction() * total - MAX_FRACTION * lower;
-        if own > 0.0 {
-            (remaining / own).clamp(0.0, MAX_FRACTION)
+        if total > 0.0 {
+            (higher + hash * own) / total
         } else {
-            0.0
+            hash
         }
     }
 
--- a/shalehinge/src/core/router/overload_order.rs
+++ b/shalehinge/src/core/router/overload_order.rs
@@ -20,7 +20,7 @@
 
 impl TargetState {
     /// The urgency of a request that is about to be sent. One that certainly did not run so far,
-    /// as upstreams refused it, keeps the preference of its first attempt.
+    /// as upstreams refused it, keeps the standing of its first attempt.
     pub(super) fn urgency_of(
         &mut self,
         now: Timestamp,
@@ -29,23 +29,23 @@
     ) -> u8 {
         let priority = pending.meta.priority;
         if pending.is_admitted() {
-            return urgency(Standing::Admitted, priority);
+            return urgency(Standing::Admitted);
         }
-        let preference = match &pending.sampled {
-            Some(sampled) => sampled.preference(),
+        let standing = match &pending.sampled {
+            Some(sampled) => sampled.standing(),
             None => {
                 let can_be_on_time = self.start_by(pending).is_none_or(|latest| now <= latest);
-                // Includes the id, so that repeated requests with equal content are not selected
-                // every time.
+                // Includes the id, so that repeated requests with equal content are not in the same
+                // band every time.
                 let hash = rendezvous_weight(&pending.meta.fingerprint, &request);
-                let preference = self.shortage.admit(now, priority, hash, can_be_on_time);
+                let standing = self.shortage.admit(now, priority, hash, can_be_on_time);
                 let within = pending.meta.first_output_within;
                 let due_at = within.map(|within| pending.arrived_at + within);
-                pending.sampled = Some(SampledRequest::new(preference, due_at));
-                preference
+                pending.sampled = Some(SampledRequest::new(standing, due_at));
+                standing
             }
         };
-        urgency(Standing::New(preference), priority)
+        urgency(standing)
     }
 }
 
@@ -55,14 +55,13 @@
         self.settings.overload_order
     }
 
-    /// The fraction of the new requests to a target that is deprioritized.
-    pub fn deprioritized_fraction(&self, target: &Target) -> f64 {
+    /// Whether a target is assumed to be overloaded.
+    pub fn is_overloaded(&self, target: &Target) -> bool {
         let state = self.targets.get(target);
-        state.map_or(0.0, |state| state.shortage.fraction())
+        state.is_some_and(|state| state.shortage.is_detected())
     }
 
-    /// Samples requests whose first output is overdue, and logs changes of the fraction that is
-    /// deprioritized.
+    /// Samples requests whose first output is overdue, and logs where an overload begins and ends.
     pub(super) fn update_shortages(&mut self, now: Timestamp, out: &mut Vec<RouterAction>) {
         if !self.settings.overload_order {
             return;
@@ -85,16 +84,9 @@
 
 fn shortage_line(target: &Target, change: ShortageChange) -> RouterAction {
     RouterAction::Log(match change {
-        ShortageChange::Begins(fraction) => {
-            format!("overload of {target}: {fraction:.2} of the new requests are deprioritized")
-        }
-        ShortageChange::Changes(fraction) => {
-            format!(
-                "overload of {target} goes on: {fraction:.2} of the new requests are deprioritized"
-            )
-        }
-        ShortageChange::Ends => {
-            format!("overload of {target} has ended: no new requests are deprioritized")
+        ShortageChange::Begins => {
+            format!("overload of {target}: new requests are served by urgency")
         }
+        ShortageChange::Ends => format!("overload of {target} has ended"),
     })
 }
--- a/shalehinge/src/core/router/target.rs
+++ b/shalehinge/src/core/router/target.rs
@@ -227,7 +227,7 @@
     pub(super) candidates: CandidateFactor,
     /// Estimated number of requests to the target in progress at other daemons, if known.
     pub(super) peer_load: Option<f64>,
-    /// Which fraction of the new requests is deprioritized.
+    /// Whether the target is overloaded, and the order of its new requests while it is.
     pub(super) shortage: Shortage,
 }
 
