fix(relay): forward request targets byte for byte

Cause: the client library writes path and query of a parsed URL, and the parser removes `.` and `..` segments (also `%2e`) and encodes `'` and other characters. The route was matched on the target as received, so a request could reach a path outside the prefix of its route.

Change: `RequestTarget` is a target that can be sent as it is; route, log line, fingerprint and what is sent use this one value, also at a peer that runs a forwarded request. The URL of an attempt carries the target in hexadecimal digits, and the attempt's connection writes the decoded target. The library's own `request_target` is used for OPTIONS and CONNECT only. A target that can't be sent unchanged gets 400 (`bad_target` on the product's interface): absolute form, CONNECT, `#`, `\`, control characters, blanks and bytes above 127. HTTP/2 paths get the same check, as the server library takes any text there.

--- a/shalehinge/src/gateway/chat.rs
+++ b/shalehinge/src/gateway/chat.rs
@@ -13,6 +13,7 @@
 use crate::core::router::request::{RequestMeta, Target};
 use crate::core::types::{Customer, ModelName};
 use crate::upstream::attempt::{OutgoingRequest, ResponseMode};
+use crate::utils::request_target::RequestTarget;
 
 /// Path of chat completions, on this daemon and on engines.
 pub const CHAT_COMPLETIONS_PATH: &str = "/v1/chat/completions";
@@ -56,9 +57,10 @@
     let body = request_input::body(context, conn).await?;
     let chat = parse_chat_request(&body)?;
     let meta = request_meta(context, customer, options, &chat, &body);
+    let target = RequestTarget::new(Method::Post, CHAT_COMPLETIONS_PATH);
     let outgoing = OutgoingRequest {
         method: Method::Post,
-        path: CHAT_COMPLETIONS_PATH.to_owned(),
+        target: target.map_err(request_input::target_error_response)?,
         headers: Headers::new()
             .with_inserted_header(KnownHeaderName::ContentType, "application/json"),
         body: body.into(),
--- a/shalehinge/src/gateway/relay.rs
+++ b/shalehinge/src/gateway/relay.rs
@@ -27,6 +27,7 @@
 use crate::utils::body::{BodyLimits, read_body};
 use crate::utils::caller_connection::{CallerConnection, caller_left};
 use crate::utils::headers::forwarded_headers;
+use crate::utils::request_target::{RequestTarget, RequestTargetError};
 
 /// Customer that requests without a key are counted under.
 const ANONYMOUS: &str = "anonymous";
@@ -72,6 +73,16 @@
         }
     }
 
+    fn from_target_error(error: RequestTargetError) -> Self {
+        let text = match error {
+            RequestTargetError::Form => "the request target must be an absolute path\n",
+            RequestTargetError::Character => {
+                "the request target has a character that must be percent-encoded\n"
+            }
+        };
+        Self::new(Status::BadRequest, text)
+    }
+
     fn from_outcome(outcome: Outcome) -> Self {
         match outcome {
             Outcome::NotRun {
@@ -141,7 +152,7 @@
         meta.customer,
         meta.target,
         outgoing.method,
-        outgoing.path,
+        outgoing.target,
         meta.fingerprint
     )
 }
@@ -152,6 +163,7 @@
     conn: &mut Conn,
 ) -> Result<(RequestMeta, OutgoingRequest), DaemonResponse> {
     let received_at = context.driver.now();
+    let request_target = RequestTarget::of(conn).map_err(DaemonResponse::from_target_error)?;
     let headers = conn.request_headers();
     let credential = credential(names, conn);
     let request_id = headers.get_str(names.request_id).map(str::to_owned);
@@ -159,7 +171,7 @@
     let host = headers.get_str(KnownHeaderName::Host).unwrap_or_default();
     let query = RouteQuery {
         host,
-        path: conn.path(),
+        path: request_target.path(),
         key_sha256: credential.as_deref(),
         split_key: spread,
     };
@@ -181,7 +193,7 @@
     let prompt_parts = shared_parts(&target, headers.get_str(names.prompt_parts));
     let (prompt_tokens, max_output_tokens) = token_counts(headers.get_str(names.tokens));
     let forwarded = request_headers(names, conn);
-    let host_and_path = format!("{host}{}", conn.path_and_query());
+    let host_and_path = format!("{host}{request_target}");
     let max_body_bytes = limits.map_or(context.limits.max_body_bytes, |limits| {
         limits.max_body_bytes
     });
@@ -211,7 +223,7 @@
     };
     let outgoing = OutgoingRequest {
         method: conn.method(),
-        path: conn.path_and_query().to_owned(),
+        target: request_target,
         headers: forwarded,
         body: body.into(),
         response_mode: ResponseMode::Service,
--- a/shalehinge/src/gateway/request_input.rs
+++ b/shalehinge/src/gateway/request_input.rs
@@ -12,6 +12,7 @@
 use crate::core::types::Customer;
 use crate::settings::daemon::LimitSettings;
 use crate::utils::body::{BodyError, BodyLimits, read_body};
+use crate::utils::request_target::RequestTargetError;
 
 /// Request header with the time until the caller's deadline, in milliseconds.
 pub const DEADLINE_HEADER: &str = "x-deadline-ms";
@@ -132,6 +133,11 @@
     }
 }
 
+/// The error response to a request whose target can't be forwarded unchanged.
+pub fn target_error_response(error: RequestTargetError) -> ErrorResponse {
+    ErrorResponse::bad_request("bad_target", error.to_string())
+}
+
 fn body_error_response(error: BodyError) -> ErrorResponse {
     let code = match error {
         BodyError::TooLong { .. } => "body_too_large",
--- a/shalehinge/src/gateway/service.rs
+++ b/shalehinge/src/gateway/service.rs
@@ -12,6 +12,7 @@
 use crate::core::types::ServiceName;
 use crate::upstream::attempt::{OWN_HEADER_PREFIX, OutgoingRequest, ResponseMode};
 use crate::utils::headers::forwarded_headers;
+use crate::utils::request_target::RequestTarget;
 
 /// Request headers that are meant for the daemon and not forwarded to the service.
 const CONSUMED_HEADERS: [&str; 2] = ["authorization", "host"];
@@ -29,15 +30,16 @@
     conn: &mut Conn,
 ) -> Result<(RequestMeta, OutgoingRequest), ErrorResponse> {
     let customer = auth::customer(context, conn)?;
-    let (name, service) = find_service(context, conn.path()).ok_or_else(unknown_path_error)?;
+    let target = RequestTarget::of(conn).map_err(request_input::target_error_response)?;
+    let (name, service) = find_service(context, target.path()).ok_or_else(unknown_path_error)?;
     let mut options = request_input::options(context, conn, &customer)?;
-    if is_not_repeatable(&service, conn) {
+    if is_not_repeatable(&service, conn.method().as_str(), target.path()) {
         options.repeatable = false;
     }
     let body = request_input::body(context, conn).await?;
-    let path = conn.path_and_query();
+    let method = conn.method().as_str();
     let meta = RequestMeta {
-        fingerprint: Fingerprint::of(&customer, conn.method().as_str(), path, &body),
+        fingerprint: Fingerprint::of(&customer, method, target.as_str(), &body),
         customer,
         target: Target::Service(name),
         prompt_tokens: 0,
@@ -55,7 +57,7 @@
     };
     let outgoing = OutgoingRequest {
         method: conn.method(),
-        path: conn.path_and_query().to_owned(),
+        target,
         headers: forwarded_headers(conn.request_headers(), is_consumed),
         body: body.into(),
         response_mode: ResponseMode::Service,
@@ -86,10 +88,9 @@
 }
 
 /// Whether the service's configuration lists the call as one that must not be repeated.
-fn is_not_repeatable(service: &ServiceConfig, conn: &Conn) -> bool {
-    service.not_repeatable.iter().any(|pattern| {
-        pattern.method == conn.method().as_str() && conn.path().starts_with(&pattern.path_prefix)
-    })
+fn is_not_repeatable(service: &ServiceConfig, method: &str, path: &str) -> bool {
+    let mut patterns = service.not_repeatable.iter();
+    patterns.any(|pattern| pattern.method == method && path.starts_with(&pattern.path_prefix))
 }
 
 fn is_consumed(name: &str) -> bool {
--- a/shalehinge/src/peer/forward_message.rs
+++ b/shalehinge/src/peer/forward_message.rs
@@ -11,6 +11,7 @@
 use crate::upstream::attempt::{OutgoingRequest, ResponseMode, ResponsePart, WholeResponse};
 use crate::upstream::relay::{RelayContext, RelayHeaderNames, ResponseHead};
 use crate::upstream::stream_position::{Position, StreamPosition};
+use crate::utils::request_target::{RequestTarget, RequestTargetError};
 
 /// Number of bytes before each frame that hold its length, in big-endian order.
 pub const FRAME_LENGTH_BYTES: usize = size_of::<u32>();
@@ -91,6 +92,9 @@
     /// The method is not an HTTP method.
     #[error("unknown method")]
     Method,
+    /// The request target can't be sent as it is.
+    #[error(transparent)]
+    Target(#[from] RequestTargetError),
     /// The peer relays requests and this daemon doesn't.
     #[error("the request is to be relayed, which this daemon doesn't do")]
     Relay,
@@ -101,7 +105,7 @@
     pub fn new(outgoing: &OutgoingRequest) -> Self {
         Self {
             method: outgoing.method.to_string(),
-            path: outgoing.path.clone(),
+            path: outgoing.target.as_str().to_owned(),
             headers: to_transfer(&outgoing.headers),
             body: Bytes::copy_from_slice(&outgoing.body),
             response_mode: outgoing.response_mode,
@@ -122,13 +126,14 @@
     ///
     /// # Errors
     ///
-    /// The method is unknown, or the request is to be relayed and this daemon has no names of
+    /// The method is unknown, the target can't be sent as it is, or the request is to be relayed and this daemon has no names of
     /// headers for that.
     pub fn into_outgoing(
         self,
         names: Option<RelayHeaderNames>,
     ) -> Result<OutgoingRequest, ForwardedRequestError> {
         let method = Method::try_from(self.method.as_str());
+        let method = method.map_err(|_| ForwardedRequestError::Method)?;
         let relay = match (self.relay, names) {
             (None, _) => None,
             (Some(_), None) => return Err(ForwardedRequestError::Relay),
@@ -140,8 +145,8 @@
             }),
         };
         Ok(OutgoingRequest {
-            method: method.map_err(|_| ForwardedRequestError::Method)?,
-            path: self.path,
+            method,
+            target: RequestTarget::new(method, &self.path)?,
             headers: from_transfer(self.headers),
             body: self.body.as_ref().into(),
             response_mode: self.response_mode,
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -31,7 +31,7 @@
 use crate::upstream::attempt::{self, OutgoingRequest, ResponsePart, ResponseSink};
 use crate::upstream::connection_check;
 use crate::utils::clock::Clock;
-use crate::utils::http::single_use_client;
+use crate::utils::http::attempt_client;
 use crate::utils::task::spawn;
 
 /// Clients for everything that the daemon calls, except upstreams of callers' requests.
@@ -94,7 +94,7 @@
             core: Mutex::new(core),
             clock: Clock::start(),
             clients,
-            upstream_client: single_use_client(),
+            upstream_client: attempt_client(),
             pending_requests: PendingRequests::default(),
             attempts: Mutex::new(HashMap::new()),
             operator_calls: PendingReplies::new(),
--- a/shalehinge/src/upstream/attempt.rs
+++ b/shalehinge/src/upstream/attempt.rs
@@ -15,7 +15,9 @@
 use crate::core::router::request::{Attempt, AttemptEnd};
 use crate::core::signal::UpstreamSignal;
 use crate::utils::headers::forwarded_headers;
-use crate::utils::http::{is_not_connected, url};
+use crate::utils::http::is_not_connected;
+use crate::utils::raw_target::raw_target_url;
+use crate::utils::request_target::RequestTarget;
 
 /// Start of the names of headers between daemons and upstreams, which are never forwarded.
 pub const OWN_HEADER_PREFIX: &str = "x-shalehinge-";
@@ -42,8 +44,8 @@
 pub struct OutgoingRequest {
     /// HTTP method.
     pub method: Method,
-    /// Path with query.
-    pub path: String,
+    /// Request target, as the caller sent it.
+    pub target: RequestTarget,
     /// Headers to forward.
     pub headers: Headers,
     /// Body, shared by all attempts of the request.
@@ -146,7 +148,10 @@
 
 fn build_request(client: &Client, attempt: &Attempt, request: &OutgoingRequest) -> Conn {
     let mut conn = client
-        .build_conn(request.method, url(attempt.address, &request.path))
+        .build_conn(
+            request.method,
+            raw_target_url(attempt.address, &request.target),
+        )
         .with_body(request.body.to_vec());
     conn.request_headers_mut()
         .insert_all(request.headers.clone());
--- a/shalehinge/src/upstream/relay.rs
+++ b/shalehinge/src/upstream/relay.rs
@@ -17,7 +17,8 @@
 use super::stream_position::{EventSplitter, StreamPosition};
 use crate::core::router::request::{Attempt, AttemptEnd};
 use crate::utils::headers::forwarded_headers;
-use crate::utils::http::{is_not_connected, url};
+use crate::utils::http::is_not_connected;
+use crate::utils::raw_target::raw_target_url;
 
 /// Maximum size of the body of a whole response, in bytes.
 const MAX_RESPONSE_BYTES: u64 = 16 * 1024 * 1024;
@@ -153,7 +154,8 @@
     relay: &RelayContext,
 ) -> Conn {
     let names = relay.names;
-    let mut conn = client.build_conn(request.method, url(attempt.address, &request.path));
+    let url = raw_target_url(attempt.address, &request.target);
+    let mut conn = client.build_conn(request.method, url);
     if !request.body.is_empty() {
         conn = conn.with_body(request.body.to_vec());
     }
--- a/shalehinge/src/utils/http.rs
+++ b/shalehinge/src/utils/http.rs
@@ -11,6 +11,7 @@
 use trillium_server_common::{Connector, Destination};
 use trillium_smol::{ClientConfig, SmolRuntime};
 
+use super::raw_target::RawTargetConnector;
 use super::time::with_timeout;
 
 /// Time-out for establishing a TCP connection.
@@ -90,24 +91,34 @@
 
 /// Creates a client that reuses connections, for calls whose response is read to its end.
 pub fn pooled_client() -> Client {
-    client(CONNECT_TIMEOUT)
+    client(connector(CONNECT_TIMEOUT))
 }
 
-/// Creates a client that uses each connection once, for attempts of callers' requests: the rest of
-/// an abandoned response can then never be taken for the response to another request.
+/// Creates a client that uses each connection once: the rest of an abandoned response can then never
+/// be taken for the response to another request.
 pub fn single_use_client() -> Client {
-    client(ATTEMPT_CONNECT_TIMEOUT).without_keepalive()
+    client(connector(ATTEMPT_CONNECT_TIMEOUT)).without_keepalive()
 }
 
-fn client(connect_timeout: Duration) -> Client {
-    let connector = BoundedConnector {
+/// Like [`single_use_client`], for attempts of callers' requests, whose targets are sent unchanged.
+/// It takes only URLs of [`raw_target_url`](super::raw_target::raw_target_url).
+pub fn attempt_client() -> Client {
+    client(RawTargetConnector(connector(ATTEMPT_CONNECT_TIMEOUT))).without_keepalive()
+}
+
+fn connector(timeout: Duration) -> BoundedConnector {
+    BoundedConnector {
         config: ClientConfig::default(),
-        timeout: connect_timeout,
-    };
+        timeout,
+    }
+}
+
+fn client(connector: impl Connector) -> Client {
     Client::new(connector).with_max_buffered_request_body(NEVER_EXPECT_CONTINUE)
 }
 
-/// Builds an `http` URL from an address and a path.
+/// Builds an `http` URL from an address and a path. The path is rewritten to the form that a URL
+/// parser gives it, so it must not be one that a caller sent.
 pub fn url(address: SocketAddr, path: &str) -> String {
     format!("http://{address}{path}")
 }
--- a/shalehinge/src/utils/mod.rs
+++ b/shalehinge/src/utils/mod.rs
@@ -5,6 +5,8 @@
 //! - `clock`: the clock for lease terms and ages
 //! - `headers`: selection of the headers that are forwarded
 //! - `http`: common configuration of HTTP clients and listeners
+//! - `raw_target`: connections that write a request target as the caller sent it
+//! - `request_target`: request targets that can be forwarded unchanged
 //! - `task`: task executor with several threads
 //! - `time`: time-outs and wall clock
 
@@ -13,5 +15,7 @@
 pub mod clock;
 pub mod headers;
 pub mod http;
+pub mod raw_target;
+pub mod request_target;
 pub mod task;
 pub mod time;
--- a/shalehinge/tests/gateway.rs
+++ b/shalehinge/tests/gateway.rs
@@ -204,6 +204,48 @@
     assert_eq!(response.body, format!("PUT {path}\nmedidor \u{1} 77"));
 }
 
+// Guards against targets that a URL parser rewrites, and against requests that leave the service's
+// path prefix that way.
+#[test]
+fn a_plain_service_receives_the_request_target_byte_for_byte() {
+    let service =
+        FixedService::start("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok");
+    let mut fleet = Fleet::new("service-targets", 2);
+    fleet.service = service.address;
+    let daemon = fleet.start_serving_daemon();
+    let authorization = format!("Bearer {API_KEY}");
+    let headers = [("Authorization", authorization.as_str())];
+    let targets = [
+        "/rutas/lecturas?nombre=O'Higgins",
+        "/rutas/../v1/chat/completions",
+        "/rutas/%2e%2e/%2E/.",
+        "/rutas//a//?b=../c&d=%2f%2F%zz",
+        "/rutas/a|{b}^`<>\"",
+    ];
+    for target in targets {
+        let response = send_request(daemon.callers, "GET", target, &headers, "");
+        assert_eq!(response.status, 200, "{target}: {response:?}");
+    }
+    assert_eq!(service.received_targets(), targets);
+
+    // The path that is sent selects the service, not what a parser makes of it.
+    for target in ["/x/../rutas/a", "//rutas/a", "/./rutas"] {
+        let response = send_request(daemon.callers, "GET", target, &headers, "");
+        assert_eq!(response.status, 404, "{target}: {response:?}");
+    }
+    for (method, target) in [("GET", "http://test/rutas/a"), ("CONNECT", "test:80")] {
+        let response = send_request(daemon.callers, method, target, &headers, "");
+        assert_eq!(response.status, 400, "{target}: {response:?}");
+        assert!(response.body.contains("bad_target"), "{response:?}");
+        assert_eq!(response.header("x-shalehinge-outcome"), Some("not_run"));
+    }
+    for target in ["/rutas/a#b", "/rutas\\a", "/rutas/é", "/rutas/\u{1}"] {
+        let response = send_request(daemon.callers, "GET", target, &headers, "");
+        assert_eq!(response.status, 400, "{target}: {response:?}");
+    }
+    assert_eq!(service.received_targets(), targets);
+}
+
 #[test]
 fn headers_of_a_plain_service_are_neither_lost_nor_forwarded_beyond_their_connection() {
     let service = FixedService::start(
--- a/shalehinge/tests/process_support/mod.rs
+++ b/shalehinge/tests/process_support/mod.rs
@@ -157,6 +157,13 @@
         }
     }
 
+    /// The request targets received so far, in order.
+    pub fn received_targets(&self) -> Vec<String> {
+        let heads = self.request_heads.lock().expect("not poisoned");
+        let targets = heads.iter().filter_map(|head| head.split(' ').nth(1));
+        targets.map(str::to_owned).collect()
+    }
+
     /// Values of a header of the last request, one for each line, ignoring the case of names.
     pub fn received_values(&self, name: &str) -> Vec<String> {
         let heads = self.request_heads.lock().expect("not poisoned");
