fix(process): exit with code 70 when the core panics

Cause: a panic in a tick or another event ended only the task that reported it. The lock was taken again through PoisonError::into_inner, ticks stopped, requests in progress got no response, and /readyz went on returning 200.

Change: the core is held by CoreCell. A panic hook ends the process from within a panic that happens while a thread holds the core or handles a tick: it makes the daemon not ready, logs message and location, and exits with code 70, at the latest after 500 ms. Neither an executor nor a server that catches panics can swallow it, and no other event is handled, as the lock is still held. A poisoned lock exits as well. Panics elsewhere end their task only, as before.

Readiness goes by a heartbeat: it is 503 if the last tick is more than 2 s old, and it is decided without the core's lock.

The driver takes its core through the trait Core, so that a test can wrap the daemon's state in one that panics or blocks. The test runs it in a child process of the test program; the daemon's binaries have no such hook.

--- a/shalehinge/src/gateway/handler.rs
+++ b/shalehinge/src/gateway/handler.rs
@@ -57,12 +57,13 @@
     }
 }
 
-/// Responds with 200 if the load balancer should send new callers here, 503 otherwise.
+/// Responds with 200 if the load balancer should send new callers here, 503 otherwise. Responds
+/// also while the core is blocked.
 fn readiness(context: &GatewayContext, conn: Conn) -> Conn {
-    if context.driver.read(|_, core| core.is_ready()) {
+    if context.driver.is_ready() {
         conn.ok("ready\n")
     } else {
-        let body = "not ready: no configuration yet, or stopping\n";
+        let body = "not ready: no configuration yet, stopping, or the core is blocked\n";
         conn.with_status(Status::ServiceUnavailable)
             .with_body(body)
             .halt()
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -13,6 +13,7 @@
 use async_channel::{Receiver, Sender};
 use trillium_client::Client;
 
+use super::core_cell::{Core, CoreCell, CoreSection, install_panic_hook};
 use super::peer_traffic::PeerTraffic;
 use super::pending_requests::{CallerMessage, PendingRequests};
 use crate::core::daemon::Daemon;
@@ -46,7 +47,7 @@
 
 /// The core together with the clients, tasks and channels that its actions need.
 pub struct Driver {
-    core: Mutex<Daemon>,
+    core: CoreCell,
     clock: Clock,
     clients: Clients,
     upstream_client: Client,
@@ -87,11 +88,17 @@
 }
 
 impl Driver {
-    /// Creates a driver and a channel that receives a message when the core has stopped.
-    pub fn new(core: Daemon, clients: Clients, metrics: Metrics) -> (Arc<Self>, Receiver<()>) {
+    /// Creates a driver and a channel that receives a message when the core has stopped. From now
+    /// on, a panic of a core ends the process.
+    pub fn new(
+        core: Box<dyn Core>,
+        clients: Clients,
+        metrics: Metrics,
+    ) -> (Arc<Self>, Receiver<()>) {
+        install_panic_hook();
         let (stop_sender, stop_receiver) = async_channel::bounded(1);
         let driver = Self {
-            core: Mutex::new(core),
+            core: CoreCell::new(core),
             clock: Clock::start(),
             clients,
             upstream_client: single_use_client(),
@@ -115,7 +122,12 @@
     /// Calls a function with the current time and the core, while holding the core's lock.
     pub fn read<T>(&self, inspect: impl FnOnce(Timestamp, &Daemon) -> T) -> T {
         let now = self.now();
-        inspect(now, &lock(&self.core))
+        inspect(now, self.core.lock().daemon())
+    }
+
+    /// Whether the daemon should receive new requests. Takes no lock.
+    pub fn is_ready(&self) -> bool {
+        self.core.is_ready(self.now())
     }
 
     fn next_id(&self) -> u64 {
@@ -134,22 +146,23 @@
         event: Event,
         inspect: impl FnOnce(&Daemon) -> T,
     ) -> T {
-        let mut actions = Vec::new();
-        let mut core = lock(&self.core);
-        core.handle(self.now(), event, &mut actions);
-        for action in actions {
+        let mut core = self.core.lock();
+        for action in core.handle(self.now(), event) {
             self.execute(action);
         }
-        inspect(&core)
+        inspect(core.daemon())
     }
 
-    /// Passes a tick to the core. `late_by` is the time since the tick was due.
+    /// Passes a tick to the core. `late_by` is the time since the tick was due. A panic ends the
+    /// process, also outside of the core: without ticks, the core would make no progress.
     pub fn tick(self: &Arc<Self>, late_by: Duration) {
+        let _section = CoreSection::enter();
         self.metrics.record_tick_lateness(late_by);
         if let Some(line) = self.peer_traffic.tick(self.now(), late_by) {
             log::info!(target: "shalehinge", "peers: {line}");
         }
         self.dispatch(Event::Tick);
+        self.core.record_tick(self.now());
     }
 
     /// Submits a caller's request and returns its id and the channel that delivers its response.
--- a/shalehinge/src/process/run.rs
+++ b/shalehinge/src/process/run.rs
@@ -11,6 +11,7 @@
 use trillium_http::HttpConfig;
 use trillium_server_common::ServerHandle;
 
+use super::core_cell::Core;
 use super::driver::{Clients, Driver};
 use crate::core::daemon::{Daemon, Identity, TICK};
 use crate::core::event::{Event, Timeouts};
@@ -82,10 +83,26 @@
     settings: Settings,
     clients: Clients,
     relay: Option<RelayHeaderNames>,
+) -> Result<(), ListenError> {
+    run_with_core(settings, clients, relay, |daemon| Box::new(daemon)).await
+}
+
+/// Like [`run_with_clients`], with a core that is built from the daemon's state.
+///
+/// # Errors
+///
+/// Returns an error if one of the listeners can't be bound.
+pub async fn run_with_core(
+    settings: Settings,
+    clients: Clients,
+    relay: Option<RelayHeaderNames>,
+    build_core: impl FnOnce(Daemon) -> Box<dyn Core>,
 ) -> Result<(), ListenError> {
     task::set_threads(settings.daemon.threads);
     let listeners = bind_listeners(&settings)?;
-    let (driver, stop_receiver) = build_driver(&settings, listeners.peer_address, clients);
+    let core = build_core(build_daemon(&settings, listeners.peer_address));
+    let metrics = Metrics::new(settings.daemon.statsd);
+    let (driver, stop_receiver) = Driver::new(core, clients, metrics);
     log::info!(
         "daemon: {} in {} listens to callers on {}, to operators on {}, to peers on {}",
         settings.daemon.name,
@@ -135,11 +152,7 @@
     })
 }
 
-fn build_driver(
-    settings: &Settings,
-    peer_address: SocketAddr,
-    clients: Clients,
-) -> (Arc<Driver>, async_channel::Receiver<()>) {
+fn build_daemon(settings: &Settings, peer_address: SocketAddr) -> Daemon {
     let daemon = &settings.daemon;
     let wall_clock = wall_clock();
     let random = fastrand::u64(..1 << INCARNATION_RANDOM_BITS);
@@ -153,8 +166,7 @@
         is_first_start: daemon.first_start,
         wall_seconds: wall_clock.as_secs(),
     };
-    let core = Daemon::new(settings.core, identity, fastrand::u64(..));
-    Driver::new(core, clients, Metrics::new(daemon.statsd))
+    Daemon::new(settings.core, identity, fastrand::u64(..))
 }
 
 fn spawn_servers(
--- a/shalehinge/src/utils/task.rs
+++ b/shalehinge/src/utils/task.rs
@@ -2,6 +2,9 @@
 //!
 //! Many streams deliver tokens at the same time, so they are forwarded in parallel. `smol::spawn`
 //! uses a single thread unless the environment sets another number.
+//!
+//! A panic ends the task that it occurs in, and the threads go on. A panic of the core ends the
+//! process from within the panic, before the executor sees it (`process::core_cell`).
 
 use std::future::{Future, pending};
 use std::sync::{LazyLock, OnceLock};
--- a/shalehinge/tests/process_support/mod.rs
+++ b/shalehinge/tests/process_support/mod.rs
@@ -10,7 +10,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -234,6 +234,11 @@
         })
     }
 
+    /// The exit status, if the process has ended.
+    pub fn try_wait(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.try_wait().expect("can wait for the daemon")
+    }
+
     /// The log so far; empty if there is none.
     pub fn log_text(&self) -> String {
         std::fs::read_to_string(&self.log_path).unwrap_or_default()
@@ -345,6 +350,20 @@
 
     /// Starts a daemon with the given peers as seeds and waits until it listens.
     pub fn start_daemon(&mut self, seeds: &[SocketAddr]) -> DaemonProcess {
+        self.start_daemon_by(seeds, |settings| {
+            let mut command = Command::new(env!("CARGO_BIN_EXE_shalehinged"));
+            command.arg(settings);
+            command
+        })
+    }
+
+    /// Like [`Fleet::start_daemon`], with the command that `command` returns for the path of a
+    /// settings file.
+    pub fn start_daemon_by(
+        &mut self,
+        seeds: &[SocketAddr],
+        command: impl FnOnce(&Path) -> Command,
+    ) -> DaemonProcess {
         let number = self.next_daemon;
         self.next_daemon += 1;
         let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
@@ -363,8 +382,7 @@
         );
         let path = self.directory.join(format!("entry-{number}.ini"));
         std::fs::write(&path, settings).expect("can write the settings");
-        let child = Command::new(env!("CARGO_BIN_EXE_shalehinged"))
-            .arg(&path)
+        let child = command(&path)
             .stdout(Stdio::null())
             .stderr(Stdio::null())
             .spawn()
@@ -393,7 +411,7 @@
     }
 
     /// Configures a customer, a plain service and one replica of two hosts.
-    fn configure(&self, daemon: &DaemonProcess) {
+    pub fn configure(&self, daemon: &DaemonProcess) {
         let mut configuration = Configuration::default();
         let customer = CustomerConfig {
             key_sha256: vec![sha256(API_KEY)],
