fix(http): bound heads, trailers, events and surplus bytes of responses

Cause, found by a test of each form: trillium-client 0.9.10 bounds one head (8 KiB, fixed), a chunk size line (256 bytes) and a body (10 MB unless set), but not interim heads, the number of headers, the trailers of a chunked body, or bytes after a response. It drops surplus bytes that it has read and uses the connection again. It doubles its buffer at each read of a head, however little that returns, so that a head of single bytes takes 4 GiB after some 25 of them. Its body limit also cut off streams of more than 10 MB. A stream of an engine kept a line of any length.

Change: every connection that the daemon opens passes BoundedTransport, which follows the framing of responses (ResponseBounds): 64 KiB for the heads of a response with its interim ones, 100 headers, 64 KiB of trailers, no surplus. The library gets a head only when it is complete. Calls have a limit of 16 MiB for a body, as attempts have; streams have no limit as a whole, and 1 MiB for an event, now in attempt.rs too. A frame of a peer takes memory as it arrives. A call that times out while its head arrives closes its connection. Counter responses.over_bound, one log line a second.

--- a/shalehinge/src/peer/forward_client.rs
+++ b/shalehinge/src/peer/forward_client.rs
@@ -15,8 +15,10 @@
     FRAME_LENGTH_BYTES, ForwardFrame, ForwardMessage, ForwardedRequest, MAX_FRAME_BYTES,
 };
 use crate::core::forward::{Forward, ForwardEnd};
+use crate::core::types::Address;
 use crate::upstream::attempt::{OutgoingRequest, ResponsePart, ResponseSink};
 use crate::utils::http::{is_not_connected, url};
+use crate::utils::response_bounds::{Excess, UNLIMITED, report, report_error};
 use crate::utils::time::with_timeout;
 
 /// Time without any frame after which a peer counts as silent: three times the interval of its signs
@@ -48,17 +50,21 @@
     let mut conn = match log_silence(forward, conn.into_future()).await {
         Ok(conn) => conn,
         Err(error) if is_not_connected(&error) => return ForwardEnd::NotSent,
-        Err(_) => return ForwardEnd::Lost,
+        Err(error) => {
+            report_error(&error, &forward.peer);
+            return ForwardEnd::Lost;
+        }
     };
     // A peer that answers otherwise has not taken the request.
     if conn.status().map(u16::from) != Some(OK) {
         return ForwardEnd::NotSent;
     }
-    let Some(mut body) = conn.take_response_body() else {
+    let body = conn.take_response_body();
+    let Some(mut body) = body.map(|body| body.with_max_len(UNLIMITED)) else {
         return ForwardEnd::Lost;
     };
     loop {
-        let Some(frame) = log_silence(forward, read_frame(&mut body)).await else {
+        let Some(frame) = log_silence(forward, read_frame(&mut body, forward.peer)).await else {
             return ForwardEnd::Lost;
         };
         let part = match frame {
@@ -90,14 +96,19 @@
 }
 
 /// Reads the next frame; `None` if the answer ended or is not valid.
-async fn read_frame(body: &mut ResponseBody<'static>) -> Option<ForwardFrame> {
+async fn read_frame(body: &mut ResponseBody<'static>, peer: Address) -> Option<ForwardFrame> {
     let mut length = [0; FRAME_LENGTH_BYTES];
     body.read_exact(&mut length).await.ok()?;
     let length = u32::from_be_bytes(length) as usize;
     if length > MAX_FRAME_BYTES {
+        report(Excess::Frame, &peer);
+        return None;
+    }
+    // Grows as bytes arrive, so that a length alone takes no memory.
+    let mut content = Vec::new();
+    let read = body.take(length as u64).read_to_end(&mut content).await;
+    if read.ok()? != length {
         return None;
     }
-    let mut content = vec![0; length];
-    body.read_exact(&mut content).await.ok()?;
     rmp_serde::from_slice(&content).ok()
 }
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -33,6 +33,7 @@
 use crate::upstream::connection_check;
 use crate::utils::clock::Clock;
 use crate::utils::http::single_use_client;
+use crate::utils::response_bounds;
 use crate::utils::task::spawn;
 
 /// Clients for everything that the daemon calls, except upstreams of callers' requests.
@@ -161,6 +162,10 @@
         if let Some(line) = self.peer_traffic.tick(self.now(), late_by) {
             log::info!(target: "shalehinge", "peers: {line}");
         }
+        let over_bound = response_bounds::take_exceeded();
+        if over_bound > 0 {
+            self.metrics.add(Counter::ResponsesOverBound, over_bound);
+        }
         self.dispatch(Event::Tick);
         self.core.record_tick(self.now());
     }
--- a/shalehinge/src/telemetry/metrics.rs
+++ b/shalehinge/src/telemetry/metrics.rs
@@ -33,6 +33,8 @@
     Attempts,
     /// Attempts whose connection ended before a complete answer.
     AttemptsLost,
+    /// Responses of upstreams, the platform, hosts and peers that exceeded a bound.
+    ResponsesOverBound,
     /// Attempts sent beside one at a silent upstream.
     Hedges,
     /// Requests handed to peers.
@@ -75,6 +77,7 @@
             Self::Unknown => "requests.unknown",
             Self::Attempts => "attempts",
             Self::AttemptsLost => "attempts.lost",
+            Self::ResponsesOverBound => "responses.over_bound",
             Self::Hedges => "attempts.hedges",
             Self::Forwards => "forwards",
             Self::ForwardsReceived => "forwards.received",
--- a/shalehinge/src/upstream/attempt.rs
+++ b/shalehinge/src/upstream/attempt.rs
@@ -14,8 +14,10 @@
 use super::signal::{self, SIGNAL_HEADER_NAMES};
 use crate::core::router::request::{Attempt, AttemptEnd};
 use crate::core::signal::UpstreamSignal;
+use crate::core::types::Address;
 use crate::utils::headers::forwarded_headers;
 use crate::utils::http::{is_not_connected, url};
+use crate::utils::response_bounds::{Excess, UNLIMITED, report, report_error};
 
 /// Start of the names of headers between daemons and upstreams, which are never forwarded.
 pub const OWN_HEADER_PREFIX: &str = "x-shalehinge-";
@@ -34,6 +36,10 @@
 
 /// Maximum size of the body of a whole response, in bytes.
 const MAX_RESPONSE_BYTES: u64 = 16 * 1024 * 1024;
+/// Maximum size of one event, in bytes.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Number of bytes at the start of a line that are kept, enough to recognize the end marker.
+const LINE_PREFIX_BYTES: usize = 64;
 /// Maximum number of bytes read from a stream at a time.
 const READ_SIZE: usize = 8 * 1024;
 
@@ -115,7 +121,10 @@
     let conn = match build_request(client, attempt, request).await {
         Ok(conn) => conn,
         Err(error) if is_not_connected(&error) => return AttemptEnd::NotSent,
-        Err(_) => return AttemptEnd::Lost,
+        Err(error) => {
+            report_error(&error, &attempt.address);
+            return AttemptEnd::Lost;
+        }
     };
     let Some(status) = conn.status().map(u16::from) else {
         return AttemptEnd::Lost;
@@ -139,9 +148,9 @@
         return AttemptEnd::Refused;
     }
     if request.response_mode == ResponseMode::Stream && is_success {
-        return read_stream(conn, sink).await;
+        return read_stream(conn, attempt.address, sink).await;
     }
-    read_whole(conn, status, is_engine, sink).await
+    read_whole(conn, status, attempt.address, is_engine, sink).await
 }
 
 fn build_request(client: &Client, attempt: &Attempt, request: &OutgoingRequest) -> Conn {
@@ -164,6 +173,7 @@
 async fn read_whole(
     mut conn: Conn,
     status: u16,
+    upstream: Address,
     is_engine: bool,
     sink: &impl ResponseSink,
 ) -> AttemptEnd {
@@ -177,8 +187,12 @@
         service_headers(&conn)
     };
     let body = conn.response_body().with_max_len(MAX_RESPONSE_BYTES);
-    let Ok(body) = body.read_bytes().await else {
-        return AttemptEnd::Lost;
+    let body = match body.read_bytes().await {
+        Ok(body) => body,
+        Err(error) => {
+            report_error(&error, &upstream);
+            return AttemptEnd::Lost;
+        }
     };
     let is_success = (200..300).contains(&status);
     let mut output_tokens = 0;
@@ -218,8 +232,9 @@
 }
 
 /// Passes on a stream of events. The stream is complete only if the end marker arrived.
-async fn read_stream(mut conn: Conn, sink: &impl ResponseSink) -> AttemptEnd {
-    let Some(mut body) = conn.take_response_body() else {
+async fn read_stream(mut conn: Conn, upstream: Address, sink: &impl ResponseSink) -> AttemptEnd {
+    let body = conn.take_response_body();
+    let Some(mut body) = body.map(|body| body.with_max_len(UNLIMITED)) else {
         return AttemptEnd::Lost;
     };
     let mut events = EventCounter::default();
@@ -232,6 +247,10 @@
             break;
         }
         let length = events.feed(&chunk);
+        if events.event_bytes > MAX_EVENT_BYTES {
+            report(Excess::Event, &upstream);
+            return AttemptEnd::WrongAnswer;
+        }
         chunk.truncate(length);
         if !has_started {
             has_started = true;
@@ -262,7 +281,10 @@
 /// Counts the events of a stream. Chunks may split lines at any byte.
 #[derive(Debug, Default)]
 struct EventCounter {
+    /// Start of the current line.
     line: Vec<u8>,
+    /// Size of the current event so far.
+    event_bytes: usize,
     tokens: u32,
     has_ended: bool,
 }
@@ -272,8 +294,11 @@
     /// with the empty line after the end marker.
     fn feed(&mut self, chunk: &[u8]) -> usize {
         for (index, byte) in chunk.iter().enumerate() {
+            self.event_bytes += 1;
             if *byte != b'\n' {
-                self.line.push(*byte);
+                if self.line.len() < LINE_PREFIX_BYTES {
+                    self.line.push(*byte);
+                }
                 continue;
             }
             self.end_line();
@@ -287,6 +312,9 @@
 
     fn end_line(&mut self) {
         let line = std::mem::take(&mut self.line);
+        if matches!(line.as_slice(), b"" | b"\r") {
+            self.event_bytes = 0;
+        }
         if line.starts_with(STREAM_END_MARKER) {
             self.has_ended = true;
         } else if line.starts_with(b"data:") {
--- a/shalehinge/src/upstream/relay.rs
+++ b/shalehinge/src/upstream/relay.rs
@@ -16,8 +16,10 @@
 use super::signal::{self, SignalHeaderNames};
 use super::stream_position::{EventSplitter, StreamPosition};
 use crate::core::router::request::{Attempt, AttemptEnd};
+use crate::core::types::Address;
 use crate::utils::headers::forwarded_headers;
 use crate::utils::http::{is_not_connected, url};
+use crate::utils::response_bounds::{Excess, UNLIMITED, report, report_error};
 
 /// Maximum size of the body of a whole response, in bytes.
 const MAX_RESPONSE_BYTES: u64 = 16 * 1024 * 1024;
@@ -95,7 +97,10 @@
     let conn = match build_request(client, attempt, request, relay).await {
         Ok(conn) => conn,
         Err(error) if is_not_connected(&error) => return AttemptEnd::NotSent,
-        Err(_) => return AttemptEnd::Lost,
+        Err(error) => {
+            report_error(&error, &attempt.address);
+            return AttemptEnd::Lost;
+        }
     };
     let Some(status) = conn.status().map(u16::from) else {
         return AttemptEnd::Lost;
@@ -113,13 +118,13 @@
     let is_stream = content_type.is_some_and(|kind| kind.starts_with("text/event-stream"));
     let has_started = relay.position.get().has_head();
     if is_success && is_stream {
-        return read_stream(conn, status, relay, sink).await;
+        return read_stream(conn, status, attempt.address, relay, sink).await;
     }
     if has_started {
         // A stream that has started can only be resumed by more events.
         return AttemptEnd::Failed { status };
     }
-    read_whole(conn, status, sink).await
+    read_whole(conn, status, attempt.address, sink).await
 }
 
 /// Decides how an attempt ends if its response is rejected by status and headers alone.
@@ -179,11 +184,20 @@
     ResponseHead { status, headers }
 }
 
-async fn read_whole(mut conn: Conn, status: u16, sink: &impl ResponseSink) -> AttemptEnd {
+async fn read_whole(
+    mut conn: Conn,
+    status: u16,
+    upstream: Address,
+    sink: &impl ResponseSink,
+) -> AttemptEnd {
     let head = response_head(&conn, status);
     let body = conn.response_body().with_max_len(MAX_RESPONSE_BYTES);
-    let Ok(body) = body.read_bytes().await else {
-        return AttemptEnd::Lost;
+    let body = match body.read_bytes().await {
+        Ok(body) => body,
+        Err(error) => {
+            report_error(&error, &upstream);
+            return AttemptEnd::Lost;
+        }
     };
     let response = WholeResponse {
         status,
@@ -203,11 +217,13 @@
 async fn read_stream(
     mut conn: Conn,
     status: u16,
+    upstream: Address,
     relay: &RelayContext,
     sink: &impl ResponseSink,
 ) -> AttemptEnd {
     let head = response_head(&conn, status);
-    let Some(mut body) = conn.take_response_body() else {
+    let body = conn.take_response_body();
+    let Some(mut body) = body.map(|body| body.with_max_len(UNLIMITED)) else {
         return AttemptEnd::Lost;
     };
     let mut splitter = EventSplitter::default();
@@ -222,6 +238,7 @@
         }
         let events = splitter.feed(&chunk[..length]);
         if splitter.has_excess(MAX_EVENT_BYTES) {
+            report(Excess::Event, &upstream);
             return AttemptEnd::WrongAnswer;
         }
         count += relay.position.pass_events(&head, &events, sink).await;
--- a/shalehinge/src/utils/http.rs
+++ b/shalehinge/src/utils/http.rs
@@ -11,6 +11,8 @@
 use trillium_server_common::{Connector, Destination};
 use trillium_smol::{ClientConfig, SmolRuntime};
 
+use super::bounded_transport::BoundedTransport;
+use super::response_bounds::{Excess, MAX_BODY_BYTES, report, report_error, report_io_error};
 use super::time::with_timeout;
 
 /// Time-out for establishing a TCP connection.
@@ -19,7 +21,7 @@
 /// after which a lost packet is sent again, as another upstream can take the request at once.
 pub const ATTEMPT_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Connects with a time-out and reports every connection failure by the same error kind, so that
+/// Connects with a time-out, bounds what servers send, and reports every connection failure by the same error kind, so that
 /// "nothing was sent" can be distinguished from "no response arrived".
 #[derive(Clone, Copy, Debug)]
 pub struct BoundedConnector {
@@ -29,7 +31,7 @@
 
 impl Connector for BoundedConnector {
     type Runtime = SmolRuntime;
-    type Transport = <ClientConfig as Connector>::Transport;
+    type Transport = BoundedTransport<<ClientConfig as Connector>::Transport>;
     type Udp = <ClientConfig as Connector>::Udp;
 
     fn runtime(&self) -> Self::Runtime {
@@ -43,7 +45,7 @@
     async fn connect_to(&self, destination: Destination) -> std::io::Result<Self::Transport> {
         let connect = self.config.with_nodelay(true).connect_to_owned(destination);
         match with_timeout(self.timeout, connect).await {
-            Some(Ok(transport)) => Ok(transport),
+            Some(Ok(transport)) => Ok(BoundedTransport::new(transport)),
             Some(Err(error)) => Err(not_connected(&error.to_string())),
             None => Err(not_connected("timed out")),
         }
@@ -182,17 +184,15 @@
     timeouts: ResponseTimeouts,
 ) -> Option<HttpResponse> {
     let receive = async {
-        let conn = with_timeout(timeouts.head, conn.into_future())
-            .await?
-            .ok()?;
         let mut response = PendingResponse::new(conn);
+        with_timeout(timeouts.head, response.read_head()).await??;
         let body = response.read(timeouts.idle).await?;
         response.into_http_response(body)
     };
     with_timeout(timeouts.total, receive).await.flatten()
 }
 
-/// A response that is being read. Unless it was read to its end, its connection is closed on drop.
+/// A response that is awaited or being read. Unless it was read to its end, its connection is closed on drop.
 /// The HTTP library would otherwise read the rest in order to reuse the connection, and abandoned
 /// responses would saturate the link.
 struct PendingResponse(Option<ClientConn>);
@@ -202,13 +202,36 @@
         Self(Some(conn))
     }
 
+    /// Sends the request and reads the head of its response.
+    async fn read_head(&mut self) -> Option<()> {
+        let conn = self.0.as_mut()?;
+        let server = conn.url().authority().to_owned();
+        let result = conn.await;
+        result
+            .inspect_err(|error| report_error(error, &server))
+            .ok()
+    }
+
     async fn read(&mut self, idle: Duration) -> Option<Vec<u8>> {
         const CHUNK_SIZE: usize = 16 * 1024;
-        let mut body = self.0.as_mut()?.response_body();
+        let conn = self.0.as_mut()?;
+        let server = conn.url().authority().to_owned();
+        let mut body = conn.response_body().with_max_len(MAX_BODY_BYTES);
+        // The library would read a declared length up to the limit before it fails.
+        if body
+            .content_length()
+            .is_some_and(|length| length > MAX_BODY_BYTES)
+        {
+            report(Excess::Body, &server);
+            return None;
+        }
         let mut chunk = vec![0; CHUNK_SIZE];
         let mut bytes = Vec::new();
         loop {
-            let length = with_timeout(idle, body.read(&mut chunk)).await?.ok()?;
+            let read = with_timeout(idle, body.read(&mut chunk)).await?;
+            let length = read
+                .inspect_err(|error| report_io_error(error, &server))
+                .ok()?;
             if length == 0 {
                 return Some(bytes);
             }
--- a/shalehinge/src/utils/mod.rs
+++ b/shalehinge/src/utils/mod.rs
@@ -1,17 +1,21 @@
 //! Helpers shared by several modules.
 //!
 //! - `body`: request bodies within limits of size and time
+//! - `bounded_transport`: connections that end when a response exceeds its bounds
 //! - `caller_connection`: notices that a caller disconnects during its response
 //! - `clock`: the clock for lease terms and ages
 //! - `headers`: selection of the headers that are forwarded
 //! - `http`: common configuration of HTTP clients and listeners
+//! - `response_bounds`: bounds on heads, trailers and surplus bytes of responses
 //! - `task`: task executor with several threads
 //! - `time`: time-outs and wall clock
 
 pub mod body;
+pub mod bounded_transport;
 pub mod caller_connection;
 pub mod clock;
 pub mod headers;
 pub mod http;
+pub mod response_bounds;
 pub mod task;
 pub mod time;
