fix(core): arithmetic that is safe for all values of its types

Cause: an entry of another program with 0 slots made `concurrency_limit` call `clamp(1, 0)`, which panics. The tick task ended and nobody was served until a restart. The audit of the core's arithmetic found more: replicas of models with 0 hosts were added without end, work shares of opposite signs asked for billions of replicas, `running + waiting` of a report, group numbers, epochs and counts of crashes could overflow, and `from_secs_f64` panicked on a queue whose cost was rounded below 0.

Change: `min` before `max`, saturating sums, at least one host per replica and at most as many replicas as hosts.

--- a/shalehinge/src/core/controller/adoption.rs
+++ b/shalehinge/src/core/controller/adoption.rs
@@ -180,7 +180,7 @@
                 Some((number, group?))
             });
         Assignment {
-            next_group: GroupNumber(highest + GROUP_NUMBER_MARGIN),
+            next_group: GroupNumber(highest.saturating_add(GROUP_NUMBER_MARGIN)),
             groups: serving.collect(),
             ..Assignment::default()
         }
--- a/shalehinge/src/core/controller/load_crashes.rs
+++ b/shalehinge/src/core/controller/load_crashes.rs
@@ -64,7 +64,7 @@
         if is_same_crash {
             return None;
         }
-        record.crashes += 1;
+        record.crashes = record.crashes.saturating_add(1);
         record.crashed_at = now;
         let wait = backoff_after(record.crashes);
         record.next_load_at = now + wait;
--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -404,7 +404,12 @@
         if origin == Origin::Restored {
             // Group numbers that were assigned after the backup was taken must not be used again,
             // also those of an era that began with the same backup.
-            let next_group = GroupNumber(stored.value.next_group.0 + GROUP_NUMBER_MARGIN);
+            let next_group = stored
+                .value
+                .next_group
+                .0
+                .saturating_add(GROUP_NUMBER_MARGIN);
+            let next_group = GroupNumber(next_group);
             let first_of_era = GroupNumber::first_of(stored.version.era);
             stored.value.next_group = next_group.max(first_of_era);
         }
--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -265,7 +265,8 @@
 impl ModelIntent {
     /// Wanted number of replicas over all failure domains.
     pub fn total_replicas(&self) -> u32 {
-        self.replicas.values().sum()
+        let replicas = self.replicas.values();
+        replicas.fold(0, |total, count| total.saturating_add(*count))
     }
 }
 
@@ -511,7 +512,7 @@
         members: Vec<Member>,
     ) -> GroupNumber {
         let number = self.next_group;
-        self.next_group = GroupNumber(number.0 + 1);
+        self.next_group = GroupNumber(number.0.saturating_add(1));
         let group = Group {
             model,
             version,
--- a/shalehinge/src/core/placement/divide.rs
+++ b/shalehinge/src/core/placement/divide.rs
@@ -33,7 +33,8 @@
             continue;
         }
         for (domain, replicas) in &intent.replicas {
-            let used = replicas * intent.hosts_per_replica / size.max(1) as u32;
+            let hosts = replicas.saturating_mul(intent.hosts_per_replica);
+            let used = hosts / u32::try_from(size.max(1)).unwrap_or(u32::MAX);
             if let Some(remaining) = capacity.get_mut(domain) {
                 *remaining = u32::saturating_sub(*remaining, used);
             }
--- a/shalehinge/src/core/placement/host_choice.rs
+++ b/shalehinge/src/core/placement/host_choice.rs
@@ -62,6 +62,9 @@
 /// Removes the hosts of one group from `free`. Returns `None` if no fabric domain has enough
 /// suitable hosts.
 pub fn take_hosts(free: &mut FreeHosts, input: &ChoiceInput<'_>) -> Option<ChosenHosts> {
+    if input.size == 0 {
+        return None;
+    }
     let warm_needed = input.size.saturating_sub(input.max_loads);
     let candidates = free.iter().filter(|(_, hosts)| {
         let warm = hosts.iter().filter(|host| host.warm).count();
--- a/shalehinge/src/core/placement/preview.rs
+++ b/shalehinge/src/core/placement/preview.rs
@@ -78,8 +78,10 @@
         for step in &steps {
             apply_step(&mut future, step);
         }
-        effects.loads += steps.iter().map(loads_of).sum::<u32>();
-        effects.downtime_loads += missing(domain, fleet, &future).values().sum::<u32>();
+        let loads = steps.iter().map(loads_of);
+        effects.loads = loads.fold(effects.loads, u32::saturating_add);
+        let missing = missing(domain, fleet, &future).into_values();
+        effects.downtime_loads = missing.fold(effects.downtime_loads, u32::saturating_add);
         effects.steps.extend(steps);
         finish_changes(&mut future);
     }
--- a/shalehinge/src/core/placement/shares.rs
+++ b/shalehinge/src/core/placement/shares.rs
@@ -36,7 +36,9 @@
         .iter()
         .map(|(model, profile)| {
             let host_share = hosts as f64 * profile.work_share / total.max(f64::EPSILON);
-            let replicas = (host_share / f64::from(profile.hosts_per_replica.max(1))).floor();
+            let replicas = (host_share / hosts_of_replica(profile) as f64).floor();
+            // More than the number of hosts never fit, whatever the shares are.
+            let replicas = replicas.min(hosts as f64);
             (model.clone(), (replicas as u32).max(1))
         })
         .collect();
@@ -131,13 +133,20 @@
 /// Supply of a model: the ratio of the hosts of these replicas to the model's share of the work.
 pub(super) fn supply(replicas: u32, profile: &ModelProfile) -> f64 {
     const MIN_WORK_SHARE: f64 = 1e-3;
-    let hosts = f64::from(replicas * profile.hosts_per_replica);
+    let hosts = f64::from(replicas) * f64::from(profile.hosts_per_replica);
     hosts / profile.work_share.max(MIN_WORK_SHARE)
 }
 
+/// Number of hosts of a replica; at least 1, as replicas without hosts would fit without end.
+fn hosts_of_replica(profile: &ModelProfile) -> usize {
+    profile.hosts_per_replica.max(1) as usize
+}
+
 fn total_hosts(profiles: &BTreeMap<ModelName, ModelProfile>, counts: &ReplicaCounts) -> usize {
-    let hosts = |(model, count): (&ModelName, &u32)| profiles[model].hosts_per_replica * count;
-    counts.iter().map(hosts).sum::<u32>() as usize
+    let hosts = |(model, count): (&ModelName, &u32)| {
+        hosts_of_replica(&profiles[model]).saturating_mul(*count as usize)
+    };
+    counts.iter().map(hosts).fold(0, usize::saturating_add)
 }
 
 /// Whether these replicas fit into the fabric domains, placing large ones first.
@@ -148,7 +157,7 @@
 ) -> bool {
     let mut sizes: Vec<usize> = Vec::new();
     for (model, count) in counts {
-        let size = profiles[model].hosts_per_replica as usize;
+        let size = hosts_of_replica(&profiles[model]);
         sizes.extend(std::iter::repeat_n(size, *count as usize));
     }
     sizes.sort_unstable_by(|a, b| b.cmp(a));
--- a/shalehinge/src/core/placement/stranded.rs
+++ b/shalehinge/src/core/placement/stranded.rs
@@ -82,7 +82,9 @@
         .map(|accelerators| {
             let stranded = stranded_hosts(accelerators.len(), &sizes);
             accelerators.sort_unstable();
-            accelerators.iter().take(stranded).sum::<u32>()
+            accelerators.iter().take(stranded).copied()
+        })
+        .fold(0, |total: u32, accelerators| {
+            accelerators.fold(total, u32::saturating_add)
         })
-        .sum()
 }
--- a/shalehinge/src/core/router/estimate.rs
+++ b/shalehinge/src/core/router/estimate.rs
@@ -60,7 +60,13 @@
         if rate <= 0.0 {
             return None;
         }
-        Some(Duration::from_secs_f64((cost / rate).min(MAX_WAIT_SECONDS)))
+        // Rounding can leave the cost of an empty queue slightly below 0.
+        let seconds = cost / rate;
+        if seconds > 0.0 {
+            Some(Duration::from_secs_f64(seconds.min(MAX_WAIT_SECONDS)))
+        } else {
+            Some(Duration::ZERO)
+        }
     }
 }
 
--- a/shalehinge/src/core/router/upstream.rs
+++ b/shalehinge/src/core/router/upstream.rs
@@ -349,7 +349,7 @@
         self.report = Some(Report { load, asked_at });
         self.kv_since_report = 0.0;
         let own = f64::from(self.in_flight);
-        let others_in_flight = f64::from(load.running + load.waiting) - own;
+        let others_in_flight = f64::from(load.running) + f64::from(load.waiting) - own;
         self.smooth_others(others_in_flight, smoothing(load.age_ms));
         let limit = capacity_of(load.slots, settings);
         let outstanding = own + self.others_in_flight.unwrap_or_default();
@@ -430,7 +430,8 @@
         };
         let capacity = capacity_of(slots, settings);
         let share = capacity * settings.uneven_share * self.traffic_share;
-        share.ceil().clamp(1.0, capacity.ceil()) as u32
+        // `clamp` panics if its upper limit is below the lower one, as with 0 slots.
+        share.ceil().min(capacity.ceil()).max(1.0) as u32
     }
 
     /// Whether this daemon has as many requests there as it may.
--- a/shalehinge/src/core/types.rs
+++ b/shalehinge/src/core/types.rs
@@ -100,7 +100,7 @@
 
     /// The next epoch; at least the first one of `era`.
     pub fn next_in(self, era: StoreEra) -> Self {
-        Self(self.0 + 1).max(Self::first_of(era))
+        Self(self.0.saturating_add(1)).max(Self::first_of(era))
     }
 
     /// The epoch after `count` further ones, but no later than the middle of those of `era`, so
@@ -218,7 +218,8 @@
 
     /// Milliseconds elapsed since `earlier`, rounded up, so that a reported age is never too low.
     pub fn millis_since(self, earlier: Self) -> u64 {
-        self.since(earlier).as_millis() as u64 + 1
+        let millis = u64::try_from(self.since(earlier).as_millis());
+        millis.unwrap_or(u64::MAX).saturating_add(1)
     }
 
     /// Time since the daemon's start.
