fix(peer): impossible values are an error of their message

Cause: messages of peers and responses of engines were checked for their form only, so a record with 0 slots that a peer had accepted reached the core.

Change: `core/bounds.rs` states the limits of all values whose types allow more than is possible; `decode_message`, the client of engines and that of the product's own platform check them.

--- a/shalehinge/src/core/mod.rs
+++ b/shalehinge/src/core/mod.rs
@@ -5,6 +5,7 @@
 //!
 //! - `types`: identifiers and monotonic time
 //! - `version`: object versions, and the store eras in which they were assigned
+//! - `bounds`: limits on values that other programs state
 //! - `objects`: the objects stored in the platform
 //! - `platform`, `engine`: messages exchanged with the platform and with engines
 //! - `event`: input events and output actions
@@ -35,6 +36,7 @@
 //! - `routes`: matching of relayed requests to routes
 
 pub mod advertised_limit;
+pub mod bounds;
 pub mod change;
 pub mod claim_witnesses;
 pub mod claims;
--- a/shalehinge/src/core/types.rs
+++ b/shalehinge/src/core/types.rs
@@ -5,17 +5,37 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize};
 
+use super::bounds;
 pub use super::version::{AssignmentVersion, FleetVersion, StoreEra, Version};
 
+/// Reads a name from a message, which must not be longer than [`bounds::MAX_COMBINED_NAME_BYTES`].
+fn name_in_message<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Arc<str>, D::Error> {
+    let name = Arc::<str>::deserialize(deserializer)?;
+    if name.len() > bounds::MAX_COMBINED_NAME_BYTES {
+        return Err(D::Error::custom(format_args!(
+            "a name of {} bytes is too long",
+            name.len()
+        )));
+    }
+    Ok(name)
+}
+
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
-        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
         #[serde(transparent)]
         pub struct $name(Arc<str>);
 
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                Ok(Self(name_in_message(deserializer)?))
+            }
+        }
+
         impl $name {
             /// Wraps a name without validating or normalizing it.
             pub fn new(name: &str) -> Self {
--- a/shalehinge/src/object_api/http.rs
+++ b/shalehinge/src/object_api/http.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use futures_lite::future::Boxed;
+use serde::de::Error as _;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use trillium_client::Client;
 
 use super::PlatformClient;
 use super::store_era::exchange_with_era;
+use crate::core::bounds::CheckBounds;
 use crate::core::fleet_state::ObjectUpdate;
 use crate::core::objects::{Object, ObjectKey, Versioned};
 use crate::core::platform::{
@@ -78,14 +80,16 @@
 }
 
 fn decode(key: &ObjectKey, value: Value) -> serde_json::Result<Object> {
-    Ok(match key {
+    let object = match key {
         ObjectKey::Fleet => Object::Fleet(serde_json::from_value(value)?),
         ObjectKey::Hosts => Object::Hosts(serde_json::from_value(value)?),
         ObjectKey::Assignment(_) => Object::Assignment(serde_json::from_value(value)?),
         ObjectKey::Lease(_) => Object::Lease(serde_json::from_value(value)?),
         ObjectKey::Claims(_) => Object::Claims(serde_json::from_value(value)?),
         ObjectKey::Evacuations => Object::Evacuations(serde_json::from_value(value)?),
-    })
+    };
+    object.check_bounds().map_err(serde_json::Error::custom)?;
+    Ok(object)
 }
 
 fn encode(object: &Object) -> serde_json::Result<Vec<u8>> {
--- a/shalehinge/src/peer/client.rs
+++ b/shalehinge/src/peer/client.rs
@@ -4,7 +4,7 @@
 
 use trillium_client::Client;
 
-use super::{NOTICE_PATH, PULL_PATH, forward_client};
+use super::{NOTICE_PATH, PULL_PATH, decode_message, forward_client};
 use crate::core::event::{Notice, Pull, PullReply, PullTopic};
 use crate::core::forward::{Forward, ForwardEnd};
 use crate::core::types::Address;
@@ -49,7 +49,13 @@
         if status != 200 {
             return None;
         }
-        let reply = rmp_serde::from_slice(&body).ok()?;
+        let reply = match decode_message::<PullReply>(&body) {
+            Ok(reply) => reply,
+            Err(error) => {
+                log::debug!("peers: rejected the reply of {to}: {error}");
+                return None;
+            }
+        };
         let bytes = body.len();
         Some(ReceivedReply { reply, bytes })
     }
--- a/shalehinge/src/peer/forward_message.rs
+++ b/shalehinge/src/peer/forward_message.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use trillium_http::{Headers, Method};
 
+use crate::core::bounds::{CheckBounds, OutOfBounds};
 use crate::core::forward::ForwardedMeta;
 use crate::core::router::request::Outcome;
 use crate::upstream::attempt::{OutgoingRequest, ResponseMode, ResponsePart, WholeResponse};
@@ -17,6 +18,9 @@
 /// Maximum length of a frame, in bytes: a whole response of the maximum size with its headers.
 pub const MAX_FRAME_BYTES: usize = 17 * 1024 * 1024;
 
+/// Highest priority of a request.
+const MAX_PRIORITY: u8 = 9;
+
 /// A request that a peer is to run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ForwardMessage {
@@ -96,6 +100,13 @@
     Relay,
 }
 
+impl CheckBounds for ForwardMessage {
+    fn check_bounds(&self) -> Result<(), OutOfBounds> {
+        let is_valid = self.meta.priority <= MAX_PRIORITY;
+        is_valid.then_some(()).ok_or(OutOfBounds("priority"))
+    }
+}
+
 impl ForwardedRequest {
     /// Takes over a request, with the position in its stream.
     pub fn new(outgoing: &OutgoingRequest) -> Self {
--- a/shalehinge/src/peer/server.rs
+++ b/shalehinge/src/peer/server.rs
@@ -8,7 +8,8 @@
 
 use super::forward_message::ForwardMessage;
 use super::forward_server::ForwardServer;
-use super::{FORWARD_PATH, NOTICE_PATH, PULL_PATH};
+use super::{DecodeError, FORWARD_PATH, NOTICE_PATH, PULL_PATH, decode_message};
+use crate::core::bounds::CheckBounds;
 use crate::core::event::{Event, Notice, Pull};
 use crate::process::Driver;
 use crate::upstream::relay::RelayHeaderNames;
@@ -81,17 +82,16 @@
 enum MessageError {
     #[error(transparent)]
     Body(#[from] BodyError),
-    /// The sender runs another version, or is no daemon.
-    #[error("not a message of this version: {0}")]
-    Format(#[from] rmp_serde::decode::Error),
+    #[error(transparent)]
+    Content(#[from] DecodeError),
 }
 
-async fn read_message<T: serde::de::DeserializeOwned>(
+async fn read_message<T: serde::de::DeserializeOwned + CheckBounds>(
     conn: &mut Conn,
     limits: BodyLimits,
 ) -> Result<T, MessageError> {
     let bytes = read_body(conn, limits).await?;
-    Ok(rmp_serde::from_slice(&bytes)?)
+    Ok(decode_message(&bytes)?)
 }
 
 fn refuse(conn: Conn, error: &MessageError) -> Conn {
@@ -101,6 +101,6 @@
             .with_status(error.status())
             .with_response_header(KnownHeaderName::Connection, "close")
             .halt(),
-        MessageError::Format(_) => conn.with_status(Status::BadRequest).halt(),
+        MessageError::Content(_) => conn.with_status(Status::BadRequest).halt(),
     }
 }
--- a/shalehinge/src/upstream/engine.rs
+++ b/shalehinge/src/upstream/engine.rs
@@ -9,6 +9,7 @@
 
 use super::EngineClient;
 use super::connection_check::status_or_cause;
+use crate::core::bounds::{CheckBounds, OutOfBounds};
 use crate::core::engine::{EngineStatus, NoStatus, Order, OrderReply};
 use crate::core::types::{Address, HostId};
 use crate::utils::http::{exchange, pooled_client, url};
@@ -37,12 +38,40 @@
 
 /// Sends a request and parses its JSON response; `None` on a time-out, another status than 200 or
 /// an invalid body.
-async fn read_json<T: DeserializeOwned>(conn: Conn, timeout: Duration) -> Option<T> {
+async fn read_json<T: DeserializeOwned + CheckBounds>(conn: Conn, timeout: Duration) -> Option<T> {
     let (status, body) = exchange(conn, timeout).await?;
     if status != 200 {
         return None;
     }
-    serde_json::from_slice(&body).ok()
+    match decode(&body) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            log::debug!("engines: rejected a response: {error}");
+            None
+        }
+    }
+}
+
+/// Decodes the response of an engine and checks its values.
+///
+/// # Errors
+///
+/// The response has another form, or contains a value out of its range.
+pub fn decode<T: DeserializeOwned + CheckBounds>(body: &[u8]) -> Result<T, DecodeError> {
+    let value: T = serde_json::from_slice(body)?;
+    value.check_bounds()?;
+    Ok(value)
+}
+
+/// Why the response of an engine can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum DecodeError {
+    /// It is not of the expected form.
+    #[error(transparent)]
+    Format(#[from] serde_json::Error),
+    /// A value is impossible.
+    #[error(transparent)]
+    Bounds(#[from] OutOfBounds),
 }
 
 impl EngineClient for HttpEngineClient {
