--- a/shalehinge/src/object_api/mod.rs
+++ b/shalehinge/src/object_api/mod.rs
@@ -22,4 +22,9 @@
     ///
     /// [`NoAnswer`]: crate::core::platform::NoAnswer
     fn call(&self, request: PlatformCall) -> Boxed<PlatformResult>;
+
+    /// Returns how many objects of other programs were rejected since the last call.
+    fn take_rejected_entries(&self) -> u64 {
+        0
+    }
 }
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -270,6 +270,12 @@
             if result == Err(NoAnswer) {
                 driver.metrics.count(Counter::PlatformNoAnswer);
             }
+            let rejected = driver.clients.platform.take_rejected_entries();
+            if rejected > 0 {
+                driver
+                    .metrics
+                    .add(Counter::PlatformEntriesRejected, rejected);
+            }
             if matches!(result, Ok(PlatformReply::HistoryGone(_))) {
                 driver.metrics.count(Counter::PlatformHistoryGone);
             }
--- a/shalehinge/src/telemetry/metrics.rs
+++ b/shalehinge/src/telemetry/metrics.rs
@@ -49,6 +49,9 @@
     PlatformNoAnswer,
     /// Watches from a revision whose history the platform no longer has.
     PlatformHistoryGone,
+    /// Objects of other programs in the platform's store that could not be used, counted at each
+    /// read.
+    PlatformEntriesRejected,
     /// Orders sent to engines.
     Orders,
     /// Status requests sent to engines.
@@ -83,6 +86,7 @@
             Self::PlatformWatches => "platform.watches",
             Self::PlatformNoAnswer => "platform.no_answer",
             Self::PlatformHistoryGone => "platform.history_gone",
+            Self::PlatformEntriesRejected => "platform.entries_rejected",
             Self::Orders => "engine.orders",
             Self::Statuses => "engine.statuses",
             Self::Pulls => "peer.pulls",
