--- a/shalehinge/src/core/types.rs
+++ b/shalehinge/src/core/types.rs
@@ -5,17 +5,37 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize};
 
+use super::bounds;
 pub use super::version::{AssignmentVersion, FleetVersion, StoreEra, Version};
 
+/// Reads a name from a message, which must not be longer than [`bounds::MAX_COMBINED_NAME_BYTES`].
+fn name_in_message<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Arc<str>, D::Error> {
+    let name = Arc::<str>::deserialize(deserializer)?;
+    if name.len() > bounds::MAX_COMBINED_NAME_BYTES {
+        return Err(D::Error::custom(format_args!(
+            "a name of {} bytes is too long",
+            name.len()
+        )));
+    }
+    Ok(name)
+}
+
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
-        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
         #[serde(transparent)]
         pub struct $name(Arc<str>);
 
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                Ok(Self(name_in_message(deserializer)?))
+            }
+        }
+
         impl $name {
             /// Wraps a name without validating or normalizing it.
             pub fn new(name: &str) -> Self {
@@ -100,7 +120,7 @@
 
     /// The next epoch; at least the first one of `era`.
     pub fn next_in(self, era: StoreEra) -> Self {
-        Self(self.0 + 1).max(Self::first_of(era))
+        Self(self.0.saturating_add(1)).max(Self::first_of(era))
     }
 
     /// The epoch after `count` further ones, but no later than the middle of those of `era`, so
@@ -218,7 +238,8 @@
 
     /// Milliseconds elapsed since `earlier`, rounded up, so that a reported age is never too low.
     pub fn millis_since(self, earlier: Self) -> u64 {
-        self.since(earlier).as_millis() as u64 + 1
+        let millis = u64::try_from(self.since(earlier).as_millis());
+        millis.unwrap_or(u64::MAX).saturating_add(1)
     }
 
     /// Time since the daemon's start.
--- a/shalehinge/tests/endless_responses.rs
+++ b/shalehinge/tests/endless_responses.rs
@@ -25,8 +25,9 @@
 use shalehinge::upstream::signal::SIGNAL_HEADER_NAMES;
 use shalehinge::upstream::stream_position::StreamPosition;
 use shalehinge::utils::http::{
-    ResponseTimeouts, exchange, exchange_with_timeouts, pooled_client, single_use_client, url,
+    ResponseTimeouts, attempt_client, exchange, exchange_with_timeouts, pooled_client, url,
 };
+use shalehinge::utils::request_target::RequestTarget;
 use shalehinge::utils::response_bounds::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
 use shalehinge::utils::time::with_timeout;
 use trillium_client::Method;
@@ -287,6 +288,7 @@
     prompt_parts: "parts",
     signature: "signed",
     last_event_id: "last-event-id",
+    priority: "priority",
     signals: SIGNAL_HEADER_NAMES,
     credential_scheme: "Token ",
 };
@@ -294,7 +296,7 @@
 fn request(response_mode: ResponseMode, is_relayed: bool) -> OutgoingRequest {
     OutgoingRequest {
         method: Method::Get,
-        path: "/x".into(),
+        target: RequestTarget::new(Method::Get, "/x").expect("a valid target"),
         headers: Headers::new(),
         body: Arc::from(&b""[..]),
         response_mode,
@@ -318,13 +320,14 @@
         valid_until: Timestamp::from_millis(60_000),
         time_left: Duration::from_secs(60),
         priority: 0,
+        urgency: None,
         is_hedge: false,
     }
 }
 
 /// Runs an attempt; `None` if it does not end in time.
 fn run(address: SocketAddr, request: &OutgoingRequest, caller: &Caller) -> Option<AttemptEnd> {
-    let client = single_use_client();
+    let client = attempt_client();
     let attempt = attempt_at(address);
     smol::block_on(with_timeout(
         ENDED_WITHIN,
