feat(utils): budget for the bytes held for callers and upstreams

Cause: nothing bounds the bytes that a process holds for callers and upstreams, and the C library keeps freed bodies in its heap once one of several megabytes was freed.

Change: `MemoryBudget` grants memory to request bodies and responses from three shares (a reserve for bodies of at most 64 KiB, one for all bodies, one for responses), in the order of arrival, and takes it back when the last reference is dropped. A body waits 2 s at most, over all steps of its growth. `return_large_allocations` fixes the size from which an allocation is a mapping of its own. Nothing uses them yet.

--- a/shalehinge/src/utils/mod.rs
+++ b/shalehinge/src/utils/mod.rs
@@ -1,17 +1,21 @@
 //! Helpers shared by several modules.
 //!
-//! - `body`: request bodies within limits of size and time
+//! - `allocator`: settings of the memory allocator
+//! - `body`: bodies within limits of size, time and memory
 //! - `caller_connection`: notices that a caller disconnects during its response
 //! - `clock`: the clock for lease terms and ages
 //! - `headers`: selection of the headers that are forwarded
 //! - `http`: common configuration of HTTP clients and listeners
+//! - `memory_budget`: budget for the bytes held for callers and upstreams
 //! - `task`: task executor with several threads
 //! - `time`: time-outs and wall clock
 
+pub mod allocator;
 pub mod body;
 pub mod caller_connection;
 pub mod clock;
 pub mod headers;
 pub mod http;
+pub mod memory_budget;
 pub mod task;
 pub mod time;
