feat(process): bound the memory of bodies and responses by [limits] memory

Cause: each request body was read whole for every connection at once, copied into an `Arc` and again for each attempt; a stream queued 256 parts of any size for a slow caller. 60 callers with 4 MB each took the daemon to 521 MB.

Change: bodies are read into one allocation whose memory is reserved before (by `content-length`, or in steps), and all attempts and peers send from it; responses are reserved while they are read and until callers take them. A body without memory within 2 s gets 503 with `Retry-After` and a closed connection, whose rest is read and discarded for 2 s, so that the caller gets the answer. An upstream that is not read because of a slow caller counts as one that has output: with less queued for such a caller, the stall detection would else take the stream away sooner. Metrics `memory.bytes_held`, `.waits`, `.refusals`.

--- a/shalehinge/src/gateway/chat.rs
+++ b/shalehinge/src/gateway/chat.rs
@@ -61,7 +61,7 @@
         path: CHAT_COMPLETIONS_PATH.to_owned(),
         headers: Headers::new()
             .with_inserted_header(KnownHeaderName::ContentType, "application/json"),
-        body: body.into(),
+        body,
         response_mode: if chat.stream {
             ResponseMode::Stream
         } else {
--- a/shalehinge/src/gateway/relay.rs
+++ b/shalehinge/src/gateway/relay.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
+use bytes::Bytes;
 use futures_util::TryStreamExt;
 use futures_util::stream;
 use sha2::{Digest, Sha256};
@@ -24,7 +25,7 @@
 use crate::upstream::attempt::{OutgoingRequest, ResponseMode, ResponsePart, WholeResponse};
 use crate::upstream::relay::{RelayContext, RelayHeaderNames, ResponseHead};
 use crate::upstream::stream_position::StreamPosition;
-use crate::utils::body::{BodyLimits, read_body};
+use crate::utils::body::{BodyError, BodyLimits, read_body, shared_body};
 use crate::utils::caller_connection::{CallerConnection, caller_left};
 use crate::utils::headers::forwarded_headers;
 
@@ -213,7 +214,7 @@
         method: conn.method(),
         path: conn.path_and_query().to_owned(),
         headers: forwarded,
-        body: body.into(),
+        body,
         response_mode: ResponseMode::Service,
         relay: Some(RelayContext {
             names,
@@ -296,17 +297,23 @@
     context: &GatewayContext,
     conn: &mut Conn,
     max_body_bytes: u64,
-) -> Result<Vec<u8>, DaemonResponse> {
+) -> Result<Bytes, DaemonResponse> {
     let limits = BodyLimits {
         max_bytes: max_body_bytes,
         ..body_limits(&context.limits)
     };
-    read_body(conn, limits)
-        .await
-        .map_err(|error| DaemonResponse {
+    let body = read_body(conn, limits, &context.driver.memory).await;
+    body.map_err(|error| {
+        let text = match error {
+            BodyError::Memory(_) => "no memory is free for the body; it did not run\n",
+            _ => "the body can't be read\n",
+        };
+        DaemonResponse {
+            retry_after: error.retry_after(),
             closes_connection: true,
-            ..DaemonResponse::new(error.status(), "the body can't be read\n")
-        })
+            ..DaemonResponse::new(error.status(), text)
+        }
+    })
 }
 
 /// Request headers that are forwarded to the upstream, without those that the daemon sets or
@@ -358,7 +365,7 @@
     if closes_connection {
         conn = conn.with_response_header(KnownHeaderName::Connection, "close");
     }
-    conn.with_body(whole.body).halt()
+    conn.with_body(shared_body(whole.body)).halt()
 }
 
 fn write_head(mut conn: Conn, status: u16, headers: Headers) -> Conn {
--- a/shalehinge/src/gateway/request_input.rs
+++ b/shalehinge/src/gateway/request_input.rs
@@ -3,6 +3,7 @@
 use std::hash::Hasher;
 use std::time::Duration;
 
+use bytes::Bytes;
 use siphasher::sip128::{Hasher128, SipHasher13};
 use trillium::Conn;
 
@@ -118,10 +119,11 @@
 /// # Errors
 ///
 /// Returns an error response that closes the connection if the body is too large, does not
-/// arrive in time or is cut off.
-pub async fn body(context: &GatewayContext, conn: &mut Conn) -> Result<Vec<u8>, ErrorResponse> {
+/// arrive in time, is cut off or gets no memory.
+pub async fn body(context: &GatewayContext, conn: &mut Conn) -> Result<Bytes, ErrorResponse> {
     let limits = body_limits(&context.limits);
-    read_body(conn, limits).await.map_err(body_error_response)
+    let body = read_body(conn, limits, &context.driver.memory).await;
+    body.map_err(body_error_response)
 }
 
 /// The limits for callers' request bodies.
@@ -137,10 +139,12 @@
         BodyError::TooLong { .. } => "body_too_large",
         BodyError::Incomplete => "body_broken",
         BodyError::TooSlow { .. } => "body_too_slow",
+        BodyError::Memory(_) => "no_memory",
     };
     ErrorResponse {
         status: error.status(),
         closes_connection: true,
+        retry_after: error.retry_after(),
         ..ErrorResponse::bad_request(code, error.to_string())
     }
 }
--- a/shalehinge/src/gateway/response.rs
+++ b/shalehinge/src/gateway/response.rs
@@ -16,6 +16,7 @@
 use crate::process::disconnect_guard::DisconnectGuard;
 use crate::process::pending_requests::CallerMessage;
 use crate::upstream::attempt::{OutgoingRequest, ResponsePart, WholeResponse};
+use crate::utils::body::shared_body;
 use crate::utils::caller_connection::{CallerConnection, caller_left};
 
 /// Response header with the outcome of the request: `completed`, `failed`, `not_run` or
@@ -382,7 +383,7 @@
     conn.with_status(status)
         .with_response_header(KnownHeaderName::ContentType, content_type)
         .with_response_header(OUTCOME_HEADER, outcome_name)
-        .with_body(whole.body)
+        .with_body(shared_body(whole.body))
         .halt()
 }
 
@@ -403,7 +404,7 @@
                 Ok(CallerMessage::Ended(outcome)) => {
                     guard.disarm();
                     let error = ErrorResponse::from_outcome(outcome)?;
-                    return Some((Ok(error.event()), None));
+                    return Some((Ok(error.event().into()), None));
                 }
                 Err(_) => return None,
             }
--- a/shalehinge/src/gateway/service.rs
+++ b/shalehinge/src/gateway/service.rs
@@ -57,7 +57,7 @@
         method: conn.method(),
         path: conn.path_and_query().to_owned(),
         headers: forwarded_headers(conn.request_headers(), is_consumed),
-        body: body.into(),
+        body,
         response_mode: ResponseMode::Service,
         relay: None,
     };
--- a/shalehinge/src/operator_api.rs
+++ b/shalehinge/src/operator_api.rs
@@ -21,6 +21,7 @@
 use crate::gateway::auth::bearer_sha256;
 use crate::process::Driver;
 use crate::utils::body::{BodyLimits, read_body};
+use crate::utils::memory_budget::MemoryBudget;
 
 /// Path of the call that plans a change.
 pub const PLAN_PATH: &str = "/v1/plan";
@@ -241,7 +242,7 @@
             max_bytes: MAX_BODY_BYTES,
             timeout: self.body_timeout,
         };
-        let body = match read_body(&mut conn, limits).await {
+        let body = match read_body(&mut conn, limits, &MemoryBudget::unlimited()).await {
             Ok(body) => body,
             Err(error) => {
                 let conn = conn.with_response_header(KnownHeaderName::Connection, "close");
--- a/shalehinge/src/peer/forward_client.rs
+++ b/shalehinge/src/peer/forward_client.rs
@@ -16,7 +16,9 @@
 };
 use crate::core::forward::{Forward, ForwardEnd};
 use crate::upstream::attempt::{OutgoingRequest, ResponsePart, ResponseSink};
+use crate::utils::body::shared_body_of;
 use crate::utils::http::{is_not_connected, url};
+use crate::utils::memory_budget::{GrowingReservation, ResponseMemory, hold};
 use crate::utils::time::with_timeout;
 
 /// Time without any frame after which a peer counts as silent: three times the interval of its signs
@@ -37,8 +39,8 @@
         meta: forward.meta.clone(),
         request: ForwardedRequest::new(outgoing),
     };
-    let body = match rmp_serde::to_vec(&message) {
-        Ok(body) => body,
+    let body = match message.encode() {
+        Ok(pieces) => shared_body_of(pieces),
         Err(error) => {
             log::error!(target: "shalehinge", "peers: can't encode a request: {error}");
             return ForwardEnd::NotSent;
@@ -58,7 +60,7 @@
         return ForwardEnd::Lost;
     };
     loop {
-        let Some(frame) = log_silence(forward, read_frame(&mut body)).await else {
+        let Some(frame) = log_silence(forward, read_frame(&mut body, sink.memory())).await else {
             return ForwardEnd::Lost;
         };
         let part = match frame {
@@ -66,7 +68,7 @@
             ForwardFrame::Ended(outcome) => return ForwardEnd::Answered(outcome),
             ForwardFrame::StreamStart => ResponsePart::StreamStart,
             ForwardFrame::Head(head) => ResponsePart::Head(head.into()),
-            ForwardFrame::Chunk(chunk) => ResponsePart::Chunk(chunk.into()),
+            ForwardFrame::Chunk(chunk) => ResponsePart::Chunk(chunk),
             ForwardFrame::Whole(whole) => ResponsePart::Whole(whole.into()),
         };
         match &outgoing.relay {
@@ -90,14 +92,21 @@
 }
 
 /// Reads the next frame; `None` if the answer ended or is not valid.
-async fn read_frame(body: &mut ResponseBody<'static>) -> Option<ForwardFrame> {
+async fn read_frame(
+    body: &mut ResponseBody<'static>,
+    memory: &ResponseMemory,
+) -> Option<ForwardFrame> {
     let mut length = [0; FRAME_LENGTH_BYTES];
     body.read_exact(&mut length).await.ok()?;
     let length = u32::from_be_bytes(length) as usize;
     if length > MAX_FRAME_BYTES {
         return None;
     }
+    let mut reservation = memory.reservation();
+    reservation.grow_to(length as u64).await.ok()?;
     let mut content = vec![0; length];
     body.read_exact(&mut content).await.ok()?;
-    rmp_serde::from_slice(&content).ok()
+    let frame: ForwardFrame = rmp_serde::from_slice(&content).ok()?;
+    // Chunks get their memory where they are passed on.
+    Some(frame.with_whole_body(|bytes| hold(bytes, reservation)))
 }
--- a/shalehinge/src/peer/forward_message.rs
+++ b/shalehinge/src/peer/forward_message.rs
@@ -103,7 +103,7 @@
             method: outgoing.method.to_string(),
             path: outgoing.path.clone(),
             headers: to_transfer(&outgoing.headers),
-            body: Bytes::copy_from_slice(&outgoing.body),
+            body: outgoing.body.clone(),
             response_mode: outgoing.response_mode,
             relay: outgoing.relay.as_ref().map(|relay| ForwardedRelay {
                 request_id: relay.request_id.clone(),
@@ -143,7 +143,7 @@
             method: method.map_err(|_| ForwardedRequestError::Method)?,
             path: self.path,
             headers: from_transfer(self.headers),
-            body: self.body.as_ref().into(),
+            body: self.body,
             response_mode: self.response_mode,
             relay,
         })
@@ -158,12 +158,12 @@
                 status: head.status,
                 headers: to_transfer(&head.headers),
             }),
-            ResponsePart::Chunk(chunk) => Self::Chunk(chunk.into()),
+            ResponsePart::Chunk(chunk) => Self::Chunk(chunk),
             ResponsePart::Whole(whole) => Self::Whole(ForwardedWhole {
                 status: whole.status,
                 content_type: whole.content_type,
                 headers: to_transfer(&whole.headers),
-                body: whole.body.into(),
+                body: whole.body,
             }),
         }
     }
@@ -184,7 +184,7 @@
             status: whole.status,
             content_type: whole.content_type,
             headers: from_transfer(whole.headers),
-            body: whole.body.into(),
+            body: whole.body,
         }
     }
 }
@@ -207,21 +207,87 @@
     headers
 }
 
-/// Encodes a frame with its length.
+impl ForwardMessage {
+    /// Encodes the message without a copy of the request's body: the pieces to send one after the
+    /// other.
+    ///
+    /// # Errors
+    ///
+    /// The message can't be encoded.
+    pub fn encode(mut self) -> Result<[Bytes; 3], rmp_serde::encode::Error> {
+        let body = std::mem::take(&mut self.request.body);
+        let mut after = rmp_serde::to_vec(&self.request.response_mode)?;
+        after.extend(rmp_serde::to_vec(&self.request.relay)?);
+        let mut before = rmp_serde::to_vec(&self)?;
+        before.truncate(before.len() - after.len());
+        replace_empty_bin(&mut before, body.len())?;
+        Ok([before.into(), body, after.into()])
+    }
+
+    /// Replaces the request's body by one with the same content.
+    pub fn with_body(mut self, replace: impl FnOnce(Bytes) -> Bytes) -> Self {
+        self.request.body = replace(self.request.body);
+        self
+    }
+}
+
+/// Encoding of a byte string without content.
+const EMPTY_BIN: [u8; 2] = [0xc4, 0];
+
+/// Replaces an encoded empty byte string at the end by the head of one with `length` bytes.
+fn replace_empty_bin(encoded: &mut Vec<u8>, length: usize) -> Result<(), rmp_serde::encode::Error> {
+    let too_long = || rmp_serde::encode::Error::Syntax("more than 4 GiB".into());
+    let length = u32::try_from(length).map_err(|_| too_long())?;
+    encoded.truncate(encoded.len() - EMPTY_BIN.len());
+    if let Ok(length) = u8::try_from(length) {
+        encoded.extend([0xc4, length]);
+    } else if let Ok(length) = u16::try_from(length) {
+        encoded.push(0xc5);
+        encoded.extend(length.to_be_bytes());
+    } else {
+        encoded.push(0xc6);
+        encoded.extend(length.to_be_bytes());
+    }
+    Ok(())
+}
+
+/// Encodes a frame with its length, without a copy of the caller's bytes in it: the pieces to send
+/// one after the other.
 ///
 /// # Errors
 ///
 /// The frame can't be encoded, or is longer than [`MAX_FRAME_BYTES`].
-pub fn encode_frame(frame: &ForwardFrame) -> Result<Vec<u8>, FrameError> {
-    let content = rmp_serde::to_vec(frame)?;
-    let length = u32::try_from(content.len()).map_err(|_| FrameError::Length)?;
-    if content.len() > MAX_FRAME_BYTES {
+pub fn encode_frame(mut frame: ForwardFrame) -> Result<[Bytes; 2], FrameError> {
+    // Both kinds of frames with bytes of the caller end with them.
+    let body = match &mut frame {
+        ForwardFrame::Chunk(chunk) => Some(std::mem::take(chunk)),
+        ForwardFrame::Whole(whole) => Some(std::mem::take(&mut whole.body)),
+        _ => None,
+    };
+    let mut content = rmp_serde::to_vec(&frame)?;
+    if let Some(body) = &body {
+        replace_empty_bin(&mut content, body.len())?;
+    }
+    let body = body.unwrap_or_default();
+    let length = content.len() + body.len();
+    if length > MAX_FRAME_BYTES {
         return Err(FrameError::Length);
     }
-    let mut bytes = Vec::with_capacity(FRAME_LENGTH_BYTES + content.len());
-    bytes.extend_from_slice(&length.to_be_bytes());
-    bytes.extend_from_slice(&content);
-    Ok(bytes)
+    let length = u32::try_from(length).map_err(|_| FrameError::Length)?;
+    let mut head = Vec::with_capacity(FRAME_LENGTH_BYTES + content.len());
+    head.extend_from_slice(&length.to_be_bytes());
+    head.extend_from_slice(&content);
+    Ok([head.into(), body])
+}
+
+impl ForwardFrame {
+    /// Replaces the body of a whole response by one with the same content.
+    pub fn with_whole_body(mut self, replace: impl FnOnce(Bytes) -> Bytes) -> Self {
+        if let Self::Whole(whole) = &mut self {
+            whole.body = replace(std::mem::take(&mut whole.body));
+        }
+        self
+    }
 }
 
 /// Why a frame can't be encoded.
--- a/shalehinge/src/peer/forward_server.rs
+++ b/shalehinge/src/peer/forward_server.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
-use futures_util::TryStreamExt;
+use bytes::Bytes;
 use futures_util::stream;
+use futures_util::{StreamExt, TryStreamExt};
 use trillium::{Body, Conn, Status};
 
 use super::forward_message::{ForwardFrame, ForwardMessage, encode_frame};
@@ -15,6 +16,7 @@
 use crate::process::pending_requests::CallerMessage;
 use crate::upstream::relay::RelayHeaderNames;
 use crate::utils::caller_connection::{CallerConnection, caller_left};
+use crate::utils::memory_budget::MemoryBudget;
 use crate::utils::time::with_timeout;
 
 /// Time without another frame after which a sign of life is sent.
@@ -66,6 +68,11 @@
         }
     }
 
+    /// The budget for bodies of requests.
+    pub(super) fn memory(&self) -> &MemoryBudget {
+        &self.driver.memory
+    }
+
     /// Runs the request and answers with frames as they come. Any other answer than 200 means that
     /// the request was not taken.
     pub(super) fn handle(&self, conn: Conn, message: ForwardMessage) -> Conn {
@@ -95,6 +102,14 @@
     }
 }
 
+/// The pieces of one frame.
+type FramePieces = stream::Iter<std::array::IntoIter<std::io::Result<Bytes>, 2>>;
+
+/// The end of an answer that can't be completed.
+fn failed(error: std::io::Error) -> FramePieces {
+    stream::iter([Ok(Bytes::new()), Err(error)])
+}
+
 /// The frames of a request's answer, as the body of a response.
 fn frames(running: RunningRequest) -> Body {
     let frames = stream::unfold(Some(running), |running| async move {
@@ -106,25 +121,27 @@
         let frame = match part {
             None => ForwardFrame::Alive,
             // Dropping the guard cancels the request.
-            Some(None) => return Some((Err(caller_left()), None)),
+            Some(None) => return Some((failed(caller_left()), None)),
             Some(Some(Ok(CallerMessage::Part(part)))) => part.into(),
             Some(Some(Ok(CallerMessage::Ended(outcome)))) => ForwardFrame::Ended(outcome),
-            Some(Some(Err(_))) => return Some((Err(caller_left()), None)),
+            Some(Some(Err(_))) => return Some((failed(caller_left()), None)),
         };
-        let bytes = match encode_frame(&frame) {
-            Ok(bytes) => bytes,
+        let is_last = matches!(frame, ForwardFrame::Ended(_));
+        let pieces = match encode_frame(frame) {
+            Ok(pieces) => stream::iter(pieces.map(Ok)),
             Err(error) => {
                 log::error!(target: "shalehinge", "peers: can't answer: {error}");
-                return Some((Err(std::io::Error::other(error)), None));
+                let error = std::io::Error::other(error);
+                return Some((failed(error), None));
             }
         };
-        if matches!(frame, ForwardFrame::Ended(_)) {
+        if is_last {
             let RunningRequest { guard, count, .. } = running;
             guard.disarm();
             drop(count);
-            return Some((Ok(bytes), None));
+            return Some((pieces, None));
         }
-        Some((Ok(bytes), Some(running)))
+        Some((pieces, Some(running)))
     });
-    Body::new_streaming(Box::pin(frames).into_async_read(), None)
+    Body::new_streaming(Box::pin(frames.flatten()).into_async_read(), None)
 }
--- a/shalehinge/src/peer/server.rs
+++ b/shalehinge/src/peer/server.rs
@@ -12,7 +12,8 @@
 use crate::core::event::{Event, Notice, Pull};
 use crate::process::Driver;
 use crate::upstream::relay::RelayHeaderNames;
-use crate::utils::body::{BodyError, BodyLimits, read_body};
+use crate::utils::body::{BodyError, BodyLimits, read_body, read_body_and_reservation};
+use crate::utils::memory_budget::{MemoryBudget, hold};
 
 /// Maximum size of a peer's message, in bytes. This leaves room for an object of 1 MB from each
 /// failure domain.
@@ -61,9 +62,20 @@
 }
 
 async fn handle_forward(forwards: ForwardServer, limits: BodyLimits, mut conn: Conn) -> Conn {
-    match read_message::<ForwardMessage>(&mut conn, limits).await {
-        Ok(message) => forwards.handle(conn, message),
-        Err(error) => refuse(conn, &error),
+    let read = read_body_and_reservation(&mut conn, limits, forwards.memory()).await;
+    let (bytes, reservation) = match read {
+        Ok(read) => read,
+        Err(error) => return refuse(conn, &error.into()),
+    };
+    let decoded = rmp_serde::from_slice::<ForwardMessage>(&bytes);
+    drop(bytes);
+    match decoded {
+        // The body of the request is a copy, which takes over the memory of what was read.
+        Ok(message) => {
+            let message = message.with_body(|body| hold(body, reservation));
+            forwards.handle(conn, message)
+        }
+        Err(error) => refuse(conn, &error.into()),
     }
 }
 
@@ -90,7 +102,8 @@
     conn: &mut Conn,
     limits: BodyLimits,
 ) -> Result<T, MessageError> {
-    let bytes = read_body(conn, limits).await?;
+    // Messages about the fleet are not held up by requests.
+    let bytes = read_body(conn, limits, &MemoryBudget::unlimited()).await?;
     Ok(rmp_serde::from_slice(&bytes)?)
 }
 
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashMap;
 use std::hash::Hash;
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -32,7 +33,9 @@
 use crate::upstream::connection_check;
 use crate::utils::clock::Clock;
 use crate::utils::http::single_use_client;
+use crate::utils::memory_budget::{MemoryBudget, ResponseMemory};
 use crate::utils::task::spawn;
+use crate::utils::time::with_timeout;
 
 /// Clients for everything that the daemon calls, except upstreams of callers' requests.
 pub struct Clients {
@@ -58,6 +61,8 @@
     peer_traffic: PeerTraffic,
     /// Metrics of this daemon.
     pub metrics: Metrics,
+    /// Budget for the bytes that are held for callers and upstreams.
+    pub memory: MemoryBudget,
     stop_sender: Sender<()>,
 }
 
@@ -88,7 +93,12 @@
 
 impl Driver {
     /// Creates a driver and a channel that receives a message when the core has stopped.
-    pub fn new(core: Daemon, clients: Clients, metrics: Metrics) -> (Arc<Self>, Receiver<()>) {
+    pub fn new(
+        core: Daemon,
+        clients: Clients,
+        metrics: Metrics,
+        memory: MemoryBudget,
+    ) -> (Arc<Self>, Receiver<()>) {
         let (stop_sender, stop_receiver) = async_channel::bounded(1);
         let driver = Self {
             core: Mutex::new(core),
@@ -102,6 +112,7 @@
             next_id: AtomicU64::new(1),
             peer_traffic: PeerTraffic::default(),
             metrics,
+            memory,
             stop_sender,
         };
         (Arc::new(driver), stop_receiver)
@@ -146,6 +157,7 @@
     /// Passes a tick to the core. `late_by` is the time since the tick was due.
     pub fn tick(self: &Arc<Self>, late_by: Duration) {
         self.metrics.record_tick_lateness(late_by);
+        self.metrics.record_memory(self.memory.usage());
         if let Some(line) = self.peer_traffic.tick(self.now(), late_by) {
             log::info!(target: "shalehinge", "peers: {line}");
         }
@@ -427,6 +439,8 @@
     request: RequestId,
     attempt: AttemptId,
     parts: Sender<CallerMessage>,
+    /// Memory of the attempt's response.
+    memory: ResponseMemory,
     /// Time of the last report of output to the core, in milliseconds of the core's time;
     /// 0 before the first report.
     reported_at_ms: AtomicU64,
@@ -447,6 +461,7 @@
             request,
             attempt,
             parts,
+            memory: driver.memory.response(),
             reported_at_ms: AtomicU64::new(0),
         }
     }
@@ -474,6 +489,16 @@
         is_in_flight
     }
 
+    /// Waits until output is delivered, and reports it to the core meanwhile: the upstream of a
+    /// caller that reads slowly is not read, but it is not silent.
+    async fn report_output_until(&self, delivered: impl Future<Output = ()>) {
+        let mut delivered = pin!(delivered);
+        let interval = Duration::from_millis(PROGRESS_INTERVAL_MS);
+        while with_timeout(interval, &mut delivered).await.is_none() {
+            self.report_output();
+        }
+    }
+
     fn is_in_flight(&self) -> bool {
         let (request, attempt) = (self.request, self.attempt);
         self.driver
@@ -496,10 +521,23 @@
         // A send error means that the caller has disconnected, which the caller's own task
         // reports. The attempt goes on until the core cancels it, or to its end if the request
         // must not be repeated.
-        let _ = self.parts.send(CallerMessage::Part(part)).await;
+        let ResponsePart::Chunk(chunk) = part else {
+            let _ = self.parts.send(CallerMessage::Part(part)).await;
+            return true;
+        };
+        self.report_output_until(async {
+            // Until there is memory for the chunk, the upstream is not read.
+            let part = ResponsePart::Chunk(self.memory.hold(chunk).await);
+            let _ = self.parts.send(CallerMessage::Part(part)).await;
+        })
+        .await;
         true
     }
 
+    fn memory(&self) -> &ResponseMemory {
+        &self.memory
+    }
+
     fn on_signal(&self, signal: UpstreamSignal) {
         if !signal.is_relevant() {
             return;
--- a/shalehinge/src/process/run.rs
+++ b/shalehinge/src/process/run.rs
@@ -22,7 +22,9 @@
 use crate::telemetry::metrics::Metrics;
 use crate::upstream::engine::HttpEngineClient;
 use crate::upstream::relay::RelayHeaderNames;
+use crate::utils::allocator::return_large_allocations;
 use crate::utils::http::{ListenError, bind};
+use crate::utils::memory_budget::{MemoryBudget, budget_for_limit};
 use crate::utils::task::{self, spawn};
 use crate::utils::time::{wall_clock, with_timeout};
 use crate::{gateway, operator_api, peer};
@@ -83,6 +85,7 @@
     clients: Clients,
     relay: Option<RelayHeaderNames>,
 ) -> Result<(), ListenError> {
+    return_large_allocations();
     task::set_threads(settings.daemon.threads);
     let listeners = bind_listeners(&settings)?;
     let (driver, stop_receiver) = build_driver(&settings, listeners.peer_address, clients);
@@ -154,7 +157,8 @@
         wall_seconds: wall_clock.as_secs(),
     };
     let core = Daemon::new(settings.core, identity, fastrand::u64(..));
-    Driver::new(core, clients, Metrics::new(daemon.statsd))
+    let memory = MemoryBudget::new(daemon.limits.memory.map(budget_for_limit));
+    Driver::new(core, clients, Metrics::new(daemon.statsd), memory)
 }
 
 fn spawn_servers(
--- a/shalehinge/src/settings/daemon.rs
+++ b/shalehinge/src/settings/daemon.rs
@@ -8,6 +8,9 @@
 /// Default number of executor threads.
 const DEFAULT_THREADS: usize = 4;
 
+/// Least memory of a process: below it hardly anything is left for bodies.
+const MIN_MEMORY: u64 = 64_000_000;
+
 /// Sections `[daemon]`, `[listen]`, `[platform]`, `[operators]`, `[limits]`,
 /// `[log]` and `[metrics]`.
 #[derive(Clone, Debug, PartialEq)]
@@ -53,6 +56,9 @@
     pub max_head_bytes: usize,
     /// Maximum number of concurrent connections of callers.
     pub max_connections: usize,
+    /// Memory that the process may use, in bytes. It bounds what is held for callers and upstreams,
+    /// which is unlimited without it.
+    pub memory: Option<u64>,
     /// How long callers, operators and peers may take to send the complete request body.
     pub body_timeout: Duration,
     /// Time to the deadline of a request that doesn't specify one.
@@ -73,6 +79,7 @@
             max_body_bytes: 4 * 1024 * 1024,
             max_head_bytes: 16 * 1024,
             max_connections: 2_000,
+            memory: None,
             body_timeout: Duration::from_secs(10),
             default_deadline: Duration::from_secs(120),
             max_deadline: Duration::from_secs(3_600),
@@ -172,6 +179,7 @@
             max_body_bytes: section.count("max_body_bytes", default.max_body_bytes),
             max_head_bytes: section.count("max_head_bytes", default.max_head_bytes),
             max_connections: section.count("max_connections", default.max_connections),
+            memory: section.optional_size("memory", MIN_MEMORY),
             body_timeout: section.duration("body_timeout", default.body_timeout),
             default_deadline: section.duration("default_deadline", default.default_deadline),
             max_deadline: section.duration("max_deadline", default.max_deadline),
--- a/shalehinge/src/settings/reader.rs
+++ b/shalehinge/src/settings/reader.rs
@@ -190,6 +190,24 @@
     }
 }
 
+/// Units of sizes, in bytes.
+const SIZE_UNITS: [(&str, u64); 6] = [
+    ("KiB", 1 << 10),
+    ("MiB", 1 << 20),
+    ("GiB", 1 << 30),
+    ("kB", 1_000),
+    ("MB", 1_000_000),
+    ("GB", 1_000_000_000),
+];
+
+/// Parses a whole number with a unit of [`SIZE_UNITS`].
+fn parse_size(text: &str) -> Option<u64> {
+    SIZE_UNITS.iter().find_map(|(unit, bytes)| {
+        let number: u64 = text.strip_suffix(unit)?.trim().parse().ok()?;
+        number.checked_mul(*bytes)
+    })
+}
+
 fn span_of_line(text: &str, line: usize) -> SourceSpan {
     let start: usize = text
         .split_inclusive('\n')
@@ -262,6 +280,19 @@
         Some(self.duration(key, Duration::ZERO))
     }
 
+    /// Reads an optional size in bytes of at least `min`, with its unit.
+    pub fn optional_size(&mut self, key: &str, min: u64) -> Option<u64> {
+        let parse = |text: &str| {
+            let size = parse_size(text)?;
+            (size >= min).then_some(Some(size))
+        };
+        let help = format!(
+            "use a size of at least {}MB, such as 260MB",
+            min / 1_000_000
+        );
+        self.parse(key, None, parse, &help)
+    }
+
     /// Reads an integer of at least 1.
     pub fn count<T: FromStr + PartialOrd + From<u8>>(&mut self, key: &str, default: T) -> T {
         let parse = |text: &str| {
--- a/shalehinge/src/telemetry/metrics.rs
+++ b/shalehinge/src/telemetry/metrics.rs
@@ -8,6 +8,10 @@
 use cadence::prelude::*;
 use cadence::{BufferedUdpMetricSink, MetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
 
+use crate::utils::memory_budget::MemoryUsage;
+
+/// Name of the gauge of bytes that are held for callers and upstreams.
+const MEMORY_GAUGE: &str = "memory.bytes_held";
 /// Prefix of all metric names.
 const PREFIX: &str = "shalehinge";
 /// Upper bounds of the histogram buckets on the page, in milliseconds. A further bucket counts
@@ -61,6 +65,10 @@
     PullBytes,
     /// Notices sent to peers.
     Notices,
+    /// Bodies and parts of responses that had to wait for memory.
+    MemoryWaits,
+    /// Bodies that were refused for lack of memory.
+    MemoryRefusals,
 }
 
 impl Counter {
@@ -89,6 +97,8 @@
             Self::PullsUnanswered => "peer.pulls.unanswered",
             Self::PullBytes => "peer.pulls.bytes",
             Self::Notices => "peer.notices",
+            Self::MemoryWaits => "memory.waits",
+            Self::MemoryRefusals => "memory.refusals",
         }
     }
 }
@@ -96,6 +106,7 @@
 #[derive(Debug, Default)]
 struct Totals {
     counters: BTreeMap<Counter, u64>,
+    memory: MemoryUsage,
     first_output_buckets: [u64; BUCKET_BOUNDS_MS.len() + 1],
     tick_lateness_buckets: [u64; BUCKET_BOUNDS_MS.len() + 1],
 }
@@ -134,6 +145,27 @@
         }
     }
 
+    /// Records the totals of the memory budget.
+    pub fn record_memory(&self, usage: MemoryUsage) {
+        let before = match self.totals.lock() {
+            Ok(mut totals) => std::mem::replace(&mut totals.memory, usage),
+            Err(_) => return,
+        };
+        if usage.bytes_held != before.bytes_held {
+            let _ = self.client.gauge(MEMORY_GAUGE, usage.bytes_held);
+        }
+        let waits = usage.waits - before.waits;
+        let refusals = usage.refusals - before.refusals;
+        for (counter, count) in [
+            (Counter::MemoryWaits, waits),
+            (Counter::MemoryRefusals, refusals),
+        ] {
+            if count > 0 {
+                self.add(counter, count);
+            }
+        }
+    }
+
     /// Records by how much a timer tick was late.
     pub fn record_tick_lateness(&self, time: Duration) {
         let millis = time.as_millis() as u64;
@@ -163,6 +195,8 @@
         for (counter, value) in &totals.counters {
             page.push_str(&format!("{PREFIX}.{} {value}\n", counter.name()));
         }
+        let held = totals.memory.bytes_held;
+        page.push_str(&format!("{PREFIX}.{MEMORY_GAUGE} {held}\n"));
         write_histogram(&mut page, "first_output", &totals.first_output_buckets);
         write_histogram(&mut page, "tick.late", &totals.tick_lateness_buckets);
         page
--- a/shalehinge/src/upstream/attempt.rs
+++ b/shalehinge/src/upstream/attempt.rs
@@ -3,8 +3,7 @@
 //! Each attempt uses a connection of its own. Responses of engines are passed on only if they
 //! carry this attempt's id.
 
-use std::sync::Arc;
-
+use bytes::Bytes;
 use futures_lite::AsyncReadExt;
 use serde::{Deserialize, Serialize};
 use trillium_client::{Client, Conn, Method, ResponseBody};
@@ -14,8 +13,10 @@
 use super::signal::{self, SIGNAL_HEADER_NAMES};
 use crate::core::router::request::{Attempt, AttemptEnd};
 use crate::core::signal::UpstreamSignal;
+use crate::utils::body::{read_reserved, shared_body};
 use crate::utils::headers::forwarded_headers;
 use crate::utils::http::{is_not_connected, url};
+use crate::utils::memory_budget::{ResponseMemory, hold};
 
 /// Start of the names of headers between daemons and upstreams, which are never forwarded.
 pub const OWN_HEADER_PREFIX: &str = "x-shalehinge-";
@@ -47,7 +48,7 @@
     /// Headers to forward.
     pub headers: Headers,
     /// Body, shared by all attempts of the request.
-    pub body: Arc<[u8]>,
+    pub body: Bytes,
     /// How the response is read.
     pub response_mode: ResponseMode,
     /// Set if the request is relayed unchanged.
@@ -73,7 +74,7 @@
     /// The start of a relayed stream, with its status and headers.
     Head(ResponseHead),
     /// A chunk of a stream.
-    Chunk(Vec<u8>),
+    Chunk(Bytes),
     /// A whole response.
     Whole(WholeResponse),
 }
@@ -88,7 +89,7 @@
     /// Headers to forward to the caller; none of a model's response.
     pub headers: Headers,
     /// Body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
 }
 
 /// Receives the response parts and signals of an attempt.
@@ -97,6 +98,9 @@
     /// if another attempt of the request has taken the place of this one.
     fn pass(&self, part: ResponsePart) -> impl Future<Output = bool> + Send;
 
+    /// The memory of the response.
+    fn memory(&self) -> &ResponseMemory;
+
     /// Reports what the upstream states about itself in its response headers.
     fn on_signal(&self, signal: UpstreamSignal);
 }
@@ -147,7 +151,7 @@
 fn build_request(client: &Client, attempt: &Attempt, request: &OutgoingRequest) -> Conn {
     let mut conn = client
         .build_conn(request.method, url(attempt.address, &request.path))
-        .with_body(request.body.to_vec());
+        .with_body(shared_body(request.body.clone()));
     conn.request_headers_mut()
         .insert_all(request.headers.clone());
     let time_left = attempt.time_left.as_millis().to_string();
@@ -176,8 +180,7 @@
     } else {
         service_headers(&conn)
     };
-    let body = conn.response_body().with_max_len(MAX_RESPONSE_BYTES);
-    let Ok(body) = body.read_bytes().await else {
+    let Some(body) = read_body(&mut conn, MAX_RESPONSE_BYTES, sink).await else {
         return AttemptEnd::Lost;
     };
     let is_success = (200..300).contains(&status);
@@ -202,6 +205,18 @@
     }
 }
 
+/// Reads a whole response body; `None` if it breaks off or is longer than `max_bytes`.
+pub(super) async fn read_body(
+    conn: &mut Conn,
+    max_bytes: u64,
+    sink: &impl ResponseSink,
+) -> Option<Bytes> {
+    let body = conn.response_body().with_max_len(u64::MAX);
+    let (length, memory) = (body.content_length(), sink.memory().reservation());
+    let read = read_reserved(body, length, max_bytes, None, memory).await;
+    read.ok().map(|(bytes, memory)| hold(bytes, memory))
+}
+
 /// Headers of a plain service's response that are forwarded to the caller.
 fn service_headers(conn: &Conn) -> Headers {
     forwarded_headers(conn.response_headers(), |name| {
@@ -237,7 +252,7 @@
             has_started = true;
             sink.pass(ResponsePart::StreamStart).await;
         }
-        sink.pass(ResponsePart::Chunk(chunk)).await;
+        sink.pass(ResponsePart::Chunk(chunk.into())).await;
         if events.has_ended {
             break;
         }
--- a/shalehinge/src/upstream/relay.rs
+++ b/shalehinge/src/upstream/relay.rs
@@ -12,10 +12,11 @@
 use trillium_client::{Client, Conn, ResponseBody};
 use trillium_http::Headers;
 
-use super::attempt::{OutgoingRequest, ResponsePart, ResponseSink, WholeResponse};
+use super::attempt::{OutgoingRequest, ResponsePart, ResponseSink, WholeResponse, read_body};
 use super::signal::{self, SignalHeaderNames};
 use super::stream_position::{EventSplitter, StreamPosition};
 use crate::core::router::request::{Attempt, AttemptEnd};
+use crate::utils::body::shared_body;
 use crate::utils::headers::forwarded_headers;
 use crate::utils::http::{is_not_connected, url};
 
@@ -155,7 +156,7 @@
     let names = relay.names;
     let mut conn = client.build_conn(request.method, url(attempt.address, &request.path));
     if !request.body.is_empty() {
-        conn = conn.with_body(request.body.to_vec());
+        conn = conn.with_body(shared_body(request.body.clone()));
     }
     conn.request_headers_mut()
         .insert_all(request.headers.clone());
@@ -181,8 +182,7 @@
 
 async fn read_whole(mut conn: Conn, status: u16, sink: &impl ResponseSink) -> AttemptEnd {
     let head = response_head(&conn, status);
-    let body = conn.response_body().with_max_len(MAX_RESPONSE_BYTES);
-    let Ok(body) = body.read_bytes().await else {
+    let Some(body) = read_body(&mut conn, MAX_RESPONSE_BYTES, sink).await else {
         return AttemptEnd::Lost;
     };
     let response = WholeResponse {
@@ -211,6 +211,7 @@
         return AttemptEnd::Lost;
     };
     let mut splitter = EventSplitter::default();
+    let mut memory = sink.memory().reservation();
     let mut count = 0;
     let mut chunk = vec![0; READ_SIZE];
     loop {
@@ -224,6 +225,7 @@
         if splitter.has_excess(MAX_EVENT_BYTES) {
             return AttemptEnd::WrongAnswer;
         }
+        splitter.reserve(&mut memory).await;
         count += relay.position.pass_events(&head, &events, sink).await;
     }
     if splitter.has_excess(0) {
--- a/shalehinge/src/upstream/stream_position.rs
+++ b/shalehinge/src/upstream/stream_position.rs
@@ -9,7 +9,10 @@
 
 use super::attempt::{ResponsePart, ResponseSink};
 use super::relay::ResponseHead;
+use crate::utils::memory_budget::{GrowingReservation, ResponseReservation};
 
+/// Size up to which the buffer for an incomplete event is kept and not counted, in bytes.
+const BUFFER_SIZE: usize = 16 * 1024;
 /// Bytes that end an event.
 const EVENT_END: &[u8] = b"\n\n";
 
@@ -92,7 +95,7 @@
         if following.is_empty() || !self.pass_head_in_turn(head, sink).await {
             return 0;
         }
-        if !sink.pass(ResponsePart::Chunk(following)).await {
+        if !sink.pass(ResponsePart::Chunk(following.into())).await {
             return 0;
         }
         position.has_head = true;
@@ -126,7 +129,7 @@
                 let mut position = self.get();
                 let (following, _) = position.advance(&events);
                 let is_new = !following.is_empty();
-                if is_new && sink.pass(ResponsePart::Chunk(following)).await {
+                if is_new && sink.pass(ResponsePart::Chunk(following.into())).await {
                     self.set(position);
                 }
             }
@@ -156,7 +159,20 @@
             return Vec::new();
         };
         let end = search_start + last + EVENT_END.len();
-        self.buffer.drain(..end).collect()
+        let events = self.buffer.drain(..end).collect();
+        self.buffer.shrink_to(BUFFER_SIZE);
+        events
+    }
+
+    /// Reserves memory for the start of the next event if it is large.
+    pub async fn reserve(&self, memory: &mut ResponseReservation) {
+        let bytes = match self.buffer.len() {
+            0..=BUFFER_SIZE => 0,
+            length => length.next_multiple_of(BUFFER_SIZE) as u64,
+        };
+        memory.shrink_to(bytes);
+        // Memory of responses is never refused.
+        let _ = memory.grow_to(bytes).await;
     }
 
     /// Whether the start of the next event is longer than this number of bytes.
--- a/shalehinge/src/utils/caller_connection.rs
+++ b/shalehinge/src/utils/caller_connection.rs
@@ -6,13 +6,20 @@
 use std::any::Any;
 use std::future::pending;
 use std::io::ErrorKind;
+use std::net::Shutdown;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
+use futures_lite::AsyncReadExt;
 use smol::net::TcpStream;
 use smol::net::unix::UnixStream;
 use trillium::{Conn, Transport};
 use trillium_server_common::Binding;
 use trillium_smol::SmolTransport;
 
+use super::task::spawn;
+use super::time::with_timeout;
+
 type ServerTransport = Binding<SmolTransport<TcpStream>, SmolTransport<UnixStream>>;
 
 /// A second handle of a caller's connection.
@@ -60,6 +67,44 @@
     }
 }
 
+/// How long the rest of a request is read and discarded after its response.
+const DISCARD_FOR: Duration = Duration::from_secs(2);
+/// Maximum number of connections whose rest is discarded at the same time; others are closed at once.
+const MAX_DISCARDING: usize = 256;
+
+static DISCARDING: AtomicUsize = AtomicUsize::new(0);
+
+/// Reads and discards the rest of the request after its response was sent, for a while. If a
+/// connection is closed while bytes of its request have not been read, the system resets it, and the
+/// caller may lose the response.
+pub fn discard_rest_after_response(conn: &mut Conn) {
+    let inner: &mut trillium_http::Conn<Box<dyn Transport>> = conn.as_mut();
+    let Some(stream) = tcp_stream(&**inner.transport()) else {
+        return;
+    };
+    inner.after_send(move |_| {
+        let before = DISCARDING.fetch_add(1, Ordering::Relaxed);
+        if before < MAX_DISCARDING {
+            spawn(async move {
+                with_timeout(DISCARD_FOR, discard(stream)).await;
+                DISCARDING.fetch_sub(1, Ordering::Relaxed);
+            })
+            .detach();
+        } else {
+            DISCARDING.fetch_sub(1, Ordering::Relaxed);
+        }
+    });
+}
+
+/// Ends the own side of a connection and reads until the other side has ended its own.
+async fn discard(mut stream: TcpStream) {
+    if stream.shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let mut chunk = vec![0; 16 * 1024];
+    while let Ok(1..) = stream.read(&mut chunk).await {}
+}
+
 /// The TCP stream in a transport, which the HTTP library may have boxed more than once.
 fn tcp_stream(transport: &dyn Transport) -> Option<TcpStream> {
     let content: &dyn Any = transport;
--- a/shalehinge/tests/settings.rs
+++ b/shalehinge/tests/settings.rs
@@ -47,6 +47,32 @@
     assert_eq!(settings.daemon.limits, LimitSettings::default());
 }
 
+#[test]
+fn the_memory_of_the_process_is_a_size_with_its_unit() {
+    let memory = |value: &str| {
+        let text = format!("{MINIMAL}[limits]\nmemory = {value}\n");
+        let settings = Settings::parse("entry.ini", &text).ok()?;
+        settings.daemon.limits.memory
+    };
+    assert_eq!(memory("260MB"), Some(260_000_000));
+    assert_eq!(memory("1 GiB"), Some(1 << 30));
+    assert_eq!(memory(""), None);
+    for invalid in [
+        "260",
+        "MB",
+        "-1MB",
+        "1.5GB",
+        "63MB",
+        "99999999999999999999GB",
+    ] {
+        let text = format!("{MINIMAL}[limits]\nmemory = {invalid}\n");
+        let expected = format!(
+            "13: invalid value {invalid:?} for memory; use a size of at least 64MB, such as 260MB"
+        );
+        assert_eq!(problems(&text), [expected]);
+    }
+}
+
 #[test]
 fn an_unknown_key_is_reported_with_its_line_and_the_valid_keys() {
     let text = format!("{MINIMAL}[lease]\nterms = 6s\n");
--- a/shalehinge/tests/stream_position.rs
+++ b/shalehinge/tests/stream_position.rs
@@ -7,6 +7,7 @@
 use shalehinge::upstream::attempt::{ResponsePart, ResponseSink};
 use shalehinge::upstream::relay::ResponseHead;
 use shalehinge::upstream::stream_position::{EventSplitter, StreamPosition};
+use shalehinge::utils::memory_budget::{MemoryBudget, ResponseMemory};
 use trillium_http::Headers;
 
 /// The caller of a stream, as one of the request's attempts reaches it.
@@ -16,6 +17,7 @@
     is_in_flight: bool,
     /// Set if the caller reads only after a message arrives.
     reads_after: Option<async_channel::Receiver<()>>,
+    memory: ResponseMemory,
 }
 
 impl Caller {
@@ -24,6 +26,7 @@
             received: received.clone(),
             is_in_flight: true,
             reads_after: None,
+            memory: MemoryBudget::unlimited().response(),
         }
     }
 }
@@ -41,13 +44,17 @@
         }
         let text = match part {
             ResponsePart::Head(head) => format!("head {}", head.status),
-            ResponsePart::Chunk(events) => String::from_utf8(events).expect("text"),
+            ResponsePart::Chunk(events) => String::from_utf8(events.to_vec()).expect("text"),
             ResponsePart::StreamStart | ResponsePart::Whole(_) => panic!("not a relayed stream"),
         };
         self.received.lock().expect("not poisoned").push(text);
         true
     }
 
+    fn memory(&self) -> &ResponseMemory {
+        &self.memory
+    }
+
     fn on_signal(&self, _: UpstreamSignal) {}
 }
 
