fix(upstream): streams and answers of peers longer than 10 MB are not cut

Cause: the HTTP client ends each response body after 10 MB unless another length is set, which the reads of streams did not do. The attempt counted as lost, and the stream went on at another upstream or was cut: the tests of slow callers ended at 10.4 or 20.8 MB.

Change: streams and the answers of peers have no maximum length. Events and frames are bounded each as before.

--- a/shalehinge/src/peer/forward_client.rs
+++ b/shalehinge/src/peer/forward_client.rs
@@ -56,9 +56,11 @@
     if conn.status().map(u16::from) != Some(OK) {
         return ForwardEnd::NotSent;
     }
-    let Some(mut body) = conn.take_response_body() else {
+    let Some(body) = conn.take_response_body() else {
         return ForwardEnd::Lost;
     };
+    // The HTTP library would end an answer after 10 MB.
+    let mut body = body.with_max_len(u64::MAX);
     loop {
         let Some(frame) = log_silence(forward, read_frame(&mut body, sink.memory())).await else {
             return ForwardEnd::Lost;
--- a/shalehinge/src/upstream/attempt.rs
+++ b/shalehinge/src/upstream/attempt.rs
@@ -234,9 +234,11 @@
 
 /// Passes on a stream of events. The stream is complete only if the end marker arrived.
 async fn read_stream(mut conn: Conn, sink: &impl ResponseSink) -> AttemptEnd {
-    let Some(mut body) = conn.take_response_body() else {
+    let Some(body) = conn.take_response_body() else {
         return AttemptEnd::Lost;
     };
+    // The HTTP library would end a stream after 10 MB.
+    let mut body = body.with_max_len(u64::MAX);
     let mut events = EventCounter::default();
     let mut has_started = false;
     loop {
--- a/shalehinge/src/upstream/relay.rs
+++ b/shalehinge/src/upstream/relay.rs
@@ -207,9 +207,11 @@
     sink: &impl ResponseSink,
 ) -> AttemptEnd {
     let head = response_head(&conn, status);
-    let Some(mut body) = conn.take_response_body() else {
+    let Some(body) = conn.take_response_body() else {
         return AttemptEnd::Lost;
     };
+    // The HTTP library would end a stream after 10 MB.
+    let mut body = body.with_max_len(u64::MAX);
     let mut splitter = EventSplitter::default();
     let mut memory = sink.memory().reservation();
     let mut count = 0;
