--- a/shalehinge/src/gateway/chat.rs
+++ b/shalehinge/src/gateway/chat.rs
@@ -63,7 +63,7 @@
         target: target.map_err(request_input::target_error_response)?,
         headers: Headers::new()
             .with_inserted_header(KnownHeaderName::ContentType, "application/json"),
-        body: body.into(),
+        body,
         response_mode: if chat.stream {
             ResponseMode::Stream
         } else {
--- a/shalehinge/src/gateway/service.rs
+++ b/shalehinge/src/gateway/service.rs
@@ -59,7 +59,7 @@
         method: conn.method(),
         target,
         headers: forwarded_headers(conn.request_headers(), is_consumed),
-        body: body.into(),
+        body,
         response_mode: ResponseMode::Service,
         relay: None,
     };
--- a/shalehinge/src/process/run.rs
+++ b/shalehinge/src/process/run.rs
@@ -23,7 +23,9 @@
 use crate::telemetry::metrics::Metrics;
 use crate::upstream::engine::HttpEngineClient;
 use crate::upstream::relay::RelayHeaderNames;
+use crate::utils::allocator::return_large_allocations;
 use crate::utils::http::{ListenError, bind};
+use crate::utils::memory_budget::{MemoryBudget, budget_for_limit};
 use crate::utils::task::{self, spawn};
 use crate::utils::time::{wall_clock, with_timeout};
 use crate::{gateway, operator_api, peer};
@@ -98,11 +100,14 @@
     relay: Option<RelayHeaderNames>,
     build_core: impl FnOnce(Daemon) -> Box<dyn Core>,
 ) -> Result<(), ListenError> {
+    return_large_allocations();
     task::set_threads(settings.daemon.threads);
     let listeners = bind_listeners(&settings)?;
     let core = build_core(build_daemon(&settings, listeners.peer_address));
     let metrics = Metrics::new(settings.daemon.statsd);
-    let (driver, stop_receiver) = Driver::new(core, clients, metrics);
+    let limit = settings.daemon.limits.memory;
+    let memory = MemoryBudget::new(Some(budget_for_limit(limit)));
+    let (driver, stop_receiver) = Driver::new(core, clients, metrics, memory);
     log::info!(
         "daemon: {} in {} listens to callers on {}, to operators on {}, to peers on {}",
         settings.daemon.name,
--- a/shalehinge/src/upstream/relay.rs
+++ b/shalehinge/src/upstream/relay.rs
@@ -12,12 +12,13 @@
 use trillium_client::{Client, Conn, ResponseBody};
 use trillium_http::Headers;
 
-use super::attempt::{OutgoingRequest, ResponsePart, ResponseSink, WholeResponse};
+use super::attempt::{OutgoingRequest, ResponsePart, ResponseSink, WholeResponse, read_body};
 use super::signal::{self, SignalHeaderNames};
 use super::stream_position::{EventSplitter, StreamPosition};
 use crate::core::admission::urgency::MAX_RANK;
 use crate::core::router::request::{Attempt, AttemptEnd};
 use crate::core::types::Address;
+use crate::utils::body::shared_body;
 use crate::utils::headers::forwarded_headers;
 use crate::utils::http::is_not_connected;
 use crate::utils::raw_target::raw_target_url;
@@ -165,7 +166,7 @@
     let url = raw_target_url(attempt.address, &request.target);
     let mut conn = client.build_conn(request.method, url);
     if !request.body.is_empty() {
-        conn = conn.with_body(request.body.to_vec());
+        conn = conn.with_body(shared_body(request.body.clone()));
     }
     conn.request_headers_mut()
         .insert_all(request.headers.clone());
@@ -200,13 +201,9 @@
     sink: &impl ResponseSink,
 ) -> AttemptEnd {
     let head = response_head(&conn, status);
-    let body = conn.response_body().with_max_len(MAX_RESPONSE_BYTES);
-    let body = match body.read_bytes().await {
-        Ok(body) => body,
-        Err(error) => {
-            report_error(&error, &upstream);
-            return AttemptEnd::Lost;
-        }
+    let body = read_body(&mut conn, MAX_RESPONSE_BYTES, upstream, sink).await;
+    let Some(body) = body else {
+        return AttemptEnd::Lost;
     };
     let response = WholeResponse {
         status,
@@ -236,6 +233,7 @@
         return AttemptEnd::Lost;
     };
     let mut splitter = EventSplitter::default();
+    let mut memory = sink.memory().reservation();
     let mut count = 0;
     let mut chunk = vec![0; READ_SIZE];
     loop {
@@ -250,6 +248,7 @@
             report(Excess::Event, &upstream);
             return AttemptEnd::WrongAnswer;
         }
+        splitter.reserve(&mut memory).await;
         count += relay.position.pass_events(&head, &events, sink).await;
     }
     if splitter.has_excess(0) {
--- a/shalehinge/src/utils/mod.rs
+++ b/shalehinge/src/utils/mod.rs
@@ -1,23 +1,27 @@
 //! Helpers shared by several modules.
 //!
-//! - `body`: request bodies within limits of size and time
+//! - `allocator`: settings of the memory allocator
+//! - `body`: bodies within limits of size, time and memory
 //! - `bounded_transport`: connections that end when a response exceeds its bounds
 //! - `caller_connection`: notices that a caller disconnects during its response
 //! - `clock`: the clock for lease terms and ages
 //! - `headers`: selection of the headers that are forwarded
 //! - `http`: common configuration of HTTP clients and listeners
+//! - `memory_budget`: budget for the bytes held for callers and upstreams
 //! - `raw_target`: connections that write a request target as the caller sent it
 //! - `request_target`: request targets that can be forwarded unchanged
 //! - `response_bounds`: bounds on heads, trailers and surplus bytes of responses
 //! - `task`: task executor with several threads
 //! - `time`: time-outs and wall clock
 
+pub mod allocator;
 pub mod body;
 pub mod bounded_transport;
 pub mod caller_connection;
 pub mod clock;
 pub mod headers;
 pub mod http;
+pub mod memory_budget;
 pub mod raw_target;
 pub mod request_target;
 pub mod response_bounds;
--- a/shalehinge/tests/endless_responses.rs
+++ b/shalehinge/tests/endless_responses.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use shalehinge::core::fingerprint::Fingerprint;
 use shalehinge::core::forward::{Forward, ForwardEnd, ForwardedMeta};
 use shalehinge::core::router::request::{Attempt, AttemptEnd, Target, UpstreamId};
@@ -27,6 +28,7 @@
 use shalehinge::utils::http::{
     ResponseTimeouts, attempt_client, exchange, exchange_with_timeouts, pooled_client, url,
 };
+use shalehinge::utils::memory_budget::{MemoryBudget, ResponseMemory};
 use shalehinge::utils::request_target::RequestTarget;
 use shalehinge::utils::response_bounds::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
 use shalehinge::utils::time::with_timeout;
@@ -249,12 +251,24 @@
 }
 
 /// Counts what an attempt passes on.
-#[derive(Default)]
 struct Caller {
     chunks: Mutex<Vec<u8>>,
     keeps_chunks: bool,
     bytes: AtomicUsize,
-    whole: Mutex<Option<Vec<u8>>>,
+    whole: Mutex<Option<Bytes>>,
+    memory: ResponseMemory,
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        Self {
+            chunks: Mutex::default(),
+            keeps_chunks: false,
+            bytes: AtomicUsize::new(0),
+            whole: Mutex::default(),
+            memory: MemoryBudget::unlimited().response(),
+        }
+    }
 }
 
 impl ResponseSink for Caller {
@@ -275,6 +289,10 @@
     }
 
     fn on_signal(&self, _: UpstreamSignal) {}
+
+    fn memory(&self) -> &ResponseMemory {
+        &self.memory
+    }
 }
 
 const NAMES: RelayHeaderNames = RelayHeaderNames {
@@ -298,7 +316,7 @@
         method: Method::Get,
         target: RequestTarget::new(Method::Get, "/x").expect("a valid target"),
         headers: Headers::new(),
-        body: Arc::from(&b""[..]),
+        body: Bytes::new(),
         response_mode,
         relay: is_relayed.then(|| RelayContext {
             names: NAMES,
