--- a/shalehinge/tests/settings.rs
+++ b/shalehinge/tests/settings.rs
@@ -51,7 +51,7 @@
 fn the_memory_of_the_process_is_a_size_with_its_unit() {
     let memory = |value: &str| {
         let text = format!("{MINIMAL}[limits]\nmemory = {value}\n");
-        let settings = Settings::parse("entry.ini", &text).ok()?;
+        let settings = Settings::parse("entry.ini", &text).expect("valid settings");
         settings.daemon.limits.memory
     };
     assert_eq!(memory("260MB"), 260_000_000);
