feat(metrics): counters of deprioritized and preferred requests

With [router] overload_order, nothing but log lines showed how many requests are deprioritized and whether the others are on time. The router returns an event to count, as it does for its log lines, and the driver adds it to route.put_last, route.preferred_late or route.preferred_on_time.

--- a/shalehinge/src/core/admission/mod.rs
+++ b/shalehinge/src/core/admission/mod.rs
@@ -6,7 +6,9 @@
 //! - `urgency`: the urgency with which a request is sent
 //! - `shortage`: which fraction of the new requests is deprioritized
 //! - `latency_sample`: whether the first output of a request was on time
+//! - `counted_event`: what a daemon counts of it
 
+pub mod counted_event;
 pub mod latency_sample;
 pub mod shortage;
 pub mod urgency;
--- a/shalehinge/src/core/daemon/requests.rs
+++ b/shalehinge/src/core/daemon/requests.rs
@@ -230,6 +230,7 @@
                     self.request_permits(now, request, out);
                 }
                 RouterAction::RequestTrial(request) => self.request_trial(now, request, out),
+                RouterAction::Count(event) => out.push(Action::Count(event)),
                 RouterAction::Log(text) => log(out, Component::Route, text),
                 RouterAction::Answer { request, outcome } => {
                     let text = format!("request {} ends: {outcome:?}", request.0);
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::admission::counted_event::CountedEvent;
 use super::claim_witnesses::ClaimsNotice;
 use super::demand::WorkReport;
 use super::engine::{EngineStatus, NoStatus, Order, OrderReply};
@@ -444,6 +445,8 @@
         /// The answer.
         answer: OperatorAnswer,
     },
+    /// Count an event of the order among requests.
+    Count(CountedEvent),
     /// Write a line to the log.
     Log(LogLine),
     /// All requests have ended; the process may exit.
--- a/shalehinge/src/core/router/attempts.rs
+++ b/shalehinge/src/core/router/attempts.rs
@@ -31,7 +31,7 @@
         let sample = sampled.and_then(|sampled| sampled.on_output(now));
         let state = self.targets.get_mut(&pending.meta.target);
         if let (Some(sample), Some(state)) = (sample, state) {
-            state.shortage.record(now, sample);
+            state.record_sample(now, sample, out);
         }
         let Some(running) = pending.running.as_mut().filter(|r| r.id == attempt) else {
             return;
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::core::admission::counted_event::CountedEvent;
 use crate::core::fingerprint::Fingerprint;
 use crate::core::forward::Forward;
 use crate::core::permits::LimitReport;
@@ -73,6 +74,8 @@
     },
     /// Request a trial of a suspected request from the owner of the target's trials.
     RequestTrial(TrialRequest),
+    /// Count an event of the order among requests.
+    Count(CountedEvent),
     /// Write a line to the log of routing decisions.
     Log(String),
 }
@@ -408,7 +411,7 @@
             state.upstreams[choice.index].limit.on_made_up();
         }
         let orders = self.settings.overload_order;
-        let urgency = orders.then(|| state.urgency_of(now, request, pending));
+        let urgency = orders.then(|| state.urgency_of(now, request, pending, out));
         out.push(RouterAction::Log(decision_line(
             request, pending, state, &choice, urgency,
         )));
--- a/shalehinge/src/core/router/overload_order.rs
+++ b/shalehinge/src/core/router/overload_order.rs
@@ -1,7 +1,8 @@
 //! The order among requests at overloaded upstreams: applies the types of [`crate::core::admission`]
 //! to the router's requests.
 
-use crate::core::admission::latency_sample::SampledRequest;
+use crate::core::admission::counted_event::CountedEvent;
+use crate::core::admission::latency_sample::{LatencySample, SampledRequest};
 use crate::core::admission::shortage::ShortageChange;
 use crate::core::admission::urgency::{Standing, urgency};
 use crate::core::hash::rendezvous_weight;
@@ -26,6 +27,7 @@
         now: Timestamp,
         request: RequestId,
         pending: &mut Pending,
+        out: &mut Vec<RouterAction>,
     ) -> u8 {
         let priority = pending.meta.priority;
         if pending.is_admitted() {
@@ -42,11 +44,25 @@
                 let within = pending.meta.first_output_within;
                 let due_at = within.map(|within| pending.arrived_at + within);
                 pending.sampled = Some(SampledRequest::new(preference, due_at));
+                let event = CountedEvent::of_preference(preference);
+                out.extend(event.map(RouterAction::Count));
                 preference
             }
         };
         urgency(Standing::New(preference), priority)
     }
+
+    /// Applies the sample of a request.
+    pub(super) fn record_sample(
+        &mut self,
+        now: Timestamp,
+        sample: LatencySample,
+        out: &mut Vec<RouterAction>,
+    ) {
+        self.shortage.record(now, sample);
+        let event = CountedEvent::of_sample(sample);
+        out.extend(event.map(RouterAction::Count));
+    }
 }
 
 impl Router {
@@ -72,7 +88,7 @@
             let sample = sampled.and_then(|sampled| sampled.on_tick(now));
             let state = self.targets.get_mut(&pending.meta.target);
             if let (Some(sample), Some(state)) = (sample, state) {
-                state.shortage.record(now, sample);
+                state.record_sample(now, sample, out);
             }
         }
         for (target, state) in &mut self.targets {
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -245,6 +245,7 @@
             Action::AnswerOperator { call_id, answer } => {
                 self.operator_calls.resolve(&call_id, answer);
             }
+            Action::Count(event) => self.metrics.count(Counter::of(event)),
             Action::Log(line) => logs::write(&line),
             Action::Stopped => {
                 let _ = self.stop_sender.try_send(());
--- a/shalehinge/src/telemetry/metrics.rs
+++ b/shalehinge/src/telemetry/metrics.rs
@@ -8,6 +8,8 @@
 use cadence::prelude::*;
 use cadence::{BufferedUdpMetricSink, MetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
 
+use crate::core::admission::counted_event::CountedEvent;
+
 /// Prefix of all metric names.
 const PREFIX: &str = "shalehinge";
 /// Upper bounds of the histogram buckets on the page, in milliseconds. A further bucket counts
@@ -35,6 +37,12 @@
     AttemptsLost,
     /// Attempts sent beside one at a silent upstream.
     Hedges,
+    /// Requests that were deprioritized.
+    PutLast,
+    /// Preferred requests whose first output was late.
+    PreferredLate,
+    /// Preferred requests whose first output was on time.
+    PreferredOnTime,
     /// Requests handed to peers.
     Forwards,
     /// Requests that peers handed to this daemon.
@@ -64,6 +72,15 @@
 }
 
 impl Counter {
+    /// The counter of an event of the order among requests.
+    pub fn of(event: CountedEvent) -> Self {
+        match event {
+            CountedEvent::Deprioritized => Self::PutLast,
+            CountedEvent::PreferredLate => Self::PreferredLate,
+            CountedEvent::PreferredOnTime => Self::PreferredOnTime,
+        }
+    }
+
     /// Returns the name of the metric, without the prefix.
     pub fn name(self) -> &'static str {
         match self {
@@ -76,6 +93,9 @@
             Self::Attempts => "attempts",
             Self::AttemptsLost => "attempts.lost",
             Self::Hedges => "attempts.hedges",
+            Self::PutLast => "route.put_last",
+            Self::PreferredLate => "route.preferred_late",
+            Self::PreferredOnTime => "route.preferred_on_time",
             Self::Forwards => "forwards",
             Self::ForwardsReceived => "forwards.received",
             Self::PlatformReads => "platform.reads",
--- a/shalehinge/tests/listed_routing.rs
+++ b/shalehinge/tests/listed_routing.rs
@@ -205,7 +205,8 @@
                 | RouterAction::Forward(_)
                 | RouterAction::ProbeUpstream { .. }
                 | RouterAction::ReportLimit(_)
-                | RouterAction::RequestPermits { .. } => {}
+                | RouterAction::RequestPermits { .. }
+                | RouterAction::Count(_) => {}
             }
         }
     }
--- a/shalehinge/tests/overload_order.rs
+++ b/shalehinge/tests/overload_order.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use router_support::{RouterHarness, request};
+use shalehinge::core::admission::counted_event::CountedEvent;
 use shalehinge::core::router::request::{Attempt, AttemptEnd, Target};
 use shalehinge::core::types::ModelName;
 use shalehinge::settings::router::RouterSettings;
@@ -101,3 +102,46 @@
     harness.end_attempt(2, AttemptEnd::WrongAnswer);
     assert_eq!((harness.attempts(2), urgency(&harness, 2)), (2, Some(9)));
 }
+
+/// Guards against counters that miss requests or count one twice: what is sent after others is
+/// counted when it is first sent, and a preferred request at its first output or once it is overdue.
+#[test]
+fn each_request_is_counted_once_by_preference_and_time() {
+    let mut harness = harness(true);
+    let urgencies = serve(&mut harness, 0..10, Duration::from_millis(100));
+    assert_eq!(urgencies.len(), 10);
+    assert_eq!(harness.counted, [CountedEvent::PreferredOnTime; 10]);
+    harness.counted.clear();
+
+    let urgencies = serve(&mut harness, 10..60, Duration::from_millis(400));
+    let deprioritized = urgencies.iter().filter(|urgency| **urgency == 3).count();
+    let count = |event| harness.counted.iter().filter(|e| **e == event).count();
+    assert!(deprioritized > 0);
+    assert_eq!(count(CountedEvent::Deprioritized), deprioritized);
+    assert_eq!(count(CountedEvent::PreferredLate), 50 - deprioritized);
+    assert_eq!(count(CountedEvent::PreferredOnTime), 0);
+    harness.counted.clear();
+
+    // A request that is refused keeps its preference, which is counted once.
+    for number in 60..80 {
+        harness.submit(number, request().with_priority(9).due_within(TARGET_TIME));
+        harness.end_attempt(number, AttemptEnd::Refused);
+        harness.end_attempt(number, AttemptEnd::Completed { output_tokens: 8 });
+    }
+    let deprioritized: Vec<u64> = (60..80)
+        .filter(|number| urgency(&harness, *number) == Some(3))
+        .collect();
+    // The retry budget is used up in the course.
+    let retried = |number: &u64| harness.attempts(*number) > 1;
+    assert!(deprioritized.iter().any(retried));
+    let expected = vec![CountedEvent::Deprioritized; deprioritized.len()];
+    assert_eq!(harness.counted, expected);
+}
+
+/// Guards against a change of metrics while the setting is off.
+#[test]
+fn without_the_setting_nothing_is_counted() {
+    let mut harness = harness(false);
+    serve(&mut harness, 0..30, Duration::from_millis(400));
+    assert_eq!(harness.counted, []);
+}
--- a/shalehinge/tests/overload_simulation_support/mod.rs
+++ b/shalehinge/tests/overload_simulation_support/mod.rs
@@ -383,6 +383,7 @@
                 | RouterAction::ReportLimit(_)
                 | RouterAction::RequestPermits { .. }
                 | RouterAction::RequestTrial(_)
+                | RouterAction::Count(_)
                 | RouterAction::Log(_) => {}
             }
         }
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -7,6 +7,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use shalehinge::core::admission::counted_event::CountedEvent;
 use shalehinge::core::engine::{EngineLoad, EnginePhase, EngineStatus};
 use shalehinge::core::fingerprint::Fingerprint;
 use shalehinge::core::router::quarantine::{Completion, QuarantineUpdate};
@@ -115,6 +116,8 @@
     sent: BTreeMap<u64, Vec<Attempt>>,
     /// Outcomes that callers received, by the number of the request.
     answers: BTreeMap<u64, Outcome>,
+    /// Events that were counted.
+    pub counted: Vec<CountedEvent>,
     /// Whether upstreams at which attempts are lost have crashed.
     pub upstreams_crash: bool,
     /// Whether trials are granted, each at the first candidate.
@@ -148,6 +151,7 @@
             replica_count,
             sent: BTreeMap::new(),
             answers: BTreeMap::new(),
+            counted: Vec::new(),
             upstreams_crash: false,
             grants_trials: true,
             defers_checks: false,
@@ -368,6 +372,7 @@
                         .on_trial(self.now, &grant, &mut self.rng, &mut out);
                     self.handle(out);
                 }
+                RouterAction::Count(event) => self.counted.push(event),
                 RouterAction::Abandon(_)
                 | RouterAction::Forward(_)
                 | RouterAction::ProbeUpstream { .. }
--- a/shalehinge/tests/signal_fuzz.rs
+++ b/shalehinge/tests/signal_fuzz.rs
@@ -187,6 +187,7 @@
                 | RouterAction::RequestTrial(_)
                 | RouterAction::Forward(_)
                 | RouterAction::ProbeUpstream { .. }
+                | RouterAction::Count(_)
                 | RouterAction::Log(_) => {}
             }
         }
--- a/shalehinge/tests/silence_fuzz.rs
+++ b/shalehinge/tests/silence_fuzz.rs
@@ -314,6 +314,7 @@
                 | RouterAction::ProbeUpstream { .. }
                 | RouterAction::ReportLimit(_)
                 | RouterAction::RequestPermits { .. }
+                | RouterAction::Count(_)
                 | RouterAction::Log(_) => {}
             }
         }
--- a/shalehinge/tests/silence_support/mod.rs
+++ b/shalehinge/tests/silence_support/mod.rs
@@ -258,6 +258,7 @@
                 | RouterAction::ProbeUpstream { .. }
                 | RouterAction::ReportLimit(_)
                 | RouterAction::RequestPermits { .. }
+                | RouterAction::Count(_)
                 | RouterAction::Log(_) => {}
             }
         }
--- a/shalehinge/tests/support/world.rs
+++ b/shalehinge/tests/support/world.rs
@@ -483,7 +483,7 @@
             Action::AnswerOperator { call_id, answer } => {
                 self.record_operator_answer(index, call_id, answer);
             }
-            Action::Log(_) | Action::Stopped => {}
+            Action::Count(_) | Action::Log(_) | Action::Stopped => {}
         }
     }
 
--- a/standin/src/experiment/fleet.rs
+++ b/standin/src/experiment/fleet.rs
@@ -450,6 +450,7 @@
                 | RouterAction::ProbeUpstream { .. }
                 | RouterAction::ReportLimit(_)
                 | RouterAction::RequestPermits { .. }
+                | RouterAction::Count(_)
                 | RouterAction::Log(_) => {}
             }
         }
