--- a/shalehinge/src/telemetry/metrics.rs
+++ b/shalehinge/src/telemetry/metrics.rs
@@ -8,6 +8,7 @@
 use cadence::prelude::*;
 use cadence::{BufferedUdpMetricSink, MetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
 
+use crate::core::admission::counted_event::CountedEvent;
 use crate::utils::memory_budget::MemoryUsage;
 
 /// Name of the gauge of bytes that are held for callers and upstreams.
@@ -41,6 +42,12 @@
     ResponsesOverBound,
     /// Attempts sent beside one at a silent upstream.
     Hedges,
+    /// Requests that were deprioritized.
+    PutLast,
+    /// Preferred requests whose first output was late.
+    PreferredLate,
+    /// Preferred requests whose first output was on time.
+    PreferredOnTime,
     /// Requests handed to peers.
     Forwards,
     /// Requests that peers handed to this daemon.
@@ -77,6 +84,15 @@
 }
 
 impl Counter {
+    /// The counter of an event of the order among requests.
+    pub fn of(event: CountedEvent) -> Self {
+        match event {
+            CountedEvent::Deprioritized => Self::PutLast,
+            CountedEvent::PreferredLate => Self::PreferredLate,
+            CountedEvent::PreferredOnTime => Self::PreferredOnTime,
+        }
+    }
+
     /// Returns the name of the metric, without the prefix.
     pub fn name(self) -> &'static str {
         match self {
@@ -90,6 +106,9 @@
             Self::AttemptsLost => "attempts.lost",
             Self::ResponsesOverBound => "responses.over_bound",
             Self::Hedges => "attempts.hedges",
+            Self::PutLast => "route.put_last",
+            Self::PreferredLate => "route.preferred_late",
+            Self::PreferredOnTime => "route.preferred_on_time",
             Self::Forwards => "forwards",
             Self::ForwardsReceived => "forwards.received",
             Self::PlatformReads => "platform.reads",
--- a/shalehinge/tests/admission.rs
+++ b/shalehinge/tests/admission.rs
@@ -14,8 +14,14 @@
 
 /// Samples a second of one target at one daemon of the users' platform.
 const SAMPLES_PER_SECOND: u64 = 4;
-const LATE: LatencySample = LatencySample { is_on_time: false };
-const ON_TIME: LatencySample = LatencySample { is_on_time: true };
+const LATE: LatencySample = LatencySample {
+    is_deprioritized: false,
+    is_on_time: false,
+};
+const ON_TIME: LatencySample = LatencySample {
+    is_deprioritized: false,
+    is_on_time: true,
+};
 
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(millis)
