--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -165,8 +165,8 @@
     ),
     "tokens-rise-over-eras": (
         CORE + "types.rs",
-        "Self(self.0 + 1).max(Self::first_of(era))",
-        "Self(self.0 + 1).max(Self::first_of(StoreEra::UNREPORTED).min(Self::first_of(era)))",
+        "Self(self.0.saturating_add(1)).max(Self::first_of(era))",
+        "Self(self.0.saturating_add(1)).max(Self::first_of(StoreEra::UNREPORTED).min(Self::first_of(era)))",
         "store_era", "token",
     ),
     "what-was-known-of-hosts-stands": (
@@ -1087,8 +1087,7 @@
     ),
     "bodies-have-a-time-limit": (
         "shalehinge/src/utils/body.rs",
-        "match with_timeout(timeout, body.read_bytes()).await {",
-        "match Some(body.read_bytes().await) {",
+        "Some(timeout), memory.body()", "None, memory.body()",
         "gateway", "an_incomplete_request_of_an_operator_or_a_peer",
     ),
     "no-expect": (
@@ -1096,6 +1095,28 @@
         ".with_max_buffered_request_body(NEVER_EXPECT_CONTINUE)", "",
         "relay", "goes_through_unchanged",
     ),
+    "empty-list-admits-nobody": (
+        CORE + "routes.rs",
+        "requires_keys: fleet.admits_no_customer || !fleet.customers.is_empty()",
+        "requires_keys: !fleet.customers.is_empty()",
+        "learning", "an_empty_list_of_customers",
+    ),
+    "limit-of-no-slots": (
+        CORE + "router/upstream.rs",
+        "share.ceil().min(capacity.ceil()).max(1.0)",
+        "share.ceil().clamp(1.0, capacity.ceil())",
+        "foreign_values", "",
+    ),
+    "core-heartbeat": (
+        "shalehinge/src/process/core_cell.rs",
+        "u128::from(age_ms) <= HEARTBEAT_TIMEOUT.as_millis()", "true",
+        "core_panic", "",
+    ),
+    "bands-by-rank": (
+        CORE + "admission/shortage.rs",
+        "(higher + hash * own) / total", "hash",
+        "admission", "lower_ranks_come_last",
+    ),
     "ready-first": (
         CORE + "daemon/mod.rs",
         "self.state.fleet().is_some() && !self.is_leaving", "self.state.fleet().is_some()",
