test(platform): an entry without slots ends neither requests nor daemons

What callers saw: after another program had written one entry with 0 slots, requests that a replica ran got no response, connections closed, and every later request was refused for good, while /ready answered 200.

The exit of the case can't tell this: once the daemons have ended, connections are refused, and no request is open at its route's time-out. This test asks for what callers get instead. With both protections taken out it fails: "a response to a request that ran". Row entry-without-slots of the red runs.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -1107,6 +1107,13 @@
         "share.ceil().clamp(1.0, capacity.ceil())",
         "foreign_values", "",
     ),
+    "entry-without-slots": (
+        CORE + "router/upstream.rs",
+        "share.ceil().min(capacity.ceil()).max(1.0)",
+        "share.ceil().clamp(1.0, capacity.ceil())",
+        "foreign_entries", "an_entry_without_slots",
+        ("platform/src/servers.rs", "type Slots = Integer<1,", "type Slots = Integer<0,"),
+    ),
     "core-heartbeat": (
         "shalehinge/src/process/core_cell.rs",
         "u128::from(age_ms) <= HEARTBEAT_TIMEOUT.as_millis()", "true",
@@ -1125,7 +1132,7 @@
 }
 
 # Tests that belong to the member that translates.
-PLATFORM_TESTS = {"relay"}
+PLATFORM_TESTS = {"foreign_entries", "relay"}
 
 
 def copy_tree():
