--- a/shalehinge/src/utils/mod.rs
+++ b/shalehinge/src/utils/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - `allocator`: settings of the memory allocator
 //! - `body`: bodies within limits of size, time and memory
+//! - `body_framing`: lengths, chunks and trailers of bodies on a connection
 //! - `bounded_transport`: connections that end when a response exceeds its bounds
 //! - `caller_connection`: notices that a caller disconnects during its response
 //! - `clock`: the clock for lease terms and ages
@@ -16,6 +17,7 @@
 
 pub mod allocator;
 pub mod body;
+pub mod body_framing;
 pub mod bounded_transport;
 pub mod caller_connection;
 pub mod clock;
--- a/shalehinge/src/utils/response_bounds.rs
+++ b/shalehinge/src/utils/response_bounds.rs
@@ -11,12 +11,12 @@
 
 use trillium_client::Error;
 
+use super::body_framing::{BodyFraming, TrailersTooLong};
+
 /// Maximum size of the heads of one response together, interim ones included, in bytes.
 pub const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum number of headers in one head.
 pub const MAX_HEADERS: usize = 100;
-/// Maximum size of the trailers of a chunked body, in bytes. Trailers are not used.
-pub const MAX_TRAILER_BYTES: usize = 64 * 1024;
 /// Maximum size of a body that is read as a whole, in bytes.
 pub const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
 /// Limit of a body that is a stream: its events or frames are bounded instead.
@@ -111,23 +111,16 @@
     /// To nothing: no request awaits a response.
     Nothing,
     Head,
-    /// A body of which this many bytes are missing.
-    Body(u64),
-    /// The line with the size of a chunk, of which the size has been read if `has_size`.
-    ChunkSize {
-        size: u64,
-        has_size: bool,
-    },
-    /// A chunk of which this many bytes are missing, with its line end.
-    Chunk(u64),
-    /// Trailers of this many bytes so far, `line` of which are in the last line.
-    Trailers {
-        bytes: usize,
-        line: usize,
-    },
-    /// A body that the end of the connection ends, or one whose framing is not valid, which the
-    /// library rejects.
-    UntilClose,
+    Body(BodyFraming),
+}
+
+impl Part {
+    fn body(framing: BodyFraming) -> Self {
+        match framing {
+            BodyFraming::Complete => Self::Nothing,
+            framing => Self::Body(framing),
+        }
+    }
 }
 
 /// Follows the framing of the responses on one connection, as far as bounds need it.
@@ -183,37 +176,14 @@
             let rest = &bytes[at..];
             at += match self.part {
                 Part::Nothing => 0,
-                Part::UntilClose => rest.len(),
-                Part::Body(missing) => {
-                    let length = length_within(rest, missing);
-                    self.part = match missing - length as u64 {
-                        0 => Part::Nothing,
-                        missing => Part::Body(missing),
-                    };
-                    length
-                }
-                Part::Chunk(missing) => {
-                    let length = length_within(rest, missing);
-                    self.part = match missing - length as u64 {
-                        0 => Part::ChunkSize {
-                            size: 0,
-                            has_size: false,
-                        },
-                        missing => Part::Chunk(missing),
-                    };
-                    length
-                }
                 Part::Head => {
                     self.on_head_byte(rest[0])?;
                     1
                 }
-                Part::ChunkSize { size, has_size } => {
-                    self.part = after_size_byte(size, has_size, rest[0]);
-                    1
-                }
-                Part::Trailers { bytes, line } => {
-                    self.part = after_trailer_byte(bytes, line, rest[0])?;
-                    1
+                Part::Body(mut framing) => {
+                    let length = framing.on_received(rest);
+                    self.part = Part::body(framing);
+                    length.map_err(|TrailersTooLong| Excess::Trailers)?
                 }
             };
         }
@@ -246,94 +216,19 @@
         let mut lines = head.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii);
         let status = lines.next().and_then(status);
         match status {
-            None | Some(101) => return Part::UntilClose,
+            None | Some(101) => return Part::Body(BodyFraming::UntilClose),
             Some(100..200) => return Part::Head,
             Some(204 | 304) => return Part::Nothing,
             Some(_) if self.is_head_request => return Part::Nothing,
             Some(_) => {}
         }
-        let mut length = None;
-        for line in lines {
-            let mut halves = line.splitn(2, |byte| *byte == b':');
-            let name = halves.next().unwrap_or_default();
-            let value = halves.next().unwrap_or_default().trim_ascii();
-            if name.eq_ignore_ascii_case(b"transfer-encoding") {
-                return Part::ChunkSize {
-                    size: 0,
-                    has_size: false,
-                };
-            }
-            if name.eq_ignore_ascii_case(b"content-length") {
-                length = std::str::from_utf8(value).ok();
-            }
-        }
-        match length.map(str::parse::<u64>) {
-            Some(Ok(0)) => Part::Nothing,
-            Some(Ok(length)) => Part::Body(length),
-            Some(Err(_)) | None => Part::UntilClose,
-        }
+        Part::body(BodyFraming::of_headers(lines).unwrap_or(BodyFraming::UntilClose))
     }
 }
 
-/// Length of `bytes`, or `missing` if that is less.
-fn length_within(bytes: &[u8], missing: u64) -> usize {
-    usize::try_from(missing).map_or(bytes.len(), |missing| missing.min(bytes.len()))
-}
-
 /// The three digits after the first blank of a status line.
 fn status(line: &[u8]) -> Option<u16> {
     let at = line.iter().position(|byte| *byte == b' ')?;
     let digits = line.get(at + 1..at + 4)?;
     std::str::from_utf8(digits).ok()?.parse().ok()
 }
-
-fn after_size_byte(size: u64, has_size: bool, byte: u8) -> Part {
-    /// Line end after a chunk.
-    const LINE_END_BYTES: u64 = 2;
-    if byte == b'\n' {
-        return match size.checked_add(LINE_END_BYTES) {
-            Some(LINE_END_BYTES) => Part::Trailers { bytes: 0, line: 0 },
-            Some(missing) => Part::Chunk(missing),
-            None => Part::UntilClose,
-        };
-    }
-    let digit = match byte {
-        _ if has_size => None,
-        b'0'..=b'9' => Some(byte - b'0'),
-        b'a'..=b'f' => Some(byte - b'a' + 10),
-        b'A'..=b'F' => Some(byte - b'A' + 10),
-        _ => None,
-    };
-    match digit.map(|digit| (size.checked_mul(16), digit)) {
-        None => Part::ChunkSize {
-            size,
-            has_size: true,
-        },
-        Some((Some(size), digit)) => Part::ChunkSize {
-            size: size | u64::from(digit),
-            has_size: false,
-        },
-        Some((None, _)) => Part::UntilClose,
-    }
-}
-
-fn after_trailer_byte(bytes: usize, line: usize, byte: u8) -> Result<Part, Excess> {
-    if bytes >= MAX_TRAILER_BYTES {
-        return Err(Excess::Trailers);
-    }
-    Ok(match byte {
-        b'\n' if line == 0 => Part::Nothing,
-        b'\n' => Part::Trailers {
-            bytes: bytes + 1,
-            line: 0,
-        },
-        b'\r' => Part::Trailers {
-            bytes: bytes + 1,
-            line,
-        },
-        _ => Part::Trailers {
-            bytes: bytes + 1,
-            line: line + 1,
-        },
-    })
-}
