fix(http): a thousand new connections may wait to be accepted

What callers saw: while many callers connected at the same time, some waited for a second and more before their connection was accepted.

Cause: the standard library listens with a backlog of 128. A packet that opens a further connection is dropped, and the caller's system repeats it after 1 s, 3 s, and so on.

Change: listen(2) is called again with 1,024, which the system caps by net.core.somaxconn (4,096 here).

--- a/shalehinge/src/utils/http.rs
+++ b/shalehinge/src/utils/http.rs
@@ -280,6 +280,10 @@
     pub error: Error,
 }
 
+/// Number of new connections that may wait to be accepted. The standard library sets 128; callers
+/// that exceed it repeat their first packet only after a second.
+const BACKLOG: i32 = 1_024;
+
 /// Binds a listener and returns it with its actual address. The socket is bound here and not by
 /// the server library, which would panic if the port is in use.
 ///
@@ -289,6 +293,7 @@
 pub fn bind(address: SocketAddr) -> Result<(smol::net::TcpListener, SocketAddr), ListenError> {
     let bind = || {
         let listener = TcpListener::bind(address)?;
+        rustix::net::listen(&listener, BACKLOG)?;
         listener.set_nonblocking(true)?;
         let bound = listener.local_addr()?;
         let listener = smol::Async::new_nonblocking(listener)?;
