fix(http): request heads are held until they are complete

What callers saw: one caller without a key took a daemon's memory by a head of some 30 bytes, sent one by one, at any listener; the process was killed, and all callers' requests with it. A head above the limit got no response, and an incomplete one kept its connection for good.

Cause: the HTTP library doubles its buffer at each read of a head, however few bytes that read returns (`Buffer::expand` sets the length to the capacity, so the next call finds the buffer full). It passes over `[limits] memory`.

Change: a transport below the library holds a head until it is complete (docs/design/REQUEST_HEADS.md), with limits of size (431), time (408), memory of all heads and number of incomplete ones (503). The limits are those of the fleet's configuration, read without the core's lock: a_blocked_core_is_not_ready_until_its_next_tick failed with a first form that waited for it. 1,200 connections a control listener, where 1,000 that stall left no place.

Evidence: without the acceptor, a_head_that_arrives_byte_by_byte fails with 127,204 kB resident after one head of 30 bytes (limit 112 MB), the test of 431 gets no response, that of 408 a closed connection.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -1107,6 +1107,16 @@
         "share.ceil().clamp(1.0, capacity.ceil())",
         "foreign_values", "",
     ),
+    "heads-are-held": (
+        "shalehinge/src/process/run.rs",
+        "            .with_acceptor(self.acceptor.clone())\n", "",
+        "request_heads", "byte_by_byte_takes_little",
+    ),
+    "heads-have-a-time-limit": (
+        "shalehinge/src/utils/request_transport.rs",
+        "if Pin::new(due).poll(context).is_ready() {", "if false && Pin::new(due).poll(context).is_ready() {",
+        "request_heads", "complete_in_time",
+    ),
     "entry-without-slots": (
         CORE + "router/upstream.rs",
         "share.ceil().min(capacity.ceil()).max(1.0)",
@@ -1132,7 +1142,7 @@
 }
 
 # Tests that belong to the member that translates.
-PLATFORM_TESTS = {"foreign_entries", "relay"}
+PLATFORM_TESTS = {"foreign_entries", "relay", "request_heads"}
 
 
 def copy_tree():
--- a/shalehinge/src/core/route_config.rs
+++ b/shalehinge/src/core/route_config.rs
@@ -103,6 +103,12 @@
 pub struct CallerLimits {
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: u64,
+    /// Maximum size of a request line with its headers, in bytes.
+    #[serde(default)]
+    pub max_head_bytes: Option<usize>,
+    /// How long a caller may take to send a complete request head, in milliseconds.
+    #[serde(default)]
+    pub head_timeout_ms: Option<u64>,
 }
 
 /// Limits on loads of model weights, over the whole fleet.
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -22,6 +22,7 @@
 use crate::core::forward::{Forward, ForwardedMeta};
 use crate::core::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
 use crate::core::platform::{CallId, NoAnswer, PlatformCall, PlatformReply};
+use crate::core::route_config::CallerLimits;
 use crate::core::router::request::{Attempt, AttemptEnd, NotRunReason, Outcome, RequestMeta};
 use crate::core::signal::UpstreamSignal;
 use crate::core::types::{Address, AttemptId, HostId, RequestId, Timestamp};
@@ -61,6 +62,8 @@
     peer_pulls: PendingReplies<PullId, PullReply>,
     next_id: AtomicU64,
     peer_traffic: PeerTraffic,
+    /// Limits of the fleet's configuration at the last tick.
+    caller_limits: Mutex<Option<CallerLimits>>,
     /// Metrics of this daemon.
     pub metrics: Metrics,
     /// Budget for the bytes that are held for callers and upstreams.
@@ -115,6 +118,7 @@
             peer_pulls: PendingReplies::new(),
             next_id: AtomicU64::new(1),
             peer_traffic: PeerTraffic::default(),
+            caller_limits: Mutex::new(None),
             metrics,
             memory,
             stop_sender,
@@ -138,6 +142,11 @@
         self.core.is_ready(self.now())
     }
 
+    /// Limits on callers' requests of the fleet's configuration. Doesn't wait for the core.
+    pub fn caller_limits(&self) -> Option<CallerLimits> {
+        *lock(&self.caller_limits)
+    }
+
     fn next_id(&self) -> u64 {
         self.next_id.fetch_add(1, Ordering::Relaxed)
     }
@@ -174,7 +183,8 @@
         if over_bound > 0 {
             self.metrics.add(Counter::ResponsesOverBound, over_bound);
         }
-        self.dispatch(Event::Tick);
+        let caller_limits = self.dispatch_and_read(Event::Tick, |core| core.routes().limits());
+        *lock(&self.caller_limits) = caller_limits;
         self.core.record_tick(self.now());
     }
 
--- a/shalehinge/src/process/run.rs
+++ b/shalehinge/src/process/run.rs
@@ -20,18 +20,27 @@
 use crate::object_api::http::HttpPlatform;
 use crate::peer::client::PeerClient;
 use crate::settings::Settings;
+use crate::settings::daemon::LimitSettings;
 use crate::telemetry::metrics::Metrics;
 use crate::upstream::engine::HttpEngineClient;
 use crate::upstream::relay::RelayHeaderNames;
 use crate::utils::allocator::return_large_allocations;
 use crate::utils::http::{ListenError, bind};
 use crate::utils::memory_budget::{MemoryBudget, budget_for_limit};
+use crate::utils::request_transport::{HeadLimits, RequestAcceptor, SharedAmount};
 use crate::utils::task::{self, spawn};
 use crate::utils::time::{wall_clock, with_timeout};
 use crate::{gateway, operator_api, peer};
 
 /// Maximum number of open connections for each of the operator, peer and readiness listeners.
-const MAX_CONTROL_CONNECTIONS: usize = 1_000;
+const MAX_CONTROL_CONNECTIONS: usize = 1_200;
+/// Maximum size of a request head of operators, peers and readiness checks, in bytes.
+const MAX_CONTROL_HEAD_BYTES: usize = 8 * 1024;
+/// Memory for the incomplete request heads of all connections, in bytes.
+const HEAD_MEMORY_BYTES: usize = 8 * 1024 * 1024;
+/// Head limit of the HTTP library, which applies to complete heads only: it is above all limits that
+/// [`RequestAcceptor`] applies.
+const LIBRARY_HEAD_BYTES: usize = 16 * 1024 * 1024;
 /// Number of random low bits of an incarnation; the bits above hold the wall clock in
 /// milliseconds.
 const INCARNATION_RANDOM_BITS: u32 = 16;
@@ -186,61 +195,89 @@
         limits,
     };
     let token = settings.daemon.token_sha256.clone();
-    let caller_config = HttpConfig::default()
-        .with_head_max_len(limits.max_head_bytes)
-        .with_received_body_max_len(limits.max_body_bytes);
-    let control_config = HttpConfig::default();
+    let memory = SharedAmount::new(HEAD_MEMORY_BYTES);
+    let caller_listener = ListenerConfig {
+        http: http_config().with_received_body_max_len(limits.max_body_bytes),
+        max_connections: limits.max_connections,
+        acceptor: caller_acceptor(driver.clone(), limits, memory.clone()),
+    };
+    let control_listener = ListenerConfig {
+        http: http_config(),
+        max_connections: MAX_CONTROL_CONNECTIONS,
+        acceptor: control_acceptor(limits, memory),
+    };
     let mut servers = Vec::new();
     if let Some((listener, _)) = listeners.ready {
         let handler = gateway::handler::readiness_handler(context.clone());
-        servers.push(spawn_server(
-            listener,
-            control_config,
-            MAX_CONTROL_CONNECTIONS,
-            handler,
-        ));
+        servers.push(control_listener.spawn(listener, handler));
     }
-    let max_connections = limits.max_connections;
     servers.push(match relay {
         Some(names) => {
             let handler = gateway::handler::relay_handler(context, names);
-            spawn_server(listeners.callers, caller_config, max_connections, handler)
+            caller_listener.spawn(listeners.callers, handler)
         }
         None => {
             let handler = gateway::handler::handler(context);
-            spawn_server(listeners.callers, caller_config, max_connections, handler)
+            caller_listener.spawn(listeners.callers, handler)
         }
     });
+    let operators = operator_api::handler(driver.clone(), token, limits.body_timeout);
+    let peers = peer::server::handler(driver.clone(), limits.body_timeout, relay);
     servers.extend([
-        spawn_server(
-            listeners.operators,
-            control_config,
-            MAX_CONTROL_CONNECTIONS,
-            operator_api::handler(driver.clone(), token, limits.body_timeout),
-        ),
-        spawn_server(
-            listeners.peers,
-            control_config,
-            MAX_CONTROL_CONNECTIONS,
-            peer::server::handler(driver.clone(), limits.body_timeout, relay),
-        ),
+        control_listener.spawn(listeners.operators, operators),
+        control_listener.spawn(listeners.peers, peers),
     ]);
     servers
 }
 
-fn spawn_server(
-    listener: smol::net::TcpListener,
-    config: HttpConfig,
+fn http_config() -> HttpConfig {
+    HttpConfig::default().with_head_max_len(LIBRARY_HEAD_BYTES)
+}
+
+/// Applies the limits on heads of the fleet's configuration, or those of the settings.
+fn caller_acceptor(
+    driver: Arc<Driver>,
+    settings: LimitSettings,
+    memory: SharedAmount,
+) -> RequestAcceptor {
+    let limits = move || {
+        let configured = driver.caller_limits();
+        let max_bytes = configured.and_then(|limits| limits.max_head_bytes);
+        let timeout_ms = configured.and_then(|limits| limits.head_timeout_ms);
+        HeadLimits {
+            max_bytes: max_bytes.unwrap_or(settings.max_head_bytes),
+            timeout: timeout_ms.map_or(settings.head_timeout, Duration::from_millis),
+        }
+    };
+    RequestAcceptor::new(limits, memory, settings.max_connections)
+}
+
+fn control_acceptor(settings: LimitSettings, memory: SharedAmount) -> RequestAcceptor {
+    let limits = HeadLimits {
+        max_bytes: MAX_CONTROL_HEAD_BYTES,
+        timeout: settings.head_timeout,
+    };
+    RequestAcceptor::new(move || limits, memory, MAX_CONTROL_CONNECTIONS)
+}
+
+/// Properties of a listener.
+struct ListenerConfig {
+    http: HttpConfig,
     max_connections: usize,
-    handler: impl Handler,
-) -> ServerHandle {
-    trillium_smol::config()
-        .without_signals()
-        .with_nodelay()
-        .with_http_config(config)
-        .with_max_connections(Some(max_connections))
-        .with_prebound_server(listener)
-        .spawn(handler)
+    acceptor: RequestAcceptor,
+}
+
+impl ListenerConfig {
+    fn spawn(&self, listener: smol::net::TcpListener, handler: impl Handler) -> ServerHandle {
+        trillium_smol::config()
+            .without_signals()
+            .with_nodelay()
+            .with_http_config(self.http)
+            .with_max_connections(Some(self.max_connections))
+            .with_acceptor(self.acceptor.clone())
+            .with_prebound_server(listener)
+            .spawn(handler)
+    }
 }
 
 async fn run_ticks(driver: Arc<Driver>) {
--- a/shalehinge/src/settings/daemon.rs
+++ b/shalehinge/src/settings/daemon.rs
@@ -61,6 +61,9 @@
     pub max_connections: usize,
     /// Memory that the process may use, in bytes. It bounds what is held for callers and upstreams.
     pub memory: u64,
+    /// How long callers, operators and peers may take to send a complete request head, from its
+    /// first byte.
+    pub head_timeout: Duration,
     /// How long callers, operators and peers may take to send the complete request body.
     pub body_timeout: Duration,
     /// Time to the deadline of a request that doesn't specify one.
@@ -82,6 +85,7 @@
             max_head_bytes: 16 * 1024,
             max_connections: 2_000,
             memory: DEFAULT_MEMORY,
+            head_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(10),
             default_deadline: Duration::from_secs(120),
             max_deadline: Duration::from_secs(3_600),
@@ -182,6 +186,7 @@
             max_head_bytes: section.count("max_head_bytes", default.max_head_bytes),
             max_connections: section.count("max_connections", default.max_connections),
             memory: section.size("memory", MIN_MEMORY, default.memory),
+            head_timeout: section.duration("head_timeout", default.head_timeout),
             body_timeout: section.duration("body_timeout", default.body_timeout),
             default_deadline: section.duration("default_deadline", default.default_deadline),
             max_deadline: section.duration("max_deadline", default.max_deadline),
--- a/shalehinge/src/utils/caller_connection.rs
+++ b/shalehinge/src/utils/caller_connection.rs
@@ -17,10 +17,12 @@
 use trillium_server_common::Binding;
 use trillium_smol::SmolTransport;
 
+use super::request_transport::RequestTransport;
 use super::task::spawn;
 use super::time::with_timeout;
 
-type ServerTransport = Binding<SmolTransport<TcpStream>, SmolTransport<UnixStream>>;
+type ServerTransport =
+    RequestTransport<Binding<SmolTransport<TcpStream>, SmolTransport<UnixStream>>>;
 
 /// A second handle of a caller's connection.
 #[derive(Clone, Debug)]
@@ -111,7 +113,10 @@
     if let Some(boxed) = content.downcast_ref::<Box<dyn Transport>>() {
         return tcp_stream(&**boxed);
     }
-    let tcp = content.downcast_ref::<ServerTransport>()?.get_tcp()?;
+    let tcp = content
+        .downcast_ref::<ServerTransport>()?
+        .inner()
+        .get_tcp()?;
     Some(tcp.clone().into_inner())
 }
 
--- a/shalehinge/src/utils/mod.rs
+++ b/shalehinge/src/utils/mod.rs
@@ -11,6 +11,7 @@
 //! - `memory_budget`: budget for the bytes held for callers and upstreams
 //! - `raw_target`: connections that write a request target as the caller sent it
 //! - `request_target`: request targets that can be forwarded unchanged
+//! - `request_transport`: callers' connections that hold request heads until they are complete
 //! - `response_bounds`: bounds on heads, trailers and surplus bytes of responses
 //! - `task`: task executor with several threads
 //! - `time`: time-outs and wall clock
@@ -26,6 +27,7 @@
 pub mod memory_budget;
 pub mod raw_target;
 pub mod request_target;
+pub mod request_transport;
 pub mod response_bounds;
 pub mod task;
 pub mod time;
