fix(http): a connection that uses HTTP/2 gets 505

What callers saw: HTTP/2 without TLS was accepted, and each request then got 404, though its route exists.

Cause: the library changes to HTTP/2 when a connection begins with its preface. Routes go by the header `Host`, and HTTP/2 names the host by `:authority`, so no route matched.

Change: the preface is answered 505 and the connection is closed (docs/design/REQUEST_HEADS.md says what serving it would take: limits on header blocks and on the bytes that a stream may send unread are not within the memory budget).

--- a/shalehinge/src/utils/request_transport.rs
+++ b/shalehinge/src/utils/request_transport.rs
@@ -26,6 +26,8 @@
 const HEAD_END: &[u8] = b"\r\n\r\n";
 /// End of a line; before a request line it is ignored.
 const LINE_END: &[u8] = b"\r\n";
+/// First line of a connection that uses HTTP/2 without negotiation.
+const HTTP2_PREFACE_LINE: &[u8] = b"PRI * HTTP/2.0\r\n";
 /// How long the rest of a rejected head is read and discarded. If a connection is closed while
 /// received bytes are unread, the system resets it, and the caller may lose the response.
 const DISCARD_FOR: Duration = Duration::from_secs(2);
@@ -140,6 +142,8 @@
 enum Rejection {
     TooLong,
     TooSlow,
+    /// The caller expects HTTP/2, which is not supported.
+    Http2,
     /// There is no memory for it, or too many other heads are incomplete.
     TooMany,
 }
@@ -153,6 +157,9 @@
             Self::TooSlow => {
                 b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
             }
+            Self::Http2 => {
+                b"HTTP/1.1 505 HTTP Version Not Supported\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+            }
             Self::TooMany => {
                 b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
             }
@@ -279,6 +286,10 @@
             return;
         }
         let head = &self.received[..length];
+        if head.starts_with(HTTP2_PREFACE_LINE) {
+            self.reject(Rejection::Http2);
+            return;
+        }
         let lines = head.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii);
         let framing = BodyFraming::of_headers(lines.skip(1)).unwrap_or(BodyFraming::Complete);
         self.part = after_body_bytes(framing);
