fix(process): a call whose task panics counts as unanswered

A panic in a call to the platform would have left a daemon that never reads the platform again and says 200 on /ready: it refuses all once its configuration is no longer confirmed, and an operator's call is never answered.

Cause: the driver reports the result of each call to the core as an event. A panic ended the task before that, and the core went on waiting: `Feed::pending_call`, the lease, probes and orders of hosts, pulls, and the places of requests at upstreams, which nothing else releases.

Change: calls, pulls, status requests, orders, attempts, forwarded attempts, checks and probes end with the result that stands for "no answer" (an attempt as Lost: it may have run). A log line names the panic, the counter `process.task_panics` rises. A panic of the core still ends the process from within the panic hook.

Evidence: a_call_that_panics_counts_as_unanswered_and_is_made_again has the first write, watch, status request and order panic, each once. Attempts, pulls, forwarded attempts, checks and probes go the same way, by reading.

--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -18,8 +18,9 @@
 use super::peer_traffic::PeerTraffic;
 use super::pending_requests::{CallerMessage, PendingRequests};
 use crate::core::daemon::Daemon;
+use crate::core::engine::NoStatus;
 use crate::core::event::{Action, Event, Pull, PullId, PullReply, StatusPurpose};
-use crate::core::forward::{Forward, ForwardedMeta};
+use crate::core::forward::{Forward, ForwardEnd, ForwardedMeta};
 use crate::core::operator::{OperatorAnswer, OperatorCall, OperatorCallId};
 use crate::core::platform::{CallId, NoAnswer, PlatformCall, PlatformReply};
 use crate::core::route_config::CallerLimits;
@@ -37,7 +38,7 @@
 use crate::utils::http::attempt_client;
 use crate::utils::memory_budget::{MemoryBudget, ResponseMemory};
 use crate::utils::response_bounds;
-use crate::utils::task::spawn;
+use crate::utils::task::{spawn, unless_panics};
 use crate::utils::time::with_timeout;
 
 /// Clients for everything that the daemon calls, except upstreams of callers' requests.
@@ -264,13 +265,17 @@
             }
             Action::CheckUpstream { upstream, address } => {
                 self.spawn(|driver| async move {
-                    let is_gone = connection_check::refuses_connections(address).await;
+                    let check = connection_check::refuses_connections(address);
+                    let is_gone = driver.unless_panics("connection check", check).await;
+                    let is_gone = is_gone.unwrap_or(false);
                     driver.dispatch(Event::UpstreamChecked { upstream, is_gone });
                 });
             }
             Action::ProbeUpstream { upstream, address } => {
                 self.spawn(|driver| async move {
-                    let is_reachable = connection_check::accepts_connections(address).await;
+                    let probe = connection_check::accepts_connections(address);
+                    let is_reachable = driver.unless_panics("connection probe", probe).await;
+                    let is_reachable = is_reachable.unwrap_or(false);
                     driver.dispatch(Event::UpstreamProbed {
                         upstream,
                         is_reachable,
@@ -296,6 +301,15 @@
         spawn(task(self.clone())).detach();
     }
 
+    /// Like [`unless_panics`], and counts panics: the core waits for the result of each call.
+    async fn unless_panics<T>(&self, name: &str, work: impl Future<Output = T>) -> Option<T> {
+        let result = unless_panics(name, work).await;
+        if result.is_none() {
+            self.metrics.count(Counter::TaskPanics);
+        }
+        result
+    }
+
     fn call_platform(self: &Arc<Self>, call: CallId, request: PlatformCall) {
         self.metrics.count(match &request {
             PlatformCall::Get { .. } | PlatformCall::List { .. } => Counter::PlatformReads,
@@ -303,7 +317,9 @@
             PlatformCall::Watch { .. } => Counter::PlatformWatches,
         });
         self.spawn(|driver| async move {
-            let result = driver.clients.platform.call(request).await;
+            let call_platform = async { driver.clients.platform.call(request).await };
+            let result = driver.unless_panics("call to the platform", call_platform);
+            let result = result.await.unwrap_or(Err(NoAnswer));
             if result == Err(NoAnswer) {
                 driver.metrics.count(Counter::PlatformNoAnswer);
             }
@@ -324,7 +340,9 @@
         let (asked_at, topic) = (self.now(), pull.topic);
         self.peer_traffic.record_sent(topic, &self.metrics);
         self.spawn(move |driver| async move {
-            let pulled = driver.clients.peers.pull(to, &pull).await;
+            let pull_from_peer = async { driver.clients.peers.pull(to, &pull).await };
+            let pulled = driver.unless_panics("pull from a peer", pull_from_peer);
+            let pulled = pulled.await.flatten();
             let bytes = pulled.as_ref().map(|pulled| pulled.bytes);
             driver
                 .peer_traffic
@@ -347,7 +365,10 @@
         self.metrics.count(Counter::Statuses);
         let asked_at = self.now();
         self.spawn(|driver| async move {
-            let status = driver.clients.engines.status(host.clone(), address).await;
+            let engines = &driver.clients.engines;
+            let request_status = async { engines.status(host.clone(), address).await };
+            let status = driver.unless_panics("status request", request_status);
+            let status = status.await.unwrap_or(Err(NoStatus::Unanswered));
             driver.dispatch(Event::Status {
                 purpose,
                 asked_at,
@@ -372,7 +393,8 @@
                 return;
             }
             let engines = &driver.clients.engines;
-            let reply = engines.order(host.clone(), address, order.clone()).await;
+            let send_order = async { engines.order(host.clone(), address, order.clone()).await };
+            let reply = driver.unless_panics("order", send_order).await.flatten();
             driver.dispatch(Event::OrderAnswered {
                 host,
                 order,
@@ -399,7 +421,10 @@
             let sink = CallerSink::new(&driver, attempt.request, attempt.id, pending.parts);
             // Last check of the upstream's validity before the request is sent.
             let end = if driver.now() < attempt.valid_until {
-                attempt::run(&driver.upstream_client, &attempt, &pending.outgoing, &sink).await
+                let client = &driver.upstream_client;
+                let run = async { attempt::run(client, &attempt, &pending.outgoing, &sink).await };
+                let end = driver.unless_panics("attempt", run).await;
+                end.unwrap_or(AttemptEnd::Lost)
             } else {
                 AttemptEnd::NotSent
             };
@@ -433,7 +458,9 @@
             } = forward;
             let sink = CallerSink::new(&driver, request, attempt, pending.parts);
             let peers = &driver.clients.peers;
-            let end = peers.forward(&forward, &pending.outgoing, &sink).await;
+            let run = async { peers.forward(&forward, &pending.outgoing, &sink).await };
+            let end = driver.unless_panics("forwarded attempt", run).await;
+            let end = end.unwrap_or(ForwardEnd::Lost);
             if let Some(task) = lock(&driver.attempts).remove(&attempt) {
                 task.detach();
             }
--- a/shalehinge/src/telemetry/metrics.rs
+++ b/shalehinge/src/telemetry/metrics.rs
@@ -77,6 +77,8 @@
     PullBytes,
     /// Notices sent to peers.
     Notices,
+    /// Calls and attempts whose task panicked.
+    TaskPanics,
     /// Bodies and parts of responses that had to wait for memory.
     MemoryWaits,
     /// Bodies that were refused for lack of memory.
@@ -123,6 +125,7 @@
             Self::PullsUnanswered => "peer.pulls.unanswered",
             Self::PullBytes => "peer.pulls.bytes",
             Self::Notices => "peer.notices",
+            Self::TaskPanics => "process.task_panics",
             Self::MemoryWaits => "memory.waits",
             Self::MemoryRefusals => "memory.refusals",
         }
--- a/shalehinge/tests/core_panic.rs
+++ b/shalehinge/tests/core_panic.rs
@@ -14,10 +14,13 @@
 
 use futures_lite::future::Boxed;
 use process_support::{API_KEY, DaemonProcess, Fleet, send_request, wait_for};
+use shalehinge::core::change::Change;
 use shalehinge::core::daemon::Daemon;
+use shalehinge::core::engine::{EngineStatus, NoStatus, Order, OrderReply};
 use shalehinge::core::event::{Action, Event, Timeouts};
+use shalehinge::core::operator::OperatorAnswer;
 use shalehinge::core::platform::{PlatformCall, PlatformResult};
-use shalehinge::core::types::Timestamp;
+use shalehinge::core::types::{Address, Customer, HostId, ModelName, ModelVersion, Timestamp};
 use shalehinge::object_api::PlatformClient;
 use shalehinge::object_api::http::HttpPlatform;
 use shalehinge::peer::client::PeerClient;
@@ -26,6 +29,7 @@
 use shalehinge::process::run::run_with_core;
 use shalehinge::settings::Settings;
 use shalehinge::telemetry::logs;
+use shalehinge::upstream::EngineClient;
 use shalehinge::upstream::engine::HttpEngineClient;
 use shalehinge::utils::task;
 
@@ -48,18 +52,24 @@
     PanicInRequest,
     /// A detached task panics outside of the core.
     PanicOutside,
+    /// The first call of each kind to the platform and to engines panics.
+    PanicInCalls,
     /// The core handles one tick for [`BLOCKED_FOR`].
     BlockedTick,
 }
 
-const FAULTS: [Fault; 5] = [
+const FAULTS: [Fault; 6] = [
     Fault::PanicInTick,
     Fault::PanicInReply,
     Fault::PanicInRequest,
     Fault::PanicOutside,
+    Fault::PanicInCalls,
     Fault::BlockedTick,
 ];
 
+/// Kinds of calls that [`Fault::PanicInCalls`] concerns.
+const CALLS: [&str; 4] = ["write", "watch", "status", "order"];
+
 /// File that the test creates to begin the fault.
 fn trigger_path(settings: &Path) -> PathBuf {
     settings.with_extension("trigger")
@@ -109,6 +119,43 @@
     }
 }
 
+/// File that the child creates just before its first call of a kind panics.
+fn call_marker_path(settings: &Path, call: &str) -> PathBuf {
+    settings.with_extension(call)
+}
+
+/// Panics in the first call of this kind once the fault has begun.
+fn panic_in_first_call(fault: Fault, settings: &Path, call: &str) {
+    let marker = call_marker_path(settings, call);
+    if fault == Fault::PanicInCalls && trigger_path(settings).exists() && !marker.exists() {
+        std::fs::write(marker, "").expect("can write the marker");
+        panic!("a fault of the test in a {call}");
+    }
+}
+
+/// An engine client with a fault.
+struct FaultyEngines {
+    engines: HttpEngineClient,
+    fault: Fault,
+    settings: PathBuf,
+}
+
+impl EngineClient for FaultyEngines {
+    fn status(
+        &self,
+        host: Option<HostId>,
+        address: Address,
+    ) -> Boxed<Result<EngineStatus, NoStatus>> {
+        panic_in_first_call(self.fault, &self.settings, "status");
+        self.engines.status(host, address)
+    }
+
+    fn order(&self, host: HostId, address: Address, order: Order) -> Boxed<Option<OrderReply>> {
+        panic_in_first_call(self.fault, &self.settings, "order");
+        self.engines.order(host, address, order)
+    }
+}
+
 /// A platform client whose next call panics outside of the core.
 struct FaultyPlatform {
     platform: HttpPlatform,
@@ -118,6 +165,11 @@
 
 impl PlatformClient for FaultyPlatform {
     fn call(&self, request: PlatformCall) -> Boxed<PlatformResult> {
+        match request {
+            PlatformCall::Put { .. } => panic_in_first_call(self.fault, &self.settings, "write"),
+            PlatformCall::Watch { .. } => panic_in_first_call(self.fault, &self.settings, "watch"),
+            _ => {}
+        }
         let call = self.platform.call(request);
         let has_panicked = marker_path(&self.settings).exists();
         let panics = self.fault == Fault::PanicOutside
@@ -154,7 +206,11 @@
             fault,
             settings: path.clone(),
         }),
-        engines: Box::new(HttpEngineClient::new(timeouts.engine)),
+        engines: Box::new(FaultyEngines {
+            engines: HttpEngineClient::new(timeouts.engine),
+            fault,
+            settings: path.clone(),
+        }),
         peers: PeerClient::new(timeouts.peer),
     };
     let run = run_with_core(settings, clients, None, |daemon| {
@@ -299,6 +355,45 @@
     assert_eq!(daemon.ready_status(), Some(200));
 }
 
+/// Guards against a daemon that waits forever for the result of a call whose task has panicked: it
+/// reads the platform no more, and is ready nevertheless.
+#[test]
+fn a_call_that_panics_counts_as_unanswered_and_is_made_again() {
+    let daemon = FaultyDaemon::start(Fault::PanicInCalls);
+    let serves = || {
+        let authorization = format!("Bearer {API_KEY}");
+        let headers = [("Authorization", authorization.as_str())];
+        let path = "/rutas/x";
+        let response = send_request(daemon.process.callers, "GET", path, &headers, "");
+        (response.status == 200).then_some(())
+    };
+    wait_for("the daemon serves requests", serves);
+    daemon.trigger();
+    // The hosts get orders, as they have to form other groups.
+    let change = Change::Intent {
+        model: ModelName::new("m"),
+        version: ModelVersion::new("v1"),
+        replicas: 2,
+        hosts_per_replica: 1,
+        owner: Customer::new("c"),
+    };
+    wait_for("the change is confirmed", || {
+        let answer = daemon.process.apply_change(&change, 99);
+        matches!(answer, OperatorAnswer::Confirmed { .. }).then_some(())
+    });
+    for call in CALLS {
+        wait_for(&format!("a {call} has panicked"), || {
+            call_marker_path(&daemon.settings, call)
+                .exists()
+                .then_some(())
+        });
+    }
+    wait_for("both replicas are in routing", || {
+        (daemon.process.eligible_replicas() == 2).then_some(())
+    });
+    serves().expect("the daemon serves requests");
+}
+
 /// Guards against executor threads that end with the task that panicked on them.
 #[test]
 fn tasks_run_after_panics_of_others() {
