fix(upstream): an event without end ends its attempt as lost

What callers saw: of two instances of a service one sent events without end, and every request that came to it took another attempt, as long as it did so.

Cause: a too long event ended as WrongAnswer, which only counts towards ejection; of two instances none may be ejected. The other endless forms end as Lost, after which the upstream is left out for a while.

Change: it ends as Lost, which is what that means: the request was sent, and no complete answer arrived.

--- a/shalehinge/src/upstream/attempt.rs
+++ b/shalehinge/src/upstream/attempt.rs
@@ -271,7 +271,7 @@
         let length = events.feed(&chunk);
         if events.event_bytes > MAX_EVENT_BYTES {
             report(Excess::Event, &upstream);
-            return AttemptEnd::WrongAnswer;
+            return AttemptEnd::Lost;
         }
         chunk.truncate(length);
         if !has_started {
--- a/shalehinge/src/upstream/relay.rs
+++ b/shalehinge/src/upstream/relay.rs
@@ -246,7 +246,7 @@
         let events = splitter.feed(&chunk[..length]);
         if splitter.has_excess(MAX_EVENT_BYTES) {
             report(Excess::Event, &upstream);
-            return AttemptEnd::WrongAnswer;
+            return AttemptEnd::Lost;
         }
         splitter.reserve(&mut memory).await;
         count += relay.position.pass_events(&head, &events, sink).await;
