fix(router): a request that may have run is retried while keys are unconfirmed

What callers saw: with the platform silent, a request with a key whose upstream broke its connection got 502 instead of the second attempt that its route allows.

Cause: whether the key is confirmed was asked at each attempt, and limited the time in which one may be sent.

Change: it is asked until an upstream may have run the request (`needs_confirmed_key`). The key was confirmed when the request arrived, and the rule on revoked keys goes by when a request was sent. A revocation that is known still ends what waits.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -1020,8 +1020,8 @@
         "if is_out_of_date && meta.credential.is_some() {", "if false && is_out_of_date {",
         "listed_routing", "a_key_is_valid",
         (CORE + "router/refusal.rs",
-         "let needs_key = meta.credential.is_some();",
-         "let needs_key = false && meta.credential.is_some();"),
+         "let needs_key = pending.needs_confirmed_key();",
+         "let needs_key = false && pending.needs_confirmed_key();"),
     ),
     "key-taken-away": (
         CORE + "router/keys.rs",
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -415,12 +415,13 @@
         out.push(RouterAction::Log(decision_line(
             request, pending, state, &choice, urgency,
         )));
+        let needs_confirmed_key = pending.needs_confirmed_key();
         let mut attempt = state.send(now, request, pending, id, choice.index, urgency);
         if let TrialState::At { subject, .. } = &pending.trial {
             self.trial_upstreams
                 .insert(*subject, attempt.upstream.clone());
         }
-        if let (Some(until), Some(_)) = (self.keys_valid_until, &pending.meta.credential) {
+        if let Some(until) = self.keys_valid_until.filter(|_| needs_confirmed_key) {
             attempt.valid_until = attempt.valid_until.min(until);
         }
         out.push(RouterAction::Send(attempt));
--- a/shalehinge/src/core/router/keys.rs
+++ b/shalehinge/src/core/router/keys.rs
@@ -5,6 +5,16 @@
 
 use super::dispatch::{Router, RouterAction};
 use super::request::{Credential, NotRunReason};
+use super::target::Pending;
+
+impl Pending {
+    /// Whether the request may be sent only while its key is confirmed. It was confirmed when the
+    /// request arrived, so one that an upstream may have run is not held up by a silent platform. A
+    /// revocation that is known ends it while it waits.
+    pub(super) fn needs_confirmed_key(&self) -> bool {
+        self.meta.credential.is_some() && !self.is_admitted()
+    }
+}
 
 impl Router {
     /// Sets the time until which requests that carry a key may be sent; `None` means no limit.
--- a/shalehinge/src/core/router/overload_order.rs
+++ b/shalehinge/src/core/router/overload_order.rs
@@ -14,7 +14,7 @@
 
 impl Pending {
     /// Whether an upstream runs a part of the request or may have run one.
-    fn is_admitted(&self) -> bool {
+    pub(super) fn is_admitted(&self) -> bool {
         self.has_output || self.possible_runs > 0 || self.is_running()
     }
 }
--- a/shalehinge/src/core/router/refusal.rs
+++ b/shalehinge/src/core/router/refusal.rs
@@ -68,7 +68,7 @@
         return Some((NotRunReason::WouldBeLate, settings.retry_after));
     }
     let is_out_of_date = context.keys_valid_until.is_some_and(|until| now >= until);
-    let needs_key = meta.credential.is_some();
+    let needs_key = pending.needs_confirmed_key();
     (needs_key && is_out_of_date).then_some((NotRunReason::OutOfDate, settings.retry_after))
 }
 
