fix(router): waiting requests outlast a pause of their daemon

What callers saw: a daemon that had been suspended for 3 s ended all requests that waited for an upstream, with 502 or 503, at its first tick.

Cause: that tick comes before any report of an upstream. All evidence is too old, so no upstream looks usable.

Change: after a pause nothing is ended for lack of an upstream for two report intervals.

Changed test support: the router's harness dropped reports that were asked for in a step without reports, so none ever came after it. They arrive in the next step with reports.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -1029,9 +1029,13 @@
         "listed_routing", "key_is_revoked",
     ),
     "paused-daemon": (
-        CORE + "router/stalled.rs", "if was_paused {", "if false && was_paused {",
+        CORE + "router/stalled.rs", "                if was_paused {", "                if false && was_paused {",
         "listed_routing", "was_paused",
     ),
+    "reports-after-a-pause": (
+        CORE + "router/expiry.rs", " && !awaits_reports {", " {",
+        "taken_requests", "outlasts_a_pause",
+    ),
     "freshness": (
         CORE + "feed.rs", "self.as_of = self.as_of.max(Some(pending_call.called_at)),", "self.as_of = Some(now),",
         "learning", "as_fresh",
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -119,6 +119,8 @@
     pub(super) forward_peers: ForwardPeers,
     /// Time of the last tick.
     pub(super) ticked_at: Timestamp,
+    /// Time until which reports that a pause of this daemon has delayed are awaited.
+    pub(super) reports_awaited_until: Timestamp,
 }
 
 impl Router {
@@ -147,6 +149,7 @@
             connectivity: Connectivity::default(),
             forward_peers: ForwardPeers::default(),
             ticked_at: Timestamp::ZERO,
+            reports_awaited_until: Timestamp::ZERO,
         }
     }
 
--- a/shalehinge/src/core/router/expiry.rs
+++ b/shalehinge/src/core/router/expiry.rs
@@ -45,13 +45,17 @@
     }
 
     fn expire_waiting(&mut self, now: Timestamp, out: &mut Vec<RouterAction>) {
+        if self.was_paused(now) {
+            self.reports_awaited_until = now + self.settings.report_interval * 2;
+        }
+        let awaits_reports = now < self.reports_awaited_until;
         let mut expired = Vec::new();
         for (target, state) in &mut self.targets {
             let late = state.queue.expire(now).into_iter();
             expired.extend(late.map(|request| (request, NotRunReason::WouldBeLate)));
             let can_forward =
                 self.connectivity.is_cut_off(target) && self.forward_peers.has_usable(now);
-            if state.unavailable_for(now).is_none() && !can_forward {
+            if state.unavailable_for(now).is_none() && !can_forward && !awaits_reports {
                 let all = std::iter::from_fn(|| state.queue.pop());
                 expired.extend(all.map(|waiting| (waiting.request, NotRunReason::NoUpstream)));
             }
--- a/shalehinge/src/core/router/stalled.rs
+++ b/shalehinge/src/core/router/stalled.rs
@@ -13,9 +13,14 @@
 const MAX_TICK_GAP: Duration = Duration::from_millis(300);
 
 impl Router {
+    /// Whether this daemon was paused since the last tick.
+    pub(super) fn was_paused(&self, now: Timestamp) -> bool {
+        now.since(self.ticked_at) > MAX_TICK_GAP
+    }
+
     /// Detects stalled replicas, which get no new requests until they make progress.
     pub(super) fn detect_stalled(&mut self, now: Timestamp, out: &mut Vec<RouterAction>) {
-        let was_paused = now.since(self.ticked_at) > MAX_TICK_GAP;
+        let was_paused = self.was_paused(now);
         self.ticked_at = now;
         let settings = self.settings;
         for state in self.targets.values_mut() {
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -112,6 +112,8 @@
     rng: SmallRng,
     /// Number of replicas that send reports; their numbers start at 0.
     replica_count: u64,
+    /// Upstreams whose reports were asked for and have not arrived.
+    reports_wanted: Vec<UpstreamSpec>,
     /// Attempts that were sent, by the number of the request.
     sent: BTreeMap<u64, Vec<Attempt>>,
     /// Outcomes that callers received, by the number of the request.
@@ -149,6 +151,7 @@
             now: Timestamp::from_millis(1_000),
             rng: SmallRng::seed_from_u64(1),
             replica_count,
+            reports_wanted: Vec::new(),
             sent: BTreeMap::new(),
             answers: BTreeMap::new(),
             counted: Vec::new(),
@@ -169,7 +172,8 @@
         self.advance_time(time, true);
     }
 
-    /// Advances time, without reports of replicas.
+    /// Advances time, without reports of replicas. Those that the router asks for arrive once time
+    /// advances with reports again.
     pub fn advance_without_reports(&mut self, time: Duration) {
         self.advance_time(time, false);
     }
@@ -211,9 +215,16 @@
         while self.now < end {
             self.now = self.now + STEP;
             let mut out = Vec::new();
-            for wanted in self.router.reports_wanted(self.now) {
+            self.reports_wanted
+                .extend(self.router.reports_wanted(self.now));
+            let answered = if with_reports {
+                std::mem::take(&mut self.reports_wanted)
+            } else {
+                Vec::new()
+            };
+            for wanted in answered {
                 let number = wanted.group.map_or(0, |group| group.0);
-                if with_reports && number < self.replica_count {
+                if number < self.replica_count {
                     let status = idle_status(number);
                     let (id, now) = (wanted.id, self.now);
                     self.router
