fix(http): connections above the limit are refused at once

What callers saw: above `max_connections` a connection was accepted and held until its caller sent something, then answered 503 without a time to return.

Cause: the HTTP library counts connections itself, and waits for a first byte.

Change: the transport below it counts them, answers 503 with `Retry-After` before it reads anything, and closes the connection.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -1116,6 +1116,11 @@
         "            .with_acceptor(self.acceptor.clone())\n", "",
         "request_heads", "byte_by_byte_takes_little",
     ),
+    "connections-have-places": (
+        "shalehinge/src/utils/request_transport.rs",
+        "if !transport.place.resize(1) {", "if !transport.place.resize(1) && false {",
+        "gateway", "above_the_limit_is_refused",
+    ),
     "heads-have-a-time-limit": (
         "shalehinge/src/utils/request_transport.rs",
         "if Pin::new(due).poll(context).is_ready() {", "if false && Pin::new(due).poll(context).is_ready() {",
--- a/shalehinge/src/process/run.rs
+++ b/shalehinge/src/process/run.rs
@@ -198,12 +198,10 @@
     let memory = SharedAmount::new(HEAD_MEMORY_BYTES);
     let caller_listener = ListenerConfig {
         http: http_config().with_received_body_max_len(limits.max_body_bytes),
-        max_connections: limits.max_connections,
         acceptor: caller_acceptor(driver.clone(), limits, memory.clone()),
     };
     let control_listener = ListenerConfig {
         http: http_config(),
-        max_connections: MAX_CONTROL_CONNECTIONS,
         acceptor: control_acceptor(limits, memory),
     };
     let mut servers = Vec::new();
@@ -263,7 +261,6 @@
 /// Properties of a listener.
 struct ListenerConfig {
     http: HttpConfig,
-    max_connections: usize,
     acceptor: RequestAcceptor,
 }
 
@@ -273,7 +270,6 @@
             .without_signals()
             .with_nodelay()
             .with_http_config(self.http)
-            .with_max_connections(Some(self.max_connections))
             .with_acceptor(self.acceptor.clone())
             .with_prebound_server(listener)
             .spawn(handler)
--- a/shalehinge/src/utils/request_transport.rs
+++ b/shalehinge/src/utils/request_transport.rs
@@ -100,6 +100,8 @@
 pub struct RequestAcceptor {
     limits: Arc<dyn Fn() -> HeadLimits + Send + Sync>,
     memory: SharedAmount,
+    /// Connections of the listener that are served.
+    served: SharedAmount,
     /// Connections of the listener whose head is incomplete.
     incomplete: SharedAmount,
     /// Connections of the listener whose head was rejected and that are not closed yet.
@@ -108,8 +110,9 @@
 
 impl RequestAcceptor {
     /// Applies these limits, which are read at each new connection. `memory` is that of all
-    /// incomplete heads of the process, in bytes. Half of `max_connections` may have an incomplete
-    /// head, and a quarter one that was rejected, so that they leave places for other callers.
+    /// incomplete heads of the process, in bytes. Connections above `max_connections` are rejected at
+    /// once. Half of that number may have an incomplete head, so that these leave places for other
+    /// callers, and a quarter may wait for the callers whose heads were rejected.
     pub fn new(
         limits: impl Fn() -> HeadLimits + Send + Sync + 'static,
         memory: SharedAmount,
@@ -118,6 +121,7 @@
         Self {
             limits: Arc::new(limits),
             memory,
+            served: SharedAmount::new(max_connections),
             incomplete: SharedAmount::new(max_connections / 2),
             rejected: SharedAmount::new(max_connections / 4),
         }
@@ -144,7 +148,7 @@
     TooSlow,
     /// The caller expects HTTP/2, which is not supported.
     Http2,
-    /// There is no memory for it, or too many other heads are incomplete.
+    /// There are too many connections or incomplete heads, or no memory for them.
     TooMany,
 }
 
@@ -200,6 +204,8 @@
     limits: HeadLimits,
     /// Memory of an incomplete head, in bytes.
     memory: Reservation,
+    /// The connection's place among those that are served.
+    place: Reservation,
     incomplete: Reservation,
     rejected: Reservation,
     part: Part,
@@ -218,10 +224,11 @@
 
 impl<T: Transport> RequestTransport<T> {
     fn new(inner: T, acceptor: &RequestAcceptor) -> Self {
-        Self {
+        let mut transport = Self {
             inner,
             limits: (acceptor.limits)(),
             memory: acceptor.memory.reservation(),
+            place: acceptor.served.reservation(),
             incomplete: acceptor.incomplete.reservation(),
             rejected: acceptor.rejected.reservation(),
             part: Part::Head { scanned: 0 },
@@ -231,7 +238,11 @@
             ignored: 0,
             head_due: None,
             state: State::Open,
+        };
+        if !transport.place.resize(1) {
+            transport.reject(Rejection::TooMany);
         }
+        transport
     }
 
     /// The connection without the handling of heads.
@@ -328,6 +339,7 @@
         self.received = Vec::new();
         self.head_due = None;
         self.release_reservations();
+        self.place.resize(0);
         self.state = State::Rejecting {
             rejection,
             written: 0,
--- a/shalehinge/tests/gateway.rs
+++ b/shalehinge/tests/gateway.rs
@@ -353,3 +353,33 @@
     assert!(response.body.contains("data: [DONE]"));
     assert!(daemon.wait().success());
 }
+
+/// Guards against callers that wait for a connection that is never served.
+#[test]
+fn a_connection_above_the_limit_is_refused_at_once_with_a_time_to_return() {
+    const MAX_CONNECTIONS: usize = 4;
+    let mut fleet = Fleet::new("connections", 2);
+    fleet.limits = format!("max_connections = {MAX_CONNECTIONS}");
+    let daemon = fleet.start_serving_daemon();
+    let connect = || TcpStream::connect(daemon.callers).expect("the listener accepts");
+    let ready = || {
+        let response = send_request(daemon.callers, "GET", "/readyz", &[], "");
+        (response.status == 200).then_some(())
+    };
+    wait_for("the connections of the start are closed", ready);
+    let idle: Vec<_> = (0..MAX_CONNECTIONS).map(|_| connect()).collect();
+    let refusal = wait_for("a connection is refused", || {
+        let mut stream = connect();
+        let limit = Some(Duration::from_millis(500));
+        stream.set_read_timeout(limit).expect("can set it");
+        // Nothing is sent.
+        let mut response = Vec::new();
+        let _ = stream.read_to_end(&mut response);
+        (!response.is_empty()).then_some(response)
+    });
+    let text = String::from_utf8_lossy(&refusal);
+    assert!(text.starts_with("HTTP/1.1 503 "), "{text:?}");
+    assert!(text.contains("\r\nRetry-After: 1\r\n"), "{text:?}");
+    drop(idle);
+    wait_for("others are served after connections were closed", ready);
+}
