fix(http): nothing is answered or read for a caller whose response is due

Cause: while a handler runs, the library reads from the connection to notice its end. The transport took what came for the next head, with its limits.

Change: the transport follows whether the response to the last request has begun.

Evidence: what_follows_a_request_in_progress_is_neither_answered_nor_read_before_its_response failed ("left: 431, right: 200"), and passes, as do the other 7 tests.

--- a/shalehinge/src/utils/request_transport.rs
+++ b/shalehinge/src/utils/request_transport.rs
@@ -28,6 +28,8 @@
 const LINE_END: &[u8] = b"\r\n";
 /// First line of a connection that uses HTTP/2 without negotiation.
 const HTTP2_PREFACE_LINE: &[u8] = b"PRI * HTTP/2.0\r\n";
+/// Start of the response by which the library asks for the body of a request.
+const INTERIM_RESPONSE: &[u8] = b"HTTP/1.1 100 ";
 /// How long the rest of a rejected head is read and discarded. If a connection is closed while
 /// received bytes are unread, the system resets it, and the caller may lose the response.
 const DISCARD_FOR: Duration = Duration::from_secs(2);
@@ -181,6 +183,19 @@
     Body(BodyFraming),
 }
 
+/// Progress of the response to the last request that the library has read, or is reading.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ResponseState {
+    /// The response is to come, while the request is incomplete.
+    Later,
+    /// The response has begun before the request was complete.
+    Early,
+    /// The request is complete, and its response has not begun.
+    Due,
+    /// The request is complete, and its response has begun.
+    Begun,
+}
+
 #[derive(Debug)]
 enum State {
     Open,
@@ -219,6 +234,7 @@
     ignored: usize,
     /// End of the time for the head that is incomplete.
     head_due: Option<Timer>,
+    response: ResponseState,
     state: State,
 }
 
@@ -237,6 +253,7 @@
             complete: 0,
             ignored: 0,
             head_due: None,
+            response: ResponseState::Begun,
             state: State::Open,
         };
         if !transport.place.resize(1) {
@@ -271,7 +288,7 @@
             Part::Head { scanned } => self.release_head(scanned),
             Part::Body(mut framing) => {
                 let accepted = framing.on_received(&self.received);
-                self.part = after_body_bytes(framing);
+                self.continue_request(framing);
                 self.complete = accepted.map_err(trailers_error)?;
             }
         }
@@ -303,7 +320,8 @@
         }
         let lines = head.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii);
         let framing = BodyFraming::of_headers(lines.skip(1)).unwrap_or(BodyFraming::Complete);
-        self.part = after_body_bytes(framing);
+        self.response = ResponseState::Later;
+        self.continue_request(framing);
         self.complete = length;
         self.ignored = 0;
         self.head_due = None;
@@ -385,11 +403,41 @@
         }
         let bytes = &buffer[..length];
         let accepted = framing.on_received(bytes).map_err(trailers_error)?;
-        self.part = after_body_bytes(framing);
         self.received.extend_from_slice(&bytes[accepted..]);
+        self.continue_request(framing);
         Poll::Ready(Ok(accepted))
     }
 
+    /// Records how far the body of the request was received.
+    fn continue_request(&mut self, framing: BodyFraming) {
+        if framing != BodyFraming::Complete {
+            self.part = Part::Body(framing);
+            return;
+        }
+        self.part = Part::Head { scanned: 0 };
+        self.response = match self.response {
+            ResponseState::Later | ResponseState::Due => ResponseState::Due,
+            ResponseState::Early | ResponseState::Begun => ResponseState::Begun,
+        };
+    }
+
+    /// Waits for the end of the connection while a response is due. Only the first bytes of what the
+    /// caller sends next are received until then, as a response to it would be taken for the one that
+    /// is due, and the library has no limit for what it reads at that time.
+    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<Result<usize>> {
+        if !self.received.is_empty() {
+            // The library reads again after the response.
+            return Poll::Pending;
+        }
+        let mut bytes = [0; READ_SIZE];
+        let length = ready!(Pin::new(&mut self.inner).poll_read(context, &mut bytes))?;
+        if length == 0 {
+            return Poll::Ready(Ok(0));
+        }
+        self.received.extend_from_slice(&bytes[..length]);
+        Poll::Pending
+    }
+
     /// Writes the response to a rejected head and discards the rest of the request.
     fn poll_reject(&mut self, context: &mut Context<'_>) -> Poll<Result<()>> {
         loop {
@@ -427,14 +475,6 @@
     }
 }
 
-/// What follows bytes of a body.
-fn after_body_bytes(framing: BodyFraming) -> Part {
-    match framing {
-        BodyFraming::Complete => Part::Head { scanned: 0 },
-        framing => Part::Body(framing),
-    }
-}
-
 fn trailers_error(_: TrailersTooLong) -> Error {
     Error::new(ErrorKind::InvalidData, "the trailers are too long")
 }
@@ -449,6 +489,9 @@
             Part::Body(framing) if self.received.is_empty() => {
                 self.poll_body(context, framing, buffer)
             }
+            Part::Head { .. } if self.response == ResponseState::Due && self.complete == 0 => {
+                self.poll_end(context)
+            }
             Part::Head { .. } | Part::Body(_) => {
                 ready!(self.poll_received(context))?;
                 ready!(self.poll_reject(context))?;
@@ -464,6 +507,12 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
+        if !bytes.starts_with(INTERIM_RESPONSE) {
+            self.response = match self.response {
+                ResponseState::Later | ResponseState::Early => ResponseState::Early,
+                ResponseState::Due | ResponseState::Begun => ResponseState::Begun,
+            };
+        }
         Pin::new(&mut self.inner).poll_write(context, bytes)
     }
 
