--- a/shalehinge/src/utils/request_transport.rs
+++ b/shalehinge/src/utils/request_transport.rs
@@ -542,7 +542,7 @@
         self.inner.peer_addr()
     }
 
-    /// HTTP/1.1, so that the library doesn't look for the start of HTTP/2, byte by byte, itself.
+    /// HTTP/1.1, so that the library doesn't check for the HTTP/2 preface itself.
     fn negotiated_alpn(&self) -> Option<Cow<'_, [u8]>> {
         Some(Cow::Borrowed(b"http/1.1"))
     }
--- a/shalehinge/tests/core_panic.rs
+++ b/shalehinge/tests/core_panic.rs
@@ -355,8 +355,7 @@
     assert_eq!(daemon.ready_status(), Some(200));
 }
 
-/// Guards against a daemon that waits forever for the result of a call whose task has panicked: it
-/// reads the platform no more, and is ready nevertheless.
+/// Guards against a daemon that waits forever for the result of a call whose task has panicked.
 #[test]
 fn a_call_that_panics_counts_as_unanswered_and_is_made_again() {
     let daemon = FaultyDaemon::start(Fault::PanicInCalls);
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -172,8 +172,7 @@
         self.advance_time(time, true);
     }
 
-    /// Advances time, without reports of replicas. Those that the router asks for arrive once time
-    /// advances with reports again.
+    /// Advances time; reports that the router asks for arrive when time advances with reports again.
     pub fn advance_without_reports(&mut self, time: Duration) {
         self.advance_time(time, false);
     }
