fix(http): accept loops wait after an error, and their end ends the process

A process without free descriptors spent a thread for each listener on calls of accept, so the requests that it had were answered late. Had the loop of a listener ended by a panic, its daemon would have said 200 on /ready and accepted nothing.

Cause: the library calls accept again at once after an error, within one poll, and nobody waits for the end of its loop.

Change: a listener of this project stands below the loop. It waits for 50 ms after an error, and logs the first one. One that is dropped without having been shut down ends the process with code 70.

Descriptors for upstreams are still not reserved (caller_connections_beyond_the_limit).

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -1126,6 +1126,18 @@
         "if Pin::new(due).poll(context).is_ready() {", "if false && Pin::new(due).poll(context).is_ready() {",
         "request_heads", "complete_in_time",
     ),
+    "accept-waits-after-an-error": (
+        "shalehinge/src/utils/listener.rs",
+        "                    Timer::after(RETRY_DELAY).await;\n",
+        "                    Timer::after(Duration::ZERO).await;\n",
+        "listeners", "accept_waits",
+    ),
+    "ended-accept-loops-end-the-process": (
+        "shalehinge/src/utils/listener.rs",
+        "        if self.is_shut_down {\n            return;",
+        "        if true {\n            return;",
+        "listeners", "an_accept_loop_that_ends",
+    ),
     "entry-without-slots": (
         CORE + "router/upstream.rs",
         "share.ceil().min(capacity.ceil()).max(1.0)",
--- a/shalehinge/src/process/run.rs
+++ b/shalehinge/src/process/run.rs
@@ -9,7 +9,7 @@
 use smol::Timer;
 use trillium::Handler;
 use trillium_http::HttpConfig;
-use trillium_server_common::ServerHandle;
+use trillium_server_common::{Config, ServerHandle};
 
 use super::core_cell::Core;
 use super::driver::{Clients, Driver};
@@ -26,6 +26,7 @@
 use crate::upstream::relay::RelayHeaderNames;
 use crate::utils::allocator::return_large_allocations;
 use crate::utils::http::{ListenError, bind};
+use crate::utils::listener::Listener;
 use crate::utils::memory_budget::{MemoryBudget, budget_for_limit};
 use crate::utils::request_transport::{HeadLimits, RequestAcceptor, SharedAmount};
 use crate::utils::task::{self, spawn};
@@ -266,12 +267,12 @@
 
 impl ListenerConfig {
     fn spawn(&self, listener: smol::net::TcpListener, handler: impl Handler) -> ServerHandle {
-        trillium_smol::config()
+        Config::<Listener, ()>::new()
             .without_signals()
             .with_nodelay()
             .with_http_config(self.http)
             .with_acceptor(self.acceptor.clone())
-            .with_prebound_server(listener)
+            .with_prebound_server(Listener::new(listener))
             .spawn(handler)
     }
 }
--- a/shalehinge/src/utils/mod.rs
+++ b/shalehinge/src/utils/mod.rs
@@ -8,6 +8,7 @@
 //! - `clock`: the clock for lease terms and ages
 //! - `headers`: selection of the headers that are forwarded
 //! - `http`: common configuration of HTTP clients and listeners
+//! - `listener`: listening sockets whose accept loop outlasts errors
 //! - `memory_budget`: budget for the bytes held for callers and upstreams
 //! - `raw_target`: connections that write a request target as the caller sent it
 //! - `request_target`: request targets that can be forwarded unchanged
@@ -24,6 +25,7 @@
 pub mod clock;
 pub mod headers;
 pub mod http;
+pub mod listener;
 pub mod memory_budget;
 pub mod raw_target;
 pub mod request_target;
