fix(process): a core that handles no ticks ends its process

A daemon whose core is in work that does not end is not ready after 2 s, but callers whose connections are open get no answer, and it serves nobody until an operator ends it.

Cause: only a panic of the core ended the process.

Change: a thread looks at the time of the last tick every 3 s. After five looks without a tick in between, the process exits with code 70, and its platform starts it again. Looks are counted, not time, so that a suspended process, which makes at most one before its next tick, goes on.

Evidence: a_tick_that_does_not_end_ends_the_process failed before ("timed out waiting until the process has ended", 120 s) and passes; the 11 tests of core_panic pass (18 s), among them a tick of 6 s and a suspension, which end no process.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -1138,6 +1138,12 @@
         "        if true {\n            return;",
         "listeners", "an_accept_loop_that_ends",
     ),
+    "stalled-core-ends-the-process": (
+        "shalehinge/src/process/watchdog.rs",
+        "if detector.check(driver.last_tick_ms()) {",
+        "if detector.check(driver.last_tick_ms()) && false {",
+        "core_panic", "a_tick_that_does_not_end",
+    ),
     "entry-without-slots": (
         CORE + "router/upstream.rs",
         "share.ceil().min(capacity.ceil()).max(1.0)",
--- a/shalehinge/src/process/core_cell.rs
+++ b/shalehinge/src/process/core_cell.rs
@@ -152,10 +152,15 @@
         self.last_tick_ms.store(millis(now), Ordering::Release);
     }
 
+    /// Time of the last tick, in milliseconds of the core's time; 0 before the first one. Takes no lock.
+    pub fn last_tick_ms(&self) -> u64 {
+        self.last_tick_ms.load(Ordering::Acquire)
+    }
+
     /// Whether the daemon should receive new requests: it is ready, and its core has handled a tick
     /// within [`HEARTBEAT_TIMEOUT`]. Takes no lock, so it also answers while the core is blocked.
     pub fn is_ready(&self, now: Timestamp) -> bool {
-        let last_tick_ms = self.last_tick_ms.load(Ordering::Acquire);
+        let last_tick_ms = self.last_tick_ms();
         let age_ms = millis(now).saturating_sub(last_tick_ms);
         !HAS_PANICKED.load(Ordering::SeqCst)
             && last_tick_ms > 0
--- a/shalehinge/src/process/driver.rs
+++ b/shalehinge/src/process/driver.rs
@@ -143,6 +143,11 @@
         self.core.is_ready(self.now())
     }
 
+    /// Time of the core's last tick, in milliseconds of the core's time. Takes no lock.
+    pub fn last_tick_ms(&self) -> u64 {
+        self.core.last_tick_ms()
+    }
+
     /// Limits on callers' requests of the fleet's configuration. Doesn't wait for the core.
     pub fn caller_limits(&self) -> Option<CallerLimits> {
         *lock(&self.caller_limits)
--- a/shalehinge/src/process/mod.rs
+++ b/shalehinge/src/process/mod.rs
@@ -6,6 +6,7 @@
 //! - `pending_requests`: requests in progress whose responses are still being delivered
 //! - `peer_traffic`: statistics on pulls from peers
 //! - `run`: starts the daemon and shuts it down
+//! - `watchdog`: the process's exit if the core handles no ticks
 
 pub mod core_cell;
 pub mod disconnect_guard;
@@ -13,5 +14,6 @@
 pub mod peer_traffic;
 pub mod pending_requests;
 pub mod run;
+pub mod watchdog;
 
 pub use driver::Driver;
--- a/shalehinge/src/process/run.rs
+++ b/shalehinge/src/process/run.rs
@@ -13,6 +13,7 @@
 
 use super::core_cell::Core;
 use super::driver::{Clients, Driver};
+use super::watchdog::Watchdog;
 use crate::core::daemon::{Daemon, Identity, TICK};
 use crate::core::event::{Event, Timeouts};
 use crate::core::types::{DaemonId, FailureDomain, Incarnation};
@@ -130,6 +131,7 @@
     log::info!("daemon: reports readiness on {ready_address}");
     let servers = spawn_servers(&settings, &driver, listeners, relay);
     let ticks = spawn(run_ticks(driver.clone()));
+    let watchdog = Watchdog::start(&driver);
     wait_for_termination().await;
     if let Some(linger) = settings.daemon.limits.linger {
         driver.dispatch(Event::Leave);
@@ -142,6 +144,7 @@
         log::warn!("daemon: requests still in progress after {limit:?}, stopping anyway");
     }
     shut_down_servers(&servers, stop_deadline).await;
+    drop(watchdog);
     drop(ticks);
     log::info!("daemon: stopped");
     Ok(())
--- a/shalehinge/tests/core_panic.rs
+++ b/shalehinge/tests/core_panic.rs
@@ -27,6 +27,7 @@
 use shalehinge::process::core_cell::{CORE_PANIC_EXIT_CODE, Core, HEARTBEAT_TIMEOUT};
 use shalehinge::process::driver::Clients;
 use shalehinge::process::run::run_with_core;
+use shalehinge::process::watchdog::StallDetector;
 use shalehinge::settings::Settings;
 use shalehinge::telemetry::logs;
 use shalehinge::upstream::EngineClient;
@@ -38,6 +39,8 @@
 const FAULT_VARIABLE: &str = "CORE_PANIC_TEST_FAULT";
 /// Start of the log line about a panic of the core.
 const PANIC_LINE: &str = "daemon: the core panicked, exiting with code 70:";
+/// Start of the log line about a core without ticks.
+const STALL_LINE: &str = "daemon: the core has handled no tick for 15s, exiting with code 70";
 /// Time for which a blocked core handles a tick.
 const BLOCKED_FOR: Duration = Duration::from_secs(6);
 
@@ -56,15 +59,18 @@
     PanicInCalls,
     /// The core handles one tick for [`BLOCKED_FOR`].
     BlockedTick,
+    /// The core handles one tick that doesn't end.
+    EndlessTick,
 }
 
-const FAULTS: [Fault; 6] = [
+const FAULTS: [Fault; 7] = [
     Fault::PanicInTick,
     Fault::PanicInReply,
     Fault::PanicInRequest,
     Fault::PanicOutside,
     Fault::PanicInCalls,
     Fault::BlockedTick,
+    Fault::EndlessTick,
 ];
 
 /// Kinds of calls that [`Fault::PanicInCalls`] concerns.
@@ -109,6 +115,9 @@
                 self.has_blocked = true;
                 std::thread::sleep(BLOCKED_FOR);
             }
+            (Fault::EndlessTick, Event::Tick) if is_triggered => loop {
+                std::thread::sleep(BLOCKED_FOR);
+            },
             _ => {}
         }
         self.daemon.handle(now, event, actions);
@@ -425,6 +434,32 @@
     });
 }
 
+/// Guards against a daemon that answers nobody until an operator ends it, as its core does not get
+/// to the end of a tick.
+#[test]
+fn a_tick_that_does_not_end_ends_the_process() {
+    let mut daemon = FaultyDaemon::start(Fault::EndlessTick);
+    daemon.trigger();
+    let status = wait_for("the process has ended", || daemon.process.try_wait());
+    assert_eq!(status.code(), Some(CORE_PANIC_EXIT_CODE));
+    let log = daemon.process.log_text();
+    assert!(log.contains(STALL_LINE), "{log}");
+}
+
+/// Guards against a daemon that ends after it was suspended, during which it handles no ticks.
+#[test]
+fn time_without_checks_does_not_count_as_a_stalled_core() {
+    let mut detector = StallDetector::default();
+    let tick_ms = 7_000;
+    // Each suspension has at most one check between resuming and the next tick.
+    for suspension in 0..100 {
+        assert!(!detector.check(tick_ms + suspension));
+        assert!(!detector.check(tick_ms + suspension));
+    }
+    let checks = (0..).take_while(|_| !detector.check(tick_ms + 100));
+    assert_eq!(checks.take(100).count(), 5);
+}
+
 /// Guards against a daemon that stays out of the load balancer after it was suspended.
 #[test]
 fn a_suspended_daemon_is_ready_after_it_resumes() {
