perf(admission): requests of the last bands are held back in the daemon

Cause looked at: requests of the last bands that wait at groups use up their daemon's places there, and fill the groups' queues.

Nothing changes without an overload.

Against it: what is held back hears only shortly before its deadline that it was not run, and whole responses of a band would run one after the other at each daemon, also where an overload is assumed wrongly. No test of its own.

--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -318,12 +318,13 @@
             state.update_share(self.daemon_count);
         }
         loop {
+            let min_urgency = self.min_urgency(target);
             let Some(state) = self.targets.get_mut(target) else {
                 return;
             };
             let Some(request) = state
                 .queue
-                .peek(now, max_wait)
+                .peek(now, max_wait, min_urgency)
                 .map(|waiting| waiting.request)
             else {
                 self.end_saturation(now, target, out);
@@ -358,6 +359,15 @@
                 self.forward(now, request, peer, out);
                 continue;
             }
+            if min_urgency > 0 {
+                let urgency = state.deprioritized_urgency(now, request, pending, out);
+                if let Some(urgency) = urgency.filter(|urgency| *urgency < min_urgency) {
+                    state
+                        .queue
+                        .hold_back(&pending.meta.customer, request, urgency);
+                    continue;
+                }
+            }
             let selection = state.choose_for(now, &self.settings, &avoided, pending, rng);
             if selection.choice.is_none() {
                 if matches!(pending.trial, TrialState::At { .. }) {
