--- a/shalehinge/src/core/admission/shortage.rs
+++ b/shalehinge/src/core/admission/shortage.rs
@@ -23,10 +23,6 @@
 const QUIET_TIME: Duration = Duration::from_secs(2);
 /// Level from which on an overload is assumed. One or two late requests occur without one.
 const BEGIN_LEVEL: f64 = 2.5;
-/// Level from which on new requests are spread over bands: after the first late request, before an
-/// overload is certain. The queues of the upstreams grow meanwhile, and the spread changes little
-/// where there is none.
-const SPREAD_LEVEL: f64 = 1.5;
 /// Highest level, so that an overload ends soon however long it lasted.
 const MAX_LEVEL: f64 = 6.0;
 /// Evidence older than this is discarded.
@@ -71,11 +67,6 @@
         self.is_detected
     }
 
-    /// Whether new requests are spread over bands.
-    pub fn spreads(&self) -> bool {
-        self.is_detected || self.level >= SPREAD_LEVEL
-    }
-
     /// Applies the sample of a request.
     pub fn record(&mut self, now: Timestamp, sample: LatencySample) {
         self.discard_old(now);
@@ -108,7 +99,7 @@
         self.discard_old(now);
         let class = rank_class(priority);
         self.count(now, class);
-        if !self.spreads() {
+        if !self.is_detected {
             Standing::Ordinary
         } else if can_be_on_time {
             Standing::InBand(Band::at(self.position(class, unit_interval(hash))))
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -318,13 +318,12 @@
             state.update_share(self.daemon_count);
         }
         loop {
-            let min_urgency = self.min_urgency(target);
             let Some(state) = self.targets.get_mut(target) else {
                 return;
             };
             let Some(request) = state
                 .queue
-                .peek(now, max_wait, min_urgency)
+                .peek(now, max_wait)
                 .map(|waiting| waiting.request)
             else {
                 self.end_saturation(now, target, out);
@@ -359,15 +358,6 @@
                 self.forward(now, request, peer, out);
                 continue;
             }
-            if min_urgency > 0 {
-                let urgency = state.deprioritized_urgency(now, request, pending, out);
-                if let Some(urgency) = urgency.filter(|urgency| *urgency < min_urgency) {
-                    state
-                        .queue
-                        .hold_back(&pending.meta.customer, request, urgency);
-                    continue;
-                }
-            }
             let selection = state.choose_for(now, &self.settings, &avoided, pending, rng);
             if selection.choice.is_none() {
                 if matches!(pending.trial, TrialState::At { .. }) {
--- a/shalehinge/src/core/router/overload_order.rs
+++ b/shalehinge/src/core/router/overload_order.rs
@@ -4,7 +4,7 @@
 use crate::core::admission::counted_event::CountedEvent;
 use crate::core::admission::latency_sample::{LatencySample, SampledRequest};
 use crate::core::admission::shortage::ShortageChange;
-use crate::core::admission::urgency::{Standing, is_deprioritized, urgency};
+use crate::core::admission::urgency::{Standing, urgency};
 use crate::core::hash::rendezvous_weight;
 use crate::core::types::{RequestId, Timestamp};
 
@@ -12,11 +12,6 @@
 use super::request::Target;
 use super::target::{Pending, TargetState};
 
-/// Requests of the last bands of a daemon that wait at the upstreams of a target. More would fill the
-/// upstreams' queues and use up the daemon's places at them, so that those of the first bands would
-/// have to wait too.
-const MAX_WAITING_DEPRIORITIZED: usize = 1;
-
 impl Pending {
     /// Whether an upstream runs a part of the request or may have run one.
     pub(super) fn is_admitted(&self) -> bool {
@@ -25,21 +20,6 @@
 }
 
 impl TargetState {
-    /// The urgency of a request that was not sent yet if it may be held back.
-    pub(super) fn deprioritized_urgency(
-        &mut self,
-        now: Timestamp,
-        request: RequestId,
-        pending: &mut Pending,
-        out: &mut Vec<RouterAction>,
-    ) -> Option<u8> {
-        if pending.attempts > 0 || !self.shortage.spreads() {
-            return None;
-        }
-        let urgency = self.urgency_of(now, request, pending, out);
-        is_deprioritized(urgency).then_some(urgency)
-    }
-
     /// The urgency of a request that is about to be sent. One that certainly did not run so far,
     /// as upstreams refused it, keeps the standing of its first attempt.
     pub(super) fn urgency_of(
@@ -91,28 +71,6 @@
         self.settings.overload_order
     }
 
-    /// The lowest urgency with which a further request may be sent to a target.
-    pub(super) fn min_urgency(&self, target: &Target) -> u8 {
-        let Some(state) = self.targets.get(target) else {
-            return 0;
-        };
-        if !state.shortage.spreads() {
-            return 0;
-        }
-        let waiting = self.pending.values().filter(|pending| {
-            pending.meta.target == *target && pending.is_running() && !pending.has_output
-        });
-        let mut urgencies: Vec<u8> = waiting
-            .filter_map(|pending| pending.sampled.as_ref())
-            .map(|sampled| urgency(sampled.standing()))
-            .filter(|urgency| is_deprioritized(*urgency))
-            .collect();
-        urgencies.sort_unstable_by(|a, b| b.cmp(a));
-        urgencies
-            .get(MAX_WAITING_DEPRIORITIZED - 1)
-            .map_or(0, |urgency| urgency + 1)
-    }
-
     /// Whether a target is assumed to be overloaded.
     pub fn is_overloaded(&self, target: &Target) -> bool {
         let state = self.targets.get(target);
