fix(http): connections of callers are observed again

Cause: the end of a connection is noticed on a second handle of it, which is taken by the exact type of the transport.

Change: the type is that of the listener's transport, so that it follows it.

--- a/shalehinge/src/utils/caller_connection.rs
+++ b/shalehinge/src/utils/caller_connection.rs
@@ -12,17 +12,16 @@
 
 use futures_lite::AsyncReadExt;
 use smol::net::TcpStream;
-use smol::net::unix::UnixStream;
 use trillium::{Conn, Transport};
-use trillium_server_common::Binding;
-use trillium_smol::SmolTransport;
+use trillium_server_common::Server;
 
+use super::listener::Listener;
 use super::request_transport::RequestTransport;
 use super::task::spawn;
 use super::time::with_timeout;
 
-type ServerTransport =
-    RequestTransport<Binding<SmolTransport<TcpStream>, SmolTransport<UnixStream>>>;
+/// The transport of connections that a [`Listener`] accepts.
+type ServerTransport = RequestTransport<<Listener as Server>::Transport>;
 
 /// A second handle of a caller's connection.
 #[derive(Clone, Debug)]
@@ -113,10 +112,7 @@
     if let Some(boxed) = content.downcast_ref::<Box<dyn Transport>>() {
         return tcp_stream(&**boxed);
     }
-    let tcp = content
-        .downcast_ref::<ServerTransport>()?
-        .inner()
-        .get_tcp()?;
+    let tcp = content.downcast_ref::<ServerTransport>()?.inner();
     Some(tcp.clone().into_inner())
 }
 
