refactor(utils): the exit after a fatal error stands in one place

A panic of the core, a core without ticks and the end of an accept loop each logged and exited by themselves. Behaviour is unchanged but for the last: it had no limit of the time for its log line, so a blocked log would have kept the process running. Log lines and the exit code stay.

CORE_PANIC_EXIT_CODE, LISTENER_EXIT_CODE -> FATAL_EXIT_CODE.

--- a/shalehinge/src/process/core_cell.rs
+++ b/shalehinge/src/process/core_cell.rs
@@ -7,24 +7,17 @@
 
 use std::cell::Cell;
 use std::panic::{self, PanicHookInfo};
-use std::process;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, Once};
-use std::thread;
 use std::time::Duration;
 
 use crate::core::daemon::Daemon;
 use crate::core::event::{Action, Event};
 use crate::core::types::Timestamp;
+use crate::utils::fatal::exit_after;
 
-/// Exit code of the process after a panic of the core (`EX_SOFTWARE` of sysexits.h).
-pub const CORE_PANIC_EXIT_CODE: i32 = 70;
 /// Age of the last tick from which the daemon is not ready: 40 ticks.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time for reporting a panic. The process exits after it even if the log is blocked, for example
-/// because the panic came from formatting a log line, or the backtrace takes longer, which may be
-/// half a minute with the debug information of a large program.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The state machine that the driver runs. The daemon runs [`Daemon`]; the trait lets a test wrap
 /// it in one that panics or blocks.
@@ -97,20 +90,8 @@
     }
 }
 
-/// Logs the reason, calls `report_details`, and exits.
 fn exit_after_core_panic(reason: &str, report_details: impl FnOnce()) -> ! {
-    // If no thread can be started, the panic is reported without a limit of the time.
-    let _ = thread::Builder::new().spawn(|| {
-        thread::sleep(REPORT_TIMEOUT);
-        process::exit(CORE_PANIC_EXIT_CODE);
-    });
-    log::error!(
-        target: "shalehinge",
-        "daemon: the core panicked, exiting with code {CORE_PANIC_EXIT_CODE}: {reason}"
-    );
-    log::logger().flush();
-    report_details();
-    process::exit(CORE_PANIC_EXIT_CODE)
+    exit_after("daemon: the core panicked", Some(reason), report_details)
 }
 
 /// The core behind its lock, and what is known of it without the lock.
--- a/shalehinge/src/process/watchdog.rs
+++ b/shalehinge/src/process/watchdog.rs
@@ -4,14 +4,13 @@
 //! process again. A thread of its own checks this, as all threads of the executor may wait for the
 //! core's lock.
 
-use std::process;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Weak};
 use std::thread;
 use std::time::Duration;
 
-use super::core_cell::CORE_PANIC_EXIT_CODE;
 use super::driver::Driver;
+use crate::utils::fatal::exit_after;
 
 /// Time between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_secs(3);
@@ -19,8 +18,6 @@
 /// Checks are counted, instead of measuring the time, because a suspended process handles no ticks
 /// either: it makes at most one check between resuming and its next tick.
 const MAX_CHECKS_WITHOUT_TICK: u32 = 5;
-/// Time for the log line. The process exits after it even if the log is blocked.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Counts checks without a tick in between.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -79,22 +76,9 @@
             return;
         }
         if detector.check(driver.last_tick_ms()) {
-            exit_after_stall();
+            let stalled_for = CHECK_INTERVAL * MAX_CHECKS_WITHOUT_TICK;
+            let event = format!("daemon: the core has handled no tick for {stalled_for:?}");
+            exit_after(&event, None, || ());
         }
     }
 }
-
-fn exit_after_stall() -> ! {
-    // If no thread can be started, the line is written without a limit of the time.
-    let _ = thread::Builder::new().spawn(|| {
-        thread::sleep(REPORT_TIMEOUT);
-        process::exit(CORE_PANIC_EXIT_CODE);
-    });
-    let stalled_for = CHECK_INTERVAL * MAX_CHECKS_WITHOUT_TICK;
-    log::error!(
-        target: "shalehinge",
-        "daemon: the core has handled no tick for {stalled_for:?}, exiting with code {CORE_PANIC_EXIT_CODE}"
-    );
-    log::logger().flush();
-    process::exit(CORE_PANIC_EXIT_CODE)
-}
--- a/shalehinge/src/utils/listener.rs
+++ b/shalehinge/src/utils/listener.rs
@@ -1,4 +1,4 @@
-//! The accept loop's side of a listening socket.
+//! A listening socket, from which the HTTP library's accept loop takes connections.
 //!
 //! The HTTP library calls accept again at once after an error. While the process has no free
 //! descriptors, each call fails, so the loop would take a whole core; here it waits between calls.
@@ -7,7 +7,6 @@
 
 use std::io::{Error, ErrorKind, Result};
 use std::net::{SocketAddr, TcpListener as StdListener};
-use std::process;
 use std::time::Duration;
 
 use smol::Timer;
@@ -16,13 +15,12 @@
 use trillium_server_common::Server;
 use trillium_smol::{SmolRuntime, SmolTransport, SmolUdpSocket};
 
-/// Exit code of the process if the accept loop of a listener ends by itself (`EX_SOFTWARE` of
-/// sysexits.h).
-pub const LISTENER_EXIT_CODE: i32 = 70;
+use super::fatal::exit_after;
+
 /// Time between two calls of accept while they fail for lack of descriptors or memory.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// A listening socket from which an accept loop of the HTTP library takes connections.
+/// A listening socket whose accept outlasts errors.
 #[derive(Debug)]
 pub struct Listener {
     socket: TcpListener,
@@ -120,12 +118,7 @@
         if self.is_shut_down {
             return;
         }
-        let address = self.address();
-        log::error!(
-            target: "shalehinge",
-            "http: the accept loop of {address} ended, exiting with code {LISTENER_EXIT_CODE}"
-        );
-        log::logger().flush();
-        process::exit(LISTENER_EXIT_CODE);
+        let event = format!("http: the accept loop of {} ended", self.address());
+        exit_after(&event, None, || ());
     }
 }
--- a/shalehinge/src/utils/mod.rs
+++ b/shalehinge/src/utils/mod.rs
@@ -6,6 +6,7 @@
 //! - `bounded_transport`: connections that end when a response exceeds its bounds
 //! - `caller_connection`: notices that a caller disconnects during its response
 //! - `clock`: the clock for lease terms and ages
+//! - `fatal`: the process's exit after an error that it can't continue from
 //! - `headers`: selection of the headers that are forwarded
 //! - `http`: common configuration of HTTP clients and listeners
 //! - `listener`: listening sockets whose accept loop outlasts errors
@@ -23,6 +24,7 @@
 pub mod bounded_transport;
 pub mod caller_connection;
 pub mod clock;
+pub mod fatal;
 pub mod headers;
 pub mod http;
 pub mod listener;
--- a/shalehinge/tests/core_panic.rs
+++ b/shalehinge/tests/core_panic.rs
@@ -24,7 +24,7 @@
 use shalehinge::object_api::PlatformClient;
 use shalehinge::object_api::http::HttpPlatform;
 use shalehinge::peer::client::PeerClient;
-use shalehinge::process::core_cell::{CORE_PANIC_EXIT_CODE, Core, HEARTBEAT_TIMEOUT};
+use shalehinge::process::core_cell::{Core, HEARTBEAT_TIMEOUT};
 use shalehinge::process::driver::Clients;
 use shalehinge::process::run::run_with_core;
 use shalehinge::process::watchdog::StallDetector;
@@ -32,6 +32,7 @@
 use shalehinge::telemetry::logs;
 use shalehinge::upstream::EngineClient;
 use shalehinge::upstream::engine::HttpEngineClient;
+use shalehinge::utils::fatal::FATAL_EXIT_CODE;
 use shalehinge::utils::task;
 
 /// Environment variables of the child process, which only this test program reads.
@@ -297,7 +298,7 @@
                 "ready although the core has panicked"
             );
         };
-        assert_eq!(status.code(), Some(CORE_PANIC_EXIT_CODE));
+        assert_eq!(status.code(), Some(FATAL_EXIT_CODE));
         let log = self.process.log_text();
         let line = log
             .lines()
@@ -434,14 +435,13 @@
     });
 }
 
-/// Guards against a daemon that answers nobody until an operator ends it, as its core does not get
-/// to the end of a tick.
+/// Guards against a daemon that answers nobody until an operator ends it.
 #[test]
 fn a_tick_that_does_not_end_ends_the_process() {
     let mut daemon = FaultyDaemon::start(Fault::EndlessTick);
     daemon.trigger();
     let status = wait_for("the process has ended", || daemon.process.try_wait());
-    assert_eq!(status.code(), Some(CORE_PANIC_EXIT_CODE));
+    assert_eq!(status.code(), Some(FATAL_EXIT_CODE));
     let log = daemon.process.log_text();
     assert!(log.contains(STALL_LINE), "{log}");
 }
--- a/shalehinge/tests/listeners.rs
+++ b/shalehinge/tests/listeners.rs
@@ -7,8 +7,9 @@
 
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 use rustix::time::{ClockId, clock_gettime};
+use shalehinge::utils::fatal::FATAL_EXIT_CODE;
 use shalehinge::utils::http::bind;
-use shalehinge::utils::listener::{LISTENER_EXIT_CODE, Listener};
+use shalehinge::utils::listener::Listener;
 use smol::Timer;
 use smol::future::or;
 use trillium_server_common::Server;
@@ -63,8 +64,7 @@
     assert_eq!(connections.len(), CALLERS);
 }
 
-/// Guards against an accept loop that takes a whole core while no descriptors are free, and against
-/// one that does not accept connections afterwards.
+/// Guards against an accept loop that takes a whole core, or stops, for lack of descriptors.
 #[test]
 fn accept_waits_until_descriptors_are_free() {
     let name = "accept_waits_until_descriptors_are_free";
@@ -112,7 +112,7 @@
         drop(listener);
         return;
     }
-    assert_eq!(run_child(name), Some(LISTENER_EXIT_CODE));
+    assert_eq!(run_child(name), Some(FATAL_EXIT_CODE));
 }
 
 /// Guards against a daemon that exits with an error when it is stopped.
