fix(quarantine): a crash in a trial proves no suspect alone

Cause: a request on trial may hold several suspects. The last of them was named as what the trial decides on (`active_for`), a crash proved that one, and the suspicion of the others was dropped as explained.

Change: a crash in a trial yields the set of all that may be its cause (culprit_sets.rs). A request that holds a whole set is refused; others are tried in turn. The owner of trials compares all suspects, so trials with the same culprit don't overlap. Losses that wait for a check are looked up by part, no longer scanned.

Why it works: the culprit is in each set, since no whole answer clears it; a sound part leaves the sets with the first sound request.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -447,8 +447,8 @@
     ),
     "one-trial-at-a-time": (
         CORE + "trials.rs",
-        "if self.trials.contains_key(&fingerprint) || ",
-        "if ",
+        "if is_being_tried || ",
+        "if is_being_tried && false || ",
         "quarantine", "one_daemon_at_a_time",
     ),
     "one-trial-at-an-upstream": (
@@ -459,10 +459,28 @@
     ),
     "a-trial-explains-its-crash": (
         CORE + "router/suspects.rs",
-        "let on_trial = losses.iter().find(|loss| self.was_on_trial(loss)).cloned();",
-        "let on_trial: Option<Loss> = None;",
+        "trial.upstream == *upstream && losses.contains_key(subject)",
+        "trial.upstream == *upstream && losses.contains_key(subject) && false",
         "router", "proves_the_request",
     ),
+    "a-trial-proves-a-set": (
+        CORE + "router/culprit_sets.rs",
+        ".all(|subject| subjects.contains(subject))",
+        ".any(|subject| subjects.contains(subject))",
+        "crashing_parts_and_sound_requests", "part_of_20_is_held_back_and_seldom",
+    ),
+    "what-three-sets-have-in-common-is-a-set": (
+        CORE + "router/culprit_sets.rs",
+        "if !common.subjects.is_empty() {",
+        "if false && !common.subjects.is_empty() {",
+        "crashing_parts_and_sound_requests", "beside_parts_that_differ",
+    ),
+    "new-parts-may-be-culprits": (
+        CORE + "router/quarantine.rs",
+        "is_suspected || subject.is_prompt_part() && !has_answer",
+        "is_suspected || subject.is_prompt_part() && !has_answer && false",
+        "crashing_parts_and_sound_requests", "two_bad_parts",
+    ),
     "nothing-waits-behind-a-suspect": (
         CORE + "router/trial.rs",
         "            } else if now >= until {",
--- a/shalehinge/src/core/daemon/quarantine.rs
+++ b/shalehinge/src/core/daemon/quarantine.rs
@@ -11,9 +11,11 @@
 use super::Daemon;
 use super::configuration::send_notice;
 use crate::core::event::{
-    Action, CompletionReport, LossReport, Notice, QuarantineReport, QuarantinedReport,
+    Action, CompletionReport, CulpritSetReport, LossReport, Notice, QuarantineReport,
+    QuarantinedReport,
 };
 use crate::core::membership::Owner;
+use crate::core::router::culprit_sets::CulpritSet;
 use crate::core::router::quarantine::{Completion, Evidence, Loss, QuarantineUpdate, Quarantined};
 use crate::core::router::request::UpstreamId;
 use crate::core::trials::{TrialGrant, TrialRequest};
@@ -26,6 +28,8 @@
 const LOSS_COUNTERS_PER_DOMAIN: usize = 2;
 /// Maximum number of quarantined requests in a pull reply. Each takes some 20 bytes.
 const MAX_REPORTED: usize = 64;
+/// Maximum number of suspects in the sets of a pull reply. Each takes 9 bytes.
+const MAX_REPORTED_IN_SETS: usize = 512;
 
 fn saturating_time_before(now: Timestamp, millis: u64) -> Timestamp {
     now.minus(Duration::from_millis(millis))
@@ -40,6 +44,25 @@
     }
 }
 
+fn culprit_set_report(now: Timestamp, set: &CulpritSet) -> CulpritSetReport {
+    CulpritSetReport {
+        subjects: set.subjects.clone(),
+        first_lost_ms_ago: now.millis_since(set.first_lost_at),
+        last_lost_ms_ago: now.millis_since(set.last_lost_at),
+    }
+}
+
+fn culprit_set_from_report(now: Timestamp, report: CulpritSetReport) -> CulpritSet {
+    let mut subjects = report.subjects;
+    subjects.sort_unstable();
+    subjects.dedup();
+    CulpritSet {
+        subjects,
+        first_lost_at: saturating_time_before(now, report.first_lost_ms_ago),
+        last_lost_at: saturating_time_before(now, report.last_lost_ms_ago),
+    }
+}
+
 fn report_from_update(now: Timestamp, update: QuarantineUpdate) -> QuarantineReport {
     let losses = update.losses.into_iter().map(|loss| LossReport {
         fingerprint: loss.fingerprint,
@@ -60,6 +83,11 @@
             .map(|entry| quarantined_report(now, *entry))
             .collect(),
         completions: completions.collect(),
+        culprit_sets: update
+            .culprit_sets
+            .iter()
+            .map(|set| culprit_set_report(now, set))
+            .collect(),
         ..QuarantineReport::default()
     }
 }
@@ -89,6 +117,11 @@
     QuarantineUpdate {
         losses: losses.collect(),
         quarantined: quarantined.collect(),
+        culprit_sets: report
+            .culprit_sets
+            .into_iter()
+            .map(|set| culprit_set_from_report(now, set))
+            .collect(),
         completions: completions.collect(),
     }
 }
@@ -224,14 +257,14 @@
     fn end_trials(&mut self, update: &QuarantineUpdate) {
         let proven = update.quarantined.iter();
         let proven = proven.filter(|entry| entry.evidence == Evidence::Proven);
-        let ended = proven.map(|entry| entry.fingerprint);
-        let cleared = update
-            .completions
-            .iter()
-            .map(|completion| completion.fingerprint);
-        for fingerprint in ended.chain(cleared) {
+        let sets = update.culprit_sets.iter();
+        let in_sets = sets.flat_map(|set| set.subjects.iter().copied());
+        for fingerprint in proven.map(|entry| entry.fingerprint).chain(in_sets) {
             self.trials.end(fingerprint);
         }
+        for completion in &update.completions {
+            self.trials.clear(completion.fingerprint);
+        }
     }
 
     /// The quarantined requests to include in a pull reply.
@@ -240,7 +273,14 @@
         // The limit must not keep back a proven entry for a suspected one.
         quarantined.sort_by_key(|entry| std::cmp::Reverse(entry.evidence));
         quarantined.truncate(MAX_REPORTED);
+        let mut count = 0;
+        let sets = self.router.culprit_sets().into_iter();
+        let sets = sets.take_while(|set| {
+            count += set.subjects.len();
+            count <= MAX_REPORTED_IN_SETS
+        });
         QuarantineReport {
+            culprit_sets: sets.map(|set| culprit_set_report(now, set)).collect(),
             quarantined: quarantined
                 .into_iter()
                 .map(|entry| quarantined_report(now, entry))
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -104,6 +104,9 @@
     pub trials_asked: Vec<TrialRequest>,
     /// Trials granted by that daemon.
     pub trials_granted: Vec<TrialGrant>,
+    /// Sets of suspects of which at least one crashes upstreams.
+    #[serde(default)]
+    pub culprit_sets: Vec<CulpritSetReport>,
 }
 
 /// An attempt whose upstream was lost before it answered.
@@ -130,6 +133,17 @@
     pub is_proven: bool,
 }
 
+/// What a request held when its trial crashed an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CulpritSetReport {
+    /// Fingerprints of the suspects.
+    pub subjects: Vec<Fingerprint>,
+    /// Age of the first of the losses that led to the trial, in milliseconds.
+    pub first_lost_ms_ago: u64,
+    /// Age of the loss of the trial's upstream, in milliseconds.
+    pub last_lost_ms_ago: u64,
+}
+
 /// A request that an upstream answered completely.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CompletionReport {
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -30,7 +30,7 @@
 use super::suspects::PendingCheck;
 use super::target::{ActiveAttempt, Pending, TargetState};
 use super::topology::Topology;
-use super::trial::{NO_TRIAL, TrialState};
+use super::trial::{NO_TRIAL, RunningTrial, TrialState};
 use super::upstream::Upstream;
 
 /// An action for the caller of the router to perform.
@@ -109,8 +109,8 @@
     pub(super) quarantine: Quarantine,
     /// Lost attempts, by upstream, while it is being checked whether the upstream crashed.
     pub(super) pending_checks: BTreeMap<UpstreamId, PendingCheck>,
-    /// Upstreams at which suspected requests are or were tried by this daemon.
-    pub(super) trial_upstreams: BTreeMap<Fingerprint, UpstreamId>,
+    /// Trials of suspected requests by this daemon, by what each decides on.
+    pub(super) running_trials: BTreeMap<Fingerprint, RunningTrial>,
     /// Reachability of the other failure domains.
     pub(super) reachability: DomainReachability,
     /// Whether this daemon can connect to the upstreams of each target.
@@ -144,7 +144,7 @@
             keys_valid_until: None,
             quarantine: Quarantine::default(),
             pending_checks: BTreeMap::new(),
-            trial_upstreams: BTreeMap::new(),
+            running_trials: BTreeMap::new(),
             reachability: DomainReachability::default(),
             connectivity: Connectivity::default(),
             forward_peers: ForwardPeers::default(),
@@ -421,8 +421,11 @@
         let needs_confirmed_key = pending.needs_confirmed_key();
         let mut attempt = state.send(now, request, pending, id, choice.index, urgency);
         if let TrialState::At { subject, .. } = &pending.trial {
-            self.trial_upstreams
-                .insert(*subject, attempt.upstream.clone());
+            let trial = RunningTrial {
+                upstream: attempt.upstream.clone(),
+                subjects: pending.meta.subjects().collect(),
+            };
+            self.running_trials.insert(*subject, trial);
         }
         if let Some(until) = self.keys_valid_until.filter(|_| needs_confirmed_key) {
             attempt.valid_until = attempt.valid_until.min(until);
--- a/shalehinge/src/core/router/mod.rs
+++ b/shalehinge/src/core/router/mod.rs
@@ -22,6 +22,7 @@
 //! - `refusal`: refusal of requests before they are sent
 //! - `retry_budget`: limit on the number of retries
 //! - `keys`: validity of API keys of relayed requests
+//! - `culprit_sets`: suspects of which at least one crashes upstreams
 //! - `quarantine`: quarantine of requests that crash upstreams
 //! - `suspects`: evidence of such requests, and its exchange with other daemons
 //! - `trial`: trials of suspected requests
@@ -45,6 +46,7 @@
 pub mod choose;
 pub mod connectivity;
 pub mod cooldown;
+pub mod culprit_sets;
 mod decision_log;
 pub mod dispatch;
 pub mod estimate;
--- a/shalehinge/src/core/router/quarantine.rs
+++ b/shalehinge/src/core/router/quarantine.rs
@@ -4,9 +4,12 @@
 //! limits on the attempts per request do not stop it. Daemons therefore count lost attempts by
 //! request fingerprint. Once a request was lost at several upstreams and completed at none, it is
 //! suspected, as are others that ran there at the time. A suspected request is run alone in a
-//! trial, which either clears it or proves that it crashes upstreams. A proven request is refused
+//! trial, which either clears it or shows that it crashes upstreams. What is proven is refused
 //! for a while and sent to no upstream. This prevents one caller's request from crashing one
 //! replica after another.
+//!
+//! Parts of prompts are counted in the same way. A request on trial may hold several suspected
+//! parts; [`super::culprit_sets`] keeps what its trial shows about them together.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -15,6 +18,7 @@
 use crate::core::types::Timestamp;
 use crate::settings::router::RouterSettings;
 
+use super::culprit_sets::{CulpritSet, CulpritSets};
 use super::request::{RequestMeta, UpstreamId};
 
 /// How long a lost attempt counts. Less frequent requests do little harm, and the longer the
@@ -87,6 +91,8 @@
     pub losses: Vec<Loss>,
     /// New or extended quarantines, for all daemons.
     pub quarantined: Vec<Quarantined>,
+    /// New sets of suspects of which one crashes upstreams, for all daemons.
+    pub culprit_sets: Vec<CulpritSet>,
     /// Completions, for all daemons; each ends or prevents a quarantine.
     pub completions: Vec<Completion>,
 }
@@ -94,7 +100,10 @@
 impl QuarantineUpdate {
     /// Whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
-        self.losses.is_empty() && self.quarantined.is_empty() && self.completions.is_empty()
+        self.losses.is_empty()
+            && self.quarantined.is_empty()
+            && self.culprit_sets.is_empty()
+            && self.completions.is_empty()
     }
 }
 
@@ -156,6 +165,8 @@
 pub struct Quarantine {
     /// What is known about each request.
     records: BTreeMap<Fingerprint, Record>,
+    /// What crashes during trials have shown about several suspects together.
+    culprit_sets: CulpritSets,
     /// Complete answers received by this daemon, oldest first.
     completions: VecDeque<Completion>,
     /// When this daemon last received a complete answer, by prompt part.
@@ -172,9 +183,14 @@
         fingerprint: Fingerprint,
         settings: &RouterSettings,
     ) -> Option<Duration> {
-        let quarantined = self.records.get(&fingerprint)?.quarantined?;
+        let quarantined = self.active(now, fingerprint, settings)?;
         let until = quarantined.last_lost_at + settings.quarantine_for;
-        (now < until).then(|| until.since(now))
+        Some(until.since(now))
+    }
+
+    /// The sets of suspects of which one crashes upstreams, smallest first.
+    pub fn culprit_sets(&self) -> Vec<&CulpritSet> {
+        self.culprit_sets.by_size()
     }
 
     /// Number of crashes that count against a request.
@@ -262,36 +278,83 @@
         !was_quarantined
     }
 
-    /// Records that an upstream crashed during the trial of this request.
-    pub fn mark_proven(&mut self, loss: &Loss) {
-        let record = self.records.entry(loss.fingerprint).or_default();
-        let first_lost_at = record
-            .quarantined
-            .map_or(loss.at, |known| known.first_lost_at);
-        let quarantined = Quarantined {
-            fingerprint: loss.fingerprint,
+    /// Records that an upstream crashed during the trial of a request with these subjects. Returns
+    /// those that may be the cause.
+    pub fn record_trial_crash(
+        &mut self,
+        subjects: &[Fingerprint],
+        at: Timestamp,
+        settings: &RouterSettings,
+    ) -> CulpritSet {
+        let suspects = subjects
+            .iter()
+            .filter_map(|subject| self.active(at, *subject, settings));
+        let first_lost_at = suspects.map(|known| known.first_lost_at).max();
+        let first_lost_at = first_lost_at.unwrap_or(at);
+        // A part that crashes upstreams may be new, whereas the content as a whole differs from all
+        // others unless it was suspected before.
+        let may_be_cause = |subject: &Fingerprint| {
+            let is_suspected = self.active(at, *subject, settings).is_some();
+            let has_answer = self.completion_since(*subject, first_lost_at).is_some();
+            is_suspected || subject.is_prompt_part() && !has_answer
+        };
+        let mut subjects: Vec<Fingerprint> =
+            subjects.iter().copied().filter(may_be_cause).collect();
+        subjects.sort_unstable();
+        subjects.dedup();
+        let set = CulpritSet {
+            subjects,
             first_lost_at,
-            last_lost_at: loss.at,
+            last_lost_at: at,
+        };
+        match set.subjects[..] {
+            [] => {}
+            [subject] => self.mark_proven(subject, &set),
+            _ => self.update.culprit_sets.push(set.clone()),
+        }
+        self.add_culprit_set(set.clone());
+        set
+    }
+
+    /// Adds a set. Returns whether it is new.
+    fn add_culprit_set(&mut self, set: CulpritSet) -> bool {
+        if set.subjects.len() < 2 || !self.culprit_sets.insert(set.clone()) {
+            return false;
+        }
+        self.drop_explained(&set);
+        true
+    }
+
+    /// Records that a subject, the only one left of this set, crashes upstreams.
+    fn mark_proven(&mut self, fingerprint: Fingerprint, set: &CulpritSet) {
+        let quarantined = Quarantined {
+            fingerprint,
+            first_lost_at: set.first_lost_at,
+            last_lost_at: set.last_lost_at,
             evidence: Evidence::Proven,
         };
-        record.quarantined = Some(quarantined);
+        self.records.entry(fingerprint).or_default().quarantined = Some(quarantined);
         self.update.quarantined.push(quarantined);
-        self.drop_explained(quarantined);
+        self.drop_explained(&CulpritSet {
+            subjects: vec![fingerprint],
+            ..*set
+        });
     }
 
-    /// Drops suspicions that rest on crashes which a part of prompts, now proven to crash upstreams,
+    /// Drops suspicions that rest on crashes which a culprit in this set, a part of prompts,
     /// explains. A second cause among them is suspected again after further crashes.
-    fn drop_explained(&mut self, proven: Quarantined) {
-        if !proven.fingerprint.is_prompt_part() {
+    fn drop_explained(&mut self, set: &CulpritSet) {
+        let mut subjects = set.subjects.iter();
+        if !subjects.any(|subject| subject.is_prompt_part()) {
             return;
         }
-        let from = proven.first_lost_at.minus(SAME_CRASH_WINDOW);
-        let until = proven.last_lost_at + SAME_CRASH_WINDOW;
+        let from = set.first_lost_at.minus(SAME_CRASH_WINDOW);
+        let until = set.last_lost_at + SAME_CRASH_WINDOW;
         for (fingerprint, record) in &mut self.records {
             let is_suspected = record
                 .quarantined
                 .is_some_and(|known| known.evidence == Evidence::Suspected);
-            if *fingerprint == proven.fingerprint {
+            if set.subjects.binary_search(fingerprint).is_ok() {
                 continue;
             }
             record.crashes.retain(|(_, at)| *at < from || *at > until);
@@ -301,18 +364,28 @@
         }
     }
 
-    /// The quarantine of a request, if it is in force now.
+    /// The quarantine of a request, or of a part of prompts, if it is in force now.
     pub fn active(
         &self,
         now: Timestamp,
         fingerprint: Fingerprint,
         settings: &RouterSettings,
     ) -> Option<Quarantined> {
-        self.time_left(now, fingerprint, settings)?;
-        self.records.get(&fingerprint)?.quarantined
+        let record = self.records.get(&fingerprint);
+        let own = record.and_then(|record| record.quarantined);
+        let set = self.culprit_sets.latest_with(fingerprint);
+        let of_set = set.map(|set| Quarantined {
+            fingerprint,
+            first_lost_at: set.first_lost_at,
+            last_lost_at: set.last_lost_at,
+            evidence: Evidence::Suspected,
+        });
+        let known = own.into_iter().chain(of_set);
+        let active = known.filter(|known| now < known.last_lost_at + settings.quarantine_for);
+        active.max_by_key(|known| (known.evidence, known.last_lost_at))
     }
 
-    /// The quarantine that applies to a request: of its content as a whole, or of a part of its
+    /// The quarantine that applies to a request: of its content as a whole, or of parts of its
     /// prompt. What is proven takes precedence, then a part, which explains more crashes.
     pub fn active_for(
         &self,
@@ -320,7 +393,22 @@
         meta: &RequestMeta,
         settings: &RouterSettings,
     ) -> Option<Quarantined> {
-        let subjects = meta.subjects();
+        if self.records.is_empty() && self.culprit_sets.is_empty() {
+            return None;
+        }
+        let subjects: Vec<Fingerprint> = meta.subjects().collect();
+        let held = self.culprit_sets.held_by(&subjects);
+        let by_set = held.map(|set| Quarantined {
+            fingerprint: set.subjects[0],
+            first_lost_at: set.first_lost_at,
+            last_lost_at: set.last_lost_at,
+            evidence: Evidence::Proven,
+        });
+        let by_set = by_set.filter(|known| now < known.last_lost_at + settings.quarantine_for);
+        if by_set.is_some() {
+            return by_set;
+        }
+        let subjects = subjects.into_iter();
         let active = subjects.filter_map(|subject| self.active(now, subject, settings));
         active.max_by_key(|known| (known.evidence, known.fingerprint.is_prompt_part()))
     }
@@ -349,6 +437,24 @@
     }
 
     fn apply_completion(&mut self, completion: Completion) -> bool {
+        let ends_in_set = self.clear_in_sets(completion);
+        self.apply_completion_to_record(completion) || ends_in_set
+    }
+
+    /// Removes the answered subject from the sets of suspects. Returns whether it was in one.
+    fn clear_in_sets(&mut self, completion: Completion) -> bool {
+        let is_refuted = |at: Timestamp| refutes(completion.fingerprint, completion.at, at);
+        let solved = self.culprit_sets.clear(completion.fingerprint, is_refuted);
+        let is_in_set = solved.is_some();
+        for set in solved.into_iter().flatten() {
+            if let [culprit] = set.subjects[..] {
+                self.mark_proven(culprit, &set);
+            }
+        }
+        is_in_set
+    }
+
+    fn apply_completion_to_record(&mut self, completion: Completion) -> bool {
         let Some(record) = self.records.get_mut(&completion.fingerprint) else {
             return false;
         };
@@ -383,11 +489,41 @@
             record.quarantined = Some(quarantined);
         }
         if is_new && quarantined.evidence == Evidence::Proven {
-            self.drop_explained(quarantined);
+            self.drop_explained(&CulpritSet {
+                subjects: vec![fingerprint],
+                first_lost_at: quarantined.first_lost_at,
+                last_lost_at: quarantined.last_lost_at,
+            });
         }
         is_new
     }
 
+    /// Applies another daemon's set of suspects. Returns whether it is new here. If this daemon
+    /// received a complete answer to some of them since the first loss, it reports these to all
+    /// daemons instead.
+    pub fn apply_remote_culprit_set(&mut self, mut set: CulpritSet) -> bool {
+        let first_lost_at = set.first_lost_at;
+        let answered = set.subjects.iter();
+        let answered: Vec<Completion> = answered
+            .filter_map(|subject| self.completion_since(*subject, first_lost_at))
+            .collect();
+        set.subjects.retain(|subject| {
+            let mut answered = answered.iter();
+            !answered.any(|completion| completion.fingerprint == *subject)
+        });
+        self.update.completions.extend(answered);
+        match set.subjects[..] {
+            [] => false,
+            [fingerprint] => self.apply_remote_quarantine(Quarantined {
+                fingerprint,
+                first_lost_at,
+                last_lost_at: set.last_lost_at,
+                evidence: Evidence::Proven,
+            }),
+            _ => self.add_culprit_set(set),
+        }
+    }
+
     /// The latest complete answer known here, if it arrived at or after `since`.
     fn completion_since(&self, fingerprint: Fingerprint, since: Timestamp) -> Option<Completion> {
         let record = self.records.get(&fingerprint);
@@ -419,6 +555,8 @@
         let retention = settings.quarantine_for.max(LOSS_RETENTION);
         self.records
             .retain(|_, record| now < record.last_at() + retention);
+        self.culprit_sets
+            .remove_before(now.minus(settings.quarantine_for));
     }
 
     /// Takes the changes to report to other daemons; each is returned once.
--- a/shalehinge/src/core/router/suspects.rs
+++ b/shalehinge/src/core/router/suspects.rs
@@ -1,20 +1,25 @@
 //! Collects evidence of requests that crash their upstreams, and exchanges it with other daemons.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::core::fingerprint::Fingerprint;
 use crate::core::types::{RequestId, Timestamp};
 
+use super::culprit_sets::CulpritSet;
 use super::dispatch::{Router, RouterAction};
 use super::quarantine::{Completion, Evidence, Loss, QuarantineUpdate, Quarantined};
 use super::request::{AttemptEnd, Outcome, RequestMeta, Target, UpstreamId};
 use super::retries::RetryCost;
 
+/// Maximum number of fingerprints in a log line.
+const MAX_LISTED: usize = 8;
+
 /// Attempts that were lost at an upstream, until it is known whether the upstream crashed.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PendingCheck {
-    /// The lost attempts.
-    losses: Vec<Loss>,
+    /// When each subject of the lost attempts was last lost.
+    losses: BTreeMap<Fingerprint, Timestamp>,
     /// Requests to retry or answer once it is known.
     waiting: Vec<(RequestId, Outcome)>,
 }
@@ -31,11 +36,23 @@
 impl RequestSubject {
     /// The fingerprints as text, the whole content first.
     fn listed(&self) -> String {
-        let texts: Vec<String> = self.subjects.iter().map(Fingerprint::to_string).collect();
-        texts.join(" ")
+        listed(&self.subjects)
     }
 }
 
+/// Fingerprints as text, and the number of those left out.
+fn listed(fingerprints: &[Fingerprint]) -> String {
+    let texts = fingerprints.iter().take(MAX_LISTED);
+    let texts: Vec<String> = texts.map(Fingerprint::to_string).collect();
+    let omitted = fingerprints.len().saturating_sub(MAX_LISTED);
+    let more = if omitted > 0 {
+        format!(" and {omitted} more")
+    } else {
+        String::new()
+    };
+    format!("{}{more}", texts.join(" "))
+}
+
 impl Router {
     /// How long a request, or a part of prompts, remains quarantined; `None` if it is not.
     pub fn quarantined_for(&self, now: Timestamp, fingerprint: Fingerprint) -> Option<Duration> {
@@ -71,12 +88,7 @@
                     request.0,
                     subject.listed()
                 )));
-                let losses = subject.subjects.iter().map(|fingerprint| Loss {
-                    fingerprint: *fingerprint,
-                    upstream: upstream.clone(),
-                    at: now,
-                });
-                self.check_after_loss(&subject.target, upstream, losses.collect(), out);
+                self.check_after_loss(now, subject, upstream, out);
             }
             AttemptEnd::Completed { .. } => {
                 self.record_completions(now, subject.subjects.iter(), out);
@@ -113,20 +125,22 @@
     /// repeated to such an upstream crashes none.
     fn check_after_loss(
         &mut self,
-        target: &Target,
+        now: Timestamp,
+        subject: &RequestSubject,
         upstream: &UpstreamId,
-        losses: Vec<Loss>,
         out: &mut Vec<RouterAction>,
     ) {
         if self.settings.quarantine_after == 0 {
             return;
         }
+        let losses = subject.subjects.iter();
+        let losses = losses.map(|fingerprint| (*fingerprint, now));
         if let Some(check) = self.pending_checks.get_mut(upstream) {
             // The check already under way covers all attempts lost in the meantime.
             check.losses.extend(losses);
             return;
         }
-        let state = self.targets.get_mut(target);
+        let state = self.targets.get_mut(&subject.target);
         let Some(known) = state.and_then(|state| state.upstream_mut(upstream)) else {
             return;
         };
@@ -135,7 +149,7 @@
             address: known.spec.address,
         });
         let check = PendingCheck {
-            losses,
+            losses: losses.collect(),
             waiting: Vec::new(),
         };
         self.pending_checks.insert(upstream.clone(), check);
@@ -146,15 +160,17 @@
         let Some(check) = self.pending_checks.get(upstream) else {
             return false;
         };
-        subject.subjects.iter().any(|fingerprint| {
-            let is_of_subject = |loss: &&Loss| loss.fingerprint == *fingerprint;
-            let is_lost_at_upstream = check.losses.iter().any(|loss| is_of_subject(&loss));
-            let checks = self.pending_checks.values();
-            let possible_crashes =
-                checks.filter(|check| check.losses.iter().any(|loss| is_of_subject(&loss)));
-            let crashes = self.quarantine.crashes(*fingerprint) + possible_crashes.count();
-            is_lost_at_upstream && crashes >= self.settings.quarantine_after as usize
-        })
+        let checks = self.pending_checks.values();
+        let checks: Vec<&PendingCheck> = checks.collect();
+        let is_decisive = |fingerprint: &Fingerprint| {
+            let possible = checks.iter();
+            let possible = possible.filter(|check| check.losses.contains_key(fingerprint));
+            let crashes = self.quarantine.crashes(*fingerprint) + possible.count();
+            crashes >= self.settings.quarantine_after as usize
+        };
+        let lost = subject.subjects.iter();
+        let mut lost = lost.filter(|fingerprint| check.losses.contains_key(fingerprint));
+        lost.any(is_decisive)
     }
 
     /// Holds back the outcome of a request until the upstream has been checked.
@@ -197,25 +213,35 @@
     fn record_crash(
         &mut self,
         upstream: &UpstreamId,
-        losses: Vec<Loss>,
+        losses: BTreeMap<Fingerprint, Timestamp>,
         out: &mut Vec<RouterAction>,
     ) {
-        let requests = losses.iter();
-        let requests = requests.filter(|loss| !loss.fingerprint.is_prompt_part());
+        let requests = losses.keys();
+        let requests = requests.filter(|fingerprint| !fingerprint.is_prompt_part());
         out.push(RouterAction::Log(format!(
             "{upstream} crashed while running {} requests of this daemon",
             requests.count()
         )));
-        let on_trial = losses.iter().find(|loss| self.was_on_trial(loss)).cloned();
-        if let Some(loss) = on_trial {
+        let mut trials = self.running_trials.iter();
+        let on_trial = trials
+            .find(|(subject, trial)| trial.upstream == *upstream && losses.contains_key(subject));
+        if let Some((subject, trial)) = on_trial {
             // The request on trial explains the crash, so the requests that ran beside it are not
             // counted.
-            self.quarantine.mark_proven(&loss);
-            out.push(proven(loss.fingerprint));
+            let set = self.quarantine.record_trial_crash(
+                &trial.subjects,
+                losses[subject],
+                &self.settings,
+            );
+            out.push(crashed_in_trial(&set));
             return;
         }
-        for loss in losses {
-            let fingerprint = loss.fingerprint;
+        for (fingerprint, at) in losses {
+            let loss = Loss {
+                fingerprint,
+                upstream: upstream.clone(),
+                at,
+            };
             if self.quarantine.record_loss(loss, &self.settings) {
                 out.push(quarantined(fingerprint));
             }
@@ -241,6 +267,11 @@
                 });
             }
         }
+        for set in update.culprit_sets {
+            if self.quarantine.apply_remote_culprit_set(set.clone()) {
+                out.push(crashed_in_trial(&set));
+            }
+        }
         for loss in update.losses {
             let fingerprint = loss.fingerprint;
             if self.quarantine.apply_remote_loss(loss, &self.settings) {
@@ -249,6 +280,11 @@
         }
     }
 
+    /// The sets of suspects of which one crashes upstreams, smallest first.
+    pub fn culprit_sets(&self) -> Vec<&CulpritSet> {
+        self.quarantine.culprit_sets()
+    }
+
     /// Takes the quarantine changes to report to other daemons; each is returned once.
     pub fn take_quarantine_update(&mut self, now: Timestamp) -> QuarantineUpdate {
         self.quarantine.remove_expired(now, &self.settings);
@@ -256,6 +292,13 @@
     }
 }
 
+fn crashed_in_trial(set: &CulpritSet) -> RouterAction {
+    RouterAction::Log(format!(
+        "quarantines any request that asks all of {}: an upstream crashed during its trial",
+        listed(&set.subjects)
+    ))
+}
+
 fn proven(fingerprint: Fingerprint) -> RouterAction {
     RouterAction::Log(format!(
         "quarantines any request that asks {fingerprint}: an upstream crashed during its trial"
--- a/shalehinge/src/core/router/trial.rs
+++ b/shalehinge/src/core/router/trial.rs
@@ -9,7 +9,6 @@
 use crate::core::types::{RequestId, Timestamp};
 
 use super::dispatch::{Router, RouterAction};
-use super::quarantine::Loss;
 use super::refusal::SUSPECT_RETRY_AFTER;
 use super::request::{NotRunReason, Outcome, UpstreamId};
 use super::target::Pending;
@@ -44,6 +43,15 @@
     },
 }
 
+/// A suspected request that this daemon runs, or ran, in a trial.
+#[derive(Clone, Debug)]
+pub(super) struct RunningTrial {
+    /// The upstream.
+    pub(super) upstream: UpstreamId,
+    /// Fingerprints of the request's content and of the parts of its prompt.
+    pub(super) subjects: Vec<Fingerprint>,
+}
+
 impl Router {
     /// Holds back a suspected request and requests a trial for it.
     pub(super) fn hold_for_trial(
@@ -63,10 +71,15 @@
         let subject = quarantined.map_or(pending.meta.fingerprint, |known| known.fingerprint);
         let eligible = state.upstreams.iter().filter(|u| u.may_be_sent(now));
         let candidates = eligible.choose_multiple(rng, MAX_CANDIDATES);
+        let suspects = pending.meta.subjects().filter(|subject| {
+            let quarantined = self.quarantine.active(now, *subject, &self.settings);
+            quarantined.is_some()
+        });
         let trial_request = TrialRequest {
             fingerprint: subject,
             target: pending.meta.target.clone(),
             candidates: candidates.iter().map(|u| u.spec.id.clone()).collect(),
+            suspects: suspects.collect(),
         };
         out.push(RouterAction::Log(format!(
             "request {} may crash upstreams; requests a trial of {}",
@@ -118,7 +131,7 @@
     /// Refuses requests that got no trial in time, and queues those that have been cleared.
     pub(super) fn update_held(&mut self, now: Timestamp, out: &mut Vec<RouterAction>) {
         let (quarantine, settings) = (&self.quarantine, &self.settings);
-        self.trial_upstreams
+        self.running_trials
             .retain(|fingerprint, _| quarantine.active(now, *fingerprint, settings).is_some());
         let held: Vec<(RequestId, Timestamp, bool)> = self
             .pending
@@ -150,9 +163,4 @@
             self.waiting += 1;
         }
     }
-
-    /// Whether the lost request was on trial at that upstream.
-    pub(super) fn was_on_trial(&self, loss: &Loss) -> bool {
-        self.trial_upstreams.get(&loss.fingerprint) == Some(&loss.upstream)
-    }
 }
--- a/shalehinge/src/core/trials.rs
+++ b/shalehinge/src/core/trials.rs
@@ -6,7 +6,7 @@
 //! fleet, the owner of a target's trials, grants them, as daemons that tried independently would
 //! crash one upstream each.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -29,6 +29,9 @@
     pub target: Target,
     /// Upstreams that could execute the request, in order of preference.
     pub candidates: Vec<UpstreamId>,
+    /// All that is suspected about the request, the fingerprint above among it.
+    #[serde(default)]
+    pub suspects: Vec<Fingerprint>,
 }
 
 /// Permission to try a request once at an upstream.
@@ -44,43 +47,58 @@
 /// A trial in progress.
 struct Trial {
     upstream: UpstreamId,
+    /// Suspects on which the trial has not decided yet.
+    suspects: BTreeSet<Fingerprint>,
     granted_at: Timestamp,
 }
 
 /// The trials granted by one daemon.
 #[derive(Clone, Debug, Default)]
 pub struct TrialOwner {
-    trials: BTreeMap<Fingerprint, Trial>,
+    trials: Vec<Trial>,
 }
 
 impl TrialOwner {
-    /// Grants a trial if the request is not being tried and a candidate is free. At most one
-    /// trial runs per request and per upstream at a time.
+    /// Grants a trial if nothing that is suspected about the request is being tried and a candidate
+    /// is free. At most one trial runs per suspect and per upstream at a time.
     pub fn try_grant(&mut self, now: Timestamp, request: &TrialRequest) -> Option<TrialGrant> {
         self.trials
-            .retain(|_, trial| now.since(trial.granted_at) < TRIAL_TIMEOUT);
+            .retain(|trial| now.since(trial.granted_at) < TRIAL_TIMEOUT);
         let fingerprint = request.fingerprint;
-        if self.trials.contains_key(&fingerprint) || self.trials.len() >= MAX_TRIALS {
+        let suspects = request.suspects.iter().copied();
+        let suspects: BTreeSet<Fingerprint> = suspects.chain([fingerprint]).collect();
+        let mut trials = self.trials.iter();
+        let is_being_tried = trials.any(|trial| !trial.suspects.is_disjoint(&suspects));
+        if is_being_tried || self.trials.len() >= MAX_TRIALS {
             return None;
         }
         let is_free = |upstream: &&UpstreamId| {
-            let mut trials = self.trials.values();
+            let mut trials = self.trials.iter();
             trials.all(|trial| trial.upstream != **upstream)
         };
         let upstream = request.candidates.iter().find(is_free)?.clone();
-        let trial = Trial {
+        self.trials.push(Trial {
             upstream: upstream.clone(),
+            suspects,
             granted_at: now,
-        };
-        self.trials.insert(fingerprint, trial);
+        });
         Some(TrialGrant {
             fingerprint,
             upstream,
         })
     }
 
-    /// Ends the trial of a request that was cleared, or proven to crash upstreams.
+    /// Ends the trial of a request that holds this suspect, as an upstream crashed during it.
     pub fn end(&mut self, fingerprint: Fingerprint) {
-        self.trials.remove(&fingerprint);
+        self.trials
+            .retain(|trial| !trial.suspects.contains(&fingerprint));
+    }
+
+    /// Removes a suspect that was cleared. A trial ends when it has no other one.
+    pub fn clear(&mut self, fingerprint: Fingerprint) {
+        for trial in &mut self.trials {
+            trial.suspects.remove(&fingerprint);
+        }
+        self.trials.retain(|trial| !trial.suspects.is_empty());
     }
 }
--- a/shalehinge/tests/crashing_prompt_parts.rs
+++ b/shalehinge/tests/crashing_prompt_parts.rs
@@ -107,3 +107,22 @@
     assert_eq!(prompt(b'a'), prompt(b'b'));
     assert!(prompt(b'a').iter().all(|part| part.is_prompt_part()));
 }
+
+// Guards against a trial that takes a part of sound prompts for the one that crashes upstreams.
+#[test]
+fn a_trial_of_two_suspected_parts_proves_neither_alone() {
+    let mut harness = harness();
+    crash(&mut harness, 1, &["bad", "shared"]);
+    crash(&mut harness, 2, &["bad", "shared"]);
+    harness.advance(TRIAL_IS_DUE);
+    crash(&mut harness, 3, &["bad", "shared"]);
+    assert_eq!(harness.attempts(3), 1, "it is tried");
+    harness.advance(TRIAL_IS_DUE);
+    assert!(!is_served(&mut harness, 4, &["bad", "shared"]));
+    assert!(
+        is_served(&mut harness, 5, &["good", "shared"]),
+        "a sound request"
+    );
+    assert!(is_served(&mut harness, 6, &["good", "shared"]));
+    assert!(!is_served(&mut harness, 7, &["bad", "other"]));
+}
--- a/shalehinge/tests/quarantine.rs
+++ b/shalehinge/tests/quarantine.rs
@@ -295,6 +295,7 @@
         fingerprint: Fingerprint(fingerprint),
         target: Target::Model(ModelName::new("m")),
         candidates: candidates.iter().map(|c| (*c).clone()).collect(),
+        suspects: vec![Fingerprint(fingerprint)],
     };
     let first = owner.try_grant(at(1), &ask(1, &[&upstream]));
     assert_eq!(first.map(|grant| grant.upstream), Some(upstream.clone()));
--- a/shalehinge/tests/relay_support/mod.rs
+++ b/shalehinge/tests/relay_support/mod.rs
@@ -9,6 +9,7 @@
 pub mod held_writes;
 pub mod load_simulation;
 pub mod platform;
+pub mod prompt_parts;
 pub mod silences;
 #[path = "../silence_support/stream.rs"]
 pub mod stream;
@@ -150,6 +151,8 @@
     crashing: BTreeSet<RequestId>,
     /// Number of upstream crashes caused by these requests.
     pub crashes: usize,
+    /// These crashes, in their order.
+    pub crash_log: Vec<prompt_parts::Crash>,
     /// When the platform last replied to a call for the host list.
     pub last_host_reply_at: Duration,
     /// Number of failure domains of the daemons.
@@ -215,6 +218,7 @@
             notices: 0,
             crashing: BTreeSet::new(),
             crashes: 0,
+            crash_log: Vec::new(),
             last_host_reply_at: Duration::ZERO,
             domains,
             seed,
--- a/shalehinge/tests/relay_support/upstreams.rs
+++ b/shalehinge/tests/relay_support/upstreams.rs
@@ -12,10 +12,11 @@
 use shalehinge::utils::http::ATTEMPT_CONNECT_TIMEOUT;
 
 use super::configuration::model;
+use super::prompt_parts::Crash;
 use super::{DOMAINS, Fleet};
 
 /// Time from a stream's start to its deadline.
-const STREAM_DEADLINE: Duration = Duration::from_secs(6);
+pub(super) const STREAM_DEADLINE: Duration = Duration::from_secs(6);
 
 /// An attempt of a request that completes, as it reached the upstream of a group.
 #[derive(Clone, Copy, Debug)]
@@ -106,6 +107,10 @@
         let (request, attempt) = (sent.request, sent.id);
         if self.crashing.contains(&request) {
             self.crashes += 1;
+            self.crash_log.push(Crash {
+                at: self.now,
+                request,
+            });
             let end = AttemptEnd::Lost;
             let event = Event::AttemptEnded {
                 request,
@@ -280,7 +285,7 @@
 }
 
 /// A request for a stream that must not be repeated.
-fn stream(deadline: Timestamp) -> RequestMeta {
+pub(super) fn stream(deadline: Timestamp) -> RequestMeta {
     RequestMeta {
         customer: Customer::new("one"),
         fingerprint: Fingerprint(1),
