fix(control): a host that joined again by a late order leaves before it is reused

Cause: an unanswered order may be carried out after newer ones. A confirmed release counted as final while the lease was held, so a host that a late join had brought back was neither ordered to leave nor kept out of other groups, although the list showed it.

Change: releases.rs. A member that is back restarts the time after which the head counts as broken.

Why it works: the list and the confirmation are compared by time instead of the confirmation alone; what neither can show yet is bounded by the time in which an order may be late.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -463,6 +463,18 @@
         "trial.upstream == *upstream && losses.contains_key(subject) && false",
         "router", "proves_the_request",
     ),
+    "a-release-is-withdrawn": (
+        CORE + "controller/releases.rs",
+        "&& listed_group(host) == Some(group)",
+        "&& listed_group(host) == Some(group) && false",
+        "ordered", "a_late_order_brought_back",
+    ),
+    "a-host-that-may-rejoin-is-not-used": (
+        CORE + "controller/releases.rs",
+        "*known == group && now.since(*asked_at) < LATE_ORDER_WINDOW",
+        "*known == group && now.since(*asked_at) < LATE_ORDER_WINDOW && false",
+        "ordered", "may_bring_it_back",
+    ),
     "a-trial-proves-a-set": (
         CORE + "router/culprit_sets.rs",
         ".all(|subject| subjects.contains(subject))",
--- a/shalehinge/src/core/controller/departures.rs
+++ b/shalehinge/src/core/controller/departures.rs
@@ -98,11 +98,12 @@
     /// Frees hosts of dissolved groups once they have left and the rank 0 of their group is known
     /// to have stopped serving.
     pub(super) fn free_departed_hosts(&mut self, now: Timestamp, value: &mut Assignment) {
-        for (host, number) in &value.releasing {
-            let is_rank_zero = value.heads.get(number) == Some(host);
-            if !is_rank_zero && self.has_left(host, *number) {
-                self.stalled_since.entry(*number).or_insert(now);
-            }
+        let incomplete = self.incomplete_groups(value);
+        // A member that is back completes its group again.
+        self.stalled_since
+            .retain(|number, _| incomplete.contains(number));
+        for number in incomplete {
+            self.stalled_since.entry(number).or_insert(now);
         }
         let stopped: BTreeSet<GroupNumber> = value
             .heads
@@ -110,22 +111,34 @@
             .filter(|(number, rank_zero)| self.has_stopped_serving(now, **number, rank_zero))
             .map(|(number, _)| *number)
             .collect();
-        let (released, heads) = (&self.released, &value.heads);
+        let (releases, heads) = (&self.releases, &value.heads);
         let listed = &self.listed;
         value.releasing.retain(|host, number| {
             let has_rank_zero = heads.contains_key(number);
             let is_settled = !has_rank_zero || stopped.contains(number);
             let is_gone = !listed.get(host).is_some_and(|listed| listed.is_listed);
-            let has_left = released.get(host) == Some(number);
-            !(is_settled && (has_left || is_gone))
+            let has_left = releases.has_left(host, *number);
+            // A member that is back may let rank 0 go on, unless that has left as well.
+            let is_over = heads
+                .get(number)
+                .is_none_or(|rank_zero| rank_zero != host && releases.has_left(rank_zero, *number));
+            let may_rejoin = !is_over && releases.may_rejoin(now, host, *number);
+            !(is_settled && (has_left || is_gone) && !may_rejoin)
         });
         let releasing = &value.releasing;
         value
             .heads
             .retain(|number, _| releasing.values().any(|other| other == number));
-        let heads = &value.heads;
-        self.stalled_since
-            .retain(|number, _| heads.contains_key(number));
+    }
+
+    /// Dissolved groups that a member other than rank 0 has left.
+    fn incomplete_groups(&self, value: &Assignment) -> BTreeSet<GroupNumber> {
+        let releasing = value.releasing.iter();
+        let left = releasing.filter(|(host, number)| {
+            let is_rank_zero = value.heads.get(number) == Some(*host);
+            !is_rank_zero && self.has_left(host, **number)
+        });
+        left.map(|(_, number)| *number).collect()
     }
 
     /// Whether hosts that can soon be used again are still being released, within the time that
--- a/shalehinge/src/core/controller/mod.rs
+++ b/shalehinge/src/core/controller/mod.rs
@@ -14,6 +14,7 @@
 //! - `own_connectivity`: whether a missing answer is evidence against the host or against this daemon
 //! - `service_plan`: replica counts derived from the models' work shares
 //! - `departures`: hosts that leave groups, and when other groups may use them
+//! - `releases`: whether hosts have left their groups, given that orders may be carried out late
 //! - `staging`: weights of a second model on every host
 //! - `list_outage`: host entries that expire during an outage of the platform
 //! - `load_budget`: rate limit for loads from the weight store
@@ -29,6 +30,7 @@
 mod ordered_plan;
 mod own_connectivity;
 mod reachability;
+mod releases;
 mod reported;
 mod service_plan;
 mod silence;
@@ -59,6 +61,7 @@
 use load_crashes::LoadCrashes;
 use ordered::ListedHost;
 use own_connectivity::OwnConnectivity;
+use releases::Releases;
 use service_plan::ServicePlans;
 use silence::Silences;
 use survey::Survey;
@@ -188,8 +191,8 @@
     in_flight: bool,
     /// The last status of each host, for engines that report their progress.
     observed: BTreeMap<HostId, EngineStatus>,
-    /// The last group that the engine of each host confirmed to have left.
-    released: BTreeMap<HostId, GroupNumber>,
+    /// Which hosts have left their groups.
+    releases: Releases,
     /// Health of each group of the assignment.
     health: BTreeMap<GroupNumber, GroupHealth>,
     /// Hosts that left orders or probes unanswered, with the time at which this was first (for
@@ -269,7 +272,7 @@
             survey: None,
             in_flight: false,
             observed: BTreeMap::new(),
-            released: BTreeMap::new(),
+            releases: Releases::default(),
             health: BTreeMap::new(),
             unreachable: BTreeMap::new(),
             next_probe_at: BTreeMap::new(),
@@ -519,7 +522,7 @@
         let is_release = matches!(order.command, Command::Release { .. });
         let has_left = reply.accepted && reply.status.shows_released(order.group);
         if is_release && has_left {
-            self.released.insert(reply.status.host.clone(), order.group);
+            self.releases.confirm(now, &reply.status.host, order.group);
         }
         self.on_status(now, asked_at, reply.status);
     }
@@ -538,6 +541,14 @@
         self.observed.insert(status.host.clone(), status);
     }
 
+    /// Records an order, sent at `asked_at`, that was not answered and may be carried out late.
+    pub fn record_unanswered_order(&mut self, asked_at: Timestamp, host: &HostId, order: &Order) {
+        if matches!(order.command, Command::Load(_)) {
+            self.releases
+                .record_unanswered_join(asked_at, host, order.group);
+        }
+    }
+
     /// Handles an order, sent at `asked_at`, that was not answered.
     pub fn on_order_unanswered(&mut self, now: Timestamp, asked_at: Timestamp, host: &HostId) {
         if self.settings.assembly == Assembly::Orders {
@@ -627,7 +638,26 @@
     /// Whether the host's engine confirmed that it left this group. An older status does not
     /// count, because an order to load may have followed it.
     fn has_left(&self, host: &HostId, number: GroupNumber) -> bool {
-        self.released.get(host) == Some(&number)
+        self.releases.has_left(host, number)
+    }
+
+    /// Withdraws releases that the host list contradicts: an order to join was carried out after
+    /// the host had left.
+    fn withdraw_releases(&mut self) {
+        let Some(as_of) = self.list_state.as_of else {
+            return;
+        };
+        let listed = &self.listed;
+        let listed_group = |host: &HostId| {
+            let listed = listed.get(host).filter(|listed| listed.is_listed)?;
+            listed.record.status.as_ref()?.group
+        };
+        for (host, group) in self.releases.withdraw_rejoined(as_of, listed_group) {
+            self.log_lines.push(format!(
+                "{host} is in group {} again after it had left: an order was carried out late",
+                group.0
+            ));
+        }
     }
 
     /// Removes retired groups that all members have left.
@@ -666,6 +696,7 @@
         self.list_state = list_state;
         if self.settings.assembly == Assembly::Orders {
             self.update_listed(now, state);
+            self.withdraw_releases();
             self.update_load_rate(state, list_state.domains);
             return;
         }
--- a/shalehinge/src/core/controller/ordered.rs
+++ b/shalehinge/src/core/controller/ordered.rs
@@ -98,7 +98,7 @@
     /// the host entry to expire, because the restarted engine keeps renewing it.
     fn on_restart(&mut self, now: Timestamp, host: &HostId) {
         self.log_lines.push(format!("{host} restarted"));
-        self.released.remove(host);
+        self.releases.forget(host);
         self.last_model.remove(host);
         self.priming.remove(host);
         let last_call = self.next_call_at.remove(host);
@@ -444,7 +444,7 @@
         }
         let health = match order.command {
             Command::Release { drain: false } if accepted => {
-                self.released.insert(host.clone(), order.group);
+                self.releases.confirm(now, host, order.group);
                 return;
             }
             Command::Load(_) | Command::Open => self.health.entry(order.group).or_default(),
--- a/shalehinge/src/core/daemon/mod.rs
+++ b/shalehinge/src/core/daemon/mod.rs
@@ -408,7 +408,11 @@
                     self.controller
                         .on_order_reply(now, asked_at, &host, &order, reply);
                 }
-                None => self.controller.on_order_unanswered(now, asked_at, &host),
+                None => {
+                    self.controller
+                        .record_unanswered_order(asked_at, &host, &order);
+                    self.controller.on_order_unanswered(now, asked_at, &host);
+                }
             },
             Event::Request { request, meta } => self.on_request(now, request, meta, out),
             Event::ForwardReceived { request, meta } => {
--- a/shalehinge/tests/ordered.rs
+++ b/shalehinge/tests/ordered.rs
@@ -455,6 +455,69 @@
     assert_eq!(host(0).as_str(), "host-00");
 }
 
+/// The groups of the small model, with their members.
+fn small_groups(domain: &Domain) -> Vec<(GroupNumber, Vec<HostId>)> {
+    let groups = domain.stored.value.groups.iter();
+    let small = groups.filter(|(_, group)| group.model == ModelName::new(SMALL));
+    small
+        .map(|(number, _)| (*number, domain.stored_members(*number)))
+        .collect()
+}
+
+/// Cuts a host off from the platform and from the lease holder; requests still reach it.
+fn partition(domain: &mut Domain, host: &HostId) {
+    domain.cut_off(host);
+    domain.engine(host).is_listed = false;
+}
+
+// Guards against a host that joins another group after an earlier order, carried out late, has
+// brought it back into the one that it had left.
+#[test]
+fn a_host_that_a_late_order_brought_back_leaves_its_group_before_it_is_reused() {
+    let mut domain = Domain::serving(&[8]);
+    let groups = small_groups(&domain);
+    let [(number, members), (_, other_members)] = &groups[..] else {
+        panic!("{groups:?}");
+    };
+    partition(&mut domain, &members[0]);
+    domain.run_until("the survivor is free", |domain| {
+        !domain.stored.value.is_in_use(&members[1])
+    });
+    domain.rejoin(&members[1], *number, members);
+    domain.run_for(seconds(1));
+    // The survivors of both groups are to form one.
+    partition(&mut domain, &other_members[0]);
+    domain.run_until("the survivors serve", |domain| {
+        let survivors = [members[1].clone(), other_members[1].clone()];
+        let mut groups = small_groups(domain).into_iter();
+        groups.any(|(_, members)| survivors.iter().all(|host| members.contains(host)))
+    });
+    domain.run_for(seconds(10));
+}
+
+// Guards against a host that is used while an order that it did not answer may bring it back.
+#[test]
+fn a_host_is_not_reused_while_an_unanswered_order_may_bring_it_back() {
+    let mut domain = Domain::new(&[8]);
+    domain.drops_answers = true;
+    domain.run_for(seconds(4));
+    domain.drops_answers = false;
+    let sent_at = domain.now;
+    domain.run_until("all groups serve", |domain| {
+        domain.open_groups(LARGE) == 1 && domain.open_groups(SMALL) == 2
+    });
+    let (number, members) = domain.group_of(SMALL);
+    partition(&mut domain, &members[0]);
+    domain.run_until("group dissolved", |domain| {
+        !domain.stored.value.groups.contains_key(&number)
+    });
+    domain.run_until("the survivor is free", |domain| {
+        !domain.stored.value.is_in_use(&members[1])
+    });
+    let waited = domain.now.since(sent_at);
+    assert!(waited >= seconds(10), "{waited:?} after the order");
+}
+
 /// Guards against a new lease holder that puts a host into a new group while rank 0 of its old one
 /// is still open. The old group had been dissolved while both were cut off from the platform. The
 /// list showed the host in that group, but was older than the lease holder's first read of the
--- a/shalehinge/tests/ordered_support/mod.rs
+++ b/shalehinge/tests/ordered_support/mod.rs
@@ -440,6 +440,8 @@
     fn order(&mut self, host: HostId, order: Order) {
         self.order_count += 1;
         if self.drops_answers {
+            self.controller
+                .record_unanswered_order(self.now, &host, &order);
             self.late_orders.push((host.clone(), order));
             self.controller
                 .on_order_unanswered(self.now, self.now, &host);
@@ -467,6 +469,14 @@
         }
     }
 
+    /// Lets a host carry out an earlier order to join a group again; it is ready in it at once.
+    pub fn rejoin(&mut self, host: &HostId, number: GroupNumber, members: &[HostId]) {
+        let engine = self.engine(host);
+        engine.group = Some(number);
+        engine.phase = EnginePhase::Ready;
+        engine.members = members.to_vec();
+    }
+
     fn carry_out(&mut self, host: &HostId, order: &Order) -> bool {
         let now = self.now;
         match &order.command {
