fix(quarantine): every part of a prompt counts, whatever its place

Cause: the list of a prompt's parts was cut to 16 when it was read (gateway/relay.rs).

Change: all parts count. Memory is bounded by what was suspected: of over 32,768 records those with the fewest crashes go first, an eighth at once; 16,384 parts in each generation of whole answers. A report of losses names its upstream once.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -812,7 +812,7 @@
     ),
     "release-acknowledged": (
         CORE + "controller/mod.rs",
-        "self.released.get(host) == Some(&number)",
+        "self.releases.has_left(host, number)",
         "true",
         "always", "fixed",
     ),
--- a/shalehinge/src/core/daemon/quarantine.rs
+++ b/shalehinge/src/core/daemon/quarantine.rs
@@ -64,10 +64,13 @@
 }
 
 fn report_from_update(now: Timestamp, update: QuarantineUpdate) -> QuarantineReport {
-    let losses = update.losses.into_iter().map(|loss| LossReport {
-        fingerprint: loss.fingerprint,
-        upstream: loss.upstream,
-        ms_ago: now.millis_since(loss.at),
+    let losses = update
+        .losses
+        .chunk_by(|one, other| one.upstream == other.upstream && one.at == other.at);
+    let losses = losses.map(|losses| LossReport {
+        fingerprints: losses.iter().map(|loss| loss.fingerprint).collect(),
+        upstream: losses[0].upstream.clone(),
+        ms_ago: now.millis_since(losses[0].at),
     });
     let completions = update
         .completions
@@ -95,10 +98,15 @@
 /// Converts the ages in a report to times of this daemon. Times before its start are set to the
 /// start.
 fn update_from_report(now: Timestamp, report: QuarantineReport) -> QuarantineUpdate {
-    let losses = report.losses.into_iter().map(|loss| Loss {
-        fingerprint: loss.fingerprint,
-        upstream: loss.upstream,
-        at: saturating_time_before(now, loss.ms_ago),
+    let losses = report.losses.into_iter().flat_map(|report| {
+        let at = saturating_time_before(now, report.ms_ago);
+        let upstream = report.upstream;
+        let fingerprints = report.fingerprints.into_iter();
+        fingerprints.map(move |fingerprint| Loss {
+            fingerprint,
+            upstream: upstream.clone(),
+            at,
+        })
     });
     let quarantined = report.quarantined.iter().map(|entry| Quarantined {
         fingerprint: entry.fingerprint,
--- a/shalehinge/src/core/event.rs
+++ b/shalehinge/src/core/event.rs
@@ -109,14 +109,14 @@
     pub culprit_sets: Vec<CulpritSetReport>,
 }
 
-/// An attempt whose upstream was lost before it answered.
+/// Attempts whose upstream was lost before it answered.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LossReport {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
-    /// The upstream that ran it, or may have run it.
+    /// Fingerprints of the requests and of the parts of their prompts.
+    pub fingerprints: Vec<Fingerprint>,
+    /// The upstream that ran them, or may have run them.
     pub upstream: UpstreamId,
-    /// How long ago the attempt was lost, in milliseconds.
+    /// How long ago the attempts were lost, in milliseconds.
     pub ms_ago: u64,
 }
 
--- a/shalehinge/src/core/router/quarantine.rs
+++ b/shalehinge/src/core/router/quarantine.rs
@@ -33,10 +33,12 @@
 /// make suspects of them.
 const PART_ANSWER_VALIDITY: Duration = Duration::from_millis(1_500);
 /// Maximum number of prompt parts in each of the two generations of whole answers.
-const MAX_PART_ANSWERS: usize = 2_048;
-/// Maximum number of requests with losses to remember; a crash adds every request that was
-/// running there.
-const MAX_RECORDS: usize = 4_096;
+const MAX_PART_ANSWERS: usize = 16_384;
+/// Maximum number of requests and parts with losses to remember. A crash adds every request that was
+/// running there, with hundreds of parts each.
+const MAX_RECORDS: usize = 32_768;
+/// Number of records that are discarded at once when there are too many.
+const EVICTED_RECORDS: usize = MAX_RECORDS / 8;
 /// Maximum number of completed requests to remember. At 100 requests per second this covers the
 /// last ten seconds, and requests repeated more often than that are always included.
 const MAX_COMPLETIONS: usize = 1_024;
@@ -126,6 +128,12 @@
             .max(self.completed_at)
             .unwrap_or_default()
     }
+
+    /// How suspicious the request is, from its quarantine and its crashes.
+    fn rank(&self) -> (Option<Evidence>, usize, Timestamp) {
+        let evidence = self.quarantined.map(|known| known.evidence);
+        (evidence, self.crashes.len(), self.last_at())
+    }
 }
 
 /// When prompt parts were last in a prompt that got a complete answer. When the newer generation is
@@ -539,14 +547,19 @@
         refutes(fingerprint, at, since).then_some(Completion { fingerprint, at })
     }
 
-    /// Discards the record with the oldest activity if the maximum number is reached.
+    /// Discards the least suspicious records if the maximum number is reached: those with the fewest
+    /// crashes, and of these the oldest.
     fn evict_if_full(&mut self) {
         if self.records.len() < MAX_RECORDS {
             return;
         }
-        let oldest = self.records.iter().min_by_key(|(_, r)| r.last_at());
-        if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
-            self.records.remove(&fingerprint);
+        let records = self.records.iter();
+        let mut ranked: Vec<_> = records
+            .map(|(fingerprint, record)| (record.rank(), *fingerprint))
+            .collect();
+        ranked.select_nth_unstable(EVICTED_RECORDS);
+        for (_, fingerprint) in &ranked[..EVICTED_RECORDS] {
+            self.records.remove(fingerprint);
         }
     }
 
--- a/shalehinge/src/gateway/relay.rs
+++ b/shalehinge/src/gateway/relay.rs
@@ -36,9 +36,6 @@
 /// Retry delay for callers that arrive before the daemon has routes in force.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Maximum number of parts of a prompt that get a fingerprint; later ones are ignored.
-const MAX_PROMPT_PARTS: usize = 16;
-
 /// A response that the daemon itself generates, with a plain text body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct DaemonResponse {
@@ -296,7 +293,6 @@
         .filter(|id| !id.is_empty())
         .collect();
     ids.pop();
-    ids.truncate(MAX_PROMPT_PARTS);
     let parts = ids.into_iter();
     parts
         .map(|id| Fingerprint::of_prompt_part(target, id.as_bytes()))
--- a/shalehinge/tests/quarantine.rs
+++ b/shalehinge/tests/quarantine.rs
@@ -177,6 +177,31 @@
     assert!(daemon.quarantine.record_loss(last, &daemon.settings));
 }
 
+// Guards against a culprit that is forgotten for the parts that were lost with it.
+#[test]
+fn a_culprit_is_remembered_among_thousands_of_lost_parts() {
+    const LOST_WITH_IT: u64 = 10_000;
+    let mut daemon = DaemonState::default();
+    for crash in 1..4 {
+        for number in 0..LOST_WITH_IT {
+            let loss = Loss {
+                fingerprint: Fingerprint(crash * LOST_WITH_IT + number),
+                ..loss(crash, crash)
+            };
+            daemon.quarantine.record_loss(loss, &daemon.settings);
+        }
+        daemon.lose(crash, crash);
+    }
+    for number in 4 * LOST_WITH_IT..8 * LOST_WITH_IT {
+        let loss = Loss {
+            fingerprint: Fingerprint(number),
+            ..loss(4, 4)
+        };
+        daemon.quarantine.record_loss(loss, &daemon.settings);
+    }
+    assert!(daemon.is_quarantined(5));
+}
+
 #[test]
 fn the_fingerprint_covers_customer_method_path_and_body() {
     let of = |customer: &str, method: &str, path: &str, body: &[u8]| {
