fix(quarantine): a part that crashes replicas is known for all models

Cause: the fingerprint of a part covered the model.

Change: a request is suspected of its parts, and of its parts with its model. The sets of trials tell which of both it is.

Evidence: each of the two new tests failed with the way that it guards against, on this code with `subjects` reduced to it.

Why it works: what the sets of three models have in common is the part alone; an answer of another model clears the part and leaves it with its model. Cost: a trial's crash for each of two further models.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -475,6 +475,18 @@
         "*known == group && now.since(*asked_at) < LATE_ORDER_WINDOW && false",
         "ordered", "may_bring_it_back",
     ),
+    "a-part-counts-with-any-model": (
+        CORE + "router/request.rs",
+        "subjects.extend(parts.copied().chain(at_target));",
+        "subjects.extend(at_target);",
+        "crashing_prompt_parts", "held_back_for_all_models",
+    ),
+    "a-part-counts-with-its-model": (
+        CORE + "router/request.rs",
+        "subjects.extend(parts.copied().chain(at_target));",
+        "subjects.extend(parts.copied());",
+        "crashing_prompt_parts", "is_served_by_another",
+    ),
     "a-trial-proves-a-set": (
         CORE + "router/culprit_sets.rs",
         ".all(|subject| subjects.contains(subject))",
--- a/shalehinge/src/core/fingerprint.rs
+++ b/shalehinge/src/core/fingerprint.rs
@@ -44,17 +44,26 @@
         Self(truncated(hasher) & !PROMPT_PART_BIT)
     }
 
-    /// The fingerprint of a part of prompts for a target, by the part's id. It covers no customer,
-    /// as a part may be shared by the prompts of several.
-    pub fn of_prompt_part(target: &Target, part: &[u8]) -> Self {
+    /// The fingerprint of a part of prompts, by the part's id. It covers no customer and no model, as
+    /// a part may be shared by the prompts of several customers and for several models.
+    pub fn of_prompt_part(part: &[u8]) -> Self {
         let mut hasher = Sha256::new();
-        let target = target.to_string();
-        hasher.update((target.len() as u64).to_be_bytes());
-        hasher.update(target);
         hasher.update(part);
         Self(truncated(hasher) | PROMPT_PART_BIT)
     }
 
+    /// The fingerprint of a target, to be combined with those of parts of prompts.
+    pub fn of_target(target: &Target) -> Self {
+        let mut hasher = Sha256::new();
+        hasher.update(target.to_string());
+        Self(truncated(hasher) & !PROMPT_PART_BIT)
+    }
+
+    /// The fingerprint of this part of prompts at one target alone.
+    pub fn at_target(self, target: Self) -> Self {
+        Self((self.0 ^ target.0) | PROMPT_PART_BIT)
+    }
+
     /// Whether it identifies a part of prompts.
     pub fn is_prompt_part(self) -> bool {
         self.0 & PROMPT_PART_BIT != 0
--- a/shalehinge/src/core/router/attempts.rs
+++ b/shalehinge/src/core/router/attempts.rs
@@ -95,7 +95,7 @@
         let goes_on = pending.is_running();
         let target = pending.meta.target.clone();
         let subject = RequestSubject {
-            subjects: pending.meta.subjects().collect(),
+            subjects: pending.meta.subjects(),
             target: target.clone(),
         };
         let mut fails_everywhere = false;
--- a/shalehinge/src/core/router/dispatch.rs
+++ b/shalehinge/src/core/router/dispatch.rs
@@ -423,7 +423,7 @@
         if let TrialState::At { subject, .. } = &pending.trial {
             let trial = RunningTrial {
                 upstream: attempt.upstream.clone(),
-                subjects: pending.meta.subjects().collect(),
+                subjects: pending.meta.subjects(),
             };
             self.running_trials.insert(*subject, trial);
         }
--- a/shalehinge/src/core/router/prefix.rs
+++ b/shalehinge/src/core/router/prefix.rs
@@ -8,7 +8,7 @@
 
 use siphasher::sip::SipHasher13;
 
-use super::request::{PrefixChain, Target};
+use super::request::PrefixChain;
 use crate::core::fingerprint::Fingerprint;
 
 /// Bytes of a prompt covered by one hash; about 64 tokens of 4 bytes.
@@ -35,11 +35,11 @@
 
 /// Fingerprints of the beginnings of a prompt that other prompts may share: of 1, 2, 4, ... blocks,
 /// without the last block, which is the request's own.
-pub fn shared_parts(target: &Target, chain: &PrefixChain) -> Vec<Fingerprint> {
+pub fn shared_parts(chain: &PrefixChain) -> Vec<Fingerprint> {
     let lengths = std::iter::successors(Some(1), |length| Some(length * 2));
     let lengths = lengths.take_while(|length| *length < chain.len());
     lengths
-        .map(|length| Fingerprint::of_prompt_part(target, &chain[length - 1].to_be_bytes()))
+        .map(|length| Fingerprint::of_prompt_part(&chain[length - 1].to_be_bytes()))
         .collect()
 }
 
--- a/shalehinge/src/core/router/quarantine.rs
+++ b/shalehinge/src/core/router/quarantine.rs
@@ -404,7 +404,7 @@
         if self.records.is_empty() && self.culprit_sets.is_empty() {
             return None;
         }
-        let subjects: Vec<Fingerprint> = meta.subjects().collect();
+        let subjects = meta.subjects();
         let held = self.culprit_sets.held_by(&subjects);
         let by_set = held.map(|set| Quarantined {
             fingerprint: set.subjects[0],
--- a/shalehinge/src/core/router/request.rs
+++ b/shalehinge/src/core/router/request.rs
@@ -69,11 +69,18 @@
 }
 
 impl RequestMeta {
-    /// Everything about the request that may crash upstreams: its content as a whole, and the parts
-    /// of its prompt.
-    pub fn subjects(&self) -> impl Iterator<Item = Fingerprint> {
-        let parts = self.prompt_parts.iter().copied();
-        std::iter::once(self.fingerprint).chain(parts)
+    /// Everything about the request that may crash upstreams: its content as a whole, and each part
+    /// of its prompt, with any model and with the model that it is for. A part may crash the
+    /// replicas of all models, or of one that others answer.
+    pub fn subjects(&self) -> Vec<Fingerprint> {
+        let mut subjects = vec![self.fingerprint];
+        if !self.prompt_parts.is_empty() {
+            let target = Fingerprint::of_target(&self.target);
+            let parts = self.prompt_parts.iter();
+            let at_target = parts.clone().map(|part| part.at_target(target));
+            subjects.extend(parts.copied().chain(at_target));
+        }
+        subjects
     }
 }
 
--- a/shalehinge/src/core/router/trial.rs
+++ b/shalehinge/src/core/router/trial.rs
@@ -71,7 +71,7 @@
         let subject = quarantined.map_or(pending.meta.fingerprint, |known| known.fingerprint);
         let eligible = state.upstreams.iter().filter(|u| u.may_be_sent(now));
         let candidates = eligible.choose_multiple(rng, MAX_CANDIDATES);
-        let suspects = pending.meta.subjects().filter(|subject| {
+        let suspects = pending.meta.subjects().into_iter().filter(|subject| {
             let quarantined = self.quarantine.active(now, *subject, &self.settings);
             quarantined.is_some()
         });
@@ -102,8 +102,7 @@
     ) {
         let is_held = |pending: &Pending| {
             let is_requested = matches!(pending.trial, TrialState::Requested { .. });
-            let mut subjects = pending.meta.subjects();
-            is_requested && subjects.any(|subject| subject == grant.fingerprint)
+            is_requested && pending.meta.subjects().contains(&grant.fingerprint)
         };
         let held = self
             .pending
--- a/shalehinge/src/gateway/chat.rs
+++ b/shalehinge/src/gateway/chat.rs
@@ -111,7 +111,7 @@
         priority: options.priority,
         key: options.key,
         repeatable: options.repeatable,
-        prompt_parts: prefix::shared_parts(&target, &prefix),
+        prompt_parts: prefix::shared_parts(&prefix),
         prefix,
         target,
         max_attempts: None,
--- a/shalehinge/src/gateway/relay.rs
+++ b/shalehinge/src/gateway/relay.rs
@@ -187,7 +187,7 @@
         .get_str(names.deadline)
         .and_then(|text| text.trim().parse().ok())
         .map_or(timeout, Duration::from_millis);
-    let prompt_parts = shared_parts(&target, headers.get_str(names.prompt_parts));
+    let prompt_parts = shared_parts(headers.get_str(names.prompt_parts));
     let (prompt_tokens, max_output_tokens) = token_counts(headers.get_str(names.tokens));
     let forwarded = request_headers(names, sets_priority, conn);
     let host_and_path = format!("{host}{request_target}");
@@ -285,7 +285,7 @@
 
 /// Fingerprints of the parts of the prompt that other requests may share, which are all but the last
 /// one.
-fn shared_parts(target: &Target, header: Option<&str>) -> Vec<Fingerprint> {
+fn shared_parts(header: Option<&str>) -> Vec<Fingerprint> {
     let ids = header.unwrap_or_default().split(',');
     let mut ids: Vec<&str> = ids
         .filter_map(|part| part.split(':').next())
@@ -295,7 +295,7 @@
     ids.pop();
     let parts = ids.into_iter();
     parts
-        .map(|id| Fingerprint::of_prompt_part(target, id.as_bytes()))
+        .map(|id| Fingerprint::of_prompt_part(id.as_bytes()))
         .collect()
 }
 
--- a/shalehinge/tests/crashing_prompt_parts.rs
+++ b/shalehinge/tests/crashing_prompt_parts.rs
@@ -6,8 +6,7 @@
 
 use router_support::{RouterHarness, request};
 use shalehinge::core::router::prefix;
-use shalehinge::core::router::request::{AttemptEnd, NotRunReason, Outcome, Target};
-use shalehinge::core::types::ModelName;
+use shalehinge::core::router::request::{AttemptEnd, NotRunReason, Outcome};
 
 /// Time after which a trial no longer waits for upstreams to return.
 const TRIAL_IS_DUE: Duration = Duration::from_secs(7);
@@ -97,11 +96,10 @@
 
 #[test]
 fn prompts_of_the_own_interface_share_parts_up_to_the_last_block() {
-    let target = Target::Model(ModelName::new("m"));
     let prompt = |end: u8| {
         let mut bytes = vec![b'x'; 4 * prefix::BLOCK_BYTES];
         bytes.extend(vec![end; prefix::BLOCK_BYTES]);
-        prefix::shared_parts(&target, &prefix::chain_of(&bytes))
+        prefix::shared_parts(&prefix::chain_of(&bytes))
     };
     assert_eq!(prompt(b'a').len(), 3, "of 1, 2 and 4 blocks");
     assert_eq!(prompt(b'a'), prompt(b'b'));
@@ -126,3 +124,56 @@
     assert!(is_served(&mut harness, 6, &["good", "shared"]));
     assert!(!is_served(&mut harness, 7, &["bad", "other"]));
 }
+
+// Guards against a part that crashes replicas of one model after the other.
+#[test]
+fn a_part_that_crashes_replicas_is_held_back_for_all_models() {
+    let mut harness = RouterHarness::with_replicas(16);
+    harness.upstreams_crash = true;
+    harness.split_replicas(&["one", "two", "three", "four"]);
+    let mut number = 0;
+    let mut late = 0;
+    for model in ["one", "two", "three", "four"] {
+        for _ in 0..10 {
+            number += 1;
+            let bad = request().with_parts(&["bad", "shared"]).for_model(model);
+            harness.submit(number, bad);
+            harness.end_attempt(number, AttemptEnd::Lost);
+            late += if model == "one" {
+                0
+            } else {
+                harness.attempts(number)
+            };
+            harness.advance(TRIAL_IS_DUE);
+        }
+        number += 1;
+        let sound = request().with_parts(&["good", "shared"]).for_model(model);
+        harness.submit(number, sound);
+        assert_eq!(harness.attempts(number), 1, "a sound request for {model}");
+        harness.end_attempt(number, COMPLETED);
+    }
+    assert!(late <= 3, "{late} reached replicas of further models");
+}
+
+// Guards against answers of one model that hide crashes of another.
+#[test]
+fn a_part_that_crashes_replicas_of_one_model_is_served_by_another() {
+    let mut harness = RouterHarness::with_replicas(8);
+    harness.upstreams_crash = true;
+    harness.split_replicas(&["one", "two"]);
+    let mut reached = 0;
+    for number in 1..40 {
+        let bad = request().with_parts(&["bad"]).for_model("one");
+        harness.submit(number, bad);
+        reached += harness.attempts(number);
+        harness.end_attempt(number, AttemptEnd::Lost);
+        let sound = request().with_parts(&["bad"]).for_model("two");
+        harness.submit(100 + number, sound);
+        harness.end_attempt(100 + number, COMPLETED);
+        harness.advance(TRIAL_IS_DUE);
+    }
+    assert!(reached <= 5, "{reached} reached replicas of the model");
+    let sound = request().with_parts(&["bad"]).for_model("two");
+    harness.submit(200, sound);
+    assert_eq!(harness.attempts(200), 1);
+}
--- a/shalehinge/tests/relay_support/prompt_parts.rs
+++ b/shalehinge/tests/relay_support/prompt_parts.rs
@@ -4,16 +4,15 @@
 
 use shalehinge::core::event::Event;
 use shalehinge::core::fingerprint::Fingerprint;
-use shalehinge::core::router::request::{RequestMeta, Target};
+use shalehinge::core::router::request::RequestMeta;
 use shalehinge::core::types::{RequestId, Timestamp};
 
 use super::Fleet;
-use super::configuration::model;
 use super::upstreams::{STREAM_DEADLINE, stream};
 
 /// Fingerprint of the part of prompts with this id.
 pub fn part(id: &str) -> Fingerprint {
-    Fingerprint::of_prompt_part(&Target::Model(model()), id.as_bytes())
+    Fingerprint::of_prompt_part(id.as_bytes())
 }
 
 /// A crash of an upstream.
--- a/shalehinge/tests/router_support/mod.rs
+++ b/shalehinge/tests/router_support/mod.rs
@@ -77,11 +77,17 @@
     /// Sets the parts of the prompt that other requests may share, by their ids.
     pub fn with_parts(mut self, ids: &[&str]) -> Self {
         let parts = ids.iter();
-        let parts = parts.map(|id| Fingerprint::of_prompt_part(&target(), id.as_bytes()));
+        let parts = parts.map(|id| Fingerprint::of_prompt_part(id.as_bytes()));
         self.0.prompt_parts = parts.collect();
         self
     }
 
+    /// Sets the model that the request is for; see [`RouterHarness::split_replicas`].
+    pub fn for_model(mut self, model: &str) -> Self {
+        self.0.target = Target::Model(ModelName::new(model));
+        self
+    }
+
     /// Sets the time from arrival within which the first output is due.
     pub fn due_within(mut self, time: Duration) -> Self {
         self.0.first_output_within = Some(time);
@@ -185,6 +191,22 @@
             .set_topology(self.now, Topology::from([(target(), specs)]));
     }
 
+    /// Replaces the replicas by as many others, divided evenly among these models.
+    pub fn split_replicas(&mut self, models: &[&str]) {
+        let first = self.replica_count;
+        let of_model = self.replica_count / models.len() as u64;
+        self.replica_count *= 2;
+        let parts = (0..).zip(models).map(|(index, model)| {
+            let numbers = first + index * of_model..first + (index + 1) * of_model;
+            (
+                Target::Model(ModelName::new(model)),
+                numbers.map(spec).collect(),
+            )
+        });
+        self.router.set_topology(self.now, parts.collect());
+        self.advance(Duration::from_secs(3));
+    }
+
     /// Fails a report of every replica, so that none counts as complete.
     pub fn fail_all_reports(&mut self) {
         for number in 0..self.replica_count {
