fix(upstream): an unasked 101 is no answer

Cause: the HTTP library returns 101 as a final head, and every status that it returns was passed on.

Change: a status outside of 200 to 599 counts as a wrong answer.

Why it works: no request asks for an upgrade, so no 1xx can be its answer; both readers check it before anything else.

--- a/scripts/red-runs.py
+++ b/scripts/red-runs.py
@@ -487,6 +487,12 @@
         "subjects.extend(parts.copied());",
         "crashing_prompt_parts", "is_served_by_another",
     ),
+    "no-change-of-protocols-is-passed-on": (
+        "shalehinge/src/upstream/attempt.rs",
+        "(200..600).contains(&status)\n",
+        "(200..600).contains(&status) || status == 101\n",
+        "malformed_responses", "a_status_that_is_none",
+    ),
     "a-trial-proves-a-set": (
         CORE + "router/culprit_sets.rs",
         ".all(|subject| subjects.contains(subject))",
--- a/shalehinge/src/upstream/attempt.rs
+++ b/shalehinge/src/upstream/attempt.rs
@@ -135,6 +135,9 @@
     let Some(status) = conn.status().map(u16::from) else {
         return AttemptEnd::Lost;
     };
+    if !is_final(status) {
+        return AttemptEnd::WrongAnswer;
+    }
     let headers = conn.response_headers();
     let echoed = headers.get_str(ATTEMPT_HEADER);
     let has_wrong_id = match request.response_mode {
@@ -159,6 +162,12 @@
     read_whole(conn, status, attempt.address, is_engine, sink).await
 }
 
+/// Whether a response with this status is an answer to a request. No request asks for an upgrade, so
+/// `101 Switching Protocols` is none.
+pub(super) fn is_final(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
 fn build_request(client: &Client, attempt: &Attempt, request: &OutgoingRequest) -> Conn {
     let mut conn = client
         .build_conn(
--- a/shalehinge/src/upstream/relay.rs
+++ b/shalehinge/src/upstream/relay.rs
@@ -12,7 +12,9 @@
 use trillium_client::{Client, Conn, ResponseBody};
 use trillium_http::Headers;
 
-use super::attempt::{OutgoingRequest, ResponsePart, ResponseSink, WholeResponse, read_body};
+use super::attempt::{
+    OutgoingRequest, ResponsePart, ResponseSink, WholeResponse, is_final, read_body,
+};
 use super::signal::{self, SignalHeaderNames};
 use super::stream_position::{EventSplitter, StreamPosition};
 use crate::core::admission::urgency::MAX_RANK;
@@ -134,6 +136,9 @@
 
 /// Decides how an attempt ends if its response is rejected by status and headers alone.
 fn rejection_by_head(conn: &Conn, status: u16, relay: &RelayContext) -> Option<AttemptEnd> {
+    if !is_final(status) {
+        return Some(AttemptEnd::WrongAnswer);
+    }
     let headers = conn.response_headers();
     let names = relay.names;
     let echoed = headers.get_str(names.request_id);
