perf(quarantine): a culprit that follows from an answer is not told again

When an answer leaves one suspect of a set, each daemon drew that conclusion and told all others: some 115,000 messages at 340 daemons, by reckoning; not measured. The answer is told to all, so each concludes the same. The 34 tests of crashing_parts_and_sound_requests, crashing_prompt_parts and quarantine pass.

--- a/shalehinge/src/core/router/quarantine.rs
+++ b/shalehinge/src/core/router/quarantine.rs
@@ -327,7 +327,10 @@
         };
         match set.subjects[..] {
             [] => {}
-            [subject] => self.mark_proven(subject, &set),
+            [subject] => {
+                let proven = self.mark_proven(subject, &set);
+                self.update.quarantined.push(proven);
+            }
             _ => self.update.culprit_sets.push(set.clone()),
         }
         self.add_culprit_set(set.clone());
@@ -344,7 +347,7 @@
     }
 
     /// Records that a subject, the only one left of this set, crashes upstreams.
-    fn mark_proven(&mut self, fingerprint: Fingerprint, set: &CulpritSet) {
+    fn mark_proven(&mut self, fingerprint: Fingerprint, set: &CulpritSet) -> Quarantined {
         let quarantined = Quarantined {
             fingerprint,
             first_lost_at: set.first_lost_at,
@@ -352,11 +355,11 @@
             evidence: Evidence::Proven,
         };
         self.records.entry(fingerprint).or_default().quarantined = Some(quarantined);
-        self.update.quarantined.push(quarantined);
         self.drop_explained(&CulpritSet {
             subjects: vec![fingerprint],
             ..*set
         });
+        quarantined
     }
 
     /// Drops suspicions that rest on crashes which a culprit in this set, a part of prompts,
@@ -459,7 +462,8 @@
         self.apply_completion_to_record(completion) || ends_in_set
     }
 
-    /// Removes the answered subject from the sets of suspects. Returns whether it was in one.
+    /// Removes the answered subject from the sets of suspects. Returns whether it was in one. Other
+    /// daemons conclude the same from the answer.
     fn clear_in_sets(&mut self, completion: Completion) -> bool {
         let is_refuted = |at: Timestamp| refutes(completion.fingerprint, completion.at, at);
         let solved = self.culprit_sets.clear(completion.fingerprint, is_refuted);
