fix(objects): peers decode assignments again

Cause: `culprits` stood behind `load_crashes`, which is left out while it is empty; messages between daemons hold members by place, so the former was read in the place of the latter.

Why it works: only the last member may be left out.

--- a/shalehinge/src/core/objects.rs
+++ b/shalehinge/src/core/objects.rs
@@ -399,14 +399,14 @@
     /// Such a host can join a group of that model immediately. The host list doesn't report it.
     #[serde(default)]
     pub held_by_free: BTreeMap<HostId, ModelName>,
-    /// Number of consecutive crashes of engines by the model that they were loading, so that a
-    /// new lease holder goes on counting.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub load_crashes: BTreeMap<ModelName, u32>,
     /// What is known to crash upstreams, for daemons that start: sets of fingerprints of which a
     /// request must hold all.
     #[serde(default)]
     pub culprits: Vec<Vec<StoredFingerprint>>,
+    /// Number of consecutive crashes of engines by the model that they were loading, so that a
+    /// new lease holder goes on counting.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub load_crashes: BTreeMap<ModelName, u32>,
 }
 
 /// The hosts that form one replica. Members are immutable; a change of members makes a new group.
--- a/shalehinge/tests/quarantine.rs
+++ b/shalehinge/tests/quarantine.rs
@@ -3,10 +3,12 @@
 
 mod relay_support;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use relay_support::Fleet;
-use shalehinge::core::fingerprint::Fingerprint;
+use shalehinge::core::fingerprint::{Fingerprint, StoredFingerprint};
+use shalehinge::core::objects::Assignment;
 use shalehinge::core::router::quarantine::{Completion, Loss, Quarantine};
 use shalehinge::core::router::request::{Target, UpstreamId};
 use shalehinge::core::trials::{TrialOwner, TrialRequest};
@@ -202,6 +204,25 @@
     assert!(daemon.is_quarantined(5));
 }
 
+// Guards against an assignment that peers can't decode, as members of it are left out.
+#[test]
+fn what_is_stored_with_an_assignment_reaches_peers_whether_or_not_there_were_crashes() {
+    let stored = StoredFingerprint::from(FINGERPRINT);
+    let model = ModelName::new("m");
+    for culprits in [Vec::new(), vec![vec![stored]]] {
+        for load_crashes in [BTreeMap::new(), BTreeMap::from([(model.clone(), 2)])] {
+            let assignment = Assignment {
+                culprits: culprits.clone(),
+                load_crashes,
+                ..Assignment::default()
+            };
+            let bytes = rmp_serde::to_vec(&assignment).expect("encodes");
+            let decoded: Assignment = rmp_serde::from_slice(&bytes).expect("decodes");
+            assert_eq!(decoded, assignment);
+        }
+    }
+}
+
 #[test]
 fn the_fingerprint_covers_customer_method_path_and_body() {
     let of = |customer: &str, method: &str, path: &str, body: &[u8]| {
